--- /dev/null
+++ b/crates/jujubelb-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, demo and measurements for jujubelb.
--- /dev/null
+++ b/crates/jujubelb/src/model/mod.rs
@@ -0,0 +1,19 @@
+//! Types shared by all duties: names, units, result codes and decision records.
+
+mod code;
+mod name;
+mod record;
+mod task;
+mod unit;
+
+pub use code::{Code, MayHaveRun};
+pub use name::{
+    ClassName, DomainName, EndpointName, HostName, JobName, NodeName, RackName, RegionName,
+    ServiceName, ShardName, TeamName, WorkerName,
+};
+pub use record::{Action, Cause, Fact, Record, RecordId, Subject, Unit};
+pub use task::{
+    Attempt, Checkpoint, Epoch, Incarnation, JobSpec, Priority, Revision, TaskId, TaskKind,
+    TaskSpec,
+};
+pub use unit::{Bytes, Millicores, Resources, Span, Time, WallTime, WorkerTime};
--- /dev/null
+++ b/crates/jujubelb/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
