--- a/crates/jujubelb/src/store/mod.rs
+++ b/crates/jujubelb/src/store/mod.rs
@@ -1,5 +1,7 @@
 //! The platform's key-value service, met through one small trait.
 
+pub mod api;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
--- a/crates/jujubelb/src/worker/mod.rs
+++ b/crates/jujubelb/src/worker/mod.rs
@@ -1,5 +1,8 @@
 //! The worker protocol: one exchange carries the lease and the commands to the
 //! worker and brings back its report.
+//!
+//! Over HTTP it is `POST /v1/sync` at the worker's address with a
+//! [`SyncRequest`] as JSON and status 200 with a [`SyncAnswer`] as JSON.
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
