Add the stand-in platform and the load of callers

Cause: the processes need a store, a host list, workers and endpoints to run against, and the invariants have to be checked where work really runs. Change: the crate jujubelb-lab serves stand-ins over HTTP on loopback, each with the faults it needs (outage, delay, lost answers, lag, restart). A ledger notes what ran and counts checks and violations of each invariant. A load sends requests and checks each answer against what endpoints received. Conclusion: every rule of the ledger on tasks was shown to notice a violation.

--- a/crates/jujubelb-lab/src/lib.rs
+++ b/crates/jujubelb-lab/src/lib.rs
@@ -1,1 +1,7 @@
-//! Stand-ins, demo and measurements for jujubelb.
+//! Stand-ins for the platform, the demo and the measurements of jujubelb.
+//!
+//! The stand-ins keep the contracts of the store, the host list, workers and
+//! endpoints, and note what really happened to them. They model no cluster.
+
+pub mod load;
+pub mod standin;
--- /dev/null
+++ b/crates/jujubelb-lab/src/standin/ledger.rs
@@ -0,0 +1,293 @@
+//! What really happened on workers and endpoints, checked against the product's invariants.
+
+use std::fmt;
+
+use indexmap::{IndexMap, IndexSet};
+use jujubelb::model::{DomainName, Resources, Span, TaskId, Time, WorkerName};
+use serde::Serialize;
+
+/// The longest time after a domain is taken out in which a task may still start there.
+pub const OUT_BOUND: Span = Span::from_secs(3);
+
+/// The longest time after an endpoint starts leaving in which it may still get new work.
+pub const LEAVE_BOUND: Span = Span::from_secs(3);
+
+/// An invariant of the product, by its number in `docs/design.md`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub enum Invariant {
+    /// No host over capacity.
+    P1,
+    /// One place at a time.
+    P2,
+    /// Evicted work resumes exactly once.
+    P3,
+    /// No start in a domain that is out.
+    P4,
+    /// The whole answer to its own caller.
+    P5,
+    /// Refused as not run did not run.
+    P6,
+    /// Non-idempotent at most once.
+    P7,
+    /// A leaving endpoint gets nothing new.
+    P8,
+    /// A planned stop cuts off nothing.
+    P9,
+    /// Configuration in force everywhere and never reverted.
+    P10,
+}
+
+impl Invariant {
+    /// All invariants in order.
+    pub const ALL: [Self; 10] = [
+        Self::P1,
+        Self::P2,
+        Self::P3,
+        Self::P4,
+        Self::P5,
+        Self::P6,
+        Self::P7,
+        Self::P8,
+        Self::P9,
+        Self::P10,
+    ];
+
+    /// The promise in a few words.
+    pub const fn title(self) -> &'static str {
+        match self {
+            Self::P1 => "no host over its capacity",
+            Self::P2 => "no task in two places at once",
+            Self::P3 => "evicted work resumes exactly once",
+            Self::P4 => "no start in a domain that is out",
+            Self::P5 => "whole answer to its own caller",
+            Self::P6 => "refused as not run did not run",
+            Self::P7 => "non-idempotent request runs at most once",
+            Self::P8 => "leaving endpoint gets no new work",
+            Self::P9 => "planned stop cuts off no request",
+            Self::P10 => "configuration in force, never reverted",
+        }
+    }
+}
+
+/// Checks made and violations found for one invariant.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Tally {
+    /// Number of checks.
+    pub checks: u64,
+    /// Violations, in words.
+    pub violations: Vec<String>,
+}
+
+/// Where and from what progress an attempt runs.
+#[derive(Debug, Clone)]
+struct Active {
+    worker: WorkerName,
+    attempt: u64,
+}
+
+/// History of one task.
+#[derive(Debug, Clone, Default)]
+struct History {
+    active: Option<Active>,
+    last: u64,
+    done: bool,
+    evicted: bool,
+    saved: Span,
+}
+
+/// What really happened.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    tallies: IndexMap<Invariant, Tally>,
+    tasks: IndexMap<TaskId, History>,
+    out: IndexMap<DomainName, Time>,
+    started: u64,
+    completed: u64,
+    evictions: u64,
+    resumed: u64,
+    lapsed: u64,
+    workers: IndexSet<WorkerName>,
+}
+
+/// Numbers for reports.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Counts {
+    /// Attempts started.
+    pub started: u64,
+    /// Tasks completed.
+    pub completed: u64,
+    /// Attempts stopped after a checkpoint on command.
+    pub evictions: u64,
+    /// Evicted tasks that ran again.
+    pub resumed: u64,
+    /// Attempts that ended because the worker's lease ended or the worker died.
+    pub lost: u64,
+}
+
+impl Ledger {
+    /// Notes a check and, if it failed, a violation.
+    pub fn check(&mut self, invariant: Invariant, ok: bool, text: impl FnOnce() -> String) {
+        let tally = self.tallies.entry(invariant).or_default();
+        tally.checks += 1;
+        if !ok {
+            tally.violations.push(text());
+        }
+    }
+
+    /// Notes that operators took a domain out, at the time when the change was accepted.
+    pub fn domain_out(&mut self, domain: DomainName, now: Time) {
+        self.out.insert(domain, now);
+    }
+
+    /// Notes that operators are about to bring a domain back.
+    pub fn domain_in(&mut self, domain: &DomainName) {
+        self.out.shift_remove(domain);
+    }
+
+    /// An attempt starts on a worker, from `from` of progress.
+    pub fn start(
+        &mut self,
+        now: Time,
+        task: &TaskId,
+        attempt: u64,
+        worker: &WorkerName,
+        domain: &DomainName,
+        from: Span,
+    ) {
+        self.started += 1;
+        self.workers.insert(worker.clone());
+        let late = self.out.get(domain).map(|t| now.since(*t));
+        self.check(Invariant::P4, late.is_none_or(|d| d <= OUT_BOUND), || {
+            format!(
+                "{task} started on {worker} {} after {domain} was taken out",
+                late.unwrap_or_default()
+            )
+        });
+        let history = self.tasks.entry(task.clone()).or_default();
+        let other = history.active.replace(Active {
+            worker: worker.clone(),
+            attempt,
+        });
+        let (last, done, evicted, saved) =
+            (history.last, history.done, history.evicted, history.saved);
+        history.last = last.max(attempt);
+        history.evicted = false;
+        if evicted {
+            self.resumed += 1;
+        }
+        self.check(Invariant::P2, other.is_none(), || {
+            format!(
+                "{task} started on {worker} while it ran on {}",
+                other.map_or_else(String::new, |a| a.worker.to_string())
+            )
+        });
+        self.check(Invariant::P3, !done, || {
+            format!("{task} started again on {worker} after it was done")
+        });
+        self.check(Invariant::P3, attempt > last, || {
+            format!("{task} started attempt {attempt} on {worker} after attempt {last}")
+        });
+        if evicted {
+            self.check(Invariant::P3, from >= saved, || {
+                format!(
+                    "{task} resumed from {from} although {saved} were checkpointed at its eviction"
+                )
+            });
+        }
+    }
+
+    /// An attempt no longer runs.
+    pub fn end(&mut self, task: &TaskId, attempt: u64, end: End, saved: Span) {
+        let history = self.tasks.entry(task.clone()).or_default();
+        if history
+            .active
+            .as_ref()
+            .is_some_and(|a| a.attempt == attempt)
+        {
+            history.active = None;
+        }
+        match end {
+            End::Done => {
+                let twice = std::mem::replace(&mut history.done, true);
+                self.completed += 1;
+                self.check(Invariant::P3, !twice, || {
+                    format!("{task} was completed twice")
+                });
+            }
+            End::Evicted => {
+                history.evicted = true;
+                history.saved = saved;
+                self.evictions += 1;
+            }
+            End::Lost => self.lapsed += 1,
+            End::Failed | End::Stopped => {}
+        }
+    }
+
+    /// The limits and the use on a worker after a change.
+    pub fn load(
+        &mut self,
+        worker: &WorkerName,
+        limits: Resources,
+        used: Resources,
+        capacity: Resources,
+    ) {
+        self.check(
+            Invariant::P1,
+            limits.fits(&capacity) && used.fits(&capacity),
+            || format!("{worker} holds limits {limits:?} and uses {used:?} of {capacity:?}"),
+        );
+    }
+
+    /// Whether a task was completed.
+    pub fn is_done(&self, task: &TaskId) -> bool {
+        self.tasks.get(task).is_some_and(|h| h.done)
+    }
+
+    /// Tasks that were evicted and did not run again yet.
+    pub fn waiting(&self) -> usize {
+        self.tasks.values().filter(|h| h.evicted && !h.done).count()
+    }
+
+    /// Numbers for reports.
+    pub fn counts(&self) -> Counts {
+        Counts {
+            started: self.started,
+            completed: self.completed,
+            evictions: self.evictions,
+            resumed: self.resumed,
+            lost: self.lapsed,
+        }
+    }
+
+    /// Checks and violations of one invariant.
+    pub fn tally(&self, invariant: Invariant) -> Tally {
+        self.tallies.get(&invariant).cloned().unwrap_or_default()
+    }
+
+    /// Number of violations in all.
+    pub fn violations(&self) -> usize {
+        self.tallies.values().map(|t| t.violations.len()).sum()
+    }
+}
+
+/// How an attempt ended on its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// It did its work.
+    Done,
+    /// It failed by itself or exceeded its limit.
+    Failed,
+    /// It was checkpointed and stopped on command.
+    Evicted,
+    /// It was stopped on command.
+    Stopped,
+    /// The lease ended or the worker died.
+    Lost,
+}
+
+impl fmt::Display for Invariant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?} {}", self.title())
+    }
+}
--- /dev/null
+++ b/crates/jujubelb-lab/src/standin/worker/tests.rs
@@ -0,0 +1,187 @@
+//! The stand-in worker must refuse what a real worker refuses; otherwise a test that
+//! runs against it would not notice a missing fence, lease or start window.
+
+use jujubelb::model::{ClassName, JobName, Priority, TaskKind};
+
+use super::super::ledger::Invariant;
+use super::*;
+
+fn spec() -> TaskSpec {
+    TaskSpec {
+        kind: TaskKind::Batch,
+        class: ClassName::from("sort"),
+        priority: Priority::Batch,
+        size: Resources::new(1_000, 1 << 30, 0),
+        duration: Some(Span::from_secs(10)),
+        domains: Vec::new(),
+        reclaimable: false,
+    }
+}
+
+fn task(index: u32) -> TaskId {
+    TaskId {
+        job: JobName::from("job"),
+        index,
+    }
+}
+
+struct Bench {
+    worker: WorkerState,
+    ledger: Arc<Mutex<Ledger>>,
+    now: Time,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let ledger = Arc::<Mutex<Ledger>>::default();
+        let facts = Facts {
+            name: WorkerName::from("w1"),
+            domain: DomainName::from("d1"),
+            capacity: Resources::new(2_000, 4 << 30, 0),
+            broken: false,
+            offset: Span::from_secs(100),
+        };
+        let behaviours = Arc::new(Behaviours::default());
+        let worker = WorkerState::new(facts, Incarnation(1), behaviours, Arc::clone(&ledger));
+        Self {
+            worker,
+            ledger,
+            now: Time::from_millis(1_000),
+        }
+    }
+
+    fn sync(&mut self, epoch: u64, commands: Vec<Command>) -> SyncAnswer {
+        let request = SyncRequest {
+            shard: ShardName::from("s1"),
+            epoch: Epoch(epoch),
+            lease: Some(self.worker.clock(self.now) + Span::from_secs(5)),
+            have: None,
+            commands,
+        };
+        self.worker.sync(self.now, &request)
+    }
+
+    fn start(&self, index: u32, attempt: u64, by: Span) -> Command {
+        Command::Start {
+            task: task(index),
+            attempt: Attempt(attempt),
+            spec: spec(),
+            limit: spec().size,
+            start_by: self.worker.clock(self.now) + by,
+            checkpoint: None,
+        }
+    }
+
+    fn report(&mut self, epoch: u64, commands: Vec<Command>) -> Report {
+        match self.sync(epoch, commands) {
+            SyncAnswer::Report(report) => report,
+            SyncAnswer::Fenced { epoch, .. } => panic!("fenced by epoch {epoch}"),
+        }
+    }
+}
+
+#[test]
+fn lower_epoch_is_fenced() {
+    let mut bench = Bench::new();
+    bench.report(2, Vec::new());
+    assert!(matches!(
+        bench.sync(1, Vec::new()),
+        SyncAnswer::Fenced {
+            epoch: Epoch(2),
+            ..
+        }
+    ));
+}
+
+#[test]
+fn late_start_is_refused() {
+    let mut bench = Bench::new();
+    let start = bench.start(0, 1, Span::ZERO);
+    bench.now = bench.now + Span::from_millis(1);
+    let report = bench.report(1, vec![start]);
+    assert_eq!(report.refused[0].reason, Refusal::TooLate);
+    assert_eq!(bench.worker.running(), 0);
+}
+
+#[test]
+fn repeated_start_runs_once_and_ended_attempt_is_refused() {
+    let mut bench = Bench::new();
+    let start = bench.start(0, 1, Span::from_secs(1));
+    bench.report(1, vec![start.clone(), start.clone()]);
+    assert_eq!(bench.ledger.lock().unwrap().counts().started, 1);
+    let stop = Command::Stop {
+        task: task(0),
+        attempt: Attempt(1),
+    };
+    let forget = Command::Forget {
+        task: task(0),
+        attempt: Attempt(1),
+    };
+    let report = bench.report(1, vec![stop, forget, start]);
+    assert_eq!(report.refused[0].reason, Refusal::OldAttempt);
+}
+
+#[test]
+fn start_beyond_capacity_is_refused() {
+    let mut bench = Bench::new();
+    let starts = (0..3)
+        .map(|i| bench.start(i, 1, Span::from_secs(1)))
+        .collect();
+    let report = bench.report(1, starts);
+    assert_eq!(report.refused[0].reason, Refusal::NoRoom);
+    assert_eq!(bench.worker.running(), 2);
+    let tally = bench.ledger.lock().unwrap().tally(Invariant::P1);
+    assert!(tally.violations.is_empty());
+}
+
+#[test]
+fn tasks_end_with_the_lease() {
+    let mut bench = Bench::new();
+    let start = bench.start(0, 1, Span::from_secs(1));
+    bench.report(1, vec![start]);
+    bench.worker.advance(bench.now + Span::from_secs(6));
+    assert_eq!(bench.worker.running(), 0);
+    assert_eq!(bench.ledger.lock().unwrap().counts().lost, 1);
+}
+
+#[test]
+fn evicted_progress_is_kept_in_the_checkpoint() {
+    let mut bench = Bench::new();
+    let start = bench.start(0, 1, Span::from_secs(1));
+    bench.report(1, vec![start]);
+    bench.now = bench.now + Span::from_secs(3);
+    let evict = Command::Evict {
+        task: task(0),
+        attempt: Attempt(1),
+    };
+    let report = bench.report(1, vec![evict]);
+    let row = &report.inventory.unwrap()[0];
+    assert_eq!(row.phase, Phase::Evicted);
+    let saved = saved_progress(row.checkpoint.as_ref().unwrap());
+    assert_eq!(saved, Span::from_secs(3));
+}
+
+#[test]
+fn ledger_notices_each_broken_rule() {
+    let mut ledger = Ledger::default();
+    let (now, one) = (Time::from_millis(1), task(0));
+    let (a, b, d) = (
+        WorkerName::from("a"),
+        WorkerName::from("b"),
+        DomainName::from("d"),
+    );
+    ledger.start(now, &one, 1, &a, &d, Span::ZERO);
+    ledger.start(now, &one, 2, &b, &d, Span::ZERO);
+    assert_eq!(ledger.tally(Invariant::P2).violations.len(), 1);
+    ledger.end(&one, 2, End::Evicted, Span::from_secs(2));
+    ledger.start(now, &one, 3, &b, &d, Span::from_secs(1));
+    assert_eq!(ledger.tally(Invariant::P3).violations.len(), 1);
+    ledger.end(&one, 3, End::Done, Span::ZERO);
+    ledger.domain_out(d.clone(), now);
+    ledger.start(now + Span::from_secs(4), &one, 4, &b, &d, Span::ZERO);
+    assert_eq!(ledger.tally(Invariant::P3).violations.len(), 2);
+    assert_eq!(ledger.tally(Invariant::P4).violations.len(), 1);
+    let (limit, host) = (Resources::new(3, 0, 0), Resources::new(2, 0, 0));
+    ledger.load(&b, limit, Resources::ZERO, host);
+    assert_eq!(ledger.tally(Invariant::P1).violations.len(), 1);
+}
--- /dev/null
+++ b/crates/jujubelb-lab/src/standin/worker_http.rs
@@ -0,0 +1,33 @@
+//! HTTP interface of a stand-in worker.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use jujubelb::worker::{SyncAnswer, SyncRequest};
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{Build, Rocket, State, post, routes};
+
+use super::platform::{Clock, Network};
+use super::worker::WorkerState;
+
+/// A worker with what its server needs.
+#[derive(Debug, Clone)]
+pub(super) struct Served {
+    pub(super) state: Arc<Mutex<WorkerState>>,
+    pub(super) network: Arc<Network>,
+    pub(super) clock: Clock,
+}
+
+#[post("/v1/sync", data = "<request>")]
+fn sync(served: &State<Served>, request: Json<SyncRequest>) -> Result<Json<SyncAnswer>, Status> {
+    let mut worker = served.state.lock().unwrap_or_else(PoisonError::into_inner);
+    if served.network.is_cut(&worker.facts().name) {
+        return Err(Status::ServiceUnavailable);
+    }
+    Ok(Json(worker.sync(served.clock.now(), &request)))
+}
+
+/// Adds the worker's routes to a server.
+pub(super) fn mount(rocket: Rocket<Build>, served: Served) -> Rocket<Build> {
+    rocket.manage(served).mount("/", routes![sync])
+}
