Obey request numbers and incarnations in the stand-in worker

Cause: the protocol now numbers the requests of an owner's term, because a delayed start or resize could overtake a newer one. Change: the stand-in refuses a request that is not newer than the last obeyed one, and ignores the lease and commands meant for an earlier start. Conclusion: reordered exchanges have no effect on the stand-in.

--- a/crates/jujubelb-lab/src/standin/worker.rs
+++ b/crates/jujubelb-lab/src/standin/worker.rs
@@ -52,7 +52,8 @@
 pub struct WorkerState {
     facts: Facts,
     incarnation: Incarnation,
-    obeys: Option<(ShardName, Epoch)>,
+    /// Shard, epoch and number of the last request that was obeyed.
+    obeys: Option<(ShardName, Epoch, u64)>,
     held: IndexMap<TaskId, Held>,
     seen: IndexMap<TaskId, Attempt>,
     version: u64,
@@ -151,20 +152,25 @@
     /// Carries out one exchange.
     pub fn sync(&mut self, now: Time, request: &SyncRequest) -> SyncAnswer {
         self.advance(now);
-        if let Some((shard, epoch)) = &self.obeys
-            && (request.epoch < *epoch || (*shard != request.shard && self.running() > 0))
-        {
-            return SyncAnswer::Fenced {
-                shard: shard.clone(),
-                epoch: *epoch,
-            };
+        if let Some((shard, epoch, seq)) = &self.obeys {
+            let stale = (request.epoch, request.seq) <= (*epoch, *seq);
+            let foreign = *shard != request.shard;
+            if (foreign && self.running() > 0) || (!foreign && stale) {
+                return SyncAnswer::Fenced {
+                    shard: shard.clone(),
+                    epoch: *epoch,
+                };
+            }
         }
-        self.obeys = Some((request.shard.clone(), request.epoch));
-        self.lease = self.lease.max(request.lease);
+        self.obeys = Some((request.shard.clone(), request.epoch, request.seq));
         let clock = self.clock(now);
         let mut refused = Vec::new();
-        for command in &request.commands {
-            self.obey(now, clock, command, &mut refused);
+        // A lease or command that refers to the clock of an earlier start has no meaning here.
+        if request.have.is_some_and(|(own, _)| own == self.incarnation) {
+            self.lease = self.lease.max(request.lease);
+            for command in &request.commands {
+                self.obey(now, clock, command, &mut refused);
+            }
         }
         SyncAnswer::Report(self.report(clock, request.have, refused))
     }
--- a/crates/jujubelb-lab/src/standin/worker/tests.rs
+++ b/crates/jujubelb-lab/src/standin/worker/tests.rs
@@ -29,6 +29,7 @@
     worker: WorkerState,
     ledger: Arc<Mutex<Ledger>>,
     now: Time,
+    seq: u64,
 }
 
 impl Bench {
@@ -47,15 +48,18 @@
             worker,
             ledger,
             now: Time::from_millis(1_000),
+            seq: 0,
         }
     }
 
     fn sync(&mut self, epoch: u64, commands: Vec<Command>) -> SyncAnswer {
+        self.seq += 1;
         let request = SyncRequest {
             shard: ShardName::from("s1"),
             epoch: Epoch(epoch),
+            seq: self.seq,
             lease: Some(self.worker.clock(self.now) + Span::from_secs(5)),
-            have: None,
+            have: Some((Incarnation(1), 0)),
             commands,
         };
         self.worker.sync(self.now, &request)
@@ -93,6 +97,27 @@
     ));
 }
 
+#[test]
+fn overtaken_request_is_fenced() {
+    let mut bench = Bench::new();
+    bench.seq = 5;
+    bench.report(1, Vec::new());
+    bench.seq = 4;
+    assert!(matches!(
+        bench.sync(1, Vec::new()),
+        SyncAnswer::Fenced { .. }
+    ));
+}
+
+#[test]
+fn commands_for_an_earlier_start_have_no_effect() {
+    let mut bench = Bench::new();
+    let start = bench.start(0, 1, Span::from_secs(1));
+    bench.worker.restart(bench.now, Incarnation(2));
+    bench.report(1, vec![start]);
+    assert_eq!(bench.worker.running(), 0);
+}
+
 #[test]
 fn late_start_is_refused() {
     let mut bench = Bench::new();
