--- a/crates/jujubelb/src/operator/mod.rs
+++ b/crates/jujubelb/src/operator/mod.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Operators' HTTP interface.
+
+pub mod api;
