Add YAML declarations with checks over the whole set of files

Operators apply declarations spread over several files and need all errors at once. Files are read into trees with positions, so unknown fields, wrong units, duplicate names, unknown references, impossible sizes, quotas and shard bounds are reported together with file, line, column and remedy.

--- /dev/null
+++ b/crates/jujubelb/src/config/declare/problem.rs
@@ -0,0 +1,95 @@
+//! Errors in declaration files, with their positions.
+
+use derive_more::Display;
+use serde::Serialize;
+
+/// A position in one of the files under check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct At {
+    /// Index of the file.
+    pub(super) file: usize,
+    /// Line, counted from 1.
+    pub(super) line: u64,
+    /// Column, counted from 1.
+    pub(super) column: u64,
+}
+
+/// An error in a declaration file.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Display, Serialize)]
+#[display("{file}:{line}:{column}: {message}; {remedy}")]
+pub struct Problem {
+    /// File name.
+    pub file: String,
+    /// Line, counted from 1.
+    pub line: u64,
+    /// Column, counted from 1.
+    pub column: u64,
+    /// What is wrong.
+    pub message: String,
+    /// What to do.
+    pub remedy: String,
+}
+
+/// Collects the errors of all files.
+#[derive(Debug)]
+pub(super) struct Problems {
+    files: Vec<String>,
+    list: Vec<Problem>,
+    /// Errors beyond `MOST`, only counted.
+    dropped: usize,
+}
+
+/// Most errors reported in one check. One wrong pattern can repeat an error for
+/// thousands of workers, and nobody reads more than this.
+const MOST: usize = 500;
+
+impl Problems {
+    pub(super) fn new(files: Vec<String>) -> Self {
+        Self {
+            files,
+            list: Vec::new(),
+            dropped: 0,
+        }
+    }
+
+    pub(super) fn push(&mut self, at: At, message: impl Into<String>, remedy: impl Into<String>) {
+        if self.list.len() >= MOST {
+            self.dropped += 1;
+            return;
+        }
+        let problem = Problem {
+            file: self.files[at.file].clone(),
+            line: at.line,
+            column: at.column,
+            message: message.into(),
+            remedy: remedy.into(),
+        };
+        // A wrong pattern gives the same error for each number that it expands to.
+        if self.list.last() != Some(&problem) {
+            self.list.push(problem);
+        }
+    }
+
+    /// `file:line` of a position, to point at another declaration.
+    pub(super) fn place(&self, at: At) -> String {
+        format!("{}:{}", self.files[at.file], at.line)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// All errors in the order of files and lines.
+    pub(super) fn finish(mut self) -> Vec<Problem> {
+        let order = |p: &Problem| self.files.iter().position(|f| *f == p.file);
+        self.list
+            .sort_by_cached_key(|p| (order(p), p.line, p.column));
+        self.list.dedup();
+        if self.dropped > 0
+            && let Some(last) = self.list.last_mut()
+        {
+            last.remedy += &format!(" (and {} more errors)", self.dropped);
+        }
+        self.list
+    }
+}
--- a/crates/jujubelb/src/config/mod.rs
+++ b/crates/jujubelb/src/config/mod.rs
@@ -1,6 +1,10 @@
 //! The operators' configuration: declarations, checks, differences, the head in
 //! the store and the evidence that it is in force.
 
+pub mod declare;
+pub mod show;
 mod snapshot;
 
-pub use snapshot::{Config, Domain, Endpoint, Host, Limits, Rack, Service, Shard, Team, Worker};
+pub use snapshot::{
+    Config, Domain, Drained, Endpoint, Host, Limits, Rack, Service, Shard, Team, Worker,
+};
--- a/crates/jujubelb/src/config/snapshot.rs
+++ b/crates/jujubelb/src/config/snapshot.rs
@@ -35,6 +35,19 @@
     pub jobs: IndexMap<JobName, JobSpec>,
     /// Limits of the deployment.
     pub limits: Limits,
+    /// What is declared as drained, which has to be in force before it is removed.
+    #[serde(default)]
+    pub drained: Drained,
+}
+
+/// Racks and workers that are declared as drained: no task may start there and
+/// running ones are evicted, as in a domain that is out.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drained {
+    /// Racks.
+    pub racks: IndexSet<RackName>,
+    /// Workers, with all those of drained racks.
+    pub workers: IndexSet<WorkerName>,
 }
 
 /// A failure domain.
@@ -177,6 +190,27 @@
             .filter(move |(_, w)| self.racks.get(&w.rack).is_some_and(|r| &r.shard == shard))
     }
 
+    /// Whether tasks may start on a worker: it is declared, not drained, and its domain is in service.
+    pub fn may_start_on(&self, worker: &WorkerName) -> bool {
+        !self.drained.workers.contains(worker)
+            && self.domain_of(worker).is_some_and(|d| self.in_service(d))
+    }
+
+    /// Whether a worker of the permitted domains is large enough for a task of
+    /// the job when nothing else runs there.
+    pub fn has_room(&self, job: &JobSpec) -> bool {
+        self.workers.iter().any(|(name, worker)| {
+            let domains = &job.task.domains;
+            let permitted =
+                domains.is_empty() || self.domain_of(name).is_some_and(|d| domains.contains(d));
+            permitted
+                && job
+                    .task
+                    .size
+                    .fits(&worker.capacity.saturating_sub(&worker.reserved))
+        })
+    }
+
     /// Whether a domain is declared and in service.
     pub fn in_service(&self, domain: &DomainName) -> bool {
         self.domains.get(domain).is_some_and(|d| !d.out)
