--- a/crates/jujubelb/src/journal/mod.rs
+++ b/crates/jujubelb/src/journal/mod.rs
@@ -1,5 +1,21 @@
 //! The durable log of a shard: segments, snapshots, fenced appends and replay.
 
+mod codec;
+mod log;
+mod open;
 mod segment;
+mod snapshot;
 
+pub use log::{CONFIRM_AFTER, Journal, JournalError, KEEP, Opened, SNAPSHOT_EVERY};
 pub use segment::{Change, EndedBy, Segment, Writer};
+
+/// Decodes the value of a segment's key. The error says what is wrong with it.
+pub fn decode_segment(value: &[u8]) -> Result<Segment, String> {
+    codec::decode(value)
+}
+
+/// Bytes that a value takes in a segment.
+pub(crate) fn encoded_len<T: serde::Serialize>(value: &T) -> usize {
+    // Encoding plain data into a growing buffer has no way to fail.
+    postcard::to_allocvec(value).map_or(0, |bytes| bytes.len())
+}
--- /dev/null
+++ b/crates/jujubelb/src/shard/owner.rs
@@ -0,0 +1,481 @@
+//! The owner: takes inputs in, keeps the parts together and gives outputs out.
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::book::Book;
+use super::io::{Input, Output, ShardSummary, StepDown};
+use super::link::Link;
+use super::outbox::{Item, Outbox, Reply};
+use super::policy::{News, Policy};
+use super::recorder::{Note, Recorder};
+use super::recovery::Recovery;
+use super::state::State;
+use crate::config::Config;
+use crate::journal::{Change, Opened, Writer};
+use crate::model::{
+    Action, Attempt, Cause, Code, DomainName, Epoch, Fact, JobName, RecordId, ShardName, Span,
+    Subject, TaskId, Time, Unit, WallTime, WorkerName,
+};
+use crate::store::StoreError;
+
+/// Age up to which start evidence allows a start.
+pub const EVIDENCE_VALID: Span = Span::from_secs(3);
+
+/// Time since the last confirmed append during which leases are renewed. Longer
+/// than the store outage of an hour that has to be tolerated. To be tuned.
+pub const RENEWAL_AUTHORITY: Span = Span::from_secs(90 * 60);
+
+/// Time between decisions when nothing has changed. To be tuned.
+const DECIDE_EVERY: Span = Span::from_millis(100);
+
+/// Shortest time between decisions, which bounds their cost during a burst of inputs. To be tuned.
+const DECIDE_GAP: Span = Span::from_millis(20);
+
+/// Who and where an owner is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// The shard.
+    pub shard: ShardName,
+    /// The process, as in the opening segment.
+    pub me: Writer,
+    /// A pair of instants that relates the monotonic clock to the calendar.
+    pub clocks: (Time, WallTime),
+}
+
+/// The owner of one shard for one term.
+///
+/// The process carries out the outputs in order. It gives exactly one `Synced`
+/// or `SyncFailed` for each `Sync`, exactly one `Appended` or `Fenced` for each
+/// `Append`, and a `Tick` at least every 100 ms. It passes a `Config` in before
+/// the `Evidence` that confirms it.
+#[derive(Debug)]
+pub struct Owner<P> {
+    pub(super) shard: ShardName,
+    pub(super) me: Writer,
+    pub(super) epoch: Epoch,
+    pub(super) config: Arc<Config>,
+    pub(super) policy: P,
+    pub(super) book: Book,
+    pub(super) outbox: Outbox,
+    pub(super) recorder: Recorder,
+    pub(super) links: IndexMap<WorkerName, Link>,
+    pub(super) recovery: Recovery,
+    /// Start of the read that last confirmed the configuration in force.
+    pub(super) evidence: Option<Time>,
+    /// Attempts to be checkpointed and stopped, with the record of the decision.
+    pub(super) evicting: IndexMap<(TaskId, Attempt), RecordId>,
+    /// Ends that the policy was told about and that are not stored yet.
+    pub(super) told: IndexMap<TaskId, Attempt>,
+    /// Queued tasks that failed and may not be tried before this time.
+    pub(super) backoff: IndexMap<TaskId, Time>,
+    /// When this owner first saw each queued task queued.
+    pub(super) queued: IndexMap<TaskId, Time>,
+    /// Open offers and when to send each again.
+    pub(super) offers: IndexMap<(TaskId, Attempt), Time>,
+    /// Cancellations to pass on and when to send each again.
+    pub(super) passes: IndexMap<(JobName, ShardName), Time>,
+    /// Delays that have a record.
+    pub(super) delays: IndexSet<(TaskId, Cause)>,
+    pub(super) peers: Vec<ShardSummary>,
+    /// Decisions that broke a hard rule.
+    pub(super) refused: u64,
+    /// Whether the configuration has the domain of this shard in service, as last seen.
+    in_service: bool,
+    /// Whether the owner was startable when last looked at, for one record a change.
+    was_startable: bool,
+    stopping: bool,
+    over: Option<StepDown>,
+    decided: Time,
+    dirty: bool,
+    outs: Vec<Output>,
+}
+
+impl<P: Policy> Owner<P> {
+    /// The owner whose opening segment was stored. `began` is the time before
+    /// the log was opened.
+    pub fn new(
+        identity: Identity,
+        began: Time,
+        now: Time,
+        opened: Opened,
+        config: Arc<Config>,
+        mut policy: P,
+    ) -> Self {
+        policy.restore(&opened.policy);
+        let state = opened.state;
+        let stood_down = !state.owners.keys().any(|epoch| *epoch < state.epoch);
+        let recorder = Recorder::new(&identity.shard, &identity.me, identity.clocks, &state);
+        let mut owner = Self {
+            epoch: state.epoch,
+            recovery: Recovery::new(now, &state),
+            book: Book::new(state),
+            outbox: Outbox::new(now, began),
+            recorder,
+            shard: identity.shard,
+            me: identity.me,
+            config: Arc::new(Config::default()),
+            policy,
+            links: IndexMap::new(),
+            evidence: None,
+            evicting: IndexMap::new(),
+            told: IndexMap::new(),
+            backoff: IndexMap::new(),
+            queued: IndexMap::new(),
+            offers: IndexMap::new(),
+            passes: IndexMap::new(),
+            delays: IndexSet::new(),
+            peers: Vec::new(),
+            refused: 0,
+            in_service: true,
+            was_startable: true,
+            stopping: false,
+            over: None,
+            decided: now,
+            dirty: true,
+            outs: Vec::new(),
+        };
+        let cause = match stood_down {
+            true if owner.book.stored.next <= 1 => Cause::ConfigChange,
+            true => Cause::PlannedStop,
+            false => Cause::OwnerLost,
+        };
+        let subject = Subject::Shard(owner.shard.clone());
+        owner.record(now, Note::new(subject, Action::TakeOver, cause));
+        owner.resume_passes(now);
+        owner.resume_offers(now);
+        owner.take_config(now, config);
+        owner
+    }
+
+    /// Takes one input in.
+    pub fn handle(&mut self, now: Time, input: Input) {
+        if self.over.is_some() {
+            return self.handle_after_end(input);
+        }
+        match input {
+            Input::Config(config) => self.take_config(now, config),
+            Input::Evidence(began) => self.evidence = self.evidence.max(Some(began)),
+            Input::StoreContact(_) => self.outbox.store_answers(now),
+            Input::Submit(ticket, submission) => self.submit(now, ticket, submission),
+            Input::Cancel(ticket, cancel) => self.cancel(now, ticket, &cancel),
+            Input::Synced(worker, answer) => self.take_answer(now, &worker, answer),
+            Input::SyncFailed(worker) => self.sync_failed(&worker),
+            Input::Appended(seq, result) => self.appended(now, seq, result),
+            Input::Fenced(epoch) => self.step_down(StepDown::Fenced(epoch), Code::StoreUnknown),
+            Input::Offer(ticket, offer) => self.take_offer(now, ticket, offer),
+            Input::Answer(task, attempt, answer) => {
+                self.take_offer_answer(now, &task, attempt, answer);
+            }
+            Input::CancelAnswer(cancel, code) => self.take_cancel_answer(&cancel, code),
+            Input::Peers(peers) => self.peers = peers,
+            Input::Former(writer, _) => self.recovery.clear(now, &writer),
+            Input::ConfirmDead(worker) => self.confirm_dead(now, worker),
+            Input::Latency(report) => self.policy.note(now, News::Latency(&report)),
+            Input::Records(records) => self.outbox.push(Item {
+                records,
+                ..Item::default()
+            }),
+            Input::Stop => self.stop(now),
+            Input::Tick => {}
+        }
+        self.advance(now);
+    }
+
+    /// Takes the outputs that are to be carried out.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outs)
+    }
+
+    /// The state as stored, for a snapshot.
+    pub fn stored(&self) -> &State {
+        &self.book.stored
+    }
+
+    /// The policy's estimates, for a snapshot.
+    pub fn policy_state(&self) -> Vec<u8> {
+        self.policy.save()
+    }
+
+    /// The owner's epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Whether this owner may still renew leases.
+    pub fn renews(&self, now: Time) -> bool {
+        self.over.is_none() && !self.stopping && self.has_authority(now)
+    }
+
+    pub(super) fn has_authority(&self, now: Time) -> bool {
+        now.since(self.outbox.confirmed) < RENEWAL_AUTHORITY
+    }
+
+    /// Whether a task may be started at present.
+    pub(super) fn is_startable(&self, now: Time) -> bool {
+        let fresh = |began: Time| now.since(began) < EVIDENCE_VALID;
+        self.evidence.is_some_and(fresh) && self.home_in_service() && !self.stopping
+    }
+
+    fn home_in_service(&self) -> bool {
+        self.home()
+            .is_some_and(|domain| self.config.in_service(domain))
+    }
+
+    /// Failure domain of the shard, if it is declared.
+    pub(super) fn home(&self) -> Option<&DomainName> {
+        Some(&self.config.shards.get(&self.shard)?.domain)
+    }
+
+    pub(super) fn out(&mut self, output: Output) {
+        self.outs.push(output);
+    }
+
+    /// Plans a change with its record; false if it does not fit the planned state.
+    pub(super) fn plan(&mut self, now: Time, change: Change, note: Option<Note>) -> bool {
+        self.plan_with(now, change, note, None)
+    }
+
+    pub(super) fn plan_with(
+        &mut self,
+        now: Time,
+        change: Change,
+        note: Option<Note>,
+        reply: Option<Reply>,
+    ) -> bool {
+        if let Err(error) = self.book.plan(&change) {
+            log::error!(shard = self.shard.as_str(); "a planned change was dropped: {error}");
+            return false;
+        }
+        let records = note.map(|note| self.recorder.make(now, note));
+        self.outbox.push(Item {
+            change: Some(change),
+            records: records.into_iter().collect(),
+            reply,
+        });
+        self.dirty = true;
+        true
+    }
+
+    /// Records a decision that needs no change.
+    pub(super) fn record(&mut self, now: Time, note: Note) -> RecordId {
+        let record = self.recorder.make(now, note);
+        let id = record.id.clone();
+        self.outbox.push(Item {
+            records: vec![record],
+            ..Item::default()
+        });
+        id
+    }
+
+    fn take_config(&mut self, now: Time, config: Arc<Config>) {
+        // The head never goes back, so a lower revision is a late message.
+        if config.revision < self.config.revision {
+            return;
+        }
+        let changed = config.revision > self.config.revision;
+        self.config = config;
+        self.recorder.revision = self.config.revision;
+        self.policy.note(now, News::Config(&self.config));
+        self.declare_links();
+        if changed {
+            self.record_config(now);
+        }
+        self.dirty = true;
+    }
+
+    /// Records the new revision and, as its effect, a change of the domain's service.
+    fn record_config(&mut self, now: Time) {
+        let note = Note::new(Subject::Config, Action::Apply, Cause::ConfigChange);
+        let applied = self.record(now, note);
+        let in_service = self.home_in_service();
+        let Some(domain) = self.home().cloned() else {
+            return;
+        };
+        if in_service != self.in_service {
+            self.in_service = in_service;
+            let (action, cause) = match in_service {
+                true => (Action::Restore, Cause::DomainIn),
+                false => (Action::Remove, Cause::DomainOut),
+            };
+            let note = Note::new(Subject::Domain(domain), action, cause);
+            self.record(now, note.parent(Some(applied)));
+        }
+    }
+
+    fn appended(&mut self, now: Time, seq: u64, result: Result<(), StoreError>) {
+        match result {
+            Ok(()) => self.append_stored(now, seq),
+            Err(error) => self.append_failed(now, seq, &error),
+        }
+    }
+
+    fn append_stored(&mut self, now: Time, seq: u64) {
+        let Some((segment, answers)) = self.outbox.stored(seq) else {
+            return;
+        };
+        let touched = self.touched(&segment.changes);
+        if let Err(error) = self.book.commit(&segment) {
+            // The same changes were planned on the same state, so this is a fault
+            // of the program; the state can no longer be trusted.
+            log::error!(shard = self.shard.as_str(); "a stored segment does not apply: {error}");
+            return self.step_down(StepDown::Fenced(self.epoch), Code::Internal);
+        }
+        self.outs.extend(answers);
+        for worker in touched {
+            if let Some(link) = self.links.get_mut(&worker) {
+                link.eager = true;
+                link.forget_starts(&segment.changes);
+            }
+        }
+        for change in &segment.changes {
+            self.act_on_stored(now, change);
+        }
+        self.dirty = true;
+    }
+
+    /// Workers that may get commands once these changes are stored.
+    fn touched(&self, changes: &[Change]) -> IndexSet<WorkerName> {
+        let mut touched = IndexSet::new();
+        for change in changes {
+            match change {
+                Change::Assigned { worker, .. } => {
+                    touched.insert(worker.clone());
+                }
+                Change::Ended { task, .. } | Change::Resized { task, .. } => {
+                    let place = self.book.stored.place(task);
+                    touched.extend(place.map(|(worker, _, _)| worker.clone()));
+                }
+                Change::Cancelled { .. } => touched.extend(self.book.occupied().cloned()),
+                _ => {}
+            }
+        }
+        touched
+    }
+
+    fn act_on_stored(&mut self, now: Time, change: &Change) {
+        match change {
+            Change::Cancelled { job } => self.pass_cancel(now, job),
+            Change::Offered { task, attempt, .. } => {
+                self.offers.insert((task.clone(), *attempt), now);
+            }
+            Change::Released { task, attempt } => {
+                self.offers.shift_remove(&(task.clone(), *attempt));
+                self.pass_cancel(now, &task.job);
+            }
+            Change::Withdrawn { task, attempt } => {
+                self.offers.shift_remove(&(task.clone(), *attempt));
+            }
+            Change::Ended { task, attempt, .. } => {
+                self.evicting.shift_remove(&(task.clone(), *attempt));
+                self.told.swap_remove(task);
+            }
+            Change::StoodDown => self.step_down(StepDown::Stopped, Code::Internal),
+            _ => {}
+        }
+    }
+
+    fn append_failed(&mut self, now: Time, seq: u64, error: &StoreError) {
+        let Some(answers) = self.outbox.failed(seq, now) else {
+            return;
+        };
+        log::warn!(shard = self.shard.as_str(); "an append failed: {error}");
+        self.outs.extend(answers);
+        self.book.abort();
+        self.reconcile_all(now);
+        self.dirty = true;
+    }
+
+    fn stop(&mut self, now: Time) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        let subject = Subject::Shard(self.shard.clone());
+        self.record(
+            now,
+            Note::new(subject, Action::StepDown, Cause::PlannedStop),
+        );
+    }
+
+    /// Ends the term. `code` goes to those who wait for the append in flight.
+    pub(super) fn step_down(&mut self, why: StepDown, code: Code) {
+        if self.over.is_some() {
+            return;
+        }
+        let answers = self.outbox.give_up(code, Code::NotOwner);
+        self.outs.extend(answers);
+        self.outs.push(Output::StepDown(why));
+        self.over = Some(why);
+    }
+
+    fn handle_after_end(&mut self, input: Input) {
+        match input {
+            Input::Submit(ticket, _) => self.out(Output::Submitted(ticket, Code::NotOwner)),
+            Input::Cancel(ticket, _) => self.out(Output::Cancelled(ticket, Code::NotOwner)),
+            Input::Offer(ticket, _) => self.out(Output::Answer(ticket, Code::NotOwner, None)),
+            _ => {}
+        }
+    }
+
+    /// Does everything that is due.
+    fn advance(&mut self, now: Time) {
+        if self.over.is_some() {
+            return;
+        }
+        let answers = self.outbox.expire(now);
+        self.outs.extend(answers);
+        if !self.stopping {
+            self.relocate(now);
+            self.clear_out(now);
+            self.decide_if_due(now);
+            self.send_offers(now);
+            self.send_passes(now);
+            self.exchange(now);
+        }
+        self.append(now);
+    }
+    fn append(&mut self, now: Time) {
+        if self.stopping && self.book.planned.owners.contains_key(&self.epoch) {
+            self.plan(now, Change::StoodDown, None);
+        }
+        if let Some(segment) = self.outbox.next(now, self.epoch, &self.me) {
+            self.out(Output::Append(segment));
+        }
+    }
+
+    /// Whether the owner takes part in nothing new.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Asks the policy if something has changed or some time has passed.
+    fn decide_if_due(&mut self, now: Time) {
+        let gap = if self.dirty { DECIDE_GAP } else { DECIDE_EVERY };
+        if now.since(self.decided) < gap {
+            return;
+        }
+        self.dirty = false;
+        self.decided = now;
+        self.record_startable(now);
+        self.decide(now);
+    }
+
+    /// Records when starts become impossible for lack of evidence.
+    fn record_startable(&mut self, now: Time) {
+        let startable = self.is_startable(now);
+        if self.was_startable && !startable && self.home_in_service() {
+            let age = self.evidence.map_or(i64::MAX, |began| {
+                i64::try_from(now.since(began).as_micros()).unwrap_or(i64::MAX)
+            });
+            let subject = Subject::Shard(self.shard.clone());
+            let note = Note::new(subject, Action::Delay, Cause::StaleEvidence);
+            self.record(
+                now,
+                note.facts(vec![Fact::new("evidence-age", age, Unit::Micros)]),
+            );
+        }
+        self.was_startable = startable;
+    }
+}
--- a/crates/jujubelb/src/shard/state.rs
+++ b/crates/jujubelb/src/shard/state.rs
@@ -99,6 +99,8 @@
 /// Durable state of a shard.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
+    /// Index of the segment that comes next.
+    pub next: u64,
     /// Epoch of the newest segment.
     pub epoch: Epoch,
     /// Writer of the newest segment.
@@ -138,6 +140,7 @@
         self.records.extend(segment.records.iter().cloned());
         let excess = self.records.len().saturating_sub(RECORDS_KEPT);
         self.records.drain(..excess);
+        self.next += 1;
         Ok(())
     }
 
--- /dev/null
+++ b/crates/jujubelb/tests/shard/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the journal and of the shard's owner against fakes.
+
+mod fuzz;
+mod journal;
+mod life_cycle;
+mod support;
--- /dev/null
+++ b/crates/jujubelb/tests/shard/support/worker.rs
@@ -0,0 +1,274 @@
+//! A worker that obeys the protocol and tells what it really ran.
+
+use indexmap::IndexMap;
+use jujubelb::model::{
+    Attempt, Checkpoint, Epoch, Incarnation, Resources, ShardName, Span, TaskId, Time, WorkerName,
+    WorkerTime,
+};
+use jujubelb::worker::{
+    Command, Phase, Refusal, Refused, Report, SyncAnswer, SyncRequest, TaskReport,
+};
+
+/// A start that really happened.
+#[derive(Debug, Clone)]
+pub struct Started {
+    pub worker: WorkerName,
+    pub task: TaskId,
+    pub attempt: Attempt,
+    pub checkpoint: Option<Checkpoint>,
+    pub at: Time,
+}
+
+/// The worker. It does not check its capacity, so that the oracle sees what the owner permits.
+#[derive(Debug)]
+pub struct FakeWorker {
+    pub name: WorkerName,
+    shard: ShardName,
+    incarnation: u64,
+    /// Start of the clock and its rate in permille of real time.
+    clock: (u64, u64),
+    obeyed: (Epoch, u64),
+    lease: Option<WorkerTime>,
+    pub attempts: IndexMap<(TaskId, Attempt), TaskReport>,
+    newest: IndexMap<TaskId, Attempt>,
+    version: u64,
+    pub leaving: bool,
+    /// Whether it does not answer.
+    pub cut: bool,
+    pub started: Vec<Started>,
+    /// Completed attempts that the owner told to forget.
+    pub forgotten: Vec<TaskId>,
+    /// Obeys any epoch, to show that the oracle notices.
+    pub unfenced: bool,
+}
+
+impl FakeWorker {
+    pub fn new(name: &str, shard: &str, clock: (u64, u64)) -> Self {
+        Self {
+            name: name.into(),
+            shard: shard.into(),
+            incarnation: 1,
+            clock,
+            obeyed: (Epoch(0), 0),
+            lease: None,
+            attempts: IndexMap::new(),
+            newest: IndexMap::new(),
+            version: 1,
+            leaving: false,
+            cut: false,
+            started: Vec::new(),
+            forgotten: Vec::new(),
+            unfenced: false,
+        }
+    }
+
+    fn time(&self, now: Time) -> WorkerTime {
+        WorkerTime::from_micros(self.clock.0 + now.as_micros() * self.clock.1 / 1000)
+    }
+
+    /// Attempts that run, in order of their start.
+    pub fn running(&self) -> impl Iterator<Item = &TaskReport> {
+        self.attempts.values().filter(|r| !r.phase.is_ended())
+    }
+
+    /// Sum of the limits in force.
+    pub fn used(&self) -> Resources {
+        self.running().map(|r| r.limit).sum()
+    }
+
+    /// Stops everything whose lease has ended.
+    pub fn advance(&mut self, now: Time) {
+        let ended = self.lease.is_some_and(|lease| self.time(now) > lease);
+        if !ended {
+            return;
+        }
+        self.lease = None;
+        for report in self.attempts.values_mut().filter(|r| !r.phase.is_ended()) {
+            report.phase = Phase::Lapsed;
+            self.version += 1;
+        }
+    }
+
+    /// Restarts; all attempts are lost and the clock starts anew.
+    pub fn restart(&mut self, now: Time) {
+        self.incarnation += 1;
+        self.clock.0 = now.as_micros() / 3 + 17 * self.incarnation;
+        self.obeyed = (Epoch(0), 0);
+        self.lease = None;
+        self.attempts.clear();
+        self.newest.clear();
+        self.version = 1;
+    }
+
+    /// Ends the n-th running attempt.
+    pub fn finish(&mut self, n: usize, phase: Phase) -> Option<TaskId> {
+        let count = self.running().count();
+        let mut running = self.attempts.values_mut().filter(|r| !r.phase.is_ended());
+        let report = running.nth(n % count.max(1))?;
+        report.phase = phase;
+        self.version += 1;
+        Some(report.task.clone())
+    }
+
+    /// Has the n-th running attempt write a checkpoint.
+    pub fn checkpoint(&mut self, n: usize) {
+        let count = self.running().count();
+        let nth = self.running().nth(n % count.max(1));
+        let key = nth.map(|r| (r.task.clone(), r.attempt));
+        if let Some(key) = key {
+            self.write_checkpoint(&key);
+        }
+    }
+
+    fn write_checkpoint(&mut self, key: &(TaskId, Attempt)) {
+        self.version += 1;
+        let name = format!(
+            "{}@{}#{}/{}",
+            key.0, self.name, self.incarnation, self.version
+        );
+        let report = self.attempts.get_mut(key).unwrap();
+        report.checkpoint = Some(Checkpoint(name.into()));
+    }
+
+    /// Carries out one exchange.
+    pub fn sync(&mut self, now: Time, request: &SyncRequest) -> SyncAnswer {
+        self.advance(now);
+        let newer = (request.epoch, request.seq) > self.obeyed || self.unfenced;
+        if request.shard != self.shard || !newer {
+            return SyncAnswer::Fenced {
+                shard: self.shard.clone(),
+                epoch: self.obeyed.0,
+            };
+        }
+        self.obeyed = (request.epoch, request.seq);
+        let mut refused = Vec::new();
+        let mine = request.have.is_some_and(|(i, _)| i.0 == self.incarnation);
+        if mine {
+            self.lease = self.lease.max(request.lease);
+            self.advance(now);
+            for command in &request.commands {
+                refused.extend(self.obey(now, command));
+            }
+        }
+        self.report(now, request, refused)
+    }
+
+    fn report(&self, now: Time, request: &SyncRequest, refused: Vec<Refused>) -> SyncAnswer {
+        let have = request.have == Some((Incarnation(self.incarnation), self.version));
+        let inventory = self.attempts.values().cloned().collect();
+        SyncAnswer::Report(Report {
+            worker: self.name.clone(),
+            incarnation: Incarnation(self.incarnation),
+            at: self.time(now),
+            lease: self.lease,
+            version: self.version,
+            inventory: (!have).then_some(inventory),
+            usage: Vec::new(),
+            lag: Span::ZERO,
+            refused,
+            leaving: self.leaving,
+        })
+    }
+
+    fn obey(&mut self, now: Time, command: &Command) -> Option<Refused> {
+        match command {
+            Command::Start { .. } => self.start(now, command),
+            Command::Checkpoint { task, attempt } => {
+                self.end(task, *attempt, None, true);
+                None
+            }
+            Command::Evict { task, attempt } => {
+                self.end(task, *attempt, Some(Phase::Evicted), true);
+                None
+            }
+            Command::Stop { task, attempt } => {
+                self.end(task, *attempt, Some(Phase::Stopped), false);
+                None
+            }
+            Command::Resize {
+                task,
+                attempt,
+                limit,
+            } => {
+                if let Some(report) = self.attempts.get_mut(&(task.clone(), *attempt)) {
+                    report.limit = *limit;
+                    self.version += 1;
+                }
+                None
+            }
+            Command::Forget { task, attempt } => {
+                let report = self.attempts.shift_remove(&(task.clone(), *attempt))?;
+                self.version += 1;
+                if report.phase == Phase::Succeeded {
+                    self.forgotten.push(task.clone());
+                }
+                None
+            }
+        }
+    }
+
+    fn end(&mut self, task: &TaskId, attempt: Attempt, phase: Option<Phase>, checkpoint: bool) {
+        let key = (task.clone(), attempt);
+        if self.attempts.get(&key).is_none_or(|r| r.phase.is_ended()) {
+            return;
+        }
+        if checkpoint {
+            self.write_checkpoint(&key);
+        }
+        self.version += 1;
+        let report = self.attempts.get_mut(&key).unwrap();
+        report.phase = phase.unwrap_or(report.phase);
+    }
+
+    fn start(&mut self, now: Time, command: &Command) -> Option<Refused> {
+        let Command::Start {
+            task,
+            attempt,
+            limit,
+            start_by,
+            checkpoint,
+            ..
+        } = command
+        else {
+            return None;
+        };
+        let refuse = |reason| {
+            Some(Refused {
+                task: task.clone(),
+                attempt: *attempt,
+                reason,
+            })
+        };
+        if self
+            .newest
+            .get(task)
+            .is_some_and(|newest| newest >= attempt)
+        {
+            return refuse(Refusal::OldAttempt);
+        }
+        if self.time(now) > *start_by || self.lease.is_none() {
+            return refuse(Refusal::TooLate);
+        }
+        if self.leaving {
+            return refuse(Refusal::Leaving);
+        }
+        self.newest.insert(task.clone(), *attempt);
+        self.version += 1;
+        let report = TaskReport {
+            task: task.clone(),
+            attempt: *attempt,
+            phase: Phase::Running,
+            limit: *limit,
+            checkpoint: checkpoint.clone(),
+        };
+        self.attempts.insert((task.clone(), *attempt), report);
+        self.started.push(Started {
+            worker: self.name.clone(),
+            task: task.clone(),
+            attempt: *attempt,
+            checkpoint: checkpoint.clone(),
+            at: now,
+        });
+        None
+    }
+}
