--- a/crates/jujubelb/tests/shard/fuzz.rs
+++ b/crates/jujubelb/tests/shard/fuzz.rs
@@ -75,25 +75,25 @@
 prop_state_machine! {
     #![proptest_config(config(20_261_204))]
     #[test]
-    fn no_order_of_faults_breaks_a_rule_seed_1(sequential 1..50 => Fuzz);
+    fn no_order_of_faults_breaks_a_rule_seed_1(sequential 1..80 => Fuzz);
 }
 
 prop_state_machine! {
     #![proptest_config(config(20_261_205))]
     #[test]
-    fn no_order_of_faults_breaks_a_rule_seed_2(sequential 1..50 => Fuzz);
+    fn no_order_of_faults_breaks_a_rule_seed_2(sequential 1..80 => Fuzz);
 }
 
 prop_state_machine! {
     #![proptest_config(config(20_261_206))]
     #[test]
-    fn no_order_of_faults_breaks_a_rule_seed_3(sequential 1..50 => Fuzz);
+    fn no_order_of_faults_breaks_a_rule_seed_3(sequential 1..80 => Fuzz);
 }
 
 prop_state_machine! {
     #![proptest_config(config(20_261_207))]
     #[test]
-    fn no_order_of_faults_breaks_a_rule_seed_4(sequential 1..50 => Fuzz);
+    fn no_order_of_faults_breaks_a_rule_seed_4(sequential 1..80 => Fuzz);
 }
 
 /// Runs generated cases with a deliberate fault until the oracle reports a rule.
