Add configuration differences, head, reader, evidence and sweeping

Changes are applied by compare-and-swap on one head: a lost race shows the other change, a lost answer is read back, and the result is 'unknown' only while a write may still land. Unsafe changes (a worker that changes its shard or address, or leaves while in service) are refused. The reader never goes back. 400 racing histories hold; leaving out the race check, the version condition or the handling of pending writes makes the tests fail.

--- /dev/null
+++ b/crates/jujubelb/src/config/head/apply.rs
@@ -0,0 +1,410 @@
+//! Applying a change by compare-and-swap.
+
+use indexmap::IndexMap;
+
+use super::load::{Contents, Loaded, load};
+use super::{Applied, ApplyError, CONTENT, FileRef, HEAD, Head, ReadError, hash};
+use crate::config::Config;
+use crate::config::declare::{self, Files, OPERATIONS, Operations};
+use crate::config::diff::{self, Difference};
+use crate::model::{DomainName, EndpointName, Revision, WallTime};
+use crate::store::{Expect, Store, StoreError, Version};
+
+/// Tries before a change gives up against other changes or lost answers. At
+/// 2,200 changes a day a second race in a row is already rare.
+const TRIES: usize = 8;
+
+/// Longest change identifier or author.
+const TEXT: usize = 128;
+
+/// What a change does.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Edit {
+    /// Adds, replaces or (with `None`) removes files.
+    Files {
+        /// Revision on which the change is based.
+        expected: Revision,
+        /// Files by name.
+        files: IndexMap<String, Option<String>>,
+    },
+    /// Takes a domain out or brings it in.
+    Domain {
+        /// The domain.
+        name: DomainName,
+        /// Whether it goes out.
+        out: bool,
+    },
+    /// Drains or restores an endpoint.
+    Endpoint {
+        /// The endpoint.
+        name: EndpointName,
+        /// Whether it leaves.
+        leaving: bool,
+    },
+}
+
+/// A change with its identity.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Identifier, unique; a repeat with it is the same change.
+    pub id: String,
+    /// Who makes it.
+    pub author: String,
+    /// What it does.
+    pub edit: Edit,
+}
+
+/// A change that is in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// The change. If nothing had to be written, the newest one in force.
+    pub applied: Option<Applied>,
+    /// Whether the content was in force before.
+    pub unchanged: bool,
+    /// What differs from before.
+    pub diff: Vec<Difference>,
+}
+
+/// Applies a change as a whole or not at all.
+///
+/// After an error other than [`ApplyError::Unknown`] the change certainly did
+/// not take effect and never will. Repeating a change with its identifier is safe.
+pub fn apply<S: Store>(
+    store: &S,
+    contents: &mut Contents,
+    change: &Change,
+    now: WallTime,
+) -> Result<Outcome, ApplyError> {
+    check_request(change)?;
+    let mut attempt = Attempt {
+        digest: digest(&change.edit),
+        pending: None,
+        last: None,
+    };
+    for _ in 0..TRIES {
+        match attempt.run(store, contents, change, now) {
+            Ok(Some(outcome)) => return Ok(outcome),
+            Ok(None) => {}
+            Err(error) => return Err(attempt.settle(error)),
+        }
+    }
+    Err(attempt.settle(ApplyError::Busy(TRIES)))
+}
+
+/// Progress of one change over several tries.
+struct Attempt {
+    digest: String,
+    /// Version against which a write of the head was sent whose answer is
+    /// lost. The write may still land as long as the head has this version.
+    pending: Option<Option<Version>>,
+    /// The failure that left it pending.
+    last: Option<StoreError>,
+}
+
+impl Attempt {
+    /// One try; `None` means that another try is useful.
+    fn run<S: Store>(
+        &mut self,
+        store: &S,
+        contents: &mut Contents,
+        change: &Change,
+        now: WallTime,
+    ) -> Result<Option<Outcome>, ApplyError> {
+        let base = load(store, contents)?;
+        if let Some(applied) = base.head.find(&change.id).cloned() {
+            // The pending write, if any, is this one or can no longer land.
+            self.pending = None;
+            return self.repeated(applied).map(Some);
+        }
+        if self.pending.is_some_and(|version| base.version > version) {
+            // Another write replaced the expected version, so the pending one failed.
+            self.pending = None;
+        }
+        if base.head.revision < expected(&change.edit) {
+            // The operator saw a newer head than this read returned.
+            return Ok(None);
+        }
+        let plan = plan(&base, change)?;
+        for text in plan.texts.values() {
+            write_content(store, contents, text)?;
+        }
+        let head = next_head(&base.head, &plan, change, &self.digest, now);
+        self.swap(store, &base, head, plan)
+    }
+
+    /// Replaces the head. An unchanged head is written too: success proves that
+    /// the head read was the newest one.
+    fn swap<S: Store>(
+        &mut self,
+        store: &S,
+        base: &Loaded,
+        head: Head,
+        plan: Plan,
+    ) -> Result<Option<Outcome>, ApplyError> {
+        let value = serde_json::to_vec(&head).map_err(|e| ReadError::Damaged(e.to_string()))?;
+        let expect = base.version.map_or(Expect::Absent, Expect::Version);
+        match store.put(HEAD, &value, expect, None) {
+            Ok(_) => Ok(Some(Outcome {
+                applied: head.last().cloned(),
+                unchanged: plan.unchanged(),
+                diff: plan.diff,
+            })),
+            Err(StoreError::Conflict { .. }) => Ok(None),
+            Err(e @ (StoreError::Unknown(_) | StoreError::Malformed(_))) => {
+                if !plan.unchanged() {
+                    // A stale read may have returned a lower version than before.
+                    self.pending = self.pending.max(Some(base.version));
+                }
+                self.last = Some(e);
+                Ok(None)
+            }
+            Err(e) => Err(ReadError::Store(e).into()),
+        }
+    }
+
+    fn repeated(&self, applied: Applied) -> Result<Outcome, ApplyError> {
+        if applied.digest != self.digest {
+            return Err(ApplyError::Reused(Box::new(applied)));
+        }
+        Ok(Outcome {
+            applied: Some(applied),
+            unchanged: false,
+            diff: Vec::new(),
+        })
+    }
+
+    /// The final error: unknown while a write may still land.
+    fn settle(&mut self, error: ApplyError) -> ApplyError {
+        let last = self.last.take();
+        match (self.pending, error) {
+            (Some(_), ApplyError::Read(e)) => ApplyError::Unknown(e),
+            (Some(_), other) => {
+                let e = last.unwrap_or(StoreError::Unknown(other.to_string()));
+                ApplyError::Unknown(ReadError::Store(e))
+            }
+            (None, ApplyError::Busy(_)) if let Some(e) = last => ApplyError::Read(e.into()),
+            (None, error) => error,
+        }
+    }
+}
+
+fn expected(edit: &Edit) -> Revision {
+    match edit {
+        Edit::Files { expected, .. } => *expected,
+        _ => Revision::default(),
+    }
+}
+
+/// Rejects requests that no state of the store could make valid.
+fn check_request(change: &Change) -> Result<(), ApplyError> {
+    for (what, text) in [
+        ("change identifier", &change.id),
+        ("author", &change.author),
+    ] {
+        if text.is_empty() || text.len() > TEXT || text.chars().any(char::is_control) {
+            let message = format!("the {what} has to be 1 to {TEXT} printable bytes");
+            return Err(ApplyError::Malformed(message));
+        }
+    }
+    let Edit::Files { files, .. } = &change.edit else {
+        return Ok(());
+    };
+    if files.is_empty() {
+        return Err(ApplyError::Malformed("the change names no file".into()));
+    }
+    if files.contains_key(OPERATIONS) {
+        let message =
+            format!("{OPERATIONS} is written by `jujubectl domain` and `jujubectl drain`");
+        return Err(ApplyError::Malformed(message));
+    }
+    Ok(())
+}
+
+/// Hash of what a change asks for.
+fn digest(edit: &Edit) -> String {
+    match edit {
+        // The expected revision is left out: a repeat may be based on a newer one.
+        Edit::Files { files, .. } => hash(&format!("files {files:?}")),
+        Edit::Domain { name, out } => hash(&format!("domain {name} {out}")),
+        Edit::Endpoint { name, leaving } => hash(&format!("endpoint {name} {leaving}")),
+    }
+}
+
+/// What a change does to the files in force.
+struct Plan {
+    /// New texts by file.
+    texts: IndexMap<String, String>,
+    /// Files that go away.
+    removed: Vec<String>,
+    diff: Vec<Difference>,
+}
+
+impl Plan {
+    fn unchanged(&self) -> bool {
+        self.texts.is_empty() && self.removed.is_empty()
+    }
+}
+
+fn plan(base: &Loaded, change: &Change) -> Result<Plan, ApplyError> {
+    let (old, mut operations) = base.parts()?;
+    let mut files = base.files.clone();
+    files.shift_remove(OPERATIONS);
+    edit(base, &change.edit, &old, &mut files, &mut operations)?;
+    let mut new = declare::check(&files).map_err(ApplyError::Invalid)?;
+    operations.prune(&new);
+    operations.impose(&mut new);
+    if let Some(text) = operations.text() {
+        files.insert(OPERATIONS.to_owned(), text);
+    }
+    let unsafe_changes = diff::forbidden(&old, &new);
+    if !unsafe_changes.is_empty() {
+        return Err(ApplyError::Forbidden(unsafe_changes));
+    }
+    let removed = |name: &&String| !files.contains_key(*name);
+    Ok(Plan {
+        removed: base.files.keys().filter(removed).cloned().collect(),
+        diff: diff::diff(&old, &new),
+        texts: files
+            .into_iter()
+            .filter(|(name, text)| base.files.get(name) != Some(text))
+            .collect(),
+    })
+}
+
+impl Loaded {
+    /// The configuration of the files and what operators took out of service.
+    pub fn parts(&self) -> Result<(Config, Operations), ReadError> {
+        let invalid = |problems: Vec<declare::Problem>| ReadError::Invalid {
+            revision: self.head.revision,
+            first: problems
+                .first()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
+        };
+        let mut config = declare::check(&self.files).map_err(invalid)?;
+        config.revision = self.head.revision;
+        let text = self.files.get(OPERATIONS).map_or("", String::as_str);
+        let operations = Operations::parse(text).map_err(invalid)?;
+        Ok((config, operations))
+    }
+}
+
+fn edit(
+    base: &Loaded,
+    edit: &Edit,
+    old: &Config,
+    files: &mut Files,
+    operations: &mut Operations,
+) -> Result<(), ApplyError> {
+    match edit {
+        Edit::Files {
+            expected,
+            files: named,
+        } => {
+            for (name, text) in named {
+                if base.files.get(name) == text.as_ref() {
+                    // Nothing to write, so nobody's change can be lost.
+                    continue;
+                }
+                check_race(&base.head, name, *expected)?;
+                match text {
+                    Some(text) => files.insert(name.clone(), text.clone()),
+                    None => files.shift_remove(name),
+                };
+            }
+        }
+        Edit::Domain { name, out } => {
+            if !old.domains.contains_key(name) {
+                return Err(ApplyError::NotFound("domain".into()));
+            }
+            match out {
+                true => operations.out.insert(name.clone()),
+                false => operations.out.shift_remove(name),
+            };
+        }
+        Edit::Endpoint { name, leaving } => {
+            let mut services = old.services.values();
+            if !services.any(|s| s.endpoints.contains_key(name)) {
+                return Err(ApplyError::NotFound("endpoint".into()));
+            }
+            match leaving {
+                true => operations.leaving.insert(name.clone()),
+                false => operations.leaving.shift_remove(name),
+            };
+        }
+    }
+    Ok(())
+}
+
+/// Refuses a change of a file that changed after the revision the change is based on.
+fn check_race(head: &Head, file: &str, expected: Revision) -> Result<(), ApplyError> {
+    let touched = head.touched(file);
+    if touched <= expected {
+        return Ok(());
+    }
+    let other = head
+        .recent
+        .iter()
+        .find(|a| a.revision == touched)
+        .or(head.last());
+    let other = other.cloned().unwrap_or(Applied {
+        revision: touched,
+        change: String::new(),
+        digest: String::new(),
+        author: "unknown".into(),
+        at: WallTime::ZERO,
+        files: vec![file.to_owned()],
+    });
+    Err(ApplyError::Conflict(Box::new(other)))
+}
+
+/// Writes a content. It is written even if it exists: the new version keeps a
+/// sweep that found it unreferenced from deleting it.
+fn write_content<S: Store>(
+    store: &S,
+    contents: &mut Contents,
+    text: &str,
+) -> Result<(), ReadError> {
+    let key = format!("{CONTENT}{}", contents.insert(text));
+    let mut last = StoreError::Unknown("not tried".into());
+    for _ in 0..TRIES {
+        match store.put(&key, text.as_bytes(), Expect::Any, None) {
+            Ok(_) => return Ok(()),
+            Err(e @ StoreError::Unknown(_)) => last = e,
+            Err(e) => return Err(e.into()),
+        }
+    }
+    Err(last.into())
+}
+
+fn next_head(old: &Head, plan: &Plan, change: &Change, digest: &str, now: WallTime) -> Head {
+    let mut head = old.clone();
+    if plan.unchanged() {
+        return head;
+    }
+    head.revision = old.revision.next();
+    for (name, text) in &plan.texts {
+        let file = FileRef {
+            content: hash(text),
+            revision: head.revision,
+        };
+        head.files.insert(name.clone(), file);
+        head.removed.shift_remove(name);
+    }
+    for name in &plan.removed {
+        head.files.shift_remove(name);
+        head.removed.shift_remove(name);
+        head.removed.insert(name.clone(), head.revision);
+    }
+    head.files.sort_keys();
+    head.recent.push(Applied {
+        revision: head.revision,
+        change: change.id.clone(),
+        digest: digest.to_owned(),
+        author: change.author.clone(),
+        at: now,
+        files: plan.texts.keys().chain(&plan.removed).cloned().collect(),
+    });
+    head.trim();
+    head
+}
--- a/crates/jujubelb/src/config/mod.rs
+++ b/crates/jujubelb/src/config/mod.rs
@@ -2,9 +2,15 @@
 //! the store and the evidence that it is in force.
 
 pub mod declare;
+pub mod diff;
+mod evidence;
+pub mod head;
 pub mod show;
 mod snapshot;
+#[cfg(test)]
+mod tests;
 
+pub use evidence::{EVIDENCE, Evidence};
 pub use snapshot::{
     Config, Domain, Drained, Endpoint, Host, Limits, Rack, Service, Shard, Team, Worker,
 };
