Add the jujubectl command line

Operators need one tool to check, compare and apply configuration and to ask why something was done. A lost answer to a change is repeated under the same identifier.

--- /dev/null
+++ b/crates/jujubelb/src/ctl/commands/apply.rs
@@ -0,0 +1,85 @@
+//! `jujubectl apply`.
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use super::check::checked;
+use super::diff::{Differences, merge};
+use crate::config::declare::OPERATIONS;
+use crate::ctl::cli::Apply;
+use crate::ctl::client::Client;
+use crate::ctl::export::{Show, Style, export};
+use crate::ctl::options::{Options, identity};
+use crate::ctl::terminal::Terminal;
+use crate::ctl::{CtlError, explain, files};
+use crate::model::Revision;
+use crate::operator::api::{self, ApplyAnswer, ApplyRequest, ConfigView};
+
+/// An answer to a change of the configuration.
+#[derive(Serialize)]
+#[serde(transparent)]
+pub(super) struct Applied(pub(super) ApplyAnswer);
+
+impl Show for Applied {
+    fn text(&self, _: &Style) -> String {
+        let change = &self.0.change;
+        let mut lines = self.0.diff.clone();
+        lines.push(match self.0.unchanged {
+            true => format!(
+                "nothing to change; revision {} is in force",
+                change.revision
+            ),
+            false => format!(
+                "revision {} is in force since {} (change {} by {})",
+                change.revision,
+                explain::time(change.at),
+                change.change,
+                change.author
+            ),
+        });
+        lines.join("\n")
+    }
+}
+
+pub(super) fn run(
+    args: &Apply,
+    options: &Options,
+    terminal: &mut Terminal,
+) -> Result<(), CtlError> {
+    let files = files::read(&args.paths)?;
+    if files.contains_key(OPERATIONS) || args.remove.iter().any(|n| n == OPERATIONS) {
+        let message =
+            format!("{OPERATIONS} is written by `jujubectl domain` and `jujubectl drain`");
+        return Err(CtlError::Usage(message));
+    }
+    let client = Client::new(options)?;
+    let view: ConfigView = client.get(api::CONFIG, &[])?;
+    let merged = merge(&view.files, &files, &args.remove);
+    let new = checked(&merged, options, terminal)?;
+    if args.dry_run {
+        let old = checked(&view.files, options, terminal)?;
+        return export(options.format, &Differences::new(&old, &new), terminal);
+    }
+    let revision = view.change.map(|c| c.revision).unwrap_or_default();
+    let (change, author) = identity(&args.identity);
+    let mut edits: IndexMap<_, _> = files.into_iter().map(|(n, t)| (n, Some(t))).collect();
+    edits.extend(args.remove.iter().map(|n| (n.clone(), None)));
+    let request = ApplyRequest {
+        change: change.clone(),
+        author,
+        expected: args.expected.map_or(revision, Revision),
+        files: edits,
+    };
+    let progress = terminal.progress("applying");
+    let answer = client.post(api::APPLY, &[], &request, &repeat(&change));
+    progress.finish_and_clear();
+    export(options.format, &Applied(answer?), terminal)
+}
+
+/// What to do if the answer to a change is lost.
+pub(super) fn repeat(change: &str) -> String {
+    format!(
+        "the change {change} may have taken effect; repeat the command with \
+         `--change {change}`, or look at `jujubectl get`"
+    )
+}
--- /dev/null
+++ b/crates/jujubelb/src/ctl/commands/check.rs
@@ -0,0 +1,92 @@
+//! `jujubectl check`.
+
+use serde::Serialize;
+
+use crate::config::Config;
+use crate::config::declare::{self, Problem};
+use crate::ctl::cli::Check;
+use crate::ctl::export::{Show, Style, export};
+use crate::ctl::options::Options;
+use crate::ctl::terminal::Terminal;
+use crate::ctl::{CtlError, files};
+
+/// Errors of a set of files.
+#[derive(Serialize)]
+pub(super) struct Problems {
+    pub(super) problems: Vec<Problem>,
+}
+
+impl Show for Problems {
+    fn text(&self, _: &Style) -> String {
+        let lines: Vec<String> = self.problems.iter().map(Problem::to_string).collect();
+        lines.join("\n")
+    }
+}
+
+/// Sizes of a set without errors.
+#[derive(Serialize)]
+struct Summary {
+    domains: usize,
+    hosts: usize,
+    workers: usize,
+    shards: usize,
+    services: usize,
+    endpoints: usize,
+    teams: usize,
+    jobs: usize,
+}
+
+impl Summary {
+    fn new(config: &Config) -> Self {
+        Self {
+            domains: config.domains.len(),
+            hosts: config.hosts.len(),
+            workers: config.workers.len(),
+            shards: config.shards.len(),
+            services: config.services.len(),
+            endpoints: config.services.values().map(|s| s.endpoints.len()).sum(),
+            teams: config.teams.len(),
+            jobs: config.jobs.len(),
+        }
+    }
+}
+
+impl Show for Summary {
+    fn text(&self, _: &Style) -> String {
+        format!(
+            "no errors: {} domains, {} entry hosts, {} workers in {} shards, \
+             {} services with {} endpoints, {} teams, {} jobs and watchers",
+            self.domains,
+            self.hosts,
+            self.workers,
+            self.shards,
+            self.services,
+            self.endpoints,
+            self.teams,
+            self.jobs
+        )
+    }
+}
+
+pub(super) fn run(
+    args: &Check,
+    options: &Options,
+    terminal: &mut Terminal,
+) -> Result<(), CtlError> {
+    let files = files::read(&args.paths)?;
+    let config = checked(&files, options, terminal)?;
+    export(options.format, &Summary::new(&config), terminal)
+}
+
+/// The configuration of a set of files; prints the errors if there are any.
+pub(super) fn checked(
+    files: &declare::Files,
+    options: &Options,
+    terminal: &mut Terminal,
+) -> Result<Config, CtlError> {
+    declare::check(files).or_else(|problems| {
+        let count = problems.len();
+        export(options.format, &Problems { problems }, terminal)?;
+        Err(CtlError::Files(count))
+    })
+}
--- /dev/null
+++ b/crates/jujubelb/src/ctl/commands/diff.rs
@@ -0,0 +1,74 @@
+//! `jujubectl diff`.
+
+use serde::Serialize;
+
+use super::check::checked;
+use crate::config::Config;
+use crate::config::declare::Files;
+use crate::config::diff::{Difference, Unsafe, diff, forbidden};
+use crate::ctl::cli::Diff;
+use crate::ctl::client::Client;
+use crate::ctl::export::{Show, Style, export};
+use crate::ctl::options::Options;
+use crate::ctl::terminal::Terminal;
+use crate::ctl::{CtlError, files};
+use crate::operator::api::{self, ConfigView};
+
+/// Differences and the reasons why they may not be applied.
+#[derive(Serialize)]
+pub(super) struct Differences {
+    pub(super) differences: Vec<Difference>,
+    pub(super) unsafe_changes: Vec<Unsafe>,
+}
+
+impl Differences {
+    pub(super) fn new(old: &Config, new: &Config) -> Self {
+        Self {
+            differences: diff(old, new),
+            unsafe_changes: forbidden(old, new),
+        }
+    }
+}
+
+impl Show for Differences {
+    fn text(&self, _: &Style) -> String {
+        let mut lines: Vec<String> = self.differences.iter().map(ToString::to_string).collect();
+        if lines.is_empty() {
+            lines.push("no differences".into());
+        }
+        let refused = self.unsafe_changes.iter();
+        lines.extend(refused.map(|u| format!("! would be refused: {u}")));
+        lines.join("\n")
+    }
+}
+
+pub(super) fn run(args: &Diff, options: &Options, terminal: &mut Terminal) -> Result<(), CtlError> {
+    let first = files::read(std::slice::from_ref(&args.first))?;
+    let (old, new) = match &args.second {
+        Some(second) => {
+            let second = files::read(std::slice::from_ref(second))?;
+            let old = checked(&first, options, terminal)?;
+            (old, checked(&second, options, terminal)?)
+        }
+        None => {
+            let view: ConfigView = Client::new(options)?.get(api::CONFIG, &[])?;
+            let old = checked(&view.files, options, terminal)?;
+            let merged = merge(&view.files, &first, &[]);
+            (old, checked(&merged, options, terminal)?)
+        }
+    };
+    let differences = Differences::new(&old, &new);
+    export(options.format, &differences, terminal)?;
+    match differences.differences.is_empty() {
+        true => Ok(()),
+        false => Err(CtlError::Differences),
+    }
+}
+
+/// The files in force with some of them replaced or removed.
+pub(super) fn merge(base: &Files, files: &Files, removed: &[String]) -> Files {
+    let mut merged = base.clone();
+    merged.extend(files.iter().map(|(n, t)| (n.clone(), t.clone())));
+    merged.retain(|name, _| !removed.contains(name));
+    merged
+}
--- /dev/null
+++ b/crates/jujubelb/src/ctl/commands/domain.rs
@@ -0,0 +1,28 @@
+//! `jujubectl domain out` and `jujubectl domain in`.
+
+use super::apply::{Applied, repeat};
+use crate::ctl::CtlError;
+use crate::ctl::cli::{Domain, Way};
+use crate::ctl::client::Client;
+use crate::ctl::export::export;
+use crate::ctl::options::{Options, identity};
+use crate::ctl::terminal::Terminal;
+use crate::operator::api::{self, DomainRequest};
+
+pub(super) fn run(
+    args: &Domain,
+    options: &Options,
+    terminal: &mut Terminal,
+) -> Result<(), CtlError> {
+    let (change, author) = identity(&args.identity);
+    let request = DomainRequest {
+        change: change.clone(),
+        author,
+        out: args.way == Way::Out,
+    };
+    let client = Client::new(options)?;
+    let progress = terminal.progress("changing the domain");
+    let answer = client.post(api::DOMAINS, &[&args.name], &request, &repeat(&change));
+    progress.finish_and_clear();
+    export(options.format, &Applied(answer?), terminal)
+}
--- /dev/null
+++ b/crates/jujubelb/src/ctl/commands/why.rs
@@ -0,0 +1,113 @@
+//! `jujubectl why`.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use serde::Serialize;
+
+use super::note_sources;
+use crate::ctl::CtlError;
+use crate::ctl::cli::Why;
+use crate::ctl::client::Client;
+use crate::ctl::explain::{self, Chain};
+use crate::ctl::export::{Show, Style, export};
+use crate::ctl::options::Options;
+use crate::ctl::terminal::Terminal;
+use crate::model::RecordId;
+use crate::operator::api::{self, RecordsView, Source};
+
+/// Pause between two reads with `--follow`.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// How far back a repeated read looks, at least. Records reach the log with
+/// their segment and may be some seconds late.
+const OVERLAP: Duration = Duration::from_secs(60);
+
+#[derive(Serialize)]
+struct Explanation {
+    sources: Vec<Source>,
+    chains: Vec<Chain>,
+}
+
+impl Show for Explanation {
+    fn text(&self, _: &Style) -> String {
+        let mut parts: Vec<String> = self.chains.iter().map(explain::paragraph).collect();
+        let old = self.sources.iter().filter(|s| s.answered);
+        for source in old {
+            match source.age {
+                Some(age) if age > crate::config::EVIDENCE => parts.push(format!(
+                    "note: {} was last confirmed {age} ago; it may be cut off",
+                    source.node
+                )),
+                Some(_) => {}
+                None => parts.push(format!(
+                    "note: {} has no contact to the store; it answers from what it knows",
+                    source.node
+                )),
+            }
+        }
+        parts.join("\n\n")
+    }
+}
+
+pub(super) fn run(args: &Why, options: &Options, terminal: &mut Terminal) -> Result<(), CtlError> {
+    let client = Client::new(options)?;
+    let progress = terminal.progress("collecting records");
+    let view = read(&client, &args.subject, args.since);
+    progress.finish_and_clear();
+    let view = view?;
+    note_sources(&view.sources, terminal);
+    let chains = explain::chains(&view.records, &args.subject);
+    if chains.is_empty() && !args.follow {
+        let since = humantime::format_duration(args.since);
+        terminal.note(&format!(
+            "no decision about {} in the last {since}; check the name or use a longer --since",
+            args.subject
+        ));
+    }
+    let shown: IndexSet<RecordId> = last_steps(&chains).collect();
+    let sources = view.sources;
+    export(options.format, &Explanation { sources, chains }, terminal)?;
+    match args.follow {
+        true => follow(args, &client, options, shown, terminal),
+        false => Ok(()),
+    }
+}
+
+/// Prints new chains until interrupted.
+fn follow(
+    args: &Why,
+    client: &Client,
+    options: &Options,
+    mut shown: IndexSet<RecordId>,
+    terminal: &mut Terminal,
+) -> Result<(), CtlError> {
+    loop {
+        terminal.flush()?;
+        std::thread::sleep(PAUSE);
+        let view = read(client, &args.subject, args.since.min(OVERLAP))?;
+        let mut chains = explain::chains(&view.records, &args.subject);
+        chains.retain(|c| c.steps.last().is_some_and(|r| !shown.contains(&r.id)));
+        if chains.is_empty() {
+            continue;
+        }
+        shown.extend(last_steps(&chains));
+        terminal.line("")?;
+        let sources = view.sources;
+        export(options.format, &Explanation { sources, chains }, terminal)?;
+    }
+}
+
+fn last_steps(chains: &[Chain]) -> impl Iterator<Item = RecordId> {
+    chains
+        .iter()
+        .filter_map(|c| Some(c.steps.last()?.id.clone()))
+}
+
+fn read(client: &Client, subject: &str, since: Duration) -> Result<RecordsView, CtlError> {
+    let since = since.as_secs().max(1).to_string();
+    client.get(
+        api::RECORDS,
+        &[("subject", subject.to_owned()), ("since", since)],
+    )
+}
--- /dev/null
+++ b/crates/jujubelb/src/ctl/explain.rs
@@ -0,0 +1,225 @@
+//! Chains of decisions from root cause to action, in plain sentences.
+//!
+//! Pure functions over records, without any I/O.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use indexmap::{IndexMap, IndexSet};
+use serde::Serialize;
+
+use crate::config::show;
+use crate::model::{
+    Action, Bytes, Cause, Fact, Millicores, Record, RecordId, Span, Subject, Unit, WallTime,
+};
+
+/// Decisions from root cause to action.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Chain {
+    /// A record that the first step names as its cause and that was not found.
+    pub missing: Option<RecordId>,
+    /// Root cause first, action last.
+    pub steps: Vec<Record>,
+}
+
+/// The chains that end in decisions about a subject, by the time of their last
+/// decision, newest last.
+///
+/// A decision that caused another one about the subject is shown as a step of
+/// that chain only.
+pub fn chains(records: &[Record], subject: &str) -> Vec<Chain> {
+    let by_id: IndexMap<&RecordId, &Record> = records.iter().map(|r| (&r.id, r)).collect();
+    let mut about: Vec<&Record> = by_id
+        .values()
+        .filter(|r| is_about(r, subject))
+        .copied()
+        .collect();
+    if about.is_empty() {
+        // The server knows names that can't be told from the records alone.
+        about = by_id.values().copied().collect();
+    }
+    let causes: IndexSet<&RecordId> = about.iter().filter_map(|r| r.parent.as_ref()).collect();
+    let mut last: Vec<&Record> = about
+        .iter()
+        .filter(|r| !causes.contains(&r.id))
+        .copied()
+        .collect();
+    last.sort_by_key(|r| (r.at, &r.id));
+    last.into_iter().map(|r| chain(r, &by_id)).collect()
+}
+
+/// Follows the causes of one record back to the root.
+fn chain(last: &Record, by_id: &IndexMap<&RecordId, &Record>) -> Chain {
+    let mut steps = vec![last.clone()];
+    let mut seen = IndexSet::from([&last.id]);
+    let mut next = last.parent.as_ref();
+    let mut missing = None;
+    while let Some(id) = next {
+        // A damaged record could name itself as its cause.
+        if !seen.insert(id) {
+            break;
+        }
+        match by_id.get(id) {
+            Some(record) => {
+                steps.push((*record).clone());
+                next = record.parent.as_ref();
+            }
+            None => {
+                missing = Some(id.clone());
+                next = None;
+            }
+        }
+    }
+    steps.reverse();
+    Chain { missing, steps }
+}
+
+/// Whether a record is about a subject as an operator writes it: `job/3`,
+/// `worker w-1` or only `w-1`. A job's name also means its tasks.
+pub fn is_about(record: &Record, subject: &str) -> bool {
+    let subject = subject.trim();
+    let full = record.subject.to_string();
+    let name = full.split_once(' ').map_or(full.as_str(), |(_, name)| name);
+    let job = match &record.subject {
+        Subject::Task(task) => Some(task.job.as_str()),
+        _ => None,
+    };
+    let asked_job = subject.strip_prefix("job ").unwrap_or(subject);
+    subject == full || subject == name || job == Some(asked_job)
+}
+
+/// One decision as a sentence, without its time.
+pub fn sentence(record: &Record) -> String {
+    let mut text = format!("{} {}", record.subject, phrase(record));
+    text += &format!(": {}", lower(record.cause.meaning()));
+    text += &format!(" ({})", record.cause.number());
+    let facts: Vec<String> = record.facts.iter().map(fact).collect();
+    if !facts.is_empty() {
+        text += &format!("; {}", facts.join(", "));
+    }
+    if record.count > 1 {
+        text += &format!(" [stands for {} decisions]", record.count);
+    }
+    text
+}
+
+/// One line with time and sentence.
+pub fn line(record: &Record) -> String {
+    format!("{}  {}", time(record.at), sentence(record))
+}
+
+/// A chain as text, one line for each step, the last step with what to do.
+pub fn paragraph(chain: &Chain) -> String {
+    let mut lines = Vec::new();
+    if let Some(id) = &chain.missing {
+        lines.push(format!(
+            "(the decision {id} that caused the next one is no longer kept; the chain begins here)"
+        ));
+    }
+    for (depth, step) in chain.steps.iter().enumerate() {
+        let mark = if depth == 0 { "" } else { "-> " };
+        lines.push(format!("{}  {mark}{}", time(step.at), sentence(step)));
+    }
+    if let Some(last) = chain.steps.last() {
+        lines.push(format!("   {}", origin(last)));
+        if last.cause.advice() != "nothing" {
+            lines.push(format!("   what to do: {}", last.cause.advice()));
+        }
+    }
+    lines.join("\n")
+}
+
+/// Which process decided, and on which configuration.
+fn origin(record: &Record) -> String {
+    let shard = match &record.shard {
+        Some((shard, epoch)) => format!(", shard {shard}, epoch {epoch}"),
+        None => String::new(),
+    };
+    let id = &record.id;
+    format!(
+        "decided by {id}{shard}, configuration revision {}",
+        record.revision
+    )
+}
+
+/// A calendar time in UTC.
+pub fn time(at: WallTime) -> String {
+    match UNIX_EPOCH.checked_add(Duration::from_micros(at.as_micros())) {
+        // `humantime` knows no year above 9999 and panics there.
+        Some(time) if at.as_micros() < 253_402_300_800_000_000 => {
+            humantime::format_rfc3339_seconds(time).to_string()
+        }
+        _ => format!("{} µs", at.as_micros()),
+    }
+}
+
+fn phrase(record: &Record) -> String {
+    let place = |word: &str| match &record.place {
+        Some(place) => format!(" {word} {place}"),
+        None => String::new(),
+    };
+    let plain = |text: &str| text.to_owned();
+    match record.action {
+        Action::Accept => plain("was accepted"),
+        Action::Start => format!("was started{}", place("on")),
+        Action::Move => format!("was moved{}", place("to")),
+        Action::Throttle => format!("was throttled{}", place("on")),
+        Action::Unthrottle => format!("got its processor limit back{}", place("on")),
+        Action::Checkpoint => format!("was asked for a checkpoint{}", place("on")),
+        Action::Evict => format!("was evicted{}", place("from")),
+        Action::Stop => format!("was stopped{}", place("on")),
+        Action::Complete => format!("completed{}", place("on")),
+        Action::Fail => format!("failed{}", place("on")),
+        Action::Refuse => format!("was refused{}", place("at")),
+        Action::Delay => plain("was delayed"),
+        Action::Quarantine => plain("was put in quarantine"),
+        Action::Readmit => plain("may get tasks again"),
+        Action::Park => plain("was parked"),
+        Action::HandOff => format!("was handed off{}", place("to")),
+        Action::TakeOver => format!("was taken over by {}", record.id.node),
+        Action::StepDown => format!("was given up by {}", record.id.node),
+        Action::Resize => format!("got another limit{}", place("on")),
+        Action::Apply => plain("came into force"),
+        Action::Remove => plain("was taken out of service"),
+        Action::Restore => plain("came into service"),
+    }
+}
+
+fn fact(fact: &Fact) -> String {
+    let name = fact.name.replace('-', " ");
+    let whole = u64::try_from(fact.value);
+    let value = match (fact.unit, whole) {
+        (Unit::Bytes, Ok(n)) => show::bytes(Bytes(n)),
+        (Unit::Millicores, Ok(n)) => show::cores(Millicores(n)),
+        (Unit::Micros, Ok(n)) => Span::from_micros(n).to_string(),
+        (Unit::Permille, _) => format!("{:.1} %", fact.value as f64 / 10.0),
+        (Unit::Count, _) => fact.value.to_string(),
+        (Unit::Bytes, Err(_)) => format!("{} B", fact.value),
+        (Unit::Millicores, Err(_)) => format!("{} m", fact.value),
+        (Unit::Micros, Err(_)) => format!("{} µs", fact.value),
+    };
+    format!("{name} {value}")
+}
+
+/// A sentence for use after a colon.
+fn lower(text: &str) -> String {
+    let text = text.trim().trim_end_matches('.');
+    let mut chars = text.chars();
+    match chars.next() {
+        Some(first) => first.to_lowercase().chain(chars).collect(),
+        None => String::new(),
+    }
+}
+
+/// A cause from its number or its name as in JSON.
+pub fn cause(text: &str) -> Option<Cause> {
+    let known = Cause::ALL.iter().copied();
+    match text.parse::<u16>() {
+        Ok(number) => known.into_iter().find(|c| c.number() == number),
+        Err(_) => serde_json::from_value(text.into()).ok(),
+    }
+}
+
+/// An action from its name.
+pub fn action(text: &str) -> Option<Action> {
+    serde_json::from_value(text.into()).ok()
+}
