Add the router for requests

The entry process needs decisions about requests without I/O: which endpoint, when to wait, when to try again and when to give up.

The router divides each endpoint's slots among the entry hosts from the peers' heartbeats, chooses by load and recent latency, refuses before sending what can't end in time, and keeps retries and hedges within their budgets. Endpoints leave by configuration, host list or their own word. Round robin, least requests and power of two choices stand beside the product's choice for comparison.

--- /dev/null
+++ b/crates/jujubelb/src/route/balance/least_requests.rs
@@ -0,0 +1,28 @@
+use rand::Rng;
+
+use super::{Balance, Candidate, Outlook};
+
+/// The endpoint with the fewest requests in flight from this process; at random among equals.
+#[derive(Debug, Clone, Default)]
+pub struct LeastRequests;
+
+impl Balance for LeastRequests {
+    const MANAGED: bool = false;
+
+    fn pick<R: Rng>(
+        &mut self,
+        candidates: &[Candidate],
+        _outlook: Outlook,
+        rng: &mut R,
+    ) -> Option<usize> {
+        let least = candidates.iter().map(|c| c.own).min()?;
+        let equals = candidates.iter().filter(|c| c.own == least).count();
+        let chosen = rng.random_range(0..equals);
+        candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, c)| c.own == least)
+            .nth(chosen)
+            .map(|(place, _)| place)
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/route/balance/round_robin.rs
@@ -0,0 +1,30 @@
+use rand::Rng;
+
+use super::{Balance, Candidate, Outlook};
+
+/// Each endpoint in turn.
+#[derive(Debug, Clone, Default)]
+pub struct RoundRobin {
+    last: Option<usize>,
+}
+
+impl Balance for RoundRobin {
+    const MANAGED: bool = false;
+
+    fn pick<R: Rng>(
+        &mut self,
+        candidates: &[Candidate],
+        _outlook: Outlook,
+        rng: &mut R,
+    ) -> Option<usize> {
+        // The first turn is random, so that processes do not march in step.
+        let last = match self.last {
+            Some(last) => last,
+            None if candidates.is_empty() => return None,
+            None => candidates[rng.random_range(0..candidates.len())].index,
+        };
+        let next = candidates.iter().position(|c| c.index > last).unwrap_or(0);
+        self.last = Some(candidates.get(next)?.index);
+        Some(next)
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/route/balance/two_choices.rs
@@ -0,0 +1,28 @@
+use rand::Rng;
+
+use super::{Balance, Candidate, Outlook};
+
+/// Of two random endpoints the one with fewer requests in flight from this process.
+#[derive(Debug, Clone, Default)]
+pub struct TwoChoices;
+
+impl Balance for TwoChoices {
+    const MANAGED: bool = false;
+
+    fn pick<R: Rng>(
+        &mut self,
+        candidates: &[Candidate],
+        _outlook: Outlook,
+        rng: &mut R,
+    ) -> Option<usize> {
+        if candidates.len() < 2 {
+            return (!candidates.is_empty()).then_some(0);
+        }
+        let first = rng.random_range(0..candidates.len());
+        // The second is drawn from the others: skip over the first.
+        let second = rng.random_range(0..candidates.len() - 1);
+        let second = second + usize::from(second >= first);
+        let fewer = candidates[second].own < candidates[first].own;
+        Some(if fewer { second } else { first })
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/route/budget.rs
@@ -0,0 +1,56 @@
+//! Budgets for work that nobody asked for: retries and hedges.
+
+use serde::Serialize;
+
+/// Share of requests that may be sent again. It is slightly below 10 %, so that
+/// the saved tokens do not lift the load above 1.1 times the requests once
+/// there are a thousand of them.
+const RETRIES: f64 = 0.095;
+
+/// Share of requests that may be hedged; slightly below 5 % for the same reason.
+const HEDGES: f64 = 0.045;
+
+/// Tokens that are saved. A service with few requests can retry a few of them,
+/// and a failure after a long quiet time starts no burst.
+const SAVED: f64 = 5.0;
+
+/// Retries and hedges that a service may still send. Each request adds a
+/// fraction of a token and each extra sending takes a whole one. Hedges also
+/// count as retries, so that both together stay within the budget of retries.
+#[derive(Debug, Clone, Default, Serialize)]
+pub(super) struct Budget {
+    retries: f64,
+    hedges: f64,
+}
+
+impl Budget {
+    /// A request is sent for the first time.
+    pub(super) fn earn(&mut self) {
+        self.retries = (self.retries + RETRIES).min(SAVED);
+        self.hedges = (self.hedges + HEDGES).min(SAVED);
+    }
+
+    /// Takes one retry, if there is one.
+    pub(super) fn take_retry(&mut self) -> bool {
+        let able = self.retries >= 1.0;
+        if able {
+            self.retries -= 1.0;
+        }
+        able
+    }
+
+    /// Whether a hedge could be taken.
+    pub(super) fn has_hedge(&self) -> bool {
+        self.hedges >= 1.0 && self.retries >= 1.0
+    }
+
+    /// Takes one hedge, if there is one.
+    pub(super) fn take_hedge(&mut self) -> bool {
+        let able = self.has_hedge();
+        if able {
+            self.hedges -= 1.0;
+            self.retries -= 1.0;
+        }
+        able
+    }
+}
--- a/crates/jujubelb/src/route/mod.rs
+++ b/crates/jujubelb/src/route/mod.rs
@@ -1,7 +1,7 @@
 //! Requests: endpoints in service, load balancing, admission, deadlines,
 //! retries, hedging and budgets.
 //!
-//! The process wiring holds one `Router` behind a lock and calls it with the
+//! The process wiring holds one [`Router`] behind a lock and calls it with the
 //! present time:
 //!
 //! 1. `configure`, `host_list`, `peer_load` and `peer_gone` bring news.
@@ -14,8 +14,25 @@
 //! 4. `finished` tells whether to forward the answer, to ask `next` or to drop it.
 //! 5. `drop_request` ends the ticket of a caller that hung up.
 
+pub mod balance;
+mod budget;
+mod endpoint;
+mod health;
+mod latency;
+mod link;
+mod note;
+mod queue;
+mod rate;
 mod request;
+mod router;
+mod service;
+mod share;
 
+#[cfg(test)]
+mod tests;
+
+pub use note::Note;
 pub use request::{
     AttemptEnd, AttemptId, Claimed, Delivery, Dispatch, Refusal, RequestInfo, Step, Ticket,
 };
+pub use router::{EndpointState, Router, RouterState, ServiceState};
--- /dev/null
+++ b/crates/jujubelb/src/route/queue.rs
@@ -0,0 +1,65 @@
+//! Requests that wait for an endpoint.
+
+use std::collections::BTreeMap;
+
+use crate::model::Priority;
+
+use super::Ticket;
+
+/// Bounded queue of one service. Urgent requests precede batch ones; within a
+/// priority the order is that of admission, also for requests that return
+/// after a failed attempt.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Queue {
+    order: BTreeMap<(Priority, Ticket), ()>,
+    urgent: usize,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub(super) fn insert(&mut self, priority: Priority, ticket: Ticket) {
+        let new = self.order.insert((priority, ticket), ()).is_none();
+        if new && priority == Priority::Urgent {
+            self.urgent += 1;
+        }
+    }
+
+    /// Removes a request, if it is there.
+    pub(super) fn remove(&mut self, priority: Priority, ticket: Ticket) {
+        let there = self.order.remove(&(priority, ticket)).is_some();
+        if there && priority == Priority::Urgent {
+            self.urgent -= 1;
+        }
+    }
+
+    /// The request whose turn it is.
+    pub(super) fn head(&self) -> Option<Ticket> {
+        self.order
+            .first_key_value()
+            .map(|((_, ticket), ())| *ticket)
+    }
+
+    /// The batch request that would be served last.
+    pub(super) fn last_batch(&self) -> Option<Ticket> {
+        let ((priority, ticket), ()) = self.order.last_key_value()?;
+        (*priority == Priority::Batch).then_some(*ticket)
+    }
+
+    /// Requests that a new one of this priority would wait for.
+    pub(super) fn ahead(&self, priority: Priority) -> usize {
+        match priority {
+            Priority::Urgent => self.urgent,
+            Priority::Batch => self.order.len(),
+        }
+    }
+
+    /// Waiting requests.
+    pub(super) fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Waiting batch requests.
+    pub(super) fn batch(&self) -> usize {
+        self.order.len() - self.urgent
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/route/rate.rs
@@ -0,0 +1,63 @@
+//! Rate limit for each caller.
+
+use arcstr::ArcStr;
+use indexmap::IndexMap;
+
+use crate::model::Time;
+
+/// Callers that are remembered. Beyond it the one that called least recently is
+/// forgotten, which at worst gives it a full second's allowance again.
+const CALLERS: usize = 4_096;
+
+/// One token bucket for each caller, holding at most one second's requests.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Rates {
+    rate: u32,
+    callers: IndexMap<ArcStr, Bucket>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    tokens: f64,
+    at: Time,
+}
+
+impl Rates {
+    /// Sets the requests per second of each caller; 0 means no limit.
+    pub(super) fn configure(&mut self, rate: u32) {
+        self.rate = rate;
+        if rate == 0 {
+            self.callers.clear();
+        }
+    }
+
+    /// Takes one request of a caller, if it is within its limit.
+    pub(super) fn take(&mut self, now: Time, caller: &ArcStr) -> bool {
+        if self.rate == 0 {
+            return true;
+        }
+        let most = f64::from(self.rate);
+        if self.callers.len() >= CALLERS && !self.callers.contains_key(caller) {
+            self.forget_oldest();
+        }
+        let bucket = self.callers.entry(caller.clone()).or_insert(Bucket {
+            tokens: most,
+            at: now,
+        });
+        let earned = now.since(bucket.at).as_secs_f64() * most;
+        bucket.tokens = (bucket.tokens + earned).min(most);
+        bucket.at = now;
+        let able = bucket.tokens >= 1.0;
+        if able {
+            bucket.tokens -= 1.0;
+        }
+        able
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.callers.values().enumerate().min_by_key(|(_, b)| b.at);
+        if let Some((index, _)) = oldest {
+            self.callers.swap_remove_index(index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/route/router/fault.rs
@@ -0,0 +1,20 @@
+/// A rule that a test breaks on purpose. No fault is ever set outside tests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Send a non-idempotent request again after an unclear end.
+    RetryUnsafe,
+    /// Send to endpoints that are leaving.
+    IgnoreLeaving,
+    /// Send without the claim of the key.
+    SkipClaim,
+    /// Deliver the answer of an abandoned attempt.
+    DeliverLate,
+    /// Send more than the share of an endpoint.
+    IgnoreShare,
+    /// Send after the deadline.
+    IgnoreDeadline,
+    /// Refuse as not run what was sent.
+    DenySent,
+    /// Admit while draining.
+    IgnoreDrain,
+}
--- /dev/null
+++ b/crates/jujubelb/src/route/service.rs
@@ -0,0 +1,207 @@
+//! A service: its endpoints, its queue and its estimates.
+
+use indexmap::IndexMap;
+
+use crate::model::{EndpointName, Priority, Span, Time};
+
+use super::balance::{Balance, Candidate, Outlook};
+use super::budget::Budget;
+use super::endpoint::{Distance, Endpoint};
+use super::latency::Distribution;
+use super::queue::Queue;
+
+/// Quantile of latency after which a request is hedged. Slightly fewer requests
+/// take longer than the budget of hedges allows.
+const HEDGE_QUANTILE: f64 = 0.96;
+
+/// Latency assumed before the first answer, in microseconds.
+const UNKNOWN: f64 = 10_000.0;
+
+/// An endpoint whose latency is above this multiple of the typical one is not
+/// waited for.
+const WAITED_FOR: f64 = 1.5;
+
+/// State of one service.
+#[derive(Debug)]
+pub(super) struct Service<B> {
+    pub(super) deadline: Span,
+    /// Most requests that may wait.
+    pub(super) limit: usize,
+    /// Whether the configuration no longer has it.
+    pub(super) removed: bool,
+    pub(super) endpoints: IndexMap<EndpointName, Endpoint>,
+    pub(super) queue: Queue,
+    /// Admitted requests that wait for their claim.
+    pub(super) claiming: usize,
+    pub(super) budget: Budget,
+    pub(super) latency: Distribution,
+    pub(super) balance: B,
+}
+
+/// Endpoints that a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// Those in the own region.
+    Home,
+    /// Those in other regions.
+    Remote,
+}
+
+impl Reach {
+    pub(super) fn includes(self, distance: Distance) -> bool {
+        (self == Self::Remote) == (distance == Distance::Remote)
+    }
+}
+
+impl<B: Balance> Service<B> {
+    pub(super) fn new() -> Self {
+        Self {
+            deadline: Span::ZERO,
+            limit: 0,
+            removed: false,
+            endpoints: IndexMap::new(),
+            queue: Queue::default(),
+            claiming: 0,
+            budget: Budget::default(),
+            latency: Distribution::new(HEDGE_QUANTILE),
+            balance: B::default(),
+        }
+    }
+
+    /// Median latency in microseconds.
+    pub(super) fn typical(&self, now: Time) -> f64 {
+        self.latency.median(now).unwrap_or(UNKNOWN)
+    }
+
+    /// Expected latency of an endpoint in microseconds.
+    pub(super) fn expected(&self, now: Time, endpoint: &Endpoint) -> f64 {
+        let round_trip = endpoint.distance.round_trip().as_micros() as f64;
+        endpoint.latency.get(now, self.typical(now) + round_trip)
+    }
+
+    /// Whether an endpoint is in service and not ejected, or ready for a probe.
+    pub(super) fn is_usable(&self, now: Time, endpoint: &Endpoint, idempotent: bool) -> bool {
+        let well = !endpoint.health.is_ejected() || endpoint.health.wants_probe(now, idempotent);
+        endpoint.out_of_service().is_none() && well
+    }
+
+    /// Whether a request has any endpoint within reach.
+    pub(super) fn has_usable(&self, now: Time, reach: Reach, idempotent: bool) -> bool {
+        self.endpoints
+            .values()
+            .any(|e| reach.includes(e.distance) && self.is_usable(now, e, idempotent))
+    }
+
+    /// An ejected endpoint that is due for a probe.
+    pub(super) fn probe(&self, now: Time, reach: Reach, idempotent: bool) -> Option<usize> {
+        self.endpoints.values().position(|e| {
+            reach.includes(e.distance)
+                && e.out_of_service().is_none()
+                && e.health.wants_probe(now, idempotent)
+                && e.inflight < e.limit(B::MANAGED).max(1)
+        })
+    }
+
+    /// Endpoints that may get a request now. Those in `tried` only if there are no others.
+    pub(super) fn candidates(
+        &self,
+        now: Time,
+        reach: Reach,
+        tried: &[EndpointName],
+    ) -> Vec<Candidate> {
+        let typical = self.typical(now);
+        let room = |e: &Endpoint| {
+            reach.includes(e.distance)
+                && e.out_of_service().is_none()
+                && !e.health.is_ejected()
+                && e.inflight < e.limit(B::MANAGED)
+        };
+        let candidate = |(index, e): (usize, &Endpoint)| Candidate {
+            index,
+            own: e.inflight,
+            known: e.inflight + e.peers,
+            slots: e.capacity(),
+            latency: e
+                .latency
+                .get(now, typical + e.distance.round_trip().as_micros() as f64),
+        };
+        let all = self.endpoints.values().enumerate().filter(|(_, e)| room(e));
+        let all: Vec<_> = all.map(candidate).collect();
+        if tried.is_empty() {
+            return all;
+        }
+        let is_tried = |c: &Candidate| {
+            let name = self.endpoints.get_index(c.index).map(|(name, _)| name);
+            name.is_some_and(|n| tried.contains(n))
+        };
+        let fresh: Vec<_> = all.iter().filter(|c| !is_tried(c)).copied().collect();
+        if fresh.is_empty() { all } else { fresh }
+    }
+
+    /// What the balancer may take into account. The time until there is room
+    /// grows with the queue, so that slow endpoints are used when the others
+    /// can't keep up.
+    pub(super) fn outlook(&self, now: Time, reach: Reach) -> Outlook {
+        let typical = self.typical(now);
+        let busy: u32 = self
+            .endpoints
+            .values()
+            .filter(|e| reach.includes(e.distance) && e.out_of_service().is_none())
+            .filter(|e| self.expected(now, e) <= WAITED_FOR * typical)
+            .map(|e| e.inflight)
+            .sum();
+        let waiting = self.queue.len().max(1) as f64;
+        let wait = if busy == 0 {
+            f64::INFINITY
+        } else {
+            waiting * typical / f64::from(busy)
+        };
+        Outlook { typical, wait }
+    }
+
+    /// Time in microseconds that a new request would wait for an endpoint.
+    pub(super) fn wait(&self, now: Time, reach: Reach, priority: Priority) -> f64 {
+        let (mut capacity, mut room) = (0, 0);
+        for endpoint in self.endpoints.values() {
+            if reach.includes(endpoint.distance) && self.is_usable(now, endpoint, true) {
+                let limit = endpoint.limit(B::MANAGED);
+                capacity += limit;
+                room += limit.saturating_sub(endpoint.inflight);
+            }
+        }
+        if capacity == 0 {
+            return f64::INFINITY;
+        }
+        // What waits is served at home, unless there is nothing at home.
+        let elsewhere = reach == Reach::Remote && self.has_usable(now, Reach::Home, true);
+        let ahead = if elsewhere {
+            0
+        } else {
+            self.queue.ahead(priority)
+        };
+        let ahead = (ahead + 1) as f64 - f64::from(room);
+        let mean = self.latency.mean(now).unwrap_or(0.0);
+        ahead.max(0.0) * mean / f64::from(capacity)
+    }
+
+    /// When the first probe of an ejected endpoint is due.
+    pub(super) fn probe_due(&self) -> Option<Time> {
+        let in_service = self
+            .endpoints
+            .values()
+            .filter(|e| e.out_of_service().is_none());
+        in_service.filter_map(|e| e.health.probe_due()).min()
+    }
+
+    /// Whether one more endpoint may be ejected for failures that overload could
+    /// also explain: at most half of those in service.
+    pub(super) fn may_eject(&self) -> bool {
+        let in_service = || {
+            self.endpoints
+                .values()
+                .filter(|e| e.out_of_service().is_none())
+        };
+        let ejected = in_service().filter(|e| e.health.is_ejected()).count();
+        (ejected + 1) * 2 <= in_service().count()
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/route/share.rs
@@ -0,0 +1,267 @@
+//! Division of each endpoint's slots among the entry hosts.
+//!
+//! All entry hosts compute the same division from what the heartbeats say, so
+//! the shares of an endpoint add up to its slots. If data of a peer is stale,
+//! the division is even: then no host relies on room that the silent peer may
+//! be using, and every host keeps its own part.
+
+use indexmap::IndexMap;
+
+use crate::model::{DomainName, EndpointName, NodeName, ServiceName, Span, Time};
+use crate::peer::EndpointLoad;
+
+use super::endpoint::Endpoint;
+
+/// Age at which a peer's data is stale. Several heartbeats may be lost before.
+pub(super) const STALE: Span = Span::from_secs(3);
+
+/// Time between two computations of the shares.
+pub(super) const REFRESH: Span = Span::from_millis(100);
+
+/// Weight of a new sample in the smoothed demand of a host. Samples of requests
+/// in flight vary a lot between heartbeats.
+const WEIGHT: f64 = 0.1;
+
+/// Demands within these bounds of the mean count as even. Even shares depend on
+/// no measured number and are the same on each host.
+const EVEN: std::ops::RangeInclusive<f64> = 0.5..=1.6;
+
+/// Steps of a weight, so that hosts with slightly different data agree.
+const STEPS: f64 = 4.0;
+
+/// Smallest weight in steps. It lets a host with little demand start at once
+/// when its demand grows.
+const LEAST: u64 = 1;
+
+/// What is known about the other entry hosts.
+#[derive(Debug, Clone)]
+pub(super) struct Shares {
+    own: NodeName,
+    /// All configured entry processes and this one, sorted by name.
+    hosts: Vec<NodeName>,
+    peers: IndexMap<NodeName, Peer>,
+    /// Smoothed requests in flight of each host at each group of endpoints.
+    demand: IndexMap<(ServiceName, DomainName), Vec<f64>>,
+    refreshed: Option<Time>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Peer {
+    gone: bool,
+    heard: Option<Time>,
+    loads: IndexMap<(ServiceName, EndpointName), (u16, Time)>,
+}
+
+impl Shares {
+    pub(super) fn new(own: NodeName) -> Self {
+        Self {
+            hosts: vec![own.clone()],
+            own,
+            peers: IndexMap::new(),
+            demand: IndexMap::new(),
+            refreshed: None,
+        }
+    }
+
+    /// Sets the entry processes that share the endpoints.
+    pub(super) fn configure(&mut self, nodes: impl Iterator<Item = NodeName>) {
+        let mut hosts: Vec<_> = nodes.chain([self.own.clone()]).collect();
+        hosts.sort();
+        hosts.dedup();
+        if hosts != self.hosts {
+            self.demand.clear();
+        }
+        self.hosts = hosts;
+        self.refreshed = None;
+        let hosts = &self.hosts;
+        self.peers.retain(|node, _| hosts.contains(node));
+    }
+
+    /// Takes over what a peer reports. Endpoints that it does not mention keep
+    /// their value, because a heartbeat may hold only a part.
+    pub(super) fn heard(&mut self, now: Time, node: &NodeName, loads: &[EndpointLoad]) {
+        if *node == self.own || !self.hosts.contains(node) {
+            return;
+        }
+        let peer = self.peers.entry(node.clone()).or_default();
+        peer.gone = false;
+        peer.heard = Some(now);
+        for load in loads {
+            let key = (load.service.clone(), load.endpoint.clone());
+            peer.loads.insert(key, (load.inflight, now));
+        }
+        peer.loads
+            .retain(|_, (_, at)| now.since(*at) < STALE + STALE);
+    }
+
+    /// A peer is certainly not running.
+    pub(super) fn gone(&mut self, node: &NodeName) {
+        let peer = self.peers.entry(node.clone()).or_default();
+        *peer = Peer {
+            gone: true,
+            ..Peer::default()
+        };
+        self.refreshed = None;
+    }
+
+    /// Whether the shares have to be computed again.
+    pub(super) fn is_due(&self, now: Time) -> bool {
+        self.refreshed.is_none_or(|at| now.since(at) >= REFRESH)
+    }
+
+    /// Notes that the shares of all services were computed.
+    pub(super) fn done(&mut self, now: Time) {
+        self.refreshed = Some(now);
+    }
+
+    /// Sets the shares of this process at the endpoints of a service.
+    pub(super) fn divide(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        endpoints: &mut IndexMap<EndpointName, Endpoint>,
+    ) {
+        self.count(now, service, endpoints);
+        let mut weights: IndexMap<DomainName, Vec<u64>> = IndexMap::new();
+        for endpoint in endpoints.values_mut() {
+            let domain = &endpoint.spec.domain;
+            if !weights.contains_key(domain) {
+                weights.insert(domain.clone(), self.weights(now, service, domain));
+            }
+            endpoint.share = self.share(endpoint, &weights[domain]);
+        }
+        self.ensure_one(endpoints);
+    }
+
+    /// Reads the requests in flight of all hosts and smooths them.
+    fn count(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        endpoints: &mut IndexMap<EndpointName, Endpoint>,
+    ) {
+        let mut sums: IndexMap<DomainName, Vec<f64>> = IndexMap::new();
+        for (name, endpoint) in endpoints.iter_mut() {
+            let row = sums
+                .entry(endpoint.spec.domain.clone())
+                .or_insert_with(|| vec![0.0; self.hosts.len()]);
+            let key = (service.clone(), name.clone());
+            let mut known = 0;
+            for (host, sum) in self.hosts.iter().zip(row) {
+                if *host == self.own {
+                    *sum += f64::from(endpoint.inflight);
+                } else if let Some(inflight) = self.reported(now, host, &key) {
+                    known += u32::from(inflight);
+                    *sum += f64::from(inflight);
+                }
+            }
+            endpoint.peers = known;
+        }
+        for (domain, row) in sums {
+            let demand = self
+                .demand
+                .entry((service.clone(), domain))
+                .or_insert_with(|| row.clone());
+            for (old, new) in demand.iter_mut().zip(row) {
+                *old += WEIGHT * (new - *old);
+            }
+        }
+    }
+
+    fn reported(
+        &self,
+        now: Time,
+        host: &NodeName,
+        key: &(ServiceName, EndpointName),
+    ) -> Option<u16> {
+        let peer = self.peers.get(host)?;
+        let (inflight, at) = peer.loads.get(key)?;
+        (!peer.gone && now.since(*at) < STALE).then_some(*inflight)
+    }
+
+    /// Weights of the hosts in the division of a group of endpoints.
+    fn weights(&self, now: Time, service: &ServiceName, domain: &DomainName) -> Vec<u64> {
+        let running: Vec<bool> = self.hosts.iter().map(|h| !self.is_gone(h)).collect();
+        let even = || running.iter().map(|r| u64::from(*r)).collect();
+        let stale = self.hosts.iter().any(|h| self.is_stale(now, h));
+        let Some(demand) = self.demand.get(&(service.clone(), domain.clone())) else {
+            return even();
+        };
+        let count = running.iter().filter(|r| **r).count().max(1) as f64;
+        let present = || demand.iter().zip(&running).filter(|(_, r)| **r);
+        let mean = present().map(|(d, _)| d).sum::<f64>() / count;
+        // Below one request in flight for each host the ratios say nothing.
+        if stale || mean < 1.0 || present().all(|(d, _)| EVEN.contains(&(d / mean))) {
+            return even();
+        }
+        let weight = |d: f64| ((d / mean * STEPS).round() as u64).max(LEAST);
+        demand
+            .iter()
+            .zip(&running)
+            // One step more lets a host grow that is held back by its share.
+            .map(|(d, r)| if *r { weight(*d) + 1 } else { 0 })
+            .collect()
+    }
+
+    /// Part of one endpoint. The parts of all hosts add up to its capacity, and
+    /// the salt of the endpoint decides who gets the remainders.
+    fn share(&self, endpoint: &Endpoint, weights: &[u64]) -> u32 {
+        const ONE: u64 = 1 << 16;
+        let total: u64 = weights.iter().sum();
+        let slots = u64::from(endpoint.capacity());
+        let mut before = 0;
+        for (host, weight) in self.hosts.iter().zip(weights) {
+            let bound =
+                |sum: u64| (sum * slots * ONE / total.max(1) + u64::from(endpoint.salt)) / ONE;
+            if *host == self.own {
+                return (bound(before + weight) - bound(before)) as u32;
+            }
+            before += weight;
+        }
+        0
+    }
+
+    /// With more hosts than slots a host may be left without any. It then gets
+    /// one at the endpoint that a hash of its name selects: a host without room
+    /// would refuse everything, while one request more waits at the endpoint
+    /// for a moment.
+    fn ensure_one(&self, endpoints: &mut IndexMap<EndpointName, Endpoint>) {
+        let near = |e: &Endpoint| {
+            e.distance != super::endpoint::Distance::Remote && e.out_of_service().is_none()
+        };
+        if endpoints.values().any(|e| near(e) && e.share > 0) {
+            return;
+        }
+        let score = |name: &EndpointName| salt(&[self.own.as_str(), name.as_str()]);
+        let chosen = endpoints
+            .iter_mut()
+            .filter(|(_, e)| near(e) && e.capacity() > 0)
+            .max_by_key(|(name, _)| score(name));
+        if let Some((_, endpoint)) = chosen {
+            endpoint.share = 1;
+        }
+    }
+
+    fn is_gone(&self, host: &NodeName) -> bool {
+        self.peers.get(host).is_some_and(|p| p.gone)
+    }
+
+    fn is_stale(&self, now: Time, host: &NodeName) -> bool {
+        if *host == self.own || self.is_gone(host) {
+            return false;
+        }
+        let heard = self.peers.get(host).and_then(|p| p.heard);
+        heard.is_none_or(|at| now.since(at) >= STALE)
+    }
+}
+
+/// A fixed number for names, the same in each process.
+pub(super) fn salt(names: &[&str]) -> u16 {
+    let mut hasher = blake3::Hasher::new();
+    for name in names {
+        hasher.update(name.as_bytes());
+        hasher.update(&[0]);
+    }
+    let hash = hasher.finalize();
+    u16::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]])
+}
