Add the at-most-once claims of request keys

A caller that retries through another entry host must not run a non-idempotent request twice, and entry hosts have no disks.

Three holders per key by rendezvous hashing over the configured hosts, a majority of them, and of the former set for one lifetime after a change. A process that started after a change does not know the former set, so two majorities could be disjoint; therefore a claim now names the sets that its claimant knows (new field in the peer call), and a holder that knows of another one abstains. A release leaves a mark, so that a claim that arrives after it does not block the key.

--- a/crates/jujubelb/src/claim/mod.rs
+++ b/crates/jujubelb/src/claim/mod.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! At-most-once claims of request keys.
+//!
+//! Three holders are chosen for each key by rendezvous hashing over the
+//! configured entry hosts. A request is sent only after a majority of them
+//! granted its claim; two majorities have a holder in common, hence two
+//! attempts with the same key can't both be granted.
+//!
+//! Three rules keep this true through restarts and changes of the host set:
+//!
+//! - A holder that started less than one lifetime ago abstains, because it may
+//!   have lost claims.
+//! - After a change of the host set a majority in the old and in the new set is
+//!   needed for one lifetime.
+//! - A process that started after the change does not know the old set.
+//!   Therefore a claim names the sets that its claimant knows, and a holder
+//!   that knows of another one abstains.
+
+mod claimant;
+mod holder;
+mod hosts;
+
+#[cfg(test)]
+mod tests;
+
+pub use claimant::Claimant;
+pub use holder::{Holder, HolderState};
+pub use hosts::{HostSets, Plan, SetId};
+
+use crate::model::Span;
+
+/// Time for which a claim is held. A caller that retries later than this after
+/// its first attempt has to use a new key.
+pub const LIFETIME: Span = Span::from_secs(600);
--- /dev/null
+++ b/crates/jujubelb/src/claim/tests.rs
@@ -0,0 +1,218 @@
+use super::*;
+use crate::model::{HostName, NodeName, Time};
+use crate::peer::{ClaimAnswer, ClaimKey};
+use crate::route::Claimed;
+
+const L: Span = Span::from_secs(600);
+
+fn key(text: &str) -> ClaimKey {
+    ClaimKey {
+        service: "booking".into(),
+        key: text.into(),
+    }
+}
+
+fn hosts(range: std::ops::Range<usize>) -> Vec<HostName> {
+    range.map(|i| HostName::new(format!("h{i}"))).collect()
+}
+
+fn sets(range: std::ops::Range<usize>) -> HostSets {
+    let mut sets = HostSets::new(L);
+    sets.configure(Time::ZERO, hosts(range));
+    sets
+}
+
+fn secs(s: u64) -> Time {
+    Time::from_millis(s * 1_000)
+}
+
+/// A holder that no longer abstains.
+fn holder() -> Holder {
+    let mut holder = Holder::new(Time::ZERO, L);
+    holder.abstains_until_for_test(Time::ZERO);
+    holder
+}
+
+fn plan(groups: &[&[&str]]) -> Plan {
+    let nodes = |g: &&[&str]| g.iter().map(|n| NodeName::from(*n)).collect();
+    Plan {
+        groups: groups.iter().map(nodes).collect(),
+        sets: Vec::new(),
+    }
+}
+
+/// Guards against holders that depend on the order of declaration or on other hosts.
+#[test]
+fn holders_are_stable() {
+    let a = sets(0..7).plan(Time::ZERO, &key("k"));
+    let mut reversed = HostSets::new(L);
+    reversed.configure(Time::ZERO, hosts(0..7).into_iter().rev());
+    assert_eq!(a, reversed.plan(Time::ZERO, &key("k")));
+    assert_eq!(a.groups[0].len(), 3);
+    // Each new host is chosen for its part of the keys and changes no others.
+    let moved = (0..1_000).filter(|i| {
+        let key = key(&i.to_string());
+        let before = &sets(0..7).plan(Time::ZERO, &key).groups[0];
+        let after = &sets(0..8).plan(Time::ZERO, &key).groups[0];
+        let kept = after.iter().filter(|n| before.contains(n)).count();
+        assert!(kept >= 2);
+        kept == 2
+    });
+    let moved = moved.count();
+    assert!((300..450).contains(&moved), "{moved} of about 375");
+}
+
+/// Guards against two attempts that are both granted, and against repeats that are not.
+#[test]
+fn claim_and_release_are_idempotent() {
+    let (mut holder, own) = (holder(), sets(0..3));
+    let ids = own.plan(Time::ZERO, &key("k")).sets;
+    let claim = |h: &mut Holder, who| h.claim(secs(1), &key("k"), who, &ids, &own);
+    assert_eq!(claim(&mut holder, 1), ClaimAnswer::Granted);
+    assert_eq!(claim(&mut holder, 1), ClaimAnswer::Granted);
+    assert_eq!(claim(&mut holder, 2), ClaimAnswer::Held);
+    holder.release(secs(1), &key("k"), 2);
+    assert_eq!(claim(&mut holder, 2), ClaimAnswer::Held);
+    holder.release(secs(1), &key("k"), 1);
+    holder.release(secs(1), &key("k"), 1);
+    assert_eq!(claim(&mut holder, 2), ClaimAnswer::Granted);
+    // The repeated release and the late claim of the first claimant change nothing.
+    holder.release(secs(1), &key("k"), 1);
+    assert_eq!(claim(&mut holder, 1), ClaimAnswer::Held);
+    assert_eq!(claim(&mut holder, 2), ClaimAnswer::Granted);
+}
+
+/// Guards against a key that is blocked because the claim arrived after its release.
+#[test]
+fn claim_after_its_release_is_not_granted() {
+    let (mut holder, own) = (holder(), sets(0..3));
+    let ids = own.plan(Time::ZERO, &key("k")).sets;
+    holder.release(secs(1), &key("k"), 1);
+    let late = holder.claim(secs(1), &key("k"), 1, &ids, &own);
+    assert_eq!(late, ClaimAnswer::Abstained);
+    let other = holder.claim(secs(1), &key("k"), 2, &ids, &own);
+    assert_eq!(other, ClaimAnswer::Granted);
+}
+
+/// Guards against lost claims after a restart and against claims that never end.
+#[test]
+fn holder_abstains_after_start_and_forgets_after_lifetime() {
+    let own = sets(0..3);
+    let ids = own.plan(Time::ZERO, &key("k")).sets;
+    let mut holder = Holder::new(secs(1), L);
+    let mut claim = |at, who| holder.claim(secs(at), &key("k"), who, &ids, &own);
+    assert_eq!(claim(600, 1), ClaimAnswer::Abstained);
+    assert_eq!(claim(601, 1), ClaimAnswer::Granted);
+    assert_eq!(claim(1_200, 2), ClaimAnswer::Held);
+    assert_eq!(claim(1_201, 2), ClaimAnswer::Granted);
+}
+
+/// Guards against unbounded memory, and against room that is never free again.
+#[test]
+fn memory_is_bounded() {
+    let own = sets(0..3);
+    let ids = own.plan(Time::ZERO, &key("k")).sets;
+    let mut holder = Holder::with_capacity(Time::ZERO, L, 10);
+    holder.abstains_until_for_test(Time::ZERO);
+    for i in 0..1_000u128 {
+        let answer = holder.claim(secs(1), &key(&i.to_string()), i, &ids, &own);
+        assert_eq!(answer == ClaimAnswer::Granted, i < 10);
+        holder.release(secs(1), &key(&i.to_string()), i);
+    }
+    assert_eq!(holder.state(secs(1)).claims, 10);
+    let answer = holder.claim(secs(601), &key("k"), 1, &ids, &own);
+    assert_eq!(answer, ClaimAnswer::Granted);
+    assert_eq!(holder.state(secs(601)).claims, 1);
+}
+
+/// Guards against disjoint majorities after a change of the host set.
+#[test]
+fn change_of_hosts_needs_both_majorities_for_a_lifetime() {
+    let mut sets = sets(0..3);
+    sets.configure(secs(100), hosts(3..6));
+    assert_eq!(sets.plan(secs(699), &key("k")).groups.len(), 2);
+    assert_eq!(sets.plan(secs(700), &key("k")).groups.len(), 1);
+    // A set that returns is in force again, and the one in between still matters.
+    sets.configure(secs(200), hosts(0..3));
+    assert_eq!(sets.plan(secs(750), &key("k")).groups.len(), 2);
+    assert_eq!(sets.plan(secs(800), &key("k")).groups.len(), 1);
+}
+
+/// Guards against a claimant that started after the change and knows the new set only.
+#[test]
+fn holder_abstains_if_claimant_does_not_know_a_set() {
+    let mut own = sets(0..3);
+    own.configure(secs(100), hosts(0..4));
+    let fresh = sets(0..4).plan(secs(100), &key("k")).sets;
+    let mut holder = holder();
+    let mut claim = |at, ids: &[SetId]| holder.claim(secs(at), &key("k"), 1, ids, &own);
+    assert_eq!(claim(200, &fresh), ClaimAnswer::Abstained);
+    assert_eq!(claim(700, &fresh), ClaimAnswer::Granted);
+}
+
+/// Guards against a wrong result from each mix of answers.
+#[test]
+fn claimant_decides_by_majority() {
+    use ClaimAnswer::{Abstained, Granted, Held};
+    let cases = [
+        (vec![Some(Granted), Some(Granted)], Some(Claimed::Granted)),
+        (vec![Some(Granted), None], None),
+        (
+            vec![Some(Granted), None, Some(Granted)],
+            Some(Claimed::Granted),
+        ),
+        (vec![Some(Granted), None, None], Some(Claimed::Unavailable)),
+        (vec![Some(Held), Some(Held)], Some(Claimed::Held)),
+        (vec![Some(Held), Some(Granted)], None),
+        (
+            vec![Some(Held), Some(Granted), Some(Granted)],
+            Some(Claimed::Granted),
+        ),
+        (vec![Some(Held), Some(Abstained)], None),
+        (
+            vec![Some(Held), Some(Abstained), Some(Held)],
+            Some(Claimed::Held),
+        ),
+        (
+            vec![Some(Held), Some(Abstained), Some(Granted)],
+            Some(Claimed::Unavailable),
+        ),
+        (
+            vec![Some(Abstained), Some(Abstained)],
+            Some(Claimed::Unavailable),
+        ),
+    ];
+    for (answers, result) in cases {
+        let mut claimant = Claimant::new(1, plan(&[&["a", "b", "c"]]), secs(1));
+        let mut last = None;
+        for (node, answer) in ["a", "b", "c"].iter().zip(&answers) {
+            last = claimant.answered(&NodeName::from(*node), *answer);
+        }
+        assert_eq!(last, result, "{answers:?}");
+        assert_eq!(
+            claimant.poll(secs(1)),
+            result.or(Some(Claimed::Unavailable))
+        );
+        assert_eq!(claimant.needs_release(), result != Some(Claimed::Granted));
+    }
+}
+
+/// Guards against a grant by one majority when two are needed, and by none at all.
+#[test]
+fn claimant_needs_each_group() {
+    let granted = Some(ClaimAnswer::Granted);
+    let mut claimant = Claimant::new(1, plan(&[&["a", "b", "c"], &["c", "d", "e"]]), secs(1));
+    assert_eq!(claimant.targets().len(), 5);
+    assert_eq!(claimant.answered(&"a".into(), granted), None);
+    assert_eq!(claimant.answered(&"a".into(), granted), None);
+    assert_eq!(claimant.answered(&"c".into(), granted), None);
+    assert_eq!(claimant.answered(&"x".into(), granted), None);
+    assert_eq!(
+        claimant.answered(&"e".into(), granted),
+        Some(Claimed::Granted)
+    );
+    assert_eq!(claimant.answered(&"d".into(), None), Some(Claimed::Granted));
+
+    let mut none = Claimant::new(1, plan(&[]), secs(1));
+    assert_eq!(none.poll(secs(0)), Some(Claimed::Unavailable));
+}
--- a/crates/jujubelb/src/peer/message.rs
+++ b/crates/jujubelb/src/peer/message.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::claim::SetId;
 use crate::config::Config;
 use crate::model::{
     Code, DomainName, EndpointName, Incarnation, NodeName, Record, Revision, ServiceName,
@@ -128,6 +129,9 @@
         key: ClaimKey,
         /// The claimant, unique for each attempt of a caller.
         claimant: u128,
+        /// The sets of entry hosts that the claimant knows. A holder that knows
+        /// of another one abstains: holders chosen from it may have granted the key.
+        sets: Vec<SetId>,
     },
     /// Give up a claim of a request that was certainly not sent.
     Release {
