Add the stateful test of router and claims

Focused tests don't reach the combinations of dying hosts, late answers, changes of the host set and callers that retry elsewhere.

Eleven flaws show that each rule is noticed, among them a holder that trusts a claimant which started after a change of the host set: it would run a request twice. The claim lifetime is now longer than that of a key by the time a claim may take and a configuration may lag.

--- a/crates/jujubelb/src/claim/claimant.rs
+++ b/crates/jujubelb/src/claim/claimant.rs
@@ -9,8 +9,8 @@
 use super::{Plan, SetId};
 
 /// State of one claim at all its holders. The wiring asks each of `targets`,
-/// passes on the answers and, unless the request is sent, has the claim
-/// released at each of `targets`.
+/// passes on the answers and, if the router says so, has the claim released at
+/// each of `targets`.
 #[derive(Debug, Clone)]
 pub struct Claimant {
     id: u128,
@@ -71,12 +71,6 @@
         self.result
     }
 
-    /// Whether the claim has to be released at `targets`: it was not granted,
-    /// but single holders may have.
-    pub fn needs_release(&self) -> bool {
-        matches!(self.result, Some(Claimed::Held | Claimed::Unavailable))
-    }
-
     fn decide(&mut self) {
         let groups = &self.plan.groups;
         let count = |group: &Vec<NodeName>, wanted: fn(Option<&Option<ClaimAnswer>>) -> bool| {
--- a/crates/jujubelb/src/claim/mod.rs
+++ b/crates/jujubelb/src/claim/mod.rs
@@ -28,6 +28,14 @@
 
 use crate::model::Span;
 
-/// Time for which a claim is held. A caller that retries later than this after
-/// its first attempt has to use a new key.
-pub const LIFETIME: Span = Span::from_secs(600);
+/// Time after its first attempt within which a caller may retry with the same key.
+pub const KEY_LIFETIME: Span = Span::from_secs(600);
+
+/// Time for which a claim is held, for which a holder abstains after its start
+/// and for which a former host set matters. It is longer than the lifetime of a
+/// key by the time that a claim may take, by the delay with which a new
+/// configuration arrives (5 s) and by 5 % for clocks of different speed.
+pub const LIFETIME: Span = Span::from_secs(660);
+
+/// Time after admission within which a claim has to be decided.
+pub const DECISION: Span = Span::from_secs(10);
--- a/crates/jujubelb/src/route/request.rs
+++ b/crates/jujubelb/src/route/request.rs
@@ -55,7 +55,7 @@
     pub code: Code,
     /// When a retry may succeed, for `Retry-After`.
     pub retry: Option<Span>,
-    /// Whether a granted claim has to be released, because the request was certainly not sent.
+    /// Whether the claim has to be released at its holders, because the request was certainly not sent.
     pub release: bool,
 }
 
@@ -140,6 +140,6 @@
     Granted,
     /// An earlier attempt holds it.
     Held,
-    /// There was no majority; what was granted is being released.
+    /// There was no majority.
     Unavailable,
 }
--- a/crates/jujubelb/src/route/router/admit.rs
+++ b/crates/jujubelb/src/route/router/admit.rs
@@ -72,14 +72,19 @@
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
-        if request.claim != Claim::Asked {
+        let Claim::Asked(until) = request.claim else {
             return;
-        }
+        };
+        // A retry of the caller may have come too close to the end of the claim.
+        let result = match result {
+            Claimed::Granted if now >= until => Claimed::Unavailable,
+            other => other,
+        };
+        request.claim = Claim::Decided;
         let service = &mut self.services[&request.service];
         service.claiming -= 1;
         let code = match result {
             Claimed::Granted => {
-                request.claim = Claim::Granted;
                 request.queued = true;
                 service.queue.insert(request.priority, ticket);
                 return;
@@ -87,7 +92,6 @@
             Claimed::Held => Code::KeyInUse,
             Claimed::Unavailable => Code::ClaimUnavailable,
         };
-        request.claim = Claim::Unneeded;
         request.failed = Some(code);
         let subject = Subject::Service(request.service.clone());
         let facts = || vec![Fact::new("code", i64::from(code.number()), Unit::Count)];
--- a/crates/jujubelb/src/route/router/end.rs
+++ b/crates/jujubelb/src/route/router/end.rs
@@ -49,7 +49,7 @@
             return false;
         };
         self.wake_head(&request.service);
-        let asked = matches!(request.claim, Claim::Asked | Claim::Granted);
+        let asked = matches!(request.claim, Claim::Asked(_) | Claim::Decided);
         asked && !request.may_have_run()
     }
 
@@ -167,7 +167,7 @@
         self.wakes.swap_remove(&ticket);
         if let Some(service) = self.services.get_mut(&request.service) {
             service.queue.remove(request.priority, ticket);
-            if matches!(request.claim, Claim::Needed | Claim::Asked) {
+            if matches!(request.claim, Claim::Needed | Claim::Asked(_)) {
                 service.claiming -= 1;
             }
         }
--- a/crates/jujubelb/src/route/router/mod.rs
+++ b/crates/jujubelb/src/route/router/mod.rs
@@ -92,10 +92,10 @@
     Unneeded,
     /// Not asked for yet.
     Needed,
-    /// The process wiring asks the holders.
-    Asked,
-    /// A majority granted it.
-    Granted,
+    /// The process wiring asks the holders, until this time.
+    Asked(Time),
+    /// Granted, or the request has failed. To be released if it is not sent.
+    Decided,
 }
 
 /// An attempt in flight.
--- a/crates/jujubelb/src/route/router/step.rs
+++ b/crates/jujubelb/src/route/router/step.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 
+use crate::claim::DECISION;
 use crate::model::{Action, Cause, Code, Fact, Priority, ServiceName, Span, Subject, Time, Unit};
 
 use super::super::balance::{Balance, Candidate};
@@ -40,15 +41,15 @@
             self.note_expired(now, ticket);
             return self.give_up(ticket, Code::ExpiredInQueue);
         }
-        let until = request.deadline;
         match request.claim {
             Claim::Needed => {
-                request.claim = Claim::Asked;
+                let until = request.deadline.min(now + DECISION);
+                request.claim = Claim::Asked(until);
                 Step::Claim { until }
             }
-            Claim::Asked => Step::Wait { until },
-            Claim::Unneeded | Claim::Granted if request.queued => self.try_send(now, ticket, rng),
-            Claim::Unneeded | Claim::Granted => self.try_hedge(now, ticket, rng),
+            Claim::Asked(until) => Step::Wait { until },
+            Claim::Unneeded | Claim::Decided if request.queued => self.try_send(now, ticket, rng),
+            Claim::Unneeded | Claim::Decided => self.try_hedge(now, ticket, rng),
         }
     }
 
@@ -267,7 +268,7 @@
                 release: false,
             });
         };
-        let unclaimed = matches!(request.claim, Claim::Needed | Claim::Asked);
+        let unclaimed = matches!(request.claim, Claim::Needed | Claim::Asked(_));
         let sent = request.may_have_run();
         let code = match code {
             _ if self.has_fault(Fault::DenySent) => Code::NoEndpoint,
@@ -279,7 +280,7 @@
             _ if unclaimed => Code::ClaimUnavailable,
             c => c,
         };
-        let asked = matches!(request.claim, Claim::Asked | Claim::Granted);
+        let asked = matches!(request.claim, Claim::Asked(_) | Claim::Decided);
         Step::GiveUp(Refusal {
             code,
             retry: (code.status() == 503).then_some(RETRY),
--- a/crates/jujubelb/src/route/tests/mod.rs
+++ b/crates/jujubelb/src/route/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the router.
 
 mod basics;
+mod machine;
 mod parts;
 
 use std::net::SocketAddr;
