Add the routing measurement

The choice of endpoints has to be tuned and compared with round robin, least requests and power of two choices under the same conditions.

--- /dev/null
+++ b/crates/jujubelb-lab/src/bench/routing/world.rs
@@ -0,0 +1,409 @@
+//! Entry hosts with the real router, the network and the flow of events.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use jujubelb::config::{Config, Domain, Endpoint, Host, Service};
+use jujubelb::model::{Bytes, HostName, NodeName, Priority, Revision, Span, Time};
+use jujubelb::route::balance::Balance;
+use jujubelb::route::{AttemptEnd, AttemptId, Delivery, RequestInfo, Router, Step, Ticket};
+
+use super::fleet::{Fleet, Work, exponential, service_time, stream};
+use super::scenario::{DEADLINE, DELAY, ENDPOINTS, HEARTBEAT, SERVICE, SLOTS, Scenario};
+
+/// Latencies and counts of one run or of several.
+#[derive(Debug, Clone)]
+pub(super) struct Outcome {
+    latencies: Histogram<u64>,
+    sent: u64,
+    hedges: u64,
+    lost: u64,
+    busy: f64,
+    busy_hedges: f64,
+}
+
+impl Default for Outcome {
+    fn default() -> Self {
+        // Invariant: the bounds satisfy 1 <= low, 2 * low <= high and 3 digits are allowed.
+        let latencies = Histogram::new_with_bounds(1, 10 * DEADLINE, 3);
+        Self {
+            latencies: latencies.expect("the bounds are valid constants"),
+            sent: 0,
+            hedges: 0,
+            lost: 0,
+            busy: 0.0,
+            busy_hedges: 0.0,
+        }
+    }
+}
+
+impl Outcome {
+    pub(super) fn merge(mut self, other: Self) -> Self {
+        // Invariant: all histograms have the same bounds.
+        self.latencies
+            .add(&other.latencies)
+            .expect("the histograms have the same bounds");
+        self.sent += other.sent;
+        self.hedges += other.hedges;
+        self.lost += other.lost;
+        self.busy += other.busy;
+        self.busy_hedges += other.busy_hedges;
+        self
+    }
+
+    /// A quantile of latency in microseconds.
+    pub(super) fn quantile(&self, quantile: f64) -> f64 {
+        self.latencies.value_at_quantile(quantile) as f64
+    }
+
+    /// Hedges as a part of the first attempts.
+    pub(super) fn hedged(&self) -> f64 {
+        self.hedges as f64 / (self.sent - self.hedges).max(1) as f64
+    }
+
+    /// Time that endpoints spent on hedges as a part of that for first attempts.
+    pub(super) fn busy_added(&self) -> f64 {
+        self.busy_hedges / (self.busy - self.busy_hedges).max(1.0)
+    }
+
+    /// Part of the requests without an answer.
+    pub(super) fn lost(&self) -> f64 {
+        self.lost as f64 / self.latencies.len().max(1) as f64
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// The request with this number arrives at an entry host.
+    Arrival(usize),
+    /// An attempt reaches its endpoint.
+    Reach(usize),
+    /// An attempt ends at its endpoint.
+    End(usize),
+    /// An answer reaches the entry host.
+    Answer(usize),
+    /// A time for which the router asked.
+    Timer(usize),
+    Heartbeats,
+}
+
+struct Request {
+    host: usize,
+    arrived: u64,
+    ticket: Option<Ticket>,
+    attempts: u64,
+    timer: u64,
+}
+
+struct Attempt {
+    request: usize,
+    endpoint: usize,
+    id: AttemptId,
+    hedge: bool,
+}
+
+pub(super) struct World<'a, B: Balance> {
+    scenario: &'a Scenario,
+    seed: u64,
+    count: usize,
+    rate: f64,
+    now: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    arrivals: StdRng,
+    routers: Vec<(Router<B>, StdRng)>,
+    tickets: Vec<IndexMap<Ticket, usize>>,
+    requests: Vec<Request>,
+    attempts: Vec<Attempt>,
+    open: usize,
+    fleet: Fleet,
+    outcome: Outcome,
+}
+
+impl<'a, B: Balance> World<'a, B> {
+    pub(super) fn new(scenario: &'a Scenario, load: f64, seed: u64, count: usize) -> Self {
+        let rate = load * scenario.capacity() / SERVICE;
+        let config = config(scenario.hosts);
+        let router = |host| {
+            let mut router = Router::new(node(host), "d".into());
+            router.configure(Time::ZERO, &config);
+            (router, stream(seed, 100, host as u64))
+        };
+        Self {
+            scenario,
+            seed,
+            count,
+            rate,
+            now: 0,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            arrivals: stream(seed, 0, 0),
+            routers: (0..scenario.hosts).map(router).collect(),
+            tickets: vec![IndexMap::new(); scenario.hosts],
+            requests: Vec::with_capacity(count),
+            attempts: Vec::with_capacity(count),
+            open: 0,
+            fleet: Fleet::new(scenario, seed, count as f64 / rate),
+            outcome: Outcome::default(),
+        }
+    }
+
+    pub(super) fn run(mut self) -> Outcome {
+        self.schedule(0, Event::Arrival(0));
+        if self.scenario.heartbeats {
+            self.schedule(HEARTBEAT, Event::Heartbeats);
+        }
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            match event {
+                Event::Arrival(number) => self.arrival(number),
+                Event::Reach(attempt) => self.reach(attempt),
+                Event::End(attempt) => self.end(attempt),
+                Event::Answer(attempt) => self.answer(attempt),
+                Event::Timer(request) => self.timer(request),
+                Event::Heartbeats => self.heartbeats(),
+            }
+        }
+        self.outcome.busy = self.fleet.busy;
+        self.outcome.busy_hedges = self.fleet.busy_hedges;
+        self.outcome
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn time(&self) -> Time {
+        Time::from_micros(self.now)
+    }
+
+    fn arrival(&mut self, number: usize) {
+        if number + 1 < self.count {
+            let pause = exponential(&mut self.arrivals) / self.rate;
+            self.schedule(self.now + pause as u64, Event::Arrival(number + 1));
+        }
+        let host = if self.arrivals.random_bool(self.scenario.skew) {
+            0
+        } else {
+            self.arrivals.random_range(0..self.scenario.hosts)
+        };
+        let info = RequestInfo {
+            service: "s".into(),
+            deadline: None,
+            priority: Priority::Urgent,
+            idempotent: self.scenario.idempotent,
+            key: None,
+            caller: None,
+            bytes: Bytes(500),
+        };
+        let now = self.time();
+        let admitted = self.routers[host].0.admit(now, info);
+        self.requests.push(Request {
+            host,
+            arrived: self.now,
+            ticket: admitted.ok(),
+            attempts: 0,
+            timer: 0,
+        });
+        match admitted {
+            Ok(ticket) => {
+                self.open += 1;
+                self.tickets[host].insert(ticket, number);
+                self.step(number);
+                self.wake(host);
+            }
+            Err(_) => self.record(number, None),
+        }
+    }
+
+    /// Asks for the next steps of a request until it has to wait.
+    fn step(&mut self, number: usize) {
+        let now = self.time();
+        while let Some(ticket) = self.requests[number].ticket {
+            let host = self.requests[number].host;
+            let (router, rng) = &mut self.routers[host];
+            match router.next(now, ticket, rng) {
+                Step::Send(dispatch) => {
+                    let endpoint = usize::from(dispatch.address.port());
+                    self.send(number, endpoint, dispatch.attempt, dispatch.hedge);
+                }
+                Step::Wait { until } => {
+                    let until = until.as_micros().max(self.now + 1);
+                    if self.requests[number].timer != until {
+                        self.requests[number].timer = until;
+                        self.schedule(until, Event::Timer(number));
+                    }
+                    return;
+                }
+                Step::GiveUp(_) | Step::Claim { .. } => {
+                    self.close(number);
+                    self.record(number, None);
+                }
+            }
+        }
+    }
+
+    /// Asks for the requests that the router of a host names.
+    fn wake(&mut self, host: usize) {
+        loop {
+            let wakes = self.routers[host].0.take_wakes();
+            if wakes.is_empty() {
+                return;
+            }
+            for ticket in wakes {
+                if let Some(number) = self.tickets[host].get(&ticket) {
+                    self.step(*number);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, request: usize, endpoint: usize, id: AttemptId, hedge: bool) {
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt {
+            request,
+            endpoint,
+            id,
+            hedge,
+        });
+        self.outcome.sent += 1;
+        self.outcome.hedges += u64::from(hedge);
+        self.schedule(self.now + DELAY, Event::Reach(attempt));
+    }
+
+    fn reach(&mut self, attempt: usize) {
+        let Attempt {
+            request,
+            endpoint,
+            hedge,
+            ..
+        } = self.attempts[attempt];
+        let number = self.requests[request].attempts;
+        self.requests[request].attempts += 1;
+        let work = Work {
+            attempt,
+            time: service_time(self.seed, request as u64, number),
+            hedge,
+        };
+        if let Some((at, work)) = self.fleet.arrive(self.now, endpoint, work) {
+            self.schedule(at, Event::End(work.attempt));
+        }
+    }
+
+    fn end(&mut self, attempt: usize) {
+        self.schedule(self.now + DELAY, Event::Answer(attempt));
+        let endpoint = self.attempts[attempt].endpoint;
+        if let Some((at, work)) = self.fleet.end(self.now, endpoint) {
+            self.schedule(at, Event::End(work.attempt));
+        }
+    }
+
+    fn answer(&mut self, attempt: usize) {
+        let Attempt { request, id, .. } = self.attempts[attempt];
+        let host = self.requests[request].host;
+        let end = AttemptEnd::Answered {
+            status: 200,
+            bytes: Bytes(500),
+            leaving: false,
+        };
+        let now = self.time();
+        if let Delivery::Deliver(_) = self.routers[host].0.finished(now, id, end) {
+            let latency = self.now - self.requests[request].arrived;
+            self.close(request);
+            self.record(request, Some(latency));
+        }
+        self.wake(host);
+    }
+
+    fn timer(&mut self, request: usize) {
+        if self.requests[request].ticket.is_some() && self.requests[request].timer == self.now {
+            self.step(request);
+            self.wake(self.requests[request].host);
+        }
+    }
+
+    fn heartbeats(&mut self) {
+        let now = self.time();
+        for from in 0..self.routers.len() {
+            let loads = self.routers[from].0.loads(now);
+            for to in (0..self.routers.len()).filter(|to| *to != from) {
+                self.routers[to].0.peer_load(now, &node(from), &loads);
+            }
+        }
+        if self.requests.len() < self.count {
+            self.schedule(self.now + HEARTBEAT, Event::Heartbeats);
+        }
+    }
+
+    fn close(&mut self, request: usize) {
+        let Request { host, ticket, .. } = self.requests[request];
+        if let Some(ticket) = ticket {
+            self.tickets[host].swap_remove(&ticket);
+            self.open -= 1;
+        }
+        self.requests[request].ticket = None;
+    }
+
+    /// Counts a request unless it belongs to the warm-up.
+    fn record(&mut self, request: usize, latency: Option<u64>) {
+        if request < self.count / 10 {
+            return;
+        }
+        self.outcome.lost += u64::from(latency.is_none());
+        self.outcome
+            .latencies
+            .saturating_record(latency.unwrap_or(DEADLINE));
+    }
+}
+
+fn node(host: usize) -> NodeName {
+    NodeName::new(format!("h{host}/entry"))
+}
+
+fn config(hosts: usize) -> Config {
+    // The port of an endpoint is its number.
+    let address = |port: usize| SocketAddr::from(([127, 0, 0, 1], port as u16));
+    let domain = Domain {
+        region: "r".into(),
+        out: false,
+    };
+    let host = |i: usize| {
+        let host = Host {
+            domain: "d".into(),
+            entry: address(1_000 + i),
+            scheduler: address(2_000 + i),
+        };
+        (HostName::new(format!("h{i}")), host)
+    };
+    let endpoint = |i: usize| {
+        let endpoint = Endpoint {
+            domain: "d".into(),
+            address: address(i),
+            worker: None,
+            slots: SLOTS as u32,
+            connections: 64,
+            leaving: false,
+        };
+        (format!("e{i}").as_str().into(), endpoint)
+    };
+    let service = Service {
+        deadline: Span::from_micros(DEADLINE),
+        body: Bytes::from_mib(1),
+        queue: 10_000,
+        endpoints: (0..ENDPOINTS).map(endpoint).collect(),
+    };
+    Config {
+        revision: Revision(1),
+        domains: [("d".into(), domain)].into(),
+        hosts: (0..hosts).map(host).collect(),
+        services: [("s".into(), service)].into(),
+        ..Config::default()
+    }
+}
