--- a/crates/jujubelb/src/journal/segment.rs
+++ b/crates/jujubelb/src/journal/segment.rs
@@ -110,6 +110,19 @@
         checkpoint: Option<Checkpoint>,
         /// The source.
         from: ShardName,
+        /// Epoch of the source's owner. Offers of lower epochs are stale from now on.
+        epoch: Epoch,
+    },
+    /// An offer was refused. Stored before the answer, so that a delayed repeat is refused too.
+    Declined {
+        /// The task.
+        task: TaskId,
+        /// Attempts made so far.
+        attempt: Attempt,
+        /// The source.
+        from: ShardName,
+        /// Epoch of the source's owner. Offers of lower epochs are stale from now on.
+        epoch: Epoch,
     },
     /// The target has the offered task; the source forgets it.
     Released {
@@ -132,6 +145,11 @@
         /// Whether it is in quarantine.
         on: bool,
     },
+    /// All owners below this epoch certainly renew no lease any more.
+    Cleared {
+        /// The lowest epoch whose owner may still renew leases.
+        below: Epoch,
+    },
     /// The shard's owner gave up its term in a planned stop: it renews no lease any more.
     StoodDown,
 }
--- /dev/null
+++ b/crates/jujubelb/src/place/attribution/tests.rs
@@ -0,0 +1,183 @@
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+use super::*;
+
+fn second(s: u64) -> Time {
+    Time::from_millis(s * 1_000)
+}
+
+fn worker(i: usize) -> WorkerName {
+    WorkerName::new(format!("worker-{i}"))
+}
+
+fn task(job: &str, index: u32) -> TaskId {
+    TaskId {
+        job: JobName::from(job),
+        index,
+    }
+}
+
+fn job(i: usize) -> String {
+    format!("job-{i}")
+}
+
+fn none() -> IndexSet<WorkerName> {
+    IndexSet::new()
+}
+
+/// Lets other jobs succeed on workers 1 to `count`.
+fn healthy(state: &mut Attribution, at: u64, count: usize) {
+    for i in 1..=count {
+        state.succeeded(second(at), &worker(i), &task(&job(i % 5), i as u32));
+    }
+}
+
+/// Guards against a worker that fails everything and goes on getting tasks.
+#[test]
+fn a_worker_that_fails_everything_is_quarantined() {
+    let mut state = Attribution::default();
+    healthy(&mut state, 1, 20);
+    for i in 0..4 {
+        state.failed(second(10 + i), &worker(0), &task(&job(i as usize), 0));
+    }
+    assert_eq!(state.verdicts(second(13), 30, &none()), []);
+    let verdicts = state.verdicts(second(16), 30, &none());
+    assert!(
+        matches!(&verdicts[..], [Verdict::Quarantine { worker: w, failures: 4, .. }] if *w == worker(0)),
+        "{verdicts:?}"
+    );
+}
+
+/// Guards against quarantine that never ends, or ends in full trust.
+#[test]
+fn a_quarantined_worker_gets_probation_and_a_longer_relapse() {
+    let mut state = Attribution::default();
+    let held = IndexSet::from([worker(0)]);
+    assert_eq!(state.verdicts(second(0), 30, &held), []);
+    assert_eq!(state.verdicts(second(299), 30, &held), []);
+    let verdicts = state.verdicts(second(300), 30, &held);
+    assert!(matches!(&verdicts[..], [Verdict::Readmit { .. }]));
+    assert!(state.is_on_probation(&worker(0)));
+    state.failed(second(310), &worker(0), &task("any", 0));
+    let relapse = state.verdicts(second(310), 30, &none());
+    assert!(matches!(&relapse[..], [Verdict::Quarantine { .. }]));
+    assert_eq!(state.verdicts(second(310 + 599), 30, &held), []);
+    assert_eq!(state.verdicts(second(310 + 600), 30, &held).len(), 1);
+    (0..3).for_each(|i| state.succeeded(second(920 + i), &worker(0), &task("any", 1)));
+    assert!(!state.is_on_probation(&worker(0)));
+}
+
+/// Guards against blame on workers for a job that fails everywhere.
+#[test]
+fn a_job_that_fails_on_three_healthy_workers_is_parked() {
+    let mut state = Attribution::default();
+    healthy(&mut state, 1, 20);
+    for i in 1..=3 {
+        state.failed(second(10), &worker(i), &task("broken", i as u32));
+    }
+    let verdicts = state.verdicts(second(20), 20, &none());
+    let parked = Verdict::Park {
+        job: JobName::from("broken"),
+        workers: 3,
+        healthy: 3,
+    };
+    assert_eq!(verdicts, [parked]);
+}
+
+/// Guards against a job that is parked because it met failing workers.
+#[test]
+fn failures_on_failing_workers_do_not_park_a_job() {
+    let mut state = Attribution::default();
+    for i in 0..3 {
+        state.failed(second(10), &worker(i), &task("unlucky", 0));
+    }
+    assert_eq!(state.verdicts(second(20), 40, &none()), []);
+}
+
+/// Guards against endless retries of one task whose siblings succeed.
+#[test]
+fn one_task_that_always_fails_parks_its_job() {
+    let mut state = Attribution::default();
+    healthy(&mut state, 1, 20);
+    for i in 1..=3 {
+        state.failed(second(10 + i as u64), &worker(i), &task("mixed", 7));
+        state.succeeded(second(10 + i as u64), &worker(9), &task("mixed", i as u32));
+    }
+    let verdicts = state.verdicts(second(20), 20, &none());
+    assert!(
+        matches!(&verdicts[..], [Verdict::Park { .. }]),
+        "{verdicts:?}"
+    );
+}
+
+/// Guards against blame on workers or jobs when a whole domain fails.
+#[test]
+fn a_domain_failure_blames_no_one() {
+    let mut state = Attribution::default();
+    healthy(&mut state, 1, 20);
+    for s in 10..20 {
+        for i in 1..=20 {
+            let failed = task(&job(i % 5), i as u32);
+            state.failed(second(s), &worker(i), &failed);
+        }
+        assert_eq!(state.verdicts(second(s), 20, &none()), []);
+    }
+    assert!(state.is_domain_failing(second(20)));
+    assert_eq!(state.verdicts(second(60), 20, &none()), []);
+}
+
+/// Runs random ends against a shard and returns the most workers in quarantine.
+fn most_quarantined(ends: &[(usize, usize, bool)], total: usize, bounded: bool) -> usize {
+    let mut state = Attribution::default();
+    let mut held = none();
+    let mut most = 0;
+    for (step, (w, j, ok)) in ends.iter().enumerate() {
+        let now = second(step as u64 * 2);
+        let ended = task(&job(*j), 0);
+        match ok {
+            true => state.succeeded(now, &worker(w % total), &ended),
+            false => state.failed(now, &worker(w % total), &ended),
+        }
+        let shown = if bounded { held.clone() } else { none() };
+        for verdict in state.verdicts(now, total, &shown) {
+            match verdict {
+                Verdict::Quarantine { worker, .. } => held.insert(worker),
+                Verdict::Readmit { worker, .. } => held.swap_remove(&worker),
+                Verdict::Park { .. } => false,
+            };
+        }
+        most = most.max(held.len());
+    }
+    most
+}
+
+fn check_bound(bounded: bool) -> Result<(), String> {
+    let end = (0..40usize, 0..12usize, prop::bool::weighted(0.2));
+    let inputs = (proptest::collection::vec(end, 1..300), 1..40usize);
+    let config = Config {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(0x9A),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new(config)
+        .run(&inputs, |(ends, total)| {
+            let most = most_quarantined(&ends, total, bounded);
+            prop_assert!(most <= total / 10, "{} of {}", most, total);
+            Ok(())
+        })
+        .map_err(|e| e.to_string())
+}
+
+/// Guards against a shard that loses its capacity to quarantine.
+#[test]
+fn quarantine_is_bounded() {
+    check_bound(true).unwrap();
+}
+
+/// The check above catches verdicts that don't count workers already in quarantine.
+#[test]
+fn the_bound_check_catches_uncounted_workers() {
+    assert!(check_bound(false).is_err());
+}
--- /dev/null
+++ b/crates/jujubelb/src/place/capacity/size.rs
@@ -0,0 +1,239 @@
+//! Sizes learned per class of tasks.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::model::{Bytes, ClassName, Millicores, Resources, TaskSpec};
+
+/// Buckets for each doubling. A bucket is 19 % wide, less than the margin.
+const STEPS: f64 = 4.0;
+
+/// Number of buckets: up to 2^48, more than the bytes of any host.
+const BUCKETS: usize = 48 * 4;
+
+/// Share of observations that the learned size covers.
+const QUANTILE: f64 = 0.95;
+
+/// Added to a learned size, because reports are few and late and miss short peaks.
+const MARGIN: (u64, u64) = (5, 4);
+
+/// Observations after which all counts are halved, so that the estimate follows
+/// a class that changes.
+const HALVE_AT: f64 = 512.0;
+
+/// Tasks that have to be observed before a learned processor time below the
+/// declared one is used. With 20, the 0.95 quantile is no longer the maximum.
+const ENOUGH: f64 = 20.0;
+
+/// A limit shrinks only if it is at least this many times what is needed, so
+/// that small changes cause no commands.
+const SHRINK_AT: u64 = 2;
+
+/// Reports of one attempt before its limit shrinks: a task that has just
+/// started has not reached its peak.
+const SHRINK_AFTER: u32 = 3;
+
+/// Use at which a limit grows, in percent of the limit.
+const GROW_AT: u64 = 90;
+
+/// The smallest limits: what any process needs to start.
+const FLOOR: Resources = Resources::new(10, 16 << 20, 0);
+
+/// A decaying histogram with buckets of equal ratio.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct Histogram {
+    /// Weight of each bucket that was ever used, by bucket number.
+    counts: IndexMap<u16, f32>,
+    total: f64,
+}
+
+impl Histogram {
+    fn bucket(value: u64) -> u16 {
+        let exponent = (value.max(1) as f64).log2() * STEPS;
+        (exponent.ceil() as usize).min(BUCKETS - 1) as u16
+    }
+
+    fn add(&mut self, value: u64) {
+        *self.counts.entry(Self::bucket(value)).or_default() += 1.0;
+        self.total += 1.0;
+        if self.total >= HALVE_AT {
+            self.counts.values_mut().for_each(|c| *c /= 2.0);
+            self.counts.retain(|_, c| *c > 0.01);
+            self.total = self.counts.values().map(|c| f64::from(*c)).sum();
+        }
+    }
+
+    /// Upper bound of the bucket that holds the quantile; `None` without observations.
+    fn quantile(&self, quantile: f64) -> Option<u64> {
+        let mut buckets: Vec<_> = self.counts.iter().collect();
+        buckets.sort_unstable_by_key(|(bucket, _)| **bucket);
+        let mut left = self.total * quantile;
+        for (bucket, count) in &buckets {
+            left -= f64::from(**count);
+            if left <= 1e-9 {
+                return Some((f64::from(**bucket) / STEPS).exp2().ceil() as u64);
+            }
+        }
+        let (last, _) = buckets.last()?;
+        Some((f64::from(**last) / STEPS).exp2().ceil() as u64)
+    }
+}
+
+/// What is known of one class.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct Class {
+    cpu: Histogram,
+    memory: Histogram,
+    /// Learned size, kept so that a decision does not walk the histograms.
+    size: Resources,
+}
+
+/// Learned sizes of all classes, as kept in a snapshot.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct SizesState(IndexMap<ClassName, Class>);
+
+/// Sizes learned per class of tasks.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Sizes {
+    classes: IndexMap<ClassName, Class>,
+}
+
+/// Highest use seen of one attempt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Peak {
+    /// Highest use, with the processor time that was wanted.
+    pub(crate) used: Resources,
+    /// Reports.
+    pub(crate) reports: u32,
+}
+
+impl Peak {
+    /// Takes in one report.
+    pub(crate) fn add(&mut self, used: &Resources, wanted: Millicores) {
+        let seen = Resources {
+            cpu: used.cpu.max(wanted),
+            ..*used
+        };
+        self.used = self.used.max(&seen);
+        self.reports += 1;
+    }
+}
+
+impl Sizes {
+    /// Continues from a snapshot.
+    pub(crate) fn restore(state: SizesState) -> Self {
+        Self { classes: state.0 }
+    }
+
+    /// The state for a snapshot.
+    pub(crate) fn state(&self) -> SizesState {
+        SizesState(self.classes.clone())
+    }
+
+    /// Takes in the peak of one attempt, when it ends or after some reports.
+    pub(crate) fn observe(&mut self, class: &ClassName, peak: &Resources) {
+        let entry = self.classes.entry(class.clone()).or_default();
+        entry.cpu.add(peak.cpu.0);
+        entry.memory.add(peak.memory.0);
+        entry.refresh();
+    }
+
+    /// Takes in that a limit was too small: the class needs at least twice as
+    /// much memory. With few observations this raises the learned size at once;
+    /// with many, one outlier does not inflate the whole class.
+    pub(crate) fn exceeded(&mut self, class: &ClassName, limit: &Resources) -> Resources {
+        let doubled = Resources {
+            memory: Bytes(limit.memory.0.saturating_mul(2)),
+            ..*limit
+        };
+        let entry = self.classes.entry(class.clone()).or_default();
+        entry.memory.add(doubled.memory.0);
+        entry.refresh();
+        doubled
+    }
+
+    /// What to reserve for a new attempt. Memory and accelerators count as the
+    /// larger of declared and learned; processor time too, unless it may be lent
+    /// to others and enough was observed.
+    pub(crate) fn reservation(&self, spec: &TaskSpec) -> Resources {
+        let Some(class) = self.classes.get(&spec.class) else {
+            return spec.size.max(&FLOOR);
+        };
+        let larger = spec.size.max(&class.size).max(&FLOOR);
+        let lend = spec.reclaimable && class.cpu.total >= ENOUGH;
+        Resources {
+            cpu: if lend {
+                class.size.cpu.max(FLOOR.cpu)
+            } else {
+                larger.cpu
+            },
+            accelerators: spec.size.accelerators,
+            ..larger
+        }
+    }
+
+    /// The limit to which a running attempt should shrink, if its use is far below.
+    pub(crate) fn shrink(
+        &self,
+        spec: &TaskSpec,
+        limit: &Resources,
+        peak: &Peak,
+    ) -> Option<Resources> {
+        if peak.reports < SHRINK_AFTER {
+            return None;
+        }
+        let learned = self.classes.get(&spec.class).map_or(FLOOR, |c| c.size);
+        let need = margin(&peak.used).max(&learned).max(&FLOOR);
+        let memory = shrunk(limit.memory.0, need.memory.0);
+        let cpu = if spec.reclaimable {
+            shrunk(limit.cpu.0, need.cpu.0)
+        } else {
+            limit.cpu.0
+        };
+        let target = Resources::new(cpu, memory, limit.accelerators);
+        (target != *limit).then_some(target)
+    }
+
+    /// The limit to which a running attempt should grow, if its use comes close.
+    pub(crate) fn grow(
+        &self,
+        limit: &Resources,
+        used: &Resources,
+        wanted: Millicores,
+    ) -> Option<Resources> {
+        let memory = if used.memory.0 * 100 >= limit.memory.0 * GROW_AT {
+            limit.memory.0 * 3 / 2
+        } else {
+            limit.memory.0
+        };
+        let cpu = limit.cpu.0.max(wanted.0);
+        let target = Resources::new(cpu, memory, limit.accelerators);
+        (target != *limit).then_some(target)
+    }
+}
+
+impl Class {
+    fn refresh(&mut self) {
+        let cpu = self.cpu.quantile(QUANTILE).unwrap_or(0);
+        let memory = self.memory.quantile(QUANTILE).unwrap_or(0);
+        self.size = margin(&Resources::new(cpu, memory, 0));
+    }
+}
+
+/// An amount with the margin for few and late reports.
+fn margin(amount: &Resources) -> Resources {
+    let (num, den) = MARGIN;
+    Resources::new(
+        amount.cpu.0 * num / den,
+        amount.memory.0 * num / den,
+        amount.accelerators,
+    )
+}
+
+const fn shrunk(limit: u64, need: u64) -> u64 {
+    if need.saturating_mul(SHRINK_AT) <= limit {
+        need
+    } else {
+        limit
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/place/capacity/tests.rs
@@ -0,0 +1,121 @@
+use super::*;
+use crate::model::{
+    Attempt, Bytes, ClassName, DomainName, JobName, Millicores, Priority, Resources, Span, TaskId,
+    TaskKind, TaskSpec,
+};
+use crate::shard::{Occupant, WorkerView};
+
+fn task(index: u32) -> TaskId {
+    TaskId {
+        job: JobName::from("job"),
+        index,
+    }
+}
+
+fn spec(size: Resources) -> TaskSpec {
+    TaskSpec {
+        kind: TaskKind::Batch,
+        class: ClassName::from("class"),
+        priority: Priority::Batch,
+        size,
+        duration: Some(Span::from_secs(60)),
+        domains: Vec::new(),
+        reclaimable: true,
+    }
+}
+
+fn worker(limits: &[(u64, Option<u64>)]) -> WorkerView {
+    let occupant = |(i, (limit, confirmed)): (usize, &(u64, Option<u64>))| Occupant {
+        task: task(i as u32),
+        attempt: Attempt(1),
+        limit: Resources::new(*limit, 0, 0),
+        confirmed: confirmed.map(|c| Resources::new(c, 0, 0)),
+        running: true,
+        stopping: false,
+    };
+    WorkerView {
+        domain: DomainName::from("domain"),
+        capacity: Resources::new(100, 100, 0),
+        reserved: Resources::new(20, 0, 0),
+        free: Resources::ZERO,
+        protection: true,
+        usable: true,
+        quarantined: false,
+        occupants: limits.iter().enumerate().map(occupant).collect(),
+    }
+}
+
+/// Guards against a declaration that shrinks below what its tasks may use unseen.
+#[test]
+fn limits_above_the_worker_show_as_excess() {
+    assert_eq!(excess(&worker(&[(50, None), (30, None)])), Resources::ZERO);
+    assert_eq!(
+        excess(&worker(&[(50, None), (40, None)])).cpu,
+        Millicores(10)
+    );
+}
+
+/// Guards against further changes of a limit while one is under way, whose
+/// confirmations could not be told apart.
+#[test]
+fn a_limit_under_way_is_not_confirmed() {
+    let worker = worker(&[(50, Some(50)), (30, Some(40)), (10, None)]);
+    let confirmed: Vec<_> = worker.occupants.iter().map(is_confirmed).collect();
+    assert_eq!(confirmed, [true, false, false]);
+}
+
+/// Guards against a class declared ten times too small that fails on each start.
+#[test]
+fn a_class_declared_too_small_is_learned() {
+    let mut sizes = Sizes::default();
+    let spec = spec(Resources::new(100, 100 << 20, 0));
+    let need = Resources::new(1_000, 1_000 << 20, 0);
+    for _ in 0..30 {
+        sizes.observe(&spec.class, &need);
+    }
+    let reservation = sizes.reservation(&spec);
+    assert!(need.fits(&reservation));
+    assert!(reservation.fits(&Resources::new(2_000, 2_000 << 20, 0)));
+}
+
+/// Guards against a class declared ten times too large that keeps its room.
+#[test]
+fn a_task_declared_too_large_shrinks() {
+    let mut sizes = Sizes::default();
+    let spec = spec(Resources::new(10_000, 10 << 30, 0));
+    let used = Resources::new(1_000, 1 << 30, 0);
+    let mut peak = Peak::default();
+    peak.add(&used, used.cpu);
+    assert_eq!(sizes.shrink(&spec, &spec.size, &peak), None);
+    peak.add(&used, used.cpu);
+    peak.add(&used, used.cpu);
+    let limit = sizes.shrink(&spec, &spec.size, &peak).unwrap();
+    assert!(used.fits(&limit) && limit.fits(&Resources::new(2_000, 2 << 30, 0)));
+    (0..30).for_each(|_| sizes.observe(&spec.class, &used));
+    assert_eq!(sizes.reservation(&spec).memory, spec.size.memory);
+    assert!(sizes.reservation(&spec).cpu.0 < 2_000);
+}
+
+/// Guards against a task that is stopped for its memory again and again with
+/// the same limit, and against one outlier that inflates a well-known class.
+#[test]
+fn an_exceeded_limit_doubles() {
+    let mut sizes = Sizes::default();
+    let spec = spec(Resources::new(100, 64 << 20, 0));
+    let doubled = sizes.exceeded(&spec.class, &spec.size);
+    assert_eq!(doubled.memory, Bytes(128 << 20));
+    assert!(doubled.fits(&sizes.reservation(&spec)));
+    (0..100).for_each(|_| sizes.observe(&spec.class, &Resources::new(100, 32 << 20, 0)));
+    assert_eq!(sizes.reservation(&spec).memory, spec.size.memory);
+}
+
+/// Guards against a snapshot that loses what was learned.
+#[test]
+fn learned_sizes_survive_a_snapshot() {
+    let mut sizes = Sizes::default();
+    let spec = spec(Resources::new(100, 100, 0));
+    sizes.observe(&spec.class, &Resources::new(900, 1 << 30, 0));
+    let bytes = postcard::to_stdvec(&sizes.state()).unwrap();
+    let restored = Sizes::restore(postcard::from_bytes(&bytes).unwrap());
+    assert_eq!(restored.reservation(&spec), sizes.reservation(&spec));
+}
--- /dev/null
+++ b/crates/jujubelb/src/place/choose/tests.rs
@@ -0,0 +1,121 @@
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+use super::index::Index;
+use super::score::{NoPick, Outlook, Request, pick};
+use crate::model::Resources;
+
+const GIB: u64 = 1 << 30;
+
+fn host() -> Resources {
+    Resources::new(64_000, 250 * GIB, 0)
+}
+
+fn index(free: &[Resources]) -> Index {
+    let mut index = Index::new(free.len());
+    for (i, free) in free.iter().enumerate() {
+        index.set(i, *free, host(), true);
+    }
+    index
+}
+
+fn request(need: Resources) -> Request {
+    Request { need, salt: 1 }
+}
+
+/// Guards against a search that misses room or returns workers without it.
+#[test]
+fn the_search_agrees_with_a_linear_scan() {
+    let amount = || (0..70_000u64, 0..260u64, 0..3u32);
+    let free = proptest::collection::vec(amount(), 1..60);
+    let config = Config {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(0x1DE),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new(config)
+        .run(&(free, amount(), any::<u64>()), |(free, need, salt)| {
+            let resources = |(c, m, a): &(u64, u64, u32)| Resources::new(*c, m * GIB, *a);
+            let free: Vec<_> = free.iter().map(resources).collect();
+            let need = resources(&need);
+            let mut index = index(&free);
+            index.set(0, free[0], host(), false);
+            let linear = free.iter().skip(1).any(|f| need.fits(f));
+            let found = index.search(&need, 12, salt);
+            prop_assert!(found.iter().all(|&w| w > 0 && need.fits(&free[w])));
+            let picked = pick(&index, &Request { need, salt }, free_choice);
+            prop_assert_eq!(picked.is_ok(), linear);
+            Ok(())
+        })
+        .unwrap();
+}
+
+fn free_choice(_: usize) -> Option<Outlook> {
+    Some(Outlook::default())
+}
+
+/// Guards against small tasks that break up the room for large ones.
+#[test]
+fn a_small_task_leaves_the_empty_worker_alone() {
+    let tight = Resources::new(2_000, 8 * GIB, 0);
+    let index = index(&[host(), tight, host()]);
+    let picked = pick(
+        &index,
+        &request(Resources::new(1_000, 4 * GIB, 0)),
+        free_choice,
+    )
+    .unwrap();
+    assert_eq!(picked.worker, 1);
+}
+
+/// Guards against accelerator hosts that fill up with tasks that need none.
+#[test]
+fn accelerators_are_kept_for_tasks_that_need_them() {
+    let with = Resources::new(2_000, 8 * GIB, 4);
+    let index = index(&[with, host()]);
+    let plain = Resources::new(1_000, 4 * GIB, 0);
+    assert_eq!(
+        pick(&index, &request(plain), free_choice).unwrap().worker,
+        1
+    );
+    let needy = Resources::new(1_000, 4 * GIB, 1);
+    assert_eq!(
+        pick(&index, &request(needy), free_choice).unwrap().worker,
+        0
+    );
+}
+
+/// Guards against a worker whose services would suffer, while another has room.
+#[test]
+fn a_worker_with_a_disturbed_service_is_avoided() {
+    let tight = Resources::new(2_000, 8 * GIB, 0);
+    let index = index(&[tight, host()]);
+    let outlook = |w: usize| {
+        Some(Outlook {
+            slowdown: if w == 0 { 0.5 } else { 0.0 },
+            ..Outlook::default()
+        })
+    };
+    let need = Resources::new(1_000, 4 * GIB, 0);
+    assert_eq!(pick(&index, &request(need), outlook).unwrap().worker, 1);
+    assert_eq!(
+        pick(&index, &request(need), |_| None),
+        Err(NoPick::RuledOut)
+    );
+}
+
+/// Guards against workers that stay in a cell after their room has changed.
+#[test]
+fn taken_room_is_not_offered_again() {
+    let mut index = index(&[host()]);
+    assert!(index.take(0, &Resources::new(60_000, 100 * GIB, 0)));
+    assert!(!index.take(0, &Resources::new(5_000, GIB, 0)));
+    assert!(
+        index
+            .search(&Resources::new(5_000, GIB, 0), 12, 0)
+            .is_empty()
+    );
+    index.set(0, host(), host(), true);
+    assert_eq!(index.search(&Resources::new(5_000, GIB, 0), 12, 0), [0]);
+}
--- /dev/null
+++ b/crates/jujubelb/src/place/fair/tests.rs
@@ -0,0 +1,134 @@
+use super::*;
+
+fn team(name: &str) -> TeamName {
+    TeamName::from(name)
+}
+
+fn task(job: &str, index: u32) -> TaskId {
+    TaskId {
+        job: JobName::from(job),
+        index,
+    }
+}
+
+fn queue() -> Queue {
+    let mut queue = Queue::default();
+    queue.set_total(Resources::new(100_000, 100, 0));
+    queue
+}
+
+fn cpu(millicores: u64) -> Resources {
+    Resources::new(millicores, 0, 0)
+}
+
+/// Starts the next task and returns it.
+fn start(queue: &mut Queue, now: Time, size: &Resources) -> Option<Head> {
+    let head = queue.next(now)?;
+    assert!(queue.remove(&head.task));
+    queue.charge(&head.team, size);
+    queue.started(now, &head);
+    Some(head)
+}
+
+/// Guards against batch work that delays urgent work which was queued later.
+#[test]
+fn urgent_precedes_batch() {
+    let mut queue = queue();
+    queue.push(Time::ZERO, &team("a"), &task("night", 0), Priority::Batch);
+    queue.push(
+        Time::from_millis(5),
+        &team("a"),
+        &task("check", 0),
+        Priority::Urgent,
+    );
+    assert_eq!(
+        queue.next(Time::from_millis(5)).unwrap().task,
+        task("check", 0)
+    );
+}
+
+/// Guards against a team with a long backlog that takes more than its weight.
+#[test]
+fn teams_share_by_weight() {
+    let mut queue = queue();
+    queue.set_weight(&team("heavy"), 3);
+    for i in 0..100 {
+        queue.push(Time::ZERO, &team("heavy"), &task("h", i), Priority::Batch);
+        queue.push(Time::ZERO, &team("light"), &task("l", i), Priority::Batch);
+    }
+    for _ in 0..80 {
+        start(&mut queue, Time::ZERO, &cpu(1_000)).unwrap();
+    }
+    assert_eq!(queue.used(&team("heavy")), cpu(60_000));
+    assert_eq!(queue.used(&team("light")), cpu(20_000));
+}
+
+/// Guards against a queue in which an endless stream of urgent work, or of
+/// small tasks of teams with lower shares, keeps one batch job waiting.
+#[test]
+fn nothing_starves_under_an_endless_stream() {
+    let mut queue = queue();
+    queue.charge(&team("late"), &cpu(90_000));
+    queue.push(Time::ZERO, &team("late"), &task("old", 0), Priority::Batch);
+    let mut served = None;
+    for second in 0..2_000u32 {
+        let now = Time::from_millis(u64::from(second) * 1_000);
+        let urgent = task(&format!("urgent-{second}"), 0);
+        let small = task(&format!("small-{second}"), 0);
+        queue.push(now, &team("stream"), &urgent, Priority::Urgent);
+        queue.push(now, &team("stream"), &small, Priority::Batch);
+        let head = start(&mut queue, now, &Resources::ZERO).unwrap();
+        if head.team == team("late") {
+            served = Some(now.since(Time::ZERO));
+            break;
+        }
+    }
+    let bound = Span::from_secs(STARVING.as_micros() / 1_000_000 + u64::from(TURN) + 1);
+    assert!(served.unwrap() <= bound);
+}
+
+/// Guards against a blocked job that hides the jobs behind it, or is lost.
+#[test]
+fn a_blocked_job_lets_others_pass_and_returns() {
+    let mut queue = queue();
+    queue.push(Time::ZERO, &team("a"), &task("big", 0), Priority::Batch);
+    queue.push(
+        Time::from_millis(1),
+        &team("a"),
+        &task("small", 0),
+        Priority::Batch,
+    );
+    queue.block(&JobName::from("big"));
+    assert_eq!(queue.next(Time::ZERO).unwrap().task, task("small", 0));
+    queue.push(
+        Time::from_millis(2),
+        &team("a"),
+        &task("big", 1),
+        Priority::Batch,
+    );
+    assert_eq!(queue.next(Time::ZERO).unwrap().task, task("small", 0));
+    queue.unblock();
+    assert_eq!(queue.next(Time::ZERO).unwrap().task, task("big", 0));
+}
+
+/// Guards against counts and indexes that drift apart in waves of submissions
+/// and cancellations.
+#[test]
+fn waves_leave_nothing_behind() {
+    let mut queue = queue();
+    for wave in 0..3u32 {
+        let job = format!("wave-{wave}");
+        for i in 0..10_000 {
+            queue.push(Time::ZERO, &team("a"), &task(&job, i), Priority::Batch);
+        }
+        assert_eq!(queue.len(Priority::Batch), 10_000);
+        queue.block(&JobName::from(job.as_str()));
+        for i in 0..10_000 {
+            assert!(queue.remove(&task(&job, i)));
+        }
+        queue.unblock();
+        assert_eq!(queue.len(Priority::Batch), 0);
+        assert_eq!(queue.next(Time::ZERO), None);
+        assert!(queue.ages.is_empty() && queue.groups.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/place/interference/mod.rs
@@ -0,0 +1,233 @@
+//! How much each class of tasks slows each service, learned from late reports.
+//!
+//! A report's latency is compared with the service's usual latency at similar
+//! load. The difference is divided among the classes that ran on the worker when
+//! the latency was measured, in proportion to the uncertainty of each one's
+//! estimate (a Kalman filter with a diagonal covariance).
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::model::{ClassName, ServiceName, Span};
+
+mod history;
+
+pub(crate) use history::{History, Mix};
+
+#[cfg(test)]
+mod tests;
+
+/// Levels of load within which latencies are compared.
+const LEVELS: usize = 8;
+
+/// Standard deviation of the slowdown by one core of a class before any report.
+/// A task of three cores may slow a service by a third, which is about what a
+/// worker may suffer: so an unknown class starts with one task on a worker.
+const PRIOR: f64 = 0.1;
+
+/// Standard deviation of a measured slowdown that no class explains.
+const NOISE: f64 = 0.1;
+
+/// Growth of the variance with each report, so that estimates follow changes.
+const DRIFT: f64 = 1e-6;
+
+/// Uncertainty for one core above which a pair counts as unknown.
+const UNKNOWN: f64 = 0.05;
+
+/// Largest residual taken from one report, so that an outlier does not condemn a pair.
+const RESIDUAL: f64 = 3.0;
+
+/// Weight of a report in the usual latency: if the worker was nearly idle or the
+/// latency was below the usual one, and otherwise. A disturbed worker must not
+/// raise what counts as usual.
+const ADAPT: (f64, f64) = (0.1, 0.002);
+
+/// Cores of tasks up to which a worker counts as nearly idle.
+const IDLE: f64 = 0.5;
+
+/// Ratio of a service's tail latency to its mean. Slowdown is limited so that the
+/// tail stays within the deadline. Exponential latencies have a 98th percentile of
+/// four times the mean.
+const TAIL: f64 = 4.0;
+
+/// Bounds of the slowdown that a service may suffer. Below the lower one noise
+/// would rule the decisions; above the upper one slots fill up.
+const ALLOWED: (f64, f64) = (0.15, 0.5);
+
+/// Usual latency of a service at one level of load.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+struct Level {
+    micros: f64,
+    reports: u32,
+}
+
+/// Estimated slowdown of a service by one core of a class.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Estimate {
+    /// Expected slowdown, as a share of the usual latency.
+    pub(crate) mean: f64,
+    /// Variance of that expectation.
+    pub(crate) variance: f64,
+}
+
+impl Default for Estimate {
+    fn default() -> Self {
+        Self {
+            mean: 0.0,
+            variance: PRIOR * PRIOR,
+        }
+    }
+}
+
+impl Estimate {
+    /// Standard deviation.
+    pub(crate) fn deviation(&self) -> f64 {
+        self.variance.sqrt()
+    }
+
+    /// Whether too little is known to place the class freely.
+    pub(crate) fn is_unknown(&self) -> bool {
+        self.deviation() > UNKNOWN
+    }
+}
+
+/// What is known of one service.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct Service {
+    levels: [Level; LEVELS],
+    classes: IndexMap<ClassName, Estimate>,
+}
+
+/// Estimates of all pairs. Kept in a snapshot as it is.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Interference {
+    services: IndexMap<ServiceName, Service>,
+}
+
+/// One report, with what ran on the worker when the latency was measured.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Observation<'a> {
+    /// The service.
+    pub(crate) service: &'a ServiceName,
+    /// Mean latency.
+    pub(crate) mean: Span,
+    /// Requests measured.
+    pub(crate) count: u32,
+    /// Load in thousandths of the slots.
+    pub(crate) load: u32,
+    /// Cores used by each class on the worker.
+    pub(crate) mix: &'a Mix,
+}
+
+impl Interference {
+    /// Takes in a report. Returns the slowdown against the usual latency at
+    /// similar load, or `None` if that is not known yet or nothing was measured.
+    pub(crate) fn learn(&mut self, seen: &Observation<'_>) -> Option<f64> {
+        if seen.count == 0 {
+            return None;
+        }
+        let service = self.services.entry(seen.service.clone()).or_default();
+        let explained: f64 = seen
+            .mix
+            .iter()
+            .map(|(class, cores)| cores * service.estimate(class).mean)
+            .sum();
+        let micros = seen.mean.as_micros() as f64;
+        let cores: f64 = seen.mix.values().sum();
+        let usual = service.usual(seen.load, micros / (1.0 + explained), cores <= IDLE)?;
+        let slowdown = micros / usual - 1.0;
+        let residual = (slowdown - explained).clamp(-RESIDUAL, RESIDUAL);
+        service.correct(seen.mix, residual, seen.count);
+        Some(slowdown)
+    }
+
+    /// The estimate for one core of a class.
+    pub(crate) fn estimate(&self, service: &ServiceName, class: &ClassName) -> Estimate {
+        self.services
+            .get(service)
+            .map_or_else(Estimate::default, |s| s.estimate(class))
+    }
+
+    /// Expected slowdown of a service by a mix of classes, and its variance.
+    pub(crate) fn slowdown(&self, service: &ServiceName, mix: &Mix) -> (f64, f64) {
+        mix.iter()
+            .fold((0.0, 0.0), |(mean, variance), (class, cores)| {
+                let estimate = self.estimate(service, class);
+                (
+                    mean + cores * estimate.mean,
+                    variance + cores * cores * estimate.variance,
+                )
+            })
+    }
+
+    /// The slowdown against the usual latency at similar load, if that is known.
+    /// For a report that can't be attributed.
+    pub(crate) fn compare(&self, seen: &Observation<'_>) -> Option<f64> {
+        let service = self.services.get(seen.service)?;
+        let level = service.levels[level_of(seen.load)];
+        let known = level.reports > 0 && level.micros > 0.0 && seen.count > 0;
+        known.then(|| seen.mean.as_micros() as f64 / level.micros - 1.0)
+    }
+
+    /// Slowdown that a service may suffer without missing its deadline.
+    pub(crate) fn allowed(&self, service: &ServiceName, deadline: Span) -> f64 {
+        let usual = self.services.get(service).and_then(Service::typical);
+        let (least, most) = ALLOWED;
+        usual.map_or(least, |usual| {
+            let slack = deadline.as_micros() as f64 / (TAIL * usual) - 1.0;
+            slack.clamp(least, most)
+        })
+    }
+}
+
+impl Service {
+    fn estimate(&self, class: &ClassName) -> Estimate {
+        self.classes.get(class).copied().unwrap_or_default()
+    }
+
+    /// Brings the usual latency up to date and returns it. The first report of a
+    /// level counts in full: a disturbed one is corrected by the next calm one.
+    fn usual(&mut self, load: u32, micros: f64, idle: bool) -> Option<f64> {
+        let level = &mut self.levels[level_of(load)];
+        if level.reports == 0 {
+            level.micros = micros;
+        }
+        let (quick, slow) = ADAPT;
+        let weight = if idle {
+            quick.max(1.0 / f64::from(level.reports + 1))
+        } else if micros < level.micros {
+            quick
+        } else {
+            slow
+        };
+        level.micros += weight * (micros - level.micros);
+        level.reports = level.reports.saturating_add(1);
+        (level.micros > 0.0).then_some(level.micros)
+    }
+
+    /// The highest usual latency over all levels of load.
+    fn typical(&self) -> Option<f64> {
+        let known = self.levels.iter().filter(|l| l.reports > 0);
+        known.map(|l| l.micros).max_by(f64::total_cmp)
+    }
+
+    /// Divides a residual among the classes that may have caused it.
+    fn correct(&mut self, mix: &Mix, residual: f64, count: u32) {
+        let noise = NOISE * NOISE + 1.0 / f64::from(count);
+        let spread: f64 = mix
+            .iter()
+            .map(|(class, cores)| self.estimate(class).variance * cores * cores)
+            .sum();
+        for (class, cores) in mix {
+            let estimate = self.classes.entry(class.clone()).or_default();
+            let gain = estimate.variance * cores / (spread + noise);
+            estimate.mean = (estimate.mean + gain * residual).max(0.0);
+            let left = estimate.variance * (1.0 - gain * cores);
+            estimate.variance = (left + DRIFT).min(PRIOR * PRIOR);
+        }
+    }
+}
+
+fn level_of(load: u32) -> usize {
+    (load as usize * LEVELS / 1_001).min(LEVELS - 1)
+}
--- a/crates/jujubelb/src/place/mod.rs
+++ b/crates/jujubelb/src/place/mod.rs
@@ -4,6 +4,18 @@
 
 use crate::model::{ServiceName, Span, WorkerName};
 
+mod attribution;
+mod capacity;
+mod choose;
+mod fair;
+mod interference;
+mod policy;
+mod quota;
+mod ramp;
+mod reaction;
+
+pub use policy::PlacePolicy;
+
 /// Latency of a service's endpoints on one worker over one interval.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LatencyReport {
--- /dev/null
+++ b/crates/jujubelb/src/place/policy/news.rs
@@ -0,0 +1,148 @@
+//! What the policy learns between decisions.
+
+use super::PlacePolicy;
+use super::known::Seen;
+use super::react::Order;
+use crate::journal::EndedBy;
+use crate::model::{JobSpec, Resources, Span, TaskId, Time, WorkerName};
+use crate::place::LatencyReport;
+use crate::place::interference::Observation;
+use crate::shard::News;
+use crate::worker::{Phase, TaskUsage};
+
+/// A mix of classes has to be this old for a latency to be attributed to it: the
+/// interval that a report covers.
+const STEADY: Span = Span::from_secs(1);
+
+/// Reports of one attempt after which its peak counts for its class, so that
+/// tasks without an end teach something too.
+const PEAK_AFTER: u32 = 16;
+
+impl PlacePolicy {
+    pub(super) fn take_news(&mut self, now: Time, news: News<'_>) {
+        match news {
+            // Compared by revision in the next pass.
+            News::Config(_) => {}
+            News::Usage { worker, usage, lag } => self.take_usage(now, worker, usage, lag),
+            News::Ended {
+                task,
+                job,
+                worker,
+                limit,
+                by,
+                phase,
+                ..
+            } => {
+                self.learn_size(task, job, limit, by, phase);
+                self.learn_fate(now, task, worker, by, phase);
+                self.tasks.swap_remove(task);
+                self.dirty.insert(worker.clone());
+            }
+            News::Latency(report) => self.take_latency(now, report),
+            News::Restarted(worker) => {
+                self.dirty.insert(worker.clone());
+            }
+        }
+    }
+
+    fn take_usage(&mut self, now: Time, worker: &WorkerName, usage: &[TaskUsage], lag: Span) {
+        for report in usage {
+            let seen = self
+                .tasks
+                .entry(report.task.clone())
+                .or_insert_with(|| Seen::new(now - lag, report.attempt, None));
+            if seen.attempt == report.attempt {
+                seen.report(report);
+            }
+        }
+        self.dirty.insert(worker.clone());
+    }
+
+    fn learn_size(
+        &mut self,
+        task: &TaskId,
+        job: &JobSpec,
+        limit: Resources,
+        by: EndedBy,
+        phase: Option<Phase>,
+    ) {
+        let class = &job.task.class;
+        if phase == Some(Phase::OverLimit) {
+            let doubled = self.sizes.exceeded(class, &limit);
+            self.doubled.insert(task.clone(), doubled);
+            return;
+        }
+        let peak = self.tasks.get(task).map(|t| t.peak);
+        if let Some(peak) = peak.filter(|p| p.reports > 0 && p.reports < PEAK_AFTER) {
+            self.sizes.observe(class, &peak.used);
+        }
+        if by == EndedBy::Success {
+            self.doubled.swap_remove(task);
+        }
+    }
+
+    fn learn_fate(
+        &mut self,
+        now: Time,
+        task: &TaskId,
+        worker: &WorkerName,
+        by: EndedBy,
+        phase: Option<Phase>,
+    ) {
+        match (by, phase) {
+            (EndedBy::Success, _) => self.attribution.succeeded(now, worker, task),
+            // A limit that was too small is the fault of neither worker nor job.
+            (EndedBy::Failure, Some(Phase::OverLimit)) => {}
+            (EndedBy::Failure, _) => self.attribution.failed(now, worker, task),
+            (EndedBy::Eviction | EndedBy::Loss | EndedBy::NotStarted, _) => {}
+        }
+    }
+
+    fn take_latency(&mut self, now: Time, report: &LatencyReport) {
+        let Some((index, _, known)) = self.workers.get_full_mut(&report.worker) else {
+            return;
+        };
+        let Some(served) = known.services.iter().find(|s| s.service == report.service) else {
+            return;
+        };
+        let measured = now - report.age;
+        let empty = Default::default();
+        let mix = known.history.at(measured, STEADY);
+        let observation = Observation {
+            service: &report.service,
+            mean: report.mean,
+            count: report.count,
+            load: report.load,
+            mix: mix.unwrap_or(&empty),
+        };
+        let slowdown = match mix {
+            Some(_) => self.interference.learn(&observation),
+            None => self.interference.compare(&observation),
+        };
+        let Some(slowdown) = slowdown else {
+            return;
+        };
+        let allowed = self.interference.allowed(&report.service, served.deadline);
+        let reaction = known.reactions.entry(report.service.clone()).or_default();
+        if let Some(act) = reaction.observe(now, measured, slowdown, allowed) {
+            self.orders.push(Order {
+                worker: index,
+                service: report.service.clone(),
+                act,
+                slowdown,
+                allowed,
+                measured: report.age,
+            });
+        }
+    }
+
+    /// Counts the peak of a long attempt for its class.
+    pub(super) fn learn_peak(&mut self, task: &TaskId, job: &JobSpec) {
+        if let Some(seen) = self.tasks.get(task)
+            && seen.peak.reports == PEAK_AFTER
+            && seen.fresh.is_some()
+        {
+            self.sizes.observe(&job.task.class, &seen.peak.used);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/place/policy/outlook.rs
@@ -0,0 +1,122 @@
+//! What placing a task on a worker would mean.
+
+use super::PlacePolicy;
+use crate::model::{JobSpec, Priority, Resources, TaskId, Time};
+use crate::place::attribution::PROBATION_TASKS;
+use crate::place::choose::Outlook;
+
+/// Workers with services on which a class of unknown effect may run at a time:
+/// one in this many. Its reports come within seconds, so a few are enough.
+const EXPLORED_SHARE: usize = 16;
+
+/// A task that is to be placed.
+pub(super) struct Placing<'a> {
+    pub(super) now: Time,
+    pub(super) task: &'a TaskId,
+    pub(super) job: &'a JobSpec,
+    pub(super) need: Resources,
+    /// Whether the job has failed anywhere recently.
+    failed: bool,
+    /// Whether one more worker may run the class if its effect is unknown.
+    explore: bool,
+}
+
+impl<'a> Placing<'a> {
+    pub(super) fn new(
+        policy: &PlacePolicy,
+        now: Time,
+        task: &'a TaskId,
+        job: &'a JobSpec,
+        need: Resources,
+    ) -> Self {
+        let spread = policy.spread.get(&job.task.class).copied().unwrap_or(0);
+        Self {
+            now,
+            task,
+            job,
+            need,
+            failed: policy.attribution.has_failures(&job.name),
+            explore: spread < (policy.workers.len() / EXPLORED_SHARE).max(1),
+        }
+    }
+
+    fn is_urgent(&self) -> bool {
+        self.job.task.priority == Priority::Urgent
+    }
+}
+
+impl PlacePolicy {
+    /// `None` if the worker must not get the task.
+    pub(super) fn outlook(&self, placing: &Placing<'_>, worker: usize) -> Option<Outlook> {
+        let (name, known) = self.workers.get_index(worker)?;
+        if known.is_held(placing.now, placing.task) {
+            return None;
+        }
+        let probation = self.attribution.is_on_probation(name);
+        if probation && known.tasks >= PROBATION_TASKS {
+            return None;
+        }
+        let slowdown = if placing.is_urgent() {
+            self.expected(placing, worker)
+        } else {
+            if !known.ramp.may_start(placing.now) || placing.now < known.quiet {
+                return None;
+            }
+            self.bearable(placing, worker)?
+        };
+        Some(Outlook {
+            slowdown,
+            starts: known.starts,
+            failed: placing.failed && self.attribution.has_failed_on(&placing.job.name, name),
+        })
+    }
+
+    /// Expected slowdown of the worker's services with the task.
+    fn expected(&self, placing: &Placing<'_>, worker: usize) -> f64 {
+        let class = &placing.job.task.class;
+        let cores = placing.need.cpu.0 as f64 / 1_000.0;
+        let served = self.workers[worker].services.iter();
+        served
+            .map(|s| s.mean + cores * self.interference.estimate(&s.service, class).mean)
+            .fold(0.0, f64::max)
+    }
+
+    /// The same, or `None` if a service would probably suffer more than it may,
+    /// or if the effect of the class is unknown and is being tried elsewhere.
+    fn bearable(&self, placing: &Placing<'_>, worker: usize) -> Option<f64> {
+        let class = &placing.job.task.class;
+        let cores = placing.need.cpu.0 as f64 / 1_000.0;
+        let known = &self.workers[worker];
+        let mut worst: f64 = 0.0;
+        for served in &known.services {
+            let estimate = self.interference.estimate(&served.service, class);
+            let here = known.history.last().is_some_and(|m| m.contains_key(class));
+            if estimate.is_unknown() && (here || !placing.explore || known.starts > 0) {
+                return None;
+            }
+            let mean = served.mean + cores * estimate.mean;
+            let variance = served.variance + cores * cores * estimate.variance;
+            let allowed = self.interference.allowed(&served.service, served.deadline);
+            if !estimate.is_unknown() && mean + variance.sqrt() > allowed {
+                return None;
+            }
+            worst = worst.max(mean);
+        }
+        Some(worst)
+    }
+
+    /// Notes a start in what is expected of the worker until its next report.
+    pub(super) fn note_start(&mut self, placing: &Placing<'_>, worker: usize) {
+        let class = &placing.job.task.class;
+        let cores = placing.need.cpu.0 as f64 / 1_000.0;
+        let known = &mut self.workers[worker];
+        known.starts += 1;
+        known.tasks += 1;
+        known.ramp.started();
+        for served in &mut known.services {
+            let estimate = self.interference.estimate(&served.service, class);
+            served.mean += cores * estimate.mean;
+            served.variance += cores * cores * estimate.variance;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/place/quota/tests.rs
@@ -0,0 +1,91 @@
+use proptest::prelude::*;
+use proptest::test_runner::{Config as RunConfig, RngSeed, TestRunner};
+
+use super::*;
+
+fn runner() -> TestRunner {
+    TestRunner::new(RunConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x51),
+        failure_persistence: None,
+        ..RunConfig::default()
+    })
+}
+
+fn resources() -> impl Strategy<Value = Resources> {
+    (0..5_000_000u64, 0..(20u64 << 40), 0..500u32).prop_map(|(c, m, a)| Resources::new(c, m, a))
+}
+
+fn shards(count: usize) -> Vec<ShardName> {
+    (0..count)
+        .map(|i| ShardName::new(format!("shard-{i}")))
+        .collect()
+}
+
+fn sum(shares: &[(&ShardName, Resources)]) -> Resources {
+    shares.iter().map(|(_, r)| *r).sum()
+}
+
+/// Guards against quota that is lost or granted twice when shards come and go.
+#[test]
+fn shares_sum_to_the_quota_for_any_number_of_shards() {
+    let inputs = (resources(), resources(), 1..40usize);
+    runner()
+        .run(&inputs, |(quota, largest, count)| {
+            let division = Division::new(shards(count), largest);
+            prop_assert_eq!(sum(&division.shares("team", &quota)), quota);
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// The check above catches a division that rounds each chunk down.
+#[test]
+fn the_sum_check_catches_a_division_that_rounds_down() {
+    let quota = Resources::new(10_001, 7, 3);
+    let rounded: Resources = (0..4).map(|_| Resources::new(10_001 / 4, 7 / 4, 0)).sum();
+    let exact: Resources = (0..4).map(|i| chunk(&quota, 4, i)).sum();
+    assert_ne!(rounded, quota);
+    assert_eq!(exact, quota);
+}
+
+/// Guards against a team whose largest permitted task fits no shard's share.
+#[test]
+fn each_chunk_holds_the_largest_task() {
+    runner()
+        .run(&(resources(), resources()), |(quota, largest)| {
+            let task = min(&quota, &largest);
+            let count = chunk_count(&quota, &task);
+            for index in 0..count {
+                prop_assert!(task.fits(&chunk(&quota, count, index)));
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Guards against a domain outage that moves the quota of healthy shards too.
+#[test]
+fn a_leaving_shard_moves_only_its_own_chunks() {
+    let quota = Resources::new(1_000_000, 0, 0);
+    let largest = Resources::new(10_000, 0, 0);
+    let before = Division::new(shards(6), largest);
+    let after = Division::new(shards(5), largest);
+    let team = hash("team");
+    for index in 0..chunk_count(&quota, &largest) {
+        let old = before.owner(team, index).unwrap();
+        if old < 5 {
+            assert_eq!(after.owner(team, index), Some(old));
+        }
+    }
+}
+
+/// A quota smaller than the largest task stays whole, so that some shard can use all of it.
+#[test]
+fn a_small_quota_is_one_chunk() {
+    let quota = Resources::new(8_000, 16 << 30, 1);
+    let division = Division::new(shards(9), Resources::new(64_000, 256 << 30, 8));
+    let shares = division.shares("small", &quota);
+    assert_eq!(shares.iter().filter(|(_, r)| *r == quota).count(), 1);
+    assert_eq!(sum(&shares), quota);
+}
--- /dev/null
+++ b/crates/jujubelb/src/place/reaction/tests.rs
@@ -0,0 +1,79 @@
+use super::*;
+use crate::model::{JobName, Resources, TaskId};
+
+fn second(s: u64) -> Time {
+    Time::from_millis(s * 1_000)
+}
+
+/// Feeds one report a second, each 5 s old.
+fn feed(reaction: &mut Reaction, seconds: std::ops::Range<u64>, slowdown: f64) -> Vec<(u64, Act)> {
+    seconds
+        .filter_map(|s| {
+            let measured = second(s) - Span::from_secs(5);
+            Some((s, reaction.observe(second(s), measured, slowdown, 0.2)?))
+        })
+        .collect()
+}
+
+/// Guards against an eviction where a throttle would have been enough.
+#[test]
+fn steps_go_from_throttle_to_eviction() {
+    let mut reaction = Reaction::default();
+    let acts = feed(&mut reaction, 100..130, 0.5);
+    assert_eq!(acts[0], (101, Act::Throttle));
+    assert_eq!(acts[1].1, Act::Evict);
+    assert!(
+        acts[1].0 >= 101 + 7,
+        "the effect of the throttle has to show first"
+    );
+}
+
+/// Guards against a reaction to a single noisy report.
+#[test]
+fn one_report_is_not_enough() {
+    let mut reaction = Reaction::default();
+    for s in 100..140 {
+        let slowdown = if s % 2 == 0 { 0.5 } else { 0.0 };
+        assert_eq!(feed(&mut reaction, s..s + 1, slowdown), []);
+    }
+}
+
+/// Guards against limits that go up and down with each report.
+#[test]
+fn repeated_throttling_is_held_longer_each_time() {
+    let mut reaction = Reaction::default();
+    let mut now = 100;
+    let mut waits = Vec::new();
+    for _ in 0..4 {
+        let throttled = feed(&mut reaction, now..now + 20, 0.5)[0];
+        assert_eq!(throttled.1, Act::Throttle);
+        reaction.settled = second(throttled.0 + 7);
+        let taken_back = feed(&mut reaction, throttled.0 + 1..throttled.0 + 200, 0.0)[0];
+        assert_eq!(taken_back.1, Act::Unthrottle);
+        waits.push(taken_back.0 - throttled.0);
+        now = taken_back.0 + 8;
+        reaction.settled = second(now);
+    }
+    assert!(waits.is_sorted() && waits[3] >= 2 * waits[0], "{waits:?}");
+}
+
+/// Guards against lost work where cheaper work would do.
+#[test]
+fn the_least_progress_is_lost_first() {
+    let candidate = |index: u32, lost: u64, cores: u64| Candidate {
+        task: TaskId {
+            job: JobName::from("job"),
+            index,
+        },
+        limit: Resources::new(cores * 1_000, 0, 0),
+        lost: Span::from_secs(lost),
+    };
+    let all = vec![
+        candidate(0, 600, 1),
+        candidate(1, 10, 4),
+        candidate(2, 5, 2),
+    ];
+    let taken = cheapest(all, |taken| taken.len() == 2);
+    let order: Vec<_> = taken.iter().map(|c| c.task.index).collect();
+    assert_eq!(order, [2, 1]);
+}
--- /dev/null
+++ b/crates/jujubelb/src/shard/home.rs
@@ -0,0 +1,33 @@
+//! The shard that accepts a job.
+
+use crate::config::Config;
+use crate::model::{JobName, ShardName};
+
+/// The shard that would be the home of a new job: the one with the highest
+/// hash of job and shard among the shards of domains in service, or among all
+/// shards if no domain is in service.
+///
+/// The result changes with the set of shards, so it is only a proposal. The
+/// process writes it to `jobs/<job>` with create-if-absent, and the value found
+/// there decides, for submitted and for declared jobs alike. An owner therefore
+/// takes declared jobs through `Input::Submit` too, and no change of the set of
+/// shards can make a second shard accept a job.
+pub fn home_shard<'a>(config: &'a Config, job: &JobName) -> Option<&'a ShardName> {
+    let weight = |shard: &ShardName| {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(job.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(shard.as_str().as_bytes());
+        *hasher.finalize().as_bytes()
+    };
+    let serving = |name: &&ShardName| {
+        let shard = config.shards.get(*name);
+        shard.is_some_and(|shard| config.in_service(&shard.domain))
+    };
+    let best = config
+        .shards
+        .keys()
+        .filter(serving)
+        .max_by_key(|n| weight(n));
+    best.or_else(|| config.shards.keys().max_by_key(|n| weight(n)))
+}
--- a/crates/jujubelb/src/shard/io.rs
+++ b/crates/jujubelb/src/shard/io.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Config;
-use crate::journal::Segment;
+use crate::journal::{Segment, Writer};
 use crate::model::{
     Attempt, Checkpoint, Code, DomainName, Epoch, Incarnation, JobName, JobSpec, NodeName,
     Priority, Record, RecordId, Resources, ShardName, TaskId, TeamName, Time, WorkerName,
@@ -43,6 +43,8 @@
     pub from: ShardName,
     /// The target.
     pub to: ShardName,
+    /// Epoch of the source's owner. The target refuses offers of an owner that was replaced.
+    pub epoch: Epoch,
     /// The job, as accepted.
     pub job: JobSpec,
     /// The task.
@@ -114,7 +116,9 @@
     Config(Arc<Config>),
     /// A successful read of the head that began at this time confirmed the configuration in force.
     Evidence(Time),
-    /// The store answered a call that began at this time; extends the renewal authority.
+    /// The store answered a call that began at this time; ends the wait after a
+    /// failed append. The renewal authority is extended by confirmed appends
+    /// only: a replaced owner may still reach the store.
     StoreContact(Time),
     /// A job to accept; answered by `Output::Submitted`.
     Submit(Ticket, Submission),
@@ -132,10 +136,12 @@
     Offer(Ticket, Offer),
     /// The answer to an offer of this shard; absent if none came.
     Answer(TaskId, Attempt, Option<OfferAnswer>),
+    /// Another shard's answer to a cancellation that was passed on; absent if none came.
+    CancelAnswer(Cancel, Option<Code>),
     /// Summaries of all shards known from peers.
     Peers(Vec<ShardSummary>),
-    /// News of the former owner.
-    Former(FormerOwner),
+    /// News of one former owner, as listed by `Owner::formers`.
+    Former(Writer, FormerOwner),
     /// An operator confirms that a worker's host is dead.
     ConfirmDead(WorkerName),
     /// Latency of a service's endpoints on a worker, as seen by entry processes.
@@ -161,6 +167,8 @@
     Cancelled(Ticket, Code),
     /// Offer a task to another shard's owner.
     Offer(Offer),
+    /// Pass a cancellation on to a shard to which tasks were handed off.
+    PassCancel(Cancel),
     /// Answer to an offer.
     Answer(Ticket, Code, Option<OfferAnswer>),
     /// The owner's term has ended; nothing more comes from it.
--- /dev/null
+++ b/crates/jujubelb/src/shard/state.rs
@@ -0,0 +1,515 @@
+//! The durable state of a shard. It changes only by applying the changes of a
+//! segment, so that replay and live use give the same state.
+
+use std::collections::VecDeque;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+
+use crate::journal::{Change, EndedBy, Segment, Writer};
+use crate::model::{
+    Attempt, Cause, Checkpoint, Epoch, JobName, JobSpec, Record, Resources, ShardName, TaskId,
+    WorkerName,
+};
+
+/// Records kept for operators. To be tuned.
+pub const RECORDS_KEPT: usize = 2_000;
+
+/// Ended jobs kept so that a repeated submission gets the same answer. A shard
+/// accepts about 900 jobs a day at the target scale, so this covers five days. To be tuned.
+pub const ENDED_KEPT: usize = 5_000;
+
+/// Offers whose answers are kept so that a repeat gets the same answer. To be tuned.
+pub const OFFERS_KEPT: usize = 5_000;
+
+/// Where a task stands in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    /// It waits for a worker.
+    Queued,
+    /// It is assigned to a worker and may run there.
+    Assigned {
+        /// The worker.
+        worker: WorkerName,
+        /// Limit of the attempt.
+        limit: Resources,
+        /// Epoch of the owner that assigned it.
+        epoch: Epoch,
+    },
+    /// It is offered to another shard and can't start here.
+    Offered {
+        /// The target.
+        to: ShardName,
+    },
+    /// It is no longer tried.
+    Parked {
+        /// Why.
+        cause: Cause,
+    },
+}
+
+/// A task that has not ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task {
+    /// Where it stands.
+    pub state: TaskState,
+    /// The newest attempt. A handoff uses up one number, so that the key of an offer is never repeated.
+    pub attempt: Attempt,
+    /// The newest stored checkpoint.
+    pub checkpoint: Option<Checkpoint>,
+    /// Attempts that failed.
+    pub failures: u32,
+}
+
+/// A job with tasks that have not ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// The job as accepted.
+    pub spec: JobSpec,
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+    /// Why it is no longer tried, if so.
+    pub parked: Option<Cause>,
+    /// Tasks in `State::tasks`.
+    pub left: u32,
+    /// Tasks that ended well.
+    pub done: u32,
+    /// Shards to which tasks were handed off. A cancellation is passed on to them.
+    pub moved: IndexSet<ShardName>,
+}
+
+/// A job without tasks in this shard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedJob {
+    /// Digest of the job as accepted.
+    pub digest: [u8; 32],
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+    /// Tasks that ended well.
+    pub done: u32,
+    /// Shards to which tasks were handed off.
+    pub moved: IndexSet<ShardName>,
+}
+
+/// A change that does not fit the state. In a log it means corruption.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the change does not fit the state of the shard: {0}")]
+pub struct Inapplicable(pub String);
+
+/// Durable state of a shard.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// Epoch of the newest segment.
+    pub epoch: Epoch,
+    /// Writer of the newest segment.
+    pub writer: Option<Writer>,
+    /// Owners that may still renew leases, by epoch, the present one included.
+    pub owners: IndexMap<Epoch, Writer>,
+    /// Jobs with tasks that have not ended.
+    pub jobs: IndexMap<JobName, Job>,
+    /// Tasks that have not ended.
+    pub tasks: IndexMap<TaskId, Task>,
+    /// Newest ended jobs, oldest first.
+    pub ended: IndexMap<JobName, EndedJob>,
+    /// Workers in quarantine.
+    pub quarantined: IndexSet<WorkerName>,
+    /// Answered offers of other shards and whether the task was taken, oldest first.
+    pub offers: IndexMap<(TaskId, Attempt), bool>,
+    /// Highest epoch of an owner of another shard whose offer was answered.
+    pub sources: IndexMap<ShardName, Epoch>,
+    /// Newest decision records, oldest first.
+    pub records: VecDeque<Record>,
+}
+
+/// Digest by which a repeated submission is recognised.
+pub fn digest(job: &JobSpec) -> [u8; 32] {
+    // Encoding plain data into a growing buffer has no way to fail.
+    let bytes = postcard::to_allocvec(job).unwrap_or_default();
+    *blake3::hash(&bytes).as_bytes()
+}
+
+impl State {
+    /// Applies a whole segment.
+    pub fn apply(&mut self, segment: &Segment) -> Result<(), Inapplicable> {
+        self.begin(segment.epoch, &segment.writer)?;
+        for change in &segment.changes {
+            self.change(change)?;
+        }
+        self.records.extend(segment.records.iter().cloned());
+        let excess = self.records.len().saturating_sub(RECORDS_KEPT);
+        self.records.drain(..excess);
+        Ok(())
+    }
+
+    /// Notes the writer of a segment.
+    fn begin(&mut self, epoch: Epoch, writer: &Writer) -> Result<(), Inapplicable> {
+        if epoch < self.epoch {
+            return Err(Inapplicable(format!(
+                "epoch {epoch} follows {}",
+                self.epoch
+            )));
+        }
+        if epoch > self.epoch {
+            self.owners.insert(epoch, writer.clone());
+        } else if self.writer.as_ref() != Some(writer) {
+            return Err(Inapplicable(format!("two writers have epoch {epoch}")));
+        }
+        self.epoch = epoch;
+        self.writer = Some(writer.clone());
+        Ok(())
+    }
+
+    /// Applies one change of the present owner.
+    pub fn change(&mut self, change: &Change) -> Result<(), Inapplicable> {
+        let fitted = match change {
+            Change::Accepted { job } => self.accept(job),
+            Change::Assigned {
+                task,
+                attempt,
+                worker,
+                limit,
+            } => self.assign(task, *attempt, worker, *limit),
+            Change::Resized { task, limit } => self.resize(task, *limit),
+            Change::Checkpointed {
+                task,
+                attempt,
+                checkpoint,
+            } => self.checkpoint(task, *attempt, checkpoint),
+            Change::Ended { task, attempt, by } => self.end(task, *attempt, *by),
+            Change::Cancelled { job } => self.cancel(job),
+            Change::Parked { job, cause } => self.park(job, *cause),
+            Change::Offered { task, attempt, to } => self.offer(task, *attempt, to),
+            Change::Received { .. } => self.receive(change),
+            Change::Declined {
+                task,
+                attempt,
+                from,
+                epoch,
+            } => self.answered(task, *attempt, from, *epoch, false),
+            Change::Released { task, attempt } => self.release(task, *attempt),
+            Change::Withdrawn { task, attempt } => self.withdraw(task, *attempt),
+            Change::Quarantined { worker, on: true } => self.quarantined.insert(worker.clone()),
+            Change::Quarantined { worker, on: false } => self.quarantined.shift_remove(worker),
+            Change::Cleared { below } => {
+                self.owners.retain(|epoch, _| epoch >= below);
+                true
+            }
+            Change::StoodDown => self.owners.shift_remove(&self.epoch).is_some(),
+        };
+        match fitted {
+            true => Ok(()),
+            false => Err(Inapplicable(format!("{change:?}"))),
+        }
+    }
+
+    /// Tasks that wait for a worker, in order of arrival.
+    pub fn queued(&self) -> impl Iterator<Item = (&TaskId, &Task, &JobSpec)> {
+        self.tasks
+            .iter()
+            .filter(|(_, task)| task.state == TaskState::Queued)
+            .filter_map(|(id, task)| Some((id, task, &self.jobs.get(&id.job)?.spec)))
+    }
+
+    /// Whether a job is known, and with this content.
+    pub fn known(&self, job: &JobSpec) -> Option<bool> {
+        if let Some(known) = self.jobs.get(&job.name) {
+            return Some(known.spec == *job);
+        }
+        let ended = self.ended.get(&job.name)?;
+        Some(ended.digest == digest(job))
+    }
+
+    /// The worker and limit of an assigned task.
+    pub fn place(&self, task: &TaskId) -> Option<(&WorkerName, Resources, Attempt)> {
+        let task = self.tasks.get(task)?;
+        match &task.state {
+            TaskState::Assigned { worker, limit, .. } => Some((worker, *limit, task.attempt)),
+            _ => None,
+        }
+    }
+
+    fn accept(&mut self, job: &JobSpec) -> bool {
+        if self.jobs.contains_key(&job.name) || self.ended.contains_key(&job.name) {
+            return false;
+        }
+        self.jobs.insert(job.name.clone(), Job::new(job, job.tasks));
+        for index in 0..job.tasks {
+            let id = TaskId {
+                job: job.name.clone(),
+                index,
+            };
+            self.tasks.insert(id, Task::queued(Attempt(0), None));
+        }
+        self.settle(&job.name);
+        true
+    }
+
+    fn assign(
+        &mut self,
+        id: &TaskId,
+        attempt: Attempt,
+        worker: &WorkerName,
+        limit: Resources,
+    ) -> bool {
+        let epoch = self.epoch;
+        let Some(task) = self.tasks.get_mut(id) else {
+            return false;
+        };
+        if task.state != TaskState::Queued || attempt != task.attempt.next() {
+            return false;
+        }
+        task.attempt = attempt;
+        task.state = TaskState::Assigned {
+            worker: worker.clone(),
+            limit,
+            epoch,
+        };
+        true
+    }
+
+    fn resize(&mut self, id: &TaskId, new: Resources) -> bool {
+        match self.tasks.get_mut(id).map(|task| &mut task.state) {
+            Some(TaskState::Assigned { limit, .. }) => {
+                *limit = new;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn checkpoint(&mut self, id: &TaskId, attempt: Attempt, checkpoint: &Checkpoint) -> bool {
+        match self.tasks.get_mut(id) {
+            Some(task) if task.attempt == attempt && task.is_assigned() => {
+                task.checkpoint = Some(checkpoint.clone());
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn end(&mut self, id: &TaskId, attempt: Attempt, by: EndedBy) -> bool {
+        let Some(task) = self.tasks.get_mut(id) else {
+            return false;
+        };
+        if task.attempt != attempt || !task.is_assigned() {
+            return false;
+        }
+        if by == EndedBy::Failure {
+            task.failures += 1;
+        }
+        if by == EndedBy::Success {
+            if let Some(job) = self.jobs.get_mut(&id.job) {
+                job.done += 1;
+            }
+            self.drop_task(id);
+        } else {
+            self.requeue(id);
+        }
+        true
+    }
+
+    /// Queues a task that runs nowhere, or drops or parks it as its job demands.
+    fn requeue(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        if job.cancelled {
+            self.drop_task(id);
+            return;
+        }
+        let state = match job.parked {
+            Some(cause) => TaskState::Parked { cause },
+            None => TaskState::Queued,
+        };
+        if let Some(task) = self.tasks.get_mut(id) {
+            task.state = state;
+        }
+    }
+
+    fn cancel(&mut self, name: &JobName) -> bool {
+        if let Some(ended) = self.ended.get_mut(name) {
+            ended.cancelled = true;
+            return true;
+        }
+        let Some(job) = self.jobs.get_mut(name) else {
+            return false;
+        };
+        job.cancelled = true;
+        let before = self.tasks.len();
+        self.tasks
+            .retain(|id, task| &id.job != name || task.is_assigned() || task.is_offered());
+        let dropped = before - self.tasks.len();
+        job.left -= u32::try_from(dropped).unwrap_or(job.left);
+        self.settle(name);
+        true
+    }
+
+    fn park(&mut self, name: &JobName, cause: Cause) -> bool {
+        let Some(job) = self.jobs.get_mut(name) else {
+            return false;
+        };
+        job.parked = Some(cause);
+        for (id, task) in &mut self.tasks {
+            if &id.job == name && task.state == TaskState::Queued {
+                task.state = TaskState::Parked { cause };
+            }
+        }
+        true
+    }
+
+    fn offer(&mut self, id: &TaskId, attempt: Attempt, to: &ShardName) -> bool {
+        match self.tasks.get_mut(id) {
+            Some(task) if task.state == TaskState::Queued && task.attempt == attempt => {
+                task.state = TaskState::Offered { to: to.clone() };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn receive(&mut self, change: &Change) -> bool {
+        let Change::Received {
+            job,
+            task,
+            attempt,
+            checkpoint,
+            from,
+            epoch,
+        } = change
+        else {
+            return false;
+        };
+        if self.tasks.contains_key(task) || !self.answered(task, *attempt, from, *epoch, true) {
+            return false;
+        }
+        let known = self.jobs.entry(job.name.clone()).or_insert_with(|| {
+            let mut known = Job::new(job, 0);
+            if let Some(ended) = self.ended.shift_remove(&job.name) {
+                known.cancelled = ended.cancelled;
+                known.done = ended.done;
+                known.moved = ended.moved;
+            }
+            known
+        });
+        known.left += 1;
+        // The next number, so that an offer of the task to a third shard has a key of its own.
+        let received = Task::queued(attempt.next(), checkpoint.clone());
+        self.tasks.insert(task.clone(), received);
+        self.requeue(task);
+        true
+    }
+
+    fn answered(
+        &mut self,
+        id: &TaskId,
+        attempt: Attempt,
+        from: &ShardName,
+        epoch: Epoch,
+        taken: bool,
+    ) -> bool {
+        let key = (id.clone(), attempt);
+        if self.offers.contains_key(&key) {
+            return false;
+        }
+        self.offers.insert(key, taken);
+        let highest = self.sources.entry(from.clone()).or_default();
+        *highest = epoch.max(*highest);
+        while self.offers.len() > OFFERS_KEPT {
+            self.offers.shift_remove_index(0);
+        }
+        true
+    }
+
+    fn release(&mut self, id: &TaskId, attempt: Attempt) -> bool {
+        let Some(to) = self.offered(id, attempt) else {
+            return false;
+        };
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.moved.insert(to);
+        }
+        self.drop_task(id);
+        true
+    }
+
+    fn withdraw(&mut self, id: &TaskId, attempt: Attempt) -> bool {
+        if self.offered(id, attempt).is_none() {
+            return false;
+        }
+        if let Some(task) = self.tasks.get_mut(id) {
+            task.attempt = attempt.next();
+        }
+        self.requeue(id);
+        true
+    }
+
+    /// The target of an open offer.
+    fn offered(&self, id: &TaskId, attempt: Attempt) -> Option<ShardName> {
+        let task = self.tasks.get(id)?;
+        match &task.state {
+            TaskState::Offered { to } if task.attempt == attempt => Some(to.clone()),
+            _ => None,
+        }
+    }
+
+    fn drop_task(&mut self, id: &TaskId) {
+        if self.tasks.shift_remove(id).is_none() {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.left -= 1;
+            self.settle(&id.job);
+        }
+    }
+
+    /// Moves a job without tasks to the ended ones.
+    fn settle(&mut self, name: &JobName) {
+        if self.jobs.get(name).is_none_or(|job| job.left > 0) {
+            return;
+        }
+        if let Some(job) = self.jobs.shift_remove(name) {
+            let ended = EndedJob {
+                digest: digest(&job.spec),
+                cancelled: job.cancelled,
+                done: job.done,
+                moved: job.moved,
+            };
+            self.ended.insert(name.clone(), ended);
+        }
+        while self.ended.len() > ENDED_KEPT {
+            self.ended.shift_remove_index(0);
+        }
+    }
+}
+
+impl Task {
+    fn queued(attempt: Attempt, checkpoint: Option<Checkpoint>) -> Self {
+        Self {
+            state: TaskState::Queued,
+            attempt,
+            checkpoint,
+            failures: 0,
+        }
+    }
+
+    /// Whether it is assigned to a worker.
+    pub const fn is_assigned(&self) -> bool {
+        matches!(self.state, TaskState::Assigned { .. })
+    }
+
+    const fn is_offered(&self) -> bool {
+        matches!(self.state, TaskState::Offered { .. })
+    }
+}
+
+impl Job {
+    fn new(spec: &JobSpec, left: u32) -> Self {
+        Self {
+            spec: spec.clone(),
+            cancelled: false,
+            parked: None,
+            left,
+            done: 0,
+            moved: IndexSet::new(),
+        }
+    }
+}
--- a/crates/jujubelb/src/worker/mod.rs
+++ b/crates/jujubelb/src/worker/mod.rs
@@ -74,10 +74,16 @@
     pub shard: ShardName,
     /// The owner's epoch. The worker refuses one lower than the highest it has seen of this shard.
     pub epoch: Epoch,
+    /// Counts the owner's exchanges with this worker in its term. The worker
+    /// obeys a request only if its epoch and number are above those of the last
+    /// one it obeyed, so a delayed or repeated request has no effect.
+    pub seq: u64,
     /// Instant until which the worker's tasks may run, by the worker's clock.
     /// Never later than the timestamp of the worker's last report plus the lease.
     pub lease: Option<WorkerTime>,
-    /// Incarnation and inventory version that the owner has.
+    /// Incarnation and inventory version that the owner has. The worker obeys the
+    /// lease and the commands only if the incarnation is its own: those of a
+    /// request that was sent before a restart refer to another clock.
     pub have: Option<(Incarnation, u64)>,
     /// Commands, in order.
     pub commands: Vec<Command>,
@@ -198,7 +204,7 @@
 pub enum SyncAnswer {
     /// The request was obeyed.
     Report(Report),
-    /// The worker has seen a higher epoch, or belongs to another shard.
+    /// The worker has obeyed a higher epoch or a later request, or belongs to another shard.
     Fenced {
         /// The shard that the worker obeys.
         shard: ShardName,
