--- a/crates/jujubelb-lab/src/lib.rs
+++ b/crates/jujubelb-lab/src/lib.rs
@@ -4,5 +4,6 @@
 //! endpoints, and note what really happened to them. They model no cluster.
 
 pub mod bench;
+pub mod demo;
 pub mod load;
 pub mod standin;
