Add the HTTP adapters of the store, the workers and the host list

Each call has bounded time and size. A call without a connection certainly had no effect; any other lost or malformed answer to a write leaves its effect unknown. Store calls keep within this process's share of the store's rates and return one by one, with jitter, after an outage.

--- a/crates/jujubelb/src/hosts/mod.rs
+++ b/crates/jujubelb/src/hosts/mod.rs
@@ -3,6 +3,12 @@
 //! `GET /v1/hosts?after=V` answers with a [`HostsAnswer`]. The list lags behind
 //! the actual state.
 
+mod http;
+#[cfg(test)]
+mod tests;
+
+pub use http::HttpHosts;
+
 use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/jujubelb/src/http.rs
@@ -0,0 +1,140 @@
+//! Blocking HTTP calls with JSON bodies to the platform, with bounded time and size.
+
+use std::io::Read;
+use std::time::Duration;
+
+use reqwest::Url;
+use reqwest::blocking::{Client, RequestBuilder};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::model::Span;
+
+/// Why a call brought no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// No connection was made, so the request was certainly not sent.
+    NotSent(String),
+    /// The request may have been sent and no whole answer came.
+    NoAnswer(String),
+    /// The answer is larger than allowed.
+    Oversized(usize),
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotSent(text) | Self::NoAnswer(text) => f.write_str(text),
+            Self::Oversized(limit) => write!(f, "the answer is larger than {limit} bytes"),
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Answer {
+    /// The body as JSON; the error is a text for people.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, String> {
+        serde_json::from_slice(&self.body).map_err(|e| e.to_string())
+    }
+}
+
+/// Time and size limits of calls.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Time for making a connection.
+    pub(crate) connect: Span,
+    /// Time for the whole call.
+    pub(crate) whole: Span,
+    /// Largest answer in bytes.
+    pub(crate) answer: usize,
+}
+
+/// A client with connections that are used again.
+#[derive(Debug)]
+pub(crate) struct Http {
+    client: Client,
+    limits: Limits,
+}
+
+impl Http {
+    /// A client with these limits.
+    pub(crate) fn new(limits: Limits) -> Result<Self, reqwest::Error> {
+        let client = Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .connect_timeout(limits.connect.to_std())
+            .timeout(limits.whole.to_std())
+            .pool_idle_timeout(Duration::from_secs(60))
+            .build()?;
+        Ok(Self { client, limits })
+    }
+
+    /// Reads a URL, waiting up to `wait` longer than other calls.
+    pub(crate) fn get(&self, url: Url, wait: Span) -> Result<Answer, CallError> {
+        let timeout = (self.limits.whole + wait).to_std();
+        self.send(self.client.get(url).timeout(timeout))
+    }
+
+    /// Sends a body as JSON.
+    pub(crate) fn post<T: Serialize>(&self, url: Url, body: &T) -> Result<Answer, CallError> {
+        self.send(self.client.post(url).json(body))
+    }
+
+    fn send(&self, request: RequestBuilder) -> Result<Answer, CallError> {
+        let response = request.send().map_err(|error| {
+            if error.is_connect() || error.is_builder() {
+                CallError::NotSent(describe(&error))
+            } else {
+                CallError::NoAnswer(describe(&error))
+            }
+        })?;
+        let status = response.status().as_u16();
+        let limit = self.limits.answer;
+        let mut body = Vec::new();
+        response
+            .take(limit as u64 + 1)
+            .read_to_end(&mut body)
+            .map_err(|error| CallError::NoAnswer(describe(&error)))?;
+        if body.len() > limit {
+            return Err(CallError::Oversized(limit));
+        }
+        Ok(Answer { status, body })
+    }
+}
+
+/// An error with its causes in one line.
+pub(crate) fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut next = error.source();
+    while let Some(cause) = next {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        next = cause.source();
+    }
+    text
+}
+
+/// The URL of a path at an address.
+pub(crate) fn url(address: std::net::SocketAddr, path: &str) -> Url {
+    let mut url = base(address);
+    url.set_path(path);
+    url
+}
+
+/// The URL of a path at an address with query parameters.
+pub(crate) fn url_with(address: std::net::SocketAddr, path: &str, query: &[(&str, &str)]) -> Url {
+    let mut url = url(address, path);
+    url.query_pairs_mut().extend_pairs(query);
+    url
+}
+
+fn base(address: std::net::SocketAddr) -> Url {
+    // A socket address always forms a valid authority, in IPv6 with brackets.
+    Url::parse(&format!("http://{address}/")).expect("a socket address forms a URL")
+}
--- a/crates/jujubelb/src/lib.rs
+++ b/crates/jujubelb/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ctl;
 pub mod entry;
 pub mod hosts;
+mod http;
 pub mod journal;
 pub mod model;
 pub mod operator;
--- a/crates/jujubelb/src/store/mod.rs
+++ b/crates/jujubelb/src/store/mod.rs
@@ -1,6 +1,12 @@
 //! The platform's key-value service, met through one small trait.
 
 pub mod api;
+mod http;
+mod pace;
+#[cfg(test)]
+mod tests;
+
+pub use http::HttpStore;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
--- a/crates/jujubelb/src/telemetry/mod.rs
+++ b/crates/jujubelb/src/telemetry/mod.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Metrics, clocks and log fields of one process instance.
+
+mod clock;
+
+pub use clock::Clock;
--- a/crates/jujubelb/src/worker/mod.rs
+++ b/crates/jujubelb/src/worker/mod.rs
@@ -4,6 +4,12 @@
 //! Over HTTP it is `POST /v1/sync` at the worker's address with a
 //! [`SyncRequest`] as JSON and status 200 with a [`SyncAnswer`] as JSON.
 
+mod http;
+#[cfg(test)]
+mod tests;
+
+pub use http::HttpWorkers;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
