Add authenticated heartbeats and calls between processes

Processes learn of each other by datagrams and call each other over TCP. Each message carries a keyed hash over sender, incarnation, counter and body. A call is also bound to random bytes that open its connection, so that a recorded call is worthless elsewhere. Dropped input is counted and changes nothing else; tests cover malformed, oversized, replayed, misdirected and wrongly keyed input.

--- a/crates/jujubelb/src/http.rs
+++ b/crates/jujubelb/src/http/mod.rs
@@ -1,5 +1,8 @@
 //! Blocking HTTP calls with JSON bodies to the platform, with bounded time and size.
 
+#[cfg(test)]
+pub(crate) mod canned;
+
 use std::io::Read;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/jujubelb/src/peer/frame.rs
@@ -0,0 +1,59 @@
+//! Frames on a connection: four bytes of length, then the message.
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Bytes read at a time. Memory grows with what arrives, not with the stated length.
+const CHUNK: usize = 16 << 10;
+
+/// Failure to read a frame.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum FrameError {
+    /// The connection ended before the frame began.
+    #[error("the connection was closed")]
+    Closed,
+    /// The connection failed, or ended within the frame.
+    #[error("the connection broke: {0}")]
+    Broken(std::io::Error),
+    /// The stated length is above the limit.
+    #[error("the message is larger than allowed")]
+    Oversized,
+}
+
+/// Writes one frame.
+pub(crate) async fn write<W: AsyncWrite + Unpin>(
+    to: &mut W,
+    message: &[u8],
+) -> std::io::Result<()> {
+    let length = u32::try_from(message.len()).map_err(std::io::Error::other)?;
+    to.write_all(&length.to_be_bytes()).await?;
+    to.write_all(message).await?;
+    to.flush().await
+}
+
+/// Reads one frame of at most `limit` bytes.
+pub(crate) async fn read<R: AsyncRead + Unpin>(
+    from: &mut R,
+    limit: usize,
+) -> Result<Vec<u8>, FrameError> {
+    let mut length = [0; 4];
+    let first = from.read(&mut length).await.map_err(FrameError::Broken)?;
+    if first == 0 {
+        return Err(FrameError::Closed);
+    }
+    from.read_exact(&mut length[first..])
+        .await
+        .map_err(FrameError::Broken)?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > limit {
+        return Err(FrameError::Oversized);
+    }
+    let mut message = Vec::new();
+    while message.len() < length {
+        let start = message.len();
+        message.resize(length.min(start + CHUNK), 0);
+        from.read_exact(&mut message[start..])
+            .await
+            .map_err(FrameError::Broken)?;
+    }
+    Ok(message)
+}
--- a/crates/jujubelb/src/peer/message.rs
+++ b/crates/jujubelb/src/peer/message.rs
@@ -1,5 +1,6 @@
 //! Messages between the system's own processes, encoded with postcard.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arcstr::ArcStr;
@@ -45,6 +46,10 @@
     pub incarnation: Incarnation,
     /// Its role.
     pub role: Role,
+    /// Its address for peers (UDP and TCP).
+    pub address: SocketAddr,
+    /// Interval until its next heartbeat to this receiver.
+    pub every: Span,
     /// Its failure domain.
     pub domain: DomainName,
     /// Whether it is stopping.
--- /dev/null
+++ b/crates/jujubelb/src/peer/tests/calls.rs
@@ -0,0 +1,125 @@
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+
+use super::*;
+use crate::model::Code;
+use crate::telemetry::Clock;
+
+/// Counts the calls that reach it.
+struct Count(Arc<AtomicUsize>);
+
+impl Handler for Count {
+    async fn handle(&self, _: NodeName, _: Call) -> Reply {
+        self.0.fetch_add(1, SeqCst);
+        Reply::Code(Code::Done, String::new())
+    }
+}
+
+struct Process {
+    peers: Peers,
+    calls: Arc<AtomicUsize>,
+    key: PathBuf,
+    _thread: PeerThread,
+    _dir: tempfile::TempDir,
+}
+
+fn start(node: &str, key: u8, seeds: &[(&str, SocketAddr)]) -> Process {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("key");
+    std::fs::write(&file, format!("{key:040}\n")).unwrap();
+    let identity = Identity {
+        node: node.into(),
+        incarnation: Incarnation(1),
+        role: Role::Entry,
+        domain: "d".into(),
+        address: "127.0.0.1:0".parse().unwrap(),
+        keys: vec![file.clone()],
+        seeds: seeds.iter().map(|(n, a)| ((*n).into(), *a)).collect(),
+    };
+    let calls = Arc::new(AtomicUsize::new(0));
+    let (news, _) = rtrb::RingBuffer::new(16);
+    let (peers, thread) =
+        Peers::start(identity, Clock::start(), Count(calls.clone()), news).unwrap();
+    Process {
+        peers,
+        calls,
+        key: file,
+        _thread: thread,
+        _dir: dir,
+    }
+}
+
+fn call(from: &Process, to: &str) -> Result<Reply, CallFailure> {
+    let call = Call::Config(Revision(0));
+    from.peers
+        .call_blocking(&to.into(), call, Span::from_secs(20))
+}
+
+/// Guards against calls that are obeyed under a wrong key or by the wrong process.
+#[test]
+fn only_calls_with_the_key_and_the_name_are_obeyed() {
+    let b = start("b", 1, &[]);
+    let address = b.peers.address();
+    let a = start("a", 1, &[("b", address), ("c", address)]);
+    for _ in 0..3 {
+        assert!(call(&a, "b").is_ok());
+    }
+    assert_eq!(b.calls.load(SeqCst), 3);
+    assert!(matches!(call(&a, "c"), Err(CallFailure::Unknown(_))));
+    assert!(matches!(
+        call(&a, "nobody"),
+        Err(CallFailure::Unavailable(_))
+    ));
+    let stranger = start("a", 2, &[("b", address)]);
+    assert!(matches!(call(&stranger, "b"), Err(CallFailure::Unknown(_))));
+    assert_eq!(b.calls.load(SeqCst), 3);
+    let counters = b.peers.counters();
+    // The call on a used connection was repeated once on a new one.
+    assert_eq!(counters.dropped(Dropped::Misdirected), 2);
+    // Heartbeats with the wrong key are counted too.
+    assert!(counters.dropped(Dropped::Unauthenticated) >= 1);
+    std::fs::write(&b.key, "x").unwrap();
+    assert!(
+        call(&a, "b").is_ok(),
+        "an unreadable key file replaced the key"
+    );
+}
+
+/// Guards against a stated length that makes the receiver reserve memory or wait.
+#[test]
+fn oversized_and_malformed_frames_close_the_connection() {
+    let b = start("b", 1, &[]);
+    let cases: [(&[u8], Dropped); 2] = [
+        (&[0xff; 4], Dropped::Oversized),
+        (&[0, 0, 0, 3, 1, 2, 3], Dropped::Malformed),
+    ];
+    for (bytes, reason) in cases {
+        let mut stream = TcpStream::connect(b.peers.address()).unwrap();
+        stream.write_all(bytes).unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        assert_eq!(answer.len(), 16, "only the opening bytes");
+        assert_eq!(b.peers.counters().dropped(reason), 1);
+    }
+    assert_eq!(b.calls.load(SeqCst), 0);
+}
+
+/// Guards against a call that is reported as sent though nothing listens, and the reverse.
+#[test]
+fn failures_tell_whether_the_call_was_sent() {
+    let nobody = crate::http::canned::nobody();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mute = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.write_all(&[0; 16]).unwrap();
+        let _ = stream.read(&mut [0; 64]);
+    });
+    let a = start("a", 1, &[("x", nobody), ("m", mute)]);
+    let code = |to| call(&a, to).unwrap_err().code();
+    assert_eq!(code("x"), Code::PeerUnavailable);
+    assert_eq!(code("m"), Code::PeerUnknown);
+}
--- /dev/null
+++ b/crates/jujubelb/src/peer/tests/sealing.rs
@@ -0,0 +1,140 @@
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+use super::super::seal::{Replay, open, seal};
+use super::super::server::{Addressed, CALL, NONCE, accept, context};
+use super::super::{beat, gossip};
+use super::*;
+
+fn datagram(keys: &KeyRing, header: &Header, beat: &Heartbeat) -> Vec<u8> {
+    let body = postcard::to_allocvec(beat).unwrap();
+    seal(keys, b"heartbeat", header, &body).unwrap()
+}
+
+/// Checks a datagram and says whether the replay window changed.
+fn check(replay: &mut Replay, datagram: &[u8]) -> (Result<Heartbeat, Dropped>, bool) {
+    let before = format!("{replay:?}");
+    let result = gossip::check(&ring(&[1, 2]), &me(), replay, datagram);
+    (result, before != format!("{replay:?}"))
+}
+
+/// Guards against dropped input that changes what is accepted later.
+#[test]
+fn bad_datagrams_are_dropped_without_a_change() {
+    let mut replay = Replay::default();
+    let good = datagram(&ring(&[1]), &header("a", 1, 1), &beat("a", 1));
+    assert!(check(&mut replay, &good).0.is_ok());
+    let mut altered = datagram(&ring(&[1]), &header("a", 1, 2), &beat("a", 1));
+    *altered.last_mut().unwrap() ^= 1;
+    let wrong = datagram(&ring(&[3]), &header("a", 1, 3), &beat("a", 1));
+    let other = datagram(&ring(&[1]), &header("a", 1, 4), &beat("b", 1));
+    let own = datagram(&ring(&[1]), &header("me", 1, 5), &beat("me", 1));
+    let text = seal(&ring(&[1]), b"heartbeat", &header("a", 1, 6), b"text").unwrap();
+    let call = seal(&ring(&[1]), b"call", &header("a", 1, 7), &[]).unwrap();
+    let cases = [
+        (good.clone(), Dropped::Replayed),
+        (good[..31].to_vec(), Dropped::Malformed),
+        (altered, Dropped::Unauthenticated),
+        (wrong, Dropped::Unauthenticated),
+        (call, Dropped::Unauthenticated),
+        (other, Dropped::Malformed),
+        (text, Dropped::Malformed),
+        (own, Dropped::Misdirected),
+        (vec![0; beat::DATAGRAM + 1], Dropped::Oversized),
+    ];
+    for (datagram, reason) in cases {
+        assert_eq!(check(&mut replay, &datagram), (Err(reason), false));
+    }
+}
+
+/// Guards against a rotation during which a part of the processes is cut off.
+#[test]
+fn two_keys_are_valid_during_a_rotation() {
+    let message = |keys: &KeyRing| seal(keys, b"c", &header("a", 1, 1), b"x").unwrap();
+    let (old, new) = (message(&ring(&[1])), message(&ring(&[2, 1])));
+    assert!(open(&ring(&[1, 2]), b"c", &old).is_ok());
+    assert!(open(&ring(&[1, 2]), b"c", &new).is_ok());
+    assert_eq!(open(&ring(&[2]), b"c", &old), Err(Dropped::Unauthenticated));
+    assert!(KeyRing::new(Vec::new()).is_err());
+}
+
+/// Guards against keys in logs and dumps, and against keys that can be guessed.
+#[test]
+fn keys_are_hidden_and_long() {
+    let text = "secret-secret-secret-secret-secret";
+    let key = Key::from_text(text).unwrap();
+    assert_eq!(format!("{key:?}"), "Key(hidden)");
+    assert!(Key::from_text("short").is_err());
+    let error = KeyRing::read(&["/nonexistent/key".into()]).unwrap_err();
+    assert!(error.to_string().contains("/nonexistent/key"), "{error}");
+}
+
+/// Guards against datagrams that overtook each other taken for replays, and the reverse.
+#[test]
+fn the_window_takes_each_counter_once() {
+    let mut replay = Replay::default();
+    let mut take = |incarnation, counter| replay.check(&header("a", incarnation, counter)).is_ok();
+    assert!(take(1, 100) && take(1, 90) && !take(1, 90) && !take(1, 36));
+    assert!(take(1, 300) && !take(1, 100) && take(1, 299) && !take(1, 236) && take(1, 237));
+    assert!(
+        take(2, 5) && !take(1, 301),
+        "a former incarnation came back"
+    );
+    assert!(take(2, 4) && !take(2, 5));
+}
+
+/// Guards against calls that are replayed on their connection or on another one.
+#[test]
+fn calls_are_bound_to_their_connection_and_receiver() {
+    let shared = Shared::new(me(), Incarnation(1), ring(&[1]));
+    let (nonce, other) = ([1; NONCE], [2; NONCE]);
+    let message = |to: &str| {
+        let body = Addressed {
+            to: NodeName::from(to),
+            body: Call::Config(Revision(0)),
+        };
+        let body = postcard::to_allocvec(&body).unwrap();
+        seal(
+            &ring(&[1]),
+            &context(CALL, &nonce, 0),
+            &header("a", 1, 7),
+            &body,
+        )
+        .unwrap()
+    };
+    let reason = |result: Result<(Header, Call), Dropped>| result.err();
+    assert_eq!(reason(accept(&shared, &nonce, 6, &message("me"))), None);
+    let replayed = accept(&shared, &nonce, 7, &message("me"));
+    assert_eq!(reason(replayed), Some(Dropped::Replayed));
+    let elsewhere = accept(&shared, &other, 0, &message("me"));
+    assert_eq!(reason(elsewhere), Some(Dropped::Unauthenticated));
+    let misdirected = accept(&shared, &nonce, 0, &message("you"));
+    assert_eq!(reason(misdirected), Some(Dropped::Misdirected));
+}
+
+/// Guards against input that stops a process. The second half is authenticated
+/// noise, which reaches the decoders.
+#[test]
+fn arbitrary_bytes_never_panic_and_change_nothing() {
+    let config = Config {
+        rng_seed: RngSeed::Fixed(0x5EA1),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let shared = Shared::new(me(), Incarnation(1), ring(&[1]));
+    TestRunner::new(config)
+        .run(&proptest::collection::vec(any::<u8>(), 0..1_300), |bytes| {
+            let mut replay = Replay::default();
+            let (result, changed) = check(&mut replay, &bytes);
+            prop_assert!(result.is_err() && !changed);
+            prop_assert!(accept(&shared, &[0; NONCE], 0, &bytes).is_err());
+            let sealed = seal(&ring(&[1]), b"heartbeat", &header("a", 1, 1), &bytes).unwrap();
+            let (result, changed) = check(&mut replay, &sealed);
+            prop_assert_eq!(result.is_ok(), changed);
+            let about = context(CALL, &[0; NONCE], 0);
+            let sealed = seal(&ring(&[1]), &about, &header("a", 1, 1), &bytes).unwrap();
+            prop_assert!(accept(&shared, &[0; NONCE], 0, &sealed).is_err());
+            Ok(())
+        })
+        .unwrap();
+}
--- /dev/null
+++ b/crates/jujubelb/src/peer/transport.rs
@@ -0,0 +1,389 @@
+//! The thread that exchanges heartbeats and calls with other processes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+
+use indexmap::IndexMap;
+use rtrb::Producer;
+use thiserror::Error;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::sync::watch;
+
+use super::client::Client;
+use super::gossip;
+use super::key::{KeyError, KeyRing};
+use super::seal::Header;
+use super::server::{self, Handler};
+use super::{Call, Counters, Heartbeat, Member, Membership, News, Reply, Role};
+use crate::config::Config;
+use crate::model::{Code, DomainName, Incarnation, NodeName, Revision, Span};
+use crate::telemetry::Clock;
+
+/// Identity and addresses of a process among its peers.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its name.
+    pub node: NodeName,
+    /// Drawn at its start.
+    pub incarnation: Incarnation,
+    /// Its role.
+    pub role: Role,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its address for peers (UDP and TCP).
+    pub address: SocketAddr,
+    /// Files with one key, or two during a rotation; the first is used for sending.
+    pub keys: Vec<PathBuf>,
+    /// Peers to which heartbeats are sent before a configuration names them.
+    pub seeds: IndexMap<NodeName, SocketAddr>,
+}
+
+/// Failure to start the exchange with peers.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// A key is missing.
+    #[error(transparent)]
+    Key(#[from] KeyError),
+    /// The address can't be used.
+    #[error("the peer address {address} can't be used: {source}; check the setting `peers`")]
+    Address {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The thread can't be started.
+    #[error("the thread for peers can't be started: {0}")]
+    Thread(std::io::Error),
+}
+
+/// Failure of a call to a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum CallFailure {
+    /// It certainly was not sent.
+    #[error("the peer could not be reached: {0}")]
+    Unavailable(String),
+    /// It may have been obeyed.
+    #[error("the peer gave no answer: {0}")]
+    Unknown(String),
+}
+
+impl CallFailure {
+    /// The result code.
+    pub const fn code(&self) -> Code {
+        match self {
+            Self::Unavailable(_) => Code::PeerUnavailable,
+            Self::Unknown(_) => Code::PeerUnknown,
+        }
+    }
+}
+
+/// What both directions of the traffic need.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) node: NodeName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) counters: Arc<Counters>,
+    counter: AtomicU64,
+    keys: Mutex<Arc<KeyRing>>,
+}
+
+impl Shared {
+    pub(crate) fn new(node: NodeName, incarnation: Incarnation, keys: KeyRing) -> Self {
+        Self {
+            node,
+            incarnation,
+            counters: Arc::default(),
+            counter: AtomicU64::new(1),
+            keys: Mutex::new(Arc::new(keys)),
+        }
+    }
+
+    /// The keys in force.
+    pub(crate) fn keys(&self) -> Arc<KeyRing> {
+        lock(&self.keys).clone()
+    }
+
+    /// Replaces the keys; returns whether they changed.
+    pub(crate) fn set_keys(&self, keys: KeyRing) -> bool {
+        let mut present = lock(&self.keys);
+        let changed = **present != keys;
+        *present = Arc::new(keys);
+        changed
+    }
+
+    /// The header of the next message.
+    pub(crate) fn header(&self) -> Header {
+        Header {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            counter: self.counter.fetch_add(1, Relaxed),
+        }
+    }
+}
+
+/// State that the thread shares with its callers.
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) shared: Arc<Shared>,
+    pub(super) clock: Clock,
+    pub(super) domain: DomainName,
+    pub(super) key_files: Vec<PathBuf>,
+    pub(super) seeds: IndexMap<NodeName, SocketAddr>,
+    pub(super) own: Mutex<Heartbeat>,
+    pub(super) membership: Mutex<Membership>,
+    pub(super) configured: Mutex<IndexMap<NodeName, (SocketAddr, DomainName)>>,
+    pub(super) hasten: tokio::sync::Notify,
+    client: Client,
+    stop: watch::Sender<bool>,
+}
+
+/// A handle to the exchange with other processes.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    inner: Arc<Inner>,
+    runtime: Handle,
+}
+
+/// The thread behind [`Peers`].
+#[derive(Debug)]
+pub struct PeerThread {
+    inner: Arc<Inner>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Peers {
+    /// Binds the address and starts the thread. News of other processes go into the ring.
+    pub fn start<H: Handler>(
+        identity: Identity,
+        clock: Clock,
+        handler: H,
+        news: Producer<News>,
+    ) -> Result<(Self, PeerThread), PeerError> {
+        let keys = KeyRing::read(&identity.keys)?;
+        let address = identity.address;
+        let failed = |source| PeerError::Address { address, source };
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(PeerError::Thread)?;
+        let (listener, socket) = runtime.block_on(bind(address)).map_err(failed)?;
+        let bound = listener.local_addr().map_err(failed)?;
+        let (stop, stopped) = watch::channel(false);
+        let shared = Arc::new(Shared::new(
+            identity.node.clone(),
+            identity.incarnation,
+            keys,
+        ));
+        let inner = Arc::new(Inner {
+            client: Client::new(shared.clone()),
+            shared,
+            clock,
+            own: Mutex::new(first_beat(&identity, bound)),
+            domain: identity.domain,
+            key_files: identity.keys,
+            seeds: identity.seeds,
+            membership: Mutex::default(),
+            configured: Mutex::default(),
+            hasten: tokio::sync::Notify::new(),
+            stop,
+        });
+        let peers = Self {
+            inner: inner.clone(),
+            runtime: runtime.handle().clone(),
+        };
+        let run = {
+            let inner = inner.clone();
+            move || run(&runtime, inner, listener, socket, handler, news, stopped)
+        };
+        let thread = std::thread::Builder::new()
+            .name("peers".into())
+            .spawn(run)
+            .map_err(PeerError::Thread)?;
+        let thread = Some(thread);
+        Ok((peers, PeerThread { inner, thread }))
+    }
+
+    /// This process's name.
+    pub fn node(&self) -> &NodeName {
+        &self.inner.shared.node
+    }
+
+    /// This process's incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.inner.shared.incarnation
+    }
+
+    /// The address on which peers reach this process.
+    pub fn address(&self) -> SocketAddr {
+        lock(&self.inner.own).address
+    }
+
+    /// Counters of the traffic.
+    pub fn counters(&self) -> Arc<Counters> {
+        self.inner.shared.counters.clone()
+    }
+
+    /// Changes what this process tells of itself.
+    pub fn tell(&self, change: impl FnOnce(&mut Heartbeat)) {
+        change(&mut lock(&self.inner.own));
+    }
+
+    /// Tells all peers at once that this process is stopping.
+    pub fn tell_draining(&self) {
+        self.tell(|beat| beat.draining = true);
+        self.inner.hasten.notify_one();
+    }
+
+    /// What this process tells of itself.
+    pub fn own(&self) -> Heartbeat {
+        lock(&self.inner.own).clone()
+    }
+
+    /// Takes the peers' addresses from a configuration.
+    pub fn configure(&self, config: &Config) {
+        let mut configured = IndexMap::new();
+        for (name, host) in &config.hosts {
+            for (role, address) in [("entry", host.entry), ("scheduler", host.scheduler)] {
+                let node = NodeName::new(format!("{name}/{role}"));
+                configured.insert(node, (address, host.domain.clone()));
+            }
+        }
+        *lock(&self.inner.configured) = configured;
+    }
+
+    /// Looks at the known processes.
+    pub fn members<T>(&self, look: impl FnOnce(&Membership) -> T) -> T {
+        look(&lock(&self.inner.membership))
+    }
+
+    /// The processes that are not gone.
+    pub fn present(&self) -> Vec<Member> {
+        self.members(|members| members.present().cloned().collect())
+    }
+
+    /// Address of a process: from its heartbeats, the configuration or the seeds.
+    pub fn address_of(&self, node: &NodeName) -> Option<SocketAddr> {
+        let configured = || lock(&self.inner.configured).get(node).map(|(a, _)| *a);
+        self.members(|members| members.address(node))
+            .or_else(configured)
+            .or_else(|| self.inner.seeds.get(node).copied())
+    }
+
+    /// Calls a process by name. May be awaited on any runtime.
+    pub async fn call(
+        &self,
+        node: &NodeName,
+        call: Call,
+        limit: Span,
+    ) -> Result<Reply, CallFailure> {
+        let Some(address) = self.address_of(node) else {
+            return Err(CallFailure::Unavailable(format!(
+                "no address of {node} is known"
+            )));
+        };
+        let (inner, node) = (self.inner.clone(), node.clone());
+        let task = async move { inner.client.call(&node, address, call, limit).await };
+        self.runtime
+            .spawn(task)
+            .await
+            .unwrap_or_else(|_| Err(stopping()))
+    }
+
+    /// Calls a process by name from a thread without a runtime.
+    pub fn call_blocking(
+        &self,
+        node: &NodeName,
+        call: Call,
+        limit: Span,
+    ) -> Result<Reply, CallFailure> {
+        let (done, result) = std::sync::mpsc::sync_channel(1);
+        let (peers, node) = (self.clone(), node.clone());
+        self.runtime.spawn(async move {
+            let _ = done.send(peers.call(&node, call, limit).await);
+        });
+        result.recv().unwrap_or_else(|_| Err(stopping()))
+    }
+
+    /// Runs a task on the thread for peers.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.runtime.spawn(task);
+    }
+}
+
+impl PeerThread {
+    /// Ends the thread. Calls in flight get no answer.
+    pub fn stop(&mut self) {
+        self.inner.stop.send_replace(true);
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("the thread for peers ended with a panic");
+        }
+    }
+}
+
+impl Drop for PeerThread {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// TCP first: with port 0 the system chooses one, and UDP takes the same.
+async fn bind(address: SocketAddr) -> std::io::Result<(TcpListener, UdpSocket)> {
+    let listener = TcpListener::bind(address).await?;
+    let socket = UdpSocket::bind(listener.local_addr()?).await?;
+    Ok((listener, socket))
+}
+
+fn run<H: Handler>(
+    runtime: &Runtime,
+    inner: Arc<Inner>,
+    listener: TcpListener,
+    socket: UdpSocket,
+    handler: H,
+    news: Producer<News>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    runtime.block_on(async {
+        let calls = server::serve(
+            listener,
+            inner.shared.clone(),
+            Arc::new(handler),
+            stopped.clone(),
+        );
+        tokio::select! {
+            () = calls => {}
+            () = gossip::run(&inner, &socket, news) => {}
+            _ = stopped.wait_for(|stopped| *stopped) => {}
+        }
+    });
+}
+
+fn first_beat(identity: &Identity, address: SocketAddr) -> Heartbeat {
+    Heartbeat {
+        node: identity.node.clone(),
+        incarnation: identity.incarnation,
+        role: identity.role,
+        address,
+        every: Span::ZERO,
+        domain: identity.domain.clone(),
+        draining: false,
+        revision: Revision::default(),
+        evidence: None,
+        loads: Vec::new(),
+        shards: Vec::new(),
+    }
+}
+
+fn stopping() -> CallFailure {
+    CallFailure::Unknown("this process is stopping".to_owned())
+}
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/jujubelb/src/store/tests.rs
+++ b/crates/jujubelb/src/store/tests.rs
@@ -1,1 +1,158 @@
+use super::api::{ListAnswer, PutRequest, WireEntry};
+use super::pace::{Kind, Pace, SHARD_WRITES, STORE_READS, STORE_WRITES};
+use super::*;
+use crate::http::canned::{json, nobody, serve};
+use crate::model::Time;
+use crate::telemetry::Clock;
 
+fn store(address: std::net::SocketAddr) -> HttpStore {
+    HttpStore::new(address, Clock::start(), 1).unwrap()
+}
+
+fn put(answer: Vec<u8>) -> Result<Version, StoreError> {
+    store(serve(vec![answer])).put("a/b", b"x", Expect::Absent, None)
+}
+
+/// Guards against values that change on their way, and against keys that break the URL.
+#[test]
+fn bytes_and_keys_survive_the_encoding() {
+    let entry = WireEntry {
+        key: "a/b c&d=é".into(),
+        value: (0..=255).collect(),
+        version: Version(7),
+    };
+    let body = serde_json::to_string(&api::EntryAnswer {
+        entry: Some(entry.clone()),
+    });
+    let address = serve(vec![json(200, &body.unwrap())]);
+    assert_eq!(store(address).get(&entry.key), Ok(Some(entry.into())));
+}
+
+/// Guards against values that are cut at an odd digit or read from other text.
+#[test]
+fn wrong_hexadecimal_text_is_malformed() {
+    for text in ["0", "0g", "é"] {
+        let body = format!(r#"{{"key":"k","value":"{text}","expect":"any","lease":null}}"#);
+        assert!(serde_json::from_str::<PutRequest>(&body).is_err(), "{text}");
+    }
+}
+
+/// Guards against a lost write taken for a refused one, and the reverse.
+#[test]
+fn failures_of_a_write_tell_whether_it_may_have_taken_effect() {
+    let refused = store(nobody()).put("k", b"", Expect::Any, None);
+    assert!(
+        matches!(refused, Err(StoreError::Refused(_))),
+        "{refused:?}"
+    );
+    let unknown = [
+        b"".to_vec(),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{".to_vec(),
+        json(200, "{}"),
+        json(500, "{}"),
+        json(503, "no JSON"),
+        json(409, r#"{"error":"lease-ended"}"#),
+        json(200, &" ".repeat(11 << 20)),
+    ];
+    for answer in unknown {
+        let result = put(answer);
+        assert!(matches!(result, Err(StoreError::Unknown(_))), "{result:?}");
+    }
+    let conflict = put(json(409, r#"{"error":"conflict","current":4}"#));
+    let current = Some(Version(4));
+    assert_eq!(conflict, Err(StoreError::Conflict { current }));
+    let ended = put(json(410, r#"{"error":"lease-ended"}"#));
+    assert_eq!(ended, Err(StoreError::LeaseEnded));
+    let large = store(nobody()).put("k", &vec![0; VALUE_LIMIT + 1], Expect::Any, None);
+    assert!(matches!(large, Err(StoreError::TooLarge { .. })));
+}
+
+/// Guards against an answer about another key, for example from a confused proxy.
+#[test]
+fn answers_about_other_keys_are_malformed() {
+    let body = r#"{"entry":{"key":"other","value":"","version":1}}"#;
+    let result = store(serve(vec![json(200, body)])).get("k");
+    assert!(
+        matches!(result, Err(StoreError::Malformed(_))),
+        "{result:?}"
+    );
+}
+
+/// Guards against a list that ends early because its values are large.
+#[test]
+fn lists_are_read_to_their_end() {
+    let page = |keys: &[&str], more| {
+        let entries = keys.iter().map(|key| WireEntry {
+            key: (*key).into(),
+            value: Vec::new(),
+            version: Version(1),
+        });
+        let entries = entries.collect();
+        json(
+            200,
+            &serde_json::to_string(&ListAnswer { entries, more }).unwrap(),
+        )
+    };
+    let address = serve(vec![page(&["a/1", "a/2"], true), page(&["a/3"], false)]);
+    assert_eq!(store(address).list("a/", "", 10).unwrap().len(), 3);
+    let address = serve(vec![page(&["a/2", "a/1"], false)]);
+    assert!(store(address).list("a/", "", 10).is_err());
+}
+
+/// Counts the calls that a pace admits in a span, asked once a millisecond.
+fn admitted(pace: &mut Pace, kind: Kind, from: Time, span: Span) -> usize {
+    (0..span.as_millis())
+        .filter(|ms| pace.admit(from + Span::from_millis(*ms), kind).is_ok())
+        .count()
+}
+
+/// Guards against all processes together calling the store more often than it sustains.
+#[test]
+fn the_rates_of_all_processes_add_up_to_the_store_s_rates() {
+    let (processes, shards, seconds) = (182, 26, 60);
+    let span = Span::from_secs(seconds);
+    let (mut writes, mut reads) = (0, 0);
+    for n in 0..processes {
+        let mut pace = Pace::new(Time::ZERO, processes, usize::from(n < shards));
+        pace.failed(Time::ZERO, 0.5);
+        pace.succeeded();
+        // The burst is left out by starting within the time of recovery.
+        writes += admitted(
+            &mut pace,
+            Kind::Write,
+            Time::from_millis(200),
+            Span::from_secs(9),
+        );
+        reads += admitted(
+            &mut pace,
+            Kind::Read,
+            Time::from_millis(200),
+            Span::from_secs(9),
+        );
+        let mut pace = Pace::new(Time::ZERO, processes, 1);
+        let calm = admitted(&mut pace, Kind::Write, Time::ZERO, span) as f64;
+        assert!(calm >= SHARD_WRITES * seconds as f64 * 0.99, "{calm}");
+    }
+    assert!(
+        writes as f64 <= (STORE_WRITES * 9.0) + processes as f64,
+        "{writes}"
+    );
+    assert!(
+        reads as f64 <= (STORE_READS * 9.0) + processes as f64,
+        "{reads}"
+    );
+}
+
+/// Guards against processes that return to the store at the same instant.
+#[test]
+fn calls_after_a_failure_are_spread_by_jitter() {
+    let first = |random| {
+        let mut pace = Pace::new(Time::ZERO, 1, 1);
+        for _ in 0..6 {
+            pace.failed(Time::ZERO, random);
+        }
+        pace.admit(Time::ZERO, Kind::Read).unwrap_err()
+    };
+    assert_eq!(first(0.0), Span::from_millis(750));
+    assert_eq!(first(1.0), Span::from_millis(1_500));
+}
