Add the entry and scheduler processes and the operators' interface

The parts that decide had no process around them. The entry process serves callers and job submissions, the scheduler process takes shards over through a store lease and runs their owners, and both serve operators. Each responsibility has a thread; bounded queues join them and wake their readers. One process of a domain reads the configuration head, the others ask it and fall back to the store. An HTTP server ends when the last connection has ended, so a planned stop waits exactly for the requests in flight.

--- /dev/null
+++ b/crates/jujubelb/src/bin/jujubelb-entry.rs
@@ -0,0 +1,15 @@
+//! The entry process of one host.
+
+use std::process::ExitCode;
+
+use jujubelb::entry::EntryHandle;
+use jujubelb::peer::Role;
+use jujubelb::process::{run, stop_signal};
+
+fn main() -> ExitCode {
+    run(Role::Entry, |settings| {
+        let entry = EntryHandle::start(settings)?;
+        stop_signal()?;
+        Ok(entry.stop())
+    })
+}
--- /dev/null
+++ b/crates/jujubelb/src/bin/jujubelb-scheduler.rs
@@ -0,0 +1,15 @@
+//! The scheduler process of one host.
+
+use std::process::ExitCode;
+
+use jujubelb::peer::Role;
+use jujubelb::process::{run, stop_signal};
+use jujubelb::scheduler::SchedulerHandle;
+
+fn main() -> ExitCode {
+    run(Role::Scheduler, |settings| {
+        let scheduler = SchedulerHandle::start(settings)?;
+        stop_signal()?;
+        Ok(scheduler.stop())
+    })
+}
--- /dev/null
+++ b/crates/jujubelb/src/entry/calls.rs
@@ -0,0 +1,79 @@
+//! Answers calls of peers.
+
+use std::sync::{Arc, Weak};
+
+use serde_json::json;
+
+use super::Entry;
+use crate::model::{Code, NodeName};
+use crate::operator::api::ServiceTop;
+use crate::peer::{Call, Handler, Query, Reply, View};
+
+/// Answers calls once the entry process is complete.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Calls(pub(super) Arc<std::sync::OnceLock<Weak<Entry>>>);
+
+impl Handler for Calls {
+    async fn handle(&self, _: NodeName, call: Call) -> Reply {
+        match self.0.get().and_then(Weak::upgrade) {
+            Some(entry) => entry.answer(call),
+            None => Reply::Code(Code::Draining, "the process is starting or stopping".into()),
+        }
+    }
+}
+
+impl Entry {
+    /// Answers one call.
+    pub(super) fn answer(&self, call: Call) -> Reply {
+        if let Some(reply) = self.answer_claim(&call) {
+            return reply;
+        }
+        match call {
+            Call::Config(revision) => self.process.board.reply(revision),
+            Call::Query(query) => Reply::View(self.view(&query)),
+            _ => {
+                let text = "an entry process owns no shards";
+                Reply::Code(Code::NotOwner, text.into())
+            }
+        }
+    }
+
+    fn view(&self, query: &Query) -> View {
+        let process = &self.process;
+        let mut view = View::empty(process.node.clone(), process.board.age());
+        match query {
+            Query::Records { subject, since } => {
+                view.records = process.records.about(subject.as_deref(), *since);
+            }
+            Query::Dump => view.dump = Some(self.dump().to_string()),
+            Query::Top => view.services = self.top(),
+            Query::Tasks(_) => {}
+        }
+        view
+    }
+
+    fn top(&self) -> Vec<ServiceTop> {
+        let state = self.desk.decide(|now, state| state.router.state(now));
+        let mut services = self.stats.top();
+        for top in &mut services {
+            if let Some(service) = state.services.iter().find(|s| s.service == top.service) {
+                let endpoints = &service.endpoints;
+                top.inflight = endpoints.iter().map(|e| e.inflight).sum();
+                top.endpoints = endpoints.iter().filter(|e| e.out.is_none()).count() as u32;
+            }
+        }
+        services
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let (router, holder) = self.desk.decide(|now, state| {
+            let holder = state.holder.state(now);
+            (state.router.state(now), holder)
+        });
+        let mut dump = self.process.dump(&self.peers);
+        dump["requests-in-flight"] = json!(self.stats.inflight());
+        dump["router"] = json!(router);
+        dump["claims"] = json!(holder);
+        dump
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/entry/serve.rs
@@ -0,0 +1,268 @@
+//! Serves callers' requests.
+
+use std::sync::Arc;
+
+use rocket::data::ToByteUnit;
+use rocket::http::Method;
+use rocket::response::Response;
+use rocket::route::{Handler, Outcome};
+use rocket::{Data, Request, Route};
+use tokio::sync::{Notify, mpsc};
+
+use super::Entry;
+use super::answer::{self, Failure, Whole};
+use super::claims::Claim;
+use super::forward::{self, Parcel};
+use super::headers::{self, Wishes};
+use crate::model::{Bytes, Code, ServiceName, Span, Time};
+use crate::peer::ClaimKey;
+use crate::route::{Claimed, Delivery, Dispatch, Refusal, RequestInfo, Step, Ticket};
+
+/// Path prefix of services.
+const ROOT: &str = "/svc/";
+
+/// Methods that are forwarded.
+const METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Head,
+    Method::Options,
+    Method::Put,
+    Method::Post,
+    Method::Delete,
+    Method::Patch,
+];
+
+/// Attempts of one request that may end without the request looking.
+const ENDS: usize = 8;
+
+/// Handles requests on service routes.
+#[derive(Clone)]
+pub(super) struct Requests(pub(super) Arc<Entry>);
+
+impl Requests {
+    /// The routes of all methods.
+    pub(super) fn routes(&self) -> Vec<Route> {
+        let route = |method| Route::new(method, "/svc/<service>/<path..>", self.clone());
+        METHODS.map(route).to_vec()
+    }
+}
+
+#[rocket::async_trait]
+impl Handler for Requests {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        Outcome::Success(self.0.serve(request, data).await)
+    }
+}
+
+impl Entry {
+    /// Serves one request of a caller.
+    async fn serve(self: &Arc<Self>, request: &Request<'_>, data: Data<'_>) -> Response<'static> {
+        let began = self.process.clock.now();
+        let inflight = self.stats.arrived();
+        let (service, target) = split(request);
+        let result = self.route(&service, target, request, data).await;
+        let code = result.as_ref().map_or_else(|f| f.code, |_| Code::Done);
+        let known = self.process.board.config().services.contains_key(&service);
+        let took = self.process.clock.now().since(began);
+        self.stats.answered(known.then_some(&service), code, took);
+        drop(inflight);
+        let closing = self.process.is_draining();
+        match result {
+            Ok(whole) => answer::forwarded(whole, closing),
+            Err(failure) => answer::failed(failure, closing),
+        }
+    }
+
+    async fn route(
+        self: &Arc<Self>,
+        name: &ServiceName,
+        target: String,
+        request: &Request<'_>,
+        data: Data<'_>,
+    ) -> Result<Whole, Failure> {
+        let config = self.process.board.config();
+        let Some(service) = config.services.get(name) else {
+            let text = format!("no service {name:?} is declared");
+            return Err(Failure::new(Code::NoRoute, text));
+        };
+        let safe = matches!(
+            request.method(),
+            Method::Get | Method::Head | Method::Options
+        );
+        let wishes = headers::read(request.headers(), safe)
+            .map_err(|text| Failure::new(Code::Malformed, text))?;
+        let parcel = pack(request, data, target, service.body).await?;
+        let info = info(name, &wishes, &parcel);
+        let (ticket, notice) = self.desk.admit(info).map_err(refused)?;
+        let mut journey = Journey {
+            entry: self,
+            key: wishes.key.map(|key| ClaimKey {
+                service: name.clone(),
+                key,
+            }),
+            service: name.clone(),
+            parcel: Arc::new(parcel),
+            ticket,
+            claim: None,
+        };
+        journey.run(&notice).await
+    }
+}
+
+/// The service's name, and path and query below it.
+fn split(request: &Request<'_>) -> (ServiceName, String) {
+    let uri = request.uri().to_string();
+    let rest = uri.strip_prefix(ROOT).unwrap_or_default();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, target) = rest.split_at(end);
+    let target = match target.starts_with('/') {
+        true => target.to_owned(),
+        false => format!("/{target}"),
+    };
+    (ServiceName::from(name), target)
+}
+
+async fn pack(
+    request: &Request<'_>,
+    data: Data<'_>,
+    target: String,
+    limit: Bytes,
+) -> Result<Parcel, Failure> {
+    let body = data
+        .open(limit.0.bytes())
+        .into_bytes()
+        .await
+        .map_err(|error| {
+            Failure::new(Code::Malformed, format!("the body is incomplete: {error}"))
+        })?;
+    if !body.is_complete() {
+        let text = format!("the body is larger than {} bytes", limit.0);
+        return Err(Failure::new(Code::TooLarge, text));
+    }
+    let method = request.method().as_str().as_bytes();
+    let method = reqwest::Method::from_bytes(method)
+        .map_err(|error| Failure::new(Code::Malformed, error.to_string()))?;
+    Ok(Parcel {
+        method,
+        target,
+        headers: forward::passed_on(request),
+        body: body.into_inner(),
+        limit: usize::try_from(limit.0).unwrap_or(usize::MAX),
+    })
+}
+
+fn info(service: &ServiceName, wishes: &Wishes, parcel: &Parcel) -> RequestInfo {
+    RequestInfo {
+        service: service.clone(),
+        deadline: wishes.deadline,
+        priority: wishes.priority,
+        idempotent: wishes.idempotent,
+        key: wishes.key.clone(),
+        caller: wishes.caller.clone(),
+        bytes: Bytes(parcel.body.len() as u64),
+    }
+}
+
+fn refused(refusal: Refusal) -> Failure {
+    Failure {
+        retry: refusal.retry,
+        ..Failure::from(refusal.code)
+    }
+}
+
+/// One admitted request on its way to an answer.
+struct Journey<'a> {
+    entry: &'a Arc<Entry>,
+    service: ServiceName,
+    key: Option<ClaimKey>,
+    parcel: Arc<Parcel>,
+    ticket: Ticket,
+    claim: Option<Claim>,
+}
+
+/// The end of an attempt as its task reports it.
+type End = (Delivery, Option<Whole>);
+
+impl Journey<'_> {
+    async fn run(&mut self, notice: &Notify) -> Result<Whole, Failure> {
+        let (ends, mut ended) = mpsc::channel(ENDS);
+        loop {
+            let ticket = self.ticket;
+            let step = self
+                .entry
+                .desk
+                .decide(|now, state| state.router.next(now, ticket, &mut rand::rng()));
+            match step {
+                Step::Claim { until } => self.claim(until).await,
+                Step::Send(dispatch) => self.send(dispatch, ends.clone()),
+                Step::GiveUp(refusal) => {
+                    if refusal.release
+                        && let Some(claim) = &self.claim
+                    {
+                        self.entry.release(claim);
+                    }
+                    return Err(refused(refusal));
+                }
+                Step::Wait { until } => {
+                    let left = until.since(self.entry.process.clock.now());
+                    tokio::select! {
+                        Some((delivery, answer)) = ended.recv() => {
+                            if let (Delivery::Deliver(_), Some(answer)) = (delivery, answer) {
+                                return Ok(answer);
+                            }
+                        }
+                        () = notice.notified() => {}
+                        () = sleep(left) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    async fn claim(&mut self, until: Time) {
+        let result = match &self.key {
+            Some(key) => {
+                let (claim, result) = self.entry.claim(key.clone(), until).await;
+                self.claim = Some(claim);
+                result
+            }
+            // The router asks for a claim only if there is a key.
+            None => Claimed::Unavailable,
+        };
+        let ticket = self.ticket;
+        self.entry
+            .desk
+            .decide(|now, state| state.router.claimed(now, ticket, result));
+    }
+
+    /// Starts an attempt. Its task reports the end to the router in every case,
+    /// also if the request was answered before.
+    fn send(&self, dispatch: Dispatch, ends: mpsc::Sender<End>) {
+        let (entry, parcel) = (self.entry.clone(), self.parcel.clone());
+        let service = self.service.clone();
+        tokio::spawn(async move {
+            let time = dispatch.until.since(entry.process.clock.now());
+            let attempt = forward::attempt(&entry.client, dispatch.address, &parcel, time);
+            let (end, answer) = attempt.await;
+            entry.stats.attempted(&service, end);
+            let delivery = entry
+                .desk
+                .decide(|now, state| state.router.finished(now, dispatch.attempt, end));
+            let _ = ends.send((delivery, answer)).await;
+        });
+    }
+}
+
+impl Drop for Journey<'_> {
+    fn drop(&mut self) {
+        let release = self.entry.desk.leave(self.ticket);
+        if release && let Some(claim) = &self.claim {
+            self.entry.release(claim);
+        }
+    }
+}
+
+/// Sleeps at least the clock's resolution, so that a time just passed does not spin.
+async fn sleep(left: Span) {
+    tokio::time::sleep(left.to_std().max(std::time::Duration::from_millis(1))).await;
+}
--- a/crates/jujubelb/src/http/mod.rs
+++ b/crates/jujubelb/src/http/mod.rs
@@ -3,6 +3,11 @@
 #[cfg(test)]
 pub(crate) mod canned;
 
+mod serve;
+
+pub use serve::ServeError;
+pub(crate) use serve::Server;
+
 use std::io::Read;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/jujubelb/src/operator/health.rs
@@ -0,0 +1,61 @@
+//! Health and readiness, for balancers and supervisors, and answers to requests without a route.
+
+use std::sync::Arc;
+
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{Catcher, Request, Route, State, catchers, routes};
+
+use super::api::ErrorBody;
+use crate::model::{Code, Revision};
+use crate::process::Process;
+
+/// Routes that need no token.
+pub(crate) fn health_routes() -> Vec<Route> {
+    routes![health, ready]
+}
+
+/// Answers with a result code where no route answers.
+pub(crate) fn catchers() -> Vec<Catcher> {
+    catchers![uncaught]
+}
+
+/// The process runs.
+#[rocket::get("/health")]
+fn health() -> &'static str {
+    "ok\n"
+}
+
+/// The process takes new work: it has a configuration and no planned stop has begun.
+#[rocket::get("/ready")]
+fn ready(process: &State<Arc<Process>>) -> (Status, &'static str) {
+    if process.is_draining() {
+        return (Status::ServiceUnavailable, "a planned stop has begun\n");
+    }
+    if process.board.revision() == Revision::default() {
+        return (
+            Status::ServiceUnavailable,
+            "no configuration is known yet\n",
+        );
+    }
+    (Status::Ok, "ready\n")
+}
+
+#[rocket::catch(default)]
+fn uncaught(status: Status, request: &Request<'_>) -> (Status, Json<ErrorBody>) {
+    let (code, text) = match status.code {
+        401 => (
+            Code::Unauthorized,
+            "the token is missing or wrong".to_owned(),
+        ),
+        404 | 405 => {
+            let (method, path) = (request.method(), request.uri().path());
+            (Code::NoRoute, format!("no route for {method} {path}"))
+        }
+        413 => (Code::TooLarge, "the body is too large".to_owned()),
+        400 | 422 => (Code::Malformed, "the request is malformed".to_owned()),
+        _ => (Code::Internal, "the request could not be served".to_owned()),
+    };
+    let body = ErrorBody::new(code, text);
+    (Status::new(code.status()), Json(body))
+}
--- a/crates/jujubelb/src/operator/mod.rs
+++ b/crates/jujubelb/src/operator/mod.rs
@@ -1,3 +1,98 @@
-//! Operators' HTTP interface.
+//! The operators' HTTP interface.
 
 pub mod api;
+mod health;
+mod query;
+mod routes;
+#[cfg(test)]
+mod tests;
+mod token;
+mod top;
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+
+pub(crate) use health::{catchers, health_routes};
+pub use token::TokenError;
+
+use self::token::Tokens;
+use crate::http::Server;
+use crate::model::{Code, NodeName, ShardName, Span};
+use crate::peer::{Call, Peers, Reply};
+use crate::process::{Process, StartError};
+use crate::telemetry;
+
+/// Threads that serve operators.
+const THREADS: usize = 2;
+
+/// Answers a call in this process.
+type Local = Arc<dyn Fn(Call) -> Pin<Box<dyn Future<Output = Reply> + Send>> + Send + Sync>;
+
+/// What the routes share.
+#[derive(Clone)]
+pub(crate) struct Operators {
+    process: Arc<Process>,
+    peers: Peers,
+    local: Local,
+    tokens: Arc<Tokens>,
+    calls: Counter<u64>,
+}
+
+impl Operators {
+    /// The interface of a process that answers its own calls by `local`.
+    pub(crate) fn new(
+        process: Arc<Process>,
+        peers: Peers,
+        local: impl Fn(Call) -> Pin<Box<dyn Future<Output = Reply> + Send>> + Send + Sync + 'static,
+    ) -> Result<Self, StartError> {
+        let now = process.clock.now();
+        Ok(Self {
+            tokens: Arc::new(Tokens::read(now, process.settings.tokens.clone())?),
+            calls: process.metrics.counter(&telemetry::OPERATOR_CALLS),
+            local: Arc::new(local),
+            process,
+            peers,
+        })
+    }
+
+    /// Starts the server.
+    pub(crate) fn serve(self) -> Result<Server, StartError> {
+        let address = self.process.settings.operators;
+        let server = Server::start("operators", address, THREADS, move |rocket| {
+            rocket
+                .manage(self.process.clone())
+                .manage(self)
+                .mount("/", routes::all())
+                .mount("/", health_routes())
+                .register("/", catchers())
+        })?;
+        Ok(server)
+    }
+
+    /// Calls a process, which may be this one.
+    async fn call(&self, node: &NodeName, call: Call, limit: Span) -> Option<Reply> {
+        if *node != self.process.node {
+            return self.peers.call(node, call, limit).await.ok();
+        }
+        let answer = (self.local)(call);
+        tokio::time::timeout(limit.to_std(), answer).await.ok()
+    }
+
+    /// The owner of a shard, which may be this process.
+    fn owner_of(&self, shard: &ShardName) -> Option<NodeName> {
+        let own = self.peers.own();
+        let owns = own.shards.iter().any(|summary| summary.shard == *shard);
+        if owns {
+            return Some(own.node);
+        }
+        self.peers.owner_of(shard)
+    }
+
+    fn count(&self, code: Code) {
+        let label = KeyValue::new("code", i64::from(code.number()));
+        self.calls.add(1, &[label]);
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/operator/routes.rs
@@ -0,0 +1,307 @@
+//! The routes of the operators' interface.
+
+use indexmap::IndexMap;
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::Status;
+use rocket::request::{FromRequest, Outcome, Request};
+use rocket::response::Responder;
+use rocket::serde::json::Json;
+use rocket::{Route, State, routes};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::api::{
+    APPLY_LIMIT, ApplyAnswer, ApplyRequest, ConfigView, ConfirmDead, DomainRequest, DoneBody,
+    DumpView, EndpointRequest, ErrorBody, RecordsView, TasksView, TopView,
+};
+use super::{Operators, top};
+use crate::config::head::{self, Change, Contents, Edit};
+use crate::model::{Code, DomainName, EndpointName, ShardName, Span, WorkerName};
+use crate::peer::{Call, Query, Reply};
+use crate::telemetry::Clock;
+
+/// Largest body of the small requests, in bytes.
+const SMALL: usize = 16 << 10;
+
+/// Time for an owner's answer.
+const PATIENCE: Span = Span::from_millis(3_000);
+
+/// All routes that need a token.
+pub(super) fn all() -> Vec<Route> {
+    routes![
+        metrics,
+        config,
+        apply,
+        domain,
+        endpoint,
+        tasks,
+        records,
+        top_view,
+        dump,
+        confirm_dead
+    ]
+}
+
+/// Proof that a request carries a valid token.
+pub(super) struct Authorized;
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Authorized {
+    type Error = Code;
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Code> {
+        let Some(operators) = request.rocket().state::<Operators>() else {
+            return Outcome::Error((Status::InternalServerError, Code::Internal));
+        };
+        let mut values = request.headers().get("Authorization");
+        let token = values.next().and_then(|v| v.strip_prefix("Bearer "));
+        let single = values.next().is_none();
+        let now = operators.process.clock.now();
+        let valid = token.is_some_and(|t| operators.tokens.is_valid(now, t.trim()));
+        if single && valid {
+            return Outcome::Success(Self);
+        }
+        operators.count(Code::Unauthorized);
+        Outcome::Error((Status::Unauthorized, Code::Unauthorized))
+    }
+}
+
+/// A failure with its status.
+#[derive(Debug)]
+pub(super) struct Failed(Box<ErrorBody>);
+
+impl Failed {
+    fn new(code: Code, message: impl Into<String>) -> Self {
+        Self(Box::new(ErrorBody::new(code, message)))
+    }
+}
+
+impl<'r> Responder<'r, 'static> for Failed {
+    fn respond_to(self, request: &'r Request<'_>) -> rocket::response::Result<'static> {
+        if let Some(operators) = request.rocket().state::<Operators>() {
+            operators.count(self.0.code);
+        }
+        let status = Status::new(self.0.code.status());
+        (status, Json(*self.0)).respond_to(request)
+    }
+}
+
+/// A successful answer, which is counted.
+pub(super) struct Good<T>(T);
+
+impl<'r, T: Serialize> Responder<'r, 'static> for Good<T> {
+    fn respond_to(self, request: &'r Request<'_>) -> rocket::response::Result<'static> {
+        if let Some(operators) = request.rocket().state::<Operators>() {
+            operators.count(Code::Done);
+        }
+        Json(self.0).respond_to(request)
+    }
+}
+
+type Answer<T> = Result<Good<T>, Failed>;
+
+async fn body<T: DeserializeOwned>(data: Data<'_>, limit: usize) -> Result<T, Failed> {
+    let read = data.open(limit.bytes()).into_bytes().await;
+    let body =
+        read.map_err(|e| Failed::new(Code::Malformed, format!("the body is incomplete: {e}")))?;
+    if !body.is_complete() {
+        let text = format!("the body is larger than {limit} bytes");
+        return Err(Failed::new(Code::TooLarge, text));
+    }
+    serde_json::from_slice(&body)
+        .map_err(|e| Failed::new(Code::Malformed, format!("the body is malformed: {e}")))
+}
+
+#[rocket::get("/metrics")]
+fn metrics(_token: Authorized, operators: &State<Operators>) -> Result<String, Failed> {
+    operators
+        .process
+        .metrics
+        .render()
+        .map_err(|e| Failed::new(Code::Internal, e.to_string()))
+}
+
+/// Runs calls to the store away from the threads that answer.
+async fn blocking<T: Send + 'static>(
+    call: impl FnOnce() -> Result<T, Failed> + Send + 'static,
+) -> Result<T, Failed> {
+    match tokio::task::spawn_blocking(call).await {
+        Ok(result) => result,
+        Err(error) => Err(Failed::new(Code::Internal, error.to_string())),
+    }
+}
+
+#[rocket::get("/v1/config")]
+async fn config(_token: Authorized, operators: &State<Operators>) -> Answer<ConfigView> {
+    let process = operators.process.clone();
+    let loaded = blocking(move || {
+        head::load(&process.store, &mut Contents::default()).map_err(|error| {
+            let code = match error {
+                head::ReadError::Store(_) => Code::StoreUnavailable,
+                _ => Code::Internal,
+            };
+            Failed::new(code, error.to_string())
+        })
+    });
+    let loaded = loaded.await?;
+    Ok(Good(ConfigView {
+        node: operators.process.node.clone(),
+        age: operators.process.board.age(),
+        change: loaded.head.last().map(head::Applied::view),
+        files: loaded.files,
+    }))
+}
+
+async fn change(operators: &Operators, change: Change) -> Answer<ApplyAnswer> {
+    let process = operators.process.clone();
+    let (id, author) = (change.id.clone(), change.author.clone());
+    let outcome = blocking(move || {
+        let mut contents = Contents::default();
+        head::apply(&process.store, &mut contents, &change, Clock::wall())
+            .map_err(|error| Failed(Box::new(error.body())))
+    });
+    let outcome = outcome.await?;
+    let Some(applied) = outcome.applied else {
+        let text = "nothing was declared before and the change declares nothing";
+        return Err(Failed::new(Code::Malformed, text));
+    };
+    log::info!(change = id.as_str(), author = author.as_str(), revision = applied.revision.0, unchanged = outcome.unchanged; "a change of the configuration was applied");
+    Ok(Good(ApplyAnswer {
+        change: applied.view(),
+        unchanged: outcome.unchanged,
+        diff: outcome.diff.iter().map(ToString::to_string).collect(),
+    }))
+}
+
+#[rocket::post("/v1/apply", data = "<data>")]
+async fn apply(
+    _token: Authorized,
+    operators: &State<Operators>,
+    data: Data<'_>,
+) -> Answer<ApplyAnswer> {
+    let request: ApplyRequest = body(data, APPLY_LIMIT).await?;
+    let edit = Edit::Files {
+        expected: request.expected,
+        files: request.files,
+    };
+    let (id, author) = (request.change, request.author);
+    change(operators, Change { id, author, edit }).await
+}
+
+#[rocket::post("/v1/domains/<name>", data = "<data>")]
+async fn domain(
+    _token: Authorized,
+    operators: &State<Operators>,
+    name: &str,
+    data: Data<'_>,
+) -> Answer<ApplyAnswer> {
+    let request: DomainRequest = body(data, SMALL).await?;
+    let edit = Edit::Domain {
+        name: DomainName::from(name),
+        out: request.out,
+    };
+    let (id, author) = (request.change, request.author);
+    change(operators, Change { id, author, edit }).await
+}
+
+#[rocket::post("/v1/endpoints/<name>", data = "<data>")]
+async fn endpoint(
+    _token: Authorized,
+    operators: &State<Operators>,
+    name: &str,
+    data: Data<'_>,
+) -> Answer<ApplyAnswer> {
+    let request: EndpointRequest = body(data, SMALL).await?;
+    let edit = Edit::Endpoint {
+        name: EndpointName::from(name),
+        leaving: request.drain,
+    };
+    let (id, author) = (request.change, request.author);
+    change(operators, Change { id, author, edit }).await
+}
+
+#[rocket::get("/v1/tasks?<shard>")]
+async fn tasks(
+    _token: Authorized,
+    operators: &State<Operators>,
+    shard: Option<&str>,
+) -> Answer<TasksView> {
+    let views = operators
+        .ask(Query::Tasks(shard.map(ShardName::from)))
+        .await;
+    let mut tasks: Vec<_> = views.views.into_iter().flat_map(|v| v.tasks).collect();
+    tasks.sort_by(|a, b| a.task.cmp(&b.task));
+    let sources = views.sources;
+    Ok(Good(TasksView { sources, tasks }))
+}
+
+#[rocket::get("/v1/records?<subject>&<since>")]
+async fn records(
+    _token: Authorized,
+    operators: &State<Operators>,
+    subject: Option<String>,
+    since: Option<&str>,
+) -> Answer<RecordsView> {
+    let since = since.map(|text| {
+        let seconds = text.parse::<u32>().map_err(|_| {
+            let text = "`since` has to be a number of seconds";
+            Failed::new(Code::Malformed, text)
+        })?;
+        Ok(Span::from_secs(u64::from(seconds)))
+    });
+    let (sources, records) = operators.records(subject, since.transpose()?).await;
+    Ok(Good(RecordsView { sources, records }))
+}
+
+#[rocket::get("/v1/top")]
+async fn top_view(_token: Authorized, operators: &State<Operators>) -> Answer<TopView> {
+    let views = operators.ask(Query::Top).await;
+    Ok(Good(top::combine(operators, views)))
+}
+
+#[rocket::get("/v1/dump")]
+async fn dump(_token: Authorized, operators: &State<Operators>) -> Answer<DumpView> {
+    let views = operators.ask(Query::Dump).await;
+    let mut nodes = IndexMap::new();
+    for view in views.views {
+        let text = view.dump.unwrap_or_default();
+        let dump = serde_json::from_str(&text).unwrap_or(serde_json::Value::Null);
+        nodes.insert(view.node, dump);
+    }
+    let sources = views.sources;
+    Ok(Good(DumpView { sources, nodes }))
+}
+
+#[rocket::post("/v1/workers/<name>/confirm-dead", data = "<data>")]
+async fn confirm_dead(
+    _token: Authorized,
+    operators: &State<Operators>,
+    name: &str,
+    data: Data<'_>,
+) -> Answer<DoneBody> {
+    let request: ConfirmDead = body(data, SMALL).await?;
+    let worker = WorkerName::from(name);
+    let config = operators.process.board.config();
+    let Some(shard) = config.shard_of(&worker).cloned() else {
+        let text = format!("no worker {worker} is declared");
+        return Err(Failed::new(Code::NotFound, text));
+    };
+    let Some(owner) = operators.owner_of(&shard) else {
+        let text = format!("no owner of the shard {shard} is known");
+        return Err(Failed::new(Code::NotOwner, text));
+    };
+    log::info!(worker = name, author = request.author.as_str(); "an operator confirms that a worker's host is dead");
+    let call = Call::ConfirmDead(shard, worker);
+    match operators.call(&owner, call, PATIENCE).await {
+        Some(Reply::Code(code @ (Code::Done | Code::Accepted), message)) => Ok(Good(DoneBody {
+            code,
+            number: code.number(),
+            message,
+        })),
+        Some(Reply::Code(code, message)) => Err(Failed::new(code, message)),
+        _ => {
+            let text = format!("the owner {owner} gave no answer");
+            Err(Failed::new(Code::PeerUnknown, text))
+        }
+    }
+}
--- a/crates/jujubelb/src/peer/gossip.rs
+++ b/crates/jujubelb/src/peer/gossip.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use rtrb::Producer;
 use tokio::net::UdpSocket;
 
 use super::beat::{DATAGRAM, Packer, Plan};
@@ -14,6 +13,7 @@
 use super::transport::{Inner, lock};
 use super::{Dropped, Heartbeat, News};
 use crate::model::{NodeName, Span, Time};
+use crate::telemetry::Outlet;
 
 /// Interval at which due heartbeats and the age of others are looked at.
 const TICK: Duration = Duration::from_millis(100);
@@ -25,7 +25,7 @@
 const CONTEXT: &[u8] = b"heartbeat";
 
 /// Sends and receives until cancelled.
-pub(super) async fn run(inner: &Inner, socket: &UdpSocket, news: Producer<News>) {
+pub(super) async fn run(inner: &Inner, socket: &UdpSocket, news: Outlet<News>) {
     let mut gossip = Gossip {
         inner,
         socket,
@@ -185,12 +185,12 @@
 /// heartbeat of each process is kept.
 #[derive(Debug)]
 struct Outbox {
-    ring: Producer<News>,
+    ring: Outlet<News>,
     waiting: IndexMap<(NodeName, u8), News>,
 }
 
 impl Outbox {
-    fn new(ring: Producer<News>) -> Self {
+    fn new(ring: Outlet<News>) -> Self {
         Self {
             ring,
             waiting: IndexMap::new(),
--- a/crates/jujubelb/src/peer/message.rs
+++ b/crates/jujubelb/src/peer/message.rs
@@ -11,10 +11,11 @@
 use crate::config::Config;
 use crate::model::{
     Code, DomainName, EndpointName, Incarnation, NodeName, Record, Revision, ServiceName,
-    ShardName, Span,
+    ShardName, Span, WorkerName,
 };
+use crate::operator::api::ServiceTop;
 use crate::place::LatencyReport;
-use crate::shard::{Cancel, Offer, OfferAnswer, ShardSummary, Submission, TaskView};
+use crate::shard::{Cancel, Offer, OfferAnswer, ShardSummary, Submission, TaskView, TeamUse};
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
@@ -103,6 +104,8 @@
     Tasks(Option<ShardName>),
     /// The whole state as JSON.
     Dump,
+    /// Services, shards and use of quotas, for the overview.
+    Top,
 }
 
 /// The answer to a query.
@@ -118,6 +121,31 @@
     pub tasks: Vec<TaskView>,
     /// State dump as JSON text.
     pub dump: Option<String>,
+    /// Services as this process sees them.
+    pub services: Vec<ServiceTop>,
+    /// Shards that this process owns.
+    pub shards: Vec<ShardSummary>,
+    /// Use of quotas in these shards.
+    pub teams: Vec<TeamUse>,
+    /// Workers in quarantine in these shards.
+    pub quarantined: Vec<WorkerName>,
+}
+
+impl View {
+    /// The view of a process that knows nothing.
+    pub fn empty(node: NodeName, age: Option<Span>) -> Self {
+        Self {
+            node,
+            age,
+            records: Vec::new(),
+            tasks: Vec::new(),
+            dump: None,
+            services: Vec::new(),
+            shards: Vec::new(),
+            teams: Vec::new(),
+            quarantined: Vec::new(),
+        }
+    }
 }
 
 /// A call to a peer over TCP. Each is idempotent.
@@ -158,7 +186,7 @@
     /// A question about state.
     Query(Query),
     /// An operator confirms that the host of a worker is dead.
-    ConfirmDead(ShardName, crate::model::WorkerName),
+    ConfirmDead(ShardName, WorkerName),
 }
 
 /// The answer to a call.
--- a/crates/jujubelb/src/peer/server.rs
+++ b/crates/jujubelb/src/peer/server.rs
@@ -37,7 +37,7 @@
 const SEND: Span = Span::from_secs(10);
 
 /// Answers the calls of peers.
-pub trait Handler: Send + Sync + 'static {
+pub(crate) trait Handler: Send + Sync + 'static {
     /// Answers one call.
     fn handle(&self, from: NodeName, call: Call) -> impl Future<Output = Reply> + Send;
 }
--- a/crates/jujubelb/src/peer/tests/calls.rs
+++ b/crates/jujubelb/src/peer/tests/calls.rs
@@ -6,7 +6,7 @@
 
 use super::*;
 use crate::model::Code;
-use crate::telemetry::Clock;
+use crate::telemetry::{Clock, Queues, queue};
 
 /// Counts the calls that reach it.
 struct Count(Arc<AtomicUsize>);
@@ -40,7 +40,7 @@
         seeds: seeds.iter().map(|(n, a)| ((*n).into(), *a)).collect(),
     };
     let calls = Arc::new(AtomicUsize::new(0));
-    let (news, _) = rtrb::RingBuffer::new(16);
+    let (news, _) = queue(&Queues::default(), "peers", 16);
     let (peers, thread) =
         Peers::start(identity, Clock::start(), Count(calls.clone()), news).unwrap();
     Process {
--- a/crates/jujubelb/src/peer/transport.rs
+++ b/crates/jujubelb/src/peer/transport.rs
@@ -7,7 +7,6 @@
 use std::thread::JoinHandle;
 
 use indexmap::IndexMap;
-use rtrb::Producer;
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{Builder, Handle, Runtime};
@@ -20,12 +19,12 @@
 use super::server::{self, Handler};
 use super::{Call, Counters, Heartbeat, Member, Membership, News, Reply, Role};
 use crate::config::Config;
-use crate::model::{Code, DomainName, Incarnation, NodeName, Revision, Span};
-use crate::telemetry::Clock;
+use crate::model::{Code, DomainName, Incarnation, NodeName, Revision, ShardName, Span};
+use crate::telemetry::{Clock, Outlet};
 
 /// Identity and addresses of a process among its peers.
 #[derive(Debug, Clone)]
-pub struct Identity {
+pub(crate) struct Identity {
     /// Its name.
     pub node: NodeName,
     /// Drawn at its start.
@@ -63,7 +62,7 @@
 
 /// Failure of a call to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum CallFailure {
+pub(crate) enum CallFailure {
     /// It certainly was not sent.
     #[error("the peer could not be reached: {0}")]
     Unavailable(String),
@@ -74,7 +73,7 @@
 
 impl CallFailure {
     /// The result code.
-    pub const fn code(&self) -> Code {
+    pub(crate) const fn code(&self) -> Code {
         match self {
             Self::Unavailable(_) => Code::PeerUnavailable,
             Self::Unknown(_) => Code::PeerUnknown,
@@ -144,25 +143,25 @@
 
 /// A handle to the exchange with other processes.
 #[derive(Debug, Clone)]
-pub struct Peers {
+pub(crate) struct Peers {
     inner: Arc<Inner>,
     runtime: Handle,
 }
 
 /// The thread behind [`Peers`].
 #[derive(Debug)]
-pub struct PeerThread {
+pub(crate) struct PeerThread {
     inner: Arc<Inner>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Peers {
     /// Binds the address and starts the thread. News of other processes go into the ring.
-    pub fn start<H: Handler>(
+    pub(crate) fn start<H: Handler>(
         identity: Identity,
         clock: Clock,
         handler: H,
-        news: Producer<News>,
+        news: Outlet<News>,
     ) -> Result<(Self, PeerThread), PeerError> {
         let keys = KeyRing::read(&identity.keys)?;
         let address = identity.address;
@@ -209,43 +208,38 @@
     }
 
     /// This process's name.
-    pub fn node(&self) -> &NodeName {
+    pub(crate) fn node(&self) -> &NodeName {
         &self.inner.shared.node
     }
 
-    /// This process's incarnation.
-    pub fn incarnation(&self) -> Incarnation {
-        self.inner.shared.incarnation
-    }
-
     /// The address on which peers reach this process.
-    pub fn address(&self) -> SocketAddr {
+    pub(crate) fn address(&self) -> SocketAddr {
         lock(&self.inner.own).address
     }
 
     /// Counters of the traffic.
-    pub fn counters(&self) -> Arc<Counters> {
+    pub(crate) fn counters(&self) -> Arc<Counters> {
         self.inner.shared.counters.clone()
     }
 
     /// Changes what this process tells of itself.
-    pub fn tell(&self, change: impl FnOnce(&mut Heartbeat)) {
+    pub(crate) fn tell(&self, change: impl FnOnce(&mut Heartbeat)) {
         change(&mut lock(&self.inner.own));
     }
 
     /// Tells all peers at once that this process is stopping.
-    pub fn tell_draining(&self) {
+    pub(crate) fn tell_draining(&self) {
         self.tell(|beat| beat.draining = true);
         self.inner.hasten.notify_one();
     }
 
     /// What this process tells of itself.
-    pub fn own(&self) -> Heartbeat {
+    pub(crate) fn own(&self) -> Heartbeat {
         lock(&self.inner.own).clone()
     }
 
     /// Takes the peers' addresses from a configuration.
-    pub fn configure(&self, config: &Config) {
+    pub(crate) fn configure(&self, config: &Config) {
         let mut configured = IndexMap::new();
         for (name, host) in &config.hosts {
             for (role, address) in [("entry", host.entry), ("scheduler", host.scheduler)] {
@@ -256,18 +250,38 @@
         *lock(&self.inner.configured) = configured;
     }
 
+    /// Names of all processes that are configured or were heard of lately, without this one.
+    pub(crate) fn known(&self) -> Vec<NodeName> {
+        let mut known: indexmap::IndexSet<NodeName> =
+            lock(&self.inner.configured).keys().cloned().collect();
+        self.members(|members| {
+            known.extend(members.iter().map(|member| member.beat.node.clone()));
+        });
+        known.swap_remove(self.node());
+        known.into_iter().collect()
+    }
+
     /// Looks at the known processes.
-    pub fn members<T>(&self, look: impl FnOnce(&Membership) -> T) -> T {
+    pub(crate) fn members<T>(&self, look: impl FnOnce(&Membership) -> T) -> T {
         look(&lock(&self.inner.membership))
     }
 
     /// The processes that are not gone.
-    pub fn present(&self) -> Vec<Member> {
+    pub(crate) fn present(&self) -> Vec<Member> {
         self.members(|members| members.present().cloned().collect())
     }
 
+    /// The owner of a shard, as far as heartbeats tell: the one with the highest epoch.
+    pub(crate) fn owner_of(&self, shard: &ShardName) -> Option<NodeName> {
+        self.members(|members| {
+            let owned = members.iter().flat_map(|member| &member.beat.shards);
+            let newest = owned.filter(|s| s.shard == *shard).max_by_key(|s| s.epoch);
+            newest.map(|summary| summary.owner.clone())
+        })
+    }
+
     /// Address of a process: from its heartbeats, the configuration or the seeds.
-    pub fn address_of(&self, node: &NodeName) -> Option<SocketAddr> {
+    pub(crate) fn address_of(&self, node: &NodeName) -> Option<SocketAddr> {
         let configured = || lock(&self.inner.configured).get(node).map(|(a, _)| *a);
         self.members(|members| members.address(node))
             .or_else(configured)
@@ -275,7 +289,7 @@
     }
 
     /// Calls a process by name. May be awaited on any runtime.
-    pub async fn call(
+    pub(crate) async fn call(
         &self,
         node: &NodeName,
         call: Call,
@@ -295,7 +309,7 @@
     }
 
     /// Calls a process by name from a thread without a runtime.
-    pub fn call_blocking(
+    pub(crate) fn call_blocking(
         &self,
         node: &NodeName,
         call: Call,
@@ -310,14 +324,14 @@
     }
 
     /// Runs a task on the thread for peers.
-    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.runtime.spawn(task);
     }
 }
 
 impl PeerThread {
     /// Ends the thread. Calls in flight get no answer.
-    pub fn stop(&mut self) {
+    pub(crate) fn stop(&mut self) {
         self.inner.stop.send_replace(true);
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
@@ -346,7 +360,7 @@
     listener: TcpListener,
     socket: UdpSocket,
     handler: H,
-    news: Producer<News>,
+    news: Outlet<News>,
     mut stopped: watch::Receiver<bool>,
 ) {
     runtime.block_on(async {
--- /dev/null
+++ b/crates/jujubelb/src/scheduler/declared.rs
@@ -0,0 +1,118 @@
+//! The thread that has declared jobs accepted by their home shards.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::Scheduler;
+use crate::model::{Code, JobName, JobSpec, Revision, Span, Time};
+use crate::peer::{Call, Reply};
+use crate::process::{Running, jobs};
+use crate::shard::{Submission, digest, home_shard};
+
+/// Interval of looking for declared jobs.
+const STEP: Span = Span::from_millis(500);
+
+/// Jobs handled in one step. Each costs up to two store calls.
+const BATCH: usize = 4;
+
+/// Time for the answer of the home shard's owner.
+const PATIENCE: Span = Span::from_millis(5_000);
+
+/// Time until a job is tried again after a failure.
+const RETRY: Span = Span::from_secs(2);
+
+/// What became of a declared job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// The home shard accepted the declaration with this digest, or never will.
+    Settled([u8; 32]),
+    /// To be tried again at this time.
+    Again(Time),
+}
+
+/// State of the thread.
+pub(super) struct Declared {
+    scheduler: Arc<Scheduler>,
+    outcomes: IndexMap<JobName, Outcome>,
+    revision: Revision,
+}
+
+impl Declared {
+    /// The state at the start.
+    pub(super) fn new(scheduler: Arc<Scheduler>) -> Self {
+        Self {
+            scheduler,
+            outcomes: IndexMap::new(),
+            revision: Revision::default(),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(super) fn run(mut self, running: &Running) {
+        while running.wait(STEP) {
+            if !self.scheduler.process.is_draining() {
+                self.step();
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        let (process, config) = (
+            &self.scheduler.process,
+            self.scheduler.process.board.config(),
+        );
+        if config.revision != self.revision {
+            self.revision = config.revision;
+            self.outcomes
+                .retain(|name, _| config.jobs.contains_key(name));
+        }
+        let now = process.clock.now();
+        let open = |job: &&JobSpec| match self.outcomes.get(&job.name) {
+            Some(Outcome::Settled(known)) => *known != digest(job),
+            Some(Outcome::Again(at)) => now >= *at,
+            None => true,
+        };
+        let own = |job: &&JobSpec| {
+            home_shard(&config, &job.name).is_some_and(|shard| self.scheduler.owns(shard))
+        };
+        let due: Vec<_> = config.jobs.values().filter(own).filter(open).collect();
+        for job in due.into_iter().take(BATCH) {
+            let outcome = match self.submit(&config, job) {
+                true => Outcome::Settled(digest(job)),
+                false => Outcome::Again(now + RETRY),
+            };
+            self.outcomes.insert(job.name.clone(), outcome);
+        }
+    }
+
+    /// Claims the name and submits the job to the shard that the claim names.
+    /// Returns whether nothing is left to do.
+    fn submit(&self, config: &crate::config::Config, job: &JobSpec) -> bool {
+        let shard = match jobs::claim(&self.scheduler.process.store, config, job) {
+            Ok(shard) => shard,
+            Err(failure) => {
+                log::warn!(job:% = job.name, code = failure.code.number(), message = failure.message.as_str(); "a declared job has no home shard");
+                return failure.code == Code::JobConflict;
+            }
+        };
+        let submission = Submission {
+            shard: shard.clone(),
+            job: job.clone(),
+        };
+        match self
+            .scheduler
+            .call_owner_blocking(&shard, Call::Submit(submission), PATIENCE)
+        {
+            Some(Reply::Code(code @ (Code::Accepted | Code::AlreadyAccepted), _)) => {
+                log::info!(job:% = job.name, shard:% = shard, code = code.number(); "a declared job is accepted");
+                true
+            }
+            Some(Reply::Code(code, text)) => {
+                log::warn!(job:% = job.name, shard:% = shard, code = code.number(), message = text.as_str(); "a declared job is not accepted yet");
+                matches!(code, Code::JobConflict | Code::Impossible)
+            }
+            _ => false,
+        }
+    }
+}
--- a/crates/jujubelb/src/store/http.rs
+++ b/crates/jujubelb/src/store/http.rs
@@ -45,14 +45,19 @@
         Ok(Self {
             address,
             http,
-            pace: Mutex::new(Pace::new(clock.now(), processes, 0)),
+            pace: Mutex::new(Pace::new(clock.now(), processes)),
             clock,
         })
     }
 
-    /// Sets this process's share of the store's rates.
-    pub fn set_share(&self, processes: usize, shards: usize) {
-        self.pace().set_share(processes, shards);
+    /// Sets the number of processes that share the store's rates.
+    pub fn set_processes(&self, processes: usize) {
+        self.pace().set_processes(processes);
+    }
+
+    /// Sets the number of shards that this process owns.
+    pub fn set_shards(&self, shards: usize) {
+        self.pace().set_shards(shards);
     }
 
     fn pace(&self) -> MutexGuard<'_, Pace> {
--- a/crates/jujubelb/src/store/pace.rs
+++ b/crates/jujubelb/src/store/pace.rs
@@ -58,14 +58,16 @@
 pub(crate) struct Pace {
     read: Bucket,
     write: Bucket,
+    processes: usize,
+    shards: usize,
     failures: u32,
     failed: Option<Time>,
     closed: Time,
 }
 
 impl Pace {
-    /// The pace of one of `processes` processes that owns `shards` shards.
-    pub(crate) fn new(now: Time, processes: usize, shards: usize) -> Self {
+    /// The pace of one of `processes` processes.
+    pub(crate) fn new(now: Time, processes: usize) -> Self {
         let bucket = Bucket {
             tokens: BURST,
             rate: 1.0,
@@ -74,19 +76,33 @@
         let mut pace = Self {
             read: bucket,
             write: bucket,
+            processes,
+            shards: 0,
             failures: 0,
             failed: None,
             closed: now,
         };
-        pace.set_share(processes, shards);
+        pace.share();
         pace
     }
 
-    /// Sets the process's share of the store's rates.
-    pub(crate) fn set_share(&mut self, processes: usize, shards: usize) {
-        let processes = processes.max(1) as f64;
+    /// Sets the number of processes that share the store's rates.
+    pub(crate) fn set_processes(&mut self, processes: usize) {
+        self.processes = processes;
+        self.share();
+    }
+
+    /// Sets the number of shards that the process owns.
+    pub(crate) fn set_shards(&mut self, shards: usize) {
+        self.shards = shards;
+        self.share();
+    }
+
+    fn share(&mut self) {
+        let processes = self.processes.max(1) as f64;
+        let logs = self.shards as f64 * SHARD_WRITES;
         self.read.rate = STORE_READS / processes;
-        self.write.rate = (STORE_WRITES - LOG_WRITES) / processes + shards as f64 * SHARD_WRITES;
+        self.write.rate = (STORE_WRITES - LOG_WRITES) / processes + logs;
     }
 
     /// Takes a call's permission. The error is how long to wait before asking again.
--- a/crates/jujubelb/src/store/tests.rs
+++ b/crates/jujubelb/src/store/tests.rs
@@ -113,7 +113,8 @@
     let span = Span::from_secs(seconds);
     let (mut writes, mut reads) = (0, 0);
     for n in 0..processes {
-        let mut pace = Pace::new(Time::ZERO, processes, usize::from(n < shards));
+        let mut pace = Pace::new(Time::ZERO, processes);
+        pace.set_shards(usize::from(n < shards));
         pace.failed(Time::ZERO, 0.5);
         pace.succeeded();
         // The burst is left out by starting within the time of recovery.
@@ -129,7 +130,8 @@
             Time::from_millis(200),
             Span::from_secs(9),
         );
-        let mut pace = Pace::new(Time::ZERO, processes, 1);
+        let mut pace = Pace::new(Time::ZERO, processes);
+        pace.set_shards(1);
         let calm = admitted(&mut pace, Kind::Write, Time::ZERO, span) as f64;
         assert!(calm >= SHARD_WRITES * seconds as f64 * 0.99, "{calm}");
     }
@@ -147,7 +149,7 @@
 #[test]
 fn calls_after_a_failure_are_spread_by_jitter() {
     let first = |random| {
-        let mut pace = Pace::new(Time::ZERO, 1, 1);
+        let mut pace = Pace::new(Time::ZERO, 1);
         for _ in 0..6 {
             pace.failed(Time::ZERO, random);
         }
--- a/crates/jujubelb/src/worker/tests.rs
+++ b/crates/jujubelb/src/worker/tests.rs
@@ -5,6 +5,7 @@
     let request = SyncRequest {
         shard: "s".into(),
         epoch: Epoch(1),
+        seq: 1,
         lease: None,
         have: None,
         commands: Vec::new(),
