--- /dev/null
+++ b/crates/jujubelb-lab/tests/processes/world.rs
@@ -0,0 +1,226 @@
+//! A small deployment on loopback: the stand-in platform and real processes.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use jujubelb::config::declare;
+use jujubelb::entry::EntryHandle;
+use jujubelb::model::Span;
+use jujubelb::operator::api::{ApplyAnswer, ApplyRequest, TasksView};
+use jujubelb::scheduler::SchedulerHandle;
+use jujubelb::settings::Settings;
+use jujubelb_lab::standin::behaviour::Behaviours;
+use jujubelb_lab::standin::platform::{Addresses, Platform, Reality};
+use reqwest::blocking::{Client, RequestBuilder, Response};
+
+pub const TOKEN: &str = "operator-token-0123456789";
+
+/// Longest wait for something that takes seconds. Only a fault makes a test wait so long.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Ports that are free at the time of the call, for TCP and UDP.
+pub fn free(count: usize) -> Vec<SocketAddr> {
+    let bound = |_| loop {
+        let tcp = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = tcp.local_addr().unwrap();
+        if let Ok(udp) = UdpSocket::bind(address) {
+            return (tcp, udp, address);
+        }
+    };
+    let sockets: Vec<_> = (0..count).map(bound).collect();
+    sockets.into_iter().map(|(_, _, address)| address).collect()
+}
+
+pub struct World {
+    pub platform: Platform,
+    pub files: IndexMap<String, String>,
+    pub http: Client,
+    addresses: Addresses,
+    hosts: Vec<(SocketAddr, SocketAddr)>,
+    dir: PathBuf,
+}
+
+impl World {
+    /// A platform with one domain, `hosts` entry hosts, two workers and one endpoint.
+    pub fn new(hosts: usize, service: Span) -> Self {
+        let free = free(5 + 2 * hosts);
+        let peers: Vec<_> = free[5..].chunks(2).map(|c| (c[0], c[1])).collect();
+        let text = declarations(&free[2..5], &peers);
+        let files = IndexMap::from([("all.yaml".to_owned(), text)]);
+        let config = declare::check(&files).unwrap();
+        let addresses = Addresses {
+            store: free[0],
+            hosts: free[1],
+        };
+        let reality = Reality {
+            behaviours: Behaviours::default(),
+            service,
+        };
+        Self {
+            platform: Platform::start(addresses, &config, &reality).unwrap(),
+            files,
+            http: Client::builder().no_proxy().build().unwrap(),
+            addresses,
+            hosts: peers,
+            dir: directory(),
+        }
+    }
+
+    pub fn settings(&self, host: usize, entry: bool) -> Settings {
+        let (own, other) = (self.hosts[host].0, self.hosts[host].1);
+        let seeds = self
+            .hosts
+            .iter()
+            .zip(1..)
+            .flat_map(|((entry, scheduler), n)| {
+                [
+                    (format!("host-{n}/entry").as_str().into(), *entry),
+                    (format!("host-{n}/scheduler").as_str().into(), *scheduler),
+                ]
+            });
+        let any = "127.0.0.1:0".parse().unwrap();
+        Settings {
+            host: format!("host-{}", host + 1).as_str().into(),
+            domain: "home-a".into(),
+            callers: entry.then_some(any),
+            operators: any,
+            peers: if entry { own } else { other },
+            store: self.addresses.store,
+            host_list: self.addresses.hosts,
+            seeds: seeds.collect(),
+            keys: vec![self.dir.join("key")],
+            tokens: vec![self.dir.join("token")],
+            stop: Duration::from_secs(30),
+            notice: Duration::from_millis(200),
+        }
+    }
+
+    pub fn entry(&self, host: usize) -> EntryHandle {
+        EntryHandle::start(self.settings(host, true)).unwrap()
+    }
+
+    pub fn scheduler(&self, host: usize) -> SchedulerHandle {
+        SchedulerHandle::start(self.settings(host, false)).unwrap()
+    }
+
+    pub fn operator(&self, request: RequestBuilder) -> Response {
+        request.bearer_auth(TOKEN).send().unwrap()
+    }
+
+    /// Applies the declarations and waits until the entry process is ready.
+    pub fn apply(&self, entry: &EntryHandle) -> ApplyAnswer {
+        let request = ApplyRequest {
+            change: "change-1".into(),
+            author: "test".into(),
+            expected: Default::default(),
+            files: self
+                .files
+                .iter()
+                .map(|(name, text)| (name.clone(), Some(text.clone())))
+                .collect(),
+        };
+        let url = format!("http://{}/v1/apply", entry.operators());
+        let response = self.operator(self.http.post(url).json(&request));
+        assert_eq!(response.status(), 200, "{}", response.text().unwrap());
+        let answer = response.json().unwrap();
+        self.until("readiness", || {
+            let url = format!("http://{}/ready", entry.callers());
+            self.http.get(url).send().unwrap().status() == 200
+        });
+        answer
+    }
+
+    pub fn tasks(&self, operators: SocketAddr) -> TasksView {
+        let url = format!("http://{operators}/v1/tasks");
+        self.operator(self.http.get(url)).json().unwrap()
+    }
+
+    /// Waits for a condition.
+    pub fn until(&self, what: &str, mut reached: impl FnMut() -> bool) {
+        let start = Instant::now();
+        while !reached() {
+            assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// The result code in the header of an answer.
+pub fn code(response: &Response) -> u16 {
+    let value = response.headers().get("Jujubelb-Code").expect("no code");
+    value.to_str().unwrap().parse().unwrap()
+}
+
+fn directory() -> PathBuf {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!(
+        "jujubelb-processes-{}-{}",
+        std::process::id(),
+        COUNT.fetch_add(1, SeqCst)
+    );
+    let dir = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&dir).unwrap();
+    std::fs::write(dir.join("key"), "k".repeat(40)).unwrap();
+    std::fs::write(dir.join("token"), TOKEN).unwrap();
+    dir
+}
+
+fn declarations(platform: &[SocketAddr], hosts: &[(SocketAddr, SocketAddr)]) -> String {
+    let hosts: String = hosts
+        .iter()
+        .zip(1..)
+        .map(|((entry, scheduler), n)| {
+            format!(
+                "  - name: host-{n}\n    domain: home-a\n    entry: {entry}\n    scheduler: {scheduler}\n"
+            )
+        })
+        .collect();
+    format!(
+        "regions: [home]
+domains:
+  - name: home-a
+    region: home
+hosts:
+{hosts}racks:
+  - name: rack-1
+    domain: home-a
+    shard: home-a-1
+    workers:
+      - name: worker-1
+        address: {}
+        cpu: 8
+        memory: 32 GiB
+      - name: worker-2
+        address: {}
+        cpu: 8
+        memory: 32 GiB
+services:
+  - name: hello
+    deadline: 5s
+    endpoints:
+      - name: hello-1
+        domain: home-a
+        address: {}
+teams:
+  - name: everyone
+    quota: {{ cpu: 12, memory: 48 GiB }}
+jobs:
+  - name: tidy-up
+    team: everyone
+    tasks: 4
+    cpu: 1500m
+    memory: 2 GiB
+    duration: 1s
+",
+        platform[0], platform[1], platform[2]
+    )
+}
