--- a/crates/jujubelb/src/config/declare/operations.rs
+++ b/crates/jujubelb/src/config/declare/operations.rs
@@ -17,7 +17,7 @@
 /// Name of the file. `apply` refuses it.
 pub const OPERATIONS: &str = "operations.yaml";
 
-const FIELDS: [&str; 2] = ["domains-out", "endpoints-leaving"];
+pub(super) const FIELDS: [&str; 2] = ["domains-out", "endpoints-leaving"];
 
 /// What operators took out of service.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/jujubelb/src/config/declare/services.rs
+++ b/crates/jujubelb/src/config/declare/services.rs
@@ -20,6 +20,10 @@
     "leaving",
 ];
 
+/// All fields, to compare them with the page.
+#[cfg(test)]
+pub(super) const FIELDS: [&[&str]; 2] = [&SERVICE, &ENDPOINT];
+
 /// Deadline of a request if neither the caller nor the service names one.
 const DEADLINE: Span = Span::from_secs(1);
 
--- a/crates/jujubelb/src/config/declare/site.rs
+++ b/crates/jujubelb/src/config/declare/site.rs
@@ -26,6 +26,10 @@
 ];
 const RESERVED: [&str; 3] = ["cpu", "memory", "accelerators"];
 
+/// All fields, to compare them with the page.
+#[cfg(test)]
+pub(super) const FIELDS: [&[&str]; 5] = [&DOMAIN, &HOST, &RACK, &WORKER, &RESERVED];
+
 /// A region is only a name.
 pub(super) fn region(draft: &mut Draft, node: &Node) {
     let Tree::Text(name) = &node.tree else {
--- a/crates/jujubelb/src/config/declare/tests.rs
+++ b/crates/jujubelb/src/config/declare/tests.rs
@@ -216,6 +216,29 @@
     assert!(check(&one(&deep)).is_err());
 }
 
+/// Guards against fields that the page does not explain.
+#[test]
+fn page_lists_every_field() {
+    let page = include_str!("../../../../../docs/configuration.md");
+    let rows: Vec<&str> = page.lines().filter(|l| l.starts_with("| `")).collect();
+    let listed = |field: &&str| {
+        let quoted = format!("`{field}`");
+        let first = |row: &&str| row.split(" | ").next().is_some_and(|c| c.contains(&quoted));
+        rows.iter().any(first)
+    };
+    for field in site::FIELDS
+        .into_iter()
+        .chain(services::FIELDS)
+        .chain(work::FIELDS)
+    {
+        assert!(field.iter().all(&listed), "{field:?}");
+    }
+    assert!(operations::FIELDS.iter().all(listed));
+    for (section, _) in SECTIONS {
+        assert!(page.contains(&format!("`{section}`")), "{section}");
+    }
+}
+
 fn runs(cases: u32) -> Runs {
     Runs {
         cases,
--- a/crates/jujubelb/src/config/declare/work.rs
+++ b/crates/jujubelb/src/config/declare/work.rs
@@ -39,6 +39,10 @@
     "reclaimable",
 ];
 
+/// All fields, to compare them with the page.
+#[cfg(test)]
+pub(super) const FIELDS: [&[&str]; 5] = [&TEAM, &QUOTA, &LIMITS, &JOB, &WATCHER];
+
 pub(super) fn team(draft: &mut Draft, node: &Node) {
     let Some(fields) = Fields::open(node, "team", &TEAM, &mut draft.problems) else {
         return;
--- a/crates/jujubelb/src/config/head/apply.rs
+++ b/crates/jujubelb/src/config/head/apply.rs
@@ -3,11 +3,12 @@
 use indexmap::IndexMap;
 
 use super::load::{Contents, Loaded, load};
-use super::{Applied, ApplyError, CONTENT, FileRef, HEAD, Head, ReadError, hash};
+use super::{Applied, ApplyError, CONTENT, FileRef, HEAD, Head, NAMED, ReadError, hash};
 use crate::config::Config;
 use crate::config::declare::{self, Files, OPERATIONS, Operations};
 use crate::config::diff::{self, Difference};
 use crate::model::{DomainName, EndpointName, Revision, WallTime};
+use crate::operator::api::{ApplyAnswer, ApplyRequest, ChangeView};
 use crate::store::{Expect, Store, StoreError, Version};
 
 /// Tries before a change gives up against other changes or lost answers. At
@@ -54,6 +55,20 @@
     pub edit: Edit,
 }
 
+impl Change {
+    /// The change that a request of the operators' interface asks for.
+    pub fn from_request(request: ApplyRequest) -> Self {
+        Self {
+            id: request.change,
+            author: request.author,
+            edit: Edit::Files {
+                expected: request.expected,
+                files: request.files,
+            },
+        }
+    }
+}
+
 /// A change that is in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Outcome {
@@ -65,6 +80,24 @@
     pub diff: Vec<Difference>,
 }
 
+impl Outcome {
+    /// The answer of the operators' interface.
+    pub fn answer(&self) -> ApplyAnswer {
+        let none = || ChangeView {
+            revision: Revision::default(),
+            change: String::new(),
+            author: String::new(),
+            at: WallTime::ZERO,
+            files: Vec::new(),
+        };
+        ApplyAnswer {
+            change: self.applied.as_ref().map_or_else(none, Applied::view),
+            unchanged: self.unchanged,
+            diff: self.diff.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
 /// Applies a change as a whole or not at all.
 ///
 /// After an error other than [`ApplyError::Unknown`] the change certainly did
@@ -243,6 +276,17 @@
     fn unchanged(&self) -> bool {
         self.texts.is_empty() && self.removed.is_empty()
     }
+
+    /// The first files that change, and how many more there are.
+    fn named(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.texts.keys().chain(&self.removed).cloned().collect();
+        let more = names.len().saturating_sub(NAMED);
+        names.truncate(NAMED);
+        if more > 0 {
+            names.push(format!("and {more} more"));
+        }
+        names
+    }
 }
 
 fn plan(base: &Loaded, change: &Change) -> Result<Plan, ApplyError> {
@@ -403,7 +447,7 @@
         digest: digest.to_owned(),
         author: change.author.clone(),
         at: now,
-        files: plan.texts.keys().chain(&plan.removed).cloned().collect(),
+        files: plan.named(),
     });
     head.trim();
     head
--- a/crates/jujubelb/src/config/head/mod.rs
+++ b/crates/jujubelb/src/config/head/mod.rs
@@ -34,6 +34,10 @@
 /// change here; at 2,200 changes a day this covers 40 minutes.
 const RECENT: usize = 64;
 
+/// Files that a remembered change names. Keeps the head far below the store's
+/// largest value even if each change touches all files.
+const NAMED: usize = 20;
+
 /// Removed files that the head remembers, to tell who removed them.
 const REMOVED: usize = 64;
 
@@ -59,7 +63,7 @@
     pub author: String,
     /// When, by the calendar clock of the process that applied it.
     pub at: WallTime,
-    /// Files that it wrote or removed.
+    /// Files that it wrote or removed: the first ones and how many more.
     pub files: Vec<String>,
 }
 
--- a/crates/jujubelb/src/config/head/tests/cases.rs
+++ b/crates/jujubelb/src/config/head/tests/cases.rs
@@ -252,3 +252,59 @@
         "the late write took effect"
     );
 }
+
+/// Two versions of a team file, of which the second is in force.
+fn replaced(store: &Fake) -> (String, String) {
+    let (old, new) = (team("t", 1), team("t", 2));
+    run(store, &files("old", 1, &[("t.yaml", Some(&old))])).expect("applied");
+    run(store, &files("new", 2, &[("t.yaml", Some(&new))])).expect("applied");
+    (old, new)
+}
+
+/// Guards against a change that is paused between its content and the head,
+/// while the content is swept as unused.
+#[test]
+fn sweep_during_a_paused_change_loses_nothing() {
+    let store = started();
+    let (old, _) = replaced(&store);
+    // Head, two contents, the write of the old content, then a long pause.
+    let fine = std::iter::repeat_n(Fault::Fine, 4);
+    store.script(fine.chain([Fault::Sweep(5)]));
+    run(&store, &files("back", 3, &[("t.yaml", Some(&old))])).expect("applied");
+    let loaded = load(&store, &mut Contents::default()).expect("complete");
+    assert_eq!(loaded.files["t.yaml"], old);
+}
+
+/// Guards against a content that is used again just before it is deleted.
+#[test]
+fn change_during_a_sweep_loses_nothing() {
+    let store = started();
+    let (old, _) = replaced(&store);
+    let mut sweeper = Sweeper::default();
+    assert_eq!(sweeper.step(&store, at(0)), Ok(0));
+    let back = files("back", 3, &[("t.yaml", Some(&old))]);
+    // Read and rewrite of the head, then the change comes before the deletion.
+    store.script([Fault::Fine, Fault::Fine, Fault::Race(back.into())]);
+    assert_eq!(sweeper.step(&store, at(4_000)), Ok(0));
+    assert!(store.raced()[0].1.is_ok());
+    let loaded = load(&store, &mut Contents::default()).expect("complete");
+    assert_eq!(loaded.files["t.yaml"], old);
+}
+
+/// Guards against a head that outgrows the store's largest value.
+#[test]
+fn head_stays_small_when_changes_touch_all_files() {
+    let store = started();
+    let names: Vec<String> = (0..250).map(|n| format!("{n:0>90}.yaml")).collect();
+    for round in 0..70 {
+        let text = format!("# {round}\n");
+        let list: Vec<_> = names
+            .iter()
+            .map(|n| (n.as_str(), Some(text.as_str())))
+            .collect();
+        run(&store, &files(&format!("c{round}"), 1 + round, &list)).expect("applied");
+    }
+    let head = store.heads().pop().expect("a head");
+    let size = serde_json::to_vec(&head).expect("JSON").len();
+    assert!(size < crate::store::VALUE_LIMIT / 2, "{size}");
+}
--- a/crates/jujubelb/src/config/head/tests/fake.rs
+++ b/crates/jujubelb/src/config/head/tests/fake.rs
@@ -6,8 +6,8 @@
 use indexmap::IndexMap;
 
 use crate::config::head::ApplyError;
-use crate::config::head::{Change, Contents, HEAD, Head, Outcome, apply};
-use crate::model::{Span, WallTime};
+use crate::config::head::{Change, Contents, HEAD, Head, Outcome, Sweeper, apply};
+use crate::model::{Span, Time, WallTime};
 use crate::store::{Entry, Expect, LeaseId, Store, StoreError, Version};
 
 /// What happens to one call.
@@ -25,6 +25,8 @@
     Late(usize),
     /// A read returns the state from some versions ago.
     Stale(usize),
+    /// This many sweeps run before the call, each long after the one before it.
+    Sweep(usize),
     /// Another operator applies a change before the call.
     Race(Box<Change>),
 }
@@ -42,6 +44,8 @@
     /// Results of racing changes.
     raced: Vec<(Change, Result<Outcome, ApplyError>)>,
     depth: usize,
+    sweeper: Sweeper,
+    clock: Time,
 }
 
 #[derive(Clone)]
@@ -136,6 +140,10 @@
             }
             state.faults.pop_front().unwrap_or(Fault::Fine)
         };
+        if let Fault::Sweep(steps) = fault {
+            (0..steps).for_each(|_| self.sweep());
+            return Fault::Fine;
+        }
         let Fault::Race(change) = fault else {
             return fault;
         };
@@ -147,6 +155,20 @@
         Fault::Fine
     }
 
+    /// One step of the sweeper, without faults.
+    pub(super) fn sweep(&self) {
+        let (mut sweeper, now) = {
+            let mut state = self.0.lock().expect("no panic");
+            state.depth += 1;
+            state.clock = state.clock + Span::from_secs(2_000);
+            (std::mem::take(&mut state.sweeper), state.clock)
+        };
+        let _ = sweeper.step(self, now);
+        let mut state = self.0.lock().expect("no panic");
+        state.depth -= 1;
+        state.sweeper = sweeper;
+    }
+
     fn write(&self, write: Write) -> Result<Version, StoreError> {
         let fault = self.fault();
         let mut state = self.0.lock().expect("no panic");
--- a/crates/jujubelb/src/config/head/tests/racing.rs
+++ b/crates/jujubelb/src/config/head/tests/racing.rs
@@ -5,9 +5,7 @@
 
 use super::fake::{Fake, Fault};
 use super::{SITE, domain, files, team};
-use crate::config::head::{
-    ApplyError, Change, Contents, Edit, Head, Outcome, Reader, Sweeper, apply, load,
-};
+use crate::config::head::{ApplyError, Change, Contents, Edit, Head, Outcome, Reader, apply, load};
 use crate::model::{Revision, Time, WallTime};
 
 const NAMES: [&str; 3] = ["t.yaml", "u.yaml", "v.yaml"];
@@ -40,6 +38,7 @@
 #[derive(Debug, Clone)]
 enum Trouble {
     Plain(usize),
+    Sweep(usize),
     Race(Draft),
 }
 
@@ -56,6 +55,7 @@
     prop_oneof![
         5 => Just(Trouble::Plain(0)),
         4 => (1..7usize).prop_map(Trouble::Plain),
+        2 => (1..5usize).prop_map(Trouble::Sweep),
         2 => draft().prop_map(Trouble::Race),
     ]
 }
@@ -101,6 +101,7 @@
         Trouble::Plain(5) => Fault::Stale(1),
         Trouble::Plain(6) => Fault::Stale(3),
         Trouble::Plain(_) => Fault::Fine,
+        Trouble::Sweep(steps) => Fault::Sweep(*steps),
         Trouble::Race(draft) => Fault::Race(Box::new(build(draft, id, revision))),
     }
 }
@@ -198,7 +199,6 @@
         let first = files("site", 0, &[("site.yaml", Some(SITE))]);
         apply(&store, &mut contents, &first, WallTime::ZERO).expect("the store is empty");
         let mut reader = Reader::default();
-        let mut sweeper = Sweeper::default();
         let mut results = Vec::new();
         let mut time = Time::ZERO;
         for (n, step) in steps.iter().enumerate() {
@@ -221,9 +221,7 @@
                     let _ = reader.poll(&store, time);
                     prop_assert!(reader.config().revision >= held);
                 }
-                Step::Sweep => {
-                    let _ = sweeper.step(&store, time);
-                }
+                Step::Sweep => store.sweep(),
             }
             store.script([]);
             let loaded = load(&store, &mut Contents::default());
--- a/crates/jujubelb/src/ctl/commands/apply.rs
+++ b/crates/jujubelb/src/ctl/commands/apply.rs
@@ -54,6 +54,10 @@
     }
     let client = Client::new(options)?;
     let view: ConfigView = client.get(api::CONFIG, &[])?;
+    if let Some(name) = args.remove.iter().find(|n| !view.files.contains_key(*n)) {
+        let message = format!("no file {name} is in force; `jujubectl get` lists them");
+        return Err(CtlError::Usage(message));
+    }
     let merged = merge(&view.files, &files, &args.remove);
     let new = checked(&merged, options, terminal)?;
     if args.dry_run {
--- a/crates/jujubelb/src/ctl/commands/check.rs
+++ b/crates/jujubelb/src/ctl/commands/check.rs
@@ -53,18 +53,21 @@
 
 impl Show for Summary {
     fn text(&self, _: &Style) -> String {
-        format!(
-            "no errors: {} domains, {} entry hosts, {} workers in {} shards, \
-             {} services with {} endpoints, {} teams, {} jobs and watchers",
-            self.domains,
-            self.hosts,
-            self.workers,
-            self.shards,
-            self.services,
-            self.endpoints,
-            self.teams,
-            self.jobs
-        )
+        let counts = [
+            ("domains", self.domains),
+            ("entry hosts", self.hosts),
+            ("workers", self.workers),
+            ("shards", self.shards),
+            ("services", self.services),
+            ("endpoints", self.endpoints),
+            ("teams", self.teams),
+            ("jobs and watchers", self.jobs),
+        ];
+        let list: Vec<String> = counts
+            .iter()
+            .map(|(name, n)| format!("{name} {n}"))
+            .collect();
+        format!("no errors: {}", list.join(", "))
     }
 }
 
--- a/crates/jujubelb/src/ctl/error.rs
+++ b/crates/jujubelb/src/ctl/error.rs
@@ -87,6 +87,20 @@
 }
 
 impl CtlError {
+    /// The error for programs: the body of the operators' interface if there is
+    /// one, and the message with the exit code in any case.
+    pub fn json(&self) -> serde_json::Value {
+        let body = match self {
+            Self::Refused(body) => serde_json::to_value(body).unwrap_or_default(),
+            _ => serde_json::Value::Null,
+        };
+        serde_json::json!({
+            "exit": self.exit_code(),
+            "message": self.to_string(),
+            "body": body,
+        })
+    }
+
     /// The exit code of the process.
     pub fn exit_code(&self) -> u8 {
         match self {
--- a/crates/jujubelb/src/ctl/mod.rs
+++ b/crates/jujubelb/src/ctl/mod.rs
@@ -33,7 +33,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            terminal.error(&error);
+            terminal.error(&error, cli.global.format);
             ExitCode::from(error.exit_code())
         }
     }
--- a/crates/jujubelb/src/ctl/terminal.rs
+++ b/crates/jujubelb/src/ctl/terminal.rs
@@ -6,6 +6,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 
 use super::CtlError;
+use super::cli::Format;
 
 /// Columns when the output is not a terminal.
 const WIDTH: u16 = 80;
@@ -54,12 +55,16 @@
     }
 
     /// Prints an error on standard error, after what was written so far.
-    pub(super) fn error(&mut self, error: &CtlError) {
+    pub(super) fn error(&mut self, error: &CtlError, format: Format) {
         let _ = self.flush();
         let text = error.to_string();
-        if !text.is_empty() && error.exit_code() != 0 {
-            let _ = writeln!(io::stderr(), "error: {text}");
+        if text.is_empty() || error.exit_code() == 0 {
+            return;
         }
+        let _ = match format {
+            Format::Table => writeln!(io::stderr(), "error: {text}"),
+            Format::Json => writeln!(io::stderr(), "{}", error.json()),
+        };
     }
 
     /// A note for people on standard error, which keeps JSON on standard output clean.
