Test all jujubectl commands against a fake of the operators' interface

Paths, bodies, filters and notes about silent processes were only checked by types. Each command now runs against scripted answers; a name with slashes stays within its own path.

--- a/crates/jujubelb/src/config/head/mod.rs
+++ b/crates/jujubelb/src/config/head/mod.rs
@@ -7,6 +7,7 @@
 mod apply;
 mod error;
 mod load;
+mod plan;
 mod reader;
 mod sweep;
 #[cfg(test)]
--- a/crates/jujubelb/tests/fake/mod.rs
+++ b/crates/jujubelb/tests/fake/mod.rs
@@ -4,14 +4,16 @@
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 
+use indexmap::IndexMap;
 use jujubelb::model::{Code, NodeName, Revision, Span, WallTime};
 use jujubelb::operator::api::{
     ApplyAnswer, ApplyRequest, ChangeView, ConfigView, DomainRequest, ErrorBody,
 };
 use rocket::fairing::AdHoc;
 use rocket::http::Status;
+use rocket::http::uri::Origin;
 use rocket::request::{FromRequest, Outcome, Request};
-use rocket::serde::json::Json;
+use rocket::serde::json::{Json, Value};
 use rocket::{State, get, post, routes};
 
 #[derive(Default)]
@@ -20,6 +22,9 @@
     lost: usize,
     refusal: Option<ErrorBody>,
     applied: Vec<ApplyRequest>,
+    /// Answers of other calls by path, and the calls with query and body.
+    answers: IndexMap<String, Value>,
+    calls: Vec<String>,
 }
 
 type Shared = Arc<Mutex<Script>>;
@@ -116,6 +121,33 @@
     Err(error(script.refusal.clone().expect("scripted")))
 }
 
+fn other(operator: &Operator, shared: &Shared, call: &Origin<'_>, body: &str) -> Answer<Value> {
+    admit(operator)?;
+    let mut script = shared.lock().expect("no panic");
+    script
+        .calls
+        .push(format!("{call} {body}").trim().to_owned());
+    let answer = script.answers.get(call.path().as_str()).cloned();
+    answer
+        .map(Json)
+        .ok_or_else(|| error(ErrorBody::new(Code::NotFound, "not scripted")))
+}
+
+#[get("/<_..>", rank = 9)]
+fn read(operator: Operator, shared: &State<Shared>, call: &Origin<'_>) -> Answer<Value> {
+    other(&operator, shared, call, "")
+}
+
+#[post("/<_..>", rank = 9, data = "<body>")]
+fn write(
+    operator: Operator,
+    shared: &State<Shared>,
+    call: &Origin<'_>,
+    body: String,
+) -> Answer<Value> {
+    other(&operator, shared, call, &body)
+}
+
 /// A running fake.
 pub struct Server {
     port: u16,
@@ -140,7 +172,7 @@
                 .merge(("shutdown.ctrlc", false));
             let rocket = rocket::custom(figment)
                 .manage(managed)
-                .mount("/", routes![config, apply, domain])
+                .mount("/", routes![config, apply, domain, read, write])
                 .attach(AdHoc::on_liftoff("ready", move |rocket| {
                     let message = (rocket.config().port, rocket.shutdown());
                     Box::pin(async move { ready.send(message).expect("awaited") })
@@ -171,6 +203,18 @@
         self.shared.lock().expect("no panic").refusal = Some(body);
     }
 
+    /// Answers calls of a path from now on.
+    pub fn answer(&self, path: &str, body: impl serde::Serialize) {
+        let body = rocket::serde::json::to_value(body).expect("JSON");
+        let mut script = self.shared.lock().expect("no panic");
+        script.answers.insert(path.to_owned(), body);
+    }
+
+    /// Calls of answered paths so far, with query and body.
+    pub fn calls(&self) -> Vec<String> {
+        self.shared.lock().expect("no panic").calls.clone()
+    }
+
     /// The changes received.
     pub fn applied(&self) -> Vec<ApplyRequest> {
         self.shared.lock().expect("no panic").applied.clone()
--- a/crates/jujubelb/tests/jujubectl.rs
+++ b/crates/jujubelb/tests/jujubectl.rs
@@ -8,8 +8,14 @@
 use assert_cmd::Command;
 use assert_cmd::assert::Assert;
 use fake::Server;
-use jujubelb::model::{Code, Revision};
-use jujubelb::operator::api::{ApplyRequest, ErrorBody};
+use jujubelb::model::{
+    Action, Attempt, Cause, Code, Fact, NodeName, Priority, Record, RecordId, Resources, Revision,
+    Span, Subject, TaskId, Unit, WallTime,
+};
+use jujubelb::operator::api::{
+    ApplyAnswer, ApplyRequest, DoneBody, DumpView, ErrorBody, RecordsView, Source, TasksView,
+};
+use jujubelb::shard::TaskView;
 use tempfile::TempDir;
 
 const TOKEN: &str = "a-secret-of-the-operators";
@@ -304,3 +310,197 @@
         .assert()
         .code(4);
 }
+
+fn task(index: u32) -> TaskId {
+    TaskId {
+        job: "tidy-up".into(),
+        index,
+    }
+}
+
+fn record(seq: u64, subject: Subject, action: Action, cause: Cause) -> Record {
+    let id = |seq| RecordId {
+        node: NodeName::from("entry-1/scheduler"),
+        seq,
+    };
+    Record {
+        id: id(seq),
+        at: WallTime::from_millis(1_796_378_400_000 + seq * 1_000),
+        shard: None,
+        subject,
+        action,
+        cause,
+        place: Some("worker-1".into()),
+        facts: vec![Fact::new("free-memory", 3 << 30, Unit::Bytes)],
+        revision: Revision(7),
+        parent: (seq > 1).then(|| id(seq - 1)),
+        count: 1,
+    }
+}
+
+/// Two processes, of which one is cut off and one does not answer.
+fn sources() -> Vec<Source> {
+    let source = |node: &str, answered, age| Source {
+        node: NodeName::from(node),
+        answered,
+        age,
+    };
+    vec![
+        source("entry-1/scheduler", true, Some(Span::from_secs(95))),
+        source("entry-2/scheduler", false, None),
+    ]
+}
+
+fn records() -> RecordsView {
+    let domain = Subject::Domain("home-a".into());
+    RecordsView {
+        sources: sources(),
+        records: vec![
+            record(1, domain, Action::Remove, Cause::DomainOut),
+            record(2, Subject::Task(task(0)), Action::Evict, Cause::DomainOut),
+            record(3, Subject::Task(task(1)), Action::Start, Cause::Scheduled),
+        ],
+    }
+}
+
+/// Guards against explanations that hide silent processes or the age of the view.
+#[test]
+fn why_and_events_ask_for_records() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let server = Server::start(TOKEN);
+    server.answer("/v1/records", records());
+    let why = online(&server, &dir)
+        .args(["why", "tidy-up/0", "--since", "30m"])
+        .assert()
+        .code(0);
+    let events = online(&server, &dir)
+        .args(["events", "--cause", "601"])
+        .assert()
+        .code(0);
+    let by_domain = [
+        "events", "--domain", "home-a", "--action", "evict", "--format", "json",
+    ];
+    let json = online(&server, &dir).args(by_domain).assert().code(0);
+    let view: RecordsView = serde_json::from_str(&stdout(&json)).expect("JSON");
+    assert_eq!(view.records, records().records[1..2]);
+    assert_eq!(
+        server.calls()[..2],
+        [
+            "/v1/records?subject=tidy-up%2F0&since=1800",
+            "/v1/records?since=3600"
+        ]
+    );
+    let all = [stdout(&why), stderr(&why), stdout(&events)].join("--\n");
+    insta::assert_snapshot!(all);
+}
+
+/// Guards against filters that don't reach the list.
+#[test]
+fn tasks_are_listed() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let server = Server::start(TOKEN);
+    let view = |index, state: &str| TaskView {
+        task: task(index),
+        team: "everyone".into(),
+        priority: Priority::Batch,
+        state: state.into(),
+        attempt: Attempt(1),
+        worker: Some("worker-1".into()),
+        limit: Resources::new(1_500, 2 << 30, 0),
+        checkpoint: None,
+    };
+    let tasks = vec![view(1, "running"), view(0, "running"), view(2, "stopping")];
+    server.answer(
+        "/v1/tasks",
+        TasksView {
+            sources: Vec::new(),
+            tasks,
+        },
+    );
+    let args = ["tasks", "--state", "running", "--shard", "home-a-1"];
+    let assert = online(&server, &dir).args(args).assert().code(0);
+    insta::assert_snapshot!(stdout(&assert));
+    assert_eq!(server.calls(), ["/v1/tasks?shard=home-a-1"]);
+}
+
+/// Guards against changes that are sent to the wrong path or with the wrong meaning.
+#[test]
+fn changes_go_to_their_paths() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let server = Server::start(TOKEN);
+    let answer = ApplyAnswer {
+        change: fake::change(8),
+        unchanged: true,
+        diff: Vec::new(),
+    };
+    server.answer("/v1/endpoints/hello-1", answer);
+    let done = DoneBody {
+        code: Code::Done,
+        number: 100,
+        message: "worker-1 is taken as dead".into(),
+    };
+    server.answer("/v1/workers/worker-1/confirm-dead", done);
+    let args = ["drain", "hello-1", "--change", "c", "--author", "a"];
+    let assert = online(&server, &dir).args(args).assert().code(0);
+    assert_eq!(
+        stdout(&assert),
+        "nothing to change; revision 8 is in force\n"
+    );
+    let args = [
+        "drain",
+        "hello-1",
+        "--restore",
+        "--change",
+        "d",
+        "--author",
+        "a",
+    ];
+    online(&server, &dir).args(args).assert().code(0);
+    let args = ["confirm-dead", "worker-1", "--yes"];
+    let assert = online(&server, &dir).args(args).assert().code(0);
+    assert_eq!(stdout(&assert), "worker-1 is taken as dead (100)\n");
+    let expected = [
+        r#"/v1/endpoints/hello-1 {"change":"c","author":"a","drain":true}"#,
+        r#"/v1/endpoints/hello-1 {"change":"d","author":"a","drain":false}"#,
+        r#"/v1/workers/worker-1/confirm-dead {"author":"amal"}"#,
+    ];
+    assert_eq!(server.calls(), expected);
+    // A name can't lead to another path.
+    online(&server, &dir)
+        .args(["drain", "../workers/x"])
+        .assert()
+        .code(3);
+    assert!(
+        server
+            .calls()
+            .last()
+            .is_some_and(|c| c.starts_with("/v1/endpoints/"))
+    );
+}
+
+/// Guards against dumps that are not written where asked.
+#[test]
+fn dump_is_written_to_a_file() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let server = Server::start(TOKEN);
+    let node = NodeName::from("entry-1/entry");
+    let view = DumpView {
+        sources: sources(),
+        nodes: [(node, serde_json::json!({ "queue": 3 }))].into(),
+    };
+    server.answer("/v1/dump", &view);
+    let path = dir.path().join("state.json");
+    let assert = online(&server, &dir)
+        .args(["dump", "--output"])
+        .arg(&path)
+        .assert()
+        .code(0);
+    assert_eq!(stdout(&assert), "");
+    assert_eq!(
+        stderr(&assert),
+        "note: incomplete; no answer from entry-2/scheduler\n"
+    );
+    let text = fs::read_to_string(path).expect("written");
+    let written: DumpView = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(written, view);
+}
