Bound the search for known names when thousands of references are wrong

Each unknown reference scanned all names for examples, although only the first 500 errors are shown. The scan now stops with the list. A test with 2,000 wrong references shows 500 errors and counts 1,500.

--- a/crates/jujubelb/src/config/declare/draft.rs
+++ b/crates/jujubelb/src/config/declare/draft.rs
@@ -152,6 +152,11 @@
             {
                 continue;
             }
+            // The search for known names takes long if thousands of references are wrong.
+            if self.problems.is_full() {
+                self.problems.push(at, "", "");
+                continue;
+            }
             let known: Vec<&str> = self
                 .names
                 .keys()
--- a/crates/jujubelb/src/config/declare/problem.rs
+++ b/crates/jujubelb/src/config/declare/problem.rs
@@ -53,7 +53,7 @@
     }
 
     pub(super) fn push(&mut self, at: At, message: impl Into<String>, remedy: impl Into<String>) {
-        if self.list.len() >= MOST {
+        if self.is_full() {
             self.dropped += 1;
             return;
         }
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Whether further errors are only counted.
+    pub(super) fn is_full(&self) -> bool {
+        self.list.len() >= MOST
+    }
+
     /// `file:line` of a position, to point at another declaration.
     pub(super) fn place(&self, at: At) -> String {
         format!("{}:{}", self.files[at.file], at.line)
--- a/crates/jujubelb/src/config/declare/tests.rs
+++ b/crates/jujubelb/src/config/declare/tests.rs
@@ -310,3 +310,21 @@
         }
     }
 }
+
+/// Guards against a flood of errors that nobody can read.
+#[test]
+fn errors_are_bounded() {
+    let endpoints: String = (0..2_000)
+        .map(|n| {
+            format!(
+                "      - {{ name: e-{n}, domain: nowhere, address: '127.0.1.1:{}' }}\n",
+                n + 1
+            )
+        })
+        .collect();
+    let text = format!("services:\n  - name: web\n    endpoints:\n{endpoints}");
+    let problems = check(&one(&text)).expect_err("unknown domains");
+    assert_eq!(problems.len(), 500);
+    let last = problems.last().expect("not empty").to_string();
+    assert!(last.ends_with("(and 1500 more errors)"), "{last}");
+}
