Make the lifetime of request keys a setting

Cause: a holder of claims abstains for one lifetime after its start, so a deployment whose callers retry only for seconds refused keyed requests for eleven minutes after every start. Change: the setting key-lifetime (default 10 min) fixes how long a claim is held: the lifetime plus 5 % for clocks and 16 s for the claim itself and the spread of a new configuration. Conclusion: short lifetimes shorten the abstention, at the same safety.

--- a/crates/jujubelb-lab/tests/processes/world.rs
+++ b/crates/jujubelb-lab/tests/processes/world.rs
@@ -95,6 +95,7 @@
             tokens: vec![self.dir.join("token")],
             stop: Duration::from_secs(30),
             notice: Duration::from_millis(200),
+            key_lifetime: Duration::from_secs(600),
         }
     }
 
--- a/crates/jujubelb/src/claim/mod.rs
+++ b/crates/jujubelb/src/claim/mod.rs
@@ -28,14 +28,20 @@
 
 use crate::model::Span;
 
-/// Time after its first attempt within which a caller may retry with the same key.
+/// Time after its first attempt within which a caller may retry with the same
+/// key, if the settings name no other.
 pub const KEY_LIFETIME: Span = Span::from_secs(600);
 
+/// Added to the lifetime of a key: the time that a claim may take (10 s) and the
+/// delay with which a new configuration arrives (5 s), rounded up.
+const MARGIN: Span = Span::from_secs(16);
+
 /// Time for which a claim is held, for which a holder abstains after its start
-/// and for which a former host set matters. It is longer than the lifetime of a
-/// key by the time that a claim may take, by the delay with which a new
-/// configuration arrives (5 s) and by 5 % for clocks of different speed.
-pub const LIFETIME: Span = Span::from_secs(660);
+/// and for which a former host set matters. It is longer than the lifetime of
+/// the key by a margin and by 5 % for clocks of different speed.
+pub fn holding_time(key: Span) -> Span {
+    key.scale_up(105, 100) + MARGIN
+}
 
 /// Time after admission within which a claim has to be decided.
 pub const DECISION: Span = Span::from_secs(10);
--- a/crates/jujubelb/src/entry/desk.rs
+++ b/crates/jujubelb/src/entry/desk.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
-use crate::claim::{Holder, HostSets, LIFETIME};
-use crate::model::{DomainName, NodeName, Time};
+use crate::claim::{Holder, HostSets, holding_time};
+use crate::model::{DomainName, NodeName, Span, Time};
 use crate::route::{Refusal, RequestInfo, Router, Ticket};
 use crate::telemetry::Clock;
 
@@ -26,14 +26,15 @@
 }
 
 impl Desk {
-    /// A desk without configuration.
-    pub(super) fn new(node: NodeName, domain: DomainName, clock: Clock) -> Self {
+    /// A desk without configuration. `key` is the lifetime of request keys.
+    pub(super) fn new(node: NodeName, domain: DomainName, clock: Clock, key: Span) -> Self {
+        let held = holding_time(key);
         Self {
             clock,
             state: Mutex::new(State {
                 router: Router::new(node, domain),
-                holder: Holder::new(clock.now(), LIFETIME),
-                sets: HostSets::new(LIFETIME),
+                holder: Holder::new(clock.now(), held),
+                sets: HostSets::new(held),
                 waiting: IndexMap::new(),
             }),
         }
--- a/crates/jujubelb/src/entry/mod.rs
+++ b/crates/jujubelb/src/entry/mod.rs
@@ -79,6 +79,7 @@
                 process.node.clone(),
                 process.settings.domain.clone(),
                 process.clock,
+                Span::from(process.settings.key_lifetime),
             ),
             client: forward::client()
                 .map_err(|e| StartError::Client("endpoints", e.to_string()))?,
--- a/crates/jujubelb/src/route/tests/machine/world.rs
+++ b/crates/jujubelb/src/route/tests/machine/world.rs
@@ -23,7 +23,7 @@
 const SLOTS: u32 = 4;
 /// Domains of the endpoints.
 const ENDPOINTS: [usize; 4] = [0, 0, 1, 2];
-/// Scaled versions of `claim::LIFETIME` and `claim::KEY_LIFETIME`. Deadlines and
+/// Scaled versions of the holding time and the lifetime of a key. Deadlines and
 /// the delay of configurations are at most one second each.
 const LIFETIME: Span = Span::from_secs(12);
 const KEY_LIFETIME: Span = Span::from_secs(9);
--- a/crates/jujubelb/src/settings.rs
+++ b/crates/jujubelb/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::claim::KEY_LIFETIME;
 use crate::http::describe;
 use crate::model::{DomainName, HostName, NodeName, Span};
 use crate::peer::Role;
@@ -46,6 +47,14 @@
     /// Time between telling the balancer and the peers of a planned stop and refusing connections.
     #[serde(default = "default_notice", with = "humantime_serde")]
     pub notice: std::time::Duration,
+    /// Time after its first attempt within which a caller may retry with the same request key. All
+    /// entry processes need the same value, or a claim could be forgotten while a caller still retries.
+    #[serde(default = "default_key_lifetime", with = "humantime_serde")]
+    pub key_lifetime: std::time::Duration,
+}
+
+fn default_key_lifetime() -> std::time::Duration {
+    KEY_LIFETIME.to_std()
 }
 
 fn default_stop() -> std::time::Duration {
