--- a/crates/jujubelb-lab/src/demo/report.rs
+++ b/crates/jujubelb-lab/src/demo/report.rs
@@ -75,6 +75,21 @@
 }
 
 impl Report {
+    /// An empty report.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            seconds: 0.0,
+            latency: IndexMap::new(),
+            work: Counts::default(),
+            submitted: 0,
+            during: 0,
+            explained: (0, 0),
+            invariants: IndexMap::new(),
+            failures: Vec::new(),
+        }
+    }
+
     /// Takes the latency and the checks over.
     pub fn fill(&mut self, outcomes: Outcomes, ledger: &Ledger) {
         self.latency = outcomes
--- a/crates/jujubelb-lab/src/standin/ledger.rs
+++ b/crates/jujubelb-lab/src/standin/ledger.rs
@@ -92,6 +92,7 @@
     last: u64,
     done: bool,
     evicted: bool,
+    evictions: u32,
     saved: Span,
 }
 
@@ -216,6 +217,7 @@
             }
             End::Evicted => {
                 history.evicted = true;
+                history.evictions += 1;
                 history.saved = saved;
                 self.evictions += 1;
             }
@@ -249,6 +251,14 @@
         self.tasks.values().filter(|h| h.evicted && !h.done).count()
     }
 
+    /// Tasks that were evicted at least once.
+    pub fn evicted(&self) -> impl Iterator<Item = &TaskId> {
+        self.tasks
+            .iter()
+            .filter(|(_, h)| h.evictions > 0)
+            .map(|(t, _)| t)
+    }
+
     /// Numbers for reports.
     pub fn counts(&self) -> Counts {
         Counts {
