Hand a delivered answer to its request under the router's lock

The router forgets a request when it delivers the answer; a handler that was woken at that moment for another reason asked the router before it looked for the answer, was told that the request is unknown, and gave up with an internal error. Ruled out: endpoint failures (no attempt failed) and claims (the requests had no key). Change: the desk keeps the answer with the waiting request under the router's lock, and the handler looks for it before it asks the router. Conclusion: a test drives the late handler and failed by construction before.

--- a/crates/jujubelb/src/entry/desk.rs
+++ b/crates/jujubelb/src/entry/desk.rs
@@ -5,9 +5,10 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
+use super::answer::Whole;
 use crate::claim::{Holder, HostSets, holding_time};
 use crate::model::{DomainName, NodeName, Span, Time};
-use crate::route::{Refusal, RequestInfo, Router, Ticket};
+use crate::route::{AttemptEnd, AttemptId, Delivery, Refusal, RequestInfo, Router, Step, Ticket};
 use crate::telemetry::Clock;
 
 /// Holds the router. Its lock is held only for one decision at a time.
@@ -22,7 +23,24 @@
     pub(super) router: Router,
     pub(super) holder: Holder,
     pub(super) sets: HostSets,
-    waiting: IndexMap<Ticket, Arc<Notify>>,
+    waiting: IndexMap<Ticket, Waiting>,
+}
+
+/// A request in the router, as its handler waits for it.
+#[derive(Debug)]
+struct Waiting {
+    notice: Arc<Notify>,
+    /// The whole answer, from when the router delivered it until the handler takes it.
+    answer: Option<Whole>,
+}
+
+/// What a request's handler does next.
+#[derive(Debug, PartialEq)]
+pub(super) enum Turn {
+    /// Forward this answer.
+    Answer(Whole),
+    /// Follow the router's step.
+    Step(Step),
 }
 
 impl Desk {
@@ -46,7 +64,7 @@
         let result = decision(self.clock.now(), &mut state);
         for ticket in state.router.take_wakes() {
             if let Some(waiting) = state.waiting.get(&ticket) {
-                waiting.notify_one();
+                waiting.notice.notify_one();
             }
         }
         result
@@ -57,11 +75,41 @@
         self.decide(|now, state| {
             let ticket = state.router.admit(now, info)?;
             let notice = Arc::new(Notify::new());
-            state.waiting.insert(ticket, notice.clone());
+            let waiting = Waiting {
+                notice: notice.clone(),
+                answer: None,
+            };
+            state.waiting.insert(ticket, waiting);
             Ok((ticket, notice))
         })
     }
 
+    /// What a request's handler does next. The router forgets a request when it
+    /// delivers the answer, so the answer is looked for first, under the same lock.
+    pub(super) fn turn(&self, ticket: Ticket) -> Turn {
+        self.decide(|now, state| {
+            let waiting = state.waiting.get_mut(&ticket);
+            match waiting.and_then(|w| w.answer.take()) {
+                Some(answer) => Turn::Answer(answer),
+                None => Turn::Step(state.router.next(now, ticket, &mut rand::rng())),
+            }
+        })
+    }
+
+    /// Takes the end of an attempt and its answer, and wakes the handler.
+    pub(super) fn finish(&self, attempt: AttemptId, end: AttemptEnd, answer: Option<Whole>) {
+        self.decide(|now, state| {
+            let delivery = state.router.finished(now, attempt, end);
+            let (Delivery::Deliver(ticket) | Delivery::Pending(ticket)) = delivery else {
+                return;
+            };
+            if let Some(waiting) = state.waiting.get_mut(&ticket) {
+                waiting.answer = answer.filter(|_| matches!(delivery, Delivery::Deliver(_)));
+                waiting.notice.notify_one();
+            }
+        });
+    }
+
     /// Ends a request. Returns whether its claim has to be released.
     pub(super) fn leave(&self, ticket: Ticket) -> bool {
         self.decide(|now, state| {
@@ -74,3 +122,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/jujubelb/src/entry/serve.rs
+++ b/crates/jujubelb/src/entry/serve.rs
@@ -7,16 +7,17 @@
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome};
 use rocket::{Data, Request, Route};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 
 use super::Entry;
 use super::answer::{self, Failure, Whole};
 use super::claims::Claim;
+use super::desk::Turn;
 use super::forward::{self, Parcel};
 use super::headers::{self, Wishes};
 use crate::model::{Bytes, Code, ServiceName, Span, Time};
 use crate::peer::ClaimKey;
-use crate::route::{Claimed, Delivery, Dispatch, Refusal, RequestInfo, Step, Ticket};
+use crate::route::{Claimed, Dispatch, Refusal, RequestInfo, Step, Ticket};
 
 /// Path prefix of services.
 const ROOT: &str = "/svc/";
@@ -32,9 +33,6 @@
     Method::Patch,
 ];
 
-/// Attempts of one request that may end without the request looking.
-const ENDS: usize = 8;
-
 /// Handles requests on service routes.
 #[derive(Clone)]
 pub(super) struct Requests(pub(super) Arc<Entry>);
@@ -180,21 +178,16 @@
     claim: Option<Claim>,
 }
 
-/// The end of an attempt as its task reports it.
-type End = (Delivery, Option<Whole>);
-
 impl Journey<'_> {
     async fn run(&mut self, notice: &Notify) -> Result<Whole, Failure> {
-        let (ends, mut ended) = mpsc::channel(ENDS);
         loop {
-            let ticket = self.ticket;
-            let step = self
-                .entry
-                .desk
-                .decide(|now, state| state.router.next(now, ticket, &mut rand::rng()));
+            let step = match self.entry.desk.turn(self.ticket) {
+                Turn::Answer(answer) => return Ok(answer),
+                Turn::Step(step) => step,
+            };
             match step {
                 Step::Claim { until } => self.claim(until).await,
-                Step::Send(dispatch) => self.send(dispatch, ends.clone()),
+                Step::Send(dispatch) => self.send(dispatch),
                 Step::GiveUp(refusal) => {
                     if refusal.release
                         && let Some(claim) = &self.claim
@@ -206,11 +199,6 @@
                 Step::Wait { until } => {
                     let left = until.since(self.entry.process.clock.now());
                     tokio::select! {
-                        Some((delivery, answer)) = ended.recv() => {
-                            if let (Delivery::Deliver(_), Some(answer)) = (delivery, answer) {
-                                return Ok(answer);
-                            }
-                        }
                         () = notice.notified() => {}
                         () = sleep(left) => {}
                     }
@@ -237,7 +225,7 @@
 
     /// Starts an attempt. Its task reports the end to the router in every case,
     /// also if the request was answered before.
-    fn send(&self, dispatch: Dispatch, ends: mpsc::Sender<End>) {
+    fn send(&self, dispatch: Dispatch) {
         let (entry, parcel) = (self.entry.clone(), self.parcel.clone());
         let service = self.service.clone();
         tokio::spawn(async move {
@@ -245,10 +233,7 @@
             let attempt = forward::attempt(&entry.client, dispatch.address, &parcel, time);
             let (end, answer) = attempt.await;
             entry.stats.attempted(&service, end);
-            let delivery = entry
-                .desk
-                .decide(|now, state| state.router.finished(now, dispatch.attempt, end));
-            let _ = ends.send((delivery, answer)).await;
+            entry.desk.finish(dispatch.attempt, end, answer);
         });
     }
 }
