--- a/crates/jujubelb/src/shard/decide.rs
+++ b/crates/jujubelb/src/shard/decide.rs
@@ -298,7 +298,7 @@
         }
         if self.may_run(&worker, &key) {
             let id = self.record(now, note.at(worker.as_str()));
-            self.evicting.insert(key, id);
+            self.evicting.insert(key, (now, id));
             self.wake(&worker);
         } else {
             let ending = Ending::unreported(EndedBy::NotStarted, note.cause, note.parent);
--- a/crates/jujubelb/src/shard/exchange.rs
+++ b/crates/jujubelb/src/shard/exchange.rs
@@ -5,7 +5,11 @@
 use super::owner::{EVIDENCE_VALID, Owner};
 use super::policy::{News, Policy};
 use crate::model::{Attempt, Code, Resources, Span, TaskId, Time, WorkerName, WorkerTime};
-use crate::worker::{Command, Report, SyncAnswer, SyncRequest};
+use crate::worker::{Command, Report, SyncAnswer, SyncRequest, TaskReport};
+
+/// Time for a task to write its checkpoint and stop, after which it is stopped
+/// without one: a task that hangs must not keep a domain from being cleared. To be tuned.
+const EVICT_PATIENCE: Span = Span::from_secs(60);
 
 impl<P: Policy> Owner<P> {
     /// Adds links for declared and occupied workers and drops those of no more use.
@@ -86,7 +90,7 @@
             let stored = self.book.stored_limit(task, *attempt, worker);
             let command = match stored {
                 Some(_) if report.phase.is_ended() => None,
-                Some(limit) => self.command_for_running(task, *attempt, report.limit, limit),
+                Some(limit) => self.command_for_running(now, report, limit),
                 None if report.phase.is_ended() => Some(Command::Forget {
                     task: task.clone(),
                     attempt: *attempt,
@@ -106,20 +110,21 @@
 
     fn command_for_running(
         &self,
-        task: &TaskId,
-        attempt: Attempt,
-        actual: Resources,
+        now: Time,
+        report: &TaskReport,
         limit: Resources,
     ) -> Option<Command> {
-        let job = self.book.stored.jobs.get(&task.job)?;
-        let task = task.clone();
-        if job.cancelled {
+        let (task, attempt) = (report.task.clone(), report.attempt);
+        if self.book.stored.jobs.get(&task.job)?.cancelled {
             return Some(Command::Stop { task, attempt });
         }
-        if self.evicting.contains_key(&(task.clone(), attempt)) {
-            return Some(Command::Evict { task, attempt });
+        if let Some((since, _)) = self.evicting.get(&(task.clone(), attempt)) {
+            return Some(match now.since(*since) < EVICT_PATIENCE {
+                true => Command::Evict { task, attempt },
+                false => Command::Stop { task, attempt },
+            });
         }
-        (actual != limit).then_some(Command::Resize {
+        (report.limit != limit).then_some(Command::Resize {
             task,
             attempt,
             limit,
--- a/crates/jujubelb/src/shard/outbox.rs
+++ b/crates/jujubelb/src/shard/outbox.rs
@@ -28,6 +28,9 @@
 /// Records that wait while the store is away. To be tuned.
 const RECORDS_WAITING: usize = 2_000;
 
+/// Records of other processes in one item; an item has to fit into a segment. To be tuned.
+const RECORDS_TOGETHER: usize = 50;
+
 /// The answer that goes out once an item is stored.
 #[derive(Debug, Clone)]
 pub(super) enum Reply {
@@ -113,6 +116,16 @@
         self.items.push(item);
     }
 
+    /// Takes records of other processes, in items small enough for a segment.
+    pub(super) fn push_records(&mut self, records: Vec<Record>) {
+        for records in records.chunks(RECORDS_TOGETHER) {
+            self.push(Item {
+                records: records.to_vec(),
+                ..Item::default()
+            });
+        }
+    }
+
     /// Whether new work can be taken in: an append is possible soon.
     pub(super) fn is_open(&self, now: Time) -> bool {
         let slow = |inflight: &Inflight| now.since(inflight.began).as_micros() * 2;
--- a/crates/jujubelb/src/shard/owner.rs
+++ b/crates/jujubelb/src/shard/owner.rs
@@ -64,8 +64,8 @@
     pub(super) recovery: Recovery,
     /// Start of the read that last confirmed the configuration in force.
     pub(super) evidence: Option<Time>,
-    /// Attempts to be checkpointed and stopped, with the record of the decision.
-    pub(super) evicting: IndexMap<(TaskId, Attempt), RecordId>,
+    /// Attempts to be checkpointed and stopped, with the time and the record of the decision.
+    pub(super) evicting: IndexMap<(TaskId, Attempt), (Time, RecordId)>,
     /// Ends that the policy was told about and that are not stored yet.
     pub(super) told: IndexMap<TaskId, Attempt>,
     /// Queued tasks that failed and may not be tried before this time.
@@ -173,10 +173,7 @@
             Input::Former(writer, _) => self.recovery.clear(now, &writer),
             Input::ConfirmDead(worker) => self.confirm_dead(now, worker),
             Input::Latency(report) => self.policy.note(now, News::Latency(&report)),
-            Input::Records(records) => self.outbox.push(Item {
-                records,
-                ..Item::default()
-            }),
+            Input::Records(records) => self.outbox.push_records(records),
             Input::Stop => self.stop(now),
             Input::Tick => {}
         }
--- a/crates/jujubelb/src/shard/reconcile.rs
+++ b/crates/jujubelb/src/shard/reconcile.rs
@@ -201,7 +201,9 @@
             return;
         };
         let key = (task.clone(), attempt);
-        let parent = ending.parent.or_else(|| self.evicting.get(&key).cloned());
+        let parent = ending
+            .parent
+            .or_else(|| self.evicting.get(&key).map(|(_, id)| id.clone()));
         let note = Note::new(Subject::Task(task.clone()), ending.action, ending.cause)
             .at(worker.as_str())
             .facts(vec![attempt_fact(attempt)])
--- a/crates/jujubelb/src/shard/recorder.rs
+++ b/crates/jujubelb/src/shard/recorder.rs
@@ -20,7 +20,8 @@
     pub cause: Cause,
     pub place: Option<ArcStr>,
     pub facts: Vec<Fact>,
-    /// The record that caused it; by default the latest one about the subject or its job.
+    /// The record that caused it; by default the latest one about the task or
+    /// its job, because the steps in the life of a task follow from each other.
     pub parent: Option<RecordId>,
 }
 
@@ -87,7 +88,10 @@
     }
 
     pub(super) fn make(&mut self, now: Time, note: Note) -> Record {
-        let parent = note.parent.or_else(|| self.latest(&note.subject));
+        let parent = note.parent.or_else(|| match &note.subject {
+            Subject::Task(_) | Subject::Job(_) => self.latest(&note.subject),
+            _ => None,
+        });
         self.seq = self.seq.wrapping_add(1);
         let record = Record {
             id: RecordId {
--- a/crates/jujubelb/tests/shard/support/policy.rs
+++ b/crates/jujubelb/tests/shard/support/policy.rs
@@ -14,6 +14,10 @@
     Evict(usize),
     /// Give the n-th assigned task this permille of its limit.
     Resize(usize, u64),
+    /// Park the job of the n-th queued task.
+    Park(usize),
+    /// Put the first worker into quarantine or take it out.
+    Quarantine(bool),
     /// Assign each queued task to each worker with a limit of its whole capacity.
     Overcommit,
 }
@@ -64,6 +68,16 @@
                 ),
             });
         }
+        Wish::Park(n) if !queued.is_empty() => choices.push(Choice::Park {
+            job: queued[n % queued.len()].job.clone(),
+        }),
+        Wish::Quarantine(on) => {
+            let worker = view.workers.keys().next().unwrap().clone();
+            choices.push(match on {
+                true => Choice::Quarantine { worker },
+                false => Choice::Readmit { worker },
+            });
+        }
         Wish::Overcommit => {
             for task in queued {
                 for (worker, view) in view.workers {
--- a/crates/jujubelb/tests/shard/support/worker.rs
+++ b/crates/jujubelb/tests/shard/support/worker.rs
@@ -38,6 +38,8 @@
     stopping: IndexMap<(TaskId, Attempt), (Time, Phase)>,
     version: u64,
     pub leaving: bool,
+    /// Whether tasks ignore the wish for a last checkpoint.
+    pub hangs: bool,
     /// Whether it does not answer.
     pub cut: bool,
     pub started: Vec<Started>,
@@ -61,6 +63,7 @@
             stopping: IndexMap::new(),
             version: 1,
             leaving: false,
+            hangs: false,
             cut: false,
             started: Vec::new(),
             forgotten: Vec::new(),
@@ -231,6 +234,9 @@
     }
 
     fn stop(&mut self, now: Time, task: &TaskId, attempt: Attempt, phase: Phase) {
+        if self.hangs && phase == Phase::Evicted {
+            return;
+        }
         let key = (task.clone(), attempt);
         self.stopping.entry(key).or_insert((now + STOP_TIME, phase));
     }
