Test late starts, repeated offers and stale offers of a shard

Three tests now guard these rules, and the generator delays requests that carry starts. The page comment of home_shard states how declared jobs are submitted and cancelled.

--- a/crates/jujubelb/src/shard/home.rs
+++ b/crates/jujubelb/src/shard/home.rs
@@ -12,6 +12,14 @@
 /// there decides, for submitted and for declared jobs alike. An owner therefore
 /// takes declared jobs through `Input::Submit` too, and no change of the set of
 /// shards can make a second shard accept a job.
+///
+/// The process repeats the submission of each declared job until it is
+/// answered; a repeat with unchanged content is recognised by the digest. A
+/// declaration that changed under the same name is answered with a conflict. To
+/// cancel the jobs whose declarations were removed, also those removed while no
+/// process was running, the process compares the claims that are marked as
+/// declared with the configuration in force and passes `Input::Cancel` to the
+/// home shards that the claims name.
 pub fn home_shard<'a>(config: &'a Config, job: &JobName) -> Option<&'a ShardName> {
     let weight = |shard: &ShardName| {
         let mut hasher = blake3::Hasher::new();
--- a/crates/jujubelb/tests/shard/failures.rs
+++ b/crates/jujubelb/tests/shard/failures.rs
@@ -1,7 +1,9 @@
 //! Each single failure that concerns a shard, with the behaviour that operators are promised.
 
-use jujubelb::model::{Action, Cause, Code, Record, Resources, Span};
-use jujubelb::shard::{EVIDENCE_VALID, Input, LEASE, LEASE_WAIT, RENEWAL_AUTHORITY};
+use jujubelb::model::{
+    Action, Attempt, Cause, Code, Epoch, JobSpec, Record, Resources, Span, TaskId,
+};
+use jujubelb::shard::{EVIDENCE_VALID, Input, LEASE, LEASE_WAIT, Offer, RENEWAL_AUTHORITY, Ticket};
 use jujubelb::worker::Phase;
 
 use super::support::ops::SETTLE;
@@ -254,18 +256,12 @@
 #[test]
 fn a_start_that_is_long_on_its_way_is_not_obeyed() {
     let mut world = world();
-    world.modes = vec![Mode::Slow(4_400); 8];
+    world.slow_starts = Some(4_400);
     world.submit(job(IN_A, 2, 1_000));
-    world.advance(Span::from_millis(1_200));
-    let assigned = world.processes[0].owner.as_ref().unwrap().tasks();
-    assert!(
-        assigned.iter().all(|task| task.worker.is_some()),
-        "{assigned:?}"
-    );
-    // The exchanges that were under way return and carry the starts out again slowly.
-    world.advance(Span::from_millis(3_600));
-    world.modes = vec![Mode::Slow(4_400); 8];
-    world.advance(Span::from_millis(400));
+    world.advance(Span::from_millis(800));
+    let owner = world.processes[0].owner.as_ref().unwrap();
+    let dump = owner.dump(world.now);
+    assert_eq!(dump["workers"][0]["starts_sent"], 2, "{dump}");
     world.set_out(0, true);
     world.advance(Span::from_secs(10));
     finish(world);
@@ -419,6 +415,68 @@
     finish(world);
 }
 
+/// Guards against a refusal that holds for ever, also for a later offer of the same task.
+#[test]
+fn a_refused_task_can_be_offered_to_the_same_shard_again() {
+    let mut world = world();
+    world.set_out(1, true);
+    world.submit(job(IN_A, 3, 3_000));
+    world.advance(SECOND + SECOND);
+    world.wish(0, Wish::HandOff(0));
+    world.advance(SECOND);
+    world.set_out(1, false);
+    world.advance(SECOND);
+    world.wish(0, Wish::HandOff(0));
+    world.advance(SECOND + SECOND);
+    let taken = world.workers[2..]
+        .iter()
+        .map(|(w, _)| w.running().count())
+        .sum::<usize>();
+    assert_eq!(taken, 1);
+    finish(world);
+}
+
+fn offer(job: JobSpec, index: u32, epoch: u64) -> Offer {
+    Offer {
+        from: "a".into(),
+        to: "b".into(),
+        epoch: Epoch(epoch),
+        task: TaskId {
+            job: job.name.clone(),
+            index,
+        },
+        job,
+        attempt: Attempt(0),
+        checkpoint: None,
+        parent: None,
+    }
+}
+
+/// Guards against an offer of a replaced owner that arrives when the answer to
+/// its repeat is no longer kept.
+#[test]
+fn an_offer_of_a_replaced_owner_is_stale_for_ever() {
+    const MORE_THAN_KEPT: u32 = 6_000;
+    let mut world = world();
+    // Accepted by another shard, which this world does not have.
+    world.oracle.jobs.entry("old".into()).or_default().may_run = true;
+    let old = offer(job("old", 1, 1_000), 0, 1);
+    world.give(3, Input::Offer(Ticket(1_000_000), old.clone()));
+    world.advance(SECOND + SECOND);
+    assert_eq!(started(&world), 1);
+    world.workers[2].0.finish(0, Phase::Succeeded);
+    world.advance(SECOND + SECOND);
+    for index in 0..MORE_THAN_KEPT {
+        let next = offer(job("next", MORE_THAN_KEPT, 8_000), index, 2);
+        let ticket = Ticket(2_000_000 + u64::from(index));
+        world.give(3, Input::Offer(ticket, next));
+    }
+    world.advance(SECOND + SECOND);
+    world.give(3, Input::Offer(Ticket(3_000_000), old));
+    world.advance(SECOND + SECOND);
+    assert_eq!(world.oracle.violations, Vec::<String>::new());
+}
+
 /// Guards against an offer of a replaced owner that is taken after its successor settled it.
 #[test]
 fn a_held_back_offer_of_a_replaced_owner_is_not_taken() {
--- a/crates/jujubelb/tests/shard/support/ops.rs
+++ b/crates/jujubelb/tests/shard/support/ops.rs
@@ -47,6 +47,7 @@
     },
     Net(Vec<Mode>),
     OfferNet(Vec<Mode>),
+    SlowStarts(Option<u64>),
     CutLink {
         process: usize,
         worker: usize,
@@ -153,6 +154,7 @@
         1 => (worker(), any::<bool>()).prop_map(|(worker, leaving)| Op::Leave { worker, leaving }),
         3 => prop::collection::vec(mode(), 1..6).prop_map(Op::Net),
         2 => prop::collection::vec(mode(), 1..4).prop_map(Op::OfferNet),
+        1 => prop::option::of(200..8_000_u64).prop_map(Op::SlowStarts),
         3 => (process(), worker(), prop::bool::weighted(0.7))
             .prop_map(|(process, worker, cut)| Op::CutLink { process, worker, cut }),
         2 => Just(Op::DeliverLate),
@@ -210,6 +212,7 @@
             Op::Heal(worker) => self.workers[worker].0.cut = false,
             Op::Leave { worker, leaving } => self.workers[worker].0.leaving = leaving,
             Op::OfferNet(ref modes) => self.offer_modes.extend(modes),
+            Op::SlowStarts(ms) => self.slow_starts = ms,
             Op::CutLink {
                 process,
                 worker,
--- a/crates/jujubelb/tests/shard/support/world.rs
+++ b/crates/jujubelb/tests/shard/support/world.rs
@@ -14,7 +14,7 @@
     Cancel, FormerOwner, Identity, Input, Offer, Output, Owner, State, Submission, Task, TaskState,
     Ticket,
 };
-use jujubelb::worker::{SyncAnswer, SyncRequest};
+use jujubelb::worker::{Command, SyncAnswer, SyncRequest};
 
 use super::oracle::Oracle;
 use super::policy::{Scripted, Wish};
@@ -106,6 +106,8 @@
     configs: Vec<(Time, Arc<Config>)>,
     out_since: IndexMap<ShardName, Time>,
     pub modes: Vec<Mode>,
+    /// Time on the way of requests that carry starts, in milliseconds.
+    pub slow_starts: Option<u64>,
     /// The same for offers.
     pub offer_modes: Vec<Mode>,
     /// Requests under way: arrival, sender, its incarnation, worker.
@@ -205,6 +207,7 @@
             configs: vec![(Time::ZERO, Arc::new(config))],
             out_since: IndexMap::new(),
             modes: Vec::new(),
+            slow_starts: None,
             offer_modes: Vec::new(),
             transit: Vec::new(),
             cuts: IndexSet::new(),
@@ -434,7 +437,12 @@
             .iter()
             .position(|(w, _)| w.name.as_str() == worker);
         let w = w.unwrap();
-        let mode = self.modes.pop();
+        let starts = request
+            .commands
+            .iter()
+            .any(|c| matches!(c, Command::Start { .. }));
+        let slow = self.slow_starts.filter(|_| starts).map(Mode::Slow);
+        let mode = slow.or_else(|| self.modes.pop());
         let (fake, _) = &mut self.workers[w];
         let mut answer = None;
         match mode {
@@ -832,6 +840,7 @@
         self.store.deliver_late();
         self.modes.clear();
         self.offer_modes.clear();
+        self.slow_starts = None;
         self.cuts.clear();
         for (worker, _) in &mut self.workers {
             worker.cut = false;
