--- a/crates/jujubelb/src/route/router/admit.rs
+++ b/crates/jujubelb/src/route/router/admit.rs
@@ -58,11 +58,12 @@
             ran: false,
             sent: false,
             hedged: false,
+            delayed: false,
             tried: Vec::new(),
             failed: None,
         };
         self.requests.insert(ticket, request);
-        self.make_room(&info.service);
+        self.make_room(now, &info.service);
         Ok(ticket)
     }
 
@@ -187,9 +188,16 @@
         let may_cross = info.priority == Priority::Urgent || !home_able;
         let mut cause = Cause::Deadline;
         if remote <= allowed && may_cross {
+            let ahead = service.queue.ahead(info.priority) as u64;
             if self.link.allows(now, info.bytes.0, info.priority) {
                 return Ok(true);
             }
+            // Without endpoints at home all wait for the link in turn.
+            let wait = self.link.wait(info.bytes.0, info.priority);
+            let wait = wait.map(|w| w.scale_up(ahead + 1, 1));
+            if !home_able && wait.is_some_and(|w| w + remote <= allowed) {
+                return Ok(false);
+            }
             cause = Cause::LinkBudget;
         }
         let expected = home.min(remote).as_micros() as i64;
@@ -225,7 +233,7 @@
     }
 
     /// Refuses the last batch request if an urgent one took its place.
-    fn make_room(&mut self, name: &ServiceName) {
+    fn make_room(&mut self, now: Time, name: &ServiceName) {
         let service = &mut self.services[name];
         if service.queue.len() + service.claiming <= service.limit {
             return;
@@ -240,6 +248,11 @@
             request.queued = false;
             request.failed = Some(Code::QueueFull);
             self.wakes.insert(last);
+            let limit = service.limit as i64;
+            let facts = || vec![Fact::new("limit", limit, Unit::Count)];
+            let subject = Subject::Service(name.clone());
+            self.notes
+                .add(now, subject, Action::Refuse, Cause::QueueFull, facts);
         }
     }
 
--- a/crates/jujubelb/src/route/router/mod.rs
+++ b/crates/jujubelb/src/route/router/mod.rs
@@ -72,6 +72,8 @@
     /// Whether it was sent at all, for the budgets.
     sent: bool,
     hedged: bool,
+    /// Whether it was noted as delayed.
+    delayed: bool,
     /// Endpoints at which an attempt failed.
     tried: Vec<EndpointName>,
     /// The result, if no more attempts are made.
@@ -262,11 +264,14 @@
     /// Refuses new requests from now on. Admitted ones are finished.
     pub fn drain(&mut self, now: Time) {
         if !self.draining {
-            let subject = Subject::Config;
-            let open = self.requests.len() as i64;
-            let facts = || vec![Fact::new("open-requests", open, Unit::Count)];
-            self.notes
-                .add(now, subject, Action::Stop, Cause::PlannedStop, facts);
+            for name in self.services.keys() {
+                let open = self.requests.values().filter(|r| r.service == *name);
+                let open = open.count() as i64;
+                let facts = || vec![Fact::new("open-requests", open, Unit::Count)];
+                let subject = Subject::Service(name.clone());
+                self.notes
+                    .add(now, subject, Action::Stop, Cause::PlannedStop, facts);
+            }
         }
         self.draining = true;
     }
--- a/crates/jujubelb/src/route/router/step.rs
+++ b/crates/jujubelb/src/route/router/step.rs
@@ -314,10 +314,14 @@
         self.notes.add(now, subject, Action::Refuse, cause, facts);
     }
 
+    /// Notes a delay, once for each request.
     fn note_link(&mut self, now: Time, ticket: Ticket) {
-        let Some(request) = self.requests.get(&ticket) else {
+        let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
+        if std::mem::replace(&mut request.delayed, true) {
+            return;
+        }
         let wait = self.link.wait(request.bytes.0, request.priority);
         let facts = || {
             let bytes = Fact::new("request-size", request.bytes.0 as i64, Unit::Bytes);
