Compute the typical latency once per decision of the router

Admission asked for the median of the service once for each endpoint.

It is computed once now, and the two places that look for the fastest endpoint share one function.

--- a/crates/jujubelb/src/route/endpoint.rs
+++ b/crates/jujubelb/src/route/endpoint.rs
@@ -171,6 +171,12 @@
         self.running.len() as u32
     }
 
+    /// Expected latency in microseconds, where `typical` is that of the service.
+    pub(super) fn expected(&self, now: Time, typical: f64) -> f64 {
+        let round_trip = self.distance.round_trip().as_micros() as f64;
+        self.latency.get(now, typical + round_trip)
+    }
+
     /// For how long the oldest attempt has been running.
     pub(super) fn oldest(&self, now: Time) -> Span {
         let first = self.running.first_key_value();
--- a/crates/jujubelb/src/route/router/admit.rs
+++ b/crates/jujubelb/src/route/router/admit.rs
@@ -215,13 +215,7 @@
     /// Expected time until the end of a new request.
     fn expected(&self, now: Time, name: &ServiceName, priority: Priority, reach: Reach) -> Span {
         let service = &self.services[name];
-        let usable = service
-            .endpoints
-            .values()
-            .filter(|e| reach.includes(e.distance) && service.is_usable(now, e, true));
-        let fastest = usable
-            .map(|e| service.expected(now, e))
-            .fold(f64::INFINITY, f64::min);
+        let fastest = service.fastest(now, reach, true);
         // Before the first answer nothing is known about the service.
         let median = match service.latency.median(now) {
             Some(_) => fastest,
--- a/crates/jujubelb/src/route/router/report.rs
+++ b/crates/jujubelb/src/route/router/report.rs
@@ -148,6 +148,7 @@
 
     fn service_state(&self, now: Time, name: &ServiceName) -> ServiceState {
         let service = &self.services[name];
+        let typical = service.typical(now);
         let endpoints = service.endpoints.iter().map(|(name, e)| EndpointState {
             endpoint: name.clone(),
             distance: e.distance,
@@ -155,7 +156,7 @@
             inflight: e.inflight(),
             share: e.share,
             peers: e.peers,
-            latency: Span::from_micros(service.expected(now, e) as u64),
+            latency: Span::from_micros(e.expected(now, typical) as u64),
             health: e.health.clone(),
         });
         ServiceState {
--- a/crates/jujubelb/src/route/router/step.rs
+++ b/crates/jujubelb/src/route/router/step.rs
@@ -94,12 +94,9 @@
         if service.latency.median(now).is_none() {
             return false;
         }
-        let fastest = service
-            .endpoints
-            .values()
-            .filter(|e| service.is_usable(now, e, request.idempotent))
-            .map(|e| service.expected(now, e))
-            .fold(f64::INFINITY, f64::min);
+        let home = service.fastest(now, Reach::Home, request.idempotent);
+        let remote = service.fastest(now, Reach::Remote, request.idempotent);
+        let fastest = home.min(remote);
         fastest.is_finite() && now + Span::from_micros(fastest as u64) > request.deadline
     }
 
--- a/crates/jujubelb/src/route/service.rs
+++ b/crates/jujubelb/src/route/service.rs
@@ -80,10 +80,15 @@
         self.latency.median(now).unwrap_or(UNKNOWN)
     }
 
-    /// Expected latency of an endpoint in microseconds.
-    pub(super) fn expected(&self, now: Time, endpoint: &Endpoint) -> f64 {
-        let round_trip = endpoint.distance.round_trip().as_micros() as f64;
-        endpoint.latency.get(now, self.typical(now) + round_trip)
+    /// Shortest expected latency of the usable endpoints within reach, in
+    /// microseconds; infinite if there are none.
+    pub(super) fn fastest(&self, now: Time, reach: Reach, idempotent: bool) -> f64 {
+        let typical = self.typical(now);
+        self.endpoints
+            .values()
+            .filter(|e| reach.includes(e.distance) && self.is_usable(now, e, idempotent))
+            .map(|e| e.expected(now, typical))
+            .fold(f64::INFINITY, f64::min)
     }
 
     /// Whether an endpoint is in service and not ejected, or ready for a probe.
@@ -128,9 +133,7 @@
             own: e.inflight(),
             share: e.share,
             oldest: e.oldest(now).as_micros() as f64,
-            latency: e
-                .latency
-                .get(now, typical + e.distance.round_trip().as_micros() as f64),
+            latency: e.expected(now, typical),
         };
         let all = self.endpoints.values().enumerate().filter(|(_, e)| room(e));
         let all: Vec<_> = all.map(candidate).collect();
--- a/crates/jujubelb/src/route/tests/mod.rs
+++ b/crates/jujubelb/src/route/tests/mod.rs
@@ -102,6 +102,15 @@
     }
 }
 
+/// A request that has to be claimed.
+fn keyed() -> RequestInfo {
+    RequestInfo {
+        idempotent: false,
+        key: Some("k".into()),
+        ..request()
+    }
+}
+
 const OK: AttemptEnd = AttemptEnd::Answered {
     status: 200,
     bytes: Bytes(100),
