Reach hedges in the stateful test

The warm-up of a host had fewer answers than the router needs before it hedges, so no case contained a hedge.

The warm-up is longer, and the test that lists the kinds of ends now asks for hedges.

--- a/crates/jujubelb/src/route/tests/machine/mod.rs
+++ b/crates/jujubelb/src/route/tests/machine/mod.rs
@@ -137,6 +137,7 @@
     }
     let wanted = [
         "answer",
+        "hedge",
         "late answer",
         "claim granted",
         "claim held",
--- a/crates/jujubelb/src/route/tests/machine/world/callers.rs
+++ b/crates/jujubelb/src/route/tests/machine/world/callers.rs
@@ -139,6 +139,9 @@
             self.broken.insert(Rule::Leaving);
         }
         let incarnation = process.incarnation;
+        if dispatch.hedge {
+            self.see("hedge");
+        }
         self.flights.push(Flight {
             call,
             attempt: dispatch.attempt,
--- a/crates/jujubelb/src/route/tests/machine/world/hosts.rs
+++ b/crates/jujubelb/src/route/tests/machine/world/hosts.rs
@@ -30,13 +30,13 @@
         self.warm_up(host);
     }
 
-    /// Requests without trouble, so that there is a budget for retries and an
+    /// Requests without trouble, so that there is a budget for retries and hedges and an
     /// estimate of latency.
     pub(super) fn warm_up(&mut self, host: usize) {
         let Some(process) = &mut self.hosts[host] else {
             return;
         };
-        for _ in 0..40 {
+        for _ in 0..100 {
             let Ok(ticket) = process.router.admit(self.now, request()) else {
                 return;
             };
