--- a/crates/jujubelb/src/route/router/mod.rs
+++ b/crates/jujubelb/src/route/router/mod.rs
@@ -72,6 +72,8 @@
     /// Whether it was sent at all, for the budgets.
     sent: bool,
     hedged: bool,
+    /// Whether it was noted as delayed.
+    delayed: bool,
     /// Endpoints at which an attempt failed.
     tried: Vec<EndpointName>,
     /// The result, if no more attempts are made.
@@ -223,7 +225,7 @@
         for service in self.services.values_mut() {
             service
                 .endpoints
-                .retain(|_, e| !e.removed || e.inflight > 0);
+                .retain(|_, e| !e.removed || e.inflight() > 0);
         }
         self.services.retain(|name, s| {
             !s.removed || !s.endpoints.is_empty() || requests.values().any(|r| r.service == *name)
@@ -262,11 +264,14 @@
     /// Refuses new requests from now on. Admitted ones are finished.
     pub fn drain(&mut self, now: Time) {
         if !self.draining {
-            let subject = Subject::Config;
-            let open = self.requests.len() as i64;
-            let facts = || vec![Fact::new("open-requests", open, Unit::Count)];
-            self.notes
-                .add(now, subject, Action::Stop, Cause::PlannedStop, facts);
+            for name in self.services.keys() {
+                let open = self.requests.values().filter(|r| r.service == *name);
+                let open = open.count() as i64;
+                let facts = || vec![Fact::new("open-requests", open, Unit::Count)];
+                let subject = Subject::Service(name.clone());
+                self.notes
+                    .add(now, subject, Action::Stop, Cause::PlannedStop, facts);
+            }
         }
         self.draining = true;
     }
@@ -323,7 +328,7 @@
             (Some(cause), None) => (Action::Restore, cause),
             _ => return,
         };
-        let inflight = i64::from(endpoint.inflight);
+        let inflight = i64::from(endpoint.inflight());
         let facts = || vec![Fact::new("inflight", inflight, Unit::Count)];
         let subject = Subject::Endpoint(name.clone());
         self.notes.add(now, subject, action, cause, facts);
@@ -333,6 +338,7 @@
     fn refresh(&mut self, now: Time) {
         for (name, service) in &mut self.services {
             self.shares.divide(now, name, &mut service.endpoints);
+            service.sample_utilisation();
         }
         self.shares.done(now);
     }
