--- /dev/null
+++ b/crates/jujubelb-lab/src/bench/fleet.rs
@@ -0,0 +1,288 @@
+//! The owner of one shard and its workers, as far as a placement policy notices.
+
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use jujubelb::config::{Config, Domain, Rack, Shard, Worker};
+use jujubelb::journal::{Change, EndedBy};
+use jujubelb::model::{
+    DomainName, JobSpec, RackName, RegionName, Resources, ShardName, TaskId, Time, WorkerName,
+};
+use jujubelb::shard::{
+    Choice, Decision, News, Occupant, Policy, ShardSummary, State, View, WorkerView,
+};
+use jujubelb::worker::Phase;
+
+/// Workers in one rack.
+const RACK: usize = 8;
+
+/// One shard with a policy under measurement.
+pub(super) struct Fleet<P> {
+    pub(super) policy: P,
+    pub(super) config: Config,
+    pub(super) shard: ShardName,
+    pub(super) state: State,
+    pub(super) workers: IndexMap<WorkerName, WorkerView>,
+    pub(super) peers: Vec<ShardSummary>,
+    pub(super) now: Time,
+    /// Time spent in the policy.
+    pub(super) spent: Duration,
+    queued: IndexMap<TaskId, Time>,
+    backoff: IndexMap<TaskId, Time>,
+    /// Decisions that broke a rule and were dropped.
+    pub(super) dropped: u64,
+}
+
+/// Adds a domain with one shard of the same name and its workers.
+pub(super) fn add_domain(config: &mut Config, name: &str, count: usize, host: Resources) {
+    let domain = DomainName::from(name);
+    let region = RegionName::from("region");
+    config.regions.insert(region.clone());
+    config
+        .domains
+        .insert(domain.clone(), Domain { region, out: false });
+    let shard = ShardName::from(name);
+    let mut racks = IndexSet::new();
+    for i in 0..count {
+        let rack = RackName::new(format!("{name}-rack-{}", i / RACK));
+        let entry = Rack {
+            domain: domain.clone(),
+            shard: shard.clone(),
+        };
+        config.racks.insert(rack.clone(), entry);
+        racks.insert(rack.clone());
+        let worker = Worker {
+            rack,
+            address: ([127, 0, 0, 1], 1).into(),
+            capacity: host,
+            reserved: Resources::ZERO,
+            protection: true,
+        };
+        config
+            .workers
+            .insert(WorkerName::new(format!("{name}-{i}")), worker);
+    }
+    config.shards.insert(shard, Shard { domain, racks });
+}
+
+impl<P: Policy> Fleet<P> {
+    pub(super) fn new(config: Config, shard: ShardName, policy: P) -> Self {
+        let view = |(name, worker): (&WorkerName, &Worker)| {
+            let usable = worker.capacity.saturating_sub(&worker.reserved);
+            let domain = config.shards[&shard].domain.clone();
+            let view = WorkerView {
+                domain,
+                capacity: worker.capacity,
+                reserved: worker.reserved,
+                free: usable,
+                protection: worker.protection,
+                usable: true,
+                quarantined: false,
+                occupants: Vec::new(),
+            };
+            (name.clone(), view)
+        };
+        let workers = config.workers_of(&shard).map(view).collect();
+        Self {
+            policy,
+            workers,
+            shard,
+            state: State::default(),
+            peers: Vec::new(),
+            now: Time::from_millis(10_000_000),
+            spent: Duration::ZERO,
+            queued: IndexMap::new(),
+            backoff: IndexMap::new(),
+            dropped: 0,
+            config,
+        }
+    }
+
+    pub(super) fn submit(&mut self, job: JobSpec) {
+        for index in 0..job.tasks {
+            let id = TaskId {
+                job: job.name.clone(),
+                index,
+            };
+            self.queued.insert(id, self.now);
+        }
+        self.change(Change::Accepted { job });
+    }
+
+    /// Lets the policy decide once and carries its decisions out. Returns the
+    /// decisions and the time that they took.
+    pub(super) fn pass(&mut self) -> (Vec<Decision>, Duration) {
+        let view = View {
+            now: self.now,
+            shard: &self.shard,
+            config: &self.config,
+            state: &self.state,
+            workers: &self.workers,
+            backoff: &self.backoff,
+            queued: &self.queued,
+            peers: &self.peers,
+            startable: true,
+        };
+        let began = Instant::now();
+        let decisions = self.policy.choose(&view);
+        let took = began.elapsed();
+        self.spent += took;
+        for decision in &decisions {
+            self.apply(decision);
+        }
+        (decisions, took)
+    }
+
+    /// Tells the policy something.
+    pub(super) fn note(&mut self, news: News<'_>) {
+        let began = Instant::now();
+        self.policy.note(self.now, news);
+        self.spent += began.elapsed();
+    }
+
+    fn change(&mut self, change: Change) -> bool {
+        self.state.change(&change).is_ok()
+    }
+
+    fn apply(&mut self, decision: &Decision) {
+        let kept = match decision.choice.clone() {
+            Choice::Assign {
+                task,
+                worker,
+                limit,
+            } => self.assign(task, worker, limit),
+            Choice::Evict { task } => self.with_occupant(&task, |o| o.stopping = true),
+            Choice::Resize { task, limit } => self.resize(task, limit),
+            Choice::HandOff { task, to } => {
+                self.queued.swap_remove(&task);
+                let attempt = self.state.tasks[&task].attempt;
+                self.change(Change::Offered { task, attempt, to })
+            }
+            Choice::Delay { .. } => true,
+            Choice::Quarantine { worker } => self.quarantine(worker, true),
+            Choice::Readmit { worker } => self.quarantine(worker, false),
+            Choice::Park { job } => {
+                let cause = decision.cause;
+                self.change(Change::Parked { job, cause })
+            }
+        };
+        self.dropped += u64::from(!kept);
+    }
+
+    pub(super) fn assign(&mut self, task: TaskId, worker: WorkerName, limit: Resources) -> bool {
+        let Some(view) = self.workers.get_mut(&worker) else {
+            return false;
+        };
+        let attempt = self.state.tasks[&task].attempt.next();
+        if !limit.fits(&view.free) || !view.usable {
+            return false;
+        }
+        view.occupants.push(Occupant {
+            task: task.clone(),
+            attempt,
+            limit,
+            confirmed: None,
+            running: false,
+            stopping: false,
+        });
+        view.free = view.free.saturating_sub(&limit);
+        self.queued.swap_remove(&task);
+        self.change(Change::Assigned {
+            task,
+            attempt,
+            worker,
+            limit,
+        })
+    }
+
+    fn resize(&mut self, task: TaskId, limit: Resources) -> bool {
+        let Some((worker, ..)) = self.state.place(&task) else {
+            return false;
+        };
+        let Some(view) = self.workers.get_mut(&worker.clone()) else {
+            return false;
+        };
+        let free = view.free;
+        let Some(occupant) = view.occupants.iter_mut().find(|o| o.task == task) else {
+            return false;
+        };
+        let counted = occupant.limit.max(&limit);
+        let growth = counted.saturating_sub(&occupant.limit);
+        if !growth.fits(&free) {
+            return false;
+        }
+        occupant.limit = counted;
+        view.free = free.saturating_sub(&growth);
+        self.change(Change::Resized { task, limit })
+    }
+
+    fn quarantine(&mut self, worker: WorkerName, on: bool) -> bool {
+        if let Some(view) = self.workers.get_mut(&worker) {
+            view.quarantined = on;
+        }
+        self.change(Change::Quarantined { worker, on })
+    }
+
+    fn with_occupant(&mut self, task: &TaskId, change: impl FnOnce(&mut Occupant)) -> bool {
+        let Some((worker, ..)) = self.state.place(task) else {
+            return false;
+        };
+        let view = self.workers.get_mut(worker);
+        let occupant = view.and_then(|v| v.occupants.iter_mut().find(|o| o.task == *task));
+        occupant.map(change).is_some()
+    }
+
+    /// The worker obeys its start and resize commands. Returns the tasks that it
+    /// is to checkpoint and stop.
+    pub(super) fn obey(&mut self, index: usize) -> Vec<TaskId> {
+        let Some((_, view)) = self.workers.get_index_mut(index) else {
+            return Vec::new();
+        };
+        let mut counted = Resources::ZERO;
+        for occupant in &mut view.occupants {
+            if let Some((_, limit, _)) = self.state.place(&occupant.task) {
+                occupant.limit = limit;
+                occupant.confirmed = Some(limit);
+                occupant.running = true;
+            }
+            counted += occupant.limit;
+        }
+        let usable = view.capacity.saturating_sub(&view.reserved);
+        view.free = usable.saturating_sub(&counted);
+        let stopping = view.occupants.iter().filter(|o| o.stopping);
+        stopping.map(|o| o.task.clone()).collect()
+    }
+
+    /// An attempt ended.
+    pub(super) fn end(&mut self, id: &TaskId, by: EndedBy, phase: Phase) {
+        let Some((worker, planned, attempt)) = self.state.place(id) else {
+            return;
+        };
+        let worker = worker.clone();
+        let job = self.state.jobs[&id.job].spec.clone();
+        if let Some(view) = self.workers.get_mut(&worker)
+            && let Some(i) = view.occupants.iter().position(|o| o.task == *id)
+        {
+            let gone = view.occupants.swap_remove(i);
+            let usable = view.capacity.saturating_sub(&view.reserved);
+            let mut free = view.free;
+            free += gone.limit;
+            debug_assert!(free.fits(&usable));
+            view.free = free;
+        }
+        let task = id.clone();
+        self.change(Change::Ended { task, attempt, by });
+        self.note(News::Ended {
+            task: id,
+            attempt,
+            job: &job,
+            worker: &worker,
+            limit: planned,
+            by,
+            phase: Some(phase),
+        });
+        if self.state.tasks.contains_key(id) {
+            self.queued.insert(id.clone(), self.now);
+        }
+    }
+}
--- a/crates/jujubelb-lab/src/lib.rs
+++ b/crates/jujubelb-lab/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins, demo and measurements for jujubelb.
+
+pub mod bench;
--- a/crates/jujubelb/src/place/capacity/size.rs
+++ b/crates/jujubelb/src/place/capacity/size.rs
@@ -175,17 +175,21 @@
     /// The limit to which a running attempt should shrink, if its use is far below.
     pub(crate) fn shrink(
         &self,
-        spec: &TaskSpec,
+        (class, reclaimable): (&ClassName, bool),
         limit: &Resources,
         peak: &Peak,
     ) -> Option<Resources> {
-        if peak.reports < SHRINK_AFTER {
+        // The look-up of the class is left out for most tasks: their own peak forbids it.
+        let own = margin(&peak.used);
+        let memory = shrunk(limit.memory.0, own.memory.0) == limit.memory.0;
+        let cpu = !reclaimable || shrunk(limit.cpu.0, own.cpu.0) == limit.cpu.0;
+        if peak.reports < SHRINK_AFTER || (memory && cpu) {
             return None;
         }
-        let learned = self.classes.get(&spec.class).map_or(FLOOR, |c| c.size);
-        let need = margin(&peak.used).max(&learned).max(&FLOOR);
+        let learned = self.classes.get(class).map_or(FLOOR, |c| c.size);
+        let need = own.max(&learned).max(&FLOOR);
         let memory = shrunk(limit.memory.0, need.memory.0);
-        let cpu = if spec.reclaimable {
+        let cpu = if reclaimable {
             shrunk(limit.cpu.0, need.cpu.0)
         } else {
             limit.cpu.0
--- a/crates/jujubelb/src/place/capacity/tests.rs
+++ b/crates/jujubelb/src/place/capacity/tests.rs
@@ -86,10 +86,12 @@
     let used = Resources::new(1_000, 1 << 30, 0);
     let mut peak = Peak::default();
     peak.add(&used, used.cpu);
-    assert_eq!(sizes.shrink(&spec, &spec.size, &peak), None);
+    assert_eq!(sizes.shrink((&spec.class, true), &spec.size, &peak), None);
     peak.add(&used, used.cpu);
     peak.add(&used, used.cpu);
-    let limit = sizes.shrink(&spec, &spec.size, &peak).unwrap();
+    let limit = sizes
+        .shrink((&spec.class, true), &spec.size, &peak)
+        .unwrap();
     assert!(used.fits(&limit) && limit.fits(&Resources::new(2_000, 2 << 30, 0)));
     (0..30).for_each(|_| sizes.observe(&spec.class, &used));
     assert_eq!(sizes.reservation(&spec).memory, spec.size.memory);
--- a/crates/jujubelb/src/place/fair/mod.rs
+++ b/crates/jujubelb/src/place/fair/mod.rs
@@ -84,6 +84,11 @@
         self.counts[slot(priority)]
     }
 
+    /// Number of queued tasks.
+    pub(crate) fn total_len(&self) -> usize {
+        self.counts.iter().sum()
+    }
+
     /// What the team's assigned tasks may use.
     pub(crate) fn used(&self, team: &TeamName) -> Resources {
         self.teams.get(team).map_or(Resources::ZERO, |t| t.used)
--- a/crates/jujubelb/src/place/policy/known.rs
+++ b/crates/jujubelb/src/place/policy/known.rs
@@ -4,8 +4,8 @@
 
 use crate::config::Config;
 use crate::model::{
-    Attempt, Checkpoint, Millicores, Resources, ServiceName, Span, TaskId, TeamName, Time,
-    WorkerName,
+    Attempt, Checkpoint, ClassName, JobSpec, Millicores, Priority, Resources, ServiceName, Span,
+    TaskId, TeamName, Time, WorkerName,
 };
 use crate::place::capacity::Peak;
 use crate::place::interference::History;
@@ -30,8 +30,12 @@
     pub(super) services: Vec<Served>,
     pub(super) history: History,
     pub(super) reactions: IndexMap<ServiceName, Reaction>,
-    /// What each team's tasks on the worker may use, as charged in the queue.
-    pub(super) charged: IndexMap<TeamName, Resources>,
+    /// Tasks on the worker, in the order of the owner's view as far as possible.
+    pub(super) seen: IndexMap<TaskId, Seen>,
+    /// Comparisons of the worker's tasks with the view so far.
+    pub(super) checks: u32,
+    /// When the worker's tasks were last compared with the owner's view.
+    pub(super) checked: Option<Time>,
     pub(super) ramp: Ramp,
     /// Tasks on the worker, with those started in this pass.
     pub(super) tasks: usize,
@@ -51,7 +55,9 @@
             services: services_on(worker, config),
             history: History::default(),
             reactions: IndexMap::new(),
-            charged: IndexMap::new(),
+            seen: IndexMap::new(),
+            checks: 0,
+            checked: None,
             ramp: Ramp::new(now),
             tasks: 0,
             starts: 0,
@@ -61,6 +67,12 @@
         }
     }
 
+    /// Run time that an eviction of a task without a new checkpoint would lose.
+    pub(super) fn progress(&self, now: Time, task: &TaskId) -> Span {
+        let seen = self.seen.get(task);
+        seen.map_or(Span::ZERO, |seen| now.since(seen.saved))
+    }
+
     /// Whether the room is kept for another task.
     pub(super) fn is_held(&self, now: Time, task: &TaskId) -> bool {
         self.hold
@@ -92,6 +104,12 @@
 #[derive(Debug, Clone)]
 pub(super) struct Seen {
     pub(super) attempt: Attempt,
+    pub(super) team: TeamName,
+    pub(super) class: ClassName,
+    pub(super) urgent: bool,
+    pub(super) reclaimable: bool,
+    /// What is charged to the team for it.
+    pub(super) charged: Resources,
     /// When the attempt was first seen or last wrote a checkpoint.
     pub(super) saved: Time,
     pub(super) checkpoint: Option<Checkpoint>,
@@ -105,11 +123,16 @@
 }
 
 impl Seen {
-    pub(super) fn new(now: Time, attempt: Attempt, checkpoint: Option<Checkpoint>) -> Self {
+    pub(super) fn new(now: Time, attempt: Attempt, job: &JobSpec) -> Self {
         Self {
             attempt,
+            team: job.team.clone(),
+            class: job.task.class.clone(),
+            urgent: job.task.priority == Priority::Urgent,
+            reclaimable: job.task.reclaimable,
+            charged: Resources::ZERO,
             saved: now,
-            checkpoint,
+            checkpoint: None,
             peak: Peak::default(),
             fresh: None,
             used: Resources::ZERO,
@@ -117,6 +140,16 @@
         }
     }
 
+    /// Forgets what was measured of an earlier attempt.
+    pub(super) fn restart(&mut self, now: Time, attempt: Attempt) {
+        self.attempt = attempt;
+        self.saved = now;
+        self.peak = Peak::default();
+        self.fresh = None;
+        self.used = Resources::ZERO;
+        self.throttled = None;
+    }
+
     pub(super) fn report(&mut self, usage: &TaskUsage) {
         self.peak.add(&usage.used, usage.wanted);
         self.used = usage.used;
--- a/crates/jujubelb/src/place/policy/mod.rs
+++ b/crates/jujubelb/src/place/policy/mod.rs
@@ -31,7 +31,7 @@
 mod start;
 mod sync;
 
-use known::{Known, Seen};
+use known::Known;
 use react::Order;
 
 #[cfg(test)]
@@ -52,8 +52,6 @@
     index: Index,
     /// Workers by their position in the owner's view and in the index.
     workers: IndexMap<WorkerName, Known>,
-    /// Assigned tasks.
-    tasks: IndexMap<TaskId, Seen>,
     /// Reservations of tasks that exceeded their limit, doubled.
     doubled: IndexMap<TaskId, Resources>,
     /// Causes of delay already given.
@@ -79,7 +77,8 @@
     /// The configuration for which shares and services were computed.
     revision: Option<crate::model::Revision>,
     next: Time,
-    synced: sync::Fingerprint,
+    /// When the queue was last compared in full.
+    compared: Time,
     /// Varies choices among equals.
     salt: u64,
 }
@@ -196,7 +195,9 @@
             "sizes": self.sizes.state(),
             "delayed": self.delayed.len(),
             "holds": self.holds.len(),
-            "throttled": self.tasks.values().filter(|t| t.throttled.is_some()).count(),
+            "throttled": self.workers.values().flat_map(|w| w.seen.values())
+                .filter(|t| t.throttled.is_some())
+                .count(),
             "probation": self.workers.keys()
                 .filter(|w| self.attribution.is_on_probation(w))
                 .collect::<Vec<_>>(),
--- a/crates/jujubelb/src/place/policy/news.rs
+++ b/crates/jujubelb/src/place/policy/news.rs
@@ -1,7 +1,6 @@
 //! What the policy learns between decisions.
 
 use super::PlacePolicy;
-use super::known::Seen;
 use super::react::Order;
 use crate::journal::EndedBy;
 use crate::model::{JobSpec, Resources, Span, TaskId, Time, WorkerName};
@@ -23,7 +22,7 @@
         match news {
             // Compared by revision in the next pass.
             News::Config(_) => {}
-            News::Usage { worker, usage, lag } => self.take_usage(now, worker, usage, lag),
+            News::Usage { worker, usage, .. } => self.take_usage(worker, usage),
             News::Ended {
                 task,
                 job,
@@ -33,10 +32,9 @@
                 phase,
                 ..
             } => {
-                self.learn_size(task, job, limit, by, phase);
+                self.learn_size(task, worker, job, limit, (by, phase));
                 self.learn_fate(now, task, worker, by, phase);
-                self.tasks.swap_remove(task);
-                self.dirty.insert(worker.clone());
+                self.forget_assigned(now, task, worker);
             }
             News::Latency(report) => self.take_latency(now, report),
             News::Restarted(worker) => {
@@ -45,14 +43,18 @@
         }
     }
 
-    fn take_usage(&mut self, now: Time, worker: &WorkerName, usage: &[TaskUsage], lag: Span) {
+    fn take_usage(&mut self, worker: &WorkerName, usage: &[TaskUsage]) {
+        let Some(known) = self.workers.get_mut(worker) else {
+            return;
+        };
         for report in usage {
-            let seen = self
-                .tasks
-                .entry(report.task.clone())
-                .or_insert_with(|| Seen::new(now - lag, report.attempt, None));
-            if seen.attempt == report.attempt {
+            if let Some(seen) = known.seen.get_mut(&report.task)
+                && seen.attempt == report.attempt
+            {
                 seen.report(report);
+                if seen.peak.reports == PEAK_AFTER {
+                    self.sizes.observe(&seen.class, &seen.peak.used);
+                }
             }
         }
         self.dirty.insert(worker.clone());
@@ -61,10 +63,10 @@
     fn learn_size(
         &mut self,
         task: &TaskId,
+        worker: &WorkerName,
         job: &JobSpec,
         limit: Resources,
-        by: EndedBy,
-        phase: Option<Phase>,
+        (by, phase): (EndedBy, Option<Phase>),
     ) {
         let class = &job.task.class;
         if phase == Some(Phase::OverLimit) {
@@ -72,7 +74,8 @@
             self.doubled.insert(task.clone(), doubled);
             return;
         }
-        let peak = self.tasks.get(task).map(|t| t.peak);
+        let known = self.workers.get(worker);
+        let peak = known.and_then(|k| k.seen.get(task)).map(|t| t.peak);
         if let Some(peak) = peak.filter(|p| p.reports > 0 && p.reports < PEAK_AFTER) {
             self.sizes.observe(class, &peak.used);
         }
@@ -135,14 +138,4 @@
             });
         }
     }
-
-    /// Counts the peak of a long attempt for its class.
-    pub(super) fn learn_peak(&mut self, task: &TaskId, job: &JobSpec) {
-        if let Some(seen) = self.tasks.get(task)
-            && seen.peak.reports == PEAK_AFTER
-            && seen.fresh.is_some()
-        {
-            self.sizes.observe(&job.task.class, &seen.peak.used);
-        }
-    }
 }
--- a/crates/jujubelb/src/place/policy/outlook.rs
+++ b/crates/jujubelb/src/place/policy/outlook.rs
@@ -1,9 +1,11 @@
 //! What placing a task on a worker would mean.
 
 use super::PlacePolicy;
-use crate::model::{JobSpec, Priority, Resources, TaskId, Time};
+use super::known::Seen;
+use crate::model::{Attempt, JobSpec, Priority, Resources, TaskId, Time};
 use crate::place::attribution::PROBATION_TASKS;
 use crate::place::choose::Outlook;
+use crate::shard::View;
 
 /// Workers with services on which a class of unknown effect may run at a time:
 /// one in this many. Its reports come within seconds, so a few are enough.
@@ -40,6 +42,10 @@
         }
     }
 
+    fn cores(&self) -> f64 {
+        self.need.cpu.0 as f64 / 1_000.0
+    }
+
     fn is_urgent(&self) -> bool {
         self.job.task.priority == Priority::Urgent
     }
@@ -74,7 +80,7 @@
     /// Expected slowdown of the worker's services with the task.
     fn expected(&self, placing: &Placing<'_>, worker: usize) -> f64 {
         let class = &placing.job.task.class;
-        let cores = placing.need.cpu.0 as f64 / 1_000.0;
+        let cores = placing.cores();
         let served = self.workers[worker].services.iter();
         served
             .map(|s| s.mean + cores * self.interference.estimate(&s.service, class).mean)
@@ -85,7 +91,7 @@
     /// or if the effect of the class is unknown and is being tried elsewhere.
     fn bearable(&self, placing: &Placing<'_>, worker: usize) -> Option<f64> {
         let class = &placing.job.task.class;
-        let cores = placing.need.cpu.0 as f64 / 1_000.0;
+        let cores = placing.cores();
         let known = &self.workers[worker];
         let mut worst: f64 = 0.0;
         for served in &known.services {
@@ -105,18 +111,24 @@
         Some(worst)
     }
 
-    /// Notes a start in what is expected of the worker until its next report.
-    pub(super) fn note_start(&mut self, placing: &Placing<'_>, worker: usize) {
-        let class = &placing.job.task.class;
-        let cores = placing.need.cpu.0 as f64 / 1_000.0;
+    /// Charges a start to the task's team and counts it in the worker's mix.
+    pub(super) fn remember(&mut self, view: &View<'_>, placing: &Placing<'_>, worker: usize) {
+        let stored = view.state.tasks.get(placing.task);
+        let attempt = stored.map_or(Attempt(1), |t| t.attempt.next());
+        let mut seen = Seen::new(view.now, attempt, placing.job);
+        seen.checkpoint = stored.and_then(|t| t.checkpoint.clone());
+        seen.charged = placing.need;
+        self.queue.charge(&seen.team, &seen.charged);
+        let class = seen.class.clone();
         let known = &mut self.workers[worker];
+        known.seen.insert(placing.task.clone(), seen);
         known.starts += 1;
         known.tasks += 1;
         known.ramp.started();
-        for served in &mut known.services {
-            let estimate = self.interference.estimate(&served.service, class);
-            served.mean += cores * estimate.mean;
-            served.variance += cores * cores * estimate.variance;
+        if !known.services.is_empty() {
+            let mut mix = known.history.last().cloned().unwrap_or_default();
+            *mix.entry(class).or_default() += placing.cores();
+            self.sync_mix(view.now, worker, mix);
         }
     }
 }
--- a/crates/jujubelb/src/place/policy/preempt.rs
+++ b/crates/jujubelb/src/place/policy/preempt.rs
@@ -3,7 +3,7 @@
 use super::PlacePolicy;
 use super::facts::{count, decision, need_and_free, span};
 use super::start::{Pass, Want};
-use crate::model::{Cause, Priority, Resources, Span, TaskId, Time};
+use crate::model::{Cause, Resources, Span, TaskId, Time};
 use crate::place::reaction::{Candidate, cheapest};
 use crate::shard::{Choice, View, WorkerView};
 
@@ -75,31 +75,25 @@
             room += freed;
             need.fits(&room)
         };
-        let victims = cheapest(self.batch_on(view, shown), enough);
+        let victims = cheapest(self.batch_on(view.now, worker, shown), enough);
         enough(&victims).then_some(victims)
     }
 
     /// Batch tasks of a worker that may be evicted or throttled.
-    pub(super) fn batch_on(&self, view: &View<'_>, worker: &WorkerView) -> Vec<Candidate> {
+    pub(super) fn batch_on(&self, now: Time, index: usize, worker: &WorkerView) -> Vec<Candidate> {
+        let known = &self.workers[index];
         let movable = worker.occupants.iter().filter(|o| !o.stopping);
         movable
             .filter_map(|occupant| {
-                let job = &view.state.jobs.get(&occupant.task.job)?.spec;
-                (job.task.priority == Priority::Batch).then(|| Candidate {
+                let seen = known.seen.get(&occupant.task)?;
+                (!seen.urgent).then(|| Candidate {
                     task: occupant.task.clone(),
                     limit: occupant.limit,
-                    lost: self.progress(view.now, &occupant.task),
+                    lost: now.since(seen.saved),
                 })
             })
             .collect()
     }
-
-    /// Run time that an eviction without a new checkpoint would lose.
-    pub(super) fn progress(&self, now: Time, task: &TaskId) -> Span {
-        self.tasks
-            .get(task)
-            .map_or(Span::ZERO, |seen| now.since(seen.saved))
-    }
 }
 
 /// Progress that evicting all of them would lose.
--- a/crates/jujubelb/src/place/policy/react.rs
+++ b/crates/jujubelb/src/place/policy/react.rs
@@ -58,10 +58,10 @@
     /// Checkpoints and evicts everything, because the domain leaves.
     fn clear_domain(&mut self, view: &View<'_>, decisions: &mut Vec<Decision>) {
         self.orders.clear();
-        for worker in view.workers.values() {
+        for (worker, known) in view.workers.values().zip(self.workers.values()) {
             let running = worker.occupants.iter().filter(|o| !o.stopping);
             for occupant in running {
-                let facts = vec![span("progress", self.progress(view.now, &occupant.task))];
+                let facts = vec![span("progress", known.progress(view.now, &occupant.task))];
                 let choice = Choice::Evict {
                     task: occupant.task.clone(),
                 };
@@ -125,7 +125,7 @@
         if order.act == Act::Evict {
             return Some(decision(Choice::Evict { task }, Cause::Interference, facts));
         }
-        let seen = self.tasks.get_mut(&task)?;
+        let seen = self.workers[order.worker].seen.get_mut(&task)?;
         if seen.throttled.is_some() {
             return None;
         }
@@ -146,16 +146,14 @@
         worker: &WorkerView,
         order: &Order,
     ) -> Vec<(Candidate, f64)> {
+        let known = &self.workers[order.worker];
         let rate = |task: &TaskId| {
-            let job = view.state.jobs.get(&task.job);
-            job.map_or(0.0, |j| {
-                self.interference
-                    .estimate(&order.service, &j.spec.task.class)
-                    .mean
+            known.seen.get(task).map_or(0.0, |seen| {
+                self.interference.estimate(&order.service, &seen.class).mean
             })
         };
         let all: Vec<_> = self
-            .batch_on(view, worker)
+            .batch_on(view.now, order.worker, worker)
             .into_iter()
             .map(|c| {
                 let rate = rate(&c.task);
@@ -175,7 +173,8 @@
     /// Gives tasks that were throttled for the service their limits back.
     fn unthrottle(&mut self, worker: &WorkerView, order: &Order, decisions: &mut Vec<Decision>) {
         for occupant in worker.occupants.iter().filter(|o| !o.stopping) {
-            let Some(seen) = self.tasks.get_mut(&occupant.task) else {
+            let known = &mut self.workers[order.worker];
+            let Some(seen) = known.seen.get_mut(&occupant.task) else {
                 continue;
             };
             let Some((before, service)) = seen.throttled.take() else {
--- a/crates/jujubelb/src/place/policy/resize.rs
+++ b/crates/jujubelb/src/place/policy/resize.rs
@@ -2,8 +2,9 @@
 
 use super::PlacePolicy;
 use super::facts::{count, decision, new_and_old, signed, span};
+use super::known::Known;
 use super::react::throttled;
-use crate::model::{Cause, Fact, Millicores, Priority, Resources, Span, TaskId, Unit};
+use crate::model::{Cause, Fact, Millicores, Resources, Span, TaskId, Unit};
 use crate::place::capacity::{excess, is_confirmed};
 use crate::place::reaction::{Candidate, cheapest};
 use crate::shard::{Choice, Decision, Occupant, View, WorkerView};
@@ -24,15 +25,12 @@
         worker: &WorkerView,
         decisions: &mut Vec<Decision>,
     ) {
-        if self.relieve(view, worker, decisions) {
+        if self.relieve(view, index, worker, decisions) {
             return;
         }
         for occupant in &worker.occupants {
-            let Some(job) = view.state.jobs.get(&occupant.task.job) else {
-                continue;
-            };
-            self.learn_peak(&occupant.task, &job.spec);
-            let Some(seen) = self.tasks.get_mut(&occupant.task) else {
+            let known = &mut self.workers[index];
+            let Some(seen) = known.seen.get_mut(&occupant.task) else {
                 continue;
             };
             let Some((used, wanted)) = seen.fresh.take() else {
@@ -41,15 +39,16 @@
             if !is_confirmed(occupant) || seen.throttled.is_some() {
                 continue;
             }
-            let peak = seen.peak;
-            let batch = job.spec.task.priority == Priority::Batch;
+            let batch = !seen.urgent;
+            let need = (&seen.class, seen.reclaimable);
+            let shrunk = self.sizes.shrink(need, &occupant.limit, &seen.peak);
             if let Some(target) = self.sizes.grow(&occupant.limit, &used, wanted) {
                 let grown = self.grow(index, occupant, target, batch);
                 match grown {
                     Some(limit) => decisions.push(resized(occupant, limit, &used, wanted)),
                     None => self.make_room(view, index, worker, occupant, &target, decisions),
                 }
-            } else if let Some(limit) = self.sizes.shrink(&job.spec.task, &occupant.limit, &peak) {
+            } else if let Some(limit) = shrunk {
                 decisions.push(resized(occupant, limit, &used, wanted));
             }
         }
@@ -57,7 +56,14 @@
 
     /// Evicts the cheapest tasks if limits exceed the worker, or if use does on a
     /// worker that enforces no limits. Returns whether it did.
-    fn relieve(&self, view: &View<'_>, worker: &WorkerView, decisions: &mut Vec<Decision>) -> bool {
+    fn relieve(
+        &self,
+        view: &View<'_>,
+        index: usize,
+        worker: &WorkerView,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let known = &self.workers[index];
         let stopping: Resources = worker
             .occupants
             .iter()
@@ -68,7 +74,7 @@
         let (over, used) = match worker.protection {
             true => (over, None),
             false => {
-                let used = self.used_on(worker);
+                let used = used_on(known, worker);
                 let usable = worker.capacity.saturating_sub(&worker.reserved);
                 (over.max(&used.saturating_sub(&usable)), Some(used))
             }
@@ -78,13 +84,13 @@
         }
         let gain = |c: &Candidate| match used {
             None => c.limit,
-            Some(_) => self
-                .tasks
+            Some(_) => known
+                .seen
                 .get(&c.task)
                 .map_or(c.limit, |s| s.used.max(&c.limit)),
         };
         let enough = |taken: &[Candidate]| over.fits(&taken.iter().map(gain).sum());
-        for victim in cheapest(self.batch_on(view, worker), enough) {
+        for victim in cheapest(self.batch_on(view.now, index, worker), enough) {
             let facts = vec![
                 Fact::new("over-cpu", signed(over.cpu.0), Unit::Millicores),
                 Fact::new("over-memory", signed(over.memory.0), Unit::Bytes),
@@ -96,15 +102,6 @@
         true
     }
 
-    /// Reported use of the tasks that go on running.
-    fn used_on(&self, worker: &WorkerView) -> Resources {
-        let going = worker.occupants.iter().filter(|o| !o.stopping);
-        going
-            .filter_map(|o| self.tasks.get(&o.task))
-            .map(|seen| seen.used)
-            .sum()
-    }
-
     /// Takes room for a larger limit. Memory comes first; processor time of
     /// batch work grows only while enough stays free.
     fn grow(
@@ -147,17 +144,13 @@
     ) {
         let known = &mut self.workers[index];
         let growth = target.saturating_sub(&occupant.limit);
-        let urgent = view
-            .state
-            .jobs
-            .get(&occupant.task.job)
-            .is_some_and(|j| j.spec.task.priority == Priority::Urgent);
+        let urgent = known.seen.get(&occupant.task).is_some_and(|s| s.urgent);
         if view.now < known.settled || (growth.memory.0 == 0 && !urgent) {
             return;
         }
         known.settled = view.now + SETTLE;
         let need = growth.saturating_sub(&self.index.free(index));
-        let others = self.batch_on(view, worker);
+        let others = self.batch_on(view.now, index, worker);
         if growth.memory.0 == 0 {
             let halves = |taken: &[Candidate]| {
                 taken.iter().map(|c| c.limit.cpu.0 / 2).sum::<u64>() >= need.cpu.0
@@ -219,3 +212,12 @@
     };
     decision(choice, Cause::SizeWrong, facts)
 }
+
+/// Reported use of the tasks that go on running.
+fn used_on(known: &Known, worker: &WorkerView) -> Resources {
+    let going = worker.occupants.iter().filter(|o| !o.stopping);
+    going
+        .filter_map(|o| known.seen.get(&o.task))
+        .map(|seen| seen.used)
+        .sum()
+}
--- a/crates/jujubelb/src/place/policy/start.rs
+++ b/crates/jujubelb/src/place/policy/start.rs
@@ -5,6 +5,7 @@
 use super::PlacePolicy;
 use super::facts::{count, decision, need_and_free, need_and_quota, permille, span};
 use super::outlook::Placing;
+use super::sync::is_queued;
 use crate::model::{Cause, Fact, JobSpec, Priority, Resources, Span, TaskId, Time};
 use crate::place::choose::{NoPick, Pick, Request, pick};
 use crate::place::fair::{Head, STARVING};
@@ -66,7 +67,8 @@
             let Some(head) = self.queue.next(view.now) else {
                 break;
             };
-            let Some(job) = view.state.jobs.get(&head.task.job) else {
+            let job = view.state.jobs.get(&head.task.job);
+            let Some(job) = job.filter(|_| is_queued(view, &head.task)) else {
                 self.forget_queued(&head.task);
                 continue;
             };
@@ -148,14 +150,10 @@
         facts.push(permille("expected-slowdown", picked.slowdown));
         facts.push(span("waited", view.now.since(head.since)));
         let placing = Placing::new(self, view.now, &head.task, job, need);
-        self.note_start(&placing, picked.worker);
         self.index.take(picked.worker, &need);
-        self.queue.charge(&job.team, &need);
-        let charged = &mut self.workers[picked.worker].charged;
-        *charged.entry(job.team.clone()).or_default() += need;
+        self.remember(view, &placing, picked.worker);
         self.queue.started(view.now, head);
         self.forget_queued(&head.task);
-        self.dirty.insert(worker.clone());
         let choice = Choice::Assign {
             task: head.task.clone(),
             worker,
--- a/crates/jujubelb/src/place/policy/sync.rs
+++ b/crates/jujubelb/src/place/policy/sync.rs
@@ -1,27 +1,26 @@
 //! Brings what the policy remembers into line with the owner's view.
 
-use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::PlacePolicy;
 use super::known::{Known, Seen};
-use crate::model::{Resources, Span, Time};
+use crate::model::{Resources, Span, TaskId, Time, WorkerName};
 use crate::place::choose::Index;
+use crate::place::fair::Queue;
 use crate::place::interference::Mix;
 use crate::place::ramp::Ramp;
-use crate::shard::{TaskState, View, WorkerView};
+use crate::shard::{Occupant, TaskState, View, WorkerView};
+
+/// Longest time between two comparisons of a worker's tasks with the view.
+const CHECK: Span = Span::from_secs(1);
 
 /// Time between two full comparisons of the queue with the view. In between, it
 /// is compared when the numbers of queued tasks differ.
 const FULL: Span = Span::from_secs(1);
 
-/// Tells whether the queued tasks may have changed since they were compared.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Fingerprint {
-    tasks: usize,
-    queued: usize,
-    attempts: u64,
-    at: Time,
-}
+/// Comparisons of a worker's tasks for each comparison of their checkpoints,
+/// which costs another look-up. Progress is known to 8 s.
+const CHECKPOINTS: u32 = 8;
 
 impl PlacePolicy {
     pub(super) fn sync(&mut self, view: &View<'_>) {
@@ -30,19 +29,19 @@
         for (i, (name, worker)) in view.workers.iter().enumerate() {
             let usable = worker.capacity.saturating_sub(&worker.reserved);
             let open = worker.usable && !worker.quarantined;
-            let changed = self.index.free(i) != worker.free
-                || self.workers[i].tasks != worker.occupants.len();
+            let known = &mut self.workers[i];
             if open && !self.index.is_open(i) {
-                self.workers[i].ramp = Ramp::new(view.now);
+                known.ramp = Ramp::new(view.now);
             }
             if worker.usable {
                 total += usable;
             }
-            self.index.set(i, worker.free, usable, open);
-            self.workers[i].starts = 0;
-            if changed {
+            known.starts = 0;
+            known.tasks = worker.occupants.len();
+            if known.checked.is_none_or(|t| view.now.since(t) >= CHECK) {
                 self.dirty.insert(name.clone());
             }
+            self.index.set(i, worker.free, usable, open);
         }
         if total != self.total {
             self.total = total;
@@ -66,10 +65,8 @@
                 .unwrap_or_else(|| Known::new(view.now, name, view.config));
             self.workers.insert(name.clone(), known);
         }
-        for gone in old.values() {
-            for (team, amount) in &gone.charged {
-                self.queue.refund(team, amount);
-            }
+        for seen in old.values().flat_map(|known| known.seen.values()) {
+            self.queue.refund(&seen.team, &seen.charged);
         }
         self.index = Index::new(view.workers.len());
         self.holds.clear();
@@ -82,62 +79,37 @@
         for name in &dirty {
             if let Some((index, _, worker)) = view.workers.get_full(name) {
                 self.sync_worker(view, index, worker);
+                self.workers[index].checked = Some(view.now);
             }
         }
     }
 
     /// Charges the teams for what runs on a worker and notes the mix of classes.
     fn sync_worker(&mut self, view: &View<'_>, index: usize, worker: &WorkerView) {
-        let mut charged = IndexMap::new();
         let mut mix = Mix::new();
-        for occupant in &worker.occupants {
-            let Some(job) = view.state.jobs.get(&occupant.task.job) else {
+        let known = &mut self.workers[index];
+        let serves = !known.services.is_empty();
+        known.checks = known.checks.wrapping_add(1);
+        for (hint, occupant) in worker.occupants.iter().enumerate() {
+            let Some(seen) = sync_task(view, known, &mut self.queue, hint, occupant) else {
                 continue;
             };
-            *charged.entry(job.spec.team.clone()).or_default() += occupant.limit;
-            if occupant.running {
+            if serves {
                 let cores = occupant.limit.cpu.0 as f64 / 1_000.0;
-                *mix.entry(job.spec.task.class.clone()).or_default() += cores;
-            }
-            let stored = view.state.tasks.get(&occupant.task);
-            let checkpoint = stored.and_then(|t| t.checkpoint.as_ref());
-            let attempt = occupant.attempt;
-            let seen = self
-                .tasks
-                .entry(occupant.task.clone())
-                .or_insert_with(|| Seen::new(view.now, attempt, checkpoint.cloned()));
-            if seen.attempt != attempt {
-                *seen = Seen::new(view.now, attempt, checkpoint.cloned());
-            }
-            if seen.checkpoint.as_ref() != checkpoint {
-                seen.checkpoint = checkpoint.cloned();
-                seen.saved = view.now;
+                *mix.entry(seen.class.clone()).or_default() += cores;
             }
         }
-        self.charge(index, charged);
-        self.sync_mix(view.now, index, mix);
-        self.workers[index].tasks = worker.occupants.len();
-    }
-
-    fn charge(&mut self, index: usize, charged: IndexMap<crate::model::TeamName, Resources>) {
-        let known = &mut self.workers[index];
-        if known.charged == charged {
-            return;
+        if known.seen.len() > worker.occupants.len() {
+            sweep(known, &mut self.queue, worker);
         }
-        for (team, amount) in &known.charged {
-            self.queue.refund(team, amount);
+        if serves {
+            self.sync_mix(view.now, index, mix);
         }
-        for (team, amount) in &charged {
-            self.queue.charge(team, amount);
-        }
-        known.charged = charged;
     }
 
-    fn sync_mix(&mut self, now: Time, index: usize, mix: Mix) {
+    /// Notes the cores that each class has on a worker with services.
+    pub(super) fn sync_mix(&mut self, now: Time, index: usize, mix: Mix) {
         let known = &mut self.workers[index];
-        if known.services.is_empty() {
-            return;
-        }
         for served in &mut known.services {
             let (mean, variance) = self.interference.slowdown(&served.service, &mix);
             served.mean = mean;
@@ -159,54 +131,70 @@
 
     /// Queues and forgets tasks as the view demands.
     fn sync_queue(&mut self, view: &View<'_>) {
-        let queued = view
-            .state
-            .tasks
-            .values()
-            .filter(|t| t.state == TaskState::Queued);
-        let (mut count, mut attempts) = (0, 0u64);
-        for task in queued {
-            count += 1;
-            attempts = attempts.wrapping_add(task.attempt.0);
-        }
-        let seen = Fingerprint {
-            tasks: view.state.tasks.len(),
-            queued: count,
-            attempts,
-            at: self.synced.at,
-        };
-        let full = view.now.since(self.synced.at) >= FULL || !view.backoff.is_empty();
-        if full || seen != self.synced {
-            self.compare_queue(view);
-            self.synced = Fingerprint {
-                at: view.now,
-                ..seen
-            };
+        let known = self.queue.total_len();
+        let full = view.now.since(self.compared) >= FULL;
+        if full || known != view.queued.len() || !view.backoff.is_empty() {
+            self.compare_queue(view, full);
+        }
+        if full {
+            self.compared = view.now;
+            let tasks = &view.state.tasks;
+            self.doubled.retain(|id, _| tasks.contains_key(id));
         }
     }
 
-    fn compare_queue(&mut self, view: &View<'_>) {
-        for (id, _, job) in view.state.queued() {
-            let waits = view.backoff.get(id).is_some_and(|until| *until > view.now);
-            if !waits && self.queue.since(id).is_none() {
-                let since = view.queued.get(id).copied().unwrap_or(view.now);
-                self.queue.push(since, &job.team, id, job.task.priority);
+    /// Compares the queue with the owner's list of queued tasks, or with all
+    /// tasks, because that list may lack tasks of a former owner.
+    fn compare_queue(&mut self, view: &View<'_>, full: bool) {
+        if full {
+            for (id, _, _) in view.state.queued() {
+                self.enqueue(view, id);
+            }
+        } else {
+            for id in view.queued.keys() {
+                self.enqueue(view, id);
             }
         }
-        let gone = self.queue.retain(|id| {
-            let task = view.state.tasks.get(id);
-            task.is_some_and(|t| t.state == TaskState::Queued)
-        });
+        let gone = self.queue.retain(|id| is_queued(view, id));
         for id in gone {
             self.forget_queued(&id);
         }
-        let tasks = &view.state.tasks;
-        self.tasks
-            .retain(|id, _| tasks.get(id).is_some_and(|t| t.is_assigned()));
-        self.doubled.retain(|id, _| tasks.contains_key(id));
     }
 
-    pub(super) fn forget_queued(&mut self, task: &crate::model::TaskId) {
+    fn enqueue(&mut self, view: &View<'_>, id: &TaskId) {
+        let waits = view.backoff.get(id).is_some_and(|until| *until > view.now);
+        if waits || self.queue.since(id).is_some() || !is_queued(view, id) {
+            return;
+        }
+        let Some(job) = view.state.jobs.get(&id.job) else {
+            return;
+        };
+        let since = view.queued.get(id).copied().unwrap_or(view.now);
+        let priority = job.spec.task.priority;
+        self.queue.push(since, &job.spec.team, id, priority);
+    }
+
+    /// Forgets an assigned task and what its team was charged for it.
+    pub(super) fn forget_assigned(&mut self, now: Time, task: &TaskId, worker: &WorkerName) {
+        let Some((index, _, known)) = self.workers.get_full_mut(worker) else {
+            return;
+        };
+        let Some(seen) = known.seen.swap_remove(task) else {
+            return;
+        };
+        self.queue.refund(&seen.team, &seen.charged);
+        if let Some(mut mix) = known.history.last().cloned()
+            && let Some(cores) = mix.get_mut(&seen.class)
+        {
+            *cores -= seen.charged.cpu.0 as f64 / 1_000.0;
+            if *cores < 1e-3 {
+                mix.swap_remove(&seen.class);
+            }
+            self.sync_mix(now, index, mix);
+        }
+    }
+
+    pub(super) fn forget_queued(&mut self, task: &TaskId) {
         self.queue.remove(task);
         self.delayed.swap_remove(task);
         if let Some((worker, _)) = self.holds.swap_remove(task)
@@ -220,3 +208,63 @@
         }
     }
 }
+
+/// Whether a task may be assigned, handed off or parked.
+pub(super) fn is_queued(view: &View<'_>, id: &TaskId) -> bool {
+    let task = view.state.tasks.get(id);
+    task.is_some_and(|t| t.state == TaskState::Queued)
+}
+
+/// Brings what is remembered of a task into line with the view.
+fn sync_task<'a>(
+    view: &View<'_>,
+    known: &'a mut Known,
+    queue: &mut Queue,
+    hint: usize,
+    occupant: &Occupant,
+) -> Option<&'a Seen> {
+    let hinted = known.seen.get_index(hint);
+    let at = match hinted {
+        Some((task, _)) if *task == occupant.task => hint,
+        _ => match known.seen.get_index_of(&occupant.task) {
+            Some(at) => at,
+            None => {
+                let job = view.state.jobs.get(&occupant.task.job)?;
+                let seen = Seen::new(view.now, occupant.attempt, &job.spec);
+                known.seen.insert_full(occupant.task.clone(), seen).0
+            }
+        },
+    };
+    let look = known.checks.is_multiple_of(CHECKPOINTS);
+    let (_, seen) = known.seen.get_index_mut(at)?;
+    if seen.attempt != occupant.attempt {
+        seen.restart(view.now, occupant.attempt);
+    }
+    if seen.charged != occupant.limit {
+        queue.refund(&seen.team, &seen.charged);
+        queue.charge(&seen.team, &occupant.limit);
+        seen.charged = occupant.limit;
+    }
+    if look {
+        let stored = view.state.tasks.get(&occupant.task);
+        let checkpoint = stored.and_then(|t| t.checkpoint.as_ref());
+        if checkpoint != seen.checkpoint.as_ref() {
+            seen.checkpoint = checkpoint.cloned();
+            seen.saved = view.now;
+        }
+    }
+    Some(seen)
+}
+
+/// Forgets tasks that are no longer on a worker, for example because the owner
+/// dropped their assignment.
+fn sweep(known: &mut Known, queue: &mut Queue, worker: &WorkerView) {
+    let here: IndexSet<&TaskId> = worker.occupants.iter().map(|o| &o.task).collect();
+    known.seen.retain(|task, seen| {
+        let stays = here.contains(task);
+        if !stays {
+            queue.refund(&seen.team, &seen.charged);
+        }
+        stays
+    });
+}
