--- a/crates/jujubelb-lab/src/bench/fleet.rs
+++ b/crates/jujubelb-lab/src/bench/fleet.rs
@@ -6,7 +6,8 @@
 use jujubelb::config::{Config, Domain, Rack, Shard, Worker};
 use jujubelb::journal::{Change, EndedBy};
 use jujubelb::model::{
-    DomainName, JobSpec, RackName, RegionName, Resources, ShardName, TaskId, Time, WorkerName,
+    Checkpoint, DomainName, Epoch, JobSpec, RackName, RegionName, Resources, ShardName, TaskId,
+    Time, WorkerName,
 };
 use jujubelb::shard::{
     Choice, Decision, News, Occupant, Policy, ShardSummary, State, View, WorkerView,
@@ -285,4 +286,47 @@
             self.queued.insert(id.clone(), self.now);
         }
     }
+
+    /// Number of queued tasks.
+    pub(super) fn queued(&self) -> usize {
+        self.queued.len()
+    }
+
+    /// A task wrote a checkpoint.
+    pub(super) fn checkpoint(&mut self, id: &TaskId, checkpoint: &Checkpoint) {
+        let attempt = self.state.tasks[id].attempt;
+        self.change(Change::Checkpointed {
+            task: id.clone(),
+            attempt,
+            checkpoint: checkpoint.clone(),
+        });
+    }
+
+    /// What another shard needs to take over a task that was handed off.
+    pub(super) fn offer(&self, id: &TaskId) -> Change {
+        let task = &self.state.tasks[id];
+        Change::Received {
+            job: self.state.jobs[&id.job].spec.clone(),
+            task: id.clone(),
+            attempt: task.attempt,
+            checkpoint: task.checkpoint.clone(),
+            from: self.shard.clone(),
+            epoch: Epoch(1),
+        }
+    }
+
+    /// Takes over a task of another shard.
+    pub(super) fn receive(&mut self, offer: Change) {
+        if let Change::Received { task, .. } = &offer {
+            self.queued.insert(task.clone(), self.now);
+        }
+        self.change(offer);
+    }
+
+    /// Forgets a task that another shard has.
+    pub(super) fn release(&mut self, id: &TaskId) {
+        let attempt = self.state.tasks[id].attempt;
+        let task = id.clone();
+        self.change(Change::Released { task, attempt });
+    }
 }
