Leave the evictions of a leaving domain to the owner

The owner evicts what runs in a domain that is out and links each record to the change of the domain. The policy decided the same evictions without that link, so whichever came first hid the root cause. The policy now only hands off the queued work; the fakes evict as the owner does.

--- a/crates/jujubelb-lab/src/bench/domain_move.rs
+++ b/crates/jujubelb-lab/src/bench/domain_move.rs
@@ -173,8 +173,17 @@
             fleet.config.domains[0].out = out;
             fleet.config.revision = fleet.config.revision.next();
         }
+        // The owner itself evicts what runs in a domain that is out.
         let first = &mut self.fleets[0];
-        first.workers.values_mut().for_each(|w| w.usable = !out);
+        for view in first.workers.values_mut() {
+            view.usable = !out;
+            for occupant in view.occupants.iter_mut().filter(|_| out) {
+                occupant.stopping = true;
+                self.row.evictions += 1;
+                self.works[&occupant.task].since = first.now;
+                self.works[&occupant.task].stopping = true;
+            }
+        }
     }
 
     fn step(&mut self) {
--- a/crates/jujubelb/src/place/policy/known.rs
+++ b/crates/jujubelb/src/place/policy/known.rs
@@ -80,12 +80,6 @@
         }
     }
 
-    /// Run time that an eviction of a task without a new checkpoint would lose.
-    pub(super) fn progress(&self, now: Time, task: &TaskId) -> Span {
-        let seen = self.seen.get(task);
-        seen.map_or(Span::ZERO, |seen| now.since(seen.saved))
-    }
-
     /// Whether the room is kept for another task.
     pub(super) fn is_held(&self, now: Time, task: &TaskId) -> bool {
         self.hold
--- a/crates/jujubelb/src/place/policy/react.rs
+++ b/crates/jujubelb/src/place/policy/react.rs
@@ -34,10 +34,6 @@
 
 impl PlacePolicy {
     pub(super) fn react(&mut self, view: &View<'_>, decisions: &mut Vec<Decision>) {
-        if self.is_domain_out(view) {
-            self.clear_domain(view, decisions);
-            return;
-        }
         for order in std::mem::take(&mut self.orders) {
             if let Some((_, worker)) = view.workers.get_index(order.worker) {
                 self.obey(view, worker, &order, decisions);
@@ -50,26 +46,6 @@
         }
     }
 
-    fn is_domain_out(&self, view: &View<'_>) -> bool {
-        let shard = view.config.shards.get(view.shard);
-        shard.is_some_and(|s| !view.config.in_service(&s.domain))
-    }
-
-    /// Checkpoints and evicts everything, because the domain leaves.
-    fn clear_domain(&mut self, view: &View<'_>, decisions: &mut Vec<Decision>) {
-        self.orders.clear();
-        for (worker, known) in view.workers.values().zip(self.workers.values()) {
-            let running = worker.occupants.iter().filter(|o| !o.stopping);
-            for occupant in running {
-                let facts = vec![span("progress", known.progress(view.now, &occupant.task))];
-                let choice = Choice::Evict {
-                    task: occupant.task.clone(),
-                };
-                decisions.push(decision(choice, Cause::DomainOut, facts));
-            }
-        }
-    }
-
     fn obey(
         &mut self,
         view: &View<'_>,
