Test services, failing workers and starvation against the policy

Interference, quarantine, use above an unprotected worker, the bound on a returning worker and the facts of decisions were tested in their parts only. These tests drive the whole policy; the starvation check is shown to catch an order without turns for starving work, and a generated check covers any order of submissions and starts.

--- a/crates/jujubelb/src/place/fair/tests.rs
+++ b/crates/jujubelb/src/place/fair/tests.rs
@@ -63,28 +63,86 @@
     assert_eq!(queue.used(&team("light")), cpu(20_000));
 }
 
-/// Guards against a queue in which an endless stream of urgent work, or of
-/// small tasks of teams with lower shares, keeps one batch job waiting.
-#[test]
-fn nothing_starves_under_an_endless_stream() {
+/// Runs an endless stream of urgent work and of small batch tasks of a team
+/// with a lower share. Returns how long an old batch job waited, if it started.
+/// Without counted starts, no turn ever comes.
+fn wait_of_the_old_job(counted: bool) -> Option<Span> {
     let mut queue = queue();
     queue.charge(&team("late"), &cpu(90_000));
     queue.push(Time::ZERO, &team("late"), &task("old", 0), Priority::Batch);
-    let mut served = None;
     for second in 0..2_000u32 {
         let now = Time::from_millis(u64::from(second) * 1_000);
         let urgent = task(&format!("urgent-{second}"), 0);
         let small = task(&format!("small-{second}"), 0);
         queue.push(now, &team("stream"), &urgent, Priority::Urgent);
         queue.push(now, &team("stream"), &small, Priority::Batch);
-        let head = start(&mut queue, now, &Resources::ZERO).unwrap();
+        let head = queue.next(now)?;
+        queue.remove(&head.task);
+        if counted {
+            queue.started(now, &head);
+        }
         if head.team == team("late") {
-            served = Some(now.since(Time::ZERO));
-            break;
+            return Some(now.since(Time::ZERO));
         }
     }
+    None
+}
+
+/// Guards against an order that keeps one batch job waiting for ever.
+#[test]
+fn nothing_starves_under_an_endless_stream() {
     let bound = Span::from_secs(STARVING.as_micros() / 1_000_000 + u64::from(TURN) + 1);
-    assert!(served.unwrap() <= bound);
+    assert!(wait_of_the_old_job(true).unwrap() <= bound);
+}
+
+/// The check above catches an order without turns for starving work.
+#[test]
+fn the_starvation_check_catches_missing_turns() {
+    assert_eq!(wait_of_the_old_job(false), None);
+}
+
+/// Guards against jobs that starve in some order of submissions and starts.
+#[test]
+fn each_job_starts_in_a_bounded_number_of_turns() {
+    use proptest::prelude::*;
+    use proptest::test_runner::{Config, RngSeed, TestRunner};
+    let config = Config {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(0xFA1),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let job = (0..6u32, any::<bool>(), 0..40u64);
+    TestRunner::new(config)
+        .run(&proptest::collection::vec(job, 1..40), |jobs| {
+            let mut queue = queue();
+            for (i, (t, urgent, used)) in jobs.iter().enumerate() {
+                let team = team(&format!("team-{t}"));
+                let priority = if *urgent {
+                    Priority::Urgent
+                } else {
+                    Priority::Batch
+                };
+                queue.charge(&team, &cpu(used * 1_000));
+                queue.push(Time::ZERO, &team, &task(&format!("job-{i}"), 0), priority);
+            }
+            let old = STARVING.as_micros();
+            for step in 0..jobs.len() as u64 * u64::from(TURN + 1) {
+                let now = Time::from_micros(old + step);
+                let fresh = task(&format!("fresh-{step}"), 0);
+                queue.push(now, &team("fresh"), &fresh, Priority::Urgent);
+                let head = queue.next(now).unwrap();
+                queue.remove(&head.task);
+                queue.started(now, &head);
+            }
+            let left = (0..jobs.len()).filter(|i| {
+                let old = task(&format!("job-{i}"), 0);
+                queue.since(&old).is_some()
+            });
+            prop_assert_eq!(left.count(), 0);
+            Ok(())
+        })
+        .unwrap();
 }
 
 /// Guards against a blocked job that hides the jobs behind it, or is lost.
--- a/crates/jujubelb/src/place/policy/tests/mod.rs
+++ b/crates/jujubelb/src/place/policy/tests/mod.rs
@@ -9,6 +9,7 @@
 use crate::worker::Phase;
 
 mod fake;
+mod services;
 
 fn cores(n: u64) -> Resources {
     Resources::new(n * 1_000, n * 4 * GIB, 0)
--- /dev/null
+++ b/crates/jujubelb/src/place/policy/tests/services.rs
@@ -0,0 +1,190 @@
+//! Services beside batch work, and workers that misbehave.
+
+use super::fake::{Fake, GIB, config, job, worker};
+use super::{causes, cores, starts, task};
+use crate::config::{Endpoint, Service};
+use crate::journal::EndedBy;
+use crate::model::{Bytes, Cause, Priority, Resources, ServiceName, Span};
+use crate::place::LatencyReport;
+use crate::shard::{Choice, Decision, News, Policy};
+use crate::worker::Phase;
+
+/// A shard whose workers all hold an endpoint of one service.
+fn serving(count: usize) -> Fake {
+    let mut config = config(&[count]);
+    let domain = config.domains.first().unwrap().0.clone();
+    let endpoint = |i: usize| Endpoint {
+        domain: domain.clone(),
+        address: ([127, 0, 0, 1], 1).into(),
+        worker: Some(worker(i)),
+        slots: 8,
+        connections: 64,
+        leaving: false,
+    };
+    let service = Service {
+        deadline: Span::from_millis(200),
+        body: Bytes(1 << 20),
+        queue: 100,
+        endpoints: (0..count)
+            .map(|i| (format!("endpoint-{i}").as_str().into(), endpoint(i)))
+            .collect(),
+    };
+    config
+        .services
+        .insert(ServiceName::from("booking"), service);
+    Fake::new(config)
+}
+
+/// Runs for some seconds, with a report of each worker each second.
+fn serve(fake: &mut Fake, seconds: usize, micros: impl Fn(&Fake, usize) -> u64) -> Vec<Decision> {
+    let mut decisions = Vec::new();
+    for _ in 0..seconds {
+        (0..10).for_each(|_| decisions.extend(fake.step()));
+        for i in 0..fake.placed.len() {
+            let report = LatencyReport {
+                service: ServiceName::from("booking"),
+                worker: worker(i),
+                mean: Span::from_micros(micros(fake, i)),
+                count: 200,
+                load: 500,
+                age: Span::from_secs(5),
+            };
+            fake.policy.note(fake.now, News::Latency(&report));
+        }
+    }
+    decisions
+}
+
+/// Latency that grows with the cores of the loud class on the worker.
+fn disturbed(fake: &Fake, i: usize) -> u64 {
+    let tasks = fake.placed[&worker(i)].iter();
+    let loud = tasks.filter(|(id, _)| id.job.as_str() == "loud");
+    let cores: u64 = loud.filter_map(|(_, t)| t.1).map(|l| l.cpu.0 / 1_000).sum();
+    20_000 + 4_000 * cores
+}
+
+/// Guards against a class of unknown effect that is put beside all services at once.
+#[test]
+fn an_unknown_class_is_tried_on_few_workers() {
+    let mut fake = serving(32);
+    serve(&mut fake, 10, |_, _| 20_000);
+    fake.submit(job("loud", 64, Priority::Batch, cores(4)));
+    let first = fake.step();
+    assert!((1..=2).contains(&starts(&first)), "{}", starts(&first));
+    let later = serve(&mut fake, 60, |_, _| 20_000);
+    assert_eq!(
+        starts(&first) + starts(&later),
+        64,
+        "calm classes are spread"
+    );
+}
+
+/// Guards against a disturbing class that stays beside services, or is evicted
+/// again and again from places where it was put again.
+#[test]
+fn a_disturbing_class_is_avoided() {
+    let mut fake = serving(16);
+    serve(&mut fake, 10, |_, _| 20_000);
+    fake.submit(job("loud", 32, Priority::Batch, cores(8)));
+    let decisions = serve(&mut fake, 240, disturbed);
+    let late = (0..16).filter(|i| disturbed(&fake, *i) > 40_000).count();
+    assert_eq!(late, 0);
+    let evicted = decisions
+        .iter()
+        .filter(|d| matches!(d.choice, Choice::Evict { .. }));
+    assert!(evicted.count() <= 4);
+    assert!(causes(&decisions, Cause::Interference) > 0);
+}
+
+/// Guards against batch work that waits for ever for reports that never come.
+#[test]
+fn silence_does_not_stop_batch_work() {
+    let mut fake = serving(4);
+    fake.submit(job("batch", 8, Priority::Batch, cores(4)));
+    (0..700).for_each(|_| drop(fake.step()));
+    assert_eq!(fake.running(), 8);
+}
+
+/// Guards against a worker that fails everything and goes on getting tasks.
+#[test]
+fn a_failing_worker_gets_no_tasks() {
+    let mut fake = Fake::new(config(&[20]));
+    let mut quarantined = Vec::new();
+    for round in 0..200 {
+        fake.submit(job(&format!("job-{round}"), 4, Priority::Batch, cores(4)));
+        quarantined.extend(fake.step());
+        let running: Vec<_> = fake
+            .placed
+            .iter()
+            .flat_map(|(w, tasks)| tasks.keys().map(|t| (w.clone(), t.clone())))
+            .collect();
+        for (place, id) in running {
+            let (by, phase) = match place == worker(3) {
+                true => (EndedBy::Failure, Phase::Failed),
+                false => (EndedBy::Success, Phase::Succeeded),
+            };
+            fake.end(&id, by, phase);
+        }
+    }
+    assert_eq!(causes(&quarantined, Cause::WorkerFailing), 1);
+    assert!(fake.state.quarantined.contains(&worker(3)));
+    let after = (0..20).flat_map(|i| {
+        fake.submit(job(&format!("after-{i}"), 10, Priority::Batch, cores(4)));
+        fake.pass()
+    });
+    let there =
+        after.filter(|d| matches!(&d.choice, Choice::Assign { worker: w, .. } if *w == worker(3)));
+    assert_eq!(there.count(), 0);
+}
+
+/// Guards against P1 on a worker that enforces no limits.
+#[test]
+fn use_above_an_unprotected_worker_evicts_at_once() {
+    let mut fake = Fake::new(config(&[1]));
+    fake.config.workers[0].protection = false;
+    fake.submit(job("batch", 4, Priority::Batch, cores(8)));
+    (0..20).for_each(|_| drop(fake.step()));
+    fake.report(&worker(0), |_| Resources::new(8_000, 40 * GIB, 0));
+    let decisions = fake.pass();
+    let evicted = decisions
+        .iter()
+        .filter(|d| matches!(d.choice, Choice::Evict { .. }) && d.cause == Cause::OverCapacity);
+    assert_eq!(
+        evicted.count(),
+        1,
+        "one of four brings 160 GiB below 128 GiB"
+    );
+}
+
+/// Guards against a returning worker that gets all queued work at one moment.
+#[test]
+fn a_returning_worker_is_filled_at_a_bounded_rate() {
+    let mut fake = Fake::new(config(&[1]));
+    fake.away.insert(worker(0));
+    fake.submit(job("batch", 32, Priority::Batch, cores(1)));
+    (0..20).for_each(|_| drop(fake.step()));
+    fake.away.clear();
+    let first: Vec<_> = (0..10).flat_map(|_| fake.step()).collect();
+    assert!((1..=6).contains(&starts(&first)));
+    (0..150).for_each(|_| drop(fake.step()));
+    assert_eq!(fake.running(), 32);
+}
+
+/// Guards against a decision that an engineer can't follow: each has the numbers
+/// that were compared.
+#[test]
+fn decisions_carry_the_numbers_compared() {
+    let mut fake = Fake::new(config(&[1]));
+    fake.submit(job("batch", 9, Priority::Batch, cores(4)));
+    let all: Vec<_> = (0..60).flat_map(|_| fake.step()).collect();
+    assert!(all.iter().all(|d| !d.facts.is_empty()));
+    let delayed = all.iter().find(|d| d.cause == Cause::NoCapacity).unwrap();
+    assert_eq!(
+        delayed.choice,
+        Choice::Delay {
+            task: task("batch", 8)
+        }
+    );
+    let names: Vec<_> = delayed.facts.iter().map(|f| f.name.as_str()).collect();
+    assert!(names.starts_with(&["need-cpu", "free-cpu", "need-memory", "free-memory"]));
+}
