--- a/crates/jujubelb/src/place/policy/mod.rs
+++ b/crates/jujubelb/src/place/policy/mod.rs
@@ -31,7 +31,7 @@
 mod start;
 mod sync;
 
-use known::{Known, Seen};
+use known::Known;
 use react::Order;
 
 #[cfg(test)]
@@ -52,8 +52,6 @@
     index: Index,
     /// Workers by their position in the owner's view and in the index.
     workers: IndexMap<WorkerName, Known>,
-    /// Assigned tasks.
-    tasks: IndexMap<TaskId, Seen>,
     /// Reservations of tasks that exceeded their limit, doubled.
     doubled: IndexMap<TaskId, Resources>,
     /// Causes of delay already given.
@@ -79,7 +77,8 @@
     /// The configuration for which shares and services were computed.
     revision: Option<crate::model::Revision>,
     next: Time,
-    synced: sync::Fingerprint,
+    /// When the queue was last compared in full.
+    compared: Time,
     /// Varies choices among equals.
     salt: u64,
 }
@@ -110,7 +109,7 @@
     }
 
     /// Takes over what depends on the configuration only.
-    fn configure(&mut self, config: &Config, shard: &ShardName) {
+    fn configure(&mut self, now: Time, config: &Config, shard: &ShardName) {
         if self.revision == Some(config.revision) {
             return;
         }
@@ -130,7 +129,7 @@
             self.queue.set_weight(name, team.weight);
         }
         for (name, known) in &mut self.workers {
-            known.services = known::services_on(name, config);
+            known.services = known::services_on(now, name, config);
         }
         self.dirty.extend(self.workers.keys().cloned());
     }
@@ -148,7 +147,7 @@
             return Vec::new();
         }
         self.next = view.now + PASS;
-        self.configure(view.config, view.shard);
+        self.configure(view.now, view.config, view.shard);
         let mut decisions = Vec::new();
         self.sync(view);
         self.attribute(view, &mut decisions);
@@ -196,7 +195,9 @@
             "sizes": self.sizes.state(),
             "delayed": self.delayed.len(),
             "holds": self.holds.len(),
-            "throttled": self.tasks.values().filter(|t| t.throttled.is_some()).count(),
+            "throttled": self.workers.values().flat_map(|w| w.seen.values())
+                .filter(|t| t.throttled.is_some())
+                .count(),
             "probation": self.workers.keys()
                 .filter(|w| self.attribution.is_on_probation(w))
                 .collect::<Vec<_>>(),
--- a/crates/jujubelb/src/place/policy/react.rs
+++ b/crates/jujubelb/src/place/policy/react.rs
@@ -34,10 +34,6 @@
 
 impl PlacePolicy {
     pub(super) fn react(&mut self, view: &View<'_>, decisions: &mut Vec<Decision>) {
-        if self.is_domain_out(view) {
-            self.clear_domain(view, decisions);
-            return;
-        }
         for order in std::mem::take(&mut self.orders) {
             if let Some((_, worker)) = view.workers.get_index(order.worker) {
                 self.obey(view, worker, &order, decisions);
@@ -50,26 +46,6 @@
         }
     }
 
-    fn is_domain_out(&self, view: &View<'_>) -> bool {
-        let shard = view.config.shards.get(view.shard);
-        shard.is_some_and(|s| !view.config.in_service(&s.domain))
-    }
-
-    /// Checkpoints and evicts everything, because the domain leaves.
-    fn clear_domain(&mut self, view: &View<'_>, decisions: &mut Vec<Decision>) {
-        self.orders.clear();
-        for worker in view.workers.values() {
-            let running = worker.occupants.iter().filter(|o| !o.stopping);
-            for occupant in running {
-                let facts = vec![span("progress", self.progress(view.now, &occupant.task))];
-                let choice = Choice::Evict {
-                    task: occupant.task.clone(),
-                };
-                decisions.push(decision(choice, Cause::DomainOut, facts));
-            }
-        }
-    }
-
     fn obey(
         &mut self,
         view: &View<'_>,
@@ -125,7 +101,7 @@
         if order.act == Act::Evict {
             return Some(decision(Choice::Evict { task }, Cause::Interference, facts));
         }
-        let seen = self.tasks.get_mut(&task)?;
+        let seen = self.workers[order.worker].seen.get_mut(&task)?;
         if seen.throttled.is_some() {
             return None;
         }
@@ -146,16 +122,14 @@
         worker: &WorkerView,
         order: &Order,
     ) -> Vec<(Candidate, f64)> {
+        let known = &self.workers[order.worker];
         let rate = |task: &TaskId| {
-            let job = view.state.jobs.get(&task.job);
-            job.map_or(0.0, |j| {
-                self.interference
-                    .estimate(&order.service, &j.spec.task.class)
-                    .mean
+            known.seen.get(task).map_or(0.0, |seen| {
+                self.interference.estimate(&order.service, &seen.class).mean
             })
         };
         let all: Vec<_> = self
-            .batch_on(view, worker)
+            .batch_on(view.now, order.worker, worker)
             .into_iter()
             .map(|c| {
                 let rate = rate(&c.task);
@@ -175,7 +149,8 @@
     /// Gives tasks that were throttled for the service their limits back.
     fn unthrottle(&mut self, worker: &WorkerView, order: &Order, decisions: &mut Vec<Decision>) {
         for occupant in worker.occupants.iter().filter(|o| !o.stopping) {
-            let Some(seen) = self.tasks.get_mut(&occupant.task) else {
+            let known = &mut self.workers[order.worker];
+            let Some(seen) = known.seen.get_mut(&occupant.task) else {
                 continue;
             };
             let Some((before, service)) = seen.throttled.take() else {
