Test the processes with bad input, planned stops and the loss of an owner

Bad input of callers, operators and peers has to bring a numbered code or a counted drop and nothing else, and a planned stop has to cut off no request. Bodies of requests in flight now share 64 MiB, evidence reaches an owner only after its configuration, an owner key names the incarnation, and calls to the store are measured.

--- /dev/null
+++ b/crates/jujubelb-lab/tests/processes/failures.rs
@@ -0,0 +1,99 @@
+use std::thread;
+
+use jujubelb::model::Span;
+use jujubelb::operator::api::{ApplyAnswer, DomainRequest, RecordsView, TopView};
+
+use super::world::{World, code};
+
+/// Guards against a planned stop that cuts off requests.
+#[test]
+fn a_planned_stop_of_an_entry_process_cuts_off_no_request() {
+    let world = World::new(2, Span::from_millis(300));
+    let (stopping, other) = (world.entry(0), world.entry(1));
+    world.apply(&stopping);
+    drop(world.serve(&stopping));
+    let url = format!("http://{}/svc/hello/x", stopping.callers());
+    let started = world.platform.receipts.total();
+    let requests: Vec<_> = (0..6)
+        .map(|n| {
+            let (http, url) = (world.http.clone(), url.clone());
+            thread::spawn(move || {
+                let request = http.get(url).header("Lab-Request", format!("r{n}"));
+                let response = request.send().unwrap();
+                let code = code(&response);
+                (code, response.bytes().unwrap().len())
+            })
+        })
+        .collect();
+    world.until("requests in flight", || {
+        world.platform.receipts.total() > started
+    });
+    assert!(stopping.stop());
+    for request in requests {
+        assert_eq!(request.join().unwrap(), (100, 4_096));
+    }
+    assert!(other.stop());
+}
+
+/// Guards against tasks that are lost or run twice when a scheduler dies or is
+/// stopped, and against a domain that is not emptied on an operator's word.
+#[test]
+fn tasks_survive_the_loss_and_the_planned_stop_of_their_owner() {
+    let world = World::new(3, Span::from_millis(5));
+    let entry = world.entry(0);
+    let mut schedulers: Vec<_> = (0..3).map(|host| Some(world.scheduler(host))).collect();
+    world.apply(&entry);
+    let running = || {
+        let tasks = world.tasks(entry.operators()).tasks;
+        tasks.iter().filter(|t| t.state == "running").count()
+    };
+    world.until("running watchers", || running() == 2);
+    let owner = || {
+        let url = format!("http://{}/v1/top", entry.operators());
+        let top: TopView = world.operator(world.http.get(url)).json().unwrap();
+        let shard = top.shards.first()?;
+        Some((shard.owner.to_string(), shard.epoch))
+    };
+    let index = |name: &str| {
+        name["host-".len()..]
+            .split('/')
+            .next()?
+            .parse::<usize>()
+            .ok()
+    };
+    let (first, epoch) = owner().unwrap();
+    let dead = index(&first).unwrap() - 1;
+    schedulers[dead].take().unwrap().abort();
+    world.until("another owner", || {
+        owner().is_some_and(|(name, next)| name != first && next > epoch)
+    });
+    world.until("running watchers at the new owner", || running() == 2);
+    let (second, epoch) = owner().unwrap();
+    let leaving = index(&second).unwrap() - 1;
+    assert!(schedulers[leaving].take().unwrap().stop());
+    world.until("a third owner", || {
+        owner().is_some_and(|(name, next)| name != second && next > epoch)
+    });
+    world.until("running watchers at the third owner", || running() == 2);
+    take_out(&world, entry.operators());
+    world.until("an empty domain", || running() == 0);
+    let url = format!("http://{}/v1/records?subject=watch", entry.operators());
+    let records: RecordsView = world.operator(world.http.get(url)).json().unwrap();
+    let evicted = |r: &&jujubelb::model::Record| r.action == jujubelb::model::Action::Evict;
+    let evict = records.records.iter().find(evicted);
+    assert!(evict.is_some_and(|r| r.parent.is_some()), "{records:?}");
+    assert_eq!(world.platform.ledger().violations(), 0);
+}
+
+fn take_out(world: &World, operators: std::net::SocketAddr) {
+    let request = DomainRequest {
+        change: "out".into(),
+        author: "test".into(),
+        out: true,
+    };
+    let url = format!("http://{operators}/v1/domains/home-a");
+    let response = world.operator(world.http.post(url).json(&request));
+    assert_eq!(response.status(), 200, "{}", response.text().unwrap());
+    let answer: ApplyAnswer = response.json().unwrap();
+    assert!(!answer.unchanged);
+}
--- a/crates/jujubelb-lab/tests/processes/world.rs
+++ b/crates/jujubelb-lab/tests/processes/world.rs
@@ -133,6 +133,20 @@
         answer
     }
 
+    /// Sends a request until it is answered.
+    pub fn serve(&self, entry: &EntryHandle) -> Response {
+        let url = format!("http://{}/svc/hello/some/path?x=1", entry.callers());
+        let mut answer = None;
+        self.until("an answer", || {
+            let request = self.http.get(&url).header("Lab-Request", "first");
+            let response = request.send().unwrap();
+            let done = response.status() == 200;
+            answer = Some(response);
+            done
+        });
+        answer.unwrap()
+    }
+
     pub fn tasks(&self, operators: SocketAddr) -> TasksView {
         let url = format!("http://{operators}/v1/tasks");
         self.operator(self.http.get(url)).json().unwrap()
@@ -220,6 +234,12 @@
     cpu: 1500m
     memory: 2 GiB
     duration: 1s
+watchers:
+  - name: watch
+    team: everyone
+    tasks: 2
+    cpu: 1
+    memory: 1 GiB
 ",
         platform[0], platform[1], platform[2]
     )
--- a/crates/jujubelb/src/entry/forward.rs
+++ b/crates/jujubelb/src/entry/forward.rs
@@ -7,14 +7,17 @@
 use reqwest::{Client, Method, StatusCode, Version};
 use rocket::Request;
 
-use super::answer::Whole;
 use super::headers;
+use crate::http::answer::Whole;
 use crate::model::{Bytes, Span};
 use crate::route::AttemptEnd;
 
 /// Time for making a connection. Regions are 12 ms apart.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// Name of the deadline header in lower case, as the client library compares it.
+const DEADLINE: &str = "jujubelb-deadline-ms";
+
 /// Time for which unused connections to an endpoint are kept.
 const IDLE: Duration = Duration::from_secs(30);
 
@@ -55,7 +58,8 @@
         ) else {
             continue;
         };
-        if name != HOST && name != CONTENT_LENGTH {
+        // The last two are set anew for each attempt.
+        if name != HOST && name != CONTENT_LENGTH && name != DEADLINE {
             passed.append(name, value);
         }
     }
--- a/crates/jujubelb/src/entry/headers.rs
+++ b/crates/jujubelb/src/entry/headers.rs
@@ -53,6 +53,13 @@
     pub(super) caller: Option<ArcStr>,
 }
 
+impl Wishes {
+    /// Whether the request has to be claimed before it is sent.
+    pub(super) fn needs_claim(&self) -> bool {
+        !self.idempotent && self.key.is_some()
+    }
+}
+
 /// Reads the headers; the error names the header and what it has to be.
 pub(super) fn read(headers: &HeaderMap<'_>, safe: bool) -> Result<Wishes, String> {
     Ok(Wishes {
--- a/crates/jujubelb/src/entry/jobs.rs
+++ b/crates/jujubelb/src/entry/jobs.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 
 use super::Entry;
-use super::answer::{self, Failure};
 use crate::config::Config;
+use crate::http::answer::{self, Failure};
 use crate::model::{Code, JobName, JobSpec, ShardName, Span, TaskKind};
 use crate::peer::{Call, CallFailure, Reply};
 use crate::process::jobs;
--- a/crates/jujubelb/src/entry/mod.rs
+++ b/crates/jujubelb/src/entry/mod.rs
@@ -1,6 +1,5 @@
 //! The entry process: accepts callers' requests and job submissions.
 
-mod answer;
 mod calls;
 mod claims;
 mod control;
@@ -18,6 +17,7 @@
 use std::sync::Arc;
 
 use rocket::{Build, Rocket};
+use tokio::sync::Semaphore;
 
 pub use headers::{CALLER, CODE, DEADLINE, IDEMPOTENT, KEY, LEAVING, MAY_HAVE_RUN, PRIORITY};
 
@@ -48,6 +48,7 @@
     peers: Peers,
     desk: Desk,
     client: reqwest::Client,
+    bodies: Semaphore,
     stats: Stats,
 }
 
@@ -82,6 +83,7 @@
             ),
             client: forward::client()
                 .map_err(|e| StartError::Client("endpoints", e.to_string()))?,
+            bodies: Semaphore::new(serve::BODIES),
             stats: Stats::new(process.clock, &process.metrics),
             peers: peers.clone(),
             process: process.clone(),
@@ -135,6 +137,7 @@
         process.start_draining();
         self.entry.peers.tell_draining();
         std::thread::sleep(notice);
+        self.entry.desk.decide(|now, state| state.router.drain(now));
         let whole = self.callers.drain(Span::from(limit - notice));
         self.operators.drain(OPERATORS_STOP);
         self.threads.join();
--- a/crates/jujubelb/src/entry/serve.rs
+++ b/crates/jujubelb/src/entry/serve.rs
@@ -7,13 +7,13 @@
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome};
 use rocket::{Data, Request, Route};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, SemaphorePermit, mpsc};
 
 use super::Entry;
-use super::answer::{self, Failure, Whole};
 use super::claims::Claim;
 use super::forward::{self, Parcel};
 use super::headers::{self, Wishes};
+use crate::http::answer::{self, Failure, Whole};
 use crate::model::{Bytes, Code, ServiceName, Span, Time};
 use crate::peer::ClaimKey;
 use crate::route::{Claimed, Delivery, Dispatch, Refusal, RequestInfo, Step, Ticket};
@@ -32,6 +32,13 @@
     Method::Patch,
 ];
 
+/// Memory for the bodies of all requests in flight, in units. A host has 256 MB
+/// for both processes.
+pub(super) const BODIES: usize = (64 << 20) / BODY_UNIT as usize;
+
+/// Bytes in a unit of memory for bodies.
+const BODY_UNIT: u64 = 4 << 10;
+
 /// Attempts of one request that may end without the request looking.
 const ENDS: usize = 8;
 
@@ -73,6 +80,29 @@
         }
     }
 
+    /// Room for a body until the request ends. A body of unknown length counts
+    /// as the largest.
+    fn room_for(
+        &self,
+        request: &Request<'_>,
+        limit: Bytes,
+    ) -> Result<SemaphorePermit<'_>, Failure> {
+        let stated = request.headers().get_one("Content-Length");
+        let stated = stated.and_then(|text| text.parse().ok());
+        let bytes = match request.method() {
+            Method::Get | Method::Head | Method::Options if stated.is_none() => 0,
+            _ => stated.unwrap_or(limit.0).min(limit.0),
+        };
+        let units = u32::try_from(bytes / BODY_UNIT + 1).unwrap_or(u32::MAX);
+        self.bodies.try_acquire_many(units).map_err(|_| {
+            let text = "the bodies of the requests in flight use up the memory for them";
+            Failure {
+                retry: Some(Span::from_secs(1)),
+                ..Failure::new(Code::QueueFull, text)
+            }
+        })
+    }
+
     async fn route(
         self: &Arc<Self>,
         name: &ServiceName,
@@ -91,7 +121,24 @@
         );
         let wishes = headers::read(request.headers(), safe)
             .map_err(|text| Failure::new(Code::Malformed, text))?;
-        let parcel = pack(request, data, target, service.body).await?;
+        let unclaimed = |failure: Failure| match failure.code {
+            // "Not run" would also be a statement about earlier attempts with the key.
+            code if wishes.needs_claim() && code != Code::TooLarge => Failure {
+                code: Code::ClaimUnavailable,
+                ..failure
+            },
+            _ => failure,
+        };
+        let _room = self.room_for(request, service.body).map_err(unclaimed)?;
+        let limit = wishes.deadline.unwrap_or(service.deadline);
+        let packing = pack(request, data, target, service.body);
+        let parcel = tokio::time::timeout(limit.to_std(), packing)
+            .await
+            .unwrap_or_else(|_| {
+                let text = "the body did not arrive before the deadline";
+                Err(Failure::new(Code::Malformed, text))
+            })
+            .map_err(unclaimed)?;
         let info = info(name, &wishes, &parcel);
         let (ticket, notice) = self.desk.admit(info).map_err(refused)?;
         let mut journey = Journey {
--- a/crates/jujubelb/src/entry/answer.rs
+++ b/crates/jujubelb/src/http/answer.rs
@@ -1,4 +1,4 @@
-//! Answers to callers.
+//! Answers of the processes' HTTP servers, each with its result code.
 
 use std::io::Cursor;
 
@@ -6,31 +6,31 @@
 use rocket::response::Response;
 use serde::Serialize;
 
-use super::headers;
+use crate::entry::{CODE, MAY_HAVE_RUN};
 use crate::model::{Code, Span};
 use crate::operator::api::ErrorBody;
 
 /// A whole answer of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Whole {
-    pub(super) status: u16,
+pub(crate) struct Whole {
+    pub(crate) status: u16,
     /// Headers that are passed on.
-    pub(super) headers: Vec<(String, String)>,
-    pub(super) body: Vec<u8>,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
     /// Stated length of the body; differs from the body's for `HEAD`.
-    pub(super) length: usize,
+    pub(crate) length: usize,
 }
 
 /// A result that does not come from an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Failure {
-    pub(super) code: Code,
-    pub(super) message: String,
-    pub(super) retry: Option<Span>,
+pub(crate) struct Failure {
+    pub(crate) code: Code,
+    pub(crate) message: String,
+    pub(crate) retry: Option<Span>,
 }
 
 impl Failure {
-    pub(super) fn new(code: Code, message: impl Into<String>) -> Self {
+    pub(crate) fn new(code: Code, message: impl Into<String>) -> Self {
         Self {
             code,
             message: message.into(),
@@ -47,7 +47,7 @@
 
 /// The response that passes an endpoint's answer on. `closing` asks the caller
 /// to make a new connection for its next request.
-pub(super) fn forwarded(answer: Whole, closing: bool) -> Response<'static> {
+pub(crate) fn forwarded(answer: Whole, closing: bool) -> Response<'static> {
     let mut response = Response::new();
     response.set_status(Status::new(answer.status));
     for (name, value) in answer.headers {
@@ -59,7 +59,7 @@
 }
 
 /// The response for a failure.
-pub(super) fn failed(failure: Failure, closing: bool) -> Response<'static> {
+pub(crate) fn failed(failure: Failure, closing: bool) -> Response<'static> {
     let body = ErrorBody::new(failure.code, failure.message);
     let mut response = json(failure.code, &body, closing);
     if let Some(retry) = failure.retry {
@@ -70,7 +70,7 @@
 }
 
 /// A response with a JSON body.
-pub(super) fn json<T: Serialize>(code: Code, body: &T, closing: bool) -> Response<'static> {
+pub(crate) fn json<T: Serialize>(code: Code, body: &T, closing: bool) -> Response<'static> {
     // The bodies are plain structures with text keys, which always have a JSON form.
     let text = serde_json::to_string(body).unwrap_or_default();
     let mut response = Response::new();
@@ -82,9 +82,9 @@
 }
 
 fn mark(response: &mut Response<'_>, code: Code, closing: bool) {
-    response.set_header(Header::new(headers::CODE, code.number().to_string()));
+    response.set_header(Header::new(CODE, code.number().to_string()));
     let ran = code.may_have_run().to_string();
-    response.set_header(Header::new(headers::MAY_HAVE_RUN, ran));
+    response.set_header(Header::new(MAY_HAVE_RUN, ran));
     if closing {
         response.set_header(Header::new("Connection", "close"));
     }
--- a/crates/jujubelb/src/http/mod.rs
+++ b/crates/jujubelb/src/http/mod.rs
@@ -1,9 +1,12 @@
 //! Blocking HTTP calls with JSON bodies to the platform, with bounded time and size.
 
+pub(crate) mod answer;
 #[cfg(test)]
 pub(crate) mod canned;
 
 mod serve;
+#[cfg(test)]
+mod tests;
 
 pub use serve::ServeError;
 pub(crate) use serve::Server;
--- a/crates/jujubelb/src/operator/health.rs
+++ b/crates/jujubelb/src/operator/health.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use rocket::http::Status;
-use rocket::serde::json::Json;
-use rocket::{Catcher, Request, Route, State, catchers, routes};
+use rocket::response::Response;
+use rocket::{Catcher, Request, Route, State, routes};
 
-use super::api::ErrorBody;
+use crate::http::answer::{self, Failure};
 use crate::model::{Code, Revision};
 use crate::process::Process;
 
@@ -17,7 +17,7 @@
 
 /// Answers with a result code where no route answers.
 pub(crate) fn catchers() -> Vec<Catcher> {
-    catchers![uncaught]
+    vec![Catcher::new(None, caught)]
 }
 
 /// The process runs.
@@ -41,8 +41,11 @@
     (Status::Ok, "ready\n")
 }
 
-#[rocket::catch(default)]
-fn uncaught(status: Status, request: &Request<'_>) -> (Status, Json<ErrorBody>) {
+fn caught<'r>(status: Status, request: &'r Request<'_>) -> rocket::catcher::BoxFuture<'r> {
+    Box::pin(async move { Ok(uncaught(status, request)) })
+}
+
+fn uncaught(status: Status, request: &Request<'_>) -> Response<'static> {
     let (code, text) = match status.code {
         401 => (
             Code::Unauthorized,
@@ -56,6 +59,7 @@
         400 | 422 => (Code::Malformed, "the request is malformed".to_owned()),
         _ => (Code::Internal, "the request could not be served".to_owned()),
     };
-    let body = ErrorBody::new(code, text);
-    (Status::new(code.status()), Json(body))
+    let state = request.rocket().state::<Arc<Process>>();
+    let closing = state.is_some_and(|process| process.is_draining());
+    answer::failed(Failure::new(code, text), closing)
 }
--- a/crates/jujubelb/src/process/configuration.rs
+++ b/crates/jujubelb/src/process/configuration.rs
@@ -11,7 +11,7 @@
 use crate::telemetry::Outlet;
 
 /// Interval of the thread's decisions.
-const STEP: Span = Span::from_millis(50);
+const STEP: Span = Span::from_millis(100);
 
 /// Longest time for an answer of a peer. Its evidence has to stay fresh on the way.
 const PATIENCE: Span = Span::from_millis(1_000);
--- a/crates/jujubelb/src/process/mod.rs
+++ b/crates/jujubelb/src/process/mod.rs
@@ -89,9 +89,11 @@
         let node = settings.node(role);
         let incarnation = Incarnation(rand::random());
         let processes = 2 * (settings.seeds.len() + 1);
+        let metrics = Metrics::new()?;
+        let store = HttpStore::new(settings.store, clock, &metrics, processes)?;
         let process = Arc::new(Self {
-            store: Arc::new(HttpStore::new(settings.store, clock, processes)?),
-            metrics: Metrics::new()?,
+            store: Arc::new(store),
+            metrics,
             queues: Queues::default(),
             board: Board::new(clock),
             records: Records::new(node.clone()),
--- a/crates/jujubelb/src/scheduler/owner.rs
+++ b/crates/jujubelb/src/scheduler/owner.rs
@@ -18,7 +18,7 @@
 use crate::telemetry::{Inbox, Outlet};
 
 /// Longest wait for news. Owners are told of the time at least every 100 ms.
-const STEP: Span = Span::from_millis(20);
+const STEP: Span = Span::from_millis(50);
 
 /// Interval of telling the peers about the owned shards.
 const TELL_EVERY: Span = Span::from_millis(200);
@@ -52,6 +52,8 @@
     unreported: Vec<ShardName>,
     terms: IndexMap<ShardName, Term>,
     config: Arc<Config>,
+    /// Evidence for `config`, as it came through the queue after it.
+    evidence: Option<Time>,
     stopping: Option<oneshot::Sender<()>>,
     told: Time,
 }
@@ -72,6 +74,7 @@
             unreported: Vec::new(),
             terms: IndexMap::new(),
             config: Arc::default(),
+            evidence: None,
             stopping: None,
             told: Time::ZERO,
         }
@@ -102,7 +105,10 @@
                     self.config = config.clone();
                     Input::Config(config)
                 }
-                ConfigNews::Evidence(began) => Input::Evidence(began),
+                ConfigNews::Evidence(began) => {
+                    self.evidence = Some(began);
+                    Input::Evidence(began)
+                }
                 ConfigNews::Contact(began) => Input::StoreContact(began),
             };
             for term in self.terms.values_mut() {
@@ -115,7 +121,7 @@
             self.terms.insert(taken.shard.clone(), Term::new(taken));
         }
         for term in self.terms.values_mut() {
-            term.take_told(&self.scheduler, now, &self.config);
+            term.take_told(&self.scheduler, now, &self.config, self.evidence);
         }
     }
 
--- a/crates/jujubelb/src/scheduler/ownership.rs
+++ b/crates/jujubelb/src/scheduler/ownership.rs
@@ -202,7 +202,10 @@
                 }
             },
         };
-        let value = process.node.as_str().as_bytes();
+        // The incarnation tells this process's key from that of an earlier one,
+        // whose lease is about to end.
+        let value = format!("{} {}", process.node, process.incarnation.0);
+        let value = value.as_bytes();
         match process
             .store
             .put(&key(shard), value, Expect::Absent, Some(lease))
--- a/crates/jujubelb/src/scheduler/term.rs
+++ b/crates/jujubelb/src/scheduler/term.rs
@@ -88,10 +88,21 @@
     }
 
     /// Takes in what the journal told.
-    pub(super) fn take_told(&mut self, scheduler: &Scheduler, now: Time, config: &Arc<Config>) {
+    pub(super) fn take_told(
+        &mut self,
+        scheduler: &Scheduler,
+        now: Time,
+        config: &Arc<Config>,
+        evidence: Option<Time>,
+    ) {
         while let Some(told) = self.told.pop() {
             match told {
-                Told::Opened(opened, began) => self.begin(scheduler, now, *opened, began, config),
+                Told::Opened(opened, began) => {
+                    self.begin(scheduler, now, *opened, began, config);
+                    if let Some(confirmed) = evidence {
+                        self.give(now, Input::Evidence(confirmed));
+                    }
+                }
                 Told::Failed => self.over = true,
                 Told::Appended(seq, result, due) => {
                     self.snapshot |= due;
@@ -120,10 +131,7 @@
             clocks: (now, Clock::wall()),
         };
         let policy = PlacePolicy::new(rand::random());
-        let mut owner = Owner::new(identity, began, now, opened, config.clone(), policy);
-        if let Some(confirmed) = process.board.present().evidence.began() {
-            owner.handle(now, Input::Evidence(confirmed));
-        }
+        let owner = Owner::new(identity, began, now, opened, config.clone(), policy);
         self.owner = Some(owner);
     }
 
--- a/crates/jujubelb/src/scheduler/tests.rs
+++ b/crates/jujubelb/src/scheduler/tests.rs
@@ -1,1 +1,95 @@
+use super::claim::Claims;
+use crate::config::{Config, Shard};
+use crate::model::{Epoch, Incarnation, Resources, Revision, ShardName, Span, Time};
+use crate::peer::{Heartbeat, Member, Role, Standing};
+use crate::shard::ShardSummary;
 
+fn config() -> Config {
+    let shard = |domain: &str| Shard {
+        domain: domain.into(),
+        racks: Default::default(),
+    };
+    let names = ["a-1", "a-2", "a-3", "a-4", "b-1"];
+    let shards = names.map(|name| (name.into(), shard(&name[..1])));
+    Config {
+        shards: shards.into_iter().collect(),
+        ..Config::default()
+    }
+}
+
+fn member(node: &str, domain: &str, shards: &[&str]) -> Member {
+    let summary = |shard: &&str| ShardSummary {
+        shard: (*shard).into(),
+        domain: domain.into(),
+        owner: node.into(),
+        epoch: Epoch(1),
+        free: Resources::ZERO,
+        largest: Resources::ZERO,
+        queued: 0,
+        running: 0,
+    };
+    Member {
+        beat: Heartbeat {
+            node: node.into(),
+            incarnation: Incarnation(1),
+            role: Role::Scheduler,
+            address: "127.0.0.1:1".parse().unwrap(),
+            every: Span::from_millis(500),
+            domain: domain.into(),
+            draining: false,
+            revision: Revision(1),
+            evidence: None,
+            loads: Vec::new(),
+            shards: shards.iter().map(summary).collect(),
+        },
+        heard: Time::ZERO,
+        standing: Standing::Alive,
+    }
+}
+
+/// The first second at which each shard is tried by a process in domain `a`.
+fn tried(node: &str, members: &[Member], owned: &[ShardName]) -> Vec<(ShardName, u64)> {
+    let mut claims = Claims::new(Time::ZERO, node.into(), "a".into());
+    let mut tried: Vec<(ShardName, u64)> = Vec::new();
+    for second in 0..20 {
+        let now = Time::from_millis(second * 1_000);
+        for shard in claims.due(now, &config(), members, owned) {
+            if !tried.iter().any(|(known, _)| *known == shard) {
+                tried.push((shard, second));
+            }
+        }
+    }
+    tried
+}
+
+/// Guards against shards that are fought over or taken by a distant process first.
+#[test]
+fn shards_of_the_own_domain_come_first_in_an_order_that_spreads_them() {
+    let nodes = ["s1", "s2", "s3"];
+    let first = |node: &str| {
+        let others = nodes.iter().filter(|n| **n != node);
+        let members: Vec<_> = others.map(|n| member(n, "a", &[])).collect();
+        let tried = tried(node, &members, &[]);
+        let far = tried.iter().find(|(shard, _)| shard.as_str() == "b-1");
+        assert!(far.is_some_and(|(_, second)| *second >= 5), "{tried:?}");
+        let early = tried.into_iter().filter(|(_, second)| *second <= 2);
+        early.map(|(shard, _)| shard).collect::<Vec<_>>()
+    };
+    let firsts: Vec<_> = nodes.iter().map(|node| first(node)).collect();
+    let all: indexmap::IndexSet<_> = firsts.iter().flatten().collect();
+    assert!(all.len() >= 4, "{firsts:?}");
+}
+
+/// Guards against a takeover from a live owner, and against none from a dead one.
+#[test]
+fn only_shards_without_a_live_owner_are_tried() {
+    let shards = ["a-1", "a-2", "a-3", "a-4", "b-1"];
+    let alive = member("s2", "a", &shards);
+    assert!(tried("s1", std::slice::from_ref(&alive), &[]).is_empty());
+    let mut suspect = alive.clone();
+    suspect.standing = Standing::Suspect;
+    assert_eq!(tried("s1", &[suspect], &[]).len(), 5);
+    let mut draining = alive;
+    draining.beat.draining = true;
+    assert_eq!(tried("s1", &[draining], &["a-1".into()]).len(), 4);
+}
--- a/crates/jujubelb/src/settings.rs
+++ b/crates/jujubelb/src/settings/mod.rs
@@ -1,5 +1,8 @@
 //! Settings of one process, read from a YAML file. `docs/settings.md` lists them.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
--- a/crates/jujubelb/src/store/http.rs
+++ b/crates/jujubelb/src/store/http.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
 use reqwest::Url;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -15,7 +17,7 @@
 use super::{Entry, Expect, LeaseId, Store, StoreError, VALUE_LIMIT, Version};
 use crate::http::{self, Answer, CallError, Http};
 use crate::model::Span;
-use crate::telemetry::Clock;
+use crate::telemetry::{self, Clock, Metrics};
 
 /// Time and size limits of a call.
 const LIMITS: http::Limits = http::Limits {
@@ -36,16 +38,25 @@
     http: Http,
     clock: Clock,
     pace: Mutex<Pace>,
+    calls: Counter<u64>,
+    durations: Histogram<f64>,
 }
 
 impl HttpStore {
     /// An adapter for the store at this address, for one of `processes` processes.
-    pub fn new(address: SocketAddr, clock: Clock, processes: usize) -> Result<Self, StoreError> {
+    pub fn new(
+        address: SocketAddr,
+        clock: Clock,
+        metrics: &Metrics,
+        processes: usize,
+    ) -> Result<Self, StoreError> {
         let http = Http::new(LIMITS).map_err(|e| StoreError::Refused(http::describe(&e)))?;
         Ok(Self {
             address,
             http,
             pace: Mutex::new(Pace::new(clock.now(), processes)),
+            calls: metrics.counter(&telemetry::STORE_CALLS),
+            durations: metrics.durations(&telemetry::STORE_TIME),
             clock,
         })
     }
@@ -87,7 +98,7 @@
 
     fn read<T: DeserializeOwned>(&self, url: Url, wait: Span) -> Result<T, StoreError> {
         self.admit(Kind::Read)?;
-        let answer = self.observe(self.http.get(url, wait))?;
+        let answer = self.observe("read", || self.http.get(url, wait))?;
         interpret(&answer)
     }
 
@@ -98,15 +109,26 @@
         body: &B,
     ) -> Result<T, StoreError> {
         self.admit(Kind::Write)?;
-        let answer = self.observe(self.http.post(self.url(path, &[]), body))?;
+        let answer = self.observe("write", || self.http.post(self.url(path, &[]), body))?;
         interpret(&answer).map_err(|error| match error {
             StoreError::Malformed(text) => StoreError::Unknown(text),
             error => error,
         })
     }
 
-    fn observe(&self, result: Result<Answer, CallError>) -> Result<Answer, StoreError> {
+    fn observe(
+        &self,
+        kind: &'static str,
+        call: impl FnOnce() -> Result<Answer, CallError>,
+    ) -> Result<Answer, StoreError> {
+        let began = self.clock.now();
+        let result = call();
+        let took = self.clock.now().since(began).as_secs_f64();
         let well = result.as_ref().is_ok_and(|answer| answer.status < 500);
+        let kind = KeyValue::new("kind", kind);
+        let label = KeyValue::new("result", if well { "ok" } else { "failed" });
+        self.durations.record(took, std::slice::from_ref(&kind));
+        self.calls.add(1, &[kind, label]);
         if well {
             self.pace().succeeded();
         } else {
--- a/crates/jujubelb/src/store/tests.rs
+++ b/crates/jujubelb/src/store/tests.rs
@@ -3,10 +3,10 @@
 use super::*;
 use crate::http::canned::{json, nobody, serve};
 use crate::model::Time;
-use crate::telemetry::Clock;
+use crate::telemetry::{Clock, Metrics};
 
 fn store(address: std::net::SocketAddr) -> HttpStore {
-    HttpStore::new(address, Clock::start(), 1).unwrap()
+    HttpStore::new(address, Clock::start(), &Metrics::new().unwrap(), 1).unwrap()
 }
 
 fn put(answer: Vec<u8>) -> Result<Version, StoreError> {
--- a/crates/jujubelb/src/telemetry/metrics.rs
+++ b/crates/jujubelb/src/telemetry/metrics.rs
@@ -33,6 +33,16 @@
     pub meaning: &'static str,
 }
 
+impl Metric {
+    /// The unit for the exposition, which would call a gauge without unit a ratio.
+    const fn exported_unit(&self) -> &'static str {
+        match self.unit.as_bytes() {
+            b"1" => "",
+            _ => self.unit,
+        }
+    }
+}
+
 macro_rules! metrics {
     ($($id:ident = $name:literal, $kind:ident, $unit:literal, $labels:literal, $meaning:literal;)*) => {
         $(
@@ -117,7 +127,7 @@
     pub fn counter(&self, metric: &Metric) -> Counter<u64> {
         self.meter
             .u64_counter(metric.name)
-            .with_unit(metric.unit)
+            .with_unit(metric.exported_unit())
             .with_description(metric.meaning)
             .build()
     }
@@ -126,7 +136,7 @@
     pub fn durations(&self, metric: &Metric) -> Histogram<f64> {
         self.meter
             .f64_histogram(metric.name)
-            .with_unit(metric.unit)
+            .with_unit(metric.exported_unit())
             .with_description(metric.meaning)
             .with_boundaries(DURATIONS.to_vec())
             .build()
@@ -136,7 +146,7 @@
     pub fn watch_counter(&self, metric: &Metric, read: impl Read<u64>) {
         self.meter
             .u64_observable_counter(metric.name)
-            .with_unit(metric.unit)
+            .with_unit(metric.exported_unit())
             .with_description(metric.meaning)
             .with_callback(move |observer| {
                 read(&mut |value, labels| observer.observe(value, labels));
@@ -148,7 +158,7 @@
     pub fn watch_gauge(&self, metric: &Metric, read: impl Read<f64>) {
         self.meter
             .f64_observable_gauge(metric.name)
-            .with_unit(metric.unit)
+            .with_unit(metric.exported_unit())
             .with_description(metric.meaning)
             .with_callback(move |observer| {
                 read(&mut |value, labels| observer.observe(value, labels));
