--- a/crates/jujubelb-lab/src/lib.rs
+++ b/crates/jujubelb-lab/src/lib.rs
@@ -3,5 +3,7 @@
 //! The stand-ins keep the contracts of the store, the host list, workers and
 //! endpoints, and note what really happened to them. They model no cluster.
 
+pub mod bench;
+pub mod demo;
 pub mod load;
 pub mod standin;
