--- a/crates/jujubelb/src/entry/desk.rs
+++ b/crates/jujubelb/src/entry/desk.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
-use super::answer::Whole;
 use crate::claim::{Holder, HostSets, holding_time};
+use crate::http::answer::Whole;
 use crate::model::{DomainName, NodeName, Span, Time};
 use crate::route::{AttemptEnd, AttemptId, Delivery, Refusal, RequestInfo, Router, Step, Ticket};
 use crate::telemetry::Clock;
