--- a/crates/jujubelb/src/shard/mod.rs
+++ b/crates/jujubelb/src/shard/mod.rs
@@ -1,6 +1,8 @@
 //! One shard's owner: a deterministic state machine over the shard's tasks.
 
+mod apply;
 mod book;
+mod commit;
 mod decide;
 mod exchange;
 mod first_fit;
--- a/crates/jujubelb/src/shard/owner.rs
+++ b/crates/jujubelb/src/shard/owner.rs
@@ -7,18 +7,17 @@
 use super::book::Book;
 use super::io::{Input, Output, ShardSummary, StepDown};
 use super::link::Link;
-use super::outbox::{Item, Outbox, Reply};
+use super::outbox::Outbox;
 use super::policy::{News, Policy};
 use super::recorder::{Note, Recorder};
 use super::recovery::Recovery;
 use super::state::State;
 use crate::config::Config;
-use crate::journal::{Change, Opened, Writer};
+use crate::journal::{Opened, Writer};
 use crate::model::{
     Action, Attempt, Cause, Code, DomainName, Epoch, Fact, JobName, RecordId, ShardName, Span,
     Subject, TaskId, Time, Unit, WallTime, WorkerName,
 };
-use crate::store::StoreError;
 
 /// Age up to which start evidence allows a start.
 pub const EVIDENCE_VALID: Span = Span::from_secs(3);
@@ -88,8 +87,8 @@
     stopping: bool,
     over: Option<StepDown>,
     decided: Time,
-    dirty: bool,
-    outs: Vec<Output>,
+    pub(super) dirty: bool,
+    pub(super) outs: Vec<Output>,
 }
 
 impl<P: Policy> Owner<P> {
@@ -229,43 +228,6 @@
         self.outs.push(output);
     }
 
-    /// Plans a change with its record; false if it does not fit the planned state.
-    pub(super) fn plan(&mut self, now: Time, change: Change, note: Option<Note>) -> bool {
-        self.plan_with(now, change, note, None)
-    }
-
-    pub(super) fn plan_with(
-        &mut self,
-        now: Time,
-        change: Change,
-        note: Option<Note>,
-        reply: Option<Reply>,
-    ) -> bool {
-        if let Err(error) = self.book.plan(&change) {
-            log::error!(shard = self.shard.as_str(); "a planned change was dropped: {error}");
-            return false;
-        }
-        let records = note.map(|note| self.recorder.make(now, note));
-        self.outbox.push(Item {
-            change: Some(change),
-            records: records.into_iter().collect(),
-            reply,
-        });
-        self.dirty = true;
-        true
-    }
-
-    /// Records a decision that needs no change.
-    pub(super) fn record(&mut self, now: Time, note: Note) -> RecordId {
-        let record = self.recorder.make(now, note);
-        let id = record.id.clone();
-        self.outbox.push(Item {
-            records: vec![record],
-            ..Item::default()
-        });
-        id
-    }
-
     fn take_config(&mut self, now: Time, config: Arc<Config>) {
         // The head never goes back, so a lower revision is a late message.
         if config.revision < self.config.revision {
@@ -301,89 +263,6 @@
         }
     }
 
-    fn appended(&mut self, now: Time, seq: u64, result: Result<(), StoreError>) {
-        match result {
-            Ok(()) => self.append_stored(now, seq),
-            Err(error) => self.append_failed(now, seq, &error),
-        }
-    }
-
-    fn append_stored(&mut self, now: Time, seq: u64) {
-        let Some((segment, answers)) = self.outbox.stored(seq) else {
-            return;
-        };
-        let touched = self.touched(&segment.changes);
-        if let Err(error) = self.book.commit(&segment) {
-            // The same changes were planned on the same state, so this is a fault
-            // of the program; the state can no longer be trusted.
-            log::error!(shard = self.shard.as_str(); "a stored segment does not apply: {error}");
-            return self.step_down(StepDown::Fenced(self.epoch), Code::Internal);
-        }
-        self.outs.extend(answers);
-        for worker in touched {
-            if let Some(link) = self.links.get_mut(&worker) {
-                link.eager = true;
-                link.forget_starts(&segment.changes);
-            }
-        }
-        for change in &segment.changes {
-            self.act_on_stored(now, change);
-        }
-        self.dirty = true;
-    }
-
-    /// Workers that may get commands once these changes are stored.
-    fn touched(&self, changes: &[Change]) -> IndexSet<WorkerName> {
-        let mut touched = IndexSet::new();
-        for change in changes {
-            match change {
-                Change::Assigned { worker, .. } => {
-                    touched.insert(worker.clone());
-                }
-                Change::Ended { task, .. } | Change::Resized { task, .. } => {
-                    let place = self.book.stored.place(task);
-                    touched.extend(place.map(|(worker, _, _)| worker.clone()));
-                }
-                Change::Cancelled { .. } => touched.extend(self.book.occupied().cloned()),
-                _ => {}
-            }
-        }
-        touched
-    }
-
-    fn act_on_stored(&mut self, now: Time, change: &Change) {
-        match change {
-            Change::Cancelled { job } => self.pass_cancel(now, job),
-            Change::Offered { task, attempt, .. } => {
-                self.offers.insert((task.clone(), *attempt), now);
-            }
-            Change::Released { task, attempt } => {
-                self.offers.shift_remove(&(task.clone(), *attempt));
-                self.pass_cancel(now, &task.job);
-            }
-            Change::Withdrawn { task, attempt } => {
-                self.offers.shift_remove(&(task.clone(), *attempt));
-            }
-            Change::Ended { task, attempt, .. } => {
-                self.evicting.shift_remove(&(task.clone(), *attempt));
-                self.told.swap_remove(task);
-            }
-            Change::StoodDown => self.step_down(StepDown::Stopped, Code::Internal),
-            _ => {}
-        }
-    }
-
-    fn append_failed(&mut self, now: Time, seq: u64, error: &StoreError) {
-        let Some(answers) = self.outbox.failed(seq, now) else {
-            return;
-        };
-        log::warn!(shard = self.shard.as_str(); "an append failed: {error}");
-        self.outs.extend(answers);
-        self.book.abort();
-        self.reconcile_all(now);
-        self.dirty = true;
-    }
-
     fn stop(&mut self, now: Time) {
         if self.stopping {
             return;
@@ -433,15 +312,6 @@
         }
         self.append(now);
     }
-    fn append(&mut self, now: Time) {
-        if self.stopping && self.book.planned.owners.contains_key(&self.epoch) {
-            self.plan(now, Change::StoodDown, None);
-        }
-        if let Some(segment) = self.outbox.next(now, self.epoch, &self.me) {
-            self.out(Output::Append(segment));
-        }
-    }
-
     /// Whether the owner takes part in nothing new.
     pub(super) fn is_stopping(&self) -> bool {
         self.stopping
--- a/crates/jujubelb/src/shard/state.rs
+++ b/crates/jujubelb/src/shard/state.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::journal::{Change, EndedBy, Segment, Writer};
+use crate::journal::{Change, Segment, Writer};
 use crate::model::{
     Attempt, Cause, Checkpoint, Epoch, JobName, JobSpec, Record, Resources, ShardName, TaskId,
     WorkerName,
@@ -230,262 +230,10 @@
             _ => None,
         }
     }
-
-    fn accept(&mut self, job: &JobSpec) -> bool {
-        if self.jobs.contains_key(&job.name) || self.ended.contains_key(&job.name) {
-            return false;
-        }
-        self.jobs.insert(job.name.clone(), Job::new(job, job.tasks));
-        for index in 0..job.tasks {
-            let id = TaskId {
-                job: job.name.clone(),
-                index,
-            };
-            self.tasks.insert(id, Task::queued(Attempt(0), None));
-        }
-        self.settle(&job.name);
-        true
-    }
-
-    fn assign(
-        &mut self,
-        id: &TaskId,
-        attempt: Attempt,
-        worker: &WorkerName,
-        limit: Resources,
-    ) -> bool {
-        let epoch = self.epoch;
-        let Some(task) = self.tasks.get_mut(id) else {
-            return false;
-        };
-        if task.state != TaskState::Queued || attempt != task.attempt.next() {
-            return false;
-        }
-        task.attempt = attempt;
-        task.state = TaskState::Assigned {
-            worker: worker.clone(),
-            limit,
-            epoch,
-        };
-        true
-    }
-
-    fn resize(&mut self, id: &TaskId, new: Resources) -> bool {
-        match self.tasks.get_mut(id).map(|task| &mut task.state) {
-            Some(TaskState::Assigned { limit, .. }) => {
-                *limit = new;
-                true
-            }
-            _ => false,
-        }
-    }
-
-    fn checkpoint(&mut self, id: &TaskId, attempt: Attempt, checkpoint: &Checkpoint) -> bool {
-        match self.tasks.get_mut(id) {
-            Some(task) if task.attempt == attempt && task.is_assigned() => {
-                task.checkpoint = Some(checkpoint.clone());
-                true
-            }
-            _ => false,
-        }
-    }
-
-    fn end(&mut self, id: &TaskId, attempt: Attempt, by: EndedBy) -> bool {
-        let Some(task) = self.tasks.get_mut(id) else {
-            return false;
-        };
-        if task.attempt != attempt || !task.is_assigned() {
-            return false;
-        }
-        if by == EndedBy::Failure {
-            task.failures += 1;
-        }
-        if by == EndedBy::Success {
-            if let Some(job) = self.jobs.get_mut(&id.job) {
-                job.done += 1;
-            }
-            self.drop_task(id);
-        } else {
-            self.requeue(id);
-        }
-        true
-    }
-
-    /// Queues a task that runs nowhere, or drops or parks it as its job demands.
-    fn requeue(&mut self, id: &TaskId) {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return;
-        };
-        if job.cancelled {
-            self.drop_task(id);
-            return;
-        }
-        let state = match job.parked {
-            Some(cause) => TaskState::Parked { cause },
-            None => TaskState::Queued,
-        };
-        if let Some(task) = self.tasks.get_mut(id) {
-            task.state = state;
-        }
-    }
-
-    fn cancel(&mut self, name: &JobName) -> bool {
-        if let Some(ended) = self.ended.get_mut(name) {
-            ended.cancelled = true;
-            return true;
-        }
-        let Some(job) = self.jobs.get_mut(name) else {
-            return false;
-        };
-        job.cancelled = true;
-        let before = self.tasks.len();
-        self.tasks
-            .retain(|id, task| &id.job != name || task.is_assigned() || task.is_offered());
-        let dropped = before - self.tasks.len();
-        job.left -= u32::try_from(dropped).unwrap_or(job.left);
-        self.settle(name);
-        true
-    }
-
-    fn park(&mut self, name: &JobName, cause: Cause) -> bool {
-        let Some(job) = self.jobs.get_mut(name) else {
-            return false;
-        };
-        job.parked = Some(cause);
-        for (id, task) in &mut self.tasks {
-            if &id.job == name && task.state == TaskState::Queued {
-                task.state = TaskState::Parked { cause };
-            }
-        }
-        true
-    }
-
-    fn offer(&mut self, id: &TaskId, attempt: Attempt, to: &ShardName) -> bool {
-        match self.tasks.get_mut(id) {
-            Some(task) if task.state == TaskState::Queued && task.attempt == attempt => {
-                task.state = TaskState::Offered { to: to.clone() };
-                true
-            }
-            _ => false,
-        }
-    }
-
-    fn receive(&mut self, change: &Change) -> bool {
-        let Change::Received {
-            job,
-            task,
-            attempt,
-            checkpoint,
-            from,
-            epoch,
-        } = change
-        else {
-            return false;
-        };
-        if self.tasks.contains_key(task) || !self.answered(task, *attempt, from, *epoch, true) {
-            return false;
-        }
-        let known = self.jobs.entry(job.name.clone()).or_insert_with(|| {
-            let mut known = Job::new(job, 0);
-            if let Some(ended) = self.ended.shift_remove(&job.name) {
-                known.cancelled = ended.cancelled;
-                known.done = ended.done;
-                known.moved = ended.moved;
-            }
-            known
-        });
-        known.left += 1;
-        // The next number, so that an offer of the task to a third shard has a key of its own.
-        let received = Task::queued(attempt.next(), checkpoint.clone());
-        self.tasks.insert(task.clone(), received);
-        self.requeue(task);
-        true
-    }
-
-    fn answered(
-        &mut self,
-        id: &TaskId,
-        attempt: Attempt,
-        from: &ShardName,
-        epoch: Epoch,
-        taken: bool,
-    ) -> bool {
-        let key = (id.clone(), attempt);
-        if self.offers.contains_key(&key) {
-            return false;
-        }
-        self.offers.insert(key, taken);
-        let highest = self.sources.entry(from.clone()).or_default();
-        *highest = epoch.max(*highest);
-        while self.offers.len() > OFFERS_KEPT {
-            self.offers.shift_remove_index(0);
-        }
-        true
-    }
-
-    fn release(&mut self, id: &TaskId, attempt: Attempt) -> bool {
-        let Some(to) = self.offered(id, attempt) else {
-            return false;
-        };
-        if let Some(job) = self.jobs.get_mut(&id.job) {
-            job.moved.insert(to);
-        }
-        self.drop_task(id);
-        true
-    }
-
-    fn withdraw(&mut self, id: &TaskId, attempt: Attempt) -> bool {
-        if self.offered(id, attempt).is_none() {
-            return false;
-        }
-        if let Some(task) = self.tasks.get_mut(id) {
-            task.attempt = attempt.next();
-        }
-        self.requeue(id);
-        true
-    }
-
-    /// The target of an open offer.
-    fn offered(&self, id: &TaskId, attempt: Attempt) -> Option<ShardName> {
-        let task = self.tasks.get(id)?;
-        match &task.state {
-            TaskState::Offered { to } if task.attempt == attempt => Some(to.clone()),
-            _ => None,
-        }
-    }
-
-    fn drop_task(&mut self, id: &TaskId) {
-        if self.tasks.shift_remove(id).is_none() {
-            return;
-        }
-        if let Some(job) = self.jobs.get_mut(&id.job) {
-            job.left -= 1;
-            self.settle(&id.job);
-        }
-    }
-
-    /// Moves a job without tasks to the ended ones.
-    fn settle(&mut self, name: &JobName) {
-        if self.jobs.get(name).is_none_or(|job| job.left > 0) {
-            return;
-        }
-        if let Some(job) = self.jobs.shift_remove(name) {
-            let ended = EndedJob {
-                digest: digest(&job.spec),
-                cancelled: job.cancelled,
-                done: job.done,
-                moved: job.moved,
-            };
-            self.ended.insert(name.clone(), ended);
-        }
-        while self.ended.len() > ENDED_KEPT {
-            self.ended.shift_remove_index(0);
-        }
-    }
 }
 
 impl Task {
-    fn queued(attempt: Attempt, checkpoint: Option<Checkpoint>) -> Self {
+    pub(super) fn queued(attempt: Attempt, checkpoint: Option<Checkpoint>) -> Self {
         Self {
             state: TaskState::Queued,
             attempt,
@@ -499,13 +247,13 @@
         matches!(self.state, TaskState::Assigned { .. })
     }
 
-    const fn is_offered(&self) -> bool {
+    pub(super) const fn is_offered(&self) -> bool {
         matches!(self.state, TaskState::Offered { .. })
     }
 }
 
 impl Job {
-    fn new(spec: &JobSpec, left: u32) -> Self {
+    pub(super) fn new(spec: &JobSpec, left: u32) -> Self {
         Self {
             spec: spec.clone(),
             cancelled: false,
--- a/crates/jujubelb/tests/shard/support/mod.rs
+++ b/crates/jujubelb/tests/shard/support/mod.rs
@@ -1,5 +1,6 @@
 //! Fakes of the store, the workers, the processes and the network, and the oracle.
 
+pub mod network;
 pub mod ops;
 pub mod oracle;
 pub mod policy;
--- a/crates/jujubelb/tests/shard/support/world.rs
+++ b/crates/jujubelb/tests/shard/support/world.rs
@@ -11,10 +11,9 @@
     ShardName, Span, TaskId, TaskKind, TaskSpec, Time, WallTime,
 };
 use jujubelb::shard::{
-    Cancel, FormerOwner, Identity, Input, Offer, Output, Owner, State, Submission, Task, TaskState,
-    Ticket,
+    Cancel, Identity, Input, Offer, Output, Owner, State, Submission, Task, TaskState, Ticket,
 };
-use jujubelb::worker::{Command, SyncAnswer, SyncRequest};
+use jujubelb::worker::{SyncAnswer, SyncRequest};
 
 use super::oracle::Oracle;
 use super::policy::{Scripted, Wish};
@@ -77,55 +76,55 @@
     pub node: NodeName,
     pub shard: ShardName,
     pub incarnation: u64,
-    offset: u64,
+    pub(super) offset: u64,
     /// How long before the present its reads of the configuration began.
     pub lag: Span,
     pub owner: Option<Owner<Scripted>>,
-    journal: Option<Journal<Arc<FakeStore>, Clock>>,
-    unresolved: Option<u64>,
+    pub(super) journal: Option<Journal<Arc<FakeStore>, Clock>>,
+    pub(super) unresolved: Option<u64>,
     pub paused: bool,
     /// Whether its outputs are kept until it wakes.
-    holding: bool,
-    held: Vec<Output>,
+    pub(super) holding: bool,
+    pub(super) held: Vec<Output>,
     /// Whether nobody answers at its address.
     pub silent: bool,
     /// Whether it can't read the configuration.
     pub deaf: bool,
-    revision: Revision,
+    pub(super) revision: Revision,
     pub wishes: Scripted,
 }
 
 pub struct World {
     pub now: Time,
-    clock: Arc<AtomicU64>,
+    pub(super) clock: Arc<AtomicU64>,
     pub store: Arc<FakeStore>,
     pub workers: Vec<(FakeWorker, Resources)>,
     pub processes: Vec<Process>,
     pub oracle: Oracle,
     /// Configurations written, with the time of the write.
-    configs: Vec<(Time, Arc<Config>)>,
-    out_since: IndexMap<ShardName, Time>,
+    pub(super) configs: Vec<(Time, Arc<Config>)>,
+    pub(super) out_since: IndexMap<ShardName, Time>,
     pub modes: Vec<Mode>,
     /// Time on the way of requests that carry starts, in milliseconds.
     pub slow_starts: Option<u64>,
     /// The same for offers.
     pub offer_modes: Vec<Mode>,
     /// Requests under way: arrival, sender, its incarnation, worker.
-    transit: Vec<(Time, usize, u64, usize, SyncRequest)>,
+    pub(super) transit: Vec<(Time, usize, u64, usize, SyncRequest)>,
     /// Pairs of process and worker that can't reach each other.
     pub cuts: IndexSet<(usize, usize)>,
-    late: Vec<(usize, SyncRequest)>,
-    late_offers: Vec<Offer>,
-    slow: Vec<(usize, u64, usize, Option<SyncAnswer>)>,
-    ownerless: IndexMap<ShardName, Time>,
-    tickets: u64,
-    submissions: IndexMap<Ticket, JobName>,
-    offers: IndexMap<Ticket, (usize, u64, TaskId, Attempt)>,
-    cancels: IndexMap<Ticket, (usize, u64, Cancel)>,
+    pub(super) late: Vec<(usize, SyncRequest)>,
+    pub(super) late_offers: Vec<Offer>,
+    pub(super) slow: Vec<(usize, u64, usize, Option<SyncAnswer>)>,
+    pub(super) ownerless: IndexMap<ShardName, Time>,
+    pub(super) tickets: u64,
+    pub(super) submissions: IndexMap<Ticket, JobName>,
+    pub(super) offers: IndexMap<Ticket, (usize, u64, TaskId, Attempt)>,
+    pub(super) cancels: IndexMap<Ticket, (usize, u64, Cancel)>,
     /// Answers to operators' cancellations.
     pub cancelled: Vec<(JobName, Code)>,
     pub last_codes: IndexMap<JobName, Code>,
-    sabotage: Sabotage,
+    pub(super) sabotage: Sabotage,
 }
 
 pub fn job(name: &str, tasks: u32, cpu: u64) -> JobSpec {
@@ -267,7 +266,7 @@
     }
 
     /// The present by a process's clock.
-    fn local(&self, p: usize) -> Time {
+    pub(super) fn local(&self, p: usize) -> Time {
         let rate = if self.sabotage == Sabotage::IgnoreLeases {
             8
         } else {
@@ -276,7 +275,7 @@
         Time::from_micros(self.now.as_micros() * rate + self.processes[p].offset)
     }
 
-    fn config_at(&self, time: Time) -> Arc<Config> {
+    pub(super) fn config_at(&self, time: Time) -> Arc<Config> {
         let seen = self.configs.iter().rev().find(|(at, _)| *at <= time);
         seen.map_or_else(|| self.configs[0].1.clone(), |(_, config)| config.clone())
     }
@@ -430,55 +429,8 @@
         self.give(p, input);
     }
 
-    fn sync(&mut self, p: usize, worker: &str, request: SyncRequest) {
-        let name = worker.into();
-        let w = self
-            .workers
-            .iter()
-            .position(|(w, _)| w.name.as_str() == worker);
-        let w = w.unwrap();
-        let starts = request
-            .commands
-            .iter()
-            .any(|c| matches!(c, Command::Start { .. }));
-        let slow = self.slow_starts.filter(|_| starts).map(Mode::Slow);
-        let mode = slow.or_else(|| self.modes.pop());
-        let (fake, _) = &mut self.workers[w];
-        let mut answer = None;
-        match mode {
-            _ if fake.cut || self.cuts.contains(&(p, w)) => {}
-            Some(Mode::Drop) => {}
-            Some(Mode::Delay) => self.late.push((w, request)),
-            Some(Mode::LoseAnswer) => {
-                fake.sync(self.now, &request);
-            }
-            Some(Mode::Duplicate) => {
-                answer = Some(fake.sync(self.now, &request));
-                self.late.push((w, request));
-            }
-            Some(Mode::Slow(ms)) => {
-                let arrival = self.now + Span::from_millis(ms);
-                let incarnation = self.processes[p].incarnation;
-                self.transit.push((arrival, p, incarnation, w, request));
-                return;
-            }
-            Some(Mode::SlowAnswer) => {
-                let answer = fake.sync(self.now, &request);
-                let incarnation = self.processes[p].incarnation;
-                self.slow.push((p, incarnation, w, Some(answer)));
-                return;
-            }
-            None => answer = Some(fake.sync(self.now, &request)),
-        }
-        self.look();
-        match answer {
-            Some(answer) => self.give(p, Input::Synced(name, answer)),
-            None => self.give(p, Input::SyncFailed(name)),
-        }
-    }
-
     /// The process that owns a shard as far as peers can tell.
-    fn owner_of(&self, shard: &ShardName) -> Option<usize> {
+    pub(super) fn owner_of(&self, shard: &ShardName) -> Option<usize> {
         let owners = (0..self.processes.len()).filter(|p| {
             let process = &self.processes[*p];
             &process.shard == shard && process.owner.is_some() && !process.paused
@@ -486,52 +438,11 @@
         owners.max_by_key(|p| self.processes[*p].owner.as_ref().map(Owner::epoch))
     }
 
-    fn ticket(&mut self) -> Ticket {
+    pub(super) fn ticket(&mut self) -> Ticket {
         self.tickets += 1;
         Ticket(self.tickets)
     }
 
-    fn send_offer(&mut self, p: usize, offer: Offer) {
-        let mode = self.offer_modes.pop();
-        if matches!(mode, Some(Mode::Delay | Mode::Duplicate)) {
-            self.late_offers.push(offer.clone());
-        }
-        let lost = matches!(mode, Some(Mode::Drop | Mode::Delay));
-        let target = self.owner_of(&offer.to).filter(|_| !lost);
-        let Some(target) = target else {
-            return self.give(p, Input::Answer(offer.task, offer.attempt, None));
-        };
-        let ticket = self.ticket();
-        if mode != Some(Mode::LoseAnswer) {
-            let incarnation = self.processes[p].incarnation;
-            let from = (p, incarnation, offer.task.clone(), offer.attempt);
-            self.offers.insert(ticket, from);
-        }
-        self.give(target, Input::Offer(ticket, offer));
-    }
-
-    fn pass_cancel(&mut self, p: usize, cancel: Cancel) {
-        let Some(target) = self.owner_of(&cancel.shard) else {
-            return self.give(p, Input::CancelAnswer(cancel, None));
-        };
-        let ticket = self.ticket();
-        let incarnation = self.processes[p].incarnation;
-        self.cancels
-            .insert(ticket, (p, incarnation, cancel.clone()));
-        self.give(target, Input::Cancel(ticket, cancel));
-    }
-
-    fn cancel_answered(&mut self, ticket: Ticket, code: Code) {
-        let Some((p, incarnation, cancel)) = self.cancels.shift_remove(&ticket) else {
-            return;
-        };
-        if p == usize::MAX {
-            self.cancelled.push((cancel.job, code));
-        } else if self.processes[p].incarnation == incarnation && !self.processes[p].paused {
-            self.give(p, Input::CancelAnswer(cancel, Some(code)));
-        }
-    }
-
     /// The home shard of a job, as its claim in the store says.
     fn home(job: &JobName) -> ShardName {
         let n = job.as_str().bytes().map(usize::from).sum::<usize>();
@@ -625,63 +536,6 @@
         self.deliver_answers();
     }
 
-    /// Delivers messages and answers that were delayed.
-    pub fn deliver_late(&mut self) {
-        for (w, request) in std::mem::take(&mut self.late) {
-            if !self.workers[w].0.cut {
-                self.workers[w].0.sync(self.now, &request);
-                self.look();
-            }
-        }
-        for offer in std::mem::take(&mut self.late_offers) {
-            if let Some(target) = self.owner_of(&offer.to) {
-                let ticket = self.ticket();
-                self.give(target, Input::Offer(ticket, offer));
-            }
-        }
-        self.deliver_answers();
-    }
-
-    fn deliver_answers(&mut self) {
-        for (p, incarnation, w, answer) in std::mem::take(&mut self.slow) {
-            self.answer(p, incarnation, w, answer);
-        }
-    }
-
-    /// Delivers the requests whose time has come, also those of processes that are gone.
-    fn deliver_transit(&mut self) {
-        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.transit)
-            .into_iter()
-            .partition(|t| t.0 <= self.now);
-        self.transit = rest;
-        for (_, p, incarnation, w, request) in due {
-            if self.workers[w].0.cut {
-                self.answer(p, incarnation, w, None);
-            } else {
-                let answer = self.workers[w].0.sync(self.now, &request);
-                self.look();
-                self.answer(p, incarnation, w, Some(answer));
-            }
-        }
-    }
-
-    /// Gives the result of an exchange to its sender, once the sender is awake.
-    fn answer(&mut self, p: usize, incarnation: u64, w: usize, answer: Option<SyncAnswer>) {
-        let process = &self.processes[p];
-        if process.incarnation != incarnation {
-            return;
-        }
-        if process.paused {
-            self.slow.push((p, incarnation, w, answer));
-            return;
-        }
-        let name = self.workers[w].0.name.clone();
-        match answer {
-            Some(answer) => self.give(p, Input::Synced(name, answer)),
-            None => self.give(p, Input::SyncFailed(name)),
-        }
-    }
-
     /// Lets time pass.
     pub fn advance(&mut self, span: Span) {
         let until = self.now + span;
@@ -713,58 +567,6 @@
         self.replace_owners();
     }
 
-    fn read_config(&mut self, p: usize) {
-        if self.sabotage == Sabotage::IgnoreEvidence {
-            let began = self.local(p);
-            self.give(p, Input::Evidence(began));
-        }
-        if self.store.is_down() || self.processes[p].deaf {
-            return;
-        }
-        let lag = self.processes[p].lag;
-        let config = self.config_at(self.now - lag);
-        let known = self.processes[p].revision;
-        if config.revision > known {
-            self.processes[p].revision = config.revision;
-            self.give(p, Input::Config(config.clone()));
-        }
-        if config.revision >= known {
-            let began = self.local(p) - lag;
-            self.give(p, Input::Evidence(began));
-        }
-    }
-
-    /// Asks the nodes of former owners, as the process of a new owner does.
-    fn ask_formers(&mut self, p: usize) {
-        let Some(owner) = &self.processes[p].owner else {
-            return;
-        };
-        for writer in owner.formers() {
-            let former = self
-                .processes
-                .iter()
-                .position(|f| f.node == writer.node)
-                .unwrap();
-            let process = &self.processes[former];
-            if process.silent || process.paused {
-                continue;
-            }
-            let incarnation = Incarnation(process.incarnation);
-            let renews = process
-                .owner
-                .as_ref()
-                .is_some_and(|o| o.renews(self.local(former)));
-            if incarnation != writer.incarnation {
-                self.give(
-                    p,
-                    Input::Former(writer, FormerOwner::Restarted(incarnation)),
-                );
-            } else if !renews {
-                self.give(p, Input::Former(writer, FormerOwner::StoppedRenewing));
-            }
-        }
-    }
-
     fn resolve(&mut self, p: usize) {
         let Some(seq) = self.processes[p].unresolved else {
             return;
