Keep renewing leases while a planned stop can't be stored

A planned stop ended all exchanges at once, so during a store outage the leases ended after 15 s and running tasks stopped although nobody could take over. The owner now renews between the attempts to store its last segment.

--- a/crates/jujubelb/src/shard/exchange.rs
+++ b/crates/jujubelb/src/shard/exchange.rs
@@ -224,13 +224,17 @@
 
     fn take_report(&mut self, now: Time, worker: &WorkerName, report: Report) {
         let stopping = self.is_stopping();
-        let Some(link) = self.links.get_mut(worker).filter(|l| l.busy && !stopping) else {
+        let Some(link) = self.links.get_mut(worker).filter(|l| l.busy) else {
             return;
         };
         link.busy = false;
         let lag = report.lag;
         let usage = report.usage.clone();
         let taken = link.take(now, report);
+        if stopping {
+            // Only the lease goes on; the next owner acts on the inventory.
+            return;
+        }
         match taken {
             Taken::Unusable => return,
             Taken::First => link.eager = true,
--- a/crates/jujubelb/src/shard/outbox.rs
+++ b/crates/jujubelb/src/shard/outbox.rs
@@ -134,6 +134,11 @@
         !stuck && (!self.failing || now >= self.not_before)
     }
 
+    /// Whether the last append failed and the next one is not due yet.
+    pub(super) fn is_waiting_to_retry(&self, now: Time) -> bool {
+        self.failing && self.inflight.is_none() && now < self.not_before
+    }
+
     /// Number of waiting items.
     pub(super) fn waiting(&self) -> usize {
         self.items.len()
--- a/crates/jujubelb/src/shard/owner.rs
+++ b/crates/jujubelb/src/shard/owner.rs
@@ -309,6 +309,9 @@
             self.send_offers(now);
             self.send_passes(now);
             self.exchange(now);
+        } else if self.outbox.is_waiting_to_retry(now) {
+            // The planned stop can't be stored yet, so the leases are still this owner's concern.
+            self.exchange(now);
         }
         self.append(now);
     }
--- a/crates/jujubelb/tests/shard/failures.rs
+++ b/crates/jujubelb/tests/shard/failures.rs
@@ -293,6 +293,22 @@
     finish(world);
 }
 
+/// Guards against leases that end because a planned stop can't be stored.
+#[test]
+fn a_planned_stop_without_the_store_keeps_renewing_leases() {
+    let mut world = running(4);
+    let before = attempts(&world);
+    world.store.set_down(true);
+    world.give(0, Input::Stop);
+    world.advance(Span::from_secs(60));
+    assert_eq!(attempts(&world), before);
+    world.store.set_down(false);
+    world.advance(Span::from_secs(10));
+    assert!(world.processes[0].owner.is_some() || world.processes[1].owner.is_some());
+    assert_eq!(attempts(&world), before);
+    finish(world);
+}
+
 /// Guards against work that stays in a domain taken out, loses its checkpoint
 /// on the way to another one, or moves without an explanation.
 #[test]
--- a/crates/jujubelb/tests/shard/life_cycle.rs
+++ b/crates/jujubelb/tests/shard/life_cycle.rs
@@ -1,6 +1,8 @@
 //! The plain life of a job.
 
-use jujubelb::model::{Code, Span};
+use jujubelb::config::Config;
+use jujubelb::model::{Code, JobName, Span};
+use jujubelb::shard::home_shard;
 use jujubelb::worker::Phase;
 
 use super::support::world::{Sabotage, World, job};
@@ -32,3 +34,38 @@
     assert_eq!(world.oracle.completed.len(), 6);
     assert_eq!(world.oracle.violations, Vec::<String>::new());
 }
+
+/// Guards against a home that moves for most jobs when a shard is added, and
+/// one in a domain that is out of service.
+#[test]
+fn the_proposed_home_of_a_job_is_stable_and_in_service() {
+    let mut world = World::new(Sabotage::None);
+    let jobs: Vec<_> = (0..300).map(|n| JobName::new(format!("job-{n}"))).collect();
+    let homes = |config: &Config| -> Vec<_> {
+        let home = |job| home_shard(config, job).unwrap().to_string();
+        jobs.iter().map(home).collect()
+    };
+    let before = homes(&world.config_at(world.now));
+    assert!(
+        before
+            .iter()
+            .filter(|home| *home == "a")
+            .count()
+            .abs_diff(150)
+            < 40
+    );
+    world.configure(|config| {
+        let shard = config.shards["a"].clone();
+        config.shards.insert("c".into(), shard);
+    });
+    let after = homes(&world.config_at(world.now));
+    let moved = before.iter().zip(&after).filter(|(b, a)| b != a);
+    assert!(moved.clone().all(|(_, home)| home == "c"));
+    assert!(moved.count().abs_diff(100) < 35);
+    world.set_out(0, true);
+    assert!(
+        homes(&world.config_at(world.now))
+            .iter()
+            .all(|home| home == "b")
+    );
+}
--- a/crates/jujubelb/tests/shard/support/world.rs
+++ b/crates/jujubelb/tests/shard/support/world.rs
@@ -275,7 +275,7 @@
         Time::from_micros(self.now.as_micros() * rate + self.processes[p].offset)
     }
 
-    pub(super) fn config_at(&self, time: Time) -> Arc<Config> {
+    pub fn config_at(&self, time: Time) -> Arc<Config> {
         let seen = self.configs.iter().rev().find(|(at, _)| *at <= time);
         seen.map_or_else(|| self.configs[0].1.clone(), |(_, config)| config.clone())
     }
