--- a/crates/jujubelb/src/shard/io.rs
+++ b/crates/jujubelb/src/shard/io.rs
@@ -171,7 +171,7 @@
     PassCancel(Cancel),
     /// Answer to an offer.
     Answer(Ticket, Code, Option<OfferAnswer>),
-    /// The owner's term has ended; nothing more comes from it.
+    /// The owner's term has ended; it only answers further questions with `Code::NotOwner`.
     StepDown(StepDown),
 }
 
