--- a/crates/jujubelb-lab/src/bench/routing.rs
+++ b/crates/jujubelb-lab/src/bench/routing.rs
@@ -7,6 +7,9 @@
 mod scenario;
 mod world;
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 
