Cancel withdrawn jobs, flush records at a stop and use the freshest peer

A watcher ran on after its declaration was removed, an entry process lost the records of its last second at a planned stop, and a process that could not reach the store asked only the reader of its domain. Owners now cancel jobs that the store's claim calls declared and the configuration with fresh evidence does not; the last records are sent before the threads end; and the peer with the freshest evidence is asked.

--- a/crates/jujubelb-lab/tests/processes/failures.rs
+++ b/crates/jujubelb-lab/tests/processes/failures.rs
@@ -85,6 +85,60 @@
     assert_eq!(world.platform.ledger().violations(), 0);
 }
 
+/// Guards against watchers that run on after an operator removed their declaration.
+#[test]
+fn a_removed_declaration_stops_its_watcher() {
+    let world = World::new(1, Span::from_millis(5));
+    let (scheduler, entry) = (world.scheduler(0), world.entry(0));
+    let applied = world.apply(&entry);
+    let watching = || {
+        let tasks = world.tasks(entry.operators()).tasks;
+        let watch = |t: &&jujubelb::shard::TaskView| t.task.job.as_str() == "watch";
+        tasks
+            .iter()
+            .filter(watch)
+            .filter(|t| t.state == "running")
+            .count()
+    };
+    world.until("running watchers", || watching() == 2);
+    let text = &world.files["all.yaml"];
+    let (rest, _) = text.split_once("watchers:").unwrap();
+    world.apply_text(&entry, "change-2", applied.change.revision, rest);
+    world.until("stopped watchers", || watching() == 0);
+    assert!(scheduler.stop() && entry.stop());
+    assert_eq!(world.platform.ledger().violations(), 0);
+}
+
+/// Guards against refusals that an operator can't explain later.
+#[test]
+fn refusals_are_recorded_and_stored_by_an_owner() {
+    let world = World::new(1, Span::from_millis(400));
+    let (scheduler, entry) = (world.scheduler(0), world.entry(0));
+    world.apply(&entry);
+    drop(world.serve(&entry));
+    world.until("an owner", || {
+        !world.tasks(entry.operators()).tasks.is_empty()
+    });
+    let url = format!("http://{}/svc/hello/x", entry.callers());
+    let hurried = world.http.get(url).header("Jujubelb-Deadline-Ms", "1");
+    assert_eq!(code(&hurried.send().unwrap()), 203);
+    // The scheduler's own answer shows that the record reached a shard.
+    let url = format!("http://{}/v1/records?subject=hello", scheduler.operators());
+    world.until("the record", || {
+        let view: RecordsView = world.operator(world.http.get(&url)).json().unwrap();
+        let refuse = |r: &jujubelb::model::Record| r.action == jujubelb::model::Action::Refuse;
+        view.records.iter().any(refuse)
+    });
+    assert!(entry.stop());
+    world.until("the stored record", || {
+        let view: RecordsView = world.operator(world.http.get(&url)).json().unwrap();
+        view.records
+            .iter()
+            .any(|r| r.id.node.as_str() == "host-1/entry")
+    });
+    assert!(scheduler.stop());
+}
+
 fn take_out(world: &World, operators: std::net::SocketAddr) {
     let request = DomainRequest {
         change: "out".into(),
--- a/crates/jujubelb-lab/tests/processes/world.rs
+++ b/crates/jujubelb-lab/tests/processes/world.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use jujubelb::config::declare;
 use jujubelb::entry::EntryHandle;
-use jujubelb::model::Span;
+use jujubelb::model::{Revision, Span};
 use jujubelb::operator::api::{ApplyAnswer, ApplyRequest, TasksView};
 use jujubelb::scheduler::SchedulerHandle;
 use jujubelb::settings::Settings;
@@ -113,25 +113,33 @@
 
     /// Applies the declarations and waits until the entry process is ready.
     pub fn apply(&self, entry: &EntryHandle) -> ApplyAnswer {
+        let text = &self.files["all.yaml"];
+        let answer = self.apply_text(entry, "change-1", Revision(0), text);
+        self.until("readiness", || {
+            let url = format!("http://{}/ready", entry.callers());
+            self.http.get(url).send().unwrap().status() == 200
+        });
+        answer
+    }
+
+    /// Applies a text as the whole declarations.
+    pub fn apply_text(
+        &self,
+        entry: &EntryHandle,
+        change: &str,
+        expected: Revision,
+        text: &str,
+    ) -> ApplyAnswer {
         let request = ApplyRequest {
-            change: "change-1".into(),
+            change: change.into(),
             author: "test".into(),
-            expected: Default::default(),
-            files: self
-                .files
-                .iter()
-                .map(|(name, text)| (name.clone(), Some(text.clone())))
-                .collect(),
+            expected,
+            files: IndexMap::from([("all.yaml".to_owned(), Some(text.to_owned()))]),
         };
         let url = format!("http://{}/v1/apply", entry.operators());
         let response = self.operator(self.http.post(url).json(&request));
         assert_eq!(response.status(), 200, "{}", response.text().unwrap());
-        let answer = response.json().unwrap();
-        self.until("readiness", || {
-            let url = format!("http://{}/ready", entry.callers());
-            self.http.get(url).send().unwrap().status() == 200
-        });
-        answer
+        response.json().unwrap()
     }
 
     /// Sends a request until it is answered.
--- a/crates/jujubelb/src/entry/control.rs
+++ b/crates/jujubelb/src/entry/control.rs
@@ -6,8 +6,8 @@
 
 use super::Entry;
 use crate::hosts::HostView;
-use crate::model::{NodeName, Record, ShardName, Span, Time};
-use crate::peer::{Call, News, Role};
+use crate::model::{Code, NodeName, Record, ShardName, Span, Time};
+use crate::peer::{Call, News, Reply, Role};
 use crate::place::LatencyReport;
 use crate::process::{ConfigNews, Running};
 use crate::telemetry::Inbox;
@@ -67,10 +67,12 @@
             let now = self.entry.process.clock.now();
             if now.since(self.reported) >= REPORT_EVERY {
                 self.reported = now;
-                self.report();
+                self.report(Span::ZERO);
             }
             running.wait(STEP);
         }
+        // What was noted in the last second counts as over.
+        self.report(Span::from_secs(1));
     }
 
     fn take_news(&mut self) {
@@ -127,9 +129,10 @@
         self.entry.peers.tell(|beat| beat.loads = loads);
     }
 
-    fn report(&mut self) {
+    /// Sends what the router noted up to the present and a time after it.
+    fn report(&mut self, ahead: Span) {
         let (notes, latencies) = self.entry.desk.decide(|now, state| {
-            let notes = state.router.notes(now);
+            let notes = state.router.notes(now + ahead);
             (notes, state.router.latency_reports(now))
         });
         let process = &self.entry.process;
@@ -161,7 +164,8 @@
             .peers
             .call_blocking(&owner, Call::Records(batch), PATIENCE)
         {
-            Ok(_) => drop(self.waiting.drain(..count)),
+            Ok(Reply::Code(Code::Done, _)) => drop(self.waiting.drain(..count)),
+            Ok(_) => log::debug!(peer:% = owner; "records were not taken"),
             Err(error) => {
                 log::debug!(peer:% = owner, error:% = error; "records could not be sent");
             }
--- a/crates/jujubelb/src/entry/jobs.rs
+++ b/crates/jujubelb/src/entry/jobs.rs
@@ -3,20 +3,21 @@
 use std::sync::Arc;
 
 use rocket::State;
-use rocket::data::{ByteUnit, Data, ToByteUnit};
+use rocket::data::Data;
 use rocket::response::Response;
 use serde::Serialize;
 
 use super::Entry;
 use crate::config::Config;
 use crate::http::answer::{self, Failure};
-use crate::model::{Code, JobName, JobSpec, ShardName, Span, TaskKind};
+use crate::http::body;
+use crate::model::{Bytes, Code, JobName, JobSpec, ShardName, Span, TaskKind};
 use crate::peer::{Call, CallFailure, Reply};
 use crate::process::jobs;
 use crate::shard::{Cancel, Submission};
 
 /// Largest submission in bytes.
-const LIMIT: u64 = 64 << 10;
+const LIMIT: Bytes = Bytes(64 << 10);
 
 /// Time for the owner's answer, in all tries together. It outlasts a planned
 /// change of the owner.
@@ -74,14 +75,14 @@
 
 impl Entry {
     async fn submit(self: &Arc<Self>, data: Data<'_>) -> Result<JobAnswer, Failure> {
-        let job = read(data, LIMIT.bytes()).await?;
+        let job = read(data).await?;
         if self.process.is_draining() {
             return Err(Failure::from(Code::Draining));
         }
         let config = self.process.board.config();
         check(&config, &job)?;
         let (process, claimed) = (self.process.clone(), job.clone());
-        let shard = blocking(move || jobs::claim(&process.store, &config, &claimed)).await?;
+        let shard = blocking(move || jobs::claim(&process.store, &config, &claimed, false)).await?;
         let submission = Submission {
             shard: shard.clone(),
             job: job.clone(),
@@ -164,14 +165,8 @@
     }
 }
 
-async fn read(data: Data<'_>, limit: ByteUnit) -> Result<JobSpec, Failure> {
-    let body = data.open(limit).into_bytes().await.map_err(|error| {
-        Failure::new(Code::Malformed, format!("the body is incomplete: {error}"))
-    })?;
-    if !body.is_complete() {
-        let text = format!("the body is larger than {LIMIT} bytes");
-        return Err(Failure::new(Code::TooLarge, text));
-    }
+async fn read(data: Data<'_>) -> Result<JobSpec, Failure> {
+    let body = body::read(data, LIMIT).await?;
     serde_json::from_slice(&body)
         .map_err(|error| Failure::new(Code::Malformed, format!("the job is malformed: {error}")))
 }
--- a/crates/jujubelb/src/entry/serve.rs
+++ b/crates/jujubelb/src/entry/serve.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use rocket::data::ToByteUnit;
 use rocket::http::Method;
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome};
@@ -14,6 +13,7 @@
 use super::forward::{self, Parcel};
 use super::headers::{self, Wishes};
 use crate::http::answer::{self, Failure, Whole};
+use crate::http::body;
 use crate::model::{Bytes, Code, ServiceName, Span, Time};
 use crate::peer::ClaimKey;
 use crate::route::{Claimed, Delivery, Dispatch, Refusal, RequestInfo, Step, Ticket};
@@ -175,17 +175,7 @@
     target: String,
     limit: Bytes,
 ) -> Result<Parcel, Failure> {
-    let body = data
-        .open(limit.0.bytes())
-        .into_bytes()
-        .await
-        .map_err(|error| {
-            Failure::new(Code::Malformed, format!("the body is incomplete: {error}"))
-        })?;
-    if !body.is_complete() {
-        let text = format!("the body is larger than {} bytes", limit.0);
-        return Err(Failure::new(Code::TooLarge, text));
-    }
+    let body = body::read(data, limit).await?;
     let method = request.method().as_str().as_bytes();
     let method = reqwest::Method::from_bytes(method)
         .map_err(|error| Failure::new(Code::Malformed, error.to_string()))?;
@@ -193,7 +183,7 @@
         method,
         target,
         headers: forward::passed_on(request),
-        body: body.into_inner(),
+        body,
         limit: usize::try_from(limit.0).unwrap_or(usize::MAX),
     })
 }
--- a/crates/jujubelb/src/http/mod.rs
+++ b/crates/jujubelb/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! Blocking HTTP calls with JSON bodies to the platform, with bounded time and size.
 
 pub(crate) mod answer;
+pub(crate) mod body;
 #[cfg(test)]
 pub(crate) mod canned;
 
--- a/crates/jujubelb/src/operator/routes.rs
+++ b/crates/jujubelb/src/operator/routes.rs
@@ -1,7 +1,7 @@
 //! The routes of the operators' interface.
 
 use indexmap::IndexMap;
-use rocket::data::{Data, ToByteUnit};
+use rocket::data::Data;
 use rocket::http::Status;
 use rocket::request::{FromRequest, Outcome, Request};
 use rocket::response::Responder;
@@ -16,7 +16,7 @@
 };
 use super::{Operators, top};
 use crate::config::head::{self, Change, Contents, Edit};
-use crate::model::{Code, DomainName, EndpointName, ShardName, Span, WorkerName};
+use crate::model::{Bytes, Code, DomainName, EndpointName, ShardName, Span, WorkerName};
 use crate::peer::{Call, Query, Reply};
 use crate::telemetry::Clock;
 
@@ -101,13 +101,9 @@
 type Answer<T> = Result<Good<T>, Failed>;
 
 async fn body<T: DeserializeOwned>(data: Data<'_>, limit: usize) -> Result<T, Failed> {
-    let read = data.open(limit.bytes()).into_bytes().await;
-    let body =
-        read.map_err(|e| Failed::new(Code::Malformed, format!("the body is incomplete: {e}")))?;
-    if !body.is_complete() {
-        let text = format!("the body is larger than {limit} bytes");
-        return Err(Failed::new(Code::TooLarge, text));
-    }
+    let body = crate::http::body::read(data, Bytes(limit as u64))
+        .await
+        .map_err(|failure| Failed::new(failure.code, failure.message))?;
     serde_json::from_slice(&body)
         .map_err(|e| Failed::new(Code::Malformed, format!("the body is malformed: {e}")))
 }
--- a/crates/jujubelb/src/peer/server.rs
+++ b/crates/jujubelb/src/peer/server.rs
@@ -111,7 +111,7 @@
         let (header, call) = match accept(shared, &nonce, last, &frame) {
             Ok(accepted) => accepted,
             Err(reason) => {
-                log::warn!(reason:% = reason; "a call of a peer was dropped");
+                log::debug!(reason:% = reason; "a call of a peer was dropped");
                 return shared.counters.count(reason);
             }
         };
--- a/crates/jujubelb/src/process/jobs.rs
+++ b/crates/jujubelb/src/process/jobs.rs
@@ -17,6 +17,9 @@
     pub(crate) shard: ShardName,
     /// Digest of the submission, as hexadecimal text.
     pub(crate) digest: String,
+    /// Whether the configuration declared the job. It is cancelled when the
+    /// configuration no longer does.
+    pub(crate) declared: bool,
 }
 
 /// Why a job has no home.
@@ -47,12 +50,14 @@
     store: &S,
     config: &Config,
     job: &JobSpec,
+    declared: bool,
 ) -> Result<ShardName, Unclaimed> {
     let home = home_shard(config, &job.name)
         .ok_or_else(|| Unclaimed::new(Code::Impossible, "no workers are declared"))?;
     let wanted = JobClaim {
         shard: home.clone(),
         digest: blake3::Hash::from_bytes(digest(job)).to_hex().to_string(),
+        declared,
     };
     let value =
         serde_json::to_vec(&wanted).map_err(|e| Unclaimed::new(Code::Internal, e.to_string()))?;
@@ -62,7 +67,9 @@
         Err(error) => return Err(unavailable(&error)),
     };
     match found {
-        Some(claim) if claim.digest == wanted.digest => Ok(claim.shard),
+        Some(claim) if claim.digest == wanted.digest && claim.declared == declared => {
+            Ok(claim.shard)
+        }
         Some(_) => Err(Unclaimed::new(
             Code::JobConflict,
             format!("the name {} belongs to a job with other content", job.name),
--- a/crates/jujubelb/src/process/plan.rs
+++ b/crates/jujubelb/src/process/plan.rs
@@ -83,14 +83,18 @@
         if let Some(newer) = self.newer(now, known) {
             return Step::Ask(newer);
         }
-        if rank == 0 {
-            return Step::Wait;
-        }
         if now >= self.ask_at {
-            return Step::Ask(order[0].clone());
+            // Without fresh evidence the reader can't reach the store or can't be reached.
+            let stale = known.age.is_none_or(|age| age > STALE);
+            if stale && let Some(fresh) = freshest(known) {
+                return Step::Ask(fresh);
+            }
+            if rank > 0 {
+                return Step::Ask(order[0].clone());
+            }
         }
         let patience = STALE + Span::from_micros(RANK_DELAY.as_micros() * rank as u64);
-        if read_due && known.age.is_none_or(|age| age > patience) {
+        if rank > 0 && read_due && known.age.is_none_or(|age| age > patience) {
             return Step::Read;
         }
         Step::Wait
@@ -117,3 +121,14 @@
         (newest.beat.revision > known.revision).then(|| newest.beat.node.clone())
     }
 }
+
+/// The live peer with the freshest evidence, as its last heartbeat told.
+fn freshest(known: &Known<'_>) -> Option<NodeName> {
+    let live = known
+        .members
+        .iter()
+        .filter(|member| member.standing == Standing::Alive);
+    let fresh = live.filter_map(|member| Some((member.beat.evidence?, &member.beat.node)));
+    let (age, node) = fresh.min()?;
+    (age <= STALE).then(|| node.clone())
+}
--- a/crates/jujubelb/src/process/tests.rs
+++ b/crates/jujubelb/src/process/tests.rs
@@ -94,6 +94,33 @@
     );
 }
 
+/// Guards against a process that is cut off from the store and does not use a
+/// peer that is not, whatever their domains and ranks.
+#[test]
+fn a_peer_with_fresh_evidence_replaces_a_reader_without() {
+    let mut fresh = member("far", "other", 5);
+    fresh.beat.evidence = Some(Span::from_millis(800));
+    let members = [member("b", "d", 5), fresh];
+    for node in ["a", "z"] {
+        let mut plan = Plan::default();
+        assert_ne!(
+            step(&mut plan, 1_000, node, Some(1_500), &members),
+            Step::Wait
+        );
+        assert_ne!(
+            step(&mut plan, 2_000, node, Some(2_001), &members),
+            Step::Wait
+        );
+        let third = step(&mut plan, 2_100, node, Some(2_100), &members);
+        let fourth = step(&mut plan, 3_100, node, Some(2_200), &members);
+        let ask = Step::Ask("far".into());
+        assert!(
+            third == ask || fourth == ask,
+            "{node}: {third:?} {fourth:?}"
+        );
+    }
+}
+
 /// Guards against a change that waits for the next regular question.
 #[test]
 fn a_peer_with_a_higher_revision_is_asked_at_once() {
--- a/crates/jujubelb/src/scheduler/declared.rs
+++ b/crates/jujubelb/src/scheduler/declared.rs
@@ -1,4 +1,5 @@
-//! The thread that has declared jobs accepted by their home shards.
+//! The thread that has declared jobs accepted by their home shards, and
+//! cancelled when the configuration no longer declares them.
 
 use std::sync::Arc;
 
@@ -7,12 +8,16 @@
 use super::Scheduler;
 use crate::model::{Code, JobName, JobSpec, Revision, Span, Time};
 use crate::peer::{Call, Reply};
-use crate::process::{Running, jobs};
-use crate::shard::{Submission, digest, home_shard};
+use crate::process::Running;
+use crate::process::jobs::{self, JobClaim};
+use crate::shard::{Cancel, Submission, digest, home_shard};
 
 /// Interval of looking for declared jobs.
 const STEP: Span = Span::from_millis(500);
 
+/// Interval of looking for jobs that are no longer declared.
+const LOOK_EVERY: Span = Span::from_millis(1_000);
+
 /// Jobs handled in one step. Each costs up to two store calls.
 const BATCH: usize = 4;
 
@@ -36,6 +41,9 @@
     scheduler: Arc<Scheduler>,
     outcomes: IndexMap<JobName, Outcome>,
     revision: Revision,
+    /// Live jobs of the owned shards that are not declared now, and whether they once were.
+    origins: IndexMap<JobName, JobClaim>,
+    looked: Time,
 }
 
 impl Declared {
@@ -45,6 +53,8 @@
             scheduler,
             outcomes: IndexMap::new(),
             revision: Revision::default(),
+            origins: IndexMap::new(),
+            looked: Time::ZERO,
         }
     }
 
@@ -53,6 +63,7 @@
         while running.wait(STEP) {
             if !self.scheduler.process.is_draining() {
                 self.step();
+                self.withdraw();
             }
         }
     }
@@ -86,10 +97,49 @@
         }
     }
 
+    /// Cancels live jobs that were declared and are not any more. The evidence
+    /// has to be fresh: an old configuration may lack a new declaration.
+    fn withdraw(&mut self) {
+        let process = &self.scheduler.process;
+        let (now, present) = (process.clock.now(), process.board.present());
+        if now.since(self.looked) < LOOK_EVERY || !present.evidence.is_fresh(now) {
+            return;
+        }
+        self.looked = now;
+        let mut live = self.scheduler.live_jobs();
+        live.retain(|job| !present.config.jobs.contains_key(job));
+        self.origins.retain(|job, _| live.contains(job));
+        let unknown: Vec<_> = live
+            .iter()
+            .filter(|job| !self.origins.contains_key(*job))
+            .take(BATCH)
+            .cloned()
+            .collect();
+        for job in unknown {
+            if let Ok(Some(claim)) = jobs::find(&self.scheduler.process.store, &job) {
+                self.origins.insert(job, claim);
+            }
+        }
+        let withdrawn = self.origins.iter().filter(|(_, claim)| claim.declared);
+        for (job, claim) in withdrawn.take(BATCH) {
+            let cancel = Cancel {
+                shard: claim.shard.clone(),
+                job: job.clone(),
+            };
+            let call = Call::Cancel(cancel);
+            if let Some(Reply::Code(Code::Done, _)) =
+                self.scheduler
+                    .call_owner_blocking(&claim.shard, call, PATIENCE)
+            {
+                log::info!(job:% = job; "a job that is no longer declared is cancelled");
+            }
+        }
+    }
+
     /// Claims the name and submits the job to the shard that the claim names.
     /// Returns whether nothing is left to do.
     fn submit(&self, config: &crate::config::Config, job: &JobSpec) -> bool {
-        let shard = match jobs::claim(&self.scheduler.process.store, config, job) {
+        let shard = match jobs::claim(&self.scheduler.process.store, config, job, true) {
             Ok(shard) => shard,
             Err(failure) => {
                 log::warn!(job:% = job.name, code = failure.code.number(), message = failure.message.as_str(); "a declared job has no home shard");
--- a/crates/jujubelb/src/scheduler/mod.rs
+++ b/crates/jujubelb/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 mod owner;
 mod ownership;
 mod pool;
+mod sweep;
 mod term;
 #[cfg(test)]
 mod tests;
@@ -24,7 +25,7 @@
 use self::ownership::Ownership;
 use self::pool::Pool;
 use crate::http::Server;
-use crate::model::{Code, NodeName, ShardName, Span};
+use crate::model::{Code, JobName, NodeName, ShardName, Span};
 use crate::operator::Operators;
 use crate::peer::{Call, Handler, News, PeerThread, Peers, Reply, Role};
 use crate::process::{ConfigNews, Configuration, Process, StartError, Threads};
@@ -144,6 +145,9 @@
     }
 }
 
+/// Longest wait for the list of live jobs; it is asked for again after a second.
+const JOBS_PATIENCE: std::time::Duration = std::time::Duration::from_secs(1);
+
 /// Interval of looking whether all shards are handed over.
 const STOP_STEP: std::time::Duration = std::time::Duration::from_millis(20);
 
@@ -170,6 +174,8 @@
     threads.spawn("owners", move |running| owners.run(&running))?;
     let ownership = Ownership::new(scheduler.clone(), taken_out, ended);
     threads.spawn("ownership", move |running| ownership.run(&running))?;
+    let swept = scheduler.clone();
+    threads.spawn("sweep", move |running| sweep::run(&swept, &running))?;
     let declared = Declared::new(scheduler.clone());
     threads.spawn("declared-jobs", move |running| declared.run(&running))?;
     let configuration = Configuration::new(process.clone(), scheduler.peers.clone(), config_out);
@@ -217,6 +223,14 @@
         result.recv().ok().flatten()
     }
 
+    /// Live jobs of all owned shards, asked from a thread without a runtime.
+    fn live_jobs(&self) -> Vec<JobName> {
+        let (reply, jobs) = std::sync::mpsc::sync_channel(1);
+        self.put(Asked::Jobs(reply));
+        // The queue drops the question when the owner thread has ended.
+        jobs.recv_timeout(JOBS_PATIENCE).unwrap_or_default()
+    }
+
     /// The summaries of all shards known, those of this process included.
     fn known_shards(&self) -> Vec<ShardSummary> {
         let mut summaries = self.peers.members(|members| {
--- a/crates/jujubelb/src/scheduler/owner.rs
+++ b/crates/jujubelb/src/scheduler/owner.rs
@@ -11,7 +11,7 @@
 use super::pool::{Exchange, Pool};
 use super::term::{Term, not_owner, starting};
 use crate::config::Config;
-use crate::model::{Code, ShardName, Span, Time};
+use crate::model::{Code, JobName, ShardName, Span, Time};
 use crate::peer::{Call, News, Query, Reply, View};
 use crate::process::{ConfigNews, Running};
 use crate::shard::{Input, Output};
@@ -30,6 +30,8 @@
     Call(Box<Call>, oneshot::Sender<Reply>),
     /// News for the owner of one shard.
     Input(ShardName, Box<Input>),
+    /// Live jobs of all shards that are not cancelled.
+    Jobs(std::sync::mpsc::SyncSender<Vec<JobName>>),
     /// Hand all shards over; answered when it is done.
     Stop(oneshot::Sender<()>),
 }
@@ -151,6 +153,10 @@
                         term.give(now, *input);
                     }
                 }
+                Asked::Jobs(reply) => {
+                    // The caller may have given up.
+                    let _ = reply.try_send(self.live_jobs());
+                }
                 Asked::Stop(done) => {
                     for term in self.terms.values_mut() {
                         term.stop(now);
@@ -161,6 +167,13 @@
         }
     }
 
+    fn live_jobs(&self) -> Vec<JobName> {
+        let owners = self.terms.values().filter_map(|term| term.owner.as_ref());
+        let jobs = owners.flat_map(|owner| &owner.stored().jobs);
+        let live = jobs.filter(|(_, job)| !job.cancelled);
+        live.map(|(name, _)| name.clone()).collect()
+    }
+
     fn answer(&mut self, now: Time, call: Call, reply: oneshot::Sender<Reply>) {
         let direct = match call {
             Call::Submit(submission) => {
--- a/crates/jujubelb/src/store/http.rs
+++ b/crates/jujubelb/src/store/http.rs
@@ -88,7 +88,7 @@
                 Ok(()) => return Ok(()),
                 Err(wait) => wait,
             };
-            if (now + wait).since(start) > LONGEST_WAIT || self.pace().is_closed(now) {
+            if (now + wait).since(start) > LONGEST_WAIT {
                 let text = format!("calls are paced; the next one may start in {wait}");
                 return Err(StoreError::Refused(text));
             }
--- a/crates/jujubelb/src/store/pace.rs
+++ b/crates/jujubelb/src/store/pace.rs
@@ -138,9 +138,4 @@
         self.failed = Some(now);
         self.closed = now + Span::from_micros((delay * (0.5 + 0.5 * random)) as u64);
     }
-
-    /// Whether calls are being held back after a failure.
-    pub(crate) fn is_closed(&self, now: Time) -> bool {
-        now < self.closed
-    }
 }
