Let small tasks of unknown effect start, and slow down repeated handoffs

Cause: in the demo 8 of 12 watchers stayed queued for a minute on idle workers. A class of unknown effect may be tried on one worker in 16 at a time, and half a core gives so little evidence that the trial takes minutes; meanwhile each task went from shard to shard every 10 s, and its wait for a starving task's turn started anew each time. Ruled out: quota (one shard of two with quota had room) and capacity. Change: the limit on trials holds only where twice the uncertainty could exceed what the service may suffer; a starving task is spared the wait for a trial, and a class that runs nowhere gets one worker; the wait before a handoff doubles with each attempt. The receiver's record says that it received the task, and a start delayed by an expectation has a cause of its own (640). The demo now requires every watcher to run at its end.

--- a/crates/jujubelb-lab/src/bin/jujubelb-demo.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-demo.rs
@@ -1,11 +1,12 @@
 //! Runs a whole deployment on loopback with a mixed load and faults, and reports on every invariant.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use eyre::{Result, WrapErr};
 use indicatif::{ProgressBar, ProgressStyle};
-use jujubelb_lab::demo::{Format, STEPS, run};
+use jujubelb_lab::demo::{Format, Options, STEPS, run};
 
 /// Runs jujubelb on this machine for less than a minute and reports on every invariant.
 ///
@@ -28,6 +29,9 @@
     /// Second part of the loopback addresses, to run two demos at the same time.
     #[arg(long, default_value_t = 90, value_parser = clap::value_parser!(u8).range(16..=250))]
     net: u8,
+    /// Seconds for which the processes go on after the course, for use with `jujubectl`.
+    #[arg(long, default_value_t = 0)]
+    hold: u64,
 }
 
 fn main() -> ExitCode {
@@ -49,8 +53,13 @@
     progress.set_style(ProgressStyle::with_template(
         "{elapsed:>4} [{bar:20}] {msg}",
     )?);
-    progress.enable_steady_tick(std::time::Duration::from_millis(250));
-    let report = run(cli.seed, cli.net, &dir, progress.clone());
+    progress.enable_steady_tick(Duration::from_millis(250));
+    let options = Options {
+        seed: cli.seed,
+        net: cli.net,
+        hold: Duration::from_secs(cli.hold),
+    };
+    let report = run(options, &dir, progress.clone());
     progress.finish_and_clear();
     std::fs::remove_dir_all(&dir).wrap_err("can't remove the directory of the keys")?;
     let report = report?;
--- a/crates/jujubelb-lab/src/demo/deployment.rs
+++ b/crates/jujubelb-lab/src/demo/deployment.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use indexmap::IndexMap;
-use jujubelb::model::{ClassName, Span};
+use jujubelb::model::{ClassName, Span, TaskId};
 
 use crate::standin::behaviour::{Behaviour, Behaviours};
 use crate::standin::platform::{Addresses, Reality};
@@ -188,6 +188,20 @@
     }
 }
 
+/// Tasks of each watcher.
+const WATCHER_TASKS: u32 = 6;
+
+/// The tasks of all watchers, which have to run all the time.
+pub fn watchers() -> impl Iterator<Item = TaskId> {
+    let tasks = |job: &'static str| {
+        (0..WATCHER_TASKS).map(move |index| TaskId {
+            job: job.into(),
+            index,
+        })
+    };
+    ["box-humidity", "box-locks"].into_iter().flat_map(tasks)
+}
+
 /// Teams, and the watchers that run all the time.
 const TEAMS: &str = "teams:
 - { name: sorting, quota: { cpu: 200, memory: 900 GiB }, weight: 2 }
--- a/crates/jujubelb-lab/src/demo/mod.rs
+++ b/crates/jujubelb-lab/src/demo/mod.rs
@@ -11,7 +11,7 @@
 pub use deployment::Deployment;
 pub use operator::Operator;
 pub use report::{Format, Latency, Report};
-pub use run::{STEPS, run};
+pub use run::{Options, STEPS, run};
 
 #[cfg(test)]
 mod tests;
--- a/crates/jujubelb-lab/src/demo/run.rs
+++ b/crates/jujubelb-lab/src/demo/run.rs
@@ -14,7 +14,7 @@
 use jujubelb::model::{Action, EndpointName, Revision, Span, Subject, TaskId, WorkerName};
 use jujubelb::operator::api::ApplyAnswer;
 
-use super::deployment::Deployment;
+use super::deployment::{Deployment, watchers};
 use super::nodes::Nodes;
 use super::operator::Operator;
 use super::report::Report;
@@ -52,12 +52,24 @@
     start: Instant,
 }
 
+/// What to run.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Seed of the load.
+    pub seed: u64,
+    /// Second part of the loopback addresses.
+    pub net: u8,
+    /// Time for which the processes go on after the course, for use with `jujubectl`.
+    pub hold: Duration,
+}
+
 /// Runs the whole demo in a directory that it may write keys to.
-pub fn run(seed: u64, net: u8, dir: &Path, progress: ProgressBar) -> Result<Report> {
-    let mut demo = Demo::start(seed, net, dir, progress)?;
-    let load = demo.start_load(seed)?;
+pub fn run(options: Options, dir: &Path, progress: ProgressBar) -> Result<Report> {
+    let mut demo = Demo::start(options.seed, options.net, dir, progress)?;
+    let load = demo.start_load(options.seed)?;
     demo.course();
     let outcomes = load.finish()?;
+    demo.hold(options.hold, dir);
     demo.end(outcomes)
 }
 
@@ -313,6 +325,7 @@
             let ledger = self.platform.ledger();
             let mut open = self.work.open(&ledger);
             open.extend(ledger.waiting().cloned());
+            open.extend(watchers().filter(|task| !ledger.is_active(task)));
             drop(ledger);
             if open.is_empty() {
                 return Ok(());
@@ -379,6 +392,21 @@
         }
     }
 
+    /// Lets an operator look at the deployment.
+    fn hold(&self, time: Duration, dir: &Path) {
+        if time.is_zero() {
+            return;
+        }
+        let at = self.nodes.hosts()[2].entry_operators();
+        let token = dir.join("token");
+        let hint = format!(
+            "the processes go on for {time:?}: jujubectl --server http://{at} --token-file {} top",
+            token.display()
+        );
+        self.progress.suspend(|| eprintln!("{hint}"));
+        std::thread::sleep(time);
+    }
+
     fn end(mut self, outcomes: crate::load::Outcomes) -> Result<Report> {
         if let Some(watch) = self.watch.take() {
             watch.finish();
--- a/crates/jujubelb-lab/src/standin/ledger.rs
+++ b/crates/jujubelb-lab/src/standin/ledger.rs
@@ -241,6 +241,11 @@
         );
     }
 
+    /// Whether a task runs now.
+    pub fn is_active(&self, task: &TaskId) -> bool {
+        self.tasks.get(task).is_some_and(|h| h.active.is_some())
+    }
+
     /// Whether a task was completed.
     pub fn is_done(&self, task: &TaskId) -> bool {
         self.tasks.get(task).is_some_and(|h| h.done)
--- a/crates/jujubelb/src/claim/hosts.rs
+++ b/crates/jujubelb/src/claim/hosts.rs
@@ -24,8 +24,8 @@
     until: Option<Time>,
 }
 
-/// The holders that a claim needs.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// The holders that a claim needs. A claim without groups is not granted.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Plan {
     /// A majority of each of these groups is needed.
     pub groups: Vec<Vec<NodeName>>,
@@ -34,7 +34,7 @@
 }
 
 impl HostSets {
-    /// No set yet. `lifetime` is the time for which claims are held.
+    /// No set yet. `lifetime` is the time for which a former set matters.
     pub fn new(lifetime: Span) -> Self {
         Self {
             lifetime,
--- a/crates/jujubelb/src/claim/mod.rs
+++ b/crates/jujubelb/src/claim/mod.rs
@@ -5,7 +5,7 @@
 //! granted its claim; two majorities have a holder in common, hence two
 //! attempts with the same key can't both be granted.
 //!
-//! Three rules keep this true through restarts and changes of the host set:
+//! Four rules keep this true through restarts and changes of the host set:
 //!
 //! - A holder that started less than one lifetime ago abstains, because it may
 //!   have lost claims.
@@ -14,6 +14,10 @@
 //! - A process that started after the change does not know the old set.
 //!   Therefore a claim names the sets that its claimant knows, and a holder
 //!   that knows of another one abstains.
+//! - A partitioned process does not hear of the change at all. Therefore a
+//!   process claims nothing while its configuration is confirmed by no read
+//!   younger than the lifetime of a key, and a former set matters for longer
+//!   than that age and the lifetime of a key together.
 
 mod claimant;
 mod holder;
@@ -36,12 +40,24 @@
 /// delay with which a new configuration arrives (5 s), rounded up.
 const MARGIN: Span = Span::from_secs(16);
 
-/// Time for which a claim is held, for which a holder abstains after its start
-/// and for which a former host set matters. It is longer than the lifetime of
-/// the key by a margin and by 5 % for clocks of different speed.
+/// Time for which a claim is held and for which a holder abstains after its
+/// start. It is longer than the lifetime of the key by a margin and by 5 % for
+/// clocks of different speed.
 pub fn holding_time(key: Span) -> Span {
     key.scale_up(105, 100) + MARGIN
 }
 
+/// Time for which a former host set matters: a partitioned process may claim
+/// under it for one lifetime after the change, and the caller may retry
+/// elsewhere for another one.
+pub fn former_set_time(key: Span) -> Span {
+    holding_time(key) + key.scale_up(105, 100)
+}
+
+/// Whether a process may claim keys, by the age of the evidence of its configuration.
+pub fn may_claim(age: Option<Span>, key: Span) -> bool {
+    age.is_some_and(|age| age <= key)
+}
+
 /// Time after admission within which a claim has to be decided.
 pub const DECISION: Span = Span::from_secs(10);
--- a/crates/jujubelb/src/claim/tests.rs
+++ b/crates/jujubelb/src/claim/tests.rs
@@ -215,3 +215,24 @@
     let mut none = Claimant::new(1, plan(&[]), secs(1));
     assert_eq!(none.poll(secs(0)), Some(Claimed::Unavailable));
 }
+
+/// Guards against disjoint majorities when a partitioned process keeps claiming
+/// under a host set that was replaced on the other side.
+#[test]
+fn partitioned_claimant_stops_before_its_set_is_forgotten() {
+    let lifetime = Span::from_secs(600);
+    let changed = 1_000;
+    let mut connected = HostSets::new(former_set_time(lifetime));
+    connected.configure(Time::ZERO, hosts(0..3));
+    connected.configure(secs(changed), hosts(3..6));
+    for claimed in changed..changed + 2_000 {
+        // The last read that did not show the change began when it was made.
+        let age = secs(claimed).since(secs(changed));
+        if may_claim(Some(age), lifetime) {
+            let retried = secs(claimed) + lifetime;
+            assert_eq!(connected.plan(retried, &key("k")).groups.len(), 2);
+        }
+    }
+    assert!(!may_claim(Some(lifetime + Span::from_micros(1)), lifetime));
+    assert!(!may_claim(None, lifetime));
+}
--- a/crates/jujubelb/src/ctl/explain.rs
+++ b/crates/jujubelb/src/ctl/explain.rs
@@ -175,6 +175,7 @@
         Action::Readmit => plain("may get tasks again"),
         Action::Park => plain("was parked"),
         Action::HandOff => format!("was handed off{}", place("to")),
+        Action::Receive => format!("was received{}", place("from")),
         Action::TakeOver => format!("was taken over by {}", record.id.node),
         Action::StepDown => format!("was given up by {}", record.id.node),
         Action::Resize => format!("got another limit{}", place("on")),
--- a/crates/jujubelb/src/entry/claims.rs
+++ b/crates/jujubelb/src/entry/claims.rs
@@ -5,7 +5,7 @@
 use tokio::sync::mpsc;
 
 use super::Entry;
-use crate::claim::Claimant;
+use crate::claim::{Claimant, Plan, may_claim};
 use crate::model::{NodeName, Span, Time};
 use crate::peer::{Call, ClaimAnswer, ClaimKey, Reply};
 use crate::route::Claimed;
@@ -26,7 +26,12 @@
 impl Entry {
     /// Claims a key until a time.
     pub(super) async fn claim(self: &Arc<Self>, key: ClaimKey, until: Time) -> (Claim, Claimed) {
-        let plan = self.desk.decide(|now, state| state.sets.plan(now, &key));
+        let lifetime = Span::from(self.process.settings.key_lifetime);
+        let plan = if may_claim(self.process.board.age(), lifetime) {
+            self.desk.decide(|now, state| state.sets.plan(now, &key))
+        } else {
+            Plan::default()
+        };
         let claimant = Claimant::new(rand::random(), plan, until);
         let mut claim = Claim { key, claimant };
         let result = self.ask_holders(&mut claim, until).await;
--- a/crates/jujubelb/src/entry/desk.rs
+++ b/crates/jujubelb/src/entry/desk.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
-use crate::claim::{Holder, HostSets, holding_time};
+use crate::claim::{Holder, HostSets, former_set_time, holding_time};
 use crate::http::answer::Whole;
 use crate::model::{DomainName, NodeName, Span, Time};
 use crate::route::{AttemptEnd, AttemptId, Delivery, Refusal, RequestInfo, Router, Step, Ticket};
@@ -46,13 +46,12 @@
 impl Desk {
     /// A desk without configuration. `key` is the lifetime of request keys.
     pub(super) fn new(node: NodeName, domain: DomainName, clock: Clock, key: Span) -> Self {
-        let held = holding_time(key);
         Self {
             clock,
             state: Mutex::new(State {
                 router: Router::new(node, domain),
-                holder: Holder::new(clock.now(), held),
-                sets: HostSets::new(held),
+                holder: Holder::new(clock.now(), holding_time(key)),
+                sets: HostSets::new(former_set_time(key)),
                 waiting: IndexMap::new(),
             }),
         }
--- a/crates/jujubelb/src/model/record.rs
+++ b/crates/jujubelb/src/model/record.rs
@@ -94,6 +94,8 @@
     Park,
     /// A task was handed off to another shard.
     HandOff,
+    /// A task was received from another shard.
+    Receive,
     /// A shard got a new owner.
     TakeOver,
     /// An owner gave up a shard.
@@ -221,6 +223,8 @@
     NoEndpoint = 638, "look at the endpoints of the service";
     /// The returning domain is filled at a bounded rate.
     RampUp = 639, "nothing";
+    /// The task would probably disturb a latency-critical service.
+    InterferenceExpected = 640, "wait, or give the task workers without endpoints";
 }
 
 impl std::fmt::Display for Cause {
--- a/crates/jujubelb/src/place/policy/outlook.rs
+++ b/crates/jujubelb/src/place/policy/outlook.rs
@@ -5,12 +5,18 @@
 use crate::model::{Attempt, JobSpec, Priority, Resources, TaskId, Time};
 use crate::place::attribution::PROBATION_TASKS;
 use crate::place::choose::Outlook;
+use crate::place::fair::STARVING;
 use crate::shard::View;
 
 /// Workers with services on which a class of unknown effect may run at a time:
 /// one in this many. Its reports come within seconds, so a few are enough.
 const EXPLORED_SHARE: usize = 16;
 
+/// Standard deviations by which the effect of an unknown class may exceed the
+/// expectation. A small task of an unknown class can't do harm by this rule and
+/// need not wait for a trial, which takes minutes for a fraction of a core.
+const UNKNOWN_DEVIATIONS: f64 = 2.0;
+
 /// A task that is to be placed.
 pub(super) struct Placing<'a> {
     pub(super) now: Time,
@@ -21,14 +27,18 @@
     failed: bool,
     /// Whether one more worker may run the class if its effect is unknown.
     explore: bool,
+    /// Whether the task waited so long that it runs somewhere even if a service suffers.
+    starving: bool,
+    /// Workers that run the class.
+    spread: usize,
 }
 
 impl<'a> Placing<'a> {
     pub(super) fn new(
         policy: &PlacePolicy,
         now: Time,
-        task: &'a TaskId,
-        job: &'a JobSpec,
+        (task, job): (&'a TaskId, &'a JobSpec),
+        since: Time,
         need: Resources,
     ) -> Self {
         let spread = policy.spread.get(&job.task.class).copied().unwrap_or(0);
@@ -39,6 +49,8 @@
             need,
             failed: policy.attribution.has_failures(&job.name),
             explore: spread < (policy.workers.len() / EXPLORED_SHARE).max(1),
+            starving: now.since(since) >= STARVING,
+            spread,
         }
     }
 
@@ -88,7 +100,9 @@
     }
 
     /// The same, or `None` if a service would probably suffer more than it may,
-    /// or if the effect of the class is unknown and is being tried elsewhere.
+    /// or if the effect of the class is unknown, may be too much, and is being
+    /// tried elsewhere. A starving task is spared the wait for the trial, and a
+    /// class that runs nowhere gets one worker; the reaction protects the service.
     fn bearable(&self, placing: &Placing<'_>, worker: usize) -> Option<f64> {
         let class = &placing.job.task.class;
         let cores = placing.cores();
@@ -98,13 +112,16 @@
         for served in heard {
             let estimate = self.interference.estimate(&served.service, class);
             let here = known.history.last().is_some_and(|m| m.contains_key(class));
-            if estimate.is_unknown() && (here || !placing.explore || known.starts > 0) {
-                return None;
-            }
             let mean = served.mean + cores * estimate.mean;
-            let variance = served.variance + cores * cores * estimate.variance;
+            let deviation = (served.variance + cores * cores * estimate.variance).sqrt();
             let allowed = self.interference.allowed(&served.service, served.deadline);
-            if !estimate.is_unknown() && mean + variance.sqrt() > allowed {
+            if estimate.is_unknown() {
+                let risky = mean + UNKNOWN_DEVIATIONS * deviation > allowed;
+                let tried = !placing.explore && !placing.starving;
+                if risky && (here || tried || known.starts > 0) {
+                    return None;
+                }
+            } else if mean + deviation > allowed && !(placing.starving && placing.spread == 0) {
                 return None;
             }
             worst = worst.max(mean);
--- a/crates/jujubelb/src/place/policy/start.rs
+++ b/crates/jujubelb/src/place/policy/start.rs
@@ -24,6 +24,10 @@
 const PATIENCE_ROOM: Span = Span::from_secs(10);
 const PATIENCE_QUOTA: Span = Span::from_secs(2);
 
+/// Doublings of the wait before a handoff. The longest wait is above the time
+/// after which a task counts as starving, so some shard lets it start.
+const MOST_DOUBLINGS: u64 = 7;
+
 /// How long the room of one worker is kept for a batch task that starves. It is
 /// renewed while the task waits.
 const STARVING_HOLD: Span = Span::from_secs(60);
@@ -40,9 +44,16 @@
         self.job.task.priority == Priority::Urgent
     }
 
-    /// How long the task waits before it is handed off.
-    fn patience(&self, batch: Span) -> Span {
-        if self.is_urgent() { Span::ZERO } else { batch }
+    /// How long the task waits before it is handed off. Doubles with each
+    /// attempt, and a handoff uses up one: a task that no shard can start would
+    /// otherwise go round for ever, and its wait for its turn starts anew each time.
+    fn patience(&self, view: &View<'_>, batch: Span) -> Span {
+        if self.is_urgent() {
+            return Span::ZERO;
+        }
+        let stored = view.state.tasks.get(&self.head.task);
+        let tries = stored.map_or(0, |t| t.attempt.0.min(MOST_DOUBLINGS));
+        batch.scale_up(1 << tries, 1)
     }
 }
 
@@ -111,7 +122,7 @@
         let left = self.quota_left(&job.team);
         if !need.fits(&left) {
             let facts = need_and_quota(&need, &left);
-            let why = (want.patience(PATIENCE_QUOTA), Cause::QuotaExhausted);
+            let why = (want.patience(view, PATIENCE_QUOTA), Cause::QuotaExhausted);
             self.elsewhere(view, pass, &want, why, facts);
             return;
         }
@@ -125,7 +136,7 @@
             Err(NoPick::NoRoom)
         } else {
             let salt = self.salt();
-            let placing = Placing::new(self, view.now, &head.task, job, need);
+            let placing = Placing::new(self, view.now, (&head.task, job), head.since, need);
             pick(&self.index, &Request { need, salt }, |w| {
                 self.outlook(&placing, w)
             })
@@ -149,7 +160,7 @@
         facts.push(count("workers-compared", picked.compared));
         facts.push(permille("expected-slowdown", picked.slowdown));
         facts.push(span("waited", view.now.since(head.since)));
-        let placing = Placing::new(self, view.now, &head.task, job, need);
+        let placing = Placing::new(self, view.now, (&head.task, job), head.since, need);
         self.index.take(picked.worker, &need);
         self.remember(view, &placing, picked.worker);
         self.queue.started(view.now, head);
@@ -171,7 +182,7 @@
         }
         let cause = match reason {
             NoPick::NoRoom => Cause::NoCapacity,
-            NoPick::RuledOut => Cause::Interference,
+            NoPick::RuledOut => Cause::InterferenceExpected,
         };
         let mut facts = need_and_free(&need, &self.index.largest());
         facts.push(count("queued-of-job", self.queue.waiting(&job.name)));
@@ -188,7 +199,7 @@
         if view.now.since(head.since) >= STARVING {
             self.hold_for_starving(view.now, head, &need);
         }
-        let why = (PATIENCE_ROOM, cause);
+        let why = (want.patience(view, PATIENCE_ROOM), cause);
         self.elsewhere(view, pass, want, why, facts);
     }
 
--- a/crates/jujubelb/src/shard/handoff.rs
+++ b/crates/jujubelb/src/shard/handoff.rs
@@ -114,7 +114,7 @@
         let taken = self.takes(&offer);
         let subject = Subject::Task(offer.task.clone());
         let (change, action, cause) = match taken {
-            true => (receipt(&offer), Action::HandOff, Cause::RoomElsewhere),
+            true => (receipt(&offer), Action::Receive, Cause::RoomElsewhere),
             false => (refusal(&offer), Action::Refuse, Cause::NoCapacity),
         };
         let note = Note::new(subject, action, cause)
