--- a/crates/jujubelb/src/process/configuration.rs
+++ b/crates/jujubelb/src/process/configuration.rs
@@ -37,6 +37,8 @@
     /// Revision and evidence that the reading end knows.
     told: (Revision, Option<Time>),
     contact: Option<Time>,
+    /// Whether the last read failed; only the first failure in a row is a warning.
+    failing: bool,
 }
 
 impl Configuration {
@@ -50,6 +52,7 @@
             news,
             told: (Revision::default(), None),
             contact: None,
+            failing: false,
         }
     }
 
@@ -83,11 +86,18 @@
         match self.reader.poll(&*self.process.store, began) {
             Ok(read) => {
                 self.contact = Some(began);
+                self.failing = false;
                 if let Read::Older(revision) = read {
                     log::warn!(revision = revision.0; "the store returned an older configuration, which is ignored");
                 }
             }
-            Err(error) => log::warn!(error:% = error; "the configuration could not be read"),
+            Err(error) if self.failing => {
+                log::debug!(error:% = error; "the configuration could not be read");
+            }
+            Err(error) => {
+                self.failing = true;
+                log::warn!(error:% = error; "the configuration could not be read");
+            }
         }
     }
 
--- a/crates/jujubelb/src/settings/mod.rs
+++ b/crates/jujubelb/src/settings/mod.rs
@@ -80,7 +80,7 @@
         reason: String,
     },
     /// The text is not valid YAML, or a field is missing, unknown or of a wrong type.
-    #[error("the settings have an error: {0}")]
+    #[error("the settings can't be used: {0}")]
     Syntax(String),
     /// A value can't be used.
     #[error("the setting `{field}` {fault}")]
@@ -104,8 +104,10 @@
 
     /// Parses and checks settings.
     pub fn parse(text: &str, role: Role) -> Result<Self, SettingsError> {
-        let settings: Self =
-            serde_saphyr::from_str(text).map_err(|e| SettingsError::Syntax(e.to_string()))?;
+        // The message names line and column; an excerpt would repeat it.
+        let options = serde_saphyr::options! { with_snippet: false };
+        let settings: Self = serde_saphyr::from_str_with_options(text, options)
+            .map_err(|e| SettingsError::Syntax(e.to_string()))?;
         settings.check(role)?;
         Ok(settings)
     }
