--- a/crates/jujubelb-lab/src/bench/mod.rs
+++ b/crates/jujubelb-lab/src/bench/mod.rs
@@ -1,5 +1,10 @@
-//! Measurements against baselines, one file for each.
+//! Measurements against baselines, one file for each. Each drives the deciding
+//! code against the one small fake that it needs.
 
+pub mod domain_move;
+mod fleet;
+pub mod interference;
+pub mod placement;
 mod report;
 pub mod routing;
 
--- a/crates/jujubelb/src/entry/serve.rs
+++ b/crates/jujubelb/src/entry/serve.rs
@@ -6,17 +6,18 @@
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome};
 use rocket::{Data, Request, Route};
-use tokio::sync::{Notify, SemaphorePermit, mpsc};
+use tokio::sync::{Notify, SemaphorePermit};
 
 use super::Entry;
 use super::claims::Claim;
+use super::desk::Turn;
 use super::forward::{self, Parcel};
 use super::headers::{self, Wishes};
 use crate::http::answer::{self, Failure, Whole};
 use crate::http::body;
 use crate::model::{Bytes, Code, ServiceName, Span, Time};
 use crate::peer::ClaimKey;
-use crate::route::{Claimed, Delivery, Dispatch, Refusal, RequestInfo, Step, Ticket};
+use crate::route::{Claimed, Dispatch, Refusal, RequestInfo, Step, Ticket};
 
 /// Path prefix of services.
 const ROOT: &str = "/svc/";
@@ -39,9 +40,6 @@
 /// Bytes in a unit of memory for bodies.
 const BODY_UNIT: u64 = 4 << 10;
 
-/// Attempts of one request that may end without the request looking.
-const ENDS: usize = 8;
-
 /// Handles requests on service routes.
 #[derive(Clone)]
 pub(super) struct Requests(pub(super) Arc<Entry>);
@@ -217,21 +215,16 @@
     claim: Option<Claim>,
 }
 
-/// The end of an attempt as its task reports it.
-type End = (Delivery, Option<Whole>);
-
 impl Journey<'_> {
     async fn run(&mut self, notice: &Notify) -> Result<Whole, Failure> {
-        let (ends, mut ended) = mpsc::channel(ENDS);
         loop {
-            let ticket = self.ticket;
-            let step = self
-                .entry
-                .desk
-                .decide(|now, state| state.router.next(now, ticket, &mut rand::rng()));
+            let step = match self.entry.desk.turn(self.ticket) {
+                Turn::Answer(answer) => return Ok(answer),
+                Turn::Step(step) => step,
+            };
             match step {
                 Step::Claim { until } => self.claim(until).await,
-                Step::Send(dispatch) => self.send(dispatch, ends.clone()),
+                Step::Send(dispatch) => self.send(dispatch),
                 Step::GiveUp(refusal) => {
                     if refusal.release
                         && let Some(claim) = &self.claim
@@ -243,11 +236,6 @@
                 Step::Wait { until } => {
                     let left = until.since(self.entry.process.clock.now());
                     tokio::select! {
-                        Some((delivery, answer)) = ended.recv() => {
-                            if let (Delivery::Deliver(_), Some(answer)) = (delivery, answer) {
-                                return Ok(answer);
-                            }
-                        }
                         () = notice.notified() => {}
                         () = sleep(left) => {}
                     }
@@ -274,7 +262,7 @@
 
     /// Starts an attempt. Its task reports the end to the router in every case,
     /// also if the request was answered before.
-    fn send(&self, dispatch: Dispatch, ends: mpsc::Sender<End>) {
+    fn send(&self, dispatch: Dispatch) {
         let (entry, parcel) = (self.entry.clone(), self.parcel.clone());
         let service = self.service.clone();
         tokio::spawn(async move {
@@ -282,10 +270,7 @@
             let attempt = forward::attempt(&entry.client, dispatch.address, &parcel, time);
             let (end, answer) = attempt.await;
             entry.stats.attempted(&service, end);
-            let delivery = entry
-                .desk
-                .decide(|now, state| state.router.finished(now, dispatch.attempt, end));
-            let _ = ends.send((delivery, answer)).await;
+            entry.desk.finish(dispatch.attempt, end, answer);
         });
     }
 }
--- a/crates/jujubelb/src/place/policy/known.rs
+++ b/crates/jujubelb/src/place/policy/known.rs
@@ -4,8 +4,8 @@
 
 use crate::config::Config;
 use crate::model::{
-    Attempt, Checkpoint, Millicores, Resources, ServiceName, Span, TaskId, TeamName, Time,
-    WorkerName,
+    Attempt, Checkpoint, ClassName, JobSpec, Millicores, Priority, Resources, ServiceName, Span,
+    TaskId, TeamName, Time, WorkerName,
 };
 use crate::place::capacity::Peak;
 use crate::place::interference::History;
@@ -13,6 +13,9 @@
 use crate::place::reaction::Reaction;
 use crate::worker::TaskUsage;
 
+/// Time without reports after which none are waited for: twelve times their delay.
+const SILENT: Span = Span::from_secs(60);
+
 /// A service with endpoints on a worker.
 #[derive(Debug, Clone)]
 pub(super) struct Served {
@@ -22,6 +25,16 @@
     pub(super) mean: f64,
     /// Variance of that expectation.
     pub(super) variance: f64,
+    /// When the last report came, or when reports were first expected.
+    pub(super) heard: Time,
+}
+
+impl Served {
+    /// Whether no reports come: the service gets no requests here, or its
+    /// reports are lost. Batch work is not kept waiting for them.
+    pub(super) fn is_silent(&self, now: Time) -> bool {
+        now.since(self.heard) >= SILENT
+    }
 }
 
 /// What the policy remembers of a worker.
@@ -30,8 +43,12 @@
     pub(super) services: Vec<Served>,
     pub(super) history: History,
     pub(super) reactions: IndexMap<ServiceName, Reaction>,
-    /// What each team's tasks on the worker may use, as charged in the queue.
-    pub(super) charged: IndexMap<TeamName, Resources>,
+    /// Tasks on the worker, in the order of the owner's view as far as possible.
+    pub(super) seen: IndexMap<TaskId, Seen>,
+    /// Comparisons of the worker's tasks with the view so far.
+    pub(super) checks: u32,
+    /// When the worker's tasks were last compared with the owner's view.
+    pub(super) checked: Option<Time>,
     pub(super) ramp: Ramp,
     /// Tasks on the worker, with those started in this pass.
     pub(super) tasks: usize,
@@ -48,10 +65,12 @@
 impl Known {
     pub(super) fn new(now: Time, worker: &WorkerName, config: &Config) -> Self {
         Self {
-            services: services_on(worker, config),
+            services: services_on(now, worker, config),
             history: History::default(),
             reactions: IndexMap::new(),
-            charged: IndexMap::new(),
+            seen: IndexMap::new(),
+            checks: 0,
+            checked: None,
             ramp: Ramp::new(now),
             tasks: 0,
             starts: 0,
@@ -70,7 +89,7 @@
 }
 
 /// Services with an endpoint on a worker.
-pub(super) fn services_on(worker: &WorkerName, config: &Config) -> Vec<Served> {
+pub(super) fn services_on(now: Time, worker: &WorkerName, config: &Config) -> Vec<Served> {
     let here = |service: &crate::config::Service| {
         let mut endpoints = service.endpoints.values();
         endpoints.any(|e| e.worker.as_ref() == Some(worker))
@@ -84,6 +103,7 @@
             deadline: service.deadline,
             mean: 0.0,
             variance: 0.0,
+            heard: now,
         })
         .collect()
 }
@@ -92,6 +112,13 @@
 #[derive(Debug, Clone)]
 pub(super) struct Seen {
     pub(super) attempt: Attempt,
+    pub(super) team: TeamName,
+    pub(super) class: ClassName,
+    pub(super) urgent: bool,
+    pub(super) reclaimable: bool,
+    pub(super) declared: Resources,
+    /// What is charged to the team for it.
+    pub(super) charged: Resources,
     /// When the attempt was first seen or last wrote a checkpoint.
     pub(super) saved: Time,
     pub(super) checkpoint: Option<Checkpoint>,
@@ -105,11 +132,17 @@
 }
 
 impl Seen {
-    pub(super) fn new(now: Time, attempt: Attempt, checkpoint: Option<Checkpoint>) -> Self {
+    pub(super) fn new(now: Time, attempt: Attempt, job: &JobSpec) -> Self {
         Self {
             attempt,
+            team: job.team.clone(),
+            class: job.task.class.clone(),
+            urgent: job.task.priority == Priority::Urgent,
+            reclaimable: job.task.reclaimable,
+            declared: job.task.size,
+            charged: Resources::ZERO,
             saved: now,
-            checkpoint,
+            checkpoint: None,
             peak: Peak::default(),
             fresh: None,
             used: Resources::ZERO,
@@ -117,6 +150,16 @@
         }
     }
 
+    /// Forgets what was measured of an earlier attempt.
+    pub(super) fn restart(&mut self, now: Time, attempt: Attempt) {
+        self.attempt = attempt;
+        self.saved = now;
+        self.peak = Peak::default();
+        self.fresh = None;
+        self.used = Resources::ZERO;
+        self.throttled = None;
+    }
+
     pub(super) fn report(&mut self, usage: &TaskUsage) {
         self.peak.add(&usage.used, usage.wanted);
         self.used = usage.used;
--- a/crates/jujubelb/src/route/router/step.rs
+++ b/crates/jujubelb/src/route/router/step.rs
@@ -9,7 +9,7 @@
 use super::super::endpoint::Distance;
 use super::super::service::Reach;
 use super::super::share::REFRESH;
-use super::super::{AttemptId, Dispatch, Refusal, Step, Ticket};
+use super::super::{AttemptId, Claimed, Dispatch, Refusal, Step, Ticket};
 use super::{Attempt, Claim, Fault, Router};
 
 /// When to retry after a request was given up.
@@ -47,7 +47,11 @@
                 request.claim = Claim::Asked(until);
                 Step::Claim { until }
             }
-            Claim::Asked(until) => Step::Wait { until },
+            Claim::Asked(until) if now < until => Step::Wait { until },
+            Claim::Asked(_) => {
+                self.claimed(now, ticket, Claimed::Unavailable);
+                self.give_up(ticket, Code::ClaimUnavailable)
+            }
             Claim::Unneeded | Claim::Decided if request.queued => self.try_send(now, ticket, rng),
             Claim::Unneeded | Claim::Decided => self.try_hedge(now, ticket, rng),
         }
@@ -90,12 +94,9 @@
         if service.latency.median(now).is_none() {
             return false;
         }
-        let fastest = service
-            .endpoints
-            .values()
-            .filter(|e| service.is_usable(now, e, request.idempotent))
-            .map(|e| service.expected(now, e))
-            .fold(f64::INFINITY, f64::min);
+        let home = service.fastest(now, Reach::Home, request.idempotent);
+        let remote = service.fastest(now, Reach::Remote, request.idempotent);
+        let fastest = home.min(remote);
         fastest.is_finite() && now + Span::from_micros(fastest as u64) > request.deadline
     }
 
@@ -157,8 +158,8 @@
         let request = &self.requests[&ticket];
         let service = &mut self.services[&request.service];
         let candidates = service.candidates(now, reach, &request.tried);
-        let outlook = service.outlook(now, reach);
-        let place = service.balance.pick(&candidates, outlook, rng)?;
+        let typical = service.typical(now);
+        let place = service.balance.pick(&candidates, typical, rng)?;
         candidates.get(place).map(|c| c.index)
     }
 
@@ -203,15 +204,15 @@
         let request = &self.requests[&ticket];
         let deadline = request.deadline;
         let service = &mut self.services[&request.service];
-        if service.queue.len() > 0 || !service.budget.has_hedge() {
+        if !service.may_hedge() {
             return None;
         }
         let other = service.endpoints.get_index_of(endpoint);
         let mut candidates = service.candidates(now, Reach::Home, &request.tried);
         let in_time = |c: &Candidate| now + Span::from_micros(c.latency as u64) < deadline;
         candidates.retain(|c| Some(c.index) != other && in_time(c));
-        let outlook = service.outlook(now, Reach::Home);
-        let place = service.balance.pick(&candidates, outlook, rng)?;
+        let typical = service.typical(now);
+        let place = service.balance.pick(&candidates, typical, rng)?;
         let index = candidates.get(place)?.index;
         service.budget.take_hedge().then_some(index)
     }
@@ -235,7 +236,7 @@
             );
             (name.clone(), state)
         };
-        state.begin(now);
+        state.begin(now, attempt);
         state.health.probe_sent();
         let remote = state.distance == Distance::Remote;
         let dispatch = Dispatch {
@@ -314,10 +315,14 @@
         self.notes.add(now, subject, Action::Refuse, cause, facts);
     }
 
+    /// Notes a delay, once for each request.
     fn note_link(&mut self, now: Time, ticket: Ticket) {
-        let Some(request) = self.requests.get(&ticket) else {
+        let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
+        if std::mem::replace(&mut request.delayed, true) {
+            return;
+        }
         let wait = self.link.wait(request.bytes.0, request.priority);
         let facts = || {
             let bytes = Fact::new("request-size", request.bytes.0 as i64, Unit::Bytes);
