--- a/crates/jujubelb/src/settings/mod.rs
+++ b/crates/jujubelb/src/settings/mod.rs
@@ -104,10 +104,10 @@
 
     /// Parses and checks settings.
     pub fn parse(text: &str, role: Role) -> Result<Self, SettingsError> {
-        // The message names line and column; an excerpt would repeat it.
+        // The library's excerpt would repeat the message, so the line is added here.
         let options = serde_saphyr::options! { with_snippet: false };
         let settings: Self = serde_saphyr::from_str_with_options(text, options)
-            .map_err(|e| SettingsError::Syntax(e.to_string()))?;
+            .map_err(|e| SettingsError::Syntax(with_line(text, &e)))?;
         settings.check(role)?;
         Ok(settings)
     }
@@ -159,6 +159,16 @@
     }
 }
 
+/// The message of a syntax error with the line that it is about.
+fn with_line(text: &str, error: &serde_saphyr::Error) -> String {
+    let number = error.location().map(|at| at.line() as usize);
+    let line = number.and_then(|number| text.lines().nth(number.checked_sub(1)?));
+    match line.map(str::trim) {
+        Some(line) if !line.is_empty() => format!("{error}, in `{line}`"),
+        _ => error.to_string(),
+    }
+}
+
 fn fault<T>(field: &'static str, fault: &str) -> Result<T, SettingsError> {
     Err(SettingsError::Value {
         field,
