--- a/crates/jujubelb/src/settings/mod.rs
+++ b/crates/jujubelb/src/settings/mod.rs
@@ -80,7 +80,7 @@
         reason: String,
     },
     /// The text is not valid YAML, or a field is missing, unknown or of a wrong type.
-    #[error("the settings have an error: {0}")]
+    #[error("the settings can't be used: {0}")]
     Syntax(String),
     /// A value can't be used.
     #[error("the setting `{field}` {fault}")]
@@ -104,8 +104,10 @@
 
     /// Parses and checks settings.
     pub fn parse(text: &str, role: Role) -> Result<Self, SettingsError> {
-        let settings: Self =
-            serde_saphyr::from_str(text).map_err(|e| SettingsError::Syntax(e.to_string()))?;
+        // The library's excerpt would repeat the message, so the line is added here.
+        let options = serde_saphyr::options! { with_snippet: false };
+        let settings: Self = serde_saphyr::from_str_with_options(text, options)
+            .map_err(|e| SettingsError::Syntax(with_line(text, &e)))?;
         settings.check(role)?;
         Ok(settings)
     }
@@ -157,6 +159,16 @@
     }
 }
 
+/// The message of a syntax error with the line that it is about.
+fn with_line(text: &str, error: &serde_saphyr::Error) -> String {
+    let number = error.location().map(|at| at.line() as usize);
+    let line = number.and_then(|number| text.lines().nth(number.checked_sub(1)?));
+    match line.map(str::trim) {
+        Some(line) if !line.is_empty() => format!("{error}, in `{line}`"),
+        _ => error.to_string(),
+    }
+}
+
 fn fault<T>(field: &'static str, fault: &str) -> Result<T, SettingsError> {
     Err(SettingsError::Value {
         field,
