Run all measurements from jujubelb-bench

Only the routing measurement could be run from the command line; the others were functions that nothing called.

The interference measurement is divided into its options, its fake world and the baseline with a fixed threshold.

--- a/crates/jujubelb-lab/src/bench/domain_move.rs
+++ b/crates/jujubelb-lab/src/bench/domain_move.rs
@@ -21,6 +21,8 @@
 use serde::Serialize;
 
 use super::fleet::{Fleet, add_domain};
+use super::report::Target;
+use super::{Cell, Column, Measurement, Report, Table};
 
 const DOMAINS: [&str; 3] = ["tunis-a", "tunis-b", "sfax-a"];
 const WORKERS: usize = 16;
@@ -72,9 +74,74 @@
     pub dropped: u64,
 }
 
+/// Least share of what the capacity in service could have completed.
+const LEAST: f64 = 0.97;
+
+/// Options of the measurement.
+#[derive(Debug, Clone, clap::Args)]
+pub struct DomainMove {
+    /// Seed of arrivals, sizes and failed checkpoints.
+    #[arg(long, default_value_t = 7)]
+    seed: u64,
+}
+
+impl DomainMove {
+    /// The usual run, which is short.
+    pub const QUICK: Self = Self { seed: 7 };
+}
+
+impl Measurement for DomainMove {
+    fn run(&self) -> Report {
+        let rows = run(self.seed);
+        let mut targets: Vec<_> = rows.iter().map(work).collect();
+        let wrong = rows.iter().map(|r| r.wrong_starts).sum();
+        targets.push(Target::none("starts in the domain that is out", wrong));
+        let most = rows.iter().map(|r| r.most_repeated).fold(0.0, f64::max);
+        targets.push(Target {
+            target: format!("at most {CHECKPOINT} s of a task repeated"),
+            measured: format!("{most:.1} s"),
+            met: most <= CHECKPOINT,
+        });
+        Report {
+            title: "Batch work while a failure domain leaves and returns".to_owned(),
+            conditions: vec![format!(
+                "3 domains of {WORKERS} workers, one out for 600 of 1,200 s, seed {}",
+                self.seed
+            )],
+            tables: vec![Table::of("Work completed", &COLUMNS, &rows)],
+            targets,
+        }
+    }
+}
+
+fn work(row: &Row) -> Target {
+    Target {
+        target: format!(
+            "at least 97 % of what the capacity in service could complete, {:.0} % offered",
+            row.offered * 100.0
+        ),
+        measured: format!("{:.1} %", row.ratio * 100.0),
+        met: row.ratio >= LEAST,
+    }
+}
+
+const COLUMNS: [Column<Row>; 11] = [
+    ("variant", |r| r.variant.into()),
+    ("offered", |r| r.offered.into()),
+    ("work, core-seconds", |r| r.work.into()),
+    ("ideal, core-seconds", |r| r.ideal.into()),
+    ("ratio %", |r| Cell::Number(r.ratio * 100.0)),
+    ("repeated, core-seconds", |r| r.repeated.into()),
+    ("most repeated s", |r| r.most_repeated.into()),
+    ("evictions", |r| r.evictions.into()),
+    ("handoffs", |r| r.handoffs.into()),
+    ("wrong starts", |r| r.wrong_starts.into()),
+    ("dropped", |r| r.dropped.into()),
+];
+
 /// Runs the move with work that fits the remaining domains and with more work
 /// than all domains hold.
-pub fn run(seed: u64) -> Vec<Row> {
+fn run(seed: u64) -> Vec<Row> {
     let mut rows = Vec::new();
     for offered in [0.6, 1.2] {
         let place = |i: usize| PlacePolicy::new(seed + i as u64);
--- /dev/null
+++ b/crates/jujubelb-lab/src/bench/interference/threshold.rs
@@ -0,0 +1,66 @@
+//! The baseline that evicts above a fixed threshold.
+
+use indexmap::IndexMap;
+use jujubelb::model::{Cause, Span, Time, WorkerName};
+use jujubelb::place::PlacePolicy;
+use jujubelb::shard::{Choice, Decision, News, Policy, View};
+
+use super::world::usual;
+
+/// Slowdown at which the fixed threshold evicts, and the wait after an eviction.
+const THRESHOLD: f64 = 0.5;
+const SETTLE: Span = Span::from_secs(7);
+
+/// Placement that ignores pairs, with an eviction of the largest task whenever a
+/// report is above a fixed threshold.
+pub(super) struct Threshold {
+    inner: PlacePolicy,
+    evict: Vec<WorkerName>,
+    /// Last eviction on each worker. The next one waits until reports show its effect.
+    last: IndexMap<WorkerName, Time>,
+}
+
+impl Threshold {
+    pub(super) fn new(inner: PlacePolicy) -> Self {
+        Self {
+            inner,
+            evict: Vec::new(),
+            last: IndexMap::new(),
+        }
+    }
+}
+
+impl Policy for Threshold {
+    fn choose(&mut self, view: &View<'_>) -> Vec<Decision> {
+        let mut decisions = self.inner.choose(view);
+        for name in std::mem::take(&mut self.evict) {
+            let running = view.workers[&name].occupants.iter().filter(|o| !o.stopping);
+            if let Some(largest) = running.max_by_key(|o| o.limit.cpu) {
+                decisions.push(Decision {
+                    choice: Choice::Evict {
+                        task: largest.task.clone(),
+                    },
+                    cause: Cause::Interference,
+                    facts: Vec::new(),
+                    parent: None,
+                });
+            }
+        }
+        decisions
+    }
+
+    fn note(&mut self, now: Time, news: News<'_>) {
+        match &news {
+            News::Latency(report) => {
+                let usual = usual(f64::from(report.load) / 1_000.0);
+                let slowdown = report.mean.as_secs_f64() / usual - 1.0;
+                let last = self.last.get(&report.worker);
+                if slowdown > THRESHOLD && last.is_none_or(|t| now.since(*t) > SETTLE) {
+                    self.evict.push(report.worker.clone());
+                    self.last.insert(report.worker.clone(), now);
+                }
+            }
+            _ => self.inner.note(now, news),
+        }
+    }
+}
--- a/crates/jujubelb-lab/src/bench/mod.rs
+++ b/crates/jujubelb-lab/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements against baselines, one file for each. Each drives the deciding
 //! code against the one small fake that it needs.
 
+mod all;
 pub mod domain_move;
 mod fleet;
 pub mod interference;
@@ -8,7 +9,8 @@
 mod report;
 pub mod routing;
 
-pub use report::{Cell, Format, Report, Table};
+pub use all::All;
+pub use report::{Cell, Column, Format, Report, Table, export};
 
 /// A measurement that can be run from the command line.
 pub trait Measurement {
--- a/crates/jujubelb-lab/src/bench/placement.rs
+++ b/crates/jujubelb-lab/src/bench/placement.rs
@@ -22,6 +22,8 @@
 use serde::Serialize;
 
 use super::fleet::{Fleet, add_domain};
+use super::report::Target;
+use super::{Column, Measurement, Report, Table};
 
 /// Running tasks of the whole deployment, and those of them that are urgent.
 const TASKS: usize = 46_000;
@@ -72,8 +74,89 @@
     pub core_share: f64,
 }
 
+/// Most of a core that control may use on one node.
+const CORE_SHARE: f64 = 0.014;
+
+/// Options of the measurement.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Placement {
+    /// Seed of arrivals and sizes.
+    #[arg(long, default_value_t = 7)]
+    seed: u64,
+    /// Seconds of simulated time for each row.
+    #[arg(long, default_value_t = 30)]
+    seconds: usize,
+}
+
+impl Placement {
+    /// A short run, which shows only that the measurement works.
+    pub const QUICK: Self = Self {
+        seed: 7,
+        seconds: 2,
+    };
+}
+
+impl Measurement for Placement {
+    fn run(&self) -> Report {
+        let rows = run(self.seed, self.seconds);
+        let waves = waves(self.seed);
+        Report {
+            title: "Processor time of placement decisions".to_owned(),
+            conditions: vec![
+                format!(
+                    "46,000 running tasks, 240 starts/s and 390 teams in the whole deployment, \
+                     {} simulated seconds, seed {}",
+                    self.seconds, self.seed
+                ),
+                "only the time in the policy counts; an owner's part is in proportion to its workers"
+                    .to_owned(),
+            ],
+            tables: vec![
+                Table::of("Steady load", &COLUMNS, &rows),
+                Table::of("Waves", &WAVES, &waves),
+            ],
+            targets: targets(&rows),
+        }
+    }
+}
+
+const COLUMNS: [Column<Row>; 11] = [
+    ("policy", |r| r.policy.into()),
+    ("workers", |r| r.workers.into()),
+    ("owned", |r| r.owned.into()),
+    ("running", |r| r.running.into()),
+    ("starts", |r| r.starts.into()),
+    ("dropped", |r| r.dropped.into()),
+    ("starts per core-second", |r| r.starts_per_second.into()),
+    ("µs per start", |r| r.micros_per_start.into()),
+    ("pass p50 µs", |r| r.pass_p50_micros.into()),
+    ("pass p99 µs", |r| r.pass_p99_micros.into()),
+    ("core %", |r| (r.core_share * 100.0).into()),
+];
+
+const WAVES: [Column<WaveRow>; 5] = [
+    ("wave", |r| r.wave.into()),
+    ("tasks", |r| r.tasks.into()),
+    ("running", |r| r.running.into()),
+    ("longest pass µs", |r| r.longest_micros.into()),
+    ("core %", |r| (r.core_share * 100.0).into()),
+];
+
+fn targets(rows: &[Row]) -> Vec<Target> {
+    let product = rows.iter().filter(|r| r.policy == "place");
+    let share = |row: &Row| Target {
+        target: format!(
+            "at most 1.4 % of a core, an owner of {} of {} workers",
+            row.owned, row.workers
+        ),
+        measured: format!("{:.2} %", row.core_share * 100.0),
+        met: row.core_share <= CORE_SHARE,
+    };
+    product.map(share).collect()
+}
+
 /// Measures all sizes, undivided and divided, for `seconds` of simulated time each.
-pub fn run(seed: u64, seconds: usize) -> Vec<Row> {
+fn run(seed: u64, seconds: usize) -> Vec<Row> {
     let mut rows = Vec::new();
     for workers in [48, 500, 2_600] {
         rows.push(measure(
@@ -116,7 +199,7 @@
 }
 
 /// Measures waves of 10,000 tasks of one job, beside the usual load of a shard.
-pub fn waves(seed: u64) -> Vec<WaveRow> {
+fn waves(seed: u64) -> Vec<WaveRow> {
     let mut load = Load::new(PlacePolicy::new(seed), seed, 2_600, SHARD);
     (0..35 * PASSES).for_each(|_| load.pass());
     let wave = load.job(10_000, false);
--- a/crates/jujubelb-lab/src/bench/report.rs
+++ b/crates/jujubelb-lab/src/bench/report.rs
@@ -38,6 +38,17 @@
     pub met: bool,
 }
 
+impl Target {
+    /// A target that something never happens.
+    pub(super) fn none(what: &str, count: u64) -> Self {
+        Self {
+            target: format!("no {what}"),
+            measured: count.to_string(),
+            met: count == 0,
+        }
+    }
+}
+
 /// One table of figures.
 #[derive(Debug, Clone, Serialize)]
 pub struct Table {
@@ -59,6 +70,36 @@
     /// A figure, printed with two decimals.
     #[display("{_0:.2}")]
     Number(f64),
+    /// A count.
+    #[display("{_0}")]
+    Count(u64),
+}
+
+impl From<&str> for Cell {
+    fn from(text: &str) -> Self {
+        Self::Text(text.to_owned())
+    }
+}
+
+impl From<usize> for Cell {
+    fn from(count: usize) -> Self {
+        Self::Count(count as u64)
+    }
+}
+
+/// Head of a column, and the function that gives a row's cell in it.
+pub type Column<R> = (&'static str, fn(&R) -> Cell);
+
+/// Reports as text in a format: a single one by itself, several as a list.
+pub fn export(reports: &[Report], format: Format) -> eyre::Result<String> {
+    match (reports, format) {
+        ([report], _) => report.export(format),
+        (_, Format::Json) => Ok(serde_json::to_string_pretty(reports)?),
+        (_, Format::Table) => {
+            let texts = reports.iter().map(|r| r.export(format));
+            Ok(texts.collect::<Result<Vec<_>, _>>()?.join("\n"))
+        }
+    }
 }
 
 impl Report {
@@ -88,6 +129,16 @@
 }
 
 impl Table {
+    /// A table with one row for each of `rows`.
+    pub fn of<R>(title: &str, columns: &[Column<R>], rows: &[R]) -> Self {
+        let cells = |row| columns.iter().map(|(_, cell)| cell(row)).collect();
+        Self {
+            title: title.to_owned(),
+            columns: columns.iter().map(|(head, _)| (*head).to_owned()).collect(),
+            rows: rows.iter().map(cells).collect(),
+        }
+    }
+
     fn grid(&self) -> Grid {
         let mut grid = Grid::new();
         grid.load_preset(ASCII_MARKDOWN).set_header(&self.columns);
@@ -95,7 +146,7 @@
             grid.add_row(row.iter().map(|cell| {
                 let alignment = match cell {
                     Cell::Text(_) => CellAlignment::Left,
-                    Cell::Number(_) => CellAlignment::Right,
+                    Cell::Number(_) | Cell::Count(_) => CellAlignment::Right,
                 };
                 comfy_table::Cell::new(cell).set_alignment(alignment)
             }));
--- a/crates/jujubelb-lab/src/bench/routing.rs
+++ b/crates/jujubelb-lab/src/bench/routing.rs
@@ -76,6 +76,17 @@
     outcomes: Vec<Outcome>,
 }
 
+impl Routing {
+    /// A short run, which shows only that the measurement works.
+    pub fn quick() -> Self {
+        Self {
+            requests: 2_000,
+            seeds: 1,
+            only: String::new(),
+        }
+    }
+}
+
 impl Measurement for Routing {
     fn run(&self) -> Report {
         let rows = self.rows();
--- a/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
@@ -1,8 +1,11 @@
 //! Measurements of jujubelb against baselines.
 
 use clap::{Parser, Subcommand};
+use jujubelb_lab::bench::domain_move::DomainMove;
+use jujubelb_lab::bench::interference::Interference;
+use jujubelb_lab::bench::placement::Placement;
 use jujubelb_lab::bench::routing::Routing;
-use jujubelb_lab::bench::{Format, Measurement};
+use jujubelb_lab::bench::{All, Format, Measurement, export};
 
 #[derive(Parser)]
 #[command(name = "jujubelb-bench", version, about)]
@@ -18,13 +21,25 @@
 enum What {
     /// Tail latency of requests by the choice of endpoints.
     Routing(Routing),
+    /// Processor time of placement decisions.
+    Placement(Placement),
+    /// Late requests and batch work when tasks disturb services.
+    Interference(Interference),
+    /// Batch work while a failure domain leaves and returns.
+    DomainMove(DomainMove),
+    /// All measurements, one after the other.
+    All(All),
 }
 
 fn main() -> eyre::Result<()> {
     let cli = Cli::parse();
-    let report = match &cli.what {
-        What::Routing(routing) => routing.run(),
+    let reports = match &cli.what {
+        What::Routing(routing) => vec![routing.run()],
+        What::Placement(placement) => vec![placement.run()],
+        What::Interference(interference) => vec![interference.run()],
+        What::DomainMove(domain_move) => vec![domain_move.run()],
+        What::All(all) => all.run(),
     };
-    println!("{}", report.export(cli.format)?);
+    println!("{}", export(&reports, cli.format)?);
     Ok(())
 }
