Measure the cost of exchanges, logs and the configuration

What control costs at the target size was not measured.

Conclusion: heartbeats, claims, summaries and memory are not measured yet.

--- a/crates/jujubelb-lab/src/bench/all.rs
+++ b/crates/jujubelb-lab/src/bench/all.rs
@@ -2,6 +2,7 @@
 
 use clap::Parser;
 
+use super::control::Control;
 use super::domain_move::DomainMove;
 use super::interference::Interference;
 use super::placement::Placement;
@@ -30,12 +31,13 @@
 impl All {
     /// Runs all, in order.
     pub fn run(&self) -> Vec<Report> {
-        let all: [Box<dyn Measurement>; 4] = if self.quick {
+        let all: [Box<dyn Measurement>; 5] = if self.quick {
             [
                 Box::new(Routing::quick()),
                 Box::new(Placement::QUICK),
                 Box::new(Interference::QUICK),
                 Box::new(DomainMove::QUICK),
+                Box::new(Control::QUICK),
             ]
         } else {
             [
@@ -43,6 +45,7 @@
                 Box::new(usual::<Placement>()),
                 Box::new(usual::<Interference>()),
                 Box::new(usual::<DomainMove>()),
+                Box::new(usual::<Control>()),
             ]
         };
         all.iter().map(|measurement| measurement.run()).collect()
--- /dev/null
+++ b/crates/jujubelb-lab/src/bench/control/journal.rs
@@ -0,0 +1,164 @@
+//! Segments of a shard's log as the real journal writes them, and its store calls.
+
+use std::cell::Cell as Shared;
+use std::sync::Arc;
+
+use jujubelb::journal::{Change, Journal, KEEP, SNAPSHOT_EVERY, Segment, Writer};
+use jujubelb::model::{
+    Action, Attempt, Cause, Fact, Incarnation, JobName, NodeName, Record, RecordId, Resources,
+    Revision, ShardName, Span, Subject, TaskId, Time, Unit, WallTime, WorkerName,
+};
+use jujubelb::store::Store;
+
+use super::super::{Column, Table};
+use super::median;
+use crate::standin::store::MemoryStore;
+
+/// Starts in one segment.
+const STARTS: [u32; 3] = [1, 10, 40];
+
+const SHARD: &str = "tunis-a-1";
+
+/// Deletions asked for at a time, as the scheduler does.
+const TIDY: usize = 8;
+
+struct Row {
+    starts: u32,
+    bytes: usize,
+    micros: f64,
+}
+
+const COLUMNS: [Column<Row>; 3] = [
+    ("starts", |r| (r.starts as usize).into()),
+    ("bytes", |r| r.bytes.into()),
+    ("encoded and appended µs", |r| r.micros.into()),
+];
+
+struct Calls {
+    what: &'static str,
+    reads: u64,
+    writes: u64,
+}
+
+const CALLS: [Column<Calls>; 3] = [
+    ("step", |r| r.what.into()),
+    ("reads", |r| super::super::Cell::Count(r.reads)),
+    ("writes and deletions", |r| {
+        super::super::Cell::Count(r.writes)
+    }),
+];
+
+fn writer() -> Writer {
+    Writer {
+        node: NodeName::from("entry-1/scheduler"),
+        incarnation: Incarnation(1_764_800_000_000_000),
+    }
+}
+
+fn record(task: &TaskId, seq: u64) -> Record {
+    Record {
+        id: RecordId {
+            node: writer().node,
+            seq,
+        },
+        at: WallTime::from_micros(1_764_800_000_000_000),
+        shard: None,
+        subject: Subject::Task(task.clone()),
+        action: Action::Start,
+        cause: Cause::Scheduled,
+        place: Some("tunis-a-1-1".into()),
+        facts: vec![
+            Fact::new("free", 40_000, Unit::Millicores),
+            Fact::new("limit", 2_500, Unit::Millicores),
+        ],
+        revision: Revision(2_200),
+        parent: None,
+        count: 1,
+    }
+}
+
+/// A segment with an assignment and its record for each start.
+fn segment(epoch: jujubelb::model::Epoch, seq: u64, starts: u32) -> Segment {
+    let task = |index| TaskId {
+        job: JobName::from("reconciliation-2026-1204"),
+        index,
+    };
+    let change = |index| Change::Assigned {
+        task: task(index),
+        attempt: Attempt(1),
+        worker: WorkerName::from("tunis-a-1-1"),
+        limit: Resources::new(2_500, 9 << 30, 0),
+    };
+    Segment {
+        epoch,
+        writer: writer(),
+        seq,
+        changes: (0..starts).map(change).collect(),
+        records: (0..starts)
+            .map(|i| record(&task(i), u64::from(i)))
+            .collect(),
+    }
+}
+
+/// Size of a segment, and the time to append one to a store in memory.
+pub(super) fn segments(repeats: usize) -> Table {
+    let rows = STARTS.map(|starts| {
+        let store = Arc::new(MemoryStore::default());
+        let opened = Journal::open(store.clone(), || Time::ZERO, SHARD.into(), writer());
+        // The store in memory fails only when told to.
+        let (mut journal, _) = opened.expect("the log is empty");
+        let index = journal.next();
+        let mut seq = 1;
+        let micros = median(repeats, || {
+            seq += 1;
+            let segment = segment(journal.epoch(), seq, starts);
+            journal.append(&segment)
+        });
+        let key = format!("shard/{SHARD}/seg/{index:020}");
+        let entry = store.get(&key).ok().flatten();
+        Row {
+            starts,
+            bytes: entry.map_or(0, |e| e.value.len()),
+            micros,
+        }
+    });
+    Table::of("Segments of a shard's log", &COLUMNS, &rows)
+}
+
+/// Store calls of one log from a snapshot to the next, without lost answers.
+pub(super) fn cycle() -> Table {
+    let store = Arc::new(MemoryStore::default());
+    let now = Shared::new(Time::ZERO);
+    let shard = ShardName::from(SHARD);
+    let opened = Journal::open(store.clone(), || now.get(), shard, writer());
+    // The store in memory fails only when told to.
+    let (mut journal, opened) = opened.expect("the log is empty");
+    let mut rows = Vec::new();
+    let mut before = store.calls();
+    let mut note = |what| {
+        let calls = store.calls();
+        rows.push(Calls {
+            what,
+            reads: calls.reads - before.reads,
+            writes: calls.writes - before.writes,
+        });
+        before = calls;
+    };
+    let mut state = opened.state;
+    for seq in 0..SNAPSHOT_EVERY {
+        let segment = segment(journal.epoch(), seq + 2, 0);
+        journal.append(&segment).expect("the store is up");
+    }
+    note("256 appends");
+    state.next = journal.next();
+    journal.snapshot(&state, &[]).expect("the store is up");
+    note("snapshot");
+    now.set(Time::ZERO + KEEP + Span::from_secs(1));
+    while journal.tidy(TIDY).expect("the store is up") > 0 {}
+    note("deletion of what it covers");
+    Table::of(
+        "Store calls of one log between two snapshots",
+        &CALLS,
+        &rows,
+    )
+}
--- a/crates/jujubelb-lab/src/bench/mod.rs
+++ b/crates/jujubelb-lab/src/bench/mod.rs
@@ -2,6 +2,7 @@
 //! code against the one small fake that it needs.
 
 mod all;
+pub mod control;
 pub mod domain_move;
 mod fleet;
 pub mod interference;
--- a/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
@@ -1,6 +1,7 @@
 //! Measurements of jujubelb against baselines.
 
 use clap::{Parser, Subcommand};
+use jujubelb_lab::bench::control::Control;
 use jujubelb_lab::bench::domain_move::DomainMove;
 use jujubelb_lab::bench::interference::Interference;
 use jujubelb_lab::bench::placement::Placement;
@@ -27,6 +28,8 @@
     Interference(Interference),
     /// Batch work while a failure domain leaves and returns.
     DomainMove(DomainMove),
+    /// Bytes, store calls and processor time of control by size.
+    Control(Control),
     /// All measurements, one after the other.
     All(All),
 }
@@ -38,6 +41,7 @@
         What::Placement(placement) => vec![placement.run()],
         What::Interference(interference) => vec![interference.run()],
         What::DomainMove(domain_move) => vec![domain_move.run()],
+        What::Control(control) => vec![control.run()],
         What::All(all) => all.run(),
     };
     println!("{}", export(&reports, cli.format)?);
