Measure the processor time and message sizes of a shard's owner

The cost of an owner at scale was only estimated. The new measurement drives the real owner with the real policy against a small fake of its workers and its store at 26, 52 and 104 workers, records the inputs, and reads the thread's processor time while a second owner takes the same inputs.

--- a/crates/jujubelb-lab/src/bench/mod.rs
+++ b/crates/jujubelb-lab/src/bench/mod.rs
@@ -4,6 +4,7 @@
 pub mod domain_move;
 mod fleet;
 pub mod interference;
+pub mod owner;
 pub mod placement;
 mod report;
 pub mod routing;
--- /dev/null
+++ b/crates/jujubelb-lab/src/bench/owner/load.rs
@@ -0,0 +1,343 @@
+//! A shard under a steady load, with its workers and its store in virtual time.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use jujubelb::config::{Config, Team};
+use jujubelb::journal::{Change, Opened, Segment, Writer};
+use jujubelb::model::{
+    Attempt, ClassName, Epoch, Incarnation, JobName, JobSpec, Priority, Resources, Revision,
+    ShardName, Span, TaskId, TaskKind, TaskSpec, TeamName, Time, WallTime, WorkerName,
+};
+use jujubelb::place::PlacePolicy;
+use jujubelb::shard::{Identity, Input, OfferAnswer, Output, Owner, State, Submission, Ticket};
+use jujubelb::worker::SyncAnswer;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+
+use super::Sizes;
+use super::replay::{Clock, Script, Timed};
+use super::worker::Worker;
+use crate::bench::fleet::add_domain;
+
+/// Seconds in which learned sizes settle.
+pub(super) const SETTLE: u64 = 35;
+
+/// Shards of the deployment.
+const SHARDS: usize = 26;
+
+/// Teams of the deployment.
+const TEAMS: usize = 390;
+
+/// Running tasks of one worker: 46,000 on 2,600 workers.
+const TASKS: usize = 17;
+
+/// Tasks of one job. One job a second for 104 workers gives 10 starts a second.
+const JOB: u32 = 10;
+
+/// Workers for which one job a second arrives.
+const JOB_WORKERS: u64 = 104;
+
+/// Permille of the tasks that are urgent: 7,100 of 46,100.
+const URGENT: u32 = 154;
+
+/// Time of each step: the delay of an answer of a worker or the store.
+const STEP: Span = Span::from_millis(10);
+
+/// Steps in a second.
+const STEPS: u64 = 100;
+
+const HOST: Resources = Resources::new(64_000, 250 << 30, 0);
+
+/// What happened while it was measured.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Counts {
+    pub(super) starts: u64,
+    pub(super) exchanges: u64,
+    pub(super) segments: u64,
+    request_bytes: u64,
+    report_bytes: u64,
+    segment_bytes: u64,
+}
+
+pub(super) struct Load {
+    owner: Owner<Timed>,
+    /// What makes an owner in the same state again.
+    origin: (u64, Identity, State, Arc<Config>),
+    workers: IndexMap<WorkerName, Worker>,
+    now: Time,
+    step: u64,
+    random: StdRng,
+    jobs: u64,
+    /// Answers that arrive with the next step.
+    answers: Vec<Input>,
+    inputs: Vec<(Time, Input)>,
+    settled: usize,
+    pub(super) counts: Counts,
+}
+
+impl Load {
+    pub(super) fn new(seed: u64, size: usize) -> Self {
+        let config = Arc::new(config(size));
+        let mut random = StdRng::seed_from_u64(seed);
+        let shard = ShardName::from("shard-0");
+        let mut workers: IndexMap<_, _> = config
+            .workers_of(&shard)
+            .map(|(name, _)| (name.clone(), Worker::new(name.clone())))
+            .collect();
+        let now = Time::from_millis(10_000_000);
+        let me = Writer {
+            node: "node-0".into(),
+            incarnation: Incarnation(1),
+        };
+        let mut jobs = 0;
+        let state = fill(&mut random, &mut workers, &me, &mut jobs);
+        let identity = Identity {
+            shard,
+            me,
+            clocks: (now, WallTime::from_millis(1_700_000_000_000)),
+        };
+        let origin = (seed, identity, state, config);
+        Self {
+            owner: make(&origin, Rc::default()),
+            origin,
+            workers,
+            now,
+            step: 0,
+            random,
+            jobs,
+            answers: Vec::new(),
+            inputs: Vec::new(),
+            settled: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    pub(super) fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds * STEPS {
+            self.advance();
+        }
+    }
+
+    /// Counts anew from here on.
+    pub(super) fn measure(&mut self) {
+        self.counts = Counts::default();
+        self.settled = self.inputs.len();
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.workers.values().map(Worker::running).sum()
+    }
+
+    pub(super) fn sizes(&self, seconds: u64) -> Sizes {
+        let counts = &self.counts;
+        let mean = |sum: u64, count: u64| sum as f64 / count.max(1) as f64;
+        let bytes = counts.request_bytes + counts.report_bytes;
+        let snapshot = (self.owner.stored(), self.owner.policy_state());
+        Sizes {
+            request: mean(counts.request_bytes, counts.exchanges),
+            report: mean(counts.report_bytes, counts.exchanges),
+            segment: mean(counts.segment_bytes, counts.segments),
+            snapshot: packed(&snapshot) as f64,
+            summary: packed(&self.owner.summary(self.now)) as f64,
+            exchange: mean(bytes, seconds * self.workers.len() as u64),
+        }
+    }
+
+    pub(super) fn script(self) -> Script {
+        let clock = Rc::default();
+        Script {
+            owner: make(&self.origin, Rc::clone(&clock)),
+            clock,
+            inputs: self.inputs,
+            settled: self.settled,
+        }
+    }
+
+    fn advance(&mut self) {
+        self.now = self.now + STEP;
+        self.step += 1;
+        if self.step % STEPS == 1 {
+            self.give(Input::Evidence(self.now));
+        }
+        for input in std::mem::take(&mut self.answers) {
+            self.give(input);
+        }
+        let size = self.workers.len() as u64;
+        // Spreads the arrivals of a second evenly, without drift.
+        let due = |step: u64| step * size / (JOB_WORKERS * STEPS);
+        if due(self.step) > due(self.step - 1) {
+            self.arrive();
+        }
+        let due = |step: u64| step * size * u64::from(JOB) / (JOB_WORKERS * STEPS);
+        if due(self.step) > due(self.step - 1) {
+            self.end_one();
+        }
+        self.give(Input::Tick);
+    }
+
+    fn arrive(&mut self) {
+        let job = job(&mut self.random, &mut self.jobs, JOB);
+        let shard = self.origin.1.shard.clone();
+        let ticket = Ticket(self.jobs);
+        self.give(Input::Submit(ticket, Submission { shard, job }));
+    }
+
+    fn end_one(&mut self) {
+        let index = self.random.random_range(0..self.workers.len());
+        if let Some((_, worker)) = self.workers.get_index_mut(index) {
+            worker.finish();
+        }
+    }
+
+    fn give(&mut self, input: Input) {
+        self.inputs.push((self.now, input.clone()));
+        self.owner.handle(self.now, input);
+        for output in self.owner.take_outputs() {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Append(segment) => {
+                self.counts.segments += 1;
+                self.counts.segment_bytes += packed(&segment);
+                self.answers.push(Input::Appended(segment.seq, Ok(())));
+            }
+            Output::Sync(name, request) => {
+                let Some(worker) = self.workers.get_mut(&name) else {
+                    return;
+                };
+                let (report, starts) = worker.sync(self.now, &request);
+                let answer = SyncAnswer::Report(report);
+                self.counts.starts += starts;
+                self.counts.exchanges += 1;
+                self.counts.request_bytes += json(&request);
+                self.counts.report_bytes += json(&answer);
+                self.answers.push(Input::Synced(name, answer));
+            }
+            Output::Offer(offer) => {
+                let answer = Some(OfferAnswer::Received);
+                let input = Input::Answer(offer.task, offer.attempt, answer);
+                self.answers.push(input);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn make(origin: &(u64, Identity, State, Arc<Config>), clock: Rc<Clock>) -> Owner<Timed> {
+    let (seed, identity, state, config) = origin;
+    let now = identity.clocks.0;
+    let opened = Opened {
+        state: state.clone(),
+        policy: Vec::new(),
+    };
+    let policy = PlacePolicy::new(*seed);
+    let policy = Timed { policy, clock };
+    Owner::new(identity.clone(), now, now, opened, config.clone(), policy)
+}
+
+fn config(size: usize) -> Config {
+    let mut config = Config {
+        revision: Revision(1),
+        ..Config::default()
+    };
+    for shard in 0..SHARDS {
+        add_domain(&mut config, &format!("shard-{shard}"), size, HOST);
+    }
+    for i in 0..TEAMS {
+        let team = Team {
+            quota: Resources::new(u64::MAX >> 24, u64::MAX >> 8, 0),
+            weight: 1 + i as u32 % 3,
+        };
+        let name = TeamName::new(format!("team-{i}"));
+        config.teams.insert(name, team);
+    }
+    config
+}
+
+/// The state of a shard whose workers run their share of tasks.
+fn fill(
+    random: &mut StdRng,
+    workers: &mut IndexMap<WorkerName, Worker>,
+    me: &Writer,
+    jobs: &mut u64,
+) -> State {
+    let mut changes = Vec::new();
+    let mut placed = 0;
+    while placed < workers.len() * TASKS {
+        let job = job(random, jobs, JOB);
+        changes.push(Change::Accepted { job: job.clone() });
+        for index in 0..job.tasks {
+            let task = TaskId {
+                job: job.name.clone(),
+                index,
+            };
+            let at = placed % workers.len();
+            placed += 1;
+            if let Some((name, worker)) = workers.get_index_mut(at) {
+                let limit = job.task.size;
+                worker.add(task.clone(), Attempt(1), limit);
+                changes.push(Change::Assigned {
+                    task,
+                    attempt: Attempt(1),
+                    worker: name.clone(),
+                    limit,
+                });
+            }
+        }
+    }
+    let segment = Segment {
+        epoch: Epoch(1),
+        writer: me.clone(),
+        seq: 0,
+        changes,
+        records: Vec::new(),
+    };
+    let mut state = State::default();
+    state
+        .apply(&segment)
+        .expect("each task is accepted before it is assigned");
+    state
+}
+
+fn job(random: &mut StdRng, jobs: &mut u64, tasks: u32) -> JobSpec {
+    *jobs += 1;
+    let team = random.random_range(0..TEAMS);
+    let class = random.random_range(0..50);
+    let tenths = random.random_range(5..=15);
+    let mean = Resources::new(HOST.cpu.0 * 7 / 170, HOST.memory.0 * 7 / 170, 0);
+    let urgent = random.random_ratio(URGENT, 1_000);
+    JobSpec {
+        name: JobName::new(format!("job-{jobs}")),
+        team: TeamName::new(format!("team-{team}")),
+        tasks,
+        task: TaskSpec {
+            kind: TaskKind::Batch,
+            class: ClassName::new(format!("class-{class}-{tenths}")),
+            priority: match urgent {
+                true => Priority::Urgent,
+                false => Priority::Batch,
+            },
+            size: Resources::new(mean.cpu.0 * tenths / 10, mean.memory.0 * tenths / 10, 0),
+            duration: Some(Span::from_secs(200)),
+            domains: Vec::new(),
+            reclaimable: false,
+        },
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> u64 {
+    // Encoding plain data into memory has no way to fail.
+    serde_json::to_vec(value).map_or(0, |bytes| bytes.len() as u64)
+}
+
+/// Bytes in the store or in a datagram, without checksums.
+fn packed<T: Serialize>(value: &T) -> u64 {
+    // Encoding plain data into memory has no way to fail.
+    postcard::to_allocvec(value).map_or(0, |bytes| bytes.len() as u64)
+}
--- /dev/null
+++ b/crates/jujubelb-lab/src/bench/owner/replay.rs
@@ -0,0 +1,139 @@
+//! Gives recorded inputs to an owner and reads the processor time that it takes.
+
+use std::cell::Cell;
+use std::fs;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use jujubelb::model::Time;
+use jujubelb::place::PlacePolicy;
+use jujubelb::shard::{Decision, Input, News, Owner, Policy, TeamUse, View};
+
+/// What is needed to repeat a run.
+pub(super) struct Script {
+    /// An owner in the state before the first input.
+    pub(super) owner: Owner<Timed>,
+    pub(super) clock: Rc<Clock>,
+    pub(super) inputs: Vec<(Time, Input)>,
+    /// Number of inputs before the measurement.
+    pub(super) settled: usize,
+}
+
+/// Processor time in microseconds.
+#[derive(Debug, Default)]
+pub(super) struct Cost {
+    pub(super) total: f64,
+    pub(super) policy: f64,
+    pub(super) exchanges: f64,
+    pub(super) segments: f64,
+    pub(super) decisions: u64,
+    /// Resident memory of the process in MB, the recorded inputs included.
+    pub(super) memory: f64,
+}
+
+/// Time spent in the policy.
+#[derive(Debug, Default)]
+pub(super) struct Clock {
+    spent: Cell<Duration>,
+    decisions: Cell<u64>,
+}
+
+/// The real policy with a clock around it.
+#[derive(Debug)]
+pub(super) struct Timed {
+    pub(super) policy: PlacePolicy,
+    pub(super) clock: Rc<Clock>,
+}
+
+impl Timed {
+    fn timed<R>(&mut self, call: impl FnOnce(&mut PlacePolicy) -> R) -> R {
+        let began = Instant::now();
+        let result = call(&mut self.policy);
+        self.clock
+            .spent
+            .set(self.clock.spent.get() + began.elapsed());
+        result
+    }
+}
+
+impl Policy for Timed {
+    fn choose(&mut self, view: &View<'_>) -> Vec<Decision> {
+        self.clock.decisions.set(self.clock.decisions.get() + 1);
+        self.timed(|policy| policy.choose(view))
+    }
+
+    fn note(&mut self, now: Time, news: News<'_>) {
+        self.timed(|policy| policy.note(now, news));
+    }
+
+    fn save(&self) -> Vec<u8> {
+        self.policy.save()
+    }
+
+    fn restore(&mut self, saved: &[u8]) {
+        self.policy.restore(saved);
+    }
+
+    fn teams(&self, view: &View<'_>) -> Vec<TeamUse> {
+        self.policy.teams(view)
+    }
+}
+
+/// Repeats a run. The thread's processor time is divided among the kinds of
+/// inputs by wall time, because only the sum is read precisely.
+pub(super) fn replay(script: Script) -> Cost {
+    let Script {
+        mut owner,
+        clock,
+        mut inputs,
+        settled,
+    } = script;
+    let measured = inputs.split_off(settled.min(inputs.len()));
+    for (now, input) in inputs {
+        owner.handle(now, input);
+        drop(owner.take_outputs());
+    }
+    clock.spent.set(Duration::ZERO);
+    clock.decisions.set(0);
+    let (mut wall, mut exchanges, mut segments) = (0.0, 0.0, 0.0);
+    let began = processor_time();
+    for (now, input) in measured {
+        let exchange = matches!(input, Input::Synced(..));
+        let segment = matches!(input, Input::Appended(..));
+        let began = Instant::now();
+        owner.handle(now, input);
+        drop(owner.take_outputs());
+        let took = began.elapsed().as_secs_f64();
+        wall += took;
+        exchanges += if exchange { took } else { 0.0 };
+        segments += if segment { took } else { 0.0 };
+    }
+    let total = (processor_time() - began) * 1e6;
+    let part = |seconds: f64| total * seconds / wall;
+    Cost {
+        total,
+        policy: part(clock.spent.get().as_secs_f64()),
+        exchanges: part(exchanges),
+        segments: part(segments),
+        decisions: clock.decisions.get(),
+        memory: resident(),
+    }
+}
+
+/// Processor time of the thread in seconds; 0 where the system does not tell.
+fn processor_time() -> f64 {
+    let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text
+        .split_whitespace()
+        .next()
+        .and_then(|n| n.parse::<f64>().ok());
+    nanos.unwrap_or(0.0) / 1e9
+}
+
+/// Resident memory of the process in MB; 0 where the system does not tell.
+fn resident() -> f64 {
+    let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kb.unwrap_or(0.0) / 1024.0
+}
--- a/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
@@ -1,6 +1,7 @@
 //! Measurements of jujubelb against baselines.
 
 use clap::{Parser, Subcommand};
+use jujubelb_lab::bench::owner::OwnerCost;
 use jujubelb_lab::bench::routing::Routing;
 use jujubelb_lab::bench::{Format, Measurement};
 
@@ -18,12 +19,15 @@
 enum What {
     /// Tail latency of requests by the choice of endpoints.
     Routing(Routing),
+    /// Processor time and message sizes of a shard's owner.
+    Owner(OwnerCost),
 }
 
 fn main() -> eyre::Result<()> {
     let cli = Cli::parse();
     let report = match &cli.what {
         What::Routing(routing) => routing.run(),
+        What::Owner(owner) => owner.run(),
     };
     println!("{}", report.export(cli.format)?);
     Ok(())
