--- a/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
@@ -4,6 +4,7 @@
 use jujubelb_lab::bench::control::Control;
 use jujubelb_lab::bench::domain_move::DomainMove;
 use jujubelb_lab::bench::interference::Interference;
+use jujubelb_lab::bench::owner::OwnerCost;
 use jujubelb_lab::bench::placement::Placement;
 use jujubelb_lab::bench::routing::Routing;
 use jujubelb_lab::bench::{All, Format, Measurement, export};
@@ -32,6 +33,8 @@
     Control(Control),
     /// All measurements, one after the other.
     All(All),
+    /// Processor time and message sizes of a shard's owner.
+    Owner(OwnerCost),
 }
 
 fn main() -> eyre::Result<()> {
@@ -43,6 +46,7 @@
         What::DomainMove(domain_move) => vec![domain_move.run()],
         What::Control(control) => vec![control.run()],
         What::All(all) => all.run(),
+        What::Owner(owner) => vec![owner.run()],
     };
     println!("{}", export(&reports, cli.format)?);
     Ok(())
