Add the programs jujubelb-standin and jujubelb-load

Cause: the stand-ins and the load of callers existed only as a library, so the processes could be tried by hand only with a program written for it.

Change: jujubelb-standin serves the store, the host list, all workers and all endpoints of a deployment's declaration files on loopback. A control address takes commands as JSON that cut off, restart or break a worker, let an endpoint leave and set faults of the store. A file gives the real behaviour of task classes as factors of what they declare. jujubelb-load sends a bounded load to loopback addresses and prints latency by sort and ends by result code. examples/minimal.yaml moves to examples/minimal beside settings of the two processes; examples/two-domains is a deployment for trials of domain moves, takeovers and outages.

Conclusion: a deployment runs as separate programs over real sockets.

--- a/crates/jujubelb-lab/src/lib.rs
+++ b/crates/jujubelb-lab/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod bench;
 pub mod demo;
 pub mod load;
+pub mod program;
 pub mod standin;
--- a/crates/jujubelb-lab/src/load.rs
+++ b/crates/jujubelb-lab/src/load.rs
@@ -1,5 +1,7 @@
 //! Callers: an open-loop load of requests through entry hosts, with a check of each answer.
 
+pub mod command;
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/jujubelb-lab/src/standin/behaviour.rs
+++ b/crates/jujubelb-lab/src/standin/behaviour.rs
@@ -10,6 +10,8 @@
 pub struct Behaviour {
     /// Real run time; absent means that the declared one is right.
     pub duration: Option<Span>,
+    /// Real run time as a share of the declared one, in thousandths, if `duration` is absent.
+    pub pace: u64,
     /// Real use as a share of the declared size, in thousandths.
     pub size: u64,
     /// Whether every attempt fails.
@@ -22,6 +24,7 @@
     fn default() -> Self {
         Self {
             duration: None,
+            pace: 1_000,
             size: 1_000,
             fails: false,
             noise: 0,
@@ -45,7 +48,9 @@
         if spec.kind == TaskKind::Watcher {
             return None;
         }
-        let base = self.of(&spec.class).duration.or(spec.duration)?;
+        let real = self.of(&spec.class);
+        let declared = || spec.duration.map(|d| d.scale_up(real.pace, 1_000));
+        let base = real.duration.or_else(declared)?;
         let mut hasher = DefaultHasher::new();
         task.hash(&mut hasher);
         Some(base.scale_up(900 + hasher.finish() % 200, 1_000))
--- a/crates/jujubelb-lab/src/standin/platform.rs
+++ b/crates/jujubelb-lab/src/standin/platform.rs
@@ -239,6 +239,11 @@
         self.workers.keys()
     }
 
+    /// Whether an endpoint is declared.
+    pub fn has_endpoint(&self, name: &EndpointName) -> bool {
+        self.leaving.contains_key(name)
+    }
+
     /// A worker's host dies and comes back empty.
     pub fn restart_worker(&self, name: &WorkerName) {
         if let Some(mut worker) = self.worker(name) {
@@ -276,7 +281,7 @@
     Incarnation(rand::rng().random())
 }
 
-fn check(address: SocketAddr) -> Result<SocketAddr> {
+pub(super) fn check(address: SocketAddr) -> Result<SocketAddr> {
     ensure!(
         address.ip().is_loopback(),
         "{address} is not a loopback address; stand-ins listen on loopback only"
--- a/crates/jujubelb/src/config/declare/tests.rs
+++ b/crates/jujubelb/src/config/declare/tests.rs
@@ -58,7 +58,7 @@
             "{name}"
         );
     }
-    let minimal = include_str!("../../../../../examples/minimal.yaml");
+    let minimal = include_str!("../../../../../examples/minimal/minimal.yaml");
     let config = check(&one(minimal)).map_err(show).expect("minimal");
     assert_eq!(config.workers.len(), 2);
     let job = &config.jobs["tidy-up"];
@@ -119,7 +119,7 @@
 /// Guards against references and sizes that are checked file by file only.
 #[test]
 fn whole_set_is_checked() {
-    let base = include_str!("../../../../../examples/minimal.yaml");
+    let base = include_str!("../../../../../examples/minimal/minimal.yaml");
     let mut files = one(base);
     let more = "teams:
   - name: small
@@ -194,7 +194,7 @@
 /// Guards against operations that a later apply of the domain's file would undo.
 #[test]
 fn operations_survive_the_domain_file() {
-    let mut files = one(include_str!("../../../../../examples/minimal.yaml"));
+    let mut files = one(include_str!("../../../../../examples/minimal/minimal.yaml"));
     let mut operations = Operations::default();
     operations.out.insert("home-a".into());
     operations.leaving.insert("hello-1".into());
@@ -286,7 +286,7 @@
         which in 0usize..3,
     ) {
         let mut files = match which {
-            0 => one(include_str!("../../../../../examples/minimal.yaml")),
+            0 => one(include_str!("../../../../../examples/minimal/minimal.yaml")),
             1 => folder("ben-salah"),
             _ => folder("kusunoki"),
         };
--- a/crates/jujubelb/tests/fake/mod.rs
+++ b/crates/jujubelb/tests/fake/mod.rs
@@ -71,7 +71,7 @@
 #[get("/v1/config")]
 fn config(operator: Operator) -> Answer<ConfigView> {
     admit(&operator)?;
-    let text = include_str!("../../../../examples/minimal.yaml");
+    let text = include_str!("../../../../examples/minimal/minimal.yaml");
     Ok(Json(ConfigView {
         node: NodeName::from("entry-1/entry"),
         age: Some(Span::from_millis(420)),
--- a/crates/jujubelb/tests/jujubectl.rs
+++ b/crates/jujubelb/tests/jujubectl.rs
@@ -94,17 +94,17 @@
 #[test]
 fn diff_of_local_files() {
     let dir = tempfile::tempdir().expect("a folder");
-    let old = fs::read_to_string(examples().join("minimal.yaml")).expect("readable");
+    let old = fs::read_to_string(examples().join("minimal/minimal.yaml")).expect("readable");
     let new = old
         .replace("count: 2", "count: 1")
         .replace("cpu: 12", "cpu: 8");
     let new = write(&dir, "minimal.yaml", &new);
     jujubectl()
-        .args(["diff", "minimal.yaml", "minimal.yaml"])
+        .args(["diff", "minimal", "minimal/minimal.yaml"])
         .assert()
         .code(0);
     let assert = jujubectl()
-        .args(["diff", "minimal.yaml"])
+        .args(["diff", "minimal"])
         .arg(new)
         .assert()
         .code(1);
