Begin chains of decisions with the revision that caused them

Cause: each record of a configuration change names the change before it, so `jujubectl why` listed all earlier changes before the one that took a domain out, and no line said which revision it was. After six changes the chain of one eviction began with five lines that did not cause it.

Change: a revision of the configuration is the root of a chain, and its line names the revision.

Conclusion: the first line of such a chain is the change that caused the action.

--- a/crates/jujubelb/src/ctl/explain.rs
+++ b/crates/jujubelb/src/ctl/explain.rs
@@ -51,7 +51,7 @@
 fn chain(last: &Record, by_id: &IndexMap<&RecordId, &Record>) -> Chain {
     let mut steps = vec![last.clone()];
     let mut seen = IndexSet::from([&last.id]);
-    let mut next = last.parent.as_ref();
+    let mut next = cause_of(last);
     let mut missing = None;
     while let Some(id) = next {
         // A damaged record could name itself as its cause.
@@ -61,7 +61,7 @@
         match by_id.get(id) {
             Some(record) => {
                 steps.push((*record).clone());
-                next = record.parent.as_ref();
+                next = cause_of(record);
             }
             None => {
                 missing = Some(id.clone());
@@ -73,6 +73,15 @@
     Chain { missing, steps }
 }
 
+/// The record that caused this one. A revision of the configuration is a root: the revision before it, which
+/// its record names, did not cause it.
+fn cause_of(record: &Record) -> Option<&RecordId> {
+    match record.action {
+        Action::Apply => None,
+        _ => record.parent.as_ref(),
+    }
+}
+
 /// Whether a record is about a subject as an operator writes it: `job/3`,
 /// `worker w-1` or only `w-1`. A job's name also means its tasks.
 pub fn is_about(record: &Record, subject: &str) -> bool {
@@ -178,7 +187,7 @@
         Action::TakeOver => format!("was taken over by {}", record.id.node),
         Action::StepDown => format!("was given up by {}", record.id.node),
         Action::Resize => format!("got another limit{}", place("on")),
-        Action::Apply => plain("came into force"),
+        Action::Apply => format!("came into force as revision {}", record.revision),
         Action::Remove => plain("was taken out of service"),
         Action::Restore => plain("came into service"),
     }
--- a/crates/jujubelb/src/ctl/tests.rs
+++ b/crates/jujubelb/src/ctl/tests.rs
@@ -78,6 +78,29 @@
     assert_eq!(job.len(), 2, "a job means its tasks");
 }
 
+/// Guards against a chain that begins with an older revision, which did not
+/// cause the action, and against one that doesn't say which revision did.
+#[test]
+fn chain_begins_with_the_revision_that_caused_the_action() {
+    let mut first = record(1, Subject::Config, Action::Apply, Cause::ConfigChange, None);
+    first.revision = Revision(40);
+    let second = record(
+        2,
+        Subject::Config,
+        Action::Apply,
+        Cause::ConfigChange,
+        Some(1),
+    );
+    let domain = Subject::Domain("tunis-a".into());
+    let out = record(3, domain, Action::Remove, Cause::DomainOut, Some(2));
+    let evict = record(4, task(17), Action::Evict, Cause::DomainOut, Some(3));
+    let found = chains(&[first, second, out, evict], "reconcile-stock/17");
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].steps.len(), 3);
+    assert_eq!(found[0].missing, None);
+    assert!(line(&found[0].steps[0]).contains("configuration came into force as revision 41"));
+}
+
 /// Guards against a chain that silently begins in the middle.
 #[test]
 fn missing_causes_are_said() {
