Explain waiting tasks by their job and state causes in fitting words

A queued task behind the first one of its team had no decision at all. A caller over its rate limit was explained as a task over its memory limit. The return of an endpoint was explained with "the host is leaving", and the receipt of a handed-off task read like a second handoff back. `why worker NAME`, as documented, needed quotes.

Change: a task without decisions is explained by the waiting decisions of its job; the words follow the subject and the action; the subject may be two words.

--- a/crates/jujubelb/src/ctl/cli.rs
+++ b/crates/jujubelb/src/ctl/cli.rs
@@ -226,8 +226,10 @@
 
 #[derive(Debug, Args)]
 pub(super) struct Why {
-    /// Name of a task (`job/number`), job, worker, shard, domain, service, endpoint or team.
-    pub(super) subject: String,
+    /// Name of a task (`job/number`), job, worker, shard, domain, service, endpoint or team, also
+    /// with the word before it (`worker tunis-a-1-3`).
+    #[arg(required = true, num_args = 1..=2)]
+    pub(super) subject: Vec<String>,
     /// Only decisions at most this old.
     #[arg(long, value_parser = duration, default_value = "24h", value_name = "TIME")]
     pub(super) since: Duration,
--- a/crates/jujubelb/src/ctl/commands/why.rs
+++ b/crates/jujubelb/src/ctl/commands/why.rs
@@ -52,24 +52,36 @@
 
 pub(super) fn run(args: &Why, options: &Options, terminal: &mut Terminal) -> Result<(), CtlError> {
     let client = Client::new(options)?;
+    let subject = args.subject.join(" ");
     let progress = terminal.progress("collecting records");
-    let view = read(&client, &args.subject, args.since);
+    let view = read(&client, &subject, args.since);
     progress.finish_and_clear();
-    let view = view?;
+    let mut view = view?;
+    let mut chains = explain::chains(&view.records, &subject);
+    if chains.is_empty()
+        && !args.follow
+        && let Some(job) = explain::job_of(&subject)
+    {
+        view = read(&client, job, args.since)?;
+        chains = explain::waiting(explain::chains(&view.records, job));
+        if !chains.is_empty() {
+            terminal.note(&format!(
+                "no decision about {subject} yet; these concern its job {job}, whose tasks wait for each other"
+            ));
+        }
+    }
     note_sources(&view.sources, terminal);
-    let chains = explain::chains(&view.records, &args.subject);
     if chains.is_empty() && !args.follow {
         let since = humantime::format_duration(args.since);
         terminal.note(&format!(
-            "no decision about {} in the last {since}; check the name or use a longer --since",
-            args.subject
+            "no decision about {subject} in the last {since}; check the name or use a longer --since"
         ));
     }
     let shown: IndexSet<RecordId> = last_steps(&chains).collect();
     let sources = view.sources;
     export(options.format, &Explanation { sources, chains }, terminal)?;
     match args.follow {
-        true => follow(args, &client, options, shown, terminal),
+        true => follow(args, &subject, &client, options, shown, terminal),
         false => Ok(()),
     }
 }
@@ -77,6 +89,7 @@
 /// Prints new chains until interrupted.
 fn follow(
     args: &Why,
+    subject: &str,
     client: &Client,
     options: &Options,
     mut shown: IndexSet<RecordId>,
@@ -85,8 +98,8 @@
     loop {
         terminal.flush()?;
         std::thread::sleep(PAUSE);
-        let view = read(client, &args.subject, args.since.min(OVERLAP))?;
-        let mut chains = explain::chains(&view.records, &args.subject);
+        let view = read(client, subject, args.since.min(OVERLAP))?;
+        let mut chains = explain::chains(&view.records, subject);
         chains.retain(|c| c.steps.last().is_some_and(|r| !shown.contains(&r.id)));
         if chains.is_empty() {
             continue;
--- a/crates/jujubelb/src/ctl/explain.rs
+++ b/crates/jujubelb/src/ctl/explain.rs
@@ -96,10 +96,28 @@
     subject == full || subject == name || job == Some(asked_job)
 }
 
+/// The job of a task as an operator writes it: `job/3` or `task job/3`.
+pub fn job_of(subject: &str) -> Option<&str> {
+    let name = subject.trim();
+    let (job, index) = name.strip_prefix("task ").unwrap_or(name).split_once('/')?;
+    index.parse::<u32>().is_ok().then_some(job)
+}
+
+/// The chains of a job that tell why a task without own decisions has not started: those that end
+/// in the job itself or in a delay. Only the first waiting task of a team has a record of its delay.
+pub fn waiting(chains: Vec<Chain>) -> Vec<Chain> {
+    let tells = |chain: &Chain| {
+        chain.steps.last().is_some_and(|last| {
+            !matches!(last.subject, Subject::Task(_)) || last.action == Action::Delay
+        })
+    };
+    chains.into_iter().filter(tells).collect()
+}
+
 /// One decision as a sentence, without its time.
 pub fn sentence(record: &Record) -> String {
     let mut text = format!("{} {}", record.subject, phrase(record));
-    text += &format!(": {}", lower(record.cause.meaning()));
+    text += &format!(": {}", reason(record));
     text += &format!(" ({})", record.cause.number());
     let facts: Vec<String> = record.facts.iter().map(fact).collect();
     if !facts.is_empty() {
@@ -130,8 +148,9 @@
     }
     if let Some(last) = chain.steps.last() {
         lines.push(format!("   {}", origin(last)));
-        if last.cause.advice() != "nothing" {
-            lines.push(format!("   what to do: {}", last.cause.advice()));
+        let advice = advice(last);
+        if advice != "nothing" {
+            lines.push(format!("   what to do: {advice}"));
         }
     }
     lines.join("\n")
@@ -183,6 +202,10 @@
         Action::Quarantine => plain("was put in quarantine"),
         Action::Readmit => plain("may get tasks again"),
         Action::Park => plain("was parked"),
+        // The former owner states the figures that it compared; the record of the receipt has none.
+        Action::HandOff if record.cause == Cause::RoomElsewhere && record.facts.is_empty() => {
+            format!("was taken in{}", place("from"))
+        }
         Action::HandOff => format!("was handed off{}", place("to")),
         Action::TakeOver => format!("was taken over by {}", record.id.node),
         Action::StepDown => format!("was given up by {}", record.id.node),
@@ -193,6 +216,32 @@
     }
 }
 
+/// The cause in words. Some causes mean another thing for a service or at the return of an endpoint.
+fn reason(record: &Record) -> String {
+    match (&record.subject, record.action, record.cause) {
+        (Subject::Service(_), _, Cause::LimitExceeded) => {
+            "a caller exceeded its limit of requests".to_owned()
+        }
+        (_, Action::Restore, Cause::HostLeaving) => {
+            "the host list no longer says that the host is leaving".to_owned()
+        }
+        (_, Action::Restore, Cause::EndpointLeaving) => {
+            "the endpoint no longer says that it is leaving".to_owned()
+        }
+        (_, Action::Restore, Cause::DomainOut) => lower(Cause::DomainIn.meaning()),
+        _ => lower(record.cause.meaning()),
+    }
+}
+
+fn advice(record: &Record) -> &'static str {
+    match (&record.subject, record.cause) {
+        (Subject::Service(_), Cause::LimitExceeded) => {
+            "look at the caller; `limits.rate` sets the limit"
+        }
+        _ => record.cause.advice(),
+    }
+}
+
 fn fact(fact: &Fact) -> String {
     let name = fact.name.replace('-', " ");
     let whole = u64::try_from(fact.value);
--- a/crates/jujubelb/src/ctl/tests.rs
+++ b/crates/jujubelb/src/ctl/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of sentences, chains, tables and filters.
 
 use super::commands::{Filter, Listing, Overview};
-use super::explain::{action, cause, chains, line, paragraph, sentence, time};
+use super::explain::{action, cause, chains, job_of, line, paragraph, sentence, time, waiting};
 use super::export::{Show, Style};
 use crate::config::declare::{Files, check};
 use crate::model::{
@@ -101,6 +101,60 @@
     assert!(line(&found[0].steps[0]).contains("configuration came into force as revision 41"));
 }
 
+/// Guards against a queued task of which nothing is known, though its job tells why it waits.
+#[test]
+fn queued_task_is_explained_by_its_job() {
+    assert_eq!(job_of("task reconcile-stock/19"), Some("reconcile-stock"));
+    assert_eq!(job_of("reconcile-stock/19"), Some("reconcile-stock"));
+    assert_eq!(job_of("entry-1/scheduler"), None);
+    assert_eq!(job_of("reconcile-stock"), None);
+    let mut records = story();
+    let delay = record(6, task(18), Action::Delay, Cause::QuotaExhausted, Some(4));
+    records.push(delay);
+    assert!(
+        chains(&records, "reconcile-stock/19").len() > 1,
+        "all, as the name is unknown"
+    );
+    let found = waiting(chains(&records, "reconcile-stock"));
+    assert_eq!(found.len(), 1, "the started task doesn't explain a wait");
+    assert_eq!(
+        found[0].steps.last().map(|r| r.cause),
+        Some(Cause::QuotaExhausted)
+    );
+}
+
+/// Guards against words that state the opposite of what happened, or name a
+/// task's limit where a caller's was exceeded.
+#[test]
+fn words_fit_the_subject_and_the_action() {
+    let service = Subject::Service("fitting".into());
+    let refused = record(1, service, Action::Refuse, Cause::LimitExceeded, None);
+    assert!(sentence(&refused).contains("a caller exceeded its limit of requests (626)"));
+    let text = paragraph(&chains(&[refused], "fitting")[0]);
+    assert!(text.ends_with("`limits.rate` sets the limit"), "{text}");
+    let endpoint = || Subject::Endpoint("fitting-1".into());
+    for (cause, words) in [
+        (
+            Cause::HostLeaving,
+            "no longer says that the host is leaving",
+        ),
+        (Cause::EndpointLeaving, "no longer says that it is leaving"),
+        (Cause::DomainOut, "brought the failure domain in"),
+    ] {
+        let restored = record(2, endpoint(), Action::Restore, cause, None);
+        assert!(
+            sentence(&restored).contains(words),
+            "{}",
+            sentence(&restored)
+        );
+    }
+    let mut taken = record(3, task(17), Action::HandOff, Cause::RoomElsewhere, None);
+    taken.place = Some("tunis-b-1".into());
+    assert!(sentence(&taken).contains("was taken in from tunis-b-1"));
+    taken.facts = vec![Fact::new("needed-cpu", 4_000, Unit::Millicores)];
+    assert!(sentence(&taken).contains("was handed off to tunis-b-1"));
+}
+
 /// Guards against a chain that silently begins in the middle.
 #[test]
 fn missing_causes_are_said() {
