--- a/crates/jujubelb-lab/tests/processes/world.rs
+++ b/crates/jujubelb-lab/tests/processes/world.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use jujubelb::config::declare;
 use jujubelb::entry::EntryHandle;
-use jujubelb::model::Span;
+use jujubelb::model::{Revision, Span};
 use jujubelb::operator::api::{ApplyAnswer, ApplyRequest, TasksView};
 use jujubelb::scheduler::SchedulerHandle;
 use jujubelb::settings::Settings;
@@ -113,25 +113,47 @@
 
     /// Applies the declarations and waits until the entry process is ready.
     pub fn apply(&self, entry: &EntryHandle) -> ApplyAnswer {
+        let text = &self.files["all.yaml"];
+        let answer = self.apply_text(entry, "change-1", Revision(0), text);
+        self.until("readiness", || {
+            let url = format!("http://{}/ready", entry.callers());
+            self.http.get(url).send().unwrap().status() == 200
+        });
+        answer
+    }
+
+    /// Applies a text as the whole declarations.
+    pub fn apply_text(
+        &self,
+        entry: &EntryHandle,
+        change: &str,
+        expected: Revision,
+        text: &str,
+    ) -> ApplyAnswer {
         let request = ApplyRequest {
-            change: "change-1".into(),
+            change: change.into(),
             author: "test".into(),
-            expected: Default::default(),
-            files: self
-                .files
-                .iter()
-                .map(|(name, text)| (name.clone(), Some(text.clone())))
-                .collect(),
+            expected,
+            files: IndexMap::from([("all.yaml".to_owned(), Some(text.to_owned()))]),
         };
         let url = format!("http://{}/v1/apply", entry.operators());
         let response = self.operator(self.http.post(url).json(&request));
         assert_eq!(response.status(), 200, "{}", response.text().unwrap());
-        let answer = response.json().unwrap();
-        self.until("readiness", || {
-            let url = format!("http://{}/ready", entry.callers());
-            self.http.get(url).send().unwrap().status() == 200
+        response.json().unwrap()
+    }
+
+    /// Sends a request until it is answered.
+    pub fn serve(&self, entry: &EntryHandle) -> Response {
+        let url = format!("http://{}/svc/hello/some/path?x=1", entry.callers());
+        let mut answer = None;
+        self.until("an answer", || {
+            let request = self.http.get(&url).header("Lab-Request", "first");
+            let response = request.send().unwrap();
+            let done = response.status() == 200;
+            answer = Some(response);
+            done
         });
-        answer
+        answer.unwrap()
     }
 
     pub fn tasks(&self, operators: SocketAddr) -> TasksView {
@@ -221,6 +243,12 @@
     cpu: 1500m
     memory: 2 GiB
     duration: 1s
+watchers:
+  - name: watch
+    team: everyone
+    tasks: 2
+    cpu: 1
+    memory: 1 GiB
 ",
         platform[0], platform[1], platform[2]
     )
--- a/crates/jujubelb/src/entry/serve.rs
+++ b/crates/jujubelb/src/entry/serve.rs
@@ -2,19 +2,19 @@
 
 use std::sync::Arc;
 
-use rocket::data::ToByteUnit;
 use rocket::http::Method;
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome};
 use rocket::{Data, Request, Route};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, SemaphorePermit};
 
 use super::Entry;
-use super::answer::{self, Failure, Whole};
 use super::claims::Claim;
 use super::desk::Turn;
 use super::forward::{self, Parcel};
 use super::headers::{self, Wishes};
+use crate::http::answer::{self, Failure, Whole};
+use crate::http::body;
 use crate::model::{Bytes, Code, ServiceName, Span, Time};
 use crate::peer::ClaimKey;
 use crate::route::{Claimed, Dispatch, Refusal, RequestInfo, Step, Ticket};
@@ -33,6 +33,13 @@
     Method::Patch,
 ];
 
+/// Memory for the bodies of all requests in flight, in units. A host has 256 MB
+/// for both processes.
+pub(super) const BODIES: usize = (64 << 20) / BODY_UNIT as usize;
+
+/// Bytes in a unit of memory for bodies.
+const BODY_UNIT: u64 = 4 << 10;
+
 /// Handles requests on service routes.
 #[derive(Clone)]
 pub(super) struct Requests(pub(super) Arc<Entry>);
@@ -71,6 +78,29 @@
         }
     }
 
+    /// Room for a body until the request ends. A body of unknown length counts
+    /// as the largest.
+    fn room_for(
+        &self,
+        request: &Request<'_>,
+        limit: Bytes,
+    ) -> Result<SemaphorePermit<'_>, Failure> {
+        let stated = request.headers().get_one("Content-Length");
+        let stated = stated.and_then(|text| text.parse().ok());
+        let bytes = match request.method() {
+            Method::Get | Method::Head | Method::Options if stated.is_none() => 0,
+            _ => stated.unwrap_or(limit.0).min(limit.0),
+        };
+        let units = u32::try_from(bytes / BODY_UNIT + 1).unwrap_or(u32::MAX);
+        self.bodies.try_acquire_many(units).map_err(|_| {
+            let text = "the bodies of the requests in flight use up the memory for them";
+            Failure {
+                retry: Some(Span::from_secs(1)),
+                ..Failure::new(Code::QueueFull, text)
+            }
+        })
+    }
+
     async fn route(
         self: &Arc<Self>,
         name: &ServiceName,
@@ -89,7 +119,24 @@
         );
         let wishes = headers::read(request.headers(), safe)
             .map_err(|text| Failure::new(Code::Malformed, text))?;
-        let parcel = pack(request, data, target, service.body).await?;
+        let unclaimed = |failure: Failure| match failure.code {
+            // "Not run" would also be a statement about earlier attempts with the key.
+            code if wishes.needs_claim() && code != Code::TooLarge => Failure {
+                code: Code::ClaimUnavailable,
+                ..failure
+            },
+            _ => failure,
+        };
+        let _room = self.room_for(request, service.body).map_err(unclaimed)?;
+        let limit = wishes.deadline.unwrap_or(service.deadline);
+        let packing = pack(request, data, target, service.body);
+        let parcel = tokio::time::timeout(limit.to_std(), packing)
+            .await
+            .unwrap_or_else(|_| {
+                let text = "the body did not arrive before the deadline";
+                Err(Failure::new(Code::Malformed, text))
+            })
+            .map_err(unclaimed)?;
         let info = info(name, &wishes, &parcel);
         let (ticket, notice) = self.desk.admit(info).map_err(refused)?;
         let mut journey = Journey {
@@ -126,17 +173,7 @@
     target: String,
     limit: Bytes,
 ) -> Result<Parcel, Failure> {
-    let body = data
-        .open(limit.0.bytes())
-        .into_bytes()
-        .await
-        .map_err(|error| {
-            Failure::new(Code::Malformed, format!("the body is incomplete: {error}"))
-        })?;
-    if !body.is_complete() {
-        let text = format!("the body is larger than {} bytes", limit.0);
-        return Err(Failure::new(Code::TooLarge, text));
-    }
+    let body = body::read(data, limit).await?;
     let method = request.method().as_str().as_bytes();
     let method = reqwest::Method::from_bytes(method)
         .map_err(|error| Failure::new(Code::Malformed, error.to_string()))?;
@@ -144,7 +181,7 @@
         method,
         target,
         headers: forward::passed_on(request),
-        body: body.into_inner(),
+        body,
         limit: usize::try_from(limit.0).unwrap_or(usize::MAX),
     })
 }
--- a/crates/jujubelb/src/scheduler/owner.rs
+++ b/crates/jujubelb/src/scheduler/owner.rs
@@ -11,14 +11,14 @@
 use super::pool::{Exchange, Pool};
 use super::term::{Term, not_owner, starting};
 use crate::config::Config;
-use crate::model::{Code, ShardName, Span, Time};
+use crate::model::{Code, JobName, ShardName, Span, Time};
 use crate::peer::{Call, News, Query, Reply, View};
 use crate::process::{ConfigNews, Running};
 use crate::shard::{Input, Output};
 use crate::telemetry::{Inbox, Outlet};
 
 /// Longest wait for news. Owners are told of the time at least every 100 ms.
-const STEP: Span = Span::from_millis(20);
+const STEP: Span = Span::from_millis(50);
 
 /// Interval of telling the peers about the owned shards.
 const TELL_EVERY: Span = Span::from_millis(200);
@@ -30,6 +30,8 @@
     Call(Box<Call>, oneshot::Sender<Reply>),
     /// News for the owner of one shard.
     Input(ShardName, Box<Input>),
+    /// Live jobs of all shards that are not cancelled.
+    Jobs(std::sync::mpsc::SyncSender<Vec<JobName>>),
     /// Hand all shards over; answered when it is done.
     Stop(oneshot::Sender<()>),
 }
@@ -52,6 +54,8 @@
     unreported: Vec<ShardName>,
     terms: IndexMap<ShardName, Term>,
     config: Arc<Config>,
+    /// Evidence for `config`, as it came through the queue after it.
+    evidence: Option<Time>,
     stopping: Option<oneshot::Sender<()>>,
     told: Time,
 }
@@ -72,6 +76,7 @@
             unreported: Vec::new(),
             terms: IndexMap::new(),
             config: Arc::default(),
+            evidence: None,
             stopping: None,
             told: Time::ZERO,
         }
@@ -102,7 +107,10 @@
                     self.config = config.clone();
                     Input::Config(config)
                 }
-                ConfigNews::Evidence(began) => Input::Evidence(began),
+                ConfigNews::Evidence(began) => {
+                    self.evidence = Some(began);
+                    Input::Evidence(began)
+                }
                 ConfigNews::Contact(began) => Input::StoreContact(began),
             };
             for term in self.terms.values_mut() {
@@ -115,7 +123,7 @@
             self.terms.insert(taken.shard.clone(), Term::new(taken));
         }
         for term in self.terms.values_mut() {
-            term.take_told(&self.scheduler, now, &self.config);
+            term.take_told(&self.scheduler, now, &self.config, self.evidence);
         }
     }
 
@@ -145,6 +153,10 @@
                         term.give(now, *input);
                     }
                 }
+                Asked::Jobs(reply) => {
+                    // The caller may have given up.
+                    let _ = reply.try_send(self.live_jobs());
+                }
                 Asked::Stop(done) => {
                     for term in self.terms.values_mut() {
                         term.stop(now);
@@ -155,6 +167,13 @@
         }
     }
 
+    fn live_jobs(&self) -> Vec<JobName> {
+        let owners = self.terms.values().filter_map(|term| term.owner.as_ref());
+        let jobs = owners.flat_map(|owner| &owner.stored().jobs);
+        let live = jobs.filter(|(_, job)| !job.cancelled);
+        live.map(|(name, _)| name.clone()).collect()
+    }
+
     fn answer(&mut self, now: Time, call: Call, reply: oneshot::Sender<Reply>) {
         let direct = match call {
             Call::Submit(submission) => {
