Show that a job is parked when one of its tasks is asked about

Cause: the decision to park concerns the job, so `jujubectl why JOB/NUMBER` of a parked task ended with its last failure and "nothing; it is tried again".

Change: if the newest decision about a task is a failure, `why` also asks about its job and adds the decision to park.

--- a/crates/jujubelb/src/ctl/commands/why.rs
+++ b/crates/jujubelb/src/ctl/commands/why.rs
@@ -13,7 +13,7 @@
 use crate::ctl::export::{Show, Style, export};
 use crate::ctl::options::Options;
 use crate::ctl::terminal::Terminal;
-use crate::model::RecordId;
+use crate::model::{Action, RecordId};
 use crate::operator::api::{self, RecordsView, Source};
 
 /// Pause between two reads with `--follow`.
@@ -56,18 +56,23 @@
     let progress = terminal.progress("collecting records");
     let view = read(&client, &subject, args.since);
     progress.finish_and_clear();
-    let mut view = view?;
+    let view = view?;
     let mut chains = explain::chains(&view.records, &subject);
-    if chains.is_empty()
-        && !args.follow
-        && let Some(job) = explain::job_of(&subject)
-    {
-        view = read(&client, job, args.since)?;
-        chains = explain::waiting(explain::chains(&view.records, job));
+    // The decision to park concerns the job, and follows a failure of one of its tasks.
+    let last = chains.last().and_then(|c| c.steps.last());
+    let incomplete = last.is_none_or(|r| r.action == Action::Fail) && !args.follow;
+    if let Some(job) = explain::job_of(&subject).filter(|_| incomplete) {
+        let records = read(&client, job, args.since)?.records;
+        let of_job = explain::chains(&records, job);
         if !chains.is_empty() {
-            terminal.note(&format!(
-                "no decision about {subject} yet; these concern its job {job}, whose tasks wait for each other"
-            ));
+            chains.extend(explain::parked(of_job));
+        } else {
+            chains = explain::waiting(of_job);
+            if !chains.is_empty() {
+                terminal.note(&format!(
+                    "no decision about {subject} yet; these concern its job {job}, whose tasks wait for each other"
+                ));
+            }
         }
     }
     note_sources(&view.sources, terminal);
--- a/crates/jujubelb/src/ctl/explain.rs
+++ b/crates/jujubelb/src/ctl/explain.rs
@@ -114,6 +114,12 @@
     chains.into_iter().filter(tells).collect()
 }
 
+/// The chains that end in the parking of a job, which stops all its tasks.
+pub fn parked(chains: Vec<Chain>) -> Vec<Chain> {
+    let parks = |chain: &Chain| chain.steps.last().is_some_and(|r| r.action == Action::Park);
+    chains.into_iter().filter(parks).collect()
+}
+
 /// One decision as a sentence, without its time.
 pub fn sentence(record: &Record) -> String {
     let mut text = format!("{} {}", record.subject, phrase(record));
--- a/crates/jujubelb/src/ctl/tests.rs
+++ b/crates/jujubelb/src/ctl/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of sentences, chains, tables and filters.
 
 use super::commands::{Filter, Listing, Overview};
-use super::explain::{action, cause, chains, job_of, line, paragraph, sentence, time, waiting};
+use super::explain::{
+    action, cause, chains, job_of, line, paragraph, parked, sentence, time, waiting,
+};
 use super::export::{Show, Style};
 use crate::config::declare::{Files, check};
 use crate::model::{
@@ -123,6 +125,17 @@
     );
 }
 
+/// Guards against a parked task whose explanation ends with "it is tried again".
+#[test]
+fn parked_task_is_explained_by_its_job() {
+    let job = Subject::Job("reconcile-stock".into());
+    let mut records = story();
+    records.push(record(6, job, Action::Park, Cause::JobFailing, None));
+    let found = parked(chains(&records, "reconcile-stock"));
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].steps.last().map(|r| r.action), Some(Action::Park));
+}
+
 /// Guards against words that state the opposite of what happened, or name a
 /// task's limit where a caller's was exceeded.
 #[test]
