--- a/crates/jujubelb/src/ctl/commands/why.rs
+++ b/crates/jujubelb/src/ctl/commands/why.rs
@@ -13,7 +13,7 @@
 use crate::ctl::export::{Show, Style, export};
 use crate::ctl::options::Options;
 use crate::ctl::terminal::Terminal;
-use crate::model::RecordId;
+use crate::model::{Action, RecordId};
 use crate::operator::api::{self, RecordsView, Source};
 
 /// Pause between two reads with `--follow`.
@@ -52,24 +52,41 @@
 
 pub(super) fn run(args: &Why, options: &Options, terminal: &mut Terminal) -> Result<(), CtlError> {
     let client = Client::new(options)?;
+    let subject = args.subject.join(" ");
     let progress = terminal.progress("collecting records");
-    let view = read(&client, &args.subject, args.since);
+    let view = read(&client, &subject, args.since);
     progress.finish_and_clear();
     let view = view?;
+    let mut chains = explain::chains(&view.records, &subject);
+    // The decision to park concerns the job, and follows a failure of one of its tasks.
+    let last = chains.last().and_then(|c| c.steps.last());
+    let incomplete = last.is_none_or(|r| r.action == Action::Fail) && !args.follow;
+    if let Some(job) = explain::job_of(&subject).filter(|_| incomplete) {
+        let records = read(&client, job, args.since)?.records;
+        let of_job = explain::chains(&records, job);
+        if !chains.is_empty() {
+            chains.extend(explain::parked(of_job));
+        } else {
+            chains = explain::waiting(of_job);
+            if !chains.is_empty() {
+                terminal.note(&format!(
+                    "no decision about {subject} yet; these concern its job {job}, whose tasks wait for each other"
+                ));
+            }
+        }
+    }
     note_sources(&view.sources, terminal);
-    let chains = explain::chains(&view.records, &args.subject);
     if chains.is_empty() && !args.follow {
         let since = humantime::format_duration(args.since);
         terminal.note(&format!(
-            "no decision about {} in the last {since}; check the name or use a longer --since",
-            args.subject
+            "no decision about {subject} in the last {since}; check the name or use a longer --since"
         ));
     }
     let shown: IndexSet<RecordId> = last_steps(&chains).collect();
     let sources = view.sources;
     export(options.format, &Explanation { sources, chains }, terminal)?;
     match args.follow {
-        true => follow(args, &client, options, shown, terminal),
+        true => follow(args, &subject, &client, options, shown, terminal),
         false => Ok(()),
     }
 }
@@ -77,6 +94,7 @@
 /// Prints new chains until interrupted.
 fn follow(
     args: &Why,
+    subject: &str,
     client: &Client,
     options: &Options,
     mut shown: IndexSet<RecordId>,
@@ -85,8 +103,8 @@
     loop {
         terminal.flush()?;
         std::thread::sleep(PAUSE);
-        let view = read(client, &args.subject, args.since.min(OVERLAP))?;
-        let mut chains = explain::chains(&view.records, &args.subject);
+        let view = read(client, subject, args.since.min(OVERLAP))?;
+        let mut chains = explain::chains(&view.records, subject);
         chains.retain(|c| c.steps.last().is_some_and(|r| !shown.contains(&r.id)));
         if chains.is_empty() {
             continue;
--- a/crates/jujubelb/src/ctl/explain.rs
+++ b/crates/jujubelb/src/ctl/explain.rs
@@ -51,7 +51,7 @@
 fn chain(last: &Record, by_id: &IndexMap<&RecordId, &Record>) -> Chain {
     let mut steps = vec![last.clone()];
     let mut seen = IndexSet::from([&last.id]);
-    let mut next = last.parent.as_ref();
+    let mut next = cause_of(last);
     let mut missing = None;
     while let Some(id) = next {
         // A damaged record could name itself as its cause.
@@ -61,7 +61,7 @@
         match by_id.get(id) {
             Some(record) => {
                 steps.push((*record).clone());
-                next = record.parent.as_ref();
+                next = cause_of(record);
             }
             None => {
                 missing = Some(id.clone());
@@ -73,6 +73,15 @@
     Chain { missing, steps }
 }
 
+/// The record that caused this one. A revision of the configuration is a root: the revision before it, which
+/// its record names, did not cause it.
+fn cause_of(record: &Record) -> Option<&RecordId> {
+    match record.action {
+        Action::Apply => None,
+        _ => record.parent.as_ref(),
+    }
+}
+
 /// Whether a record is about a subject as an operator writes it: `job/3`,
 /// `worker w-1` or only `w-1`. A job's name also means its tasks.
 pub fn is_about(record: &Record, subject: &str) -> bool {
@@ -87,10 +96,34 @@
     subject == full || subject == name || job == Some(asked_job)
 }
 
+/// The job of a task as an operator writes it: `job/3` or `task job/3`.
+pub fn job_of(subject: &str) -> Option<&str> {
+    let name = subject.trim();
+    let (job, index) = name.strip_prefix("task ").unwrap_or(name).split_once('/')?;
+    index.parse::<u32>().is_ok().then_some(job)
+}
+
+/// The chains of a job that tell why a task without own decisions has not started: those that end
+/// in the job itself or in a delay. Only the first waiting task of a team has a record of its delay.
+pub fn waiting(chains: Vec<Chain>) -> Vec<Chain> {
+    let tells = |chain: &Chain| {
+        chain.steps.last().is_some_and(|last| {
+            !matches!(last.subject, Subject::Task(_)) || last.action == Action::Delay
+        })
+    };
+    chains.into_iter().filter(tells).collect()
+}
+
+/// The chains that end in the parking of a job, which stops all its tasks.
+pub fn parked(chains: Vec<Chain>) -> Vec<Chain> {
+    let parks = |chain: &Chain| chain.steps.last().is_some_and(|r| r.action == Action::Park);
+    chains.into_iter().filter(parks).collect()
+}
+
 /// One decision as a sentence, without its time.
 pub fn sentence(record: &Record) -> String {
     let mut text = format!("{} {}", record.subject, phrase(record));
-    text += &format!(": {}", lower(record.cause.meaning()));
+    text += &format!(": {}", reason(record));
     text += &format!(" ({})", record.cause.number());
     let facts: Vec<String> = record.facts.iter().map(fact).collect();
     if !facts.is_empty() {
@@ -121,8 +154,9 @@
     }
     if let Some(last) = chain.steps.last() {
         lines.push(format!("   {}", origin(last)));
-        if last.cause.advice() != "nothing" {
-            lines.push(format!("   what to do: {}", last.cause.advice()));
+        let advice = advice(last);
+        if advice != "nothing" {
+            lines.push(format!("   what to do: {advice}"));
         }
     }
     lines.join("\n")
@@ -174,17 +208,47 @@
         Action::Quarantine => plain("was put in quarantine"),
         Action::Readmit => plain("may get tasks again"),
         Action::Park => plain("was parked"),
+        // The former owner states the figures that it compared; the record of the receipt has none.
+        Action::HandOff if record.cause == Cause::RoomElsewhere && record.facts.is_empty() => {
+            format!("was taken in{}", place("from"))
+        }
         Action::HandOff => format!("was handed off{}", place("to")),
         Action::Receive => format!("was received{}", place("from")),
         Action::TakeOver => format!("was taken over by {}", record.id.node),
         Action::StepDown => format!("was given up by {}", record.id.node),
         Action::Resize => format!("got another limit{}", place("on")),
-        Action::Apply => plain("came into force"),
+        Action::Apply => format!("came into force as revision {}", record.revision),
         Action::Remove => plain("was taken out of service"),
         Action::Restore => plain("came into service"),
     }
 }
 
+/// The cause in words. Some causes mean another thing for a service or at the return of an endpoint.
+fn reason(record: &Record) -> String {
+    match (&record.subject, record.action, record.cause) {
+        (Subject::Service(_), _, Cause::LimitExceeded) => {
+            "a caller exceeded its limit of requests".to_owned()
+        }
+        (_, Action::Restore, Cause::HostLeaving) => {
+            "the host list no longer says that the host is leaving".to_owned()
+        }
+        (_, Action::Restore, Cause::EndpointLeaving) => {
+            "the endpoint no longer says that it is leaving".to_owned()
+        }
+        (_, Action::Restore, Cause::DomainOut) => lower(Cause::DomainIn.meaning()),
+        _ => lower(record.cause.meaning()),
+    }
+}
+
+fn advice(record: &Record) -> &'static str {
+    match (&record.subject, record.cause) {
+        (Subject::Service(_), Cause::LimitExceeded) => {
+            "look at the caller; `limits.rate` sets the limit"
+        }
+        _ => record.cause.advice(),
+    }
+}
+
 fn fact(fact: &Fact) -> String {
     let name = fact.name.replace('-', " ");
     let whole = u64::try_from(fact.value);
