Add scenario files for scheduling with the placement policy

Cause: the failure model of the design was covered by focused tests and fuzzing only, and nothing showed an operator what the system does then. Workers report measured use, stop tasks above their memory limit, and follow run times; processes share one calendar.

--- a/crates/jujubelb/tests/shard/main.rs
+++ b/crates/jujubelb/tests/shard/main.rs
@@ -4,4 +4,5 @@
 mod fuzz;
 mod journal;
 mod life_cycle;
+mod scenarios;
 mod support;
--- a/crates/jujubelb/tests/shard/support/oracle.rs
+++ b/crates/jujubelb/tests/shard/support/oracle.rs
@@ -30,6 +30,8 @@
     pub completed: IndexSet<TaskId>,
     checkpoints: IndexMap<TaskId, Checkpoint>,
     started: IndexSet<(TaskId, Attempt)>,
+    /// Time of each start and whether it resumed from a checkpoint.
+    pub starts: Vec<(Time, bool)>,
     received: IndexSet<(TaskId, Attempt)>,
     /// Attempts whose end is stored.
     ended: IndexSet<(TaskId, Attempt)>,
@@ -93,6 +95,7 @@
     /// Takes in a start that happened; `out` is when the worker's domain was taken out, if it is.
     pub fn start(&mut self, start: &Started, out: Option<Time>) {
         let what = format!("{} #{} on {}", start.task, start.attempt, start.worker);
+        self.starts.push((start.at, start.checkpoint.is_some()));
         if !self.started.insert((start.task.clone(), start.attempt)) {
             self.violate("attempt started twice", what.clone());
         }
--- a/crates/jujubelb/tests/shard/support/policy.rs
+++ b/crates/jujubelb/tests/shard/support/policy.rs
@@ -1,9 +1,10 @@
-//! First fit with wishes from the test.
+//! A policy of the product with wishes from the test.
 
 use std::sync::{Arc, Mutex};
 
 use jujubelb::model::{Cause, Resources, ShardName, Time};
-use jujubelb::shard::{Choice, Decision, FirstFit, News, Policy, View};
+use jujubelb::place::PlacePolicy;
+use jujubelb::shard::{Choice, Decision, FirstFit, News, Policy, TeamUse, View};
 
 /// What the test wants from the policy, once.
 #[derive(Debug, Clone, Copy)]
@@ -22,21 +23,80 @@
     Overcommit,
 }
 
-#[derive(Debug, Default, Clone)]
+/// The policy that decides beside the wishes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Base {
+    FirstFit,
+    Place,
+}
+
+const SEED: u64 = 20_261_204;
+
+#[derive(Debug)]
 pub struct Scripted {
     pub wishes: Arc<Mutex<Vec<Wish>>>,
+    place: Option<Box<PlacePolicy>>,
+}
+
+impl Scripted {
+    pub fn new(base: Base) -> Self {
+        let place = (base == Base::Place).then(|| Box::new(PlacePolicy::new(SEED)));
+        Self {
+            wishes: Arc::default(),
+            place,
+        }
+    }
+
+    /// The policy of a new owner: the same wishes and no estimates.
+    pub fn renewed(&self) -> Self {
+        let place = self.place.as_ref();
+        Self {
+            wishes: self.wishes.clone(),
+            place: place.map(|_| Box::new(PlacePolicy::new(SEED))),
+        }
+    }
+
+    fn base(&self) -> &dyn Policy {
+        match &self.place {
+            Some(place) => place.as_ref(),
+            None => &FirstFit,
+        }
+    }
 }
 
 impl Policy for Scripted {
     fn choose(&mut self, view: &View<'_>) -> Vec<Decision> {
         let wishes = std::mem::take(&mut *self.wishes.lock().unwrap());
         let mut decisions: Vec<_> = wishes.into_iter().flat_map(|w| fulfil(w, view)).collect();
-        decisions.extend(FirstFit.choose(view));
+        decisions.extend(match &mut self.place {
+            Some(place) => place.choose(view),
+            None => FirstFit.choose(view),
+        });
         decisions
     }
 
     fn note(&mut self, now: Time, news: News<'_>) {
-        FirstFit.note(now, news);
+        if let Some(place) = &mut self.place {
+            place.note(now, news);
+        }
+    }
+
+    fn save(&self) -> Vec<u8> {
+        self.base().save()
+    }
+
+    fn restore(&mut self, saved: &[u8]) {
+        if let Some(place) = &mut self.place {
+            place.restore(saved);
+        }
+    }
+
+    fn teams(&self, view: &View<'_>) -> Vec<TeamUse> {
+        self.base().teams(view)
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        self.base().dump()
     }
 }
 
--- a/crates/jujubelb/tests/shard/support/worker.rs
+++ b/crates/jujubelb/tests/shard/support/worker.rs
@@ -2,11 +2,11 @@
 
 use indexmap::IndexMap;
 use jujubelb::model::{
-    Attempt, Checkpoint, Epoch, Incarnation, Resources, ShardName, Span, TaskId, Time, WorkerName,
-    WorkerTime,
+    Attempt, Checkpoint, Epoch, Incarnation, JobName, Resources, ShardName, Span, TaskId, Time,
+    WorkerName, WorkerTime,
 };
 use jujubelb::worker::{
-    Command, Phase, Refusal, Refused, Report, SyncAnswer, SyncRequest, TaskReport,
+    Command, Phase, Refusal, Refused, Report, SyncAnswer, SyncRequest, TaskReport, TaskUsage,
 };
 
 /// A start that really happened.
@@ -19,6 +19,18 @@
     pub at: Time,
 }
 
+/// What the tasks of a job do on any worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// What each one uses, which a worker with protection compares with the limit.
+    pub used: Option<Resources>,
+    /// How long an attempt runs and how it ends then.
+    pub end: Option<(Span, Phase)>,
+}
+
+/// How long an attempt runs on a worker that fails everything.
+const FAILS_AFTER: Span = Span::from_secs(1);
+
 /// Time that a task takes to write its checkpoint and stop.
 const STOP_TIME: Span = Span::from_millis(700);
 
@@ -26,7 +38,7 @@
 #[derive(Debug)]
 pub struct FakeWorker {
     pub name: WorkerName,
-    shard: ShardName,
+    pub shard: ShardName,
     incarnation: u64,
     /// Start of the clock and its rate in permille of real time.
     clock: (u64, u64),
@@ -47,6 +59,11 @@
     pub forgotten: Vec<(TaskId, Attempt)>,
     /// Obeys any epoch, to show that the oracle notices.
     pub unfenced: bool,
+    /// Whether everything that it starts fails.
+    pub fails: bool,
+    pub plans: IndexMap<JobName, Plan>,
+    /// When each attempt that runs was started.
+    began: IndexMap<(TaskId, Attempt), Time>,
 }
 
 impl FakeWorker {
@@ -68,6 +85,9 @@
             started: Vec::new(),
             forgotten: Vec::new(),
             unfenced: false,
+            fails: false,
+            plans: IndexMap::new(),
+            began: IndexMap::new(),
         }
     }
 
@@ -85,8 +105,48 @@
         self.running().map(|r| r.limit).sum()
     }
 
+    /// Ends what ends by itself or uses more memory than its limit.
+    fn follow_plans(&mut self, now: Time) {
+        for (key, report) in &mut self.attempts {
+            let Some(began) = self.began.get(key).filter(|_| !report.phase.is_ended()) else {
+                continue;
+            };
+            let plan = self.plans.get(&report.task.job);
+            let used = plan.and_then(|p| p.used).unwrap_or_default();
+            let end = match self.fails {
+                true => Some((FAILS_AFTER, Phase::Failed)),
+                false => plan.and_then(|p| p.end),
+            };
+            if used.memory > report.limit.memory {
+                report.phase = Phase::OverLimit;
+            } else if let Some((span, phase)) = end
+                && now.since(*began) >= span
+            {
+                report.phase = phase;
+            } else {
+                continue;
+            }
+            self.version += 1;
+        }
+    }
+
+    fn usage(&self) -> Vec<TaskUsage> {
+        let usage = self.running().filter_map(|report| {
+            let used = self.plans.get(&report.task.job)?.used?;
+            let cpu = used.cpu.min(report.limit.cpu);
+            Some(TaskUsage {
+                task: report.task.clone(),
+                attempt: report.attempt,
+                used: Resources { cpu, ..used },
+                wanted: used.cpu,
+            })
+        });
+        usage.collect()
+    }
+
     /// Stops what was told to stop and everything whose lease has ended.
     pub fn advance(&mut self, now: Time) {
+        self.follow_plans(now);
         let due = self.stopping.iter().filter(|(_, (at, _))| *at <= now);
         let due: Vec<_> = due.map(|(key, (_, phase))| (key.clone(), *phase)).collect();
         for (key, phase) in due {
@@ -119,6 +179,7 @@
         self.obeyed = (Epoch(0), 0);
         self.lease = None;
         self.attempts.clear();
+        self.began.clear();
         self.newest.clear();
         self.version = 1;
     }
@@ -186,7 +247,7 @@
             lease: self.lease,
             version: self.version,
             inventory: (!have).then_some(inventory),
-            usage: Vec::new(),
+            usage: self.usage(),
             lag: Span::ZERO,
             refused,
             leaving: self.leaving,
@@ -223,7 +284,9 @@
                 None
             }
             Command::Forget { task, attempt } => {
-                let report = self.attempts.shift_remove(&(task.clone(), *attempt))?;
+                let key = (task.clone(), *attempt);
+                let report = self.attempts.shift_remove(&key)?;
+                self.began.shift_remove(&key);
                 self.version += 1;
                 if report.phase == Phase::Succeeded {
                     self.forgotten.push((task.clone(), *attempt));
@@ -283,6 +346,7 @@
             checkpoint: checkpoint.clone(),
         };
         self.attempts.insert((task.clone(), *attempt), report);
+        self.began.insert((task.clone(), *attempt), now);
         self.started.push(Started {
             worker: self.name.clone(),
             task: task.clone(),
--- a/crates/jujubelb/tests/shard/support/world.rs
+++ b/crates/jujubelb/tests/shard/support/world.rs
@@ -16,7 +16,7 @@
 use jujubelb::worker::{SyncAnswer, SyncRequest};
 
 use super::oracle::Oracle;
-use super::policy::{Scripted, Wish};
+use super::policy::{Base, Scripted, Wish};
 use super::store::FakeStore;
 use super::worker::FakeWorker;
 
@@ -144,7 +144,7 @@
     }
 }
 
-fn config() -> Config {
+fn config(workers: usize) -> Config {
     let mut config = Config {
         revision: Revision(1),
         ..Config::default()
@@ -171,7 +171,7 @@
             shard: (*shard).into(),
         };
         config.racks.insert((*shard).into(), rack);
-        for w in 0..WORKERS_PER_SHARD {
+        for w in 0..workers {
             let worker = Worker {
                 rack: (*shard).into(),
                 address: ([127, 0, 0, 1], 1).into(),
@@ -179,7 +179,7 @@
                 reserved: RESERVED,
                 protection: true,
             };
-            let name = format!("w{}", i * WORKERS_PER_SHARD + w);
+            let name = format!("w{}", i * workers + w);
             config.workers.insert(name.as_str().into(), worker);
         }
     }
@@ -188,7 +188,12 @@
 
 impl World {
     pub fn new(sabotage: Sabotage) -> Self {
-        let mut config = config();
+        Self::sized(sabotage, WORKERS_PER_SHARD, Base::FirstFit)
+    }
+
+    /// A world with this many workers in each shard, whose owners have this policy.
+    pub fn sized(sabotage: Sabotage, workers: usize, base: Base) -> Self {
+        let mut config = config(workers);
         if sabotage == Sabotage::Overstate {
             for worker in config.workers.values_mut() {
                 worker.capacity += CAPACITY;
@@ -222,15 +227,15 @@
             last_codes: IndexMap::new(),
             sabotage,
         };
-        world.populate();
+        world.populate(workers, base);
         world
     }
 
-    fn populate(&mut self) {
+    fn populate(&mut self, workers: usize, base: Base) {
         let rates = [1_000, 970, 1_030, 990];
         for (i, shard) in SHARDS.iter().enumerate() {
-            for w in 0..WORKERS_PER_SHARD {
-                let n = i * WORKERS_PER_SHARD + w;
+            for w in 0..workers {
+                let n = i * workers + w;
                 let clock = (900_000_000 + 7_000_000 * n as u64, rates[n % rates.len()]);
                 let mut worker = FakeWorker::new(&format!("w{n}"), shard, clock);
                 worker.unfenced = self.sabotage == Sabotage::SkipFencing;
@@ -253,7 +258,7 @@
                     silent: false,
                     deaf: false,
                     revision: Revision(0),
-                    wishes: Scripted::default(),
+                    wishes: Scripted::new(base),
                 });
             }
         }
@@ -265,8 +270,13 @@
         }
     }
 
+    /// The present by the calendar, which all processes agree on.
+    fn calendar(&self) -> WallTime {
+        WallTime::from_millis(1_700_000_000_000 + self.now.as_micros() / 1_000)
+    }
+
     /// The present by a process's clock.
-    pub(super) fn local(&self, p: usize) -> Time {
+    pub fn local(&self, p: usize) -> Time {
         let rate = if self.sabotage == Sabotage::IgnoreLeases {
             8
         } else {
@@ -308,11 +318,11 @@
         let identity = Identity {
             shard,
             me,
-            clocks: (now, WallTime::from_millis(1_700_000_000_000)),
+            clocks: (now, self.calendar()),
         };
         let process = &mut self.processes[p];
         process.revision = config.revision;
-        let policy = process.wishes.clone();
+        let policy = process.wishes.renewed();
         process.owner = Some(Owner::new(identity, now, now, opened, config, policy));
         process.journal = Some(journal);
         process.unresolved = None;
@@ -430,7 +440,7 @@
     }
 
     /// The process that owns a shard as far as peers can tell.
-    pub(super) fn owner_of(&self, shard: &ShardName) -> Option<usize> {
+    pub fn owner_of(&self, shard: &ShardName) -> Option<usize> {
         let owners = (0..self.processes.len()).filter(|p| {
             let process = &self.processes[*p];
             &process.shard == shard && process.owner.is_some() && !process.paused
@@ -620,12 +630,7 @@
         self.watch_log();
         for (worker, _) in &mut self.workers {
             worker.advance(self.now);
-            let domain = if worker.name.as_str() < "w2" {
-                "a"
-            } else {
-                "b"
-            };
-            let out = self.out_since.get(domain).copied();
+            let out = self.out_since.get(&worker.shard).copied();
             for key in std::mem::take(&mut worker.forgotten) {
                 self.oracle.forgotten(&key);
             }
@@ -647,6 +652,8 @@
         for (worker, _) in &mut self.workers {
             worker.cut = false;
             worker.leaving = false;
+            worker.fails = false;
+            worker.plans.clear();
         }
         for process in &mut self.processes {
             process.silent = false;
