Bound hand-offs of disturbing tasks and name the right end of a hand-off

Cause: a task that disturbs services was handed to and fro between two shards every ten seconds, as free room does not show whether services there are calm; its age started anew each time. The record of the receiving shard read "handed off to" the source. Code 400 spoke of submissions to a caller who cancelled. Change: the wait for a calmer worker doubles with each attempt; the receiver records a move to itself, and a refusal at itself; code 400 says that nothing was accepted. Conclusion: what no shard starts stays long enough in one shard to age.

--- a/crates/jujubelb/src/model/code.rs
+++ b/crates/jujubelb/src/model/code.rs
@@ -99,7 +99,7 @@
     KeyInUse = 303, 409, Unknown, "find out from the service before repeating it with a new key";
     /// This attempt was not sent; whether an earlier attempt with the same key ran is not known.
     ClaimUnavailable = 304, 503, Unknown, "retry with the same key";
-    /// The store is unavailable; the submission is not accepted.
+    /// The store is unavailable; nothing was accepted.
     StoreUnavailable = 400, 503, No, "retry later";
     /// Another job with this name and other content exists.
     JobConflict = 401, 409, No, "choose another name";
--- a/crates/jujubelb/src/place/policy/start.rs
+++ b/crates/jujubelb/src/place/policy/start.rs
@@ -6,7 +6,7 @@
 use super::facts::{count, decision, need_and_free, need_and_quota, permille, span};
 use super::outlook::Placing;
 use super::sync::is_queued;
-use crate::model::{Cause, Fact, JobSpec, Priority, Resources, Span, TaskId, Time};
+use crate::model::{Attempt, Cause, Fact, JobSpec, Priority, Resources, Span, TaskId, Time};
 use crate::place::choose::{NoPick, Pick, Request, pick};
 use crate::place::fair::{Head, STARVING};
 use crate::place::quota;
@@ -24,6 +24,9 @@
 const PATIENCE_ROOM: Span = Span::from_secs(10);
 const PATIENCE_QUOTA: Span = Span::from_secs(2);
 
+/// Most doublings of the patience: more than a task needs to become starving in one shard.
+const DOUBLINGS: u64 = 7;
+
 /// How long the room of one worker is kept for a batch task that starves. It is
 /// renewed while the task waits.
 const STARVING_HOLD: Span = Span::from_secs(60);
@@ -46,6 +49,17 @@
     }
 }
 
+/// Doubles the wait for a calmer worker with each attempt, and a hand-off counts
+/// as one. Free room of a shard does not show whether its services are calm.
+/// Otherwise a task that no shard starts would go to and fro every few seconds,
+/// and its age, which counts anew in each shard, would never put it in front.
+pub(super) fn lengthened(patience: Span, cause: Cause, attempt: Attempt) -> Span {
+    if cause != Cause::Interference {
+        return patience;
+    }
+    Span::from_micros(patience.as_micros() << attempt.0.min(DOUBLINGS))
+}
+
 /// What one pass has done so far.
 #[derive(Default)]
 pub(super) struct Pass {
@@ -202,6 +216,9 @@
         facts: Vec<Fact>,
     ) {
         let waited = view.now.since(want.head.since);
+        let task = view.state.tasks.get(&want.head.task);
+        let attempt = task.map_or(Attempt(0), |task| task.attempt);
+        let patience = lengthened(patience, cause, attempt);
         if waited >= patience && self.hand_off(view, pass, want, cause, &facts) {
             return;
         }
--- a/crates/jujubelb/src/place/policy/tests/mod.rs
+++ b/crates/jujubelb/src/place/policy/tests/mod.rs
@@ -4,7 +4,7 @@
 use self::fake::{Counting, Fake, GIB, config, job, peer, shard, worker};
 use super::*;
 use crate::journal::EndedBy;
-use crate::model::{Cause, Priority, Resources};
+use crate::model::{Attempt, Cause, Priority, Resources};
 use crate::shard::Choice;
 use crate::worker::Phase;
 
@@ -202,6 +202,18 @@
     );
 }
 
+/// Guards against a task that no shard starts beside its services and that goes
+/// to and fro between them, so that it never grows old enough to be put in front.
+#[test]
+fn a_disturbing_task_that_was_moved_waits_longer_before_it_is_moved_again() {
+    let ten = Span::from_secs(10);
+    let wait = |cause, attempt| start::lengthened(ten, cause, Attempt(attempt));
+    assert_eq!(wait(Cause::Interference, 0), ten);
+    assert_eq!(wait(Cause::Interference, 3), Span::from_secs(80));
+    assert!(wait(Cause::Interference, 1_000) > crate::place::fair::STARVING);
+    assert_eq!(wait(Cause::NoCapacity, 3), ten);
+}
+
 /// Guards against work that stays queued in a domain that operators took out,
 /// or starts there again. The owner itself evicts what runs there.
 #[test]
--- a/crates/jujubelb/src/shard/handoff.rs
+++ b/crates/jujubelb/src/shard/handoff.rs
@@ -114,11 +114,11 @@
         let taken = self.takes(&offer);
         let subject = Subject::Task(offer.task.clone());
         let (change, action, cause) = match taken {
-            true => (receipt(&offer), Action::HandOff, Cause::RoomElsewhere),
+            true => (receipt(&offer), Action::Move, Cause::RoomElsewhere),
             false => (refusal(&offer), Action::Refuse, Cause::NoCapacity),
         };
         let note = Note::new(subject, action, cause)
-            .at(offer.from.as_str())
+            .at(self.shard.as_str())
             .parent(offer.parent);
         let reply = Reply::Offer(ticket, answer_for(taken));
         self.plan_with(now, change, Some(note), Some(reply));
