--- a/crates/jujubelb/src/place/policy/start.rs
+++ b/crates/jujubelb/src/place/policy/start.rs
@@ -6,7 +6,7 @@
 use super::facts::{count, decision, need_and_free, need_and_quota, permille, span};
 use super::outlook::Placing;
 use super::sync::is_queued;
-use crate::model::{Cause, Fact, JobSpec, Priority, Resources, Span, TaskId, Time};
+use crate::model::{Attempt, Cause, Fact, JobSpec, Priority, Resources, Span, TaskId, Time};
 use crate::place::choose::{NoPick, Pick, Request, pick};
 use crate::place::fair::{Head, STARVING};
 use crate::place::quota;
@@ -44,19 +44,21 @@
         self.job.task.priority == Priority::Urgent
     }
 
-    /// How long the task waits before it is handed off. Doubles with each
-    /// attempt, and a handoff uses up one: a task that no shard can start would
-    /// otherwise go round for ever, and its wait for its turn starts anew each time.
-    fn patience(&self, view: &View<'_>, batch: Span) -> Span {
-        if self.is_urgent() {
-            return Span::ZERO;
-        }
-        let stored = view.state.tasks.get(&self.head.task);
-        let tries = stored.map_or(0, |t| t.attempt.0.min(MOST_DOUBLINGS));
-        batch.scale_up(1 << tries, 1)
+    /// How long the task waits before it is handed off.
+    fn patience(&self, batch: Span) -> Span {
+        if self.is_urgent() { Span::ZERO } else { batch }
     }
 }
 
+/// Doubles the wait before a handoff with each attempt, and a handoff counts as
+/// one. The free room of a shard shows neither whether its services are calm nor
+/// whether the team's quota there is used up. Otherwise a task that no shard
+/// starts would go to and fro every few seconds, and its age, which counts anew
+/// in each shard, would never put it in front.
+pub(super) fn lengthened(patience: Span, attempt: Attempt) -> Span {
+    Span::from_micros(patience.as_micros() << attempt.0.min(MOST_DOUBLINGS))
+}
+
 /// What one pass has done so far.
 #[derive(Default)]
 pub(super) struct Pass {
@@ -122,7 +124,7 @@
         let left = self.quota_left(&job.team);
         if !need.fits(&left) {
             let facts = need_and_quota(&need, &left);
-            let why = (want.patience(view, PATIENCE_QUOTA), Cause::QuotaExhausted);
+            let why = (want.patience(PATIENCE_QUOTA), Cause::QuotaExhausted);
             self.elsewhere(view, pass, &want, why, facts);
             return;
         }
@@ -199,7 +201,7 @@
         if view.now.since(head.since) >= STARVING {
             self.hold_for_starving(view.now, head, &need);
         }
-        let why = (want.patience(view, PATIENCE_ROOM), cause);
+        let why = (want.patience(PATIENCE_ROOM), cause);
         self.elsewhere(view, pass, want, why, facts);
     }
 
@@ -213,6 +215,9 @@
         facts: Vec<Fact>,
     ) {
         let waited = view.now.since(want.head.since);
+        let task = view.state.tasks.get(&want.head.task);
+        let attempt = task.map_or(Attempt(0), |task| task.attempt);
+        let patience = lengthened(patience, attempt);
         if waited >= patience && self.hand_off(view, pass, want, cause, &facts) {
             return;
         }
--- a/crates/jujubelb/src/place/policy/tests/mod.rs
+++ b/crates/jujubelb/src/place/policy/tests/mod.rs
@@ -4,7 +4,7 @@
 use self::fake::{Counting, Fake, GIB, config, job, peer, shard, worker};
 use super::*;
 use crate::journal::EndedBy;
-use crate::model::{Cause, Priority, Resources};
+use crate::model::{Attempt, Cause, Priority, Resources};
 use crate::shard::Choice;
 use crate::worker::Phase;
 
@@ -202,6 +202,19 @@
     );
 }
 
+/// Guards against a task that no shard starts and that goes to and fro between
+/// them, so that it never grows old enough to be put in front. Work that leaves a
+/// domain at once still does.
+#[test]
+fn a_task_that_was_moved_waits_longer_before_it_is_moved_again() {
+    let ten = Span::from_secs(10);
+    let wait = |attempt| start::lengthened(ten, Attempt(attempt));
+    assert_eq!(wait(0), ten);
+    assert_eq!(wait(3), Span::from_secs(80));
+    assert!(wait(1_000) > crate::place::fair::STARVING);
+    assert_eq!(start::lengthened(Span::ZERO, Attempt(3)), Span::ZERO);
+}
+
 /// Guards against work that stays queued in a domain that operators took out,
 /// or starts there again. The owner itself evicts what runs there.
 #[test]
--- a/crates/jujubelb/src/shard/handoff.rs
+++ b/crates/jujubelb/src/shard/handoff.rs
@@ -113,12 +113,18 @@
     fn answer_offer(&mut self, now: Time, ticket: Ticket, offer: Offer) {
         let taken = self.takes(&offer);
         let subject = Subject::Task(offer.task.clone());
-        let (change, action, cause) = match taken {
-            true => (receipt(&offer), Action::Receive, Cause::RoomElsewhere),
-            false => (refusal(&offer), Action::Refuse, Cause::NoCapacity),
+        let (change, action, cause, place) = match taken {
+            true => {
+                let (action, cause) = (Action::Receive, Cause::RoomElsewhere);
+                (receipt(&offer), action, cause, &offer.from)
+            }
+            false => {
+                let (action, cause) = (Action::Refuse, Cause::NoCapacity);
+                (refusal(&offer), action, cause, &self.shard)
+            }
         };
         let note = Note::new(subject, action, cause)
-            .at(offer.from.as_str())
+            .at(place.as_str())
             .parent(offer.parent);
         let reply = Reply::Offer(ticket, answer_for(taken));
         self.plan_with(now, change, Some(note), Some(reply));
