Complete tasks whose lost attempt is found ended, and protect small shards

Cause: a worker cut off for 19 s finished a task and came back with the result, but the owner had given the attempt up and ran the task again. Shards of fewer than ten workers never quarantined a worker, since a tenth of them is none. Covered segments could pile up: 4 deletions/s against 6.7 appends/s. Change: a new log change completes a queued task whose newest attempt is found in the inventory as ended well; the worker is told to forget it only then. The oracle counts it as a completion. One worker may be in quarantine in a shard of four to nine; the test of the bound states this rule. 8 deletions/s.

--- a/crates/jujubelb/src/journal/segment.rs
+++ b/crates/jujubelb/src/journal/segment.rs
@@ -152,6 +152,14 @@
     },
     /// The shard's owner gave up its term in a planned stop: it renews no lease any more.
     StoodDown,
+    /// An attempt that was given up as lost turned out to have ended well before
+    /// the task was assigned again. Stored before the worker is told to forget it.
+    Found {
+        /// The task.
+        task: TaskId,
+        /// The attempt.
+        attempt: Attempt,
+    },
 }
 
 /// One entry of a shard's log.
--- a/crates/jujubelb/src/place/attribution/mod.rs
+++ b/crates/jujubelb/src/place/attribution/mod.rs
@@ -92,6 +92,15 @@
     domain: Time,
 }
 
+/// Fewest workers of a shard that can spare one. A shard of one rack has fewer
+/// than ten workers and must be protected from a broken one too.
+const SPARES_ONE: usize = 4;
+
+/// Workers of a shard that may be in quarantine.
+pub(super) fn most_quarantined(total: usize) -> usize {
+    (total / QUARANTINE_SHARE).max(usize::from(total >= SPARES_ONE))
+}
+
 impl Attribution {
     /// Takes in an attempt that succeeded.
     pub(crate) fn succeeded(&mut self, now: Time, worker: &WorkerName, task: &TaskId) {
@@ -146,7 +155,7 @@
         self.detect_domain(now, total);
         let mut verdicts = self.readmissions(now, quarantined);
         let held = quarantined.len() - verdicts.len().min(quarantined.len());
-        let room = (total / QUARANTINE_SHARE).saturating_sub(held);
+        let room = most_quarantined(total).saturating_sub(held);
         verdicts.extend(self.quarantines(now, room, quarantined));
         verdicts.extend(self.parks(now, quarantined));
         self.prune(now);
--- a/crates/jujubelb/src/place/attribution/tests.rs
+++ b/crates/jujubelb/src/place/attribution/tests.rs
@@ -164,7 +164,13 @@
     TestRunner::new(config)
         .run(&inputs, |(ends, total)| {
             let most = most_quarantined(&ends, total, bounded);
-            prop_assert!(most <= total / 10, "{} of {}", most, total);
+            // One in ten, and one in a shard of four to nine workers.
+            let bound = if (4..10).contains(&total) {
+                1
+            } else {
+                total / 10
+            };
+            prop_assert!(most <= bound, "{} of {}", most, total);
             Ok(())
         })
         .map_err(|e| e.to_string())
--- a/crates/jujubelb/src/scheduler/journal.rs
+++ b/crates/jujubelb/src/scheduler/journal.rs
@@ -17,9 +17,10 @@
 const AGAIN: Span = Span::from_millis(300);
 
 /// Interval of deleting covered segments, and how many are deleted at a time.
-/// That is 4 writes/s at most, and less than one for each shard on average.
+/// That is 8 writes/s at most, above the 6.7 segments/s that a shard may append:
+/// a slower rate would let covered segments pile up at a lasting peak.
 const TIDY_EVERY: Span = Span::from_secs(2);
-const TIDY: usize = 8;
+const TIDY: usize = 16;
 
 /// What the owner asks of the journal.
 #[derive(Debug)]
--- a/crates/jujubelb/src/shard/apply.rs
+++ b/crates/jujubelb/src/shard/apply.rs
@@ -93,6 +93,18 @@
         true
     }
 
+    /// Completes a task whose lost attempt ended well.
+    pub(super) fn find(&mut self, id: &TaskId, attempt: Attempt) -> bool {
+        if !self.is_waiting_after(id, attempt) {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.done += 1;
+        }
+        self.drop_task(id);
+        true
+    }
+
     /// Queues a task that runs nowhere, or drops or parks it as its job demands.
     fn requeue(&mut self, id: &TaskId) {
         let Some(job) = self.jobs.get(&id.job) else {
--- a/crates/jujubelb/src/shard/exchange.rs
+++ b/crates/jujubelb/src/shard/exchange.rs
@@ -5,7 +5,7 @@
 use super::owner::{EVIDENCE_VALID, Owner};
 use super::policy::{News, Policy};
 use crate::model::{Attempt, Code, Resources, Span, TaskId, Time, WorkerName, WorkerTime};
-use crate::worker::{Command, Report, SyncAnswer, SyncRequest, TaskReport};
+use crate::worker::{Command, Phase, Report, SyncAnswer, SyncRequest, TaskReport};
 
 /// Time for a task to write its checkpoint and stop, after which it is stopped
 /// without one: a task that hangs must not keep a domain from being cleared. To be tuned.
@@ -91,6 +91,12 @@
             let command = match stored {
                 Some(_) if report.phase.is_ended() => None,
                 Some(limit) => self.command_for_running(now, report, limit),
+                // Its completion is not stored yet.
+                None if report.phase == Phase::Succeeded
+                    && self.book.stored.is_waiting_after(task, *attempt) =>
+                {
+                    None
+                }
                 None if report.phase.is_ended() => Some(Command::Forget {
                     task: task.clone(),
                     attempt: *attempt,
--- a/crates/jujubelb/src/shard/reconcile.rs
+++ b/crates/jujubelb/src/shard/reconcile.rs
@@ -94,6 +94,27 @@
         for key in absent {
             self.take_absence(now, worker, &key);
         }
+        self.take_found(now, worker);
+    }
+
+    /// Completes tasks whose attempt ended well on a worker that could not be
+    /// reached until its lease had ended, unless they were assigned again.
+    fn take_found(&mut self, now: Time, worker: &WorkerName) {
+        let Some(link) = self.links.get(worker) else {
+            return;
+        };
+        let planned = &self.book.planned;
+        let found = link.inventory.iter().filter(|((task, attempt), report)| {
+            report.phase == Phase::Succeeded && planned.is_waiting_after(task, *attempt)
+        });
+        let found: Vec<_> = found.map(|(key, _)| key.clone()).collect();
+        for (task, attempt) in found {
+            let subject = Subject::Task(task.clone());
+            let note = Note::new(subject, Action::Complete, Cause::Finished)
+                .at(worker.as_str())
+                .facts(vec![attempt_fact(attempt)]);
+            self.plan(now, Change::Found { task, attempt }, Some(note));
+        }
     }
 
     /// Whether the absence of an attempt from the inventory is conclusive: its
--- a/crates/jujubelb/src/shard/state.rs
+++ b/crates/jujubelb/src/shard/state.rs
@@ -197,6 +197,7 @@
                 self.owners.retain(|epoch, _| epoch >= below);
                 true
             }
+            Change::Found { task, attempt } => self.find(task, *attempt),
             Change::StoodDown => self.owners.shift_remove(&self.epoch).is_some(),
         };
         match fitted {
@@ -205,6 +206,12 @@
         }
     }
 
+    /// Whether a task is queued and this is its newest attempt.
+    pub(super) fn is_waiting_after(&self, id: &TaskId, attempt: Attempt) -> bool {
+        let task = self.tasks.get(id);
+        task.is_some_and(|task| task.state == TaskState::Queued && task.attempt == attempt)
+    }
+
     /// Tasks that wait for a worker, in order of arrival.
     pub fn queued(&self) -> impl Iterator<Item = (&TaskId, &Task, &JobSpec)> {
         self.tasks
--- a/crates/jujubelb/tests/shard/support/oracle.rs
+++ b/crates/jujubelb/tests/shard/support/oracle.rs
@@ -62,6 +62,7 @@
                     self.checkpoints.insert(task, checkpoint);
                 }
                 Change::Ended { task, attempt, by } => self.end(task, attempt, by),
+                Change::Found { task, attempt } => self.end(task, attempt, EndedBy::Success),
                 Change::Received { task, attempt, .. }
                     if !self.received.insert((task.clone(), attempt)) =>
                 {
