--- a/crates/jujubelb/src/shard/owner.rs
+++ b/crates/jujubelb/src/shard/owner.rs
@@ -34,6 +34,10 @@
 /// a shorter gap starts nothing earlier. To be tuned.
 const DECIDE_GAP: Span = Span::from_millis(50);
 
+/// Shortest time between two looks over all workers. An input arrives every few
+/// milliseconds, and neither lost workers nor evictions need that precision.
+const SWEEP_GAP: Span = Span::from_millis(50);
+
 /// Who and where an owner is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -89,6 +93,8 @@
     stopping: bool,
     over: Option<StepDown>,
     decided: Time,
+    /// When all workers were last looked at.
+    swept: Time,
     pub(super) dirty: bool,
     pub(super) outs: Vec<Output>,
 }
@@ -134,6 +140,7 @@
             stopping: false,
             over: None,
             decided: now,
+            swept: now,
             dirty: true,
             outs: Vec::new(),
         };
@@ -305,8 +312,7 @@
         let answers = self.outbox.expire(now);
         self.outs.extend(answers);
         if !self.stopping {
-            self.relocate(now);
-            self.clear_out(now);
+            self.sweep_if_due(now);
             self.decide_if_due(now);
             self.send_offers(now);
             self.send_passes(now);
@@ -322,6 +328,16 @@
         self.stopping
     }
 
+    /// Looks for workers whose lease has ended or that may have no tasks.
+    fn sweep_if_due(&mut self, now: Time) {
+        if now.since(self.swept) < SWEEP_GAP {
+            return;
+        }
+        self.swept = now;
+        self.relocate(now);
+        self.clear_out(now);
+    }
+
     /// Asks the policy if something has changed or some time has passed.
     fn decide_if_due(&mut self, now: Time) {
         let gap = if self.dirty { DECIDE_GAP } else { DECIDE_EVERY };
