Compute the cost of control at the target size from recorded slopes

Cause: the design has to hold at 2,600 workers, and nobody had worked out what each role costs there.

--- a/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
@@ -8,6 +8,7 @@
 use jujubelb_lab::bench::placement::Placement;
 use jujubelb_lab::bench::routing::Routing;
 use jujubelb_lab::bench::{All, Format, Measurement, export};
+use jujubelb_lab::capacity::{SLOPES, Slopes};
 
 #[derive(Parser)]
 #[command(name = "jujubelb-bench", version, about)]
@@ -33,12 +34,18 @@
     Control(Control),
     /// All measurements, one after the other.
     All(All),
+    /// The table of docs/CAPACITY.md, computed from the recorded slopes.
+    Capacity,
     /// Processor time and message sizes of a shard's owner.
     Owner(OwnerCost),
 }
 
 fn main() -> eyre::Result<()> {
     let cli = Cli::parse();
+    if matches!(cli.what, What::Capacity) {
+        print!("{}", Slopes::parse(SLOPES)?.table());
+        return Ok(());
+    }
     let reports = match &cli.what {
         What::Routing(routing) => vec![routing.run()],
         What::Placement(placement) => vec![placement.run()],
@@ -47,6 +54,7 @@
         What::Control(control) => vec![control.run()],
         What::All(all) => all.run(),
         What::Owner(owner) => vec![owner.run()],
+        What::Capacity => Vec::new(),
     };
     println!("{}", export(&reports, cli.format)?);
     Ok(())
--- a/crates/jujubelb-lab/src/lib.rs
+++ b/crates/jujubelb-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! endpoints, and note what really happened to them. They model no cluster.
 
 pub mod bench;
+pub mod capacity;
 pub mod demo;
 pub mod load;
 pub mod program;
