Give an eviction's checkpoint and end the cause of the eviction

Cause: the chain of an evicted task said that a caller asked for the checkpoint (600) and that the end of the work was reported (634), which hid the reason in the two records that an operator looks at last. Change: the owner keeps the cause of each eviction and gives it, with the link to the decision, to the checkpoint and to the end. Conclusion: every step of an eviction names why it was made.

--- a/crates/jujubelb/src/shard/decide.rs
+++ b/crates/jujubelb/src/shard/decide.rs
@@ -3,7 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::link::Link;
-use super::owner::Owner;
+use super::owner::{Eviction, Owner};
 use super::policy::{Choice, Decision, Occupant, Policy, View, WorkerView};
 use super::reconcile::{Ending, attempt_fact};
 use super::recorder::Note;
@@ -345,8 +345,17 @@
             return true;
         }
         if self.may_run(&worker, &key) {
-            let id = self.record(now, note.at(worker.as_str()));
-            self.evicting.insert(key, (now, id));
+            let cause = note.cause;
+            let record = self.record(now, note.at(worker.as_str()));
+            let since = now;
+            self.evicting.insert(
+                key,
+                Eviction {
+                    since,
+                    record,
+                    cause,
+                },
+            );
             self.wake(&worker);
         } else {
             let ending = Ending::unreported(EndedBy::NotStarted, note.cause, note.parent);
--- a/crates/jujubelb/src/shard/exchange.rs
+++ b/crates/jujubelb/src/shard/exchange.rs
@@ -124,8 +124,8 @@
         if self.book.stored.jobs.get(&task.job)?.cancelled {
             return Some(Command::Stop { task, attempt });
         }
-        if let Some((since, _)) = self.evicting.get(&(task.clone(), attempt)) {
-            return Some(match now.since(*since) < EVICT_PATIENCE {
+        if let Some(eviction) = self.evicting.get(&(task.clone(), attempt)) {
+            return Some(match now.since(eviction.since) < EVICT_PATIENCE {
                 true => Command::Evict { task, attempt },
                 false => Command::Stop { task, attempt },
             });
--- a/crates/jujubelb/src/shard/owner.rs
+++ b/crates/jujubelb/src/shard/owner.rs
@@ -49,6 +49,14 @@
     pub clocks: (Time, WallTime),
 }
 
+/// The decision to checkpoint and stop an attempt.
+#[derive(Debug, Clone)]
+pub(super) struct Eviction {
+    pub(super) since: Time,
+    pub(super) record: RecordId,
+    pub(super) cause: Cause,
+}
+
 /// The owner of one shard for one term.
 ///
 /// The process carries out the outputs in order. It gives exactly one `Synced`
@@ -69,8 +77,8 @@
     pub(super) recovery: Recovery,
     /// Start of the read that last confirmed the configuration in force.
     pub(super) evidence: Option<Time>,
-    /// Attempts to be checkpointed and stopped, with the time and the record of the decision.
-    pub(super) evicting: IndexMap<(TaskId, Attempt), (Time, RecordId)>,
+    /// Attempts to be checkpointed and stopped.
+    pub(super) evicting: IndexMap<(TaskId, Attempt), Eviction>,
     /// Ends that the policy was told about and that are not stored yet.
     pub(super) told: IndexMap<TaskId, Attempt>,
     /// Queued tasks that failed and may not be tried before this time.
--- a/crates/jujubelb/src/shard/reconcile.rs
+++ b/crates/jujubelb/src/shard/reconcile.rs
@@ -156,7 +156,11 @@
         };
         let subject = Subject::Task(report.task.clone());
         let evicted = report.phase == Phase::Evicted;
-        let note = Note::new(subject, Action::Checkpoint, Cause::Requested).at(worker.as_str());
+        let eviction = self.evicting.get(&(report.task.clone(), report.attempt));
+        let cause = eviction.map_or(Cause::Requested, |e| e.cause);
+        let note = Note::new(subject, Action::Checkpoint, cause)
+            .at(worker.as_str())
+            .parent(eviction.map(|e| e.record.clone()));
         // Checkpoints that the worker writes on its own are no decision of this owner.
         self.plan(now, change, evicted.then_some(note));
     }
@@ -222,10 +226,13 @@
             return;
         };
         let key = (task.clone(), attempt);
-        let parent = ending
-            .parent
-            .or_else(|| self.evicting.get(&key).map(|(_, id)| id.clone()));
-        let note = Note::new(Subject::Task(task.clone()), ending.action, ending.cause)
+        let eviction = self.evicting.get(&key);
+        let parent = ending.parent.or_else(|| eviction.map(|e| e.record.clone()));
+        let cause = match (ending.by, eviction) {
+            (EndedBy::Eviction, Some(eviction)) => eviction.cause,
+            _ => ending.cause,
+        };
+        let note = Note::new(Subject::Task(task.clone()), ending.action, cause)
             .at(worker.as_str())
             .facts(vec![attempt_fact(attempt)])
             .parent(parent);
