--- a/crates/jujubelb-lab/src/capacity/mod.rs
+++ b/crates/jujubelb-lab/src/capacity/mod.rs
@@ -93,6 +93,25 @@
     mechanism: &'static str,
 }
 
+impl Row {
+    const fn new(
+        role: &'static str,
+        figure: &'static str,
+        (value, unit): (f64, &'static str),
+        limit: f64,
+        mechanism: &'static str,
+    ) -> Self {
+        Self {
+            role,
+            figure,
+            value,
+            unit,
+            limit,
+            mechanism,
+        }
+    }
+}
+
 impl Slopes {
     /// Reads slopes.
     pub fn parse(text: &str) -> Result<Self> {
@@ -129,13 +148,10 @@
             self.control.exchange_use_bytes,
         );
         let rate = self.constants.exchanges_per_s;
-        let row = |figure, bytes: f64| Row {
-            role: "worker",
-            figure,
-            value: bytes * rate / 1e3,
-            unit: "KB/s",
-            limit: TRAFFIC,
-            mechanism: "one lease and one exchange a worker; inventory only when it changed",
+        let mechanism = "one lease and one exchange a worker; inventory only when it changed";
+        let row = |figure, bytes: f64| {
+            let traffic = (bytes * rate / 1e3, "KB/s");
+            Row::new("worker", figure, traffic, TRAFFIC, mechanism)
         };
         vec![
             row("traffic, nothing new", idle),
@@ -146,40 +162,31 @@
     fn scheduler_rows(&self) -> Vec<Row> {
         let workers = self.target.workers / self.target.shards * self.constants.exchanges_per_s;
         let decode = workers * self.control.exchange_decode_us / 1e3;
-        let row = |figure, value, unit, limit, mechanism| Row {
-            role: "scheduler",
-            figure,
-            value,
-            unit,
-            limit,
-            mechanism,
+        let row = |figure, measured, limit, mechanism| {
+            Row::new("scheduler", figure, measured, limit, mechanism)
         };
         vec![
             row(
                 "owner of one shard, processor time",
-                self.owner.cpu_ms,
-                "ms/s",
+                (self.owner.cpu_ms, "ms/s"),
                 CPU,
                 "shards of at most 104 workers; decisions at most every 50 ms",
             ),
             row(
                 "decoding of reports, processor time",
-                decode,
-                "ms/s",
+                (decode, "ms/s"),
                 CPU,
                 "the same",
             ),
             row(
                 "memory of one shard's owner",
-                self.owner.memory_mb,
-                "MB",
+                (self.owner.memory_mb, "MB"),
                 MEMORY,
                 "state of one shard only; bounded records",
             ),
             row(
                 "exchanges with one shard's workers",
-                workers * self.control.exchange_use_bytes / 1e3,
-                "KB/s",
+                (workers * self.control.exchange_use_bytes / 1e3, "KB/s"),
                 TRAFFIC,
                 "nothing yet; see below",
             ),
@@ -189,33 +196,25 @@
     fn shared_rows(&self) -> Vec<Row> {
         let changes = self.target.changes_a_day / SECONDS_A_DAY;
         let work = changes * (self.control.check_ms + self.control.apply_ms);
-        let row = |figure, value, unit, limit, mechanism| Row {
-            role: "each process",
-            figure,
-            value,
-            unit,
-            limit,
-            mechanism,
+        let row = |figure, measured, limit, mechanism| {
+            Row::new("each process", figure, measured, limit, mechanism)
         };
         vec![
             row(
                 "heartbeats",
-                self.constants.heartbeat_bytes_per_s / 1e3,
-                "KB/s",
+                (self.constants.heartbeat_bytes_per_s / 1e3, "KB/s"),
                 TRAFFIC,
                 "interval follows from a byte budget",
             ),
             row(
                 "configuration pulls, mean",
-                changes * self.control.pull_bytes / 1e3,
-                "KB/s",
+                (changes * self.control.pull_bytes / 1e3, "KB/s"),
                 TRAFFIC,
                 "one reader a domain; peers pull",
             ),
             row(
                 "configuration check and apply, mean",
-                work,
-                "ms/s",
+                (work, "ms/s"),
                 CPU,
                 "contents by hash; whole configuration per change",
             ),
@@ -229,34 +228,26 @@
         let claims = self.target.jobs_a_day / SECONDS_A_DAY;
         let reads = self.target.domains + snapshots * self.control.reads_per_cycle;
         let bytes = appends * self.owner.segment_bytes + snapshots * self.owner.snapshot_bytes;
-        let row = |figure, value, unit, limit, mechanism| Row {
-            role: "store",
-            figure,
-            value,
-            unit,
-            limit,
-            mechanism,
+        let row = |figure, measured, limit, mechanism| {
+            Row::new("store", figure, measured, limit, mechanism)
         };
         vec![
             row(
                 "appends at a lasting peak",
-                appends,
-                "/s",
+                (appends, "/s"),
                 WRITES,
                 "group commit: grows with shards, not with starts",
             ),
             row(
                 "appends, deletions, snapshots, renewals, claims",
-                2.0 * appends + snapshots + renewals + claims,
-                "/s",
+                (2.0 * appends + snapshots + renewals + claims, "/s"),
                 WRITES,
                 "the same; deletions are paced",
             ),
-            row("reads", reads, "/s", READS, "one reader a domain"),
+            row("reads", (reads, "/s"), READS, "one reader a domain"),
             row(
                 "log and snapshots through a link between regions, at most",
-                bytes * 8.0 / 1e6,
-                "Mbit/s",
+                (bytes * 8.0 / 1e6, "Mbit/s"),
                 LINK,
                 "segments, no rewriting of state",
             ),
