Show each task once while it is handed off

Cause: in a handoff the source lists the task as offered and the target as queued, and jujubectl tasks showed both. Change: of several views of a task the one with the highest attempt is shown; the target's is one higher by construction. Figures: a test with a task at both ends shows one line where there were two. Conclusion: the list names the place where the task stands.

--- a/crates/jujubelb/src/operator/query.rs
+++ b/crates/jujubelb/src/operator/query.rs
@@ -7,6 +7,7 @@
 use super::api::Source;
 use crate::model::{NodeName, Record, RecordId, Span};
 use crate::peer::{Call, Query, Reply, View};
+use crate::shard::TaskView;
 
 /// Time for the answers of all processes. An operator waits for it if one is cut off.
 const PATIENCE: Span = Span::from_millis(2_000);
@@ -102,3 +103,11 @@
         found.insert(record.id.clone(), record);
     }
 }
+
+/// Each task once, in order. During a handoff two shards know a task; the target
+/// has the higher attempt.
+pub(super) fn newest(mut tasks: Vec<TaskView>) -> Vec<TaskView> {
+    tasks.sort_by(|a, b| (&a.task, b.attempt).cmp(&(&b.task, a.attempt)));
+    tasks.dedup_by(|later, kept| later.task == kept.task);
+    tasks
+}
--- a/crates/jujubelb/src/operator/routes.rs
+++ b/crates/jujubelb/src/operator/routes.rs
@@ -14,6 +14,7 @@
     APPLY_LIMIT, ApplyAnswer, ApplyRequest, ConfigView, ConfirmDead, DomainRequest, DoneBody,
     DumpView, EndpointRequest, ErrorBody, RecordsView, TasksView, TopView,
 };
+use super::query::newest;
 use super::{Operators, top};
 use crate::config::head::{self, Change, Contents, Edit};
 use crate::model::{Bytes, Code, DomainName, EndpointName, ShardName, Span, WorkerName};
@@ -225,8 +226,8 @@
     let views = operators
         .ask(Query::Tasks(shard.map(ShardName::from)))
         .await;
-    let mut tasks: Vec<_> = views.views.into_iter().flat_map(|v| v.tasks).collect();
-    tasks.sort_by(|a, b| a.task.cmp(&b.task));
+    let tasks = views.views.into_iter().flat_map(|v| v.tasks).collect();
+    let tasks = newest(tasks);
     let sources = views.sources;
     Ok(Good(TasksView { sources, tasks }))
 }
--- a/crates/jujubelb/src/operator/tests.rs
+++ b/crates/jujubelb/src/operator/tests.rs
@@ -1,5 +1,7 @@
+use super::query::newest;
 use super::token::{TokenError, Tokens};
-use crate::model::Time;
+use crate::model::{Attempt, Priority, Resources, TaskId, Time};
+use crate::shard::TaskView;
 
 /// Guards against a valid token that stops working during a rotation, and an
 /// old one that goes on working after it.
@@ -40,3 +42,28 @@
     assert!(matches!(read(), TokenError::Short(_)));
     assert!(!read().to_string().contains("guessable"));
 }
+
+/// Guards against a task that is listed twice while it is handed off.
+#[test]
+fn a_task_is_shown_once_where_its_attempt_is_newest() {
+    let view = |index, attempt, state: &str| TaskView {
+        task: TaskId {
+            job: "j".into(),
+            index,
+        },
+        team: "t".into(),
+        priority: Priority::Batch,
+        state: state.to_owned(),
+        attempt: Attempt(attempt),
+        worker: None,
+        limit: Resources::ZERO,
+        checkpoint: None,
+    };
+    let all = vec![
+        view(1, 0, "queued"),
+        view(0, 2, "offered to b"),
+        view(0, 3, "queued"),
+    ];
+    let shown: Vec<_> = newest(all).into_iter().map(|v| v.state).collect();
+    assert_eq!(shown, ["queued", "queued"]);
+}
