Show decisions that are in effect before they are stored

Cause: in a fresh clone the test of processes on the loss of an owner failed each time: it asked for the record of an eviction at the moment when the task was no longer shown as running, and got none. In a store outage the records of evictions would have stayed hidden for long. Change: an owner also shows unstored records of decisions that need no change and are in effect; the test waits for the record. Each world of processes has a loopback address of its own: one run failed because another test had taken its port. A limit that only gets room above the use has a cause of its own (641) in place of 'size wrong'. Conclusion: what is done can be explained at once, also without the store.

--- a/crates/jujubelb-lab/tests/processes/world.rs
+++ b/crates/jujubelb-lab/tests/processes/world.rs
@@ -23,8 +23,12 @@
 
 /// Ports that are free at the time of the call, for TCP and UDP.
 pub fn free(count: usize) -> Vec<SocketAddr> {
+    // Each call has a loopback address of its own: a port that was free a moment
+    // ago may otherwise be taken by another test.
+    static CALLS: AtomicUsize = AtomicUsize::new(1);
+    let own = format!("127.77.{}.1:0", CALLS.fetch_add(1, SeqCst) % 250);
     let bound = |_| loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").unwrap();
+        let tcp = TcpListener::bind(&own).unwrap();
         let address = tcp.local_addr().unwrap();
         if let Ok(udp) = UdpSocket::bind(address) {
             return (tcp, udp, address);
--- a/crates/jujubelb/src/model/record.rs
+++ b/crates/jujubelb/src/model/record.rs
@@ -225,6 +225,8 @@
     RampUp = 639, "nothing";
     /// The task would probably disturb a latency-critical service.
     InterferenceExpected = 640, "wait, or give the task workers without endpoints";
+    /// The limit got room above the observed use.
+    Headroom = 641, "nothing";
 }
 
 impl std::fmt::Display for Cause {
--- a/crates/jujubelb/src/place/policy/resize.rs
+++ b/crates/jujubelb/src/place/policy/resize.rs
@@ -210,7 +210,13 @@
         task: occupant.task.clone(),
         limit,
     };
-    decision(choice, Cause::SizeWrong, facts)
+    let grows = occupant.limit.fits(&limit);
+    let used_up = used.memory > occupant.limit.memory || wanted > occupant.limit.cpu;
+    let cause = match grows && !used_up {
+        true => Cause::Headroom,
+        false => Cause::SizeWrong,
+    };
+    decision(choice, cause, facts)
 }
 
 /// Reported use of the tasks that go on running.
--- a/crates/jujubelb/src/shard/outbox.rs
+++ b/crates/jujubelb/src/shard/outbox.rs
@@ -112,6 +112,14 @@
         }
     }
 
+    /// Records that are not stored yet of decisions that need no change and so
+    /// are in effect already.
+    pub(super) fn unstored(&self) -> impl Iterator<Item = &Record> {
+        let kept = self.inflight.iter().flat_map(|inflight| &inflight.kept);
+        let waiting = self.items.iter().filter(|item| item.change.is_none());
+        kept.chain(waiting.flat_map(|item| &item.records))
+    }
+
     pub(super) fn push(&mut self, item: Item) {
         self.items.push(item);
     }
--- a/crates/jujubelb/src/shard/views.rs
+++ b/crates/jujubelb/src/shard/views.rs
@@ -51,7 +51,7 @@
         Some(view)
     }
 
-    /// Stored decision records, oldest first: of one subject, as an operator
+    /// Decision records in effect, oldest first: of one subject, as an operator
     /// writes it, or of all, and at most `since` old.
     pub fn records(&self, now: Time, subject: Option<&str>, since: Option<Span>) -> Vec<Record> {
         let newest = self.recorder.wall(now);
@@ -59,7 +59,8 @@
             let recent = since.is_none_or(|since| newest.since(record.at) <= since);
             recent && subject.is_none_or(|subject| is_about(record, subject))
         };
-        let records = self.book.stored.records.iter();
+        let stored = self.book.stored.records.iter();
+        let records = stored.chain(self.outbox.unstored());
         records.filter(wanted).cloned().collect()
     }
 
--- a/crates/jujubelb/tests/shard/failures/store.rs
+++ b/crates/jujubelb/tests/shard/failures/store.rs
@@ -1,10 +1,10 @@
 //! Outages of the store and lost answers.
 
-use jujubelb::model::{Code, Span};
+use jujubelb::model::{Action, Code, Span};
 use jujubelb::shard::LEASE_WAIT;
 use jujubelb::worker::Phase;
 
-use super::{IN_A, SECOND, finish, running, started, world};
+use super::{IN_A, SECOND, finish, records, running, started, world};
 use crate::support::policy::Wish;
 use crate::support::store::Fault;
 use crate::support::world::job;
@@ -40,7 +40,8 @@
     finish(world);
 }
 
-/// Guards against an eviction that waits for the store although a stop needs no stored intent.
+/// Guards against an eviction that waits for the store although a stop needs no
+/// stored intent, and against one that nobody can explain until the store is back.
 #[test]
 fn evictions_go_on_while_the_store_is_down() {
     let mut world = running(1);
@@ -49,6 +50,8 @@
     world.wish(0, Wish::Evict(0));
     world.advance(SECOND + SECOND + SECOND);
     assert_eq!(started(&world), 0);
+    let records = records(&world, 0);
+    assert!(records.iter().any(|r| r.action == Action::Evict));
     finish(world);
 }
 
