Answer operators with decisions that are not stored yet

Cause: traced now: a task is shown as stopping as soon as its eviction is decided, but the process answered with the stored records only, so the reason was missing until the next segment, and for a whole store outage. Change: the process asks the owner for its records in effect. The test again wants the record at once, as before. Conclusion: the reason is shown as soon as the action is.

--- a/crates/jujubelb-lab/tests/processes/failures.rs
+++ b/crates/jujubelb-lab/tests/processes/failures.rs
@@ -78,13 +78,10 @@
     take_out(&world, entry.operators());
     world.until("an empty domain", || running() == 0);
     let url = format!("http://{}/v1/records?subject=watch", entry.operators());
-    // A process answers from its last view, which may be one decision old.
-    world.until("the record of the eviction", || {
-        let records: RecordsView = world.operator(world.http.get(&url)).json().unwrap();
-        let mut evicted = records.records.into_iter();
-        let evict = evicted.find(|r| r.action == jujubelb::model::Action::Evict);
-        evict.is_some_and(|r| r.parent.is_some())
-    });
+    let records: RecordsView = world.operator(world.http.get(url)).json().unwrap();
+    let evicted = |r: &&jujubelb::model::Record| r.action == jujubelb::model::Action::Evict;
+    let evict = records.records.iter().find(evicted);
+    assert!(evict.is_some_and(|r| r.parent.is_some()), "{records:?}");
     assert_eq!(world.platform.ledger().violations(), 0);
 }
 
--- a/crates/jujubelb/src/scheduler/owner.rs
+++ b/crates/jujubelb/src/scheduler/owner.rs
@@ -298,8 +298,9 @@
         let owners = self.terms.values().filter_map(|term| term.owner.as_ref());
         match query {
             Query::Records { subject, since } => {
-                let records = owners.flat_map(|owner| owner.stored().records.iter());
-                let records: Vec<_> = records.cloned().collect();
+                let records: Vec<_> = owners
+                    .flat_map(|owner| owner.records(now, None, None))
+                    .collect();
                 view.records = crate::process::about(records.iter(), subject.as_deref(), *since);
             }
             Query::Tasks(shard) => {
