Run on the users' platform: adapter, dispatcher and the process of a host

Cause: the product ran on its stand-ins only. The platform has a store with conditions, leases and watches, workers that take single orders, and hosts without disks.

--- /dev/null
+++ b/crates/jujubelb/src/dispatch/ends.rs
@@ -0,0 +1,170 @@
+//! Ends of runs and of jobs.
+
+use super::Dispatcher;
+use super::job::TaskState;
+use super::look::{EndRow, RunEnd};
+use super::progress::Outcome;
+use super::work::{JobKey, Run, TaskKey};
+use crate::model::{Span, Time, WorkerName};
+
+/// Pause before a task that has failed starts again, so that a fault that
+/// lasts for a moment doesn't use up all attempts.
+const RETRY_PAUSE: Span = Span::from_millis(150);
+
+impl Dispatcher {
+    /// Takes in an end that a worker has listed.
+    pub(super) fn ended(&mut self, worker: &WorkerName, end: &EndRow, now: Time) {
+        if let Some(w) = self.workers.get_mut(worker)
+            && w.runs.get(&end.task).is_some_and(|h| h.run == end.run)
+        {
+            w.runs.shift_remove(&end.task);
+        }
+        log::info!(task:% = end.task, run:% = end.run, worker:% = worker, how:% = end.how; "run ended");
+        let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
+            return;
+        };
+        job.started = true;
+        let live = job.outcome.is_none();
+        let Some(task) = job.task_mut(end.task) else {
+            return;
+        };
+        task.run = task.run.max(end.run);
+        if task.state == TaskState::Done {
+            return;
+        }
+        if let Some(saved) = &end.saved {
+            task.saved = Some(saved.clone());
+        }
+        match end.how {
+            RunEnd::Done => self.task_done(worker, end.task, live, now),
+            RunEnd::Failed => self.task_failed(worker, end.task, end.run, now),
+            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
+                self.release(worker, end.task, end.run);
+            }
+        }
+    }
+
+    /// Makes a task wait again if the run that has ended is its present one.
+    pub(super) fn release(&mut self, worker: &WorkerName, key: TaskKey, run: Run) {
+        let Some(job) = self.jobs.get(&key.step.job) else {
+            return;
+        };
+        let Some(task) = job.task(key) else {
+            return;
+        };
+        if task.run == run && task.state == TaskState::Placed(worker.clone()) {
+            self.set_state(key, TaskState::Waiting);
+        }
+    }
+
+    fn task_done(&mut self, worker: &WorkerName, key: TaskKey, live: bool, now: Time) {
+        let Some(record) = self.job_record(key.step.job) else {
+            return;
+        };
+        let Some(step) = record.work.steps.get(usize::from(key.step.step)) else {
+            return;
+        };
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.health.succeeded();
+        }
+        if step.lasting {
+            // A lasting task is started again however it ends.
+            self.set_state(key, TaskState::Waiting);
+            return;
+        }
+        self.set_state(key, TaskState::Done);
+        if step.gang {
+            // One good end stands for all members.
+            for index in 0..step.count {
+                self.set_state(TaskKey { index, ..key }, TaskState::Done);
+            }
+        }
+        if !live {
+            return;
+        }
+        self.mark_dirty(key.step.job);
+        let done = self
+            .jobs
+            .get(&key.step.job)
+            .and_then(|j| j.step(key.step.occurrence, key.step.step))
+            .is_some_and(|s| s.is_done());
+        if done {
+            self.open_steps(key.step.job);
+            self.finish_if_complete(key.step.job, now);
+        }
+    }
+
+    fn task_failed(&mut self, worker: &WorkerName, key: TaskKey, run: Run, now: Time) {
+        let Some(record) = self.job_record(key.step.job) else {
+            return;
+        };
+        let Some(step) = record.work.steps.get(usize::from(key.step.step)) else {
+            return;
+        };
+        if let Some(w) = self.workers.get_mut(worker)
+            && w.health.failed(now, key.step.job)
+        {
+            log::warn!(worker:% = worker; "worker taken for sick: several jobs in a row have failed there");
+        }
+        // A gang's failures are counted on its first task.
+        let counted = match step.gang {
+            true => TaskKey { index: 0, ..key },
+            false => key,
+        };
+        let mut failures = 0;
+        if let Some(task) = self
+            .jobs
+            .get_mut(&key.step.job)
+            .and_then(|j| j.task_mut(counted))
+        {
+            if run > task.counted {
+                task.counted = run;
+                task.failures += 1;
+            }
+            failures = task.failures;
+        }
+        if let Some(task) = self
+            .jobs
+            .get_mut(&key.step.job)
+            .and_then(|j| j.task_mut(key))
+        {
+            task.after = now + RETRY_PAUSE;
+        }
+        self.mark_dirty(key.step.job);
+        self.release(worker, key, run);
+        if failures >= record.terms.attempts && !step.lasting {
+            log::info!(job:% = key.step.job, task:% = key, failures = failures; "job failed: a task has used up its attempts");
+            self.finish(key.step.job, Outcome::Failed, now);
+        }
+    }
+
+    /// Ends a job of which all tasks have ended well.
+    pub(super) fn finish_if_complete(&mut self, key: JobKey, now: Time) {
+        let complete = |j: &super::job::Job| j.outcome.is_none() && j.is_complete();
+        if self.jobs.get(&key).is_some_and(complete) {
+            self.finish(key, Outcome::Completed, now);
+        }
+    }
+
+    /// Ends a job and lets what runs for it be stopped.
+    pub(super) fn finish(&mut self, key: JobKey, outcome: Outcome, now: Time) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        if job.outcome.is_some() {
+            return;
+        }
+        job.outcome = Some(outcome);
+        job.ended = Some(now);
+        let age = now.since(job.accepted);
+        log::info!(job:% = key, outcome:% = outcome, age:% = age; "job ended");
+        self.ready.retain(|s| s.job != key);
+        self.scheduled.shift_remove(&key);
+        for worker in self.workers.values_mut() {
+            for (task, held) in &mut worker.runs {
+                held.unwanted |= task.step.job == key;
+            }
+        }
+        self.mark_dirty(key);
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -0,0 +1,272 @@
+//! A job in the leader's memory.
+
+use std::sync::Arc;
+
+use arcstr::ArcStr;
+
+use super::progress::{OccurrenceProgress, Outcome, Progress, StepProgress, TaskProgress};
+use super::work::{JobRecord, Run, Step, TaskKey};
+use crate::model::{Span, Time, WorkerName};
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// Not on a worker.
+    Waiting,
+    /// On this worker, or possibly.
+    Placed(WorkerName),
+    /// Ended well.
+    Done,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Task {
+    pub(crate) state: TaskState,
+    /// Highest run ordered or seen.
+    pub(crate) run: Run,
+    pub(crate) failures: u32,
+    /// Highest run counted in `failures`.
+    pub(crate) counted: Run,
+    pub(crate) saved: Option<ArcStr>,
+    /// Whether an earlier leader may have started it unseen.
+    pub(crate) inherited: bool,
+    /// Not started before this time.
+    pub(crate) after: Time,
+}
+
+/// A step of an occurrence.
+#[derive(Debug)]
+pub(crate) struct StepState {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) done: u32,
+    pub(crate) waiting: u32,
+}
+
+impl StepState {
+    fn new(step: &Step, inherited: bool, saved: Option<&StepProgress>) -> Self {
+        let task = Task {
+            state: TaskState::Waiting,
+            run: Run(0),
+            failures: 0,
+            counted: Run(0),
+            saved: None,
+            inherited,
+            after: Time::ZERO,
+        };
+        let mut tasks = vec![task; step.count as usize];
+        for (i, task) in (0u32..).zip(&mut tasks) {
+            if saved.is_some_and(|s| s.is_done(i)) {
+                task.state = TaskState::Done;
+            }
+        }
+        for known in saved.iter().flat_map(|s| &s.tasks) {
+            if let Some(task) = tasks.get_mut(known.index as usize) {
+                task.failures = known.failures;
+                task.counted = known.counted;
+                task.saved.clone_from(&known.saved);
+            }
+        }
+        let done = tasks.iter().filter(|t| t.state == TaskState::Done).count() as u32;
+        let waiting = step.count - done;
+        Self {
+            tasks,
+            done,
+            waiting,
+        }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    fn progress(&self) -> StepProgress {
+        let mut progress = StepProgress::default();
+        for (index, task) in (0u32..).zip(&self.tasks) {
+            if task.state == TaskState::Done {
+                progress.set_done(index);
+            } else if task.failures > 0 || task.saved.is_some() {
+                progress.tasks.push(TaskProgress {
+                    index,
+                    failures: task.failures,
+                    counted: task.counted,
+                    saved: task.saved.clone(),
+                });
+            }
+        }
+        progress
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Occurrence {
+    pub(crate) number: u32,
+    /// When it was due, or when the job arrived.
+    pub(crate) since: Time,
+    /// One entry a step; empty when all are done.
+    pub(crate) steps: Vec<StepState>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) record: Arc<JobRecord>,
+    /// When the job was accepted, on this process's clock.
+    pub(crate) accepted: Time,
+    pub(crate) occurrences: Vec<Occurrence>,
+    /// Occurrences that have begun.
+    pub(crate) begun: u32,
+    /// Whether any task has started.
+    pub(crate) started: bool,
+    pub(crate) outcome: Option<Outcome>,
+    /// The outcome that the store has; only this is shown.
+    pub(crate) durable: Option<Outcome>,
+    /// The first change that is not durable.
+    pub(crate) dirty: Option<u64>,
+    /// When the job ended.
+    pub(crate) ended: Option<Time>,
+    /// Whether the job was loaded at the start of the leader's term.
+    pub(crate) inherited: bool,
+}
+
+impl Job {
+    pub(crate) fn new(
+        record: Arc<JobRecord>,
+        accepted: Time,
+        progress: Option<&Progress>,
+        inherited: bool,
+        now: Time,
+    ) -> Self {
+        let mut job = Self {
+            record,
+            accepted,
+            occurrences: Vec::new(),
+            begun: 0,
+            started: progress.is_some(),
+            outcome: progress.and_then(|p| p.outcome),
+            durable: progress.and_then(|p| p.outcome),
+            dirty: None,
+            ended: progress.and_then(|p| p.outcome).map(|_| now),
+            inherited,
+        };
+        for saved in progress.iter().flat_map(|p| &p.occurrences) {
+            job.begin(saved.number, accepted, Some(saved));
+        }
+        job
+    }
+
+    /// Begins an occurrence, unless it has begun.
+    pub(crate) fn begin(&mut self, number: u32, since: Time, saved: Option<&OccurrenceProgress>) {
+        if self.occurrences.iter().any(|o| o.number == number) {
+            return;
+        }
+        let steps = match saved {
+            Some(saved) if saved.steps.is_empty() => Vec::new(),
+            _ => (0..)
+                .zip(&self.record.work.steps)
+                .map(|(i, s)| {
+                    let saved = saved.and_then(|o| o.steps.get(i));
+                    StepState::new(s, self.inherited, saved)
+                })
+                .collect(),
+        };
+        self.begun = self.begun.max(number + 1);
+        self.occurrences.push(Occurrence {
+            number,
+            since,
+            steps,
+        });
+    }
+
+    pub(crate) fn occurrence(&self, number: u32) -> Option<&Occurrence> {
+        self.occurrences.iter().find(|o| o.number == number)
+    }
+
+    pub(crate) fn step(&self, occurrence: u32, step: u16) -> Option<&StepState> {
+        self.occurrence(occurrence)?.steps.get(usize::from(step))
+    }
+
+    pub(crate) fn step_mut(&mut self, occurrence: u32, step: u16) -> Option<&mut StepState> {
+        self.occurrences
+            .iter_mut()
+            .find(|o| o.number == occurrence)?
+            .steps
+            .get_mut(usize::from(step))
+    }
+
+    pub(crate) fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.step(key.step.occurrence, key.step.step)?
+            .tasks
+            .get(key.index as usize)
+    }
+
+    pub(crate) fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.step_mut(key.step.occurrence, key.step.step)?
+            .tasks
+            .get_mut(key.index as usize)
+    }
+
+    /// Whether all earlier steps that a step waits for are done.
+    pub(crate) fn is_step_open(&self, occurrence: &Occurrence, step: usize) -> bool {
+        let Some(spec) = self.record.work.steps.get(step) else {
+            return false;
+        };
+        spec.after.iter().all(|&a| {
+            occurrence
+                .steps
+                .get(usize::from(a))
+                .is_some_and(StepState::is_done)
+        })
+    }
+
+    /// Whether every occurrence has begun and ended well.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.begun >= self.record.work.occurrences()
+            && self
+                .occurrences
+                .iter()
+                .all(|o| o.steps.iter().all(StepState::is_done))
+    }
+
+    /// Longest chain of estimates that is left from this step on.
+    pub(crate) fn chain_from(&self, step: usize) -> Span {
+        let steps = &self.record.work.steps;
+        let mut tail = vec![Span::ZERO; steps.len()];
+        for i in (step..steps.len()).rev() {
+            let later = (i + 1..steps.len())
+                .filter(|&j| steps[j].after.contains(&(i as u16)))
+                .map(|j| tail[j])
+                .max()
+                .unwrap_or_default();
+            tail[i] = steps[i].estimate + later;
+        }
+        tail.get(step).copied().unwrap_or_default()
+    }
+
+    /// Longest chain of estimates of the whole job.
+    pub(crate) fn chain(&self) -> Span {
+        (0..self.record.work.steps.len())
+            .map(|i| self.chain_from(i))
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// The state that has to outlive this leader.
+    pub(crate) fn progress(&self) -> Progress {
+        let occurrences = match self.outcome {
+            Some(_) => Vec::new(),
+            None => self
+                .occurrences
+                .iter()
+                .map(|o| OccurrenceProgress {
+                    number: o.number,
+                    steps: match o.steps.iter().all(StepState::is_done) {
+                        true => Vec::new(),
+                        false => o.steps.iter().map(StepState::progress).collect(),
+                    },
+                })
+                .collect(),
+        };
+        Progress {
+            outcome: self.outcome,
+            occurrences,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/order.rs
@@ -0,0 +1,70 @@
+//! In which order steps get room.
+//!
+//! Answers the load of a burst of batch jobs beside urgent checks: callers are
+//! served by what finishes within its objective, so work that can still make it
+//! goes before work that is late, urgent queues before others, and among equals
+//! the work with the least time to spare.
+
+use std::cmp::Ordering;
+
+use super::job::{Job, Occurrence};
+use crate::model::{Span, Time};
+
+/// Rank of a step; the smallest gets room first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    class: Class,
+    priority: u8,
+    /// When the step has to start at the latest to make the objective.
+    latest: Time,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    /// Lasting tasks: each second without them counts, and they are few.
+    Lasting,
+    /// Can make the objective.
+    Timely,
+    /// Too late for the objective, but not for callers who wait longer.
+    Late,
+    /// Too late for any credit; still owed to the caller.
+    Overdue,
+}
+
+/// Times the objective after which callers no longer wait for a result.
+const USELESS_AFTER: u64 = 3;
+
+/// The time a job may take by its queue's terms.
+pub(crate) fn objective(job: &Job) -> Span {
+    let terms = &job.record.terms;
+    let chain = job.chain().as_micros() as f64 * terms.slack.max(1.0);
+    Span::from_micros(chain as u64) + terms.target
+}
+
+/// Ranks a step of an occurrence.
+pub(crate) fn rank(job: &Job, occurrence: &Occurrence, step: usize, now: Time) -> Rank {
+    let lasting = job.record.work.steps.get(step).is_some_and(|s| s.lasting);
+    let objective = objective(job);
+    let left = job.chain_from(step);
+    let latest = occurrence.since + objective - left;
+    let end = occurrence.since + objective.scale_up(USELESS_AFTER, 1) - left;
+    let class = if lasting {
+        Class::Lasting
+    } else if now <= latest {
+        Class::Timely
+    } else if now <= end {
+        Class::Late
+    } else {
+        Class::Overdue
+    };
+    Rank {
+        class,
+        priority: job.record.terms.priority,
+        latest,
+    }
+}
+
+/// Orders two ranks; for sorts.
+pub(crate) fn compare(a: &Rank, b: &Rank) -> Ordering {
+    a.cmp(b)
+}
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -0,0 +1,422 @@
+//! The regular pass: lost workers, stops, and starts of what is ready.
+
+use indexmap::IndexMap;
+
+use super::job::TaskState;
+use super::order::{self, Rank};
+use super::place::{self, Need};
+use super::work::{JobRecord, Run, Step, StepKey, TaskKey};
+use super::worker::{Held, Phase};
+use super::{Dispatch, Dispatcher, Order, SUSPECT_WAIT};
+use crate::model::{Resources, Span, Time, WallTime, WorkerName, WorkerTime};
+
+/// Time after which a stop without an end is sent again, on top of the longest
+/// time that a stop takes.
+const STOP_RETRY: Span = Span::from_millis(600);
+
+/// How long before a worker leaves its tasks are stopped, on top of the time
+/// that the stop takes, so that their last checkpoint is listed in time.
+const LEAVE_MARGIN: Span = Span::from_millis(700);
+
+impl Dispatcher {
+    /// One pass over everything that may have to be ordered now.
+    pub fn plan(&mut self, wall: WallTime, now: Time) -> Vec<Dispatch> {
+        if self.deposed {
+            return Vec::new();
+        }
+        self.begin_due(wall, now);
+        self.expire_leases(now);
+        self.settle(now);
+        let mut orders = Vec::new();
+        self.leave(now);
+        self.stop_unwanted(&mut orders, now);
+        self.pace(&mut orders, now);
+        self.start_ready(&mut orders, now);
+        orders
+    }
+
+    /// Gives up what ran on workers whose lease has surely ended, and forgets
+    /// workers that are gone.
+    fn expire_leases(&mut self, now: Time) {
+        let mut lost = Vec::new();
+        for (name, worker) in &self.workers {
+            if !worker.runs.is_empty() && worker.is_lapsed(now) {
+                let runs = worker.runs.iter();
+                let given_up = runs
+                    .filter(|(_, h)| h.phase != Phase::Starting)
+                    .map(|(t, h)| (name.clone(), *t, h.run));
+                lost.extend(given_up);
+            }
+        }
+        for (name, task, run) in lost {
+            self.lose(&name, task, run, "the worker's lease has ended", now);
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.sum_up();
+            }
+        }
+        let spent: Vec<WorkerName> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.is_spent(now, self.started))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in spent {
+            log::info!(worker:% = name; "worker forgotten");
+            self.workers.shift_remove(&name);
+            self.roster_dirty = true;
+        }
+    }
+
+    /// Decides whether tasks of earlier terms may run unseen.
+    fn settle(&mut self, now: Time) {
+        if self.settled {
+            return;
+        }
+        let wait = SUSPECT_WAIT + self.bounds.lease.scale_up(103, 100);
+        let suspects = self
+            .workers
+            .values()
+            .filter(|w| w.rostered && !w.fenced)
+            .count();
+        let waited = now.since(self.started);
+        if suspects == 0 || waited > wait {
+            log::info!(waited:% = waited, suspects = suspects; "tasks of earlier terms may start");
+            self.settled = true;
+            for job in self.jobs.values_mut() {
+                job.inherited = false;
+                for step in job.occurrences.iter_mut().flat_map(|o| &mut o.steps) {
+                    for task in &mut step.tasks {
+                        task.inherited = false;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Marks what has to be taken off workers that leave: lasting tasks at
+    /// once, others shortly before the worker goes.
+    fn leave(&mut self, now: Time) {
+        let margin = self.bounds.stop + LEAVE_MARGIN;
+        for worker in self.workers.values_mut() {
+            let Some(leaves) = worker.leaves else {
+                continue;
+            };
+            let soon = now + margin >= leaves;
+            for (task, held) in &mut worker.runs {
+                let step = self
+                    .jobs
+                    .get(&task.step.job)
+                    .and_then(|j| j.record.work.steps.get(usize::from(task.step.step)));
+                let lasting = step.is_some_and(|s| s.lasting);
+                let saves = step.is_some_and(|s| s.checkpoints);
+                if held.phase == Phase::Running && !held.unwanted && (lasting || (saves && soon)) {
+                    log::info!(task:% = task, worker:% = worker.report.name, lasting = lasting; "stopping a run because its worker leaves");
+                    held.unwanted = true;
+                }
+            }
+        }
+    }
+
+    fn stop_unwanted(&mut self, orders: &mut Vec<Dispatch>, now: Time) {
+        let retry = self.bounds.stop + STOP_RETRY;
+        for (name, worker) in &mut self.workers {
+            for (task, held) in &mut worker.runs {
+                let wanted = !held.unwanted && held.phase != Phase::Unsure;
+                if wanted || held.phase == Phase::Starting {
+                    continue;
+                }
+                if held.stop_sent.is_some_and(|at| now.since(at) < retry) {
+                    continue;
+                }
+                held.stop_sent = Some(now);
+                orders.push(Dispatch {
+                    worker: name.clone(),
+                    address: worker.report.address,
+                    order: Order::Stop {
+                        task: *task,
+                        run: held.run,
+                    },
+                });
+            }
+        }
+    }
+
+    fn start_ready(&mut self, orders: &mut Vec<Dispatch>, now: Time) {
+        let mut ranked: Vec<(Rank, StepKey)> = Vec::with_capacity(self.ready.len());
+        let mut idle = Vec::new();
+        for key in &self.ready {
+            let Some(job) = self.jobs.get(&key.job).filter(|j| j.outcome.is_none()) else {
+                idle.push(*key);
+                continue;
+            };
+            let step = usize::from(key.step);
+            let occurrence = job.occurrence(key.occurrence);
+            let open = occurrence.filter(|o| {
+                o.steps.get(step).is_some_and(|s| s.waiting > 0) && job.is_step_open(o, step)
+            });
+            match open {
+                Some(occurrence) => ranked.push((order::rank(job, occurrence, step, now), *key)),
+                None => idle.push(*key),
+            }
+        }
+        for key in idle {
+            self.ready.shift_remove(&key);
+        }
+        ranked.sort_unstable_by(|(a, _), (b, _)| order::compare(a, b));
+        let mut full = Full::default();
+        for (_, key) in ranked {
+            self.start_step(key, &mut full, orders, now);
+        }
+    }
+
+    /// Starts as many tasks of a step as find room.
+    fn start_step(&mut self, key: StepKey, full: &mut Full, orders: &mut Vec<Dispatch>, now: Time) {
+        let Some(record) = self.job_record(key.job) else {
+            return;
+        };
+        let Some(step) = record.work.steps.get(usize::from(key.step)) else {
+            return;
+        };
+        if full.covers(step, &record) {
+            return;
+        }
+        let Some(state) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|j| j.step(key.occurrence, key.step))
+        else {
+            return;
+        };
+        let startable = |t: &super::job::Task| {
+            t.state == TaskState::Waiting && t.after <= now && (!t.inherited || self.settled)
+        };
+        let waiting: Vec<u32> = (0u32..)
+            .zip(&state.tasks)
+            .filter(|(_, t)| startable(t))
+            .map(|(i, _)| i)
+            .collect();
+        if step.gang {
+            if waiting.len() == step.count as usize {
+                self.start_gang(key, &record, step, orders, now);
+            }
+            return;
+        }
+        let mut placed: IndexMap<WorkerName, u32> = IndexMap::new();
+        for index in waiting {
+            let need = Need {
+                key,
+                step,
+                service: &record.terms.service,
+                rack: None,
+            };
+            let Some(worker) = self.choose(&need, now) else {
+                full.add(step, &record);
+                break;
+            };
+            let task = TaskKey { step: key, index };
+            let run = self.next_run(&[task]);
+            self.start(&worker, task, run, &record, step, orders, now);
+            *placed.entry(worker).or_default() += 1;
+        }
+        log_placed(key, &record, &placed);
+    }
+
+    /// Starts all tasks of a gang, or none.
+    fn start_gang(
+        &mut self,
+        key: StepKey,
+        record: &JobRecord,
+        step: &Step,
+        orders: &mut Vec<Dispatch>,
+        now: Time,
+    ) {
+        let racks: Vec<Option<String>> = if step.same_rack {
+            let mut racks: Vec<Option<String>> = self
+                .workers
+                .values()
+                .filter_map(|w| w.report.rack.as_ref())
+                .map(|r| Some(r.to_string()))
+                .collect();
+            racks.sort();
+            racks.dedup();
+            racks.push(None);
+            racks
+        } else {
+            vec![None]
+        };
+        for rack in racks {
+            let Some(chosen) = self.reserve_gang(key, record, step, rack.as_deref(), now) else {
+                continue;
+            };
+            let tasks: Vec<TaskKey> = (0..step.count)
+                .map(|index| TaskKey { step: key, index })
+                .collect();
+            let run = self.next_run(&tasks);
+            let mut placed: IndexMap<WorkerName, u32> = IndexMap::new();
+            for (task, worker) in tasks.into_iter().zip(chosen) {
+                self.start(&worker, task, run, record, step, orders, now);
+                *placed.entry(worker).or_default() += 1;
+            }
+            log_placed(key, record, &placed);
+            return;
+        }
+    }
+
+    /// Finds a worker for each member, without starting any.
+    fn reserve_gang(
+        &mut self,
+        key: StepKey,
+        record: &JobRecord,
+        step: &Step,
+        rack: Option<&str>,
+        now: Time,
+    ) -> Option<Vec<WorkerName>> {
+        let need = Need {
+            key,
+            step,
+            service: &record.terms.service,
+            rack,
+        };
+        let mut chosen = Vec::new();
+        for index in 0..step.count {
+            let Some(name) = self.choose(&need, now) else {
+                break;
+            };
+            let held = self.held(Run(0), step, WorkerTime::ZERO, now);
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.runs.insert(TaskKey { step: key, index }, held);
+                worker.sum_up();
+            }
+            chosen.push(name);
+        }
+        for (index, name) in (0u32..).zip(&chosen) {
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.runs.shift_remove(&TaskKey { step: key, index });
+                worker.sum_up();
+            }
+        }
+        (chosen.len() == step.count as usize).then_some(chosen)
+    }
+
+    /// The best worker that could take a task now.
+    fn choose(&self, need: &Need<'_>, now: Time) -> Option<WorkerName> {
+        let mut best: Option<(f64, &WorkerName)> = None;
+        for (name, worker) in &self.workers {
+            if !place::admits(worker, need, &self.evacuated, now) {
+                continue;
+            }
+            let cost = place::cost(worker, need);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, name));
+            }
+        }
+        best.map(|(_, name)| name.clone())
+    }
+
+    /// The number for the next run of these tasks, which start together.
+    fn next_run(&self, tasks: &[TaskKey]) -> Run {
+        let last = |t: &TaskKey| Some(self.jobs.get(&t.step.job)?.task(*t)?.run);
+        let highest = tasks.iter().filter_map(last).max().unwrap_or_default();
+        Run(highest.0 + 1).max(self.first_run())
+    }
+
+    fn held(&self, run: Run, step: &Step, deadline: WorkerTime, now: Time) -> Held {
+        Held {
+            run,
+            phase: Phase::Starting,
+            size: step.size,
+            fills: step.fills,
+            target: step.target,
+            since: now,
+            confirmed: Time::ZERO,
+            deadline,
+            stop_sent: None,
+            stop_done: None,
+            unwanted: false,
+            percent: 0,
+            usage: 0,
+            pace: 100,
+            paced: Time::ZERO,
+            harmed: None,
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one order")]
+    fn start(
+        &mut self,
+        name: &WorkerName,
+        task: TaskKey,
+        run: Run,
+        record: &JobRecord,
+        step: &Step,
+        orders: &mut Vec<Dispatch>,
+        now: Time,
+    ) {
+        let Some(clock) = self.workers.get(name).and_then(|w| w.clock_now(now)) else {
+            return;
+        };
+        let deadline = self.start_deadline(clock);
+        let held = self.held(run, step, deadline, now);
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.lease = worker.lease.max(deadline);
+        worker.runs.insert(task, held);
+        worker
+            .load
+            .add(step.size, step.fills, step.target.is_some());
+        let address = worker.report.address;
+        let mut checkpoint = None;
+        if let Some(known) = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|j| j.task_mut(task))
+        {
+            known.run = run;
+            checkpoint.clone_from(&known.saved);
+        }
+        self.set_state(task, TaskState::Placed(name.clone()));
+        orders.push(Dispatch {
+            worker: name.clone(),
+            address,
+            order: Order::Start {
+                task,
+                run,
+                payload: record.work.payload.clone(),
+                deadline,
+                checkpoint: checkpoint.filter(|_| step.checkpoints),
+            },
+        });
+    }
+}
+
+/// Sizes that found no room in this pass; a larger one needs no search.
+#[derive(Debug, Default)]
+struct Full {
+    sizes: Vec<(Resources, bool, crate::model::ServiceName)>,
+}
+
+impl Full {
+    fn covers(&self, step: &Step, record: &JobRecord) -> bool {
+        self.sizes.iter().any(|(size, fills, service)| {
+            size.fits(&step.size) && *fills == step.fills && *service == record.terms.service
+        })
+    }
+
+    fn add(&mut self, step: &Step, record: &JobRecord) {
+        let anywhere = step.label.is_none() && step.per_worker.is_none();
+        if anywhere {
+            self.sizes
+                .push((step.size, step.fills, record.terms.service.clone()));
+        }
+    }
+}
+
+fn log_placed(key: StepKey, record: &JobRecord, placed: &IndexMap<WorkerName, u32>) {
+    if placed.is_empty() {
+        return;
+    }
+    let tasks: u32 = placed.values().sum();
+    let workers: Vec<&str> = placed.keys().map(WorkerName::as_str).collect();
+    log::info!(step:% = key, queue:% = record.terms.prefix, tasks = tasks, workers:? = workers; "tasks placed");
+}
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the dispatcher without a network.
--- a/crates/jujubelb/src/http/mod.rs
+++ b/crates/jujubelb/src/http/mod.rs
@@ -10,7 +10,7 @@
 mod tests;
 
 pub use serve::ServeError;
-pub(crate) use serve::Server;
+pub(crate) use serve::{Server, config};
 
 use std::io::Read;
 use std::time::Duration;
--- a/crates/jujubelb/src/http/serve.rs
+++ b/crates/jujubelb/src/http/serve.rs
@@ -135,7 +135,7 @@
     }
 }
 
-fn config(address: SocketAddr) -> rocket::Config {
+pub(crate) fn config(address: SocketAddr) -> rocket::Config {
     rocket::Config {
         address: address.ip(),
         port: address.port(),
--- a/crates/jujubelb/src/lib.rs
+++ b/crates/jujubelb/src/lib.rs
@@ -8,14 +8,17 @@
 pub mod claim;
 pub mod config;
 pub mod ctl;
+pub mod dispatch;
 pub mod entry;
 pub mod hosts;
 mod http;
 pub mod journal;
 pub mod model;
+pub mod node;
 pub mod operator;
 pub mod peer;
 pub mod place;
+pub mod platform;
 pub mod process;
 pub mod route;
 pub mod scheduler;
--- /dev/null
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the process against a store of this module.
--- /dev/null
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the decoders.
