Count each failed run once, in whatever order it is heard of

A leader that was cut from the store saw runs 2 and 3 fail and could not write; the next one heard of run 3 first, and a run below the highest counted one was not counted. Change: the failed runs themselves are kept. A test plays it; it failed before. The leader reports the load of the workers every 5 s.

--- a/crates/jujubelb/src/dispatch/ends.rs
+++ b/crates/jujubelb/src/dispatch/ends.rs
@@ -117,11 +117,10 @@
             .get_mut(&key.step.job)
             .and_then(|j| j.task_mut(counted))
         {
-            if run > task.counted {
-                task.counted = run;
-                task.failures += 1;
+            if !task.failed.contains(&run) && !step.lasting {
+                task.failed.push(run);
             }
-            failures = task.failures;
+            failures = task.failed.len();
         }
         if let Some(task) = self
             .jobs
@@ -132,7 +131,7 @@
         }
         self.mark_dirty(key.step.job);
         self.release(worker, key, run);
-        if failures >= record.terms.attempts && !step.lasting {
+        if failures >= record.terms.attempts as usize && !step.lasting {
             log::info!(job:% = key.step.job, task:% = key, failures = failures; "job failed: a task has used up its attempts");
             self.finish(key.step.job, Outcome::Failed, now);
         }
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -23,9 +23,8 @@
     pub(crate) state: TaskState,
     /// Highest run ordered or seen.
     pub(crate) run: Run,
-    pub(crate) failures: u32,
-    /// Highest run counted in `failures`.
-    pub(crate) counted: Run,
+    /// Failed runs, each once.
+    pub(crate) failed: Vec<Run>,
     pub(crate) saved: Option<ArcStr>,
     /// Whether an earlier leader may have started it unseen.
     pub(crate) inherited: bool,
@@ -46,8 +45,7 @@
         let task = Task {
             state: TaskState::Waiting,
             run: Run(0),
-            failures: 0,
-            counted: Run(0),
+            failed: Vec::new(),
             saved: None,
             inherited,
             after: Time::ZERO,
@@ -60,8 +58,7 @@
         }
         for known in saved.iter().flat_map(|s| &s.tasks) {
             if let Some(task) = tasks.get_mut(known.index as usize) {
-                task.failures = known.failures;
-                task.counted = known.counted;
+                task.failed.clone_from(&known.failed);
                 task.saved.clone_from(&known.saved);
             }
         }
@@ -83,11 +80,10 @@
         for (index, task) in (0u32..).zip(&self.tasks) {
             if task.state == TaskState::Done {
                 progress.set_done(index);
-            } else if task.failures > 0 || task.saved.is_some() {
+            } else if !task.failed.is_empty() || task.saved.is_some() {
                 progress.tasks.push(TaskProgress {
                     index,
-                    failures: task.failures,
-                    counted: task.counted,
+                    failed: task.failed.clone(),
                     saved: task.saved.clone(),
                 });
             }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -265,9 +265,18 @@
             workers: self.workers.values().filter(|w| w.fenced).count(),
             sick: self.workers.values().filter(|w| w.health.is_sick()).count(),
             undurable: self.dirty.len(),
+            room: self.total(|w| w.report.room.cpu.0),
+            counted: self.total(|w| w.load.counted.cpu.0),
+            demand: self.total(|w| w.load.demand),
         }
     }
 
+    /// Whole cores over the workers that are in use.
+    fn total(&self, cores: impl Fn(&Worker) -> u64) -> u64 {
+        let used = self.workers.values().filter(|w| w.fenced && w.listed);
+        used.map(cores).sum::<u64>() / 1_000
+    }
+
     /// Sets a task's state and keeps the counts of its step.
     fn set_state(&mut self, key: TaskKey, state: TaskState) {
         let Some(job) = self.jobs.get_mut(&key.step.job) else {
@@ -332,6 +341,12 @@
     pub sick: usize,
     /// Jobs with changes that are not durable.
     pub undurable: usize,
+    /// Cores of all workers in use.
+    pub room: u64,
+    /// Cores that tasks were given by what they ask for.
+    pub counted: u64,
+    /// Cores that tasks use or will use.
+    pub demand: u64,
 }
 
 /// Time on this process's clock for a calendar time in the past or future.
--- a/crates/jujubelb/src/dispatch/progress.rs
+++ b/crates/jujubelb/src/dispatch/progress.rs
@@ -23,11 +23,9 @@
 pub struct TaskProgress {
     /// The task.
     pub index: u32,
-    /// Failed runs.
-    pub failures: u32,
-    /// The highest run that is counted in `failures`, so that an end that is
-    /// reported again to the next leader isn't counted twice.
-    pub counted: Run,
+    /// Failed runs, each once. The next leader may hear of them again and in any
+    /// order, so a count would not do.
+    pub failed: Vec<Run>,
     /// Checkpoint to resume from.
     pub saved: Option<ArcStr>,
 }
--- a/crates/jujubelb/src/dispatch/tests/leaders.rs
+++ b/crates/jujubelb/src/dispatch/tests/leaders.rs
@@ -60,3 +60,39 @@
     world.run(Span::from_secs(2));
     assert_eq!(world.running(key), 0);
 }
+
+/// Guards against a start beyond the attempts when the next leader hears of the
+/// last failure before the one in between.
+#[test]
+fn failures_count_in_any_order() {
+    let mut world = World::new(2);
+    world.store_up = false;
+    let blocker = world.submit(1, job(0, vec![step(1, 60, Span::from_millis(300))]));
+    world.run(Span::from_millis(100));
+    let busy = world.starts[0].1.clone();
+    let free = 1 - world.workers.get_index_of(&busy).unwrap();
+    for i in 0..2 {
+        world.worker(i).fault = Fault::Failing;
+    }
+    world.workers[&busy].fault = Fault::None;
+    let mut record = job(0, vec![step(1, 8, Span::from_millis(300))]);
+    record.terms.attempts = 2;
+    let key = world.submit(2, record);
+    world.run(Span::from_millis(100));
+    world.worker(free).fault = Fault::Full;
+    world.workers[&busy].fault = Fault::None;
+    world.run(Span::from_millis(400));
+    world.workers[&busy].fault = Fault::Failing;
+    world.run(Span::from_millis(60));
+    world.store_up = true;
+    let order = if free == 0 { [1, 0] } else { [0, 1] };
+    world.change_leader();
+    for i in order {
+        world.look_at(i);
+    }
+    world.run(Span::from_secs(2));
+    let runs = world.starts.iter().filter(|(_, _, t, _)| t.step.job == key);
+    assert_eq!(runs.count(), 2);
+    assert!(!world.completed.contains_key(&key));
+    let _ = blocker;
+}
--- a/crates/jujubelb/src/dispatch/tests/records.rs
+++ b/crates/jujubelb/src/dispatch/tests/records.rs
@@ -24,8 +24,7 @@
     }
     step.tasks.push(TaskProgress {
         index: 3,
-        failures: 2,
-        counted: Run(7),
+        failed: vec![Run(7), Run(3)],
         saved: Some("a".into()),
     });
     let bytes = postcard::to_allocvec(&step).unwrap();
--- a/crates/jujubelb/src/dispatch/tests/world.rs
+++ b/crates/jujubelb/src/dispatch/tests/world.rs
@@ -41,6 +41,8 @@
     Failing,
     /// What is started makes no progress.
     Hanging,
+    /// Every start is refused for want of room.
+    Full,
 }
 
 #[derive(Debug, Clone)]
@@ -365,34 +367,46 @@
     }
 
     fn look(&mut self) {
-        let now = self.now;
         for name in self.dispatcher.workers() {
-            let Some(worker) = self.workers.get_mut(&name) else {
-                continue;
-            };
-            let due = worker.news || now.since(worker.looked) >= LOOK_EVERY;
-            if !due {
-                continue;
+            let now = self.now;
+            let due = self
+                .workers
+                .get(&name)
+                .is_some_and(|w| w.news || now.since(w.looked) >= LOOK_EVERY);
+            if due {
+                self.look_at_worker(&name);
             }
+        }
+    }
+
+    /// One look, now.
+    pub(crate) fn look_at(&mut self, i: usize) {
+        let name = self.workers.get_index(i).unwrap().0.clone();
+        self.look_at_worker(&name);
+    }
+
+    fn look_at_worker(&mut self, name: &WorkerName) {
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(name) {
             worker.looked = now;
-            let Some(request) = self.dispatcher.look(&name, now) else {
-                continue;
+            let Some(request) = self.dispatcher.look(name, now) else {
+                return;
             };
             match worker.fault {
                 Fault::Cut => {
-                    self.dispatcher.look_failed(&name, &request, false);
-                    continue;
+                    self.dispatcher.look_failed(name, &request, false);
+                    return;
                 }
                 Fault::Dead => {
-                    self.dispatcher.look_failed(&name, &request, true);
-                    continue;
+                    self.dispatcher.look_failed(name, &request, true);
+                    return;
                 }
                 _ => {}
             }
             let token = self.dispatcher.term().token;
             if token < worker.token {
-                self.dispatcher.look_fenced(&name);
-                continue;
+                self.dispatcher.look_fenced(name);
+                return;
             }
             worker.news = false;
             worker.token = token;
@@ -417,7 +431,7 @@
                     .collect(),
                 finished: worker.ends.clone(),
             };
-            self.dispatcher.looked(&name, now, &reply, now);
+            self.dispatcher.looked(name, now, &reply, now);
         }
     }
 
@@ -459,6 +473,7 @@
                         self.workers[name].late.push(late);
                         StartReply::NoAnswer
                     }
+                    Fault::Full => StartReply::Refused(Refusal::Room),
                     _ => self.start(name, *task, *run, *deadline, token),
                 };
                 self.dispatcher
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -61,6 +61,9 @@
     pause: Span::from_millis(400),
 };
 
+/// Time between two lines on the load.
+const REPORT: Span = Span::from_secs(5);
+
 /// Time between two searches for jobs that ended long ago.
 const EXPIRY: Span = Span::from_secs(20);
 
@@ -373,6 +376,7 @@
 
 /// Looks for what can be ordered, sends it, and keeps a look at each worker.
 async fn give_orders(node: Arc<Node>, lead: Arc<Lead>) {
+    let mut reported = node.now();
     let mut looks = JoinSet::new();
     let mut looked: IndexSet<WorkerName> = IndexSet::new();
     loop {
@@ -385,6 +389,11 @@
         if deposed {
             return;
         }
+        let now = node.now();
+        if now.since(reported) > REPORT {
+            reported = now;
+            log::info!(figures:? = lock(&lead.dispatcher).summary(); "dispatch load");
+        }
         looked.retain(|w| workers.contains(w));
         for worker in workers {
             if looked.insert(worker.clone()) {
