Learn which filling tasks slow which serving ones and place by it

Cause: serving tasks hold nearly all room by what they ask for and use about half of it; filling tasks were kept away from all of them or paced to nothing. A trial without any pacing showed the shape: an effect belongs to a pair of images. Change: the interference model of the product learns from the looks; filling tasks start where the expected slowdown is within the target, unknown pairs one at a time; only likely causes are slowed or moved, all stand still after 1.3 s.

--- a/crates/jujubelb/src/dispatch/look.rs
+++ b/crates/jujubelb/src/dispatch/look.rs
@@ -196,7 +196,7 @@
             }
             worker.sum_up();
         }
-        self.watch_interference(name, now);
+        self.learn_interference(name, now);
     }
 
     /// Takes note that a worker has refused a look for a higher token.
@@ -324,6 +324,7 @@
             phase: Phase::Running,
             size: step.map_or(Resources::ZERO, |s| s.size),
             fills: step.is_some_and(|s| s.fills),
+            image: step.and_then(|s| s.image.clone()).unwrap_or_default(),
             target: step.and_then(|s| s.target),
             since: now,
             confirmed: now,
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -29,6 +29,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::model::{DomainName, Span, Time, WallTime, WorkerName, WorkerTime};
+use crate::place::interference::Interference;
 use job::{Job, TaskState};
 use worker::Worker;
 
@@ -162,6 +163,8 @@
     ready: IndexSet<StepKey>,
     /// Jobs with occurrences that haven't begun.
     scheduled: IndexSet<JobKey>,
+    /// How much filling tasks slow serving ones, by their images.
+    interference: Interference,
     /// Domains in which nothing may start.
     evacuated: IndexSet<DomainName>,
     /// Count of changes that have to become durable.
@@ -189,6 +192,7 @@
             workers: IndexMap::new(),
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
+            interference: Interference::default(),
             evacuated: IndexSet::new(),
             changes: 0,
             dirty: IndexSet::new(),
--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -1,60 +1,107 @@
-//! Slows tasks that fill where they disturb tasks that serve.
+//! Slows or moves tasks that fill where they disturb tasks that serve.
 //!
 //! Answers the load of batch work that uses spare processor time beside serving
-//! tasks with a bound for the tail of their response times. A filling task is
-//! slowed by halves while a tail is near its bound, stands still while one is
-//! above it, and recovers in small steps. One that stays slow and has a
-//! checkpoint is moved away.
+//! tasks with a bound for the tail of their response times. How much one disturbs
+//! another depends on the pair of images, so it is learned from the looks, and
+//! only what is likely to be the cause is slowed: it moves if it has a
+//! checkpoint, and else is paced down. If the tail stays above its bound, all
+//! filling tasks of the worker stand still.
 
-use super::worker::Phase;
+use super::place;
+use super::worker::{Held, Phase, Strain, Worker};
 use super::{Dispatch, Dispatcher, Order};
-use crate::model::{Span, Time, WorkerName};
+use crate::model::{ServiceName, Span, Time, WorkerName};
+use crate::place::interference::{Interference, Mix, Observation};
 
 /// Share of the target, in percent, above which filling tasks are slowed.
-const NEAR_TARGET: u64 = 80;
+const NEAR_TARGET: u64 = 85;
 
 /// Share of the target, in percent, below which they recover.
 const WELL_BELOW: u64 = 60;
 
-/// Pace in percent at which a filling task is moved away if it has a checkpoint.
-const MOVED_AT: u32 = 50;
+/// Part of the strongest likely effect at which another task is slowed too.
+const SUSPECT: f64 = 0.3;
 
-/// Percentage points by which the pace recovers.
-const RECOVERY: u32 = 20;
+/// Percentage points by which a pace recovers.
+const RECOVERY: u32 = 25;
 
-/// Time between two changes of a pace: the figures are half a second old.
+/// Lowest pace to which a task recovers whose effect is known to be strong.
+const LEAST_PACE: f64 = 10.0;
+
+/// Time until a change shows in the figures, which cover half a second.
 const SETTLE: Span = Span::from_millis(700);
 
+/// Time above the target after which all filling tasks stand still, whatever
+/// the estimates say. Serving tasks may be above it for 4 s.
+const PATIENCE: Span = Span::from_millis(1_300);
+
+/// Weight of one figure in the interference model: it covers many requests.
+const REQUESTS: u32 = 100;
+
 impl Dispatcher {
-    /// Notes since when serving tasks are above their target.
-    pub(super) fn watch_interference(&mut self, name: &WorkerName, now: Time) {
+    /// Learns from a look how much filling tasks slow serving ones.
+    pub(super) fn learn_interference(&mut self, name: &WorkerName, now: Time) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        let mut mix = Mix::default();
+        for held in worker.runs.values().filter(|h| h.fills) {
+            *mix.entry(place::class_of(Some(&held.image))).or_default() += held.usage as f64 / 1e3;
+        }
+        let steady = now.since(worker.remixed) > SETTLE;
         for held in worker.runs.values_mut() {
-            let above = held
-                .target
-                .is_some_and(|t| held.usage > t.as_millis() && held.phase == Phase::Running);
-            held.harmed = match (above, held.harmed) {
-                (true, None) => Some(now),
-                (true, since) => since,
-                (false, _) => None,
+            let Some(target) = held.target.filter(|_| held.phase == Phase::Running) else {
+                continue;
             };
+            let above = held.usage > target.as_millis();
+            held.harmed = above.then(|| held.harmed.unwrap_or(now));
+            if steady && held.usage > 0 && now.since(held.confirmed) > SETTLE {
+                self.interference.learn(&Observation {
+                    service: &ServiceName::new(held.image.clone()),
+                    mean: Span::from_millis(held.usage),
+                    count: REQUESTS,
+                    load: 0,
+                    mix: &mix,
+                });
+            }
         }
+        place::sum_strains(worker, &self.interference);
     }
 
-    /// Orders the pace of filling tasks.
+    /// Orders the pace of filling tasks, and marks those that have to move.
     pub(super) fn pace(&mut self, orders: &mut Vec<Dispatch>, now: Time) {
         for (name, worker) in &mut self.workers {
             if worker.load.serving == 0 || worker.load.fillers == 0 {
                 continue;
             }
-            let tightest = worker.worst_tail();
-            for (task, held) in &mut worker.runs {
+            let tail = worker.worst_tail();
+            let harmed = worker.runs.values().filter_map(|h| h.harmed).min();
+            let still = harmed.is_some_and(|since| now.since(since) > PATIENCE);
+            if !still && now.since(worker.disturbed) < SETTLE {
+                continue;
+            }
+            let effects = effects(worker, &self.interference);
+            let strongest = effects.iter().copied().fold(0.0, f64::max);
+            let mut disturbed = false;
+            for (i, effect) in effects.into_iter().enumerate() {
+                let Some((task, held)) = worker.runs.get_index_mut(i) else {
+                    continue;
+                };
                 if !held.fills || held.phase != Phase::Running || held.unwanted {
                     continue;
                 }
-                if now.since(held.paced) < SETTLE {
+                let suspect = effect >= SUSPECT * strongest;
+                let percent = if still || (tail > 100 && suspect) {
+                    0
+                } else if tail > NEAR_TARGET && suspect {
+                    held.pace / 2
+                } else if tail < WELL_BELOW && now.since(held.paced) >= SETTLE {
+                    let bearable = (100.0 / effect.max(0.01)).clamp(LEAST_PACE, 100.0);
+                    (held.pace + RECOVERY).min(bearable as u32).max(held.pace)
+                } else {
+                    held.pace
+                };
+                if percent == held.pace {
                     continue;
                 }
                 let saves = self
@@ -62,19 +109,9 @@
                     .get(&task.step.job)
                     .and_then(|j| j.record.work.steps.get(usize::from(task.step.step)))
                     .is_some_and(|s| s.checkpoints);
-                if saves && held.pace <= MOVED_AT && tightest > WELL_BELOW {
-                    log::info!(task:% = task, worker:% = name, pace = held.pace, tail_percent = tightest; "moving a filling task away from serving ones");
-                    held.unwanted = true;
-                    continue;
-                }
-                let percent = next_pace(held.pace, tightest);
-                if percent == held.pace {
-                    continue;
-                }
-                log::info!(task:% = task, worker:% = name, from = held.pace, to = percent, tail_percent = tightest; "pace changed");
-                if percent < held.pace {
-                    worker.disturbed = now;
-                }
+                log::info!(task:% = task, worker:% = name, from = held.pace, to = percent, moved = saves && percent == 0, tail_percent = tail, effect = effect; "pace changed");
+                disturbed |= percent < held.pace;
+                held.unwanted |= saves && percent == 0;
                 held.pace = percent;
                 held.paced = now;
                 orders.push(Dispatch {
@@ -87,19 +124,35 @@
                     },
                 });
             }
+            if disturbed {
+                worker.disturbed = now;
+                worker.remixed = now;
+            }
         }
     }
 }
 
-/// The pace after a look that shows the worst tail at `tail` percent of its target.
-fn next_pace(pace: u32, tail: u64) -> u32 {
-    if tail > 100 {
-        0
-    } else if tail > NEAR_TARGET {
-        pace / 2
-    } else if tail < WELL_BELOW {
-        (pace + RECOVERY).min(100)
-    } else {
-        pace
-    }
+/// The likely effect of each run on the serving tasks that are worst off, as a
+/// share of what these bear; 0 for runs that don't fill.
+fn effects(worker: &Worker, known: &Interference) -> Vec<f64> {
+    let suffering = worker.strains.iter().any(|s| s.tail > NEAR_TARGET);
+    let effect = |held: &Held| {
+        if !held.fills {
+            return 0.0;
+        }
+        let class = place::class_of(Some(&held.image));
+        let cores = held.demand() as f64 / 1e3;
+        let on = |s: &Strain| {
+            let estimate = known.estimate(&s.image, &class);
+            (estimate.mean + estimate.deviation()) * cores / s.allowed.max(0.01)
+        };
+        let suffers = |s: &&Strain| s.tail > NEAR_TARGET || !suffering;
+        worker
+            .strains
+            .iter()
+            .filter(suffers)
+            .map(on)
+            .fold(0.0, f64::max)
+    };
+    worker.runs.values().map(effect).collect()
 }
--- a/crates/jujubelb/src/dispatch/place.rs
+++ b/crates/jujubelb/src/dispatch/place.rs
@@ -5,17 +5,19 @@
 //! tasks that fill go where they disturb no serving task and find processor
 //! time that nobody else asks for.
 
+use arcstr::ArcStr;
 use indexmap::IndexSet;
 
 use super::work::{Step, StepKey};
-use super::worker::Worker;
-use crate::model::{DomainName, ServiceName, Span, Time};
+use super::worker::{Held, Strain, Worker};
+use crate::model::{ClassName, DomainName, ServiceName, Span, Time};
+use crate::place::interference::Interference;
 
 /// Cost of running away from the data. The room that is left over costs at most 2.
 const FAR: f64 = 4.0;
 
-/// Cost of a filling task beside a serving one: more than any other choice.
-const BESIDE_SERVING: f64 = 8.0;
+/// Cost of a filling task beside serving ones, at the slowdown that they bear.
+const BESIDE_SERVING: f64 = 1.0;
 
 /// Gain of a serving task beside others, so that they gather on few workers and
 /// leave the others to filling tasks.
@@ -29,16 +31,17 @@
 
 /// Worst tail in percent of its target up to which a filling task may start
 /// beside serving ones. Their load changes within seconds.
-const CALM_TAIL: u64 = 45;
+const CALM_TAIL: u64 = 75;
 
 /// Worst tail in percent of its target up to which serving tasks gather.
 const GATHER_TAIL: u64 = 70;
 
-/// Filling tasks that may run beside serving ones on one worker.
-const FILLERS_BESIDE: u32 = 2;
-
 /// Time after a slowdown in which no filling task starts on a worker.
-const REST: Span = Span::from_secs(4);
+const REST: Span = Span::from_millis(1_500);
+
+/// The interference model bounds a mean by a quarter of the deadline, so that a
+/// tail stays within it. The figures of serving tasks are tails already.
+const TAIL_OF_MEAN: u64 = 4;
 
 /// What a task needs of its worker.
 #[derive(Debug)]
@@ -80,13 +83,6 @@
         if worker.load.demand + step.size.cpu.0 > worker.report.room.cpu.0 {
             return false;
         }
-        let load = &worker.load;
-        let beside = load.fillers < FILLERS_BESIDE
-            && worker.worst_tail() < CALM_TAIL
-            && now.since(worker.disturbed) > REST;
-        if load.serving > 0 && !beside {
-            return false;
-        }
     }
     if !(worker.load.counted + size).fits(&worker.report.room) {
         return false;
@@ -97,6 +93,75 @@
     })
 }
 
+/// Whether a worker's serving tasks bear another filling task. One whose effect
+/// is not known is tried alone.
+pub(crate) fn bears(worker: &Worker, need: &Need<'_>, known: &Interference, now: Time) -> bool {
+    if worker.load.serving == 0 {
+        return true;
+    }
+    if worker.worst_tail() > CALM_TAIL || now.since(worker.disturbed) < REST {
+        return false;
+    }
+    let class = class_of(need.step.image.as_ref());
+    let cores = need.step.size.cpu.0 as f64 / 1e3;
+    worker.strains.iter().all(|strain| {
+        let estimate = known.estimate(&strain.image, &class);
+        if estimate.is_unknown() {
+            return !worker.untested && strain.expected <= strain.allowed;
+        }
+        strain.expected + estimate.mean * cores <= strain.allowed
+    })
+}
+
+/// Adds a filling task to what a worker's serving tasks are expected to suffer.
+pub(crate) fn strain(worker: &mut Worker, held: &Held, known: &Interference) {
+    let class = class_of(Some(&held.image));
+    let cores = held.demand() as f64 / 1e3;
+    let mut untested = false;
+    for strain in &mut worker.strains {
+        let estimate = known.estimate(&strain.image, &class);
+        strain.expected += estimate.mean * cores;
+        untested |= estimate.is_unknown();
+    }
+    worker.untested |= untested;
+}
+
+/// Sums up what a worker's serving tasks are expected to suffer.
+pub(crate) fn sum_strains(worker: &mut Worker, known: &Interference) {
+    worker.strains.clear();
+    worker.untested = false;
+    for held in worker.runs.values() {
+        let Some(target) = held.target else {
+            continue;
+        };
+        let image = ServiceName::new(held.image.clone());
+        let tail = held.tail().unwrap_or(0);
+        if let Some(strain) = worker.strains.iter_mut().find(|s| s.image == image) {
+            strain.tail = strain.tail.max(tail);
+            continue;
+        }
+        let allowed = known.allowed(&image, target.scale_up(TAIL_OF_MEAN, 1));
+        worker.strains.push(Strain {
+            image,
+            expected: 0.0,
+            allowed,
+            tail,
+        });
+    }
+    if worker.strains.is_empty() {
+        return;
+    }
+    let fillers: Vec<Held> = worker.runs.values().filter(|h| h.fills).cloned().collect();
+    for held in &fillers {
+        strain(worker, held, known);
+    }
+}
+
+/// The class of a filling task in the interference model.
+pub(crate) fn class_of(image: Option<&ArcStr>) -> ClassName {
+    ClassName::new(image.cloned().unwrap_or_default())
+}
+
 /// Cost of a worker for a task; the smallest is chosen.
 pub(crate) fn cost(worker: &Worker, need: &Need<'_>) -> f64 {
     let step = need.step;
@@ -111,8 +176,9 @@
         (false, true) => left + DISPLACE * f64::from(load.fillers) * asked / cpu,
         (false, false) => left + OVERLAP * (used - cpu).max(0.0) / asked.max(1.0),
     };
-    if step.fills && load.serving > 0 {
-        cost += BESIDE_SERVING;
+    if step.fills {
+        let used = |s: &Strain| s.expected / s.allowed.max(0.01);
+        cost += BESIDE_SERVING * worker.strains.iter().map(used).fold(0.0, f64::max);
     }
     if step.target.is_some() && load.serving > 0 && worker.worst_tail() < GATHER_TAIL {
         cost -= GATHER;
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -305,6 +305,9 @@
             if !place::admits(worker, need, &self.evacuated, now) {
                 continue;
             }
+            if need.step.fills && !place::bears(worker, need, &self.interference, now) {
+                continue;
+            }
             let cost = place::cost(worker, need);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, name));
@@ -326,6 +329,7 @@
             phase: Phase::Starting,
             size: step.size,
             fills: step.fills,
+            image: step.image.clone().unwrap_or_default(),
             target: step.target,
             since: now,
             confirmed: Time::ZERO,
@@ -362,6 +366,10 @@
         };
         worker.lease = worker.lease.max(deadline);
         worker.load.add(&held);
+        if step.fills {
+            place::strain(worker, &held, &self.interference);
+            worker.remixed = now;
+        }
         worker.runs.insert(task, held);
         let address = worker.report.address;
         let mut checkpoint = None;
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -4,8 +4,8 @@
 
 mod gangs;
 mod interference;
-mod leases;
 mod leaders;
+mod leases;
 mod queueing;
 mod records;
 
--- a/crates/jujubelb/src/dispatch/tests/records.rs
+++ b/crates/jujubelb/src/dispatch/tests/records.rs
@@ -9,7 +9,12 @@
     let task = TaskKey::parse(text).unwrap();
     assert_eq!(task.to_string(), text);
     assert_eq!(task.index, 17);
-    for bad in ["", "5c0e7a21d94b36f8.0.1", "5C0E7A21D94B36F8.0.1.1", "x.0.0.0"] {
+    for bad in [
+        "",
+        "5c0e7a21d94b36f8.0.1",
+        "5C0E7A21D94B36F8.0.1.1",
+        "x.0.0.0",
+    ] {
         assert_eq!(TaskKey::parse(bad), None, "{bad}");
     }
     assert_eq!(JobKey::parse("+c0e7a21d94b36f8"), None);
--- a/crates/jujubelb/src/dispatch/tests/world.rs
+++ b/crates/jujubelb/src/dispatch/tests/world.rs
@@ -106,12 +106,7 @@
 
     /// Tail of a serving task's response times: each filler at full pace adds to it.
     fn tail(&self, target: Span) -> u64 {
-        let press: u32 = self
-            .runs
-            .values()
-            .filter(|r| r.fills)
-            .map(|r| r.pace)
-            .sum();
+        let press: u32 = self.runs.values().filter(|r| r.fills).map(|r| r.pace).sum();
         target.as_millis() * (30 + u64::from(press) / 4) / 100
     }
 }
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -57,6 +57,8 @@
     pub(crate) phase: Phase,
     pub(crate) size: Resources,
     pub(crate) fills: bool,
+    /// What it runs.
+    pub(crate) image: ArcStr,
     /// Bound for the tail of the response times, of a task that serves.
     pub(crate) target: Option<Span>,
     /// When it was ordered, or first seen.
@@ -118,6 +120,12 @@
     pub(crate) paused: Time,
     /// When filling tasks last had to be slowed there.
     pub(crate) disturbed: Time,
+    /// When its filling tasks or their pace last changed.
+    pub(crate) remixed: Time,
+    /// Slowdown that its serving tasks are expected to suffer, by image.
+    pub(crate) strains: Vec<Strain>,
+    /// Whether the effect of one of its filling tasks is not known yet.
+    pub(crate) untested: bool,
     /// What runs there or may run there.
     pub(crate) runs: IndexMap<TaskKey, Held>,
     pub(crate) health: Health,
@@ -157,9 +165,26 @@
     }
 }
 
+/// What the serving tasks of one image on a worker suffer.
+#[derive(Debug, Clone)]
+pub(crate) struct Strain {
+    pub(crate) image: ServiceName,
+    /// Expected slowdown by the filling tasks at full pace.
+    pub(crate) expected: f64,
+    /// Slowdown within the target.
+    pub(crate) allowed: f64,
+    /// The worst tail of the image's tasks, in percent of their target.
+    pub(crate) tail: u64,
+}
+
 impl Held {
+    /// The tail of a serving task's response times in percent of its target.
+    pub(crate) fn tail(&self) -> Option<u64> {
+        Some(self.usage * 100 / self.target?.as_millis().max(1))
+    }
+
     /// Processor time that the run uses at full pace, in millicores.
-    fn demand(&self) -> u64 {
+    pub(crate) fn demand(&self) -> u64 {
         if self.target.is_some() {
             self.size.cpu.0 * SERVING_USE / 100
         } else if self.usage > 0 && self.pace == 100 {
@@ -187,6 +212,9 @@
             answered: Time::ZERO,
             paused: Time::ZERO,
             disturbed: Time::ZERO,
+            remixed: Time::ZERO,
+            strains: Vec::new(),
+            untested: false,
             runs: IndexMap::new(),
             health: Health::default(),
             load: Load::default(),
@@ -225,9 +253,8 @@
 
     /// The worst tail of its serving tasks in percent of their target.
     pub(crate) fn worst_tail(&self) -> u64 {
-        let tail = |h: &Held| Some(h.usage * 100 / h.target?.as_millis().max(1));
         let running = self.runs.values().filter(|h| h.phase == Phase::Running);
-        running.filter_map(tail).max().unwrap_or(0)
+        running.filter_map(Held::tail).max().unwrap_or(0)
     }
 
     /// Sums up its runs.
--- a/crates/jujubelb/src/place/mod.rs
+++ b/crates/jujubelb/src/place/mod.rs
@@ -8,7 +8,7 @@
 mod capacity;
 mod choose;
 mod fair;
-mod interference;
+pub(crate) mod interference;
 mod policy;
 mod quota;
 mod ramp;
