Learn interference from excess tails, keep what was learned, move stalled runs

A new leader waited 16 s for workers that had left long before, as they stayed in the roster. Swings of the load of serving tasks were blamed on harmless filling tasks. Ruled out: processor time on workers; the queue order. Change: the model is stored and read by the next leader; workers without runs leave the roster; only the excess over usual swings is learned; harmless pairs are placed whatever the tail; room of 12 % is kept for short tasks for 1.5 s; serving tasks gather by image; runs without progress move; a lost store means an immediate refusal.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -10,6 +10,7 @@
 use super::work::JobKey;
 use super::worker::WorkerReport;
 use crate::model::{DomainName, Resources, ServiceName, Span, Time, WorkerName};
+use crate::place::interference::Interference;
 
 /// Jobs in one batch; the store takes 32 entries in a transaction, of which
 /// one is the condition and one may be the roster.
@@ -61,6 +62,14 @@
     pub workers: Vec<RosterEntry>,
 }
 
+/// What a leader has learned of the interference between tasks. The next leader
+/// goes on from it instead of trying all pairs again.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Model(pub(super) Interference);
+
+/// Time between two writes of what was learned.
+const MODEL_EVERY: Span = Span::from_secs(3);
+
 /// A batch of changes to write in one transaction.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Commit {
@@ -68,6 +77,8 @@
     pub jobs: Vec<(JobKey, Progress)>,
     /// The roster, if it has changed.
     pub roster: Option<Roster>,
+    /// What was learned, now and then.
+    pub model: Option<Model>,
     /// Jobs to forget with all their keys.
     pub forgotten: Vec<JobKey>,
     /// The last change that the batch contains.
@@ -81,7 +92,7 @@
     }
 
     /// The next batch to write; one at a time.
-    pub fn take_commit(&mut self) -> Option<Commit> {
+    pub fn take_commit(&mut self, now: Time) -> Option<Commit> {
         if !self.has_changes() {
             return None;
         }
@@ -109,8 +120,13 @@
             0..=SMALL_COMMIT => forgotten.collect(),
             _ => Vec::new(),
         };
+        let model = (now.since(self.modelled) > MODEL_EVERY).then(|| {
+            self.modelled = now;
+            Model(self.interference.clone())
+        });
         Some(Commit {
             jobs,
+            model,
             roster,
             forgotten,
             upto: self.changes,
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -30,6 +30,8 @@
     pub(crate) inherited: bool,
     /// Not started before this time.
     pub(crate) after: Time,
+    /// Since when it waits.
+    pub(crate) since: Time,
 }
 
 /// A step of an occurrence.
@@ -41,7 +43,7 @@
 }
 
 impl StepState {
-    fn new(step: &Step, inherited: bool, saved: Option<&StepProgress>) -> Self {
+    fn new(step: &Step, inherited: bool, saved: Option<&StepProgress>, now: Time) -> Self {
         let task = Task {
             state: TaskState::Waiting,
             run: Run(0),
@@ -49,6 +51,7 @@
             saved: None,
             inherited,
             after: Time::ZERO,
+            since: now,
         };
         let mut tasks = vec![task; step.count as usize];
         for (i, task) in (0u32..).zip(&mut tasks) {
@@ -159,7 +162,7 @@
                 .zip(&self.record.work.steps)
                 .map(|(i, s)| {
                     let saved = saved.and_then(|o| o.steps.get(i));
-                    StepState::new(s, self.inherited, saved)
+                    StepState::new(s, self.inherited, saved, since)
                 })
                 .collect(),
         };
--- a/crates/jujubelb/src/dispatch/look.rs
+++ b/crates/jujubelb/src/dispatch/look.rs
@@ -284,6 +284,9 @@
             log::warn!(task:% = row.task, worker:% = name; "stopping a run of a job that the store doesn't have");
             held.unwanted = true;
         }
+        if held.percent != row.percent {
+            held.progressed = now;
+        }
         held.percent = row.percent;
         held.usage = row.usage;
     }
@@ -333,6 +336,7 @@
             stop_done: None,
             unwanted,
             percent: row.percent,
+            progressed: now,
             usage: row.usage,
             pace: 100,
             paced: Time::ZERO,
@@ -374,9 +378,11 @@
 
 impl Worker {
     /// Whether the worker is done with and may be forgotten.
-    pub(super) fn is_spent(&self, now: Time, started: Time) -> bool {
-        let unseen = self.clock.is_none() && now.since(started) > super::SUSPECT_WAIT;
-        let silent = now.since(self.answered) > super::SUSPECT_WAIT;
-        !self.listed && self.runs.is_empty() && silent && (unseen || self.is_lapsed(now))
+    ///
+    /// Every order that may still take effect is among its runs, so without any
+    /// nothing can run there. It must not stay in the roster: a new leader waits
+    /// for each worker of the roster that it can't reach.
+    pub(super) fn is_spent(&self, settled: bool) -> bool {
+        !self.listed && self.runs.is_empty() && (self.fenced || settled)
     }
 }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -33,7 +33,7 @@
 use job::{Job, TaskState};
 use worker::Worker;
 
-pub use commit::{Commit, Roster, RosterEntry};
+pub use commit::{Commit, Model, Roster, RosterEntry};
 pub use look::{EndRow, LookReply, LookRequest, RunEnd, RunRow};
 pub use progress::{OccurrenceProgress, Outcome, Progress, StepProgress, TaskProgress};
 pub use replies::{Refusal, StartReply, StopReply};
@@ -165,6 +165,12 @@
     scheduled: IndexSet<JobKey>,
     /// How much filling tasks slow serving ones, by their images.
     interference: Interference,
+    /// When that last faded.
+    faded: Time,
+    /// When the last pass was made.
+    latest: Time,
+    /// When that was last written.
+    modelled: Time,
     /// Domains in which nothing may start.
     evacuated: IndexSet<DomainName>,
     /// Count of changes that have to become durable.
@@ -181,8 +187,8 @@
 
 impl Dispatcher {
     /// A dispatcher for a new term. `roster` names the workers on which earlier
-    /// terms may have started tasks.
-    pub fn new(term: Term, bounds: Bounds, roster: &Roster, now: Time) -> Self {
+    /// terms may have started tasks, and `model` is what these have learned.
+    pub fn new(term: Term, bounds: Bounds, roster: &Roster, model: Model, now: Time) -> Self {
         let mut dispatcher = Self {
             term,
             bounds,
@@ -192,7 +198,10 @@
             workers: IndexMap::new(),
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
-            interference: Interference::default(),
+            interference: model.0,
+            modelled: now,
+            latest: now,
+            faded: now,
             evacuated: IndexSet::new(),
             changes: 0,
             dirty: IndexSet::new(),
@@ -283,6 +292,7 @@
 
     /// Sets a task's state and keeps the counts of its step.
     fn set_state(&mut self, key: TaskKey, state: TaskState) {
+        let now = self.latest;
         let Some(job) = self.jobs.get_mut(&key.step.job) else {
             return;
         };
@@ -305,6 +315,7 @@
         }
         let waits = state == TaskState::Waiting;
         task.state = state;
+        task.since = now;
         if waits && live {
             self.ready.insert(key.step);
         }
--- a/crates/jujubelb/src/dispatch/order.rs
+++ b/crates/jujubelb/src/dispatch/order.rs
@@ -31,6 +31,11 @@
     Overdue,
 }
 
+/// Part of the estimate, in percent, by which work is taken to last longer.
+/// Work that starts at the last moment by a wrong estimate is late and has
+/// taken the room of work that would not have been.
+const DOUBT: u64 = 30;
+
 /// Times the objective after which callers no longer wait for a result.
 const USELESS_AFTER: u64 = 3;
 
@@ -46,7 +51,7 @@
     let lasting = job.record.work.steps.get(step).is_some_and(|s| s.lasting);
     let objective = objective(job);
     let left = job.chain_from(step);
-    let latest = occurrence.since + objective - left;
+    let latest = occurrence.since + objective - left.scale_up(100 + DOUBT, 100);
     let end = occurrence.since + objective.scale_up(USELESS_AFTER, 1) - left;
     let class = if lasting {
         Class::Lasting
--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -22,6 +22,10 @@
 /// Part of the strongest likely effect at which another task is slowed too.
 const SUSPECT: f64 = 0.3;
 
+/// Likely effect, as a share of what is bearable, below which a task is not the
+/// cause of a high tail.
+const INNOCENT: f64 = 0.25;
+
 /// Percentage points by which a pace recovers.
 const RECOVERY: u32 = 25;
 
@@ -35,9 +39,21 @@
 /// the estimates say. Serving tasks may be above it for 4 s.
 const PATIENCE: Span = Span::from_millis(1_300);
 
-/// Weight of one figure in the interference model: it covers many requests.
+/// Requests that one figure is taken to cover.
 const REQUESTS: u32 = 100;
 
+/// Tail, in targets, up to which it swings with the load of the serving task
+/// alone. Only what is above it is taken for an effect of others: the swings
+/// last for seconds and would be blamed on whatever runs at that time.
+const SWING: f64 = 0.65;
+
+/// Usual latency in the model of a serving task that nothing disturbs.
+const CALM: Span = Span::from_secs(1);
+
+/// Part of each estimate that is kept for a second, and the time between fades.
+const KEPT: f64 = 0.995;
+const FADE: Span = Span::from_secs(1);
+
 impl Dispatcher {
     /// Learns from a look how much filling tasks slow serving ones.
     pub(super) fn learn_interference(&mut self, name: &WorkerName, now: Time) {
@@ -46,7 +62,8 @@
         };
         let mut mix = Mix::default();
         for held in worker.runs.values().filter(|h| h.fills) {
-            *mix.entry(place::class_of(Some(&held.image))).or_default() += held.usage as f64 / 1e3;
+            let class = place::class_of(Some(&held.image));
+            *mix.entry(class).or_default() += worker.units(held.usage);
         }
         let steady = now.since(worker.remixed) > SETTLE;
         for held in worker.runs.values_mut() {
@@ -56,9 +73,11 @@
             let above = held.usage > target.as_millis();
             held.harmed = above.then(|| held.harmed.unwrap_or(now));
             if steady && held.usage > 0 && now.since(held.confirmed) > SETTLE {
+                let tail = held.usage as f64 / target.as_millis().max(1) as f64;
+                let excess = (tail - SWING).max(0.0);
                 self.interference.learn(&Observation {
                     service: &ServiceName::new(held.image.clone()),
-                    mean: Span::from_millis(held.usage),
+                    mean: Span::from_micros((CALM.as_micros() as f64 * (1.0 + excess)) as u64),
                     count: REQUESTS,
                     load: 0,
                     mix: &mix,
@@ -68,6 +87,14 @@
         place::sum_strains(worker, &self.interference);
     }
 
+    /// Lets estimates fade.
+    pub(super) fn fade_interference(&mut self, now: Time) {
+        if now.since(self.faded) >= FADE {
+            self.faded = now;
+            self.interference.fade(KEPT);
+        }
+    }
+
     /// Orders the pace of filling tasks, and marks those that have to move.
     pub(super) fn pace(&mut self, orders: &mut Vec<Dispatch>, now: Time) {
         for (name, worker) in &mut self.workers {
@@ -90,7 +117,7 @@
                 if !held.fills || held.phase != Phase::Running || held.unwanted {
                     continue;
                 }
-                let suspect = effect >= SUSPECT * strongest;
+                let suspect = effect >= SUSPECT * strongest && effect > INNOCENT;
                 let percent = if still || (tail > 100 && suspect) {
                     0
                 } else if tail > NEAR_TARGET && suspect {
@@ -141,10 +168,10 @@
             return 0.0;
         }
         let class = place::class_of(Some(&held.image));
-        let cores = held.demand() as f64 / 1e3;
+        let units = worker.units(held.demand());
         let on = |s: &Strain| {
             let estimate = known.estimate(&s.image, &class);
-            (estimate.mean + estimate.deviation()) * cores / s.allowed.max(0.01)
+            (estimate.mean + estimate.deviation()) * units / place::BEARABLE
         };
         let suffers = |s: &&Strain| s.tail > NEAR_TARGET || !suffering;
         worker
--- a/crates/jujubelb/src/dispatch/place.rs
+++ b/crates/jujubelb/src/dispatch/place.rs
@@ -19,10 +19,18 @@
 /// Cost of a filling task beside serving ones, at the slowdown that they bear.
 const BESIDE_SERVING: f64 = 1.0;
 
-/// Gain of a serving task beside others, so that they gather on few workers and
-/// leave the others to filling tasks.
+/// Gain of a serving task beside others of its image. A filling task disturbs
+/// about a third of the images, so a worker with one image takes most of them
+/// and a worker with five takes few.
 const GATHER: f64 = 3.0;
 
+/// Cost of a serving task for each other image on the worker.
+const MIX: f64 = 1.0;
+
+/// Room in percent of a worker that lasting tasks leave to short ones, which
+/// couldn't start for a minute if lasting tasks took everything.
+const SHORT_SHARE: u64 = 12;
+
 /// Cost of a serving task where it displaces filling ones, for a full worker.
 const DISPLACE: f64 = 2.0;
 
@@ -39,9 +47,13 @@
 /// Time after a slowdown in which no filling task starts on a worker.
 const REST: Span = Span::from_millis(1_500);
 
-/// The interference model bounds a mean by a quarter of the deadline, so that a
-/// tail stays within it. The figures of serving tasks are tails already.
-const TAIL_OF_MEAN: u64 = 4;
+/// Expected excess of a tail, in targets, below which a filling task has no
+/// part in it.
+pub(crate) const HARMLESS: f64 = 0.06;
+
+/// Expected excess of a tail, in targets, that serving tasks are burdened with.
+/// Known pairs have next to none or several times this.
+pub(crate) const BEARABLE: f64 = 0.3;
 
 /// What a task needs of its worker.
 #[derive(Debug)]
@@ -51,6 +63,8 @@
     pub(crate) service: &'a ServiceName,
     /// Racks to stay on, for a gang that has begun to be placed.
     pub(crate) rack: Option<&'a str>,
+    /// Whether a lasting task leaves the room that is kept for short ones.
+    pub(crate) patient: bool,
 }
 
 /// Whether a worker could take a task now.
@@ -84,7 +98,12 @@
             return false;
         }
     }
-    if !(worker.load.counted + size).fits(&worker.report.room) {
+    let mut wanted = worker.load.counted + size;
+    if step.lasting && need.patient {
+        let share = worker.report.room.cpu.0 * SHORT_SHARE / 100;
+        wanted.cpu.0 += share.min(step.size.cpu.0);
+    }
+    if !wanted.fits(&worker.report.room) {
         return false;
     }
     step.per_worker.is_none_or(|most| {
@@ -99,28 +118,36 @@
     if worker.load.serving == 0 {
         return true;
     }
-    if worker.worst_tail() > CALM_TAIL || now.since(worker.disturbed) < REST {
+    let class = class_of(need.step.image.as_ref());
+    let units = worker.units(need.step.size.cpu.0);
+    let harmless = |strain: &Strain| {
+        let estimate = known.estimate(&strain.image, &class);
+        !estimate.is_unknown() && estimate.mean * units < HARMLESS
+    };
+    if worker.strains.iter().all(harmless) {
+        return true;
+    }
+    let calm = |s: &Strain| s.tail <= CALM_TAIL || harmless(s);
+    if !worker.strains.iter().all(calm) || now.since(worker.disturbed) < REST {
         return false;
     }
-    let class = class_of(need.step.image.as_ref());
-    let cores = need.step.size.cpu.0 as f64 / 1e3;
     worker.strains.iter().all(|strain| {
         let estimate = known.estimate(&strain.image, &class);
         if estimate.is_unknown() {
-            return !worker.untested && strain.expected <= strain.allowed;
+            return !worker.untested && strain.expected <= BEARABLE;
         }
-        strain.expected + estimate.mean * cores <= strain.allowed
+        strain.expected + estimate.mean * units <= BEARABLE
     })
 }
 
 /// Adds a filling task to what a worker's serving tasks are expected to suffer.
 pub(crate) fn strain(worker: &mut Worker, held: &Held, known: &Interference) {
     let class = class_of(Some(&held.image));
-    let cores = held.demand() as f64 / 1e3;
+    let units = worker.units(held.demand());
     let mut untested = false;
     for strain in &mut worker.strains {
         let estimate = known.estimate(&strain.image, &class);
-        strain.expected += estimate.mean * cores;
+        strain.expected += estimate.mean * units;
         untested |= estimate.is_unknown();
     }
     worker.untested |= untested;
@@ -131,20 +158,18 @@
     worker.strains.clear();
     worker.untested = false;
     for held in worker.runs.values() {
-        let Some(target) = held.target else {
+        if held.target.is_none() {
             continue;
-        };
+        }
         let image = ServiceName::new(held.image.clone());
         let tail = held.tail().unwrap_or(0);
         if let Some(strain) = worker.strains.iter_mut().find(|s| s.image == image) {
             strain.tail = strain.tail.max(tail);
             continue;
         }
-        let allowed = known.allowed(&image, target.scale_up(TAIL_OF_MEAN, 1));
         worker.strains.push(Strain {
             image,
             expected: 0.0,
-            allowed,
             tail,
         });
     }
@@ -177,11 +202,17 @@
         (false, false) => left + OVERLAP * (used - cpu).max(0.0) / asked.max(1.0),
     };
     if step.fills {
-        let used = |s: &Strain| s.expected / s.allowed.max(0.01);
+        let used = |s: &Strain| s.expected / BEARABLE;
         cost += BESIDE_SERVING * worker.strains.iter().map(used).fold(0.0, f64::max);
     }
-    if step.target.is_some() && load.serving > 0 && worker.worst_tail() < GATHER_TAIL {
-        cost -= GATHER;
+    if step.target.is_some() {
+        let image = step.image.as_deref().unwrap_or_default();
+        let others = worker.strains.iter().filter(|s| s.image.as_str() != image);
+        cost += MIX * others.count() as f64;
+        let alike = worker.strains.iter().find(|s| s.image.as_str() == image);
+        if alike.is_some_and(|s| s.tail < GATHER_TAIL) {
+            cost -= GATHER;
+        }
     }
     if let Some(near) = &step.near
         && worker.report.rack.as_ref() != Some(near)
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -14,6 +14,14 @@
 /// time that a stop takes.
 const STOP_RETRY: Span = Span::from_millis(600);
 
+/// How long a lasting task waits before it takes the room that is kept for
+/// short ones.
+const PATIENCE: Span = Span::from_millis(1_500);
+
+/// Time without progress after which a run is stopped. A task of seconds that
+/// works at a tenth of its speed still shows progress several times in it.
+const STALL: Span = Span::from_millis(2_500);
+
 /// How long before a worker leaves its tasks are stopped, on top of the time
 /// that the stop takes, so that their last checkpoint is listed in time.
 const LEAVE_MARGIN: Span = Span::from_millis(700);
@@ -24,11 +32,14 @@
         if self.deposed {
             return Vec::new();
         }
+        self.latest = now;
         self.begin_due(wall, now);
         self.expire_leases(now);
         self.settle(now);
         let mut orders = Vec::new();
         self.leave(now);
+        self.find_stalled(now);
+        self.fade_interference(now);
         self.stop_unwanted(&mut orders, now);
         self.pace(&mut orders, now);
         self.start_ready(&mut orders, now);
@@ -57,7 +68,7 @@
         let spent: Vec<WorkerName> = self
             .workers
             .iter()
-            .filter(|(_, w)| w.is_spent(now, self.started))
+            .filter(|(_, w)| w.is_spent(self.settled))
             .map(|(n, _)| n.clone())
             .collect();
         for name in spent {
@@ -117,6 +128,31 @@
         }
     }
 
+    /// Marks runs that make no progress; other workers may do better.
+    fn find_stalled(&mut self, now: Time) {
+        for worker in self.workers.values_mut() {
+            let mut stalled = Vec::new();
+            for (task, held) in &mut worker.runs {
+                let works = held.phase == Phase::Running && held.pace > 0 && !held.unwanted;
+                let ends = self
+                    .jobs
+                    .get(&task.step.job)
+                    .and_then(|j| j.record.work.steps.get(usize::from(task.step.step)))
+                    .is_some_and(|s| !s.lasting && !s.gang);
+                if works && ends && worker.answered.since(held.progressed) > STALL {
+                    log::warn!(task:% = task, worker:% = worker.report.name, percent = held.percent, age:% = now.since(held.since); "stopping a run that makes no progress");
+                    held.unwanted = true;
+                    stalled.push(task.step.job);
+                }
+            }
+            for _ in stalled {
+                if worker.health.overdue(now) {
+                    log::warn!(worker:% = worker.report.name; "worker taken for sick: several runs make no progress");
+                }
+            }
+        }
+    }
+
     fn stop_unwanted(&mut self, orders: &mut Vec<Dispatch>, now: Time) {
         let retry = self.bounds.stop + STOP_RETRY;
         for (name, worker) in &mut self.workers {
@@ -201,6 +237,8 @@
             }
             return;
         }
+        let waited = |t: &super::job::Task| now.since(t.since) > PATIENCE;
+        let patient = !state.tasks.iter().any(|t| startable(t) && waited(t));
         let mut placed: IndexMap<WorkerName, u32> = IndexMap::new();
         for index in waiting {
             let need = Need {
@@ -208,6 +246,7 @@
                 step,
                 service: &record.terms.service,
                 rack: None,
+                patient,
             };
             let Some(worker) = self.choose(&need, now) else {
                 full.add(step, &record);
@@ -276,6 +315,7 @@
             step,
             service: &record.terms.service,
             rack,
+            patient: false,
         };
         let mut chosen = Vec::new();
         for index in 0..step.count {
@@ -338,6 +378,7 @@
             stop_done: None,
             unwanted: false,
             percent: 0,
+            progressed: now,
             usage: 0,
             pace: 100,
             paced: Time::ZERO,
@@ -371,6 +412,9 @@
             worker.remixed = now;
         }
         worker.runs.insert(task, held);
+        if step.target.is_some() {
+            place::sum_strains(worker, &self.interference);
+        }
         let address = worker.report.address;
         let mut checkpoint = None;
         if let Some(known) = self
--- a/crates/jujubelb/src/dispatch/tests/leaders.rs
+++ b/crates/jujubelb/src/dispatch/tests/leaders.rs
@@ -96,3 +96,21 @@
     assert!(!world.completed.contains_key(&key));
     let _ = blocker;
 }
+
+/// Guards against a wait for a worker that has left long ago.
+#[test]
+fn workers_that_have_left_do_not_hold_up_a_new_leader() {
+    let mut world = World::new(4);
+    let key = world.submit(1, job(0, vec![lasting(4, 40)]));
+    world.run(Span::from_secs(1));
+    world.kill(0);
+    world.list();
+    world.run(Span::from_secs(9));
+    assert_eq!(world.running(key), 3);
+    assert!(world.roster.workers.len() == 3);
+    world.kill(1);
+    world.revive(1);
+    world.change_leader();
+    world.run(Span::from_secs(1));
+    assert_eq!(world.running(key), 3);
+}
--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -1,5 +1,6 @@
 //! Order of what waits.
 
+use super::world::Fault;
 use super::{World, job, step};
 use crate::model::Span;
 
@@ -31,3 +32,17 @@
     world.run(Span::from_secs(2));
     assert!(world.completed.contains_key(&key));
 }
+
+/// A worker on which everything stands still: its tasks go elsewhere, and it
+/// gets no further ones while others have room.
+#[test]
+fn stalled_tasks_move_to_other_workers() {
+    let mut world = World::new(3);
+    world.worker(0).fault = Fault::Hanging;
+    let mut keys = Vec::new();
+    for i in 0..6 {
+        keys.push(world.submit(i, job(0, vec![step(4, 8, Span::from_millis(500))])));
+    }
+    world.run(Span::from_secs(8));
+    assert!(keys.iter().all(|k| world.completed.contains_key(k)));
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -75,6 +75,8 @@
     pub(crate) unwanted: bool,
     /// The worker's figures of the last look.
     pub(crate) percent: u32,
+    /// When `percent` last changed.
+    pub(crate) progressed: Time,
     pub(crate) usage: u64,
     /// Share of its speed that the run was told to work at, in percent.
     pub(crate) pace: u32,
@@ -84,6 +86,10 @@
     pub(crate) harmed: Option<Time>,
 }
 
+/// Units of the interference model in a whole worker. An effect depends on the
+/// share of the worker, and the model was made for cores of a large one.
+const UNITS: f64 = 64.0;
+
 /// Slowest rate of a worker's clock, as a share of ours in percent.
 const SLOWEST_CLOCK: u64 = 98;
 
@@ -122,7 +128,7 @@
     pub(crate) disturbed: Time,
     /// When its filling tasks or their pace last changed.
     pub(crate) remixed: Time,
-    /// Slowdown that its serving tasks are expected to suffer, by image.
+    /// What its serving tasks are expected to suffer, by image.
     pub(crate) strains: Vec<Strain>,
     /// Whether the effect of one of its filling tasks is not known yet.
     pub(crate) untested: bool,
@@ -149,7 +155,7 @@
 
 /// Share of its processor time, in percent, that a serving task is taken to use;
 /// its figures tell only the tail of its response times.
-const SERVING_USE: u64 = 60;
+const SERVING_USE: u64 = 45;
 
 impl Load {
     pub(crate) fn add(&mut self, held: &Held) {
@@ -169,10 +175,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Strain {
     pub(crate) image: ServiceName,
-    /// Expected slowdown by the filling tasks at full pace.
+    /// Expected excess of the tail by the filling tasks at full pace, in targets.
     pub(crate) expected: f64,
-    /// Slowdown within the target.
-    pub(crate) allowed: f64,
     /// The worst tail of the image's tasks, in percent of their target.
     pub(crate) tail: u64,
 }
@@ -251,6 +255,11 @@
             .is_some_and(|clock| clock > self.lease + CLOCK_MARGIN)
     }
 
+    /// An amount of processor time in the units of the interference model.
+    pub(crate) fn units(&self, millicores: u64) -> f64 {
+        UNITS * millicores as f64 / self.report.room.cpu.0.max(1) as f64
+    }
+
     /// The worst tail of its serving tasks in percent of their target.
     pub(crate) fn worst_tail(&self) -> u64 {
         let running = self.runs.values().filter(|h| h.phase == Phase::Running);
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -236,7 +236,9 @@
             .other_leader()
             .filter(|_| node.is_store_lost() || attempt == 1);
         let verdict = match (remote, write) {
-            (None, _) if node.is_store_lost() && !unclear && attempt == 0 => Verdict::Refused,
+            // Nothing was sent, so the refusal is true, and the caller may go to
+            // another host at once.
+            (None, _) if node.is_store_lost() && !unclear => return Verdict::Refused,
             (None, Write::Job(key, record)) => store_job(node, key, record).await,
             (None, Write::Cancel(key)) => store_cancel(node, key).await,
             (Some(leader), write) => {
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -15,10 +15,13 @@
 pub(crate) const LEADER: &str = "jj/leader";
 
 /// Number of terms so far.
-pub(crate) const TERM: &str = "jj/term";
+pub(crate) const TERM: &str = "term";
 
 /// Workers on which tasks may have been started.
-pub(crate) const ROSTER: &str = "jj/roster";
+pub(crate) const ROSTER: &str = "roster";
+
+/// What leaders have learned of the interference between tasks.
+pub(crate) const MODEL: &str = "model";
 
 /// Prefix of what entries write for the leader: jobs and cancellations.
 pub(crate) const INTAKE: &str = "in/";
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -12,7 +12,7 @@
 use super::state::{LeaderSeen, Node, lock, sleep};
 use super::watch::{Follow, News, follow};
 use crate::dispatch::{
-    Commit, Dispatch, Dispatcher, JobKey, JobRecord, LEADER_GRACE, Order, Progress, Roster,
+    Commit, Dispatch, Dispatcher, JobKey, JobRecord, LEADER_GRACE, Model, Order, Progress, Roster,
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
@@ -206,6 +206,11 @@
         .into_iter()
         .find_map(|i| keys::decode(&i.key, &i.value?))
         .unwrap_or_default();
+    let model: Model = read_until_done(node, keys::MODEL)
+        .await
+        .into_iter()
+        .find_map(|i| keys::decode(&i.key, &i.value?))
+        .unwrap_or_default();
     let states: IndexMap<JobKey, Progress> = read_until_done(node, keys::STATES)
         .await
         .into_iter()
@@ -217,7 +222,7 @@
     let intake = read_until_done(node, keys::INTAKE).await;
     let workers = read_until_done(node, WORKER_PREFIX).await;
     let (now, wall) = (node.now(), node.wall());
-    let mut dispatcher = Dispatcher::new(win.term, node.settings.bounds, &roster, now);
+    let mut dispatcher = Dispatcher::new(win.term, node.settings.bounds, &roster, model, now);
     for item in &intake {
         if let Some(key) = keys::job_of(&item.key, keys::JOBS)
             && let Some(record) = item
@@ -315,7 +320,7 @@
             expired = now;
             lock(&lead.dispatcher).expire(now);
         }
-        let batch = lock(&lead.dispatcher).take_commit();
+        let batch = lock(&lead.dispatcher).take_commit(node.now());
         let Some(batch) = batch else {
             tokio::select! { () = lead.commit.notified() => {}, () = sleep(RENEWAL) => {} }
             continue;
@@ -366,6 +371,9 @@
     if let Some(roster) = &batch.roster {
         txn = txn.put(keys::ROSTER, &keys::encode(roster), None);
     }
+    if let Some(model) = &batch.model {
+        txn = txn.put(keys::MODEL, &keys::encode(model), None);
+    }
     for key in &batch.forgotten {
         for name in [keys::job(*key), keys::cancel(*key), keys::state(*key)] {
             txn = txn.delete(name);
--- a/crates/jujubelb/src/node/peers.rs
+++ b/crates/jujubelb/src/node/peers.rs
@@ -148,6 +148,9 @@
                 let pending = lock(&lead.dispatcher).pending(&host, &prefix);
                 Tell::Pending(pending as u64)
             }
+            Ask::Store(..) | Ask::Cancel(_) if node.is_store_lost() => {
+                Tell::Verdict(Verdict::Refused)
+            }
             Ask::Store(key, record) => Tell::Verdict(callers::store_job(node, key, &record).await),
             Ask::Cancel(key) => Tell::Verdict(callers::store_cancel(node, key).await),
         }
