Slow filling tasks that can go on, move only the others

Ruled out: want of places (workers that bear the task were out of processor time, not closed). Change: a suspect that is bearable at 35 % of its pace or more is slowed to that.

--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -26,6 +26,10 @@
 /// cause of a high tail.
 const INNOCENT: f64 = 0.25;
 
+/// Pace in percent below which a task is better moved than slowed: a move costs
+/// a stop and the restoring of a checkpoint, about half a second.
+const WORTHWHILE: u32 = 35;
+
 /// Percentage points by which a pace recovers.
 const RECOVERY: u32 = 25;
 
@@ -118,13 +122,18 @@
                     continue;
                 }
                 let suspect = effect >= SUSPECT * strongest && effect > INNOCENT;
-                let percent = if still || (tail > 100 && suspect) {
+                let bearable = (100.0 / effect.max(0.01)).clamp(LEAST_PACE, 100.0) as u32;
+                let percent = if still {
                     0
+                } else if tail > 100 && suspect {
+                    match bearable {
+                        ..WORTHWHILE => 0,
+                        _ => bearable.min(held.pace / 2),
+                    }
                 } else if tail > NEAR_TARGET && suspect {
                     held.pace / 2
                 } else if tail < WELL_BELOW && now.since(held.paced) >= SETTLE {
-                    let bearable = (100.0 / effect.max(0.01)).clamp(LEAST_PACE, 100.0);
-                    (held.pace + RECOVERY).min(bearable as u32).max(held.pace)
+                    (held.pace + RECOVERY).min(bearable).max(held.pace)
                 } else {
                     held.pace
                 };
