Let harmless filling tasks stand still only while it is needed

Ruled out: wrong estimates as the main cause (the strong effects were found). Change: all stand still after 2.0 s, harmless ones are not moved and go on at once when the tail has fallen; stalls count from the last change of pace. A test plays a harmless and a harmful batch beside serving tasks.

--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -40,8 +40,9 @@
 const SETTLE: Span = Span::from_millis(700);
 
 /// Time above the target after which all filling tasks stand still, whatever
-/// the estimates say. Serving tasks may be above it for 4 s.
-const PATIENCE: Span = Span::from_millis(1_300);
+/// the estimates say. Serving tasks may be above it for 4 s; a stop of the
+/// likely causes needs up to 1.5 s until it shows.
+const PATIENCE: Span = Span::from_millis(2_000);
 
 /// Requests that one figure is taken to cover.
 const REQUESTS: u32 = 100;
@@ -132,6 +133,8 @@
                     }
                 } else if tail > NEAR_TARGET && suspect {
                     held.pace / 2
+                } else if tail < NEAR_TARGET && effect <= INNOCENT {
+                    100
                 } else if tail < WELL_BELOW && now.since(held.paced) >= SETTLE {
                     (held.pace + RECOVERY).min(bearable).max(held.pace)
                 } else {
@@ -145,9 +148,9 @@
                     .get(&task.step.job)
                     .and_then(|j| j.record.work.steps.get(usize::from(task.step.step)))
                     .is_some_and(|s| s.checkpoints);
-                log::info!(task:% = task, worker:% = name, from = held.pace, to = percent, moved = saves && percent == 0, tail_percent = tail, effect = effect; "pace changed");
+                log::info!(task:% = task, worker:% = name, from = held.pace, to = percent, moved = saves && percent == 0 && suspect, tail_percent = tail, effect = effect; "pace changed");
                 disturbed |= percent < held.pace;
-                held.unwanted |= saves && percent == 0;
+                held.unwanted |= saves && percent == 0 && suspect;
                 held.pace = percent;
                 held.paced = now;
                 orders.push(Dispatch {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -139,7 +139,7 @@
                     .get(&task.step.job)
                     .and_then(|j| j.record.work.steps.get(usize::from(task.step.step)))
                     .is_some_and(|s| !s.lasting && !s.gang);
-                if works && ends && worker.answered.since(held.progressed) > STALL {
+                if works && ends && worker.answered.since(held.progressed.max(held.paced)) > STALL {
                     log::warn!(task:% = task, worker:% = worker.report.name, percent = held.percent, age:% = now.since(held.since); "stopping a run that makes no progress");
                     held.unwanted = true;
                     stalled.push(task.step.job);
--- a/crates/jujubelb/src/dispatch/tests/interference.rs
+++ b/crates/jujubelb/src/dispatch/tests/interference.rs
@@ -42,3 +42,28 @@
         .collect();
     assert_eq!(serving.len(), 1);
 }
+
+/// Two kinds of batches beside serving tasks on the only worker, one of which
+/// disturbs them: the harmless one is not slowed for what the other does, and
+/// the serving tasks are not above their target for long.
+#[test]
+fn only_the_cause_of_a_high_tail_is_slowed() {
+    let mut world = World::new(1);
+    let serving = lasting(2, 10);
+    world.submit(1, job(0, vec![serving]));
+    world.run(Span::from_millis(500));
+    let harmless = Step {
+        image: Some("light".into()),
+        ..filling(3, 6, Span::from_secs(3))
+    };
+    let harmful = Step {
+        image: Some("heavy".into()),
+        checkpoints: false,
+        ..filling(1, 6, Span::from_secs(3))
+    };
+    let light = world.submit(2, job(2, vec![harmless]));
+    world.submit(3, job(2, vec![harmful]));
+    world.run(Span::from_secs(6));
+    assert!(world.completed.contains_key(&light));
+    assert!(world.longest_harm < Span::from_secs(4));
+}
--- a/crates/jujubelb/src/dispatch/tests/world.rs
+++ b/crates/jujubelb/src/dispatch/tests/world.rs
@@ -50,6 +50,7 @@
     run: Run,
     size: Resources,
     fills: bool,
+    image: ArcStr,
     target: Option<Span>,
     pace: u32,
     /// Work left at full pace; `None` for lasting tasks.
@@ -104,9 +105,15 @@
             .sum()
     }
 
-    /// Tail of a serving task's response times: each filler at full pace adds to it.
+    /// Tail of a serving task's response times: each filler at full pace adds to
+    /// it, a heavy one by twice the target and a light one not at all.
     fn tail(&self, target: Span) -> u64 {
-        let press: u32 = self.runs.values().filter(|r| r.fills).map(|r| r.pace).sum();
+        let press = |r: &FakeRun| match r.image.as_str() {
+            "heavy" => 8 * r.pace,
+            "light" => 0,
+            _ => r.pace,
+        };
+        let press: u32 = self.runs.values().filter(|r| r.fills).map(press).sum();
         target.as_millis() * (30 + u64::from(press) / 4) / 100
     }
 }
@@ -126,6 +133,10 @@
     /// Whether the store takes writes.
     pub(crate) store_up: bool,
     cancelled: IndexSet<JobKey>,
+    /// Since when a worker's serving tasks are above their target.
+    harmed: IndexMap<WorkerName, Time>,
+    /// The longest time that serving tasks were above their target.
+    pub(crate) longest_harm: Span,
 }
 
 pub(crate) fn step(count: u32, cores: u64, estimate: Span) -> Step {
@@ -187,6 +198,8 @@
             completed: IndexMap::new(),
             store_up: true,
             cancelled: IndexSet::new(),
+            harmed: IndexMap::new(),
+            longest_harm: Span::ZERO,
         };
         for i in 0..workers {
             world.add_worker(i);
@@ -312,7 +325,14 @@
 
     fn work(&mut self) {
         let now = self.now;
-        for worker in self.workers.values_mut() {
+        for (name, worker) in &mut self.workers {
+            let target = worker.runs.values().find_map(|r| r.target);
+            if target.is_some_and(|t| worker.tail(t) > t.as_millis()) {
+                let since = *self.harmed.entry(name.clone()).or_insert(now);
+                self.longest_harm = self.longest_harm.max(now.since(since));
+            } else {
+                self.harmed.shift_remove(name);
+            }
             if worker.fault == Fault::Dead {
                 continue;
             }
@@ -550,6 +570,7 @@
                 run,
                 size: step.size,
                 fills: step.fills,
+                image: step.image.unwrap_or_default(),
                 target: step.target,
                 pace: 100,
                 left: (!step.lasting).then_some(step.estimate),
