--- a/crates/jujubelb/src/dispatch/look.rs
+++ b/crates/jujubelb/src/dispatch/look.rs
@@ -105,7 +105,7 @@
 
 /// Wait of a look where tasks that fill run beside tasks that serve. Their
 /// interference changes within seconds.
-const WATCHFUL_WAIT: Span = Span::from_millis(500);
+const WATCHFUL_WAIT: Span = Span::from_millis(350);
 
 /// How long a run of a job that isn't known may go on before it is stopped.
 const STRANGER_GRACE: Span = Span::from_secs(5);
--- a/crates/jujubelb/src/dispatch/place.rs
+++ b/crates/jujubelb/src/dispatch/place.rs
@@ -49,11 +49,11 @@
 
 /// Expected excess of a tail, in targets, below which a filling task has no
 /// part in it.
-pub(crate) const HARMLESS: f64 = 0.06;
+pub(crate) const HARMLESS: f64 = 0.04;
 
 /// Expected excess of a tail, in targets, that serving tasks are burdened with.
 /// Known pairs have next to none or several times this.
-pub(crate) const BEARABLE: f64 = 0.3;
+pub(crate) const BEARABLE: f64 = 0.18;
 
 /// What a task needs of its worker.
 #[derive(Debug)]
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -180,6 +180,11 @@
         log::info!(job:% = key, error:% = error; "submission is not valid");
         return Reply::failed(Status::BadRequest, &error.to_string());
     }
+    if queue.terms.advice.is_some() {
+        // An accepted job could never start: its workers ask for tickets.
+        log::error!(job:% = key, queue:% = queue.terms.prefix; "job refused: queues with a policy service are not supported yet");
+        return Reply::later("queues with a policy service are not supported yet");
+    }
     let record = JobRecord {
         terms: queue.terms.clone(),
         work,
