Let a batch that finds no place hold up no other

Cause: sizes that found no room in a pass were remembered without the image, so one filling task that no worker bears kept all larger ones of other images from being tried in that pass. Ruled out: want of processor time (workers were open to the other images). Change: the image is part of what is remembered; a pass every 12 ms instead of 5 ms, as a host has a tenth of a core. A test plays it; it failed before.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -1,5 +1,6 @@
 //! The regular pass: lost workers, stops, and starts of what is ready.
 
+use arcstr::ArcStr;
 use indexmap::IndexMap;
 
 use super::job::TaskState;
@@ -8,7 +9,7 @@
 use super::work::{JobRecord, Run, Step, StepKey, TaskKey};
 use super::worker::{Held, Phase};
 use super::{Dispatch, Dispatcher, Order, SUSPECT_WAIT};
-use crate::model::{Resources, Span, Time, WallTime, WorkerName, WorkerTime};
+use crate::model::{Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime};
 
 /// Time after which a stop without an end is sent again, on top of the longest
 /// time that a stop takes.
@@ -440,24 +441,41 @@
     }
 }
 
+/// What found no room in this pass.
+#[derive(Debug)]
+struct Unplaced {
+    size: Resources,
+    fills: bool,
+    /// Of a filling task, which may be unwelcome where others are not.
+    image: Option<ArcStr>,
+    service: ServiceName,
+}
+
 /// Sizes that found no room in this pass; a larger one needs no search.
 #[derive(Debug, Default)]
 struct Full {
-    sizes: Vec<(Resources, bool, crate::model::ServiceName)>,
+    sizes: Vec<Unplaced>,
 }
 
 impl Full {
     fn covers(&self, step: &Step, record: &JobRecord) -> bool {
-        self.sizes.iter().any(|(size, fills, service)| {
-            size.fits(&step.size) && *fills == step.fills && *service == record.terms.service
+        self.sizes.iter().any(|known| {
+            known.size.fits(&step.size)
+                && known.fills == step.fills
+                && known.image.as_ref() == step.image.as_ref().filter(|_| step.fills)
+                && known.service == record.terms.service
         })
     }
 
     fn add(&mut self, step: &Step, record: &JobRecord) {
         let anywhere = step.label.is_none() && step.per_worker.is_none();
         if anywhere {
-            self.sizes
-                .push((step.size, step.fills, record.terms.service.clone()));
+            self.sizes.push(Unplaced {
+                size: step.size,
+                fills: step.fills,
+                image: step.image.clone().filter(|_| step.fills),
+                service: record.terms.service.clone(),
+            });
         }
     }
 }
--- a/crates/jujubelb/src/dispatch/tests/interference.rs
+++ b/crates/jujubelb/src/dispatch/tests/interference.rs
@@ -67,3 +67,25 @@
     assert!(world.completed.contains_key(&light));
     assert!(world.longest_harm < Span::from_secs(4));
 }
+
+/// A batch that no worker bears waits before one that every worker bears: the
+/// second one must not be held up because the first found no place.
+#[test]
+fn a_batch_that_finds_no_place_does_not_hold_up_another() {
+    let mut world = World::new(1);
+    world.submit(1, job(0, vec![lasting(2, 10)]));
+    world.run(Span::from_millis(500));
+    let image = |name: &str| Step {
+        image: Some(name.into()),
+        ..filling(2, 6, Span::from_secs(1))
+    };
+    // Both are tried once, so that their effects are known.
+    world.submit(2, job(2, vec![image("light")]));
+    world.run(Span::from_secs(3));
+    world.submit(3, job(2, vec![image("heavy")]));
+    world.run(Span::from_secs(3));
+    world.submit(4, job(1, vec![image("heavy")]));
+    let light = world.submit(5, job(2, vec![image("light")]));
+    world.run(Span::from_millis(2_500));
+    assert!(world.completed.contains_key(&light));
+}
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -31,7 +31,7 @@
 
 /// Time between two passes over what is ready; events that come meanwhile are
 /// served by one pass.
-const PLAN_PAUSE: Span = Span::from_millis(5);
+const PLAN_PAUSE: Span = Span::from_millis(12);
 
 /// Longest time between two passes, for what becomes due by time alone.
 const PLAN_TICK: Span = Span::from_millis(100);
