Note an orderly stop of the leader, so that the next one waits only for leases

Workers that had just left stood in the roster, and each new leader waited for them as if the leader before might still extend their leases, 22 s and more, with all older tasks. Ruled out: want of room (13,056 cores, 11,000 given away) and the watch of the store. Change: a leader that has stopped notes it; the next one then waits for leases alone, of at most 6 s. A test plays it; without the note it fails.

--- a/crates/jujubelb/src/dispatch/look.rs
+++ b/crates/jujubelb/src/dispatch/look.rs
@@ -94,11 +94,6 @@
 /// Longest list of ends in one answer; a full list may lack later ends.
 const MOST_ENDS: usize = 500;
 
-/// Longest lease that is asked for. It bounds the time until the tasks of a lost
-/// worker start elsewhere, and has to outlast a change of the leader, which
-/// takes about 3 s.
-const LONGEST_LEASE: Span = Span::from_secs(6);
-
 /// Wait of an ordinary look. An end is answered at once, so this bounds only
 /// the age of what is known of tasks that go on.
 const WAIT: Span = Span::from_millis(1_500);
@@ -114,7 +109,7 @@
     /// The next look at a worker; `None` if it needs none any more.
     pub fn look(&mut self, name: &WorkerName, now: Time) -> Option<LookRequest> {
         let worker = self.workers.get_mut(name)?;
-        let lease = self.bounds.lease.min(LONGEST_LEASE);
+        let lease = self.bounds.lease;
         let clock = worker.clock_now(now).filter(|_| worker.reached);
         let deadline = clock.map(|c| c + lease);
         let before = worker.lease;
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -63,6 +63,9 @@
     pub token: u64,
     /// Number of terms before this one.
     pub number: u64,
+    /// Whether the leader before has stopped for certain, so that it extends no
+    /// leases any more.
+    pub resigned: bool,
 }
 
 /// Runs that one term may give to a task. Each term numbers from its own
@@ -140,6 +143,11 @@
     }
 }
 
+/// Longest lease that is asked for. It bounds the time until the tasks of a lost
+/// worker start elsewhere, and has to outlast a change of the leader, which
+/// takes about 3 s.
+const LONGEST_LEASE: Span = Span::from_secs(6);
+
 /// How long an old leader may extend leases after its last renewal at the store.
 pub const LEADER_GRACE: Span = Span::from_secs(12);
 
@@ -191,7 +199,10 @@
     pub fn new(term: Term, bounds: Bounds, roster: &Roster, model: Model, now: Time) -> Self {
         let mut dispatcher = Self {
             term,
-            bounds,
+            bounds: Bounds {
+                lease: bounds.lease.min(LONGEST_LEASE),
+                ..bounds
+            },
             started: now,
             settled: roster.workers.is_empty(),
             jobs: IndexMap::new(),
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -23,6 +23,9 @@
 /// works at a tenth of its speed still shows progress several times in it.
 const STALL: Span = Span::from_millis(2_500);
 
+/// Covers the way of the last look of a leader that has resigned.
+const LEASE_MARGIN: Span = Span::from_millis(300);
+
 /// How long before a worker leaves its tasks are stopped, on top of the time
 /// that the stop takes, so that their last checkpoint is listed in time.
 const LEAVE_MARGIN: Span = Span::from_millis(700);
@@ -84,7 +87,11 @@
         if self.settled {
             return;
         }
-        let wait = SUSPECT_WAIT + self.bounds.lease.scale_up(103, 100);
+        let lease = self.bounds.lease.scale_up(103, 100) + LEASE_MARGIN;
+        let wait = match self.term.resigned {
+            true => lease,
+            false => SUSPECT_WAIT + lease,
+        };
         let suspects = self
             .workers
             .values()
--- a/crates/jujubelb/src/dispatch/tests/leaders.rs
+++ b/crates/jujubelb/src/dispatch/tests/leaders.rs
@@ -114,3 +114,22 @@
     world.run(Span::from_secs(1));
     assert_eq!(world.running(key), 3);
 }
+
+/// Workers leave one after the other while the leader stops in an orderly way:
+/// what ran on one that has just left starts again when its lease is over, and
+/// not only after the time that a lost leader is given.
+#[test]
+fn an_orderly_change_waits_only_for_leases() {
+    let mut world = World::new(4);
+    let key = world.submit(1, job(0, vec![lasting(4, 20)]));
+    world.run(Span::from_secs(1));
+    let victim = world.starts[0].1.clone();
+    let i = world.workers.get_index_of(&victim).unwrap();
+    world.kill(i);
+    world.list();
+    world.follow_leader(true);
+    world.run(Span::from_secs(5));
+    assert!(world.running(key) < 4);
+    world.run(Span::from_secs(3));
+    assert_eq!(world.running(key), 4);
+}
--- a/crates/jujubelb/src/dispatch/tests/world.rs
+++ b/crates/jujubelb/src/dispatch/tests/world.rs
@@ -184,6 +184,7 @@
         let term = Term {
             token: 10,
             number: 0,
+            resigned: false,
         };
         let mut world = Self {
             now,
@@ -281,10 +282,16 @@
 
     /// A new leader with what the store has; the old one is forgotten.
     pub(crate) fn change_leader(&mut self) {
+        self.follow_leader(false);
+    }
+
+    /// The same; `resigned` tells that the old one has stopped for certain.
+    pub(crate) fn follow_leader(&mut self, resigned: bool) {
         let old = self.dispatcher.term();
         let term = Term {
             token: old.token + 10,
             number: old.number + 1,
+            resigned,
         };
         self.dispatcher = Dispatcher::new(term, BOUNDS, &self.roster, self.model.clone(), self.now);
         for (key, record) in &self.jobs {
--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -114,6 +114,18 @@
         .and_then(|i| keys::decode::<u64>(keys::TERM, i.value.as_deref()?))
         .unwrap_or(0);
     let before = term.content.map_or(Revision::default(), |i| i.revision);
+    // Read after the term: if another host leads in between, the term changes
+    // and this try fails.
+    let resigned = match (
+        nonce_at(node, keys::CHAIN).await,
+        nonce_at(node, keys::RESIGNED).await,
+    ) {
+        (Ok(last), Ok(resigned)) => last == resigned,
+        (Err(error), _) | (_, Err(error)) => {
+            log::warn!(error:% = error; "not known whether the last leader has resigned");
+            false
+        }
+    };
     let nonce = rand::random();
     let leader = Leader {
         host: node.settings.host.clone(),
@@ -141,12 +153,13 @@
             }
         },
     };
-    log::info!(term = number, token = revision.0, lease:% = lease; "leading");
+    log::info!(term = number, resigned = resigned, token = revision.0, lease:% = lease; "leading");
     node.set_leader(LeaderSeen::Present(leader));
     Ok(Some(Win {
         term: Term {
             token: revision.0,
             number,
+            resigned,
         },
         lease,
         nonce,
@@ -155,6 +168,20 @@
     }))
 }
 
+/// The nonce under a key.
+async fn nonce_at(node: &Node, key: &str) -> Result<Option<u64>, CallError> {
+    let item = node.kv.get(key).await?.content;
+    Ok(item.and_then(|i| keys::decode(key, i.value.as_deref()?)))
+}
+
+/// Notes that a leader has stopped: it looks at no worker any more.
+pub(crate) async fn resign(node: &Node, nonce: u64) {
+    let txn = Txn::default().put(keys::RESIGNED, &keys::encode(&nonce), None);
+    if let Err(error) = node.kv.txn(&txn).await {
+        log::warn!(error:% = error; "resignation not noted; the next leader waits longer");
+    }
+}
+
 /// Finds out what became of a try that was not answered.
 async fn won(node: &Node, nonce: u64) -> Option<Revision> {
     let item = node.kv.get(keys::LEADER).await.ok()?.content?;
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -23,6 +23,9 @@
 /// What leaders have learned of the interference between tasks.
 pub(crate) const MODEL: &str = "model";
 
+/// The last leader that has resigned, by its nonce.
+pub(crate) const RESIGNED: &str = "resigned";
+
 /// Prefix of what entries write for the leader: jobs and cancellations.
 pub(crate) const INTAKE: &str = "in/";
 
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -132,6 +132,7 @@
     node.set_lead(None);
     tasks.shutdown().await;
     log::warn!(term = win.term.number, lasted:% = node.now().since(began), draining = node.is_draining(); "term over");
+    election::resign(node, win.nonce).await;
     election::give_up(node, win.lease).await;
     if node.leader() == leader_seen(node, win.nonce) {
         node.set_leader(LeaderSeen::Absent);
