--- a/crates/jujubelb/src/dispatch/look.rs
+++ b/crates/jujubelb/src/dispatch/look.rs
@@ -74,6 +74,8 @@
     pub wait: Span,
     /// Whether ends have been listed that can't be acknowledged yet.
     pub held_back: bool,
+    /// The latest deadline before this look.
+    before: WorkerTime,
 }
 
 /// A worker's answer to a look.
@@ -92,6 +94,11 @@
 /// Longest list of ends in one answer; a full list may lack later ends.
 const MOST_ENDS: usize = 500;
 
+/// Longest lease that is asked for. It bounds the time until the tasks of a lost
+/// worker start elsewhere, and has to outlast a change of the leader, which
+/// takes about 3 s.
+const LONGEST_LEASE: Span = Span::from_secs(6);
+
 /// Wait of an ordinary look. An end is answered at once, so this bounds only
 /// the age of what is known of tasks that go on.
 const WAIT: Span = Span::from_millis(1_500);
@@ -107,7 +114,10 @@
     /// The next look at a worker; `None` if it needs none any more.
     pub fn look(&mut self, name: &WorkerName, now: Time) -> Option<LookRequest> {
         let worker = self.workers.get_mut(name)?;
-        let deadline = worker.clock_now(now).map(|c| c + self.bounds.lease);
+        let lease = self.bounds.lease.min(LONGEST_LEASE);
+        let clock = worker.clock_now(now).filter(|_| worker.reached);
+        let deadline = clock.map(|c| c + lease);
+        let before = worker.lease;
         if let Some(deadline) = deadline {
             worker.lease = worker.lease.max(deadline);
         }
@@ -122,9 +132,22 @@
                 (true, false) => WAIT,
             },
             held_back: worker.seen > worker.acknowledged,
+            before,
         })
     }
 
+    /// Takes note that a look was not answered; `unsent` tells that it did not
+    /// reach the worker.
+    pub fn look_failed(&mut self, name: &WorkerName, request: &LookRequest, unsent: bool) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.reached = false;
+        if unsent && request.deadline == Some(worker.lease) {
+            worker.lease = request.before;
+        }
+    }
+
     /// Takes a worker's answer to a look that was sent at `sent`.
     pub fn looked(&mut self, name: &WorkerName, sent: Time, reply: &LookReply, now: Time) {
         let Some(worker) = self.workers.get_mut(name) else {
@@ -132,10 +155,13 @@
         };
         worker.clock = Some((reply.clock, now));
         worker.answered = now;
+        worker.reached = true;
         worker.lease = worker.lease.max(reply.clock);
         if !worker.fenced {
             log::info!(worker:% = name, runs = reply.running.len(), token = self.term.token; "worker fenced");
             worker.fenced = true;
+            // Earlier terms may have given it the longest lease just now.
+            worker.lease = reply.clock + self.bounds.lease;
         }
         let reborn = reply.born.is_some()
             && worker.report.born.is_some()
@@ -144,7 +170,7 @@
             worker.report.born = reply.born;
         }
         if reborn {
-            self.reborn(name, now);
+            self.reborn(name, reply.clock, now);
         }
         let seen = self.workers.get(name).map_or(0, |w| w.seen);
         let mut last = seen;
@@ -180,7 +206,7 @@
     }
 
     /// A new incarnation runs nothing of the one before.
-    fn reborn(&mut self, name: &WorkerName, now: Time) {
+    fn reborn(&mut self, name: &WorkerName, clock: WorkerTime, now: Time) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -188,7 +214,8 @@
         worker.acknowledged = 0;
         worker.seen = 0;
         worker.pending = 0;
-        worker.lease = WorkerTime::ZERO;
+        // An order that is still on its way may have given it any lease.
+        worker.lease = clock + self.bounds.lease;
         worker.health = Default::default();
         let lost: Vec<(TaskKey, Run)> = worker
             .runs
--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -3,7 +3,8 @@
 //! Answers the load of batch work that uses spare processor time beside serving
 //! tasks with a bound for the tail of their response times. A filling task is
 //! slowed by halves while a tail is near its bound, stands still while one is
-//! above it, and recovers in small steps.
+//! above it, and recovers in small steps. One that stays slow and has a
+//! checkpoint is moved away.
 
 use super::worker::Phase;
 use super::{Dispatch, Dispatcher, Order};
@@ -15,6 +16,9 @@
 /// Share of the target, in percent, below which they recover.
 const WELL_BELOW: u64 = 60;
 
+/// Pace in percent at which a filling task is moved away if it has a checkpoint.
+const MOVED_AT: u32 = 50;
+
 /// Percentage points by which the pace recovers.
 const RECOVERY: u32 = 20;
 
@@ -45,13 +49,7 @@
             if worker.load.serving == 0 || worker.load.fillers == 0 {
                 continue;
             }
-            let tightest = worker
-                .runs
-                .values()
-                .filter(|h| h.phase == Phase::Running)
-                .filter_map(|h| Some(h.usage * 100 / h.target?.as_millis().max(1)))
-                .max()
-                .unwrap_or(0);
+            let tightest = worker.worst_tail();
             for (task, held) in &mut worker.runs {
                 if !held.fills || held.phase != Phase::Running || held.unwanted {
                     continue;
@@ -59,11 +57,24 @@
                 if now.since(held.paced) < SETTLE {
                     continue;
                 }
+                let saves = self
+                    .jobs
+                    .get(&task.step.job)
+                    .and_then(|j| j.record.work.steps.get(usize::from(task.step.step)))
+                    .is_some_and(|s| s.checkpoints);
+                if saves && held.pace <= MOVED_AT && tightest > WELL_BELOW {
+                    log::info!(task:% = task, worker:% = name, pace = held.pace, tail_percent = tightest; "moving a filling task away from serving ones");
+                    held.unwanted = true;
+                    continue;
+                }
                 let percent = next_pace(held.pace, tightest);
                 if percent == held.pace {
                     continue;
                 }
                 log::info!(task:% = task, worker:% = name, from = held.pace, to = percent, tail_percent = tightest; "pace changed");
+                if percent < held.pace {
+                    worker.disturbed = now;
+                }
                 held.pace = percent;
                 held.paced = now;
                 orders.push(Dispatch {
--- a/crates/jujubelb/src/dispatch/place.rs
+++ b/crates/jujubelb/src/dispatch/place.rs
@@ -9,18 +9,37 @@
 
 use super::work::{Step, StepKey};
 use super::worker::Worker;
-use crate::model::{DomainName, ServiceName, Time};
+use crate::model::{DomainName, ServiceName, Span, Time};
 
-/// Cost of running away from the data, and per other fault of a choice; the
-/// room that is left over is at most 2.
+/// Cost of running away from the data. The room that is left over costs at most 2.
 const FAR: f64 = 4.0;
 
-/// Cost of a task that fills beside a serving task.
-const BESIDE_SERVING: f64 = 3.0;
+/// Cost of a filling task beside a serving one: more than any other choice.
+const BESIDE_SERVING: f64 = 8.0;
+
+/// Gain of a serving task beside others, so that they gather on few workers and
+/// leave the others to filling tasks.
+const GATHER: f64 = 3.0;
+
+/// Cost of a serving task where it displaces filling ones, for a full worker.
+const DISPLACE: f64 = 2.0;
 
 /// Cost of taking processor time that a filling task uses.
 const OVERLAP: f64 = 1.0;
 
+/// Worst tail in percent of its target up to which a filling task may start
+/// beside serving ones. Their load changes within seconds.
+const CALM_TAIL: u64 = 45;
+
+/// Worst tail in percent of its target up to which serving tasks gather.
+const GATHER_TAIL: u64 = 70;
+
+/// Filling tasks that may run beside serving ones on one worker.
+const FILLERS_BESIDE: u32 = 2;
+
+/// Time after a slowdown in which no filling task starts on a worker.
+const REST: Span = Span::from_secs(4);
+
 /// What a task needs of its worker.
 #[derive(Debug)]
 pub(crate) struct Need<'a> {
@@ -58,9 +77,14 @@
     let mut size = step.size;
     if step.fills {
         size.cpu.0 = 0;
-        if worker.load.counted.cpu.0 + worker.load.filling + step.size.cpu.0
-            > worker.report.room.cpu.0
-        {
+        if worker.load.demand + step.size.cpu.0 > worker.report.room.cpu.0 {
+            return false;
+        }
+        let load = &worker.load;
+        let beside = load.fillers < FILLERS_BESIDE
+            && worker.worst_tail() < CALM_TAIL
+            && now.since(worker.disturbed) > REST;
+        if load.serving > 0 && !beside {
             return false;
         }
     }
@@ -78,15 +102,20 @@
     let step = need.step;
     let (room, load) = (&worker.report.room, &worker.load);
     let cpu = room.cpu.0.max(1) as f64;
-    let memory = room.memory.0.max(1) as f64;
-    let used = (load.counted.cpu.0 + load.filling + step.size.cpu.0) as f64;
-    let left = (cpu - used).max(0.0) / cpu + memory_left(worker, step) / memory;
-    let mut cost = if step.fills { -left } else { left };
+    let asked = step.size.cpu.0 as f64;
+    let used = load.demand as f64 + asked;
+    let counted = load.counted.cpu.0 as f64 + asked;
+    let left = (cpu - counted).max(0.0) / cpu + memory_left(worker, step);
+    let mut cost = match (step.fills, step.target.is_some()) {
+        (true, _) => -(cpu - used).max(0.0) / cpu,
+        (false, true) => left + DISPLACE * f64::from(load.fillers) * asked / cpu,
+        (false, false) => left + OVERLAP * (used - cpu).max(0.0) / asked.max(1.0),
+    };
     if step.fills && load.serving > 0 {
         cost += BESIDE_SERVING;
     }
-    if !step.fills && used > cpu {
-        cost += OVERLAP * (used - cpu) / step.size.cpu.0.max(1) as f64;
+    if step.target.is_some() && load.serving > 0 && worker.worst_tail() < GATHER_TAIL {
+        cost -= GATHER;
     }
     if let Some(near) = &step.near
         && worker.report.rack.as_ref() != Some(near)
@@ -96,7 +125,9 @@
     cost
 }
 
+/// Share of the memory that is left over.
 fn memory_left(worker: &Worker, step: &Step) -> f64 {
+    let room = worker.report.room.memory.0;
     let used = worker.load.counted.memory.0 + step.size.memory.0;
-    worker.report.room.memory.0.saturating_sub(used) as f64
+    room.saturating_sub(used) as f64 / room.max(1) as f64
 }
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -361,10 +361,8 @@
             return;
         };
         worker.lease = worker.lease.max(deadline);
+        worker.load.add(&held);
         worker.runs.insert(task, held);
-        worker
-            .load
-            .add(step.size, step.fills, step.target.is_some());
         let address = worker.report.address;
         let mut checkpoint = None;
         if let Some(known) = self
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -1,1 +1,12 @@
-//! Tests of the dispatcher without a network.
+//! Tests of the dispatcher against workers in simulated time.
+
+mod world;
+
+mod gangs;
+mod interference;
+mod leases;
+mod leaders;
+mod queueing;
+mod records;
+
+pub(super) use world::{World, job, lasting, step};
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/tests/world.rs
@@ -0,0 +1,568 @@
+//! Workers of the published behaviour in simulated time, and a leader that is
+//! driven as the process drives it. Every start is checked: one run of a task
+//! at a time, no start after a good end, no worker over its room.
+
+use arcstr::ArcStr;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::dispatch::{
+    Born, Bounds, Dispatch, Dispatcher, EndRow, JobKey, JobRecord, LookReply, Order, Progress,
+    Refusal, Roster, Run, RunEnd, RunRow, StartReply, Step, StopReply, TaskKey, Term, Terms, Work,
+    WorkerReport,
+};
+use crate::model::{
+    Bytes, DomainName, Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime,
+};
+
+/// Time of one step of the world.
+const STEP: Span = Span::from_millis(20);
+
+/// Time between two looks at a worker without news.
+const LOOK_EVERY: Span = Span::from_millis(500);
+
+pub(crate) const BOUNDS: Bounds = Bounds {
+    lease: Span::from_secs(6),
+    stop: Span::from_millis(400),
+    early: Span::from_millis(250),
+    remote: 2.0,
+};
+
+/// How a fake worker treats what arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    None,
+    /// Nothing arrives and nothing is answered.
+    Cut,
+    /// The process is gone and connections are refused.
+    Dead,
+    /// Starts are not answered and take effect this much later.
+    Late(Span),
+    /// Everything that is started fails at once.
+    Failing,
+    /// What is started makes no progress.
+    Hanging,
+}
+
+#[derive(Debug, Clone)]
+struct FakeRun {
+    run: Run,
+    size: Resources,
+    fills: bool,
+    target: Option<Span>,
+    pace: u32,
+    /// Work left at full pace; `None` for lasting tasks.
+    left: Option<Span>,
+    stopping: Option<Time>,
+}
+
+#[derive(Debug)]
+pub(crate) struct FakeWorker {
+    pub(crate) report: WorkerReport,
+    pub(crate) fault: Fault,
+    pub(crate) born: u64,
+    token: u64,
+    deadline: WorkerTime,
+    runs: IndexMap<TaskKey, FakeRun>,
+    ends: Vec<EndRow>,
+    count: u64,
+    barred: IndexMap<TaskKey, Run>,
+    late: Vec<(Time, TaskKey, Run, WorkerTime)>,
+    looked: Time,
+    news: bool,
+}
+
+impl FakeWorker {
+    /// Each worker's clock has its own start.
+    fn clock(&self, now: Time) -> WorkerTime {
+        WorkerTime::from_micros(now.since(Time::from_millis(self.born)).as_micros() + 7_000_000)
+    }
+
+    fn end(&mut self, task: TaskKey, how: RunEnd) {
+        if let Some(run) = self.runs.shift_remove(&task) {
+            self.count += 1;
+            self.barred.insert(task, run.run);
+            self.ends.push(EndRow {
+                number: self.count,
+                task,
+                run: run.run,
+                how,
+                saved: None,
+            });
+            self.news = true;
+        }
+    }
+
+    fn used(&self) -> Resources {
+        self.runs
+            .values()
+            .map(|r| match r.fills {
+                true => Resources::new(0, r.size.memory.0, 0),
+                false => r.size,
+            })
+            .sum()
+    }
+
+    /// Tail of a serving task's response times: each filler at full pace adds to it.
+    fn tail(&self, target: Span) -> u64 {
+        let press: u32 = self
+            .runs
+            .values()
+            .filter(|r| r.fills)
+            .map(|r| r.pace)
+            .sum();
+        target.as_millis() * (30 + u64::from(press) / 4) / 100
+    }
+}
+
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) workers: IndexMap<WorkerName, FakeWorker>,
+    pub(crate) jobs: IndexMap<JobKey, JobRecord>,
+    /// Durable states, as the store would have them.
+    pub(crate) states: IndexMap<JobKey, Progress>,
+    pub(crate) roster: Roster,
+    pub(crate) done: IndexSet<TaskKey>,
+    pub(crate) starts: Vec<(Time, WorkerName, TaskKey, Run)>,
+    pub(crate) completed: IndexMap<JobKey, Time>,
+    /// Whether the store takes writes.
+    pub(crate) store_up: bool,
+    cancelled: IndexSet<JobKey>,
+}
+
+pub(crate) fn step(count: u32, cores: u64, estimate: Span) -> Step {
+    Step {
+        count,
+        size: Resources::new(cores * 1_000, Bytes::from_gib(2).0, 0),
+        estimate,
+        ..Step::default()
+    }
+}
+
+pub(crate) fn lasting(count: u32, cores: u64) -> Step {
+    Step {
+        lasting: true,
+        target: Some(Span::from_millis(100)),
+        ..step(count, cores, Span::from_millis(300))
+    }
+}
+
+pub(crate) fn job(priority: u8, steps: Vec<Step>) -> JobRecord {
+    JobRecord {
+        terms: Terms {
+            host: ArcStr::from("desk.example"),
+            prefix: ArcStr::from("/work/"),
+            service: ServiceName::new("desk"),
+            priority,
+            attempts: 3,
+            slack: 2.0,
+            target: Span::from_millis(500),
+            advice: None,
+        },
+        work: Work {
+            payload: ArcStr::from("payload"),
+            steps,
+            schedule: None,
+        },
+        accepted: WallTime::from_micros(0),
+    }
+}
+
+impl World {
+    /// A world with workers of 64 cores in racks of four, all known to a first leader.
+    pub(crate) fn new(workers: usize) -> Self {
+        let now = Time::from_millis(1_000);
+        let term = Term {
+            token: 10,
+            number: 0,
+        };
+        let mut world = Self {
+            now,
+            dispatcher: Dispatcher::new(term, BOUNDS, &Roster::default(), now),
+            workers: IndexMap::new(),
+            jobs: IndexMap::new(),
+            states: IndexMap::new(),
+            roster: Roster::default(),
+            done: IndexSet::new(),
+            starts: Vec::new(),
+            completed: IndexMap::new(),
+            store_up: true,
+            cancelled: IndexSet::new(),
+        };
+        for i in 0..workers {
+            world.add_worker(i);
+        }
+        world.list();
+        world.run(Span::from_millis(200));
+        world
+    }
+
+    fn add_worker(&mut self, i: usize) {
+        let name = WorkerName::new(format!("w{i}"));
+        let report = WorkerReport {
+            name: name.clone(),
+            address: ([10, 0, 0, i as u8], 80).into(),
+            service: ServiceName::new("desk"),
+            domain: DomainName::new(["a", "b"][i % 2]),
+            labels: vec![ArcStr::from("kind"), ArcStr::from(format!("r{}", i / 4))],
+            rack: Some(ArcStr::from(format!("r{}", i / 4))),
+            room: Resources::new(64_000, Bytes::from_gib(256).0, 0),
+            leaving: None,
+            born: Some(Born(1)),
+        };
+        let worker = FakeWorker {
+            report,
+            fault: Fault::None,
+            born: 1,
+            token: 0,
+            deadline: WorkerTime::ZERO,
+            runs: IndexMap::new(),
+            ends: Vec::new(),
+            count: 0,
+            barred: IndexMap::new(),
+            late: Vec::new(),
+            looked: Time::ZERO,
+            news: false,
+        };
+        self.workers.insert(name, worker);
+    }
+
+    /// Lists all workers that are up.
+    pub(crate) fn list(&mut self) {
+        let listed = self
+            .workers
+            .values()
+            .filter(|w| w.fault != Fault::Dead)
+            .map(|w| WorkerReport {
+                born: Some(Born(w.born)),
+                ..w.report.clone()
+            })
+            .collect();
+        self.dispatcher.workers_listed(listed, self.now);
+    }
+
+    pub(crate) fn worker(&mut self, i: usize) -> &mut FakeWorker {
+        &mut self.workers[i]
+    }
+
+    pub(crate) fn submit(&mut self, id: u64, record: JobRecord) -> JobKey {
+        let key = JobKey(id);
+        let wall = self.wall();
+        let record = JobRecord {
+            accepted: wall,
+            ..record
+        };
+        self.jobs.insert(key, record.clone());
+        self.dispatcher
+            .accept(key, record, None, false, wall, self.now);
+        key
+    }
+
+    pub(crate) fn cancel(&mut self, key: JobKey) {
+        self.cancelled.insert(key);
+        self.dispatcher.cancel(key, self.now);
+    }
+
+    pub(crate) fn wall(&self) -> WallTime {
+        WallTime::from_micros(1_700_000_000_000_000 + self.now.as_micros())
+    }
+
+    /// A new leader with what the store has; the old one is forgotten.
+    pub(crate) fn change_leader(&mut self) {
+        let old = self.dispatcher.term();
+        let term = Term {
+            token: old.token + 10,
+            number: old.number + 1,
+        };
+        self.dispatcher = Dispatcher::new(term, BOUNDS, &self.roster, self.now);
+        for (key, record) in &self.jobs {
+            let progress = self.states.get(key);
+            let wall = WallTime::from_micros(1_700_000_000_000_000 + self.now.as_micros());
+            self.dispatcher
+                .accept(*key, record.clone(), progress, true, wall, self.now);
+        }
+        for key in &self.cancelled {
+            self.dispatcher.cancel(*key, self.now);
+        }
+        self.list();
+    }
+
+    pub(crate) fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.work();
+            self.look();
+            self.write();
+            let orders = self.dispatcher.plan(self.wall(), self.now);
+            for order in orders {
+                self.order(&order);
+            }
+        }
+    }
+
+    /// Number of tasks of a job that run now.
+    pub(crate) fn running(&self, key: JobKey) -> usize {
+        self.workers
+            .values()
+            .filter(|w| w.fault != Fault::Dead)
+            .flat_map(|w| w.runs.keys())
+            .filter(|t| t.step.job == key)
+            .count()
+    }
+
+    fn work(&mut self) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            if worker.fault == Fault::Dead {
+                continue;
+            }
+            if worker.clock(now) > worker.deadline {
+                for task in worker.runs.keys().copied().collect::<Vec<_>>() {
+                    worker.end(task, RunEnd::Lapsed);
+                }
+            }
+            let mut ended = Vec::new();
+            for (task, run) in &mut worker.runs {
+                if run.stopping.is_some_and(|at| now >= at) {
+                    ended.push((*task, RunEnd::Stopped));
+                } else if worker.fault == Fault::Failing {
+                    ended.push((*task, RunEnd::Failed));
+                } else if let Some(left) = &mut run.left
+                    && worker.fault != Fault::Hanging
+                {
+                    *left = left.saturating_sub(STEP.scale_up(run.pace.into(), 100));
+                    if *left == Span::ZERO {
+                        ended.push((*task, RunEnd::Done));
+                    }
+                }
+            }
+            for (task, how) in ended {
+                worker.end(task, how);
+                if how == RunEnd::Done {
+                    self.done.insert(task);
+                }
+            }
+        }
+        let due: Vec<(WorkerName, TaskKey, Run, WorkerTime)> = self
+            .workers
+            .iter_mut()
+            .flat_map(|(name, w)| {
+                let (ready, rest) = std::mem::take(&mut w.late)
+                    .into_iter()
+                    .partition::<Vec<_>, _>(|(at, ..)| *at <= now);
+                w.late = rest;
+                let name = name.clone();
+                ready
+                    .into_iter()
+                    .map(move |(_, task, run, deadline)| (name.clone(), task, run, deadline))
+            })
+            .collect();
+        for (name, task, run, deadline) in due {
+            let token = self.workers[&name].token;
+            let _ = self.start(&name, task, run, deadline, token);
+        }
+    }
+
+    fn look(&mut self) {
+        let now = self.now;
+        for name in self.dispatcher.workers() {
+            let Some(worker) = self.workers.get_mut(&name) else {
+                continue;
+            };
+            let due = worker.news || now.since(worker.looked) >= LOOK_EVERY;
+            if !due {
+                continue;
+            }
+            worker.looked = now;
+            let Some(request) = self.dispatcher.look(&name, now) else {
+                continue;
+            };
+            match worker.fault {
+                Fault::Cut => {
+                    self.dispatcher.look_failed(&name, &request, false);
+                    continue;
+                }
+                Fault::Dead => {
+                    self.dispatcher.look_failed(&name, &request, true);
+                    continue;
+                }
+                _ => {}
+            }
+            let token = self.dispatcher.term().token;
+            if token < worker.token {
+                self.dispatcher.look_fenced(&name);
+                continue;
+            }
+            worker.news = false;
+            worker.token = token;
+            if let Some(deadline) = request.deadline {
+                let most = worker.clock(now) + BOUNDS.lease;
+                worker.deadline = worker.deadline.max(deadline.min(most));
+            }
+            worker.ends.retain(|e| e.number > request.acknowledged);
+            let reply = LookReply {
+                born: Some(Born(worker.born)),
+                clock: worker.clock(now),
+                running: worker
+                    .runs
+                    .iter()
+                    .map(|(task, run)| RunRow {
+                        task: *task,
+                        run: run.run,
+                        saved: None,
+                        percent: 100,
+                        usage: run.target.map_or(run.size.cpu.0, |t| worker.tail(t)),
+                    })
+                    .collect(),
+                finished: worker.ends.clone(),
+            };
+            self.dispatcher.looked(&name, now, &reply, now);
+        }
+    }
+
+    fn write(&mut self) {
+        if !self.store_up {
+            return;
+        }
+        if let Some(commit) = self.dispatcher.take_commit() {
+            self.states.extend(commit.jobs.iter().cloned());
+            if let Some(roster) = &commit.roster {
+                self.roster = roster.clone();
+            }
+            self.dispatcher.committed(&commit, self.now);
+        }
+        for key in self.jobs.keys() {
+            if self.dispatcher.shown(*key) == Some(crate::dispatch::Shown::Completed) {
+                self.completed.entry(*key).or_insert(self.now);
+            }
+        }
+    }
+
+    fn order(&mut self, dispatch: &Dispatch) {
+        let name = &dispatch.worker;
+        let now = self.now;
+        let token = self.dispatcher.term().token;
+        let fault = self.workers[name].fault;
+        match &dispatch.order {
+            Order::Start {
+                task,
+                run,
+                deadline,
+                ..
+            } => {
+                let reply = match fault {
+                    Fault::Dead => StartReply::NotSent,
+                    Fault::Cut => StartReply::NoAnswer,
+                    Fault::Late(delay) => {
+                        let late = (now + delay, *task, *run, *deadline);
+                        self.workers[name].late.push(late);
+                        StartReply::NoAnswer
+                    }
+                    _ => self.start(name, *task, *run, *deadline, token),
+                };
+                self.dispatcher
+                    .start_answered(name, *task, *run, reply, now);
+            }
+            Order::Stop { task, run } => {
+                let worker = &mut self.workers[name];
+                let reply = match fault {
+                    Fault::Dead | Fault::Cut => StopReply::NoAnswer,
+                    _ => {
+                        let barred = worker.barred.entry(*task).or_default();
+                        *barred = (*barred).max(*run);
+                        if let Some(held) = worker.runs.get_mut(task).filter(|r| r.run == *run) {
+                            held.stopping.get_or_insert(now + STEP);
+                        }
+                        StopReply::Stopped
+                    }
+                };
+                self.dispatcher.stop_answered(name, *task, *run, reply, now);
+            }
+            Order::Pace { task, run, percent } => {
+                if let Some(held) = self.workers[name].runs.get_mut(task)
+                    && held.run == *run
+                {
+                    held.pace = *percent;
+                }
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        name: &WorkerName,
+        task: TaskKey,
+        run: Run,
+        deadline: WorkerTime,
+        token: u64,
+    ) -> StartReply {
+        let record = &self.jobs[&task.step.job];
+        let step = record.work.steps[usize::from(task.step.step)].clone();
+        let now = self.now;
+        let worker = &self.workers[name];
+        if token < worker.token {
+            return StartReply::Refused(Refusal::Fence);
+        }
+        if worker.barred.get(&task).is_some_and(|b| run <= *b) {
+            return StartReply::Refused(Refusal::Old);
+        }
+        if worker.clock(now) > deadline {
+            return StartReply::Refused(Refusal::Late);
+        }
+        let mut size = step.size;
+        if step.fills {
+            size.cpu.0 = 0;
+        }
+        if !(worker.used() + size).fits(&worker.report.room) {
+            return StartReply::Refused(Refusal::Room);
+        }
+        let elsewhere = self
+            .workers
+            .values()
+            .filter(|w| w.fault != Fault::Dead)
+            .find(|w| w.runs.contains_key(&task));
+        assert!(elsewhere.is_none(), "{task} runs twice at {now:?}");
+        assert!(
+            step.lasting || !self.done.contains(&task),
+            "{task} starts after its good end"
+        );
+        let worker = &mut self.workers[name];
+        worker.deadline = worker.deadline.max(deadline);
+        worker.runs.insert(
+            task,
+            FakeRun {
+                run,
+                size: step.size,
+                fills: step.fills,
+                target: step.target,
+                pace: 100,
+                left: (!step.lasting).then_some(step.estimate),
+                stopping: None,
+            },
+        );
+        self.starts.push((now, name.clone(), task, run));
+        StartReply::Started
+    }
+
+    /// The worker's process dies; what ran is gone.
+    pub(crate) fn kill(&mut self, i: usize) {
+        let worker = self.worker(i);
+        worker.fault = Fault::Dead;
+        worker.runs.clear();
+        worker.ends.clear();
+        worker.late.clear();
+    }
+
+    /// A new incarnation of a dead worker.
+    pub(crate) fn revive(&mut self, i: usize) {
+        let born = self.now.as_micros() / 1_000;
+        let worker = self.worker(i);
+        worker.fault = Fault::None;
+        worker.born = born;
+        worker.token = 0;
+        worker.deadline = WorkerTime::ZERO;
+        worker.count = 0;
+        worker.barred.clear();
+    }
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -103,6 +103,9 @@
     pub(crate) clock: Option<(WorkerTime, Time)>,
     /// The latest deadline that it may have been given.
     pub(crate) lease: WorkerTime,
+    /// Whether the last look was answered. One that wasn't may still arrive and
+    /// extend the lease, so the next ones give no lease until one is answered.
+    pub(crate) reached: bool,
     /// Highest end that may be acknowledged.
     pub(crate) acknowledged: u64,
     /// Highest end that was taken in.
@@ -113,6 +116,8 @@
     pub(crate) answered: Time,
     /// No starts before this time.
     pub(crate) paused: Time,
+    /// When filling tasks last had to be slowed there.
+    pub(crate) disturbed: Time,
     /// What runs there or may run there.
     pub(crate) runs: IndexMap<TaskKey, Held>,
     pub(crate) health: Health,
@@ -125,24 +130,43 @@
 pub(crate) struct Load {
     /// Counted against the room.
     pub(crate) counted: Resources,
-    /// Processor time that filling tasks ask for, in millicores.
-    pub(crate) filling: u64,
+    /// Processor time that is in use or will be, in millicores. Declared sizes
+    /// are far off, so what a run was seen to use goes before what it asks for.
+    pub(crate) demand: u64,
     /// Tasks with a target for their response times.
     pub(crate) serving: u32,
     /// Tasks that fill.
     pub(crate) fillers: u32,
 }
 
+/// Share of its processor time, in percent, that a serving task is taken to use;
+/// its figures tell only the tail of its response times.
+const SERVING_USE: u64 = 60;
+
 impl Load {
-    pub(crate) fn add(&mut self, size: Resources, fills: bool, serves: bool) {
-        if fills {
+    pub(crate) fn add(&mut self, held: &Held) {
+        let size = held.size;
+        if held.fills {
             self.counted += Resources::new(0, size.memory.0, size.accelerators);
-            self.filling += size.cpu.0;
             self.fillers += 1;
         } else {
             self.counted += size;
         }
-        self.serving += u32::from(serves);
+        self.demand += held.demand();
+        self.serving += u32::from(held.target.is_some());
+    }
+}
+
+impl Held {
+    /// Processor time that the run uses at full pace, in millicores.
+    fn demand(&self) -> u64 {
+        if self.target.is_some() {
+            self.size.cpu.0 * SERVING_USE / 100
+        } else if self.usage > 0 && self.pace == 100 {
+            self.usage
+        } else {
+            self.size.cpu.0
+        }
     }
 }
 
@@ -156,11 +180,13 @@
             rostered: false,
             clock: None,
             lease: WorkerTime::ZERO,
+            reached: true,
             acknowledged: 0,
             seen: 0,
             pending: 0,
             answered: Time::ZERO,
             paused: Time::ZERO,
+            disturbed: Time::ZERO,
             runs: IndexMap::new(),
             health: Health::default(),
             load: Load::default(),
@@ -197,11 +223,18 @@
             .is_some_and(|clock| clock > self.lease + CLOCK_MARGIN)
     }
 
+    /// The worst tail of its serving tasks in percent of their target.
+    pub(crate) fn worst_tail(&self) -> u64 {
+        let tail = |h: &Held| Some(h.usage * 100 / h.target?.as_millis().max(1));
+        let running = self.runs.values().filter(|h| h.phase == Phase::Running);
+        running.filter_map(tail).max().unwrap_or(0)
+    }
+
     /// Sums up its runs.
     pub(crate) fn sum_up(&mut self) {
         let mut load = Load::default();
         for held in self.runs.values() {
-            load.add(held.size, held.fills, held.target.is_some());
+            load.add(held);
         }
         self.load = load;
     }
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -461,6 +461,8 @@
                 return;
             }
             Err(error) => {
+                let unsent = error.had_no_effect();
+                lock(&lead.dispatcher).look_failed(&worker, &request, unsent);
                 failures += 1;
                 if failures == 2 {
                     log::warn!(worker:% = worker, error:% = error; "worker lost");
