Give headroom to filling tasks by pair of images and by least work

The old estimate worked on the tail itself, which hides an effect until it is near the target, and blamed swings of load on whatever ran.

Change: a model of headroom with a Kalman filter over job load and pairs; paces give the headroom to what takes least of it; filling tasks start where their pair is harmless; serving tasks gather by image and job; jobs with least work left go first; lasting tasks leave 8 % of all workers to short ones. The fake worker of the tests now reports tails as an inverse over half a second; two tests let serving tasks run 2.5 s before the batch arrives, since unknown images are no longer tried before; their bounds are unchanged.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -10,7 +10,7 @@
 use super::work::JobKey;
 use super::worker::WorkerReport;
 use crate::model::{DomainName, Resources, ServiceName, Span, Time, WorkerName};
-use crate::place::interference::Interference;
+use crate::place::headroom::Slopes;
 
 /// Jobs in one batch; the store takes 32 entries in a transaction, of which
 /// one is the condition and one may be the roster.
@@ -65,7 +65,7 @@
 /// What a leader has learned of the interference between tasks. The next leader
 /// goes on from it instead of trying all pairs again.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Model(pub(super) Interference);
+pub struct Model(pub(super) Slopes);
 
 /// Time between two writes of what was learned.
 const MODEL_EVERY: Span = Span::from_secs(3);
@@ -122,7 +122,7 @@
         };
         let model = (now.since(self.modelled) > MODEL_EVERY).then(|| {
             self.modelled = now;
-            Model(self.interference.clone())
+            Model(self.slopes.clone())
         });
         Some(Commit {
             jobs,
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -239,6 +239,17 @@
         tail.get(step).copied().unwrap_or_default()
     }
 
+    /// Processor time that the tasks of an occurrence that aren't done are
+    /// expected to take, in core-milliseconds.
+    pub(crate) fn effort(&self, occurrence: &Occurrence) -> u64 {
+        let left = |(spec, state): (&Step, &StepState)| {
+            let tasks = u64::from(spec.count - state.done);
+            tasks * spec.size.cpu.0 * spec.estimate.as_millis() / 1_000
+        };
+        let steps = self.record.work.steps.iter().zip(&occurrence.steps);
+        steps.map(left).sum()
+    }
+
     /// Longest chain of estimates of the whole job.
     pub(crate) fn chain(&self) -> Span {
         (0..self.record.work.steps.len())
--- a/crates/jujubelb/src/dispatch/look.rs
+++ b/crates/jujubelb/src/dispatch/look.rs
@@ -191,7 +191,7 @@
             }
             worker.sum_up();
         }
-        self.learn_interference(name, now);
+        self.learn_headroom(name, now);
     }
 
     /// Takes note that a worker has refused a look for a higher token.
@@ -238,11 +238,11 @@
         why: &str,
         now: Time,
     ) {
-        let age = self
+        let held = self
             .workers
             .get_mut(name)
-            .and_then(|w| w.runs.shift_remove(&task))
-            .map_or(Span::ZERO, |h| now.since(h.since));
+            .and_then(|w| w.runs.shift_remove(&task));
+        let age = held.map_or(Span::ZERO, |h| now.since(h.since));
         log::warn!(task:% = task, run:% = run, worker:% = name, age:% = age, reason = why; "run lost");
         self.release(name, task, run);
     }
@@ -334,6 +334,7 @@
             progressed: now,
             usage: row.usage,
             pace: 100,
+            earlier: 100,
             paced: Time::ZERO,
             harmed: None,
         };
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -29,8 +29,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::model::{DomainName, Span, Time, WallTime, WorkerName, WorkerTime};
-use crate::place::interference::Interference;
+use crate::place::headroom::Slopes;
 use job::{Job, TaskState};
+use pace::Headrooms;
 use worker::Worker;
 
 pub use commit::{Commit, Model, Roster, RosterEntry};
@@ -171,8 +172,10 @@
     ready: IndexSet<StepKey>,
     /// Jobs with occurrences that haven't begun.
     scheduled: IndexSet<JobKey>,
-    /// How much filling tasks slow serving ones, by their images.
-    interference: Interference,
+    /// How much filling tasks take from serving ones, by their images.
+    slopes: Slopes,
+    /// What the users of serving jobs leave them.
+    headrooms: Headrooms,
     /// When that last faded.
     faded: Time,
     /// When the last pass was made.
@@ -209,7 +212,8 @@
             workers: IndexMap::new(),
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
-            interference: model.0,
+            slopes: model.0,
+            headrooms: Headrooms::new(),
             modelled: now,
             latest: now,
             faded: now,
--- a/crates/jujubelb/src/dispatch/order.rs
+++ b/crates/jujubelb/src/dispatch/order.rs
@@ -15,6 +15,8 @@
 pub(crate) struct Rank {
     class: Class,
     priority: u8,
+    /// Processor time that the job still needs, in core-milliseconds.
+    effort: u64,
     /// When the step has to start at the latest to make the objective.
     latest: Time,
 }
@@ -62,9 +64,11 @@
     } else {
         Class::Overdue
     };
+    let effort = if lasting { 0 } else { job.effort(occurrence) };
     Rank {
         class,
         priority: job.record.terms.priority,
+        effort,
         latest,
     }
 }
--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -2,196 +2,257 @@
 //!
 //! Answers the load of batch work that uses spare processor time beside serving
 //! tasks with a bound for the tail of their response times. How much one disturbs
-//! another depends on the pair of images, so it is learned from the looks, and
-//! only what is likely to be the cause is slowed: it moves if it has a
-//! checkpoint, and else is paced down. If the tail stays above its bound, all
-//! filling tasks of the worker stand still.
+//! another depends on the pair of images and is learned from the looks, see
+//! `place::headroom`. Each worker's headroom is given to the filling tasks that
+//! take least of it first; the others are slowed to what is left, and what would
+//! stand still moves if it has a checkpoint. Callers of a serving task wait at
+//! once when it is disturbed, those of a batch only if it is late in the end.
+
+use arcstr::ArcStr;
+use indexmap::IndexMap;
 
 use super::place;
-use super::worker::{Held, Phase, Strain, Worker};
+use super::work::JobKey;
+use super::worker::{Held, Phase, Worker};
 use super::{Dispatch, Dispatcher, Order};
-use crate::model::{ServiceName, Span, Time, WorkerName};
-use crate::place::interference::{Interference, Mix, Observation};
-
-/// Share of the target, in percent, above which filling tasks are slowed.
-const NEAR_TARGET: u64 = 85;
+use crate::model::{Span, Time, WorkerName};
+use crate::place::headroom::{Exposure, Headroom, Slopes};
 
-/// Share of the target, in percent, below which they recover.
-const WELL_BELOW: u64 = 60;
+/// Headroom that is kept: the target itself is at 1, and figures vary by a tenth.
+const MARGIN: f64 = 1.15;
 
-/// Part of the strongest likely effect at which another task is slowed too.
-const SUSPECT: f64 = 0.3;
+/// Pace in percent below which a task does not work at all: what is left of it
+/// would not finish the task, and takes headroom from others.
+const LEAST_PACE: u32 = 20;
 
-/// Likely effect, as a share of what is bearable, below which a task is not the
-/// cause of a high tail.
-const INNOCENT: f64 = 0.25;
+/// Steps of a pace in percent. Finer ones would cost orders for no gain.
+const PACE_STEP: u32 = 10;
 
-/// Pace in percent below which a task is better moved than slowed: a move costs
-/// a stop and the restoring of a checkpoint, about half a second.
-const WORTHWHILE: u32 = 35;
+/// Difference in percent at which a pace is raised, unless it is raised to full.
+const RAISE: u32 = 20;
 
-/// Percentage points by which a pace recovers.
-const RECOVERY: u32 = 25;
+/// Time between two changes of a task's pace upwards.
+const RAISE_PAUSE: Span = Span::from_millis(400);
 
-/// Lowest pace to which a task recovers whose effect is known to be strong.
-const LEAST_PACE: f64 = 10.0;
+/// Time for which a task stands still before it is moved. A move costs a stop and
+/// the restoring of a checkpoint, about a second; loads swing for longer.
+const MOVE_AFTER: Span = Span::from_millis(800);
 
-/// Time until a change shows in the figures, which cover half a second.
-const SETTLE: Span = Span::from_millis(700);
+/// Time between two adjustments on a worker without a look in between.
+const ADJUST: Span = Span::from_millis(150);
 
-/// Time above the target after which all filling tasks stand still, whatever
-/// the estimates say. Serving tasks may be above it for 4 s; a stop of the
-/// likely causes needs up to 1.5 s until it shows.
-const PATIENCE: Span = Span::from_millis(2_000);
+/// What a report on response times covers.
+const WINDOW: Span = Span::from_millis(500);
 
-/// Requests that one figure is taken to cover.
-const REQUESTS: u32 = 100;
+/// Time until a changed pace shows at the worker.
+const PACE_DELAY: Span = Span::from_millis(100);
 
-/// Tail, in targets, up to which it swings with the load of the serving task
-/// alone. Only what is above it is taken for an effect of others: the swings
-/// last for seconds and would be blamed on whatever runs at that time.
-const SWING: f64 = 0.65;
+/// Time after a serving task has come to work in which its figures say little:
+/// they cover its startup.
+const WARM_UP: Span = Span::from_millis(1_000);
 
-/// Usual latency in the model of a serving task that nothing disturbs.
-const CALM: Span = Span::from_secs(1);
+/// Time above the target after which all filling tasks stand still, whatever
+/// the estimates say. Serving tasks may be above it for 4 s.
+const PATIENCE: Span = Span::from_millis(2_000);
 
-/// Part of each estimate that is kept for a second, and the time between fades.
+/// Part of a strong effect that is kept for a second, and the time between fades.
 const KEPT: f64 = 0.995;
 const FADE: Span = Span::from_secs(1);
 
+/// A filling task that has ended, for as long as reports may cover it.
+#[derive(Debug, Clone)]
+pub(crate) struct Trace {
+    image: ArcStr,
+    share: f64,
+    since: Time,
+    until: Time,
+}
+
+/// Headroom of the jobs with serving tasks, as their own users leave it.
+pub(crate) type Headrooms = IndexMap<JobKey, Headroom>;
+
 impl Dispatcher {
-    /// Learns from a look how much filling tasks slow serving ones.
-    pub(super) fn learn_interference(&mut self, name: &WorkerName, now: Time) {
+    /// Learns from a look how much filling tasks take from serving ones.
+    pub(super) fn learn_headroom(&mut self, name: &WorkerName, now: Time) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        let mut mix = Mix::default();
-        for held in worker.runs.values().filter(|h| h.fills) {
-            let class = place::class_of(Some(&held.image));
-            *mix.entry(class).or_default() += worker.units(held.usage);
+        if worker.load.serving == 0 {
+            worker.traces.clear();
+            worker.strains.clear();
+            return;
         }
-        let steady = now.since(worker.remixed) > SETTLE;
-        for held in worker.runs.values_mut() {
+        worker.traces.retain(|t| now.since(t.until) < WINDOW);
+        let exposure = exposure(worker, now);
+        for (task, held) in &mut worker.runs {
             let Some(target) = held.target.filter(|_| held.phase == Phase::Running) else {
                 continue;
             };
             let above = held.usage > target.as_millis();
             held.harmed = above.then(|| held.harmed.unwrap_or(now));
-            if steady && held.usage > 0 && now.since(held.confirmed) > SETTLE {
-                let tail = held.usage as f64 / target.as_millis().max(1) as f64;
-                let excess = (tail - SWING).max(0.0);
-                self.interference.learn(&Observation {
-                    service: &ServiceName::new(held.image.clone()),
-                    mean: Span::from_micros((CALM.as_micros() as f64 * (1.0 + excess)) as u64),
-                    count: REQUESTS,
-                    load: 0,
-                    mix: &mix,
-                });
+            let works = held.percent == 100 && now.since(held.progressed) > WARM_UP;
+            if held.usage > 0 && works {
+                let seen = target.as_millis() as f64 / held.usage as f64;
+                let fresh = || Headroom::new(now);
+                let own = self.headrooms.entry(task.step.job).or_insert_with(fresh);
+                self.slopes.learn(own, &held.image, seen, &exposure, now);
             }
         }
-        place::sum_strains(worker, &self.interference);
+        worker.adjusted = Time::ZERO;
+        place::sum_strains(worker, &self.slopes);
     }
 
-    /// Lets estimates fade.
-    pub(super) fn fade_interference(&mut self, now: Time) {
+    /// Lets beliefs in strong effects fade, and forgets jobs that have ended.
+    pub(super) fn fade_headroom(&mut self, now: Time) {
         if now.since(self.faded) >= FADE {
             self.faded = now;
-            self.interference.fade(KEPT);
+            self.slopes.fade(KEPT);
+            let jobs = &self.jobs;
+            let live = |key: &JobKey| jobs.get(key).is_some_and(|j| j.outcome.is_none());
+            self.headrooms.retain(|key, _| live(key));
         }
     }
 
     /// Orders the pace of filling tasks, and marks those that have to move.
     pub(super) fn pace(&mut self, orders: &mut Vec<Dispatch>, now: Time) {
         for (name, worker) in &mut self.workers {
-            if worker.load.serving == 0 || worker.load.fillers == 0 {
+            if worker.load.fillers == 0 || now.since(worker.adjusted) < ADJUST {
                 continue;
             }
-            let tail = worker.worst_tail();
+            worker.adjusted = now;
             let harmed = worker.runs.values().filter_map(|h| h.harmed).min();
             let still = harmed.is_some_and(|since| now.since(since) > PATIENCE);
-            if !still && now.since(worker.disturbed) < SETTLE {
-                continue;
-            }
-            let effects = effects(worker, &self.interference);
-            let strongest = effects.iter().copied().fold(0.0, f64::max);
-            let mut disturbed = false;
-            for (i, effect) in effects.into_iter().enumerate() {
+            let paces = paces(worker, &self.slopes, &self.headrooms);
+            let steepest = paces.len().saturating_sub(1);
+            for (rank, (i, wanted)) in paces.into_iter().enumerate() {
                 let Some((task, held)) = worker.runs.get_index_mut(i) else {
                     continue;
                 };
-                if !held.fills || held.phase != Phase::Running || held.unwanted {
+                let suspect = harmed.is_some() && rank == steepest;
+                if held.phase != Phase::Running || held.unwanted {
                     continue;
                 }
-                let suspect = effect >= SUSPECT * strongest && effect > INNOCENT;
-                let bearable = (100.0 / effect.max(0.01)).clamp(LEAST_PACE, 100.0) as u32;
-                let percent = if still {
-                    0
-                } else if tail > 100 && suspect {
-                    match bearable {
-                        ..WORTHWHILE => 0,
-                        _ => bearable.min(held.pace / 2),
-                    }
-                } else if tail > NEAR_TARGET && suspect {
-                    held.pace / 2
-                } else if tail < NEAR_TARGET && effect <= INNOCENT {
-                    100
-                } else if tail < WELL_BELOW && now.since(held.paced) >= SETTLE {
-                    (held.pace + RECOVERY).min(bearable).max(held.pace)
-                } else {
-                    held.pace
+                let wanted = match (still, suspect) {
+                    (true, _) => 0,
+                    // The estimates may be too low: what is likely to be the cause
+                    // goes down until the figures are below the target.
+                    (false, true) => wanted.min(held.pace / 2),
+                    (false, false) => wanted,
                 };
-                if percent == held.pace {
-                    continue;
+                let wanted = if wanted < LEAST_PACE { 0 } else { wanted };
+                let rested = now.since(held.paced) >= RAISE_PAUSE;
+                let raise = rested && (wanted == 100 || wanted >= held.pace + RAISE);
+                if wanted < held.pace || (wanted > held.pace && raise) {
+                    log::info!(task:% = task, worker:% = name, from = held.pace, to = wanted, still = still; "pace changed");
+                    held.earlier = held.pace;
+                    held.pace = wanted;
+                    held.paced = now;
+                    orders.push(Dispatch {
+                        worker: name.clone(),
+                        address: worker.report.address,
+                        order: Order::Pace {
+                            task: *task,
+                            run: held.run,
+                            percent: wanted,
+                        },
+                    });
+                }
+                let saves = || {
+                    let job = self.jobs.get(&task.step.job)?;
+                    let step = job.record.work.steps.get(usize::from(task.step.step))?;
+                    Some(step.checkpoints)
+                };
+                let stands = held.pace == 0 && now.since(held.paced) > MOVE_AFTER;
+                if stands && !still && saves() == Some(true) {
+                    log::info!(task:% = task, worker:% = name; "moving a task that stands still");
+                    held.unwanted = true;
                 }
-                let saves = self
-                    .jobs
-                    .get(&task.step.job)
-                    .and_then(|j| j.record.work.steps.get(usize::from(task.step.step)))
-                    .is_some_and(|s| s.checkpoints);
-                log::info!(task:% = task, worker:% = name, from = held.pace, to = percent, moved = saves && percent == 0 && suspect, tail_percent = tail, effect = effect; "pace changed");
-                disturbed |= percent < held.pace;
-                held.unwanted |= saves && percent == 0 && suspect;
-                held.pace = percent;
-                held.paced = now;
-                orders.push(Dispatch {
-                    worker: name.clone(),
-                    address: worker.report.address,
-                    order: Order::Pace {
-                        task: *task,
-                        run: held.run,
-                        percent,
-                    },
-                });
-            }
-            if disturbed {
-                worker.disturbed = now;
-                worker.remixed = now;
             }
         }
     }
 }
 
-/// The likely effect of each run on the serving tasks that are worst off, as a
-/// share of what these bear; 0 for runs that don't fill.
-fn effects(worker: &Worker, known: &Interference) -> Vec<f64> {
-    let suffering = worker.strains.iter().any(|s| s.tail > NEAR_TARGET);
-    let effect = |held: &Held| {
-        if !held.fills {
-            return 0.0;
+/// The paces, in percent, that the worker's filling tasks should have, by index
+/// of the run. Those that take least headroom come first.
+fn paces(worker: &Worker, slopes: &Slopes, headrooms: &Headrooms) -> Vec<(usize, u32)> {
+    let mut left: Vec<f64> = worker
+        .strains
+        .iter()
+        .map(|s| s.own(headrooms) - MARGIN)
+        .collect();
+    let fills = |(_, held): &(usize, &Held)| held.fills;
+    let mut fillers: Vec<(usize, f64, Vec<f64>)> = worker
+        .runs
+        .values()
+        .enumerate()
+        .filter(fills)
+        .map(|(i, held)| {
+            let share = worker.share(held.size.cpu.0);
+            let need = |image: &ArcStr| slopes.slope(image, &held.image).cautious() * share;
+            let needs: Vec<f64> = worker.strains.iter().map(|s| need(&s.image)).collect();
+            let most = needs.iter().copied().fold(0.0, f64::max);
+            (i, most / share.max(1e-6), needs)
+        })
+        .collect();
+    fillers.sort_by(|(_, a, _), (_, b, _)| a.total_cmp(b));
+    fillers
+        .into_iter()
+        .map(|(i, _, needs)| {
+            let part = |(need, left): (&f64, &f64)| match *need > 0.0 {
+                true => left / need,
+                false => 1.0,
+            };
+            let part = needs.iter().zip(&left).map(part).fold(1.0, f64::min);
+            let percent = (part.max(0.0) * 100.0) as u32 / PACE_STEP * PACE_STEP;
+            let percent = if percent < LEAST_PACE { 0 } else { percent };
+            for (need, left) in needs.iter().zip(&mut left) {
+                *left -= need * f64::from(percent) / 100.0;
+            }
+            (i, percent)
+        })
+        .collect()
+}
+
+/// Shares of the worker that filling tasks used while the figures of a look
+/// were measured.
+fn exposure(worker: &Worker, now: Time) -> Exposure {
+    let start = now - WINDOW;
+    let part = |from: Time, to: Time| {
+        let from = from.max(start);
+        to.since(from).as_secs_f64() / WINDOW.as_secs_f64()
+    };
+    let mut exposure = Exposure::new();
+    let mut add = |image: &ArcStr, share: f64| {
+        if share > 0.0 {
+            *exposure.entry(image.clone()).or_default() += share;
         }
-        let class = place::class_of(Some(&held.image));
-        let units = worker.units(held.demand());
-        let on = |s: &Strain| {
-            let estimate = known.estimate(&s.image, &class);
-            (estimate.mean + estimate.deviation()) * units / place::BEARABLE
-        };
-        let suffers = |s: &&Strain| s.tail > NEAR_TARGET || !suffering;
-        worker
-            .strains
-            .iter()
-            .filter(suffers)
-            .map(on)
-            .fold(0.0, f64::max)
     };
-    worker.runs.values().map(effect).collect()
+    for held in worker.runs.values().filter(|h| h.fills) {
+        if held.phase == Phase::Starting {
+            continue;
+        }
+        let share = worker.share(held.size.cpu.0);
+        let change = (held.paced + PACE_DELAY).max(held.confirmed).min(now);
+        let before = part(held.confirmed, change) * f64::from(held.earlier) / 100.0;
+        let after = part(change, now) * f64::from(held.pace) / 100.0;
+        add(&held.image, share * (before + after));
+    }
+    for trace in &worker.traces {
+        add(&trace.image, trace.share * part(trace.since, trace.until));
+    }
+    exposure
+}
+
+impl Worker {
+    /// Keeps what reports may still cover of a filling task that has ended.
+    pub(super) fn trace(&mut self, held: &Held, now: Time) {
+        if held.fills && self.load.serving > 0 && held.phase != Phase::Starting {
+            self.traces.push(Trace {
+                image: held.image.clone(),
+                share: self.share(held.size.cpu.0) * f64::from(held.pace) / 100.0,
+                since: held.confirmed,
+                until: now,
+            });
+        }
+    }
 }
--- a/crates/jujubelb/src/dispatch/place.rs
+++ b/crates/jujubelb/src/dispatch/place.rs
@@ -5,27 +5,32 @@
 //! tasks that fill go where they disturb no serving task and find processor
 //! time that nobody else asks for.
 
-use arcstr::ArcStr;
 use indexmap::IndexSet;
 
+use super::pace::Headrooms;
 use super::work::{Step, StepKey};
 use super::worker::{Held, Strain, Worker};
-use crate::model::{ClassName, DomainName, ServiceName, Span, Time};
-use crate::place::interference::Interference;
+use crate::model::{DomainName, ServiceName, Time};
+use crate::place::headroom::{Headroom, Slopes};
 
 /// Cost of running away from the data. The room that is left over costs at most 2.
 const FAR: f64 = 4.0;
 
-/// Cost of a filling task beside serving ones, at the slowdown that they bear.
-const BESIDE_SERVING: f64 = 1.0;
-
 /// Gain of a serving task beside others of its image. A filling task disturbs
 /// about a third of the images, so a worker with one image takes most of them
 /// and a worker with five takes few.
 const GATHER: f64 = 3.0;
 
-/// Cost of a serving task for each other image on the worker.
-const MIX: f64 = 1.0;
+/// Gain of a serving task beside others of its job. Their loads swing together,
+/// so they leave more room to filling tasks than jobs that swing by turns.
+const SAME_JOB: f64 = 0.7;
+
+/// Cost of a serving task beside another image. Dearer than an empty worker, so
+/// that workers are mixed only when no worker without serving tasks has room.
+const MIX: f64 = 4.0;
+
+/// Cost beside several other images: such a worker has lost most already.
+const MIX_MORE: f64 = 3.0;
 
 /// Room in percent of a worker that lasting tasks leave to short ones, which
 /// couldn't start for a minute if lasting tasks took everything.
@@ -37,23 +42,14 @@
 /// Cost of taking processor time that a filling task uses.
 const OVERLAP: f64 = 1.0;
 
-/// Worst tail in percent of its target up to which a filling task may start
-/// beside serving ones. Their load changes within seconds.
-const CALM_TAIL: u64 = 75;
-
-/// Worst tail in percent of its target up to which serving tasks gather.
-const GATHER_TAIL: u64 = 70;
-
-/// Time after a slowdown in which no filling task starts on a worker.
-const REST: Span = Span::from_millis(1_500);
-
-/// Expected excess of a tail, in targets, below which a filling task has no
-/// part in it.
-pub(crate) const HARMLESS: f64 = 0.04;
+/// Cost of a filling task on a worker without serving tasks, beside the share of
+/// the headroom that it would take elsewhere. What is harmless beside serving
+/// tasks leaves such workers to what isn't.
+const UNDISTURBED: f64 = 0.5;
 
-/// Expected excess of a tail, in targets, that serving tasks are burdened with.
-/// Known pairs have next to none or several times this.
-pub(crate) const BEARABLE: f64 = 0.18;
+/// Headroom that serving tasks keep when a filling task starts. Their load may
+/// grow while it runs; paces answer what goes beyond.
+const KEPT_HEADROOM: f64 = 1.45;
 
 /// What a task needs of its worker.
 #[derive(Debug)]
@@ -112,81 +108,73 @@
     })
 }
 
-/// Whether a worker's serving tasks bear another filling task. One whose effect
-/// is not known is tried alone.
-pub(crate) fn bears(worker: &Worker, need: &Need<'_>, known: &Interference, now: Time) -> bool {
+/// Cost of a filling task for a worker's serving tasks; `None` if they don't bear
+/// it. An image whose effect is not known is tried without other such images, and
+/// beside jobs of which it is known how they do without it.
+pub(crate) fn burden(
+    worker: &Worker,
+    need: &Need<'_>,
+    slopes: &Slopes,
+    headrooms: &Headrooms,
+) -> Option<f64> {
     if worker.load.serving == 0 {
-        return true;
-    }
-    let class = class_of(need.step.image.as_ref());
-    let units = worker.units(need.step.size.cpu.0);
-    let harmless = |strain: &Strain| {
-        let estimate = known.estimate(&strain.image, &class);
-        !estimate.is_unknown() && estimate.mean * units < HARMLESS
-    };
-    if worker.strains.iter().all(harmless) {
-        return true;
-    }
-    let calm = |s: &Strain| s.tail <= CALM_TAIL || harmless(s);
-    if !worker.strains.iter().all(calm) || now.since(worker.disturbed) < REST {
-        return false;
-    }
-    worker.strains.iter().all(|strain| {
-        let estimate = known.estimate(&strain.image, &class);
-        if estimate.is_unknown() {
-            return !worker.untested && strain.expected <= BEARABLE;
+        return Some(UNDISTURBED);
+    }
+    let image = need.step.image.clone().unwrap_or_default();
+    let share = worker.share(need.step.size.cpu.0);
+    let mut most: f64 = 0.0;
+    for strain in &worker.strains {
+        let slope = slopes.slope(&strain.image, &image);
+        let other = worker.untested.as_ref().is_some_and(|i| *i != image);
+        let known = headrooms.get(&strain.job).is_some_and(Headroom::is_known);
+        if slope.is_unknown() && (other || !known) {
+            return None;
         }
-        strain.expected + estimate.mean * units <= BEARABLE
-    })
+        let takes = slope.cautious() * share;
+        let left = strain.own(headrooms) - strain.taken - KEPT_HEADROOM;
+        if takes > left {
+            return None;
+        }
+        most = most.max(takes / left);
+    }
+    Some(most)
 }
 
 /// Adds a filling task to what a worker's serving tasks are expected to suffer.
-pub(crate) fn strain(worker: &mut Worker, held: &Held, known: &Interference) {
-    let class = class_of(Some(&held.image));
-    let units = worker.units(held.demand());
-    let mut untested = false;
+pub(crate) fn strain(worker: &mut Worker, held: &Held, slopes: &Slopes) {
+    let share = worker.share(held.size.cpu.0) * f64::from(held.pace) / 100.0;
     for strain in &mut worker.strains {
-        let estimate = known.estimate(&strain.image, &class);
-        strain.expected += estimate.mean * units;
-        untested |= estimate.is_unknown();
+        let slope = slopes.slope(&strain.image, &held.image);
+        strain.taken += slope.cautious() * share;
+        if slope.is_unknown() {
+            worker.untested = Some(held.image.clone());
+        }
     }
-    worker.untested |= untested;
 }
 
 /// Sums up what a worker's serving tasks are expected to suffer.
-pub(crate) fn sum_strains(worker: &mut Worker, known: &Interference) {
+pub(crate) fn sum_strains(worker: &mut Worker, slopes: &Slopes) {
     worker.strains.clear();
-    worker.untested = false;
-    for held in worker.runs.values() {
-        if held.target.is_none() {
-            continue;
+    worker.untested = None;
+    for (task, held) in &worker.runs {
+        let job = task.step.job;
+        if held.target.is_some() && worker.strains.iter().all(|s| s.job != job) {
+            worker.strains.push(Strain {
+                job,
+                image: held.image.clone(),
+                taken: 0.0,
+            });
         }
-        let image = ServiceName::new(held.image.clone());
-        let tail = held.tail().unwrap_or(0);
-        if let Some(strain) = worker.strains.iter_mut().find(|s| s.image == image) {
-            strain.tail = strain.tail.max(tail);
-            continue;
-        }
-        worker.strains.push(Strain {
-            image,
-            expected: 0.0,
-            tail,
-        });
     }
     if worker.strains.is_empty() {
         return;
     }
     let fillers: Vec<Held> = worker.runs.values().filter(|h| h.fills).cloned().collect();
     for held in &fillers {
-        strain(worker, held, known);
+        strain(worker, held, slopes);
     }
 }
 
-/// The class of a filling task in the interference model.
-pub(crate) fn class_of(image: Option<&ArcStr>) -> ClassName {
-    ClassName::new(image.cloned().unwrap_or_default())
-}
-
 /// Cost of a worker for a task; the smallest is chosen.
 pub(crate) fn cost(worker: &Worker, need: &Need<'_>) -> f64 {
     let step = need.step;
@@ -201,18 +189,22 @@
         (false, true) => left + DISPLACE * f64::from(load.fillers) * asked / cpu,
         (false, false) => left + OVERLAP * (used - cpu).max(0.0) / asked.max(1.0),
     };
-    if step.fills {
-        let used = |s: &Strain| s.expected / BEARABLE;
-        cost += BESIDE_SERVING * worker.strains.iter().map(used).fold(0.0, f64::max);
-    }
     if step.target.is_some() {
         let image = step.image.as_deref().unwrap_or_default();
-        let others = worker.strains.iter().filter(|s| s.image.as_str() != image);
-        cost += MIX * others.count() as f64;
-        let alike = worker.strains.iter().find(|s| s.image.as_str() == image);
-        if alike.is_some_and(|s| s.tail < GATHER_TAIL) {
-            cost -= GATHER;
+        let mut images: Vec<&str> = worker.strains.iter().map(|s| s.image.as_str()).collect();
+        images.sort_unstable();
+        images.dedup();
+        let alike = images.contains(&image);
+        if worker.strains.iter().any(|s| s.job == need.key.job) {
+            cost -= SAME_JOB;
         }
+        let others = images.len() - usize::from(alike);
+        cost += match (alike, others) {
+            (true, _) => -GATHER,
+            (false, 0) => 0.0,
+            (false, 1) => MIX,
+            (false, _) => MIX_MORE,
+        };
     }
     if let Some(near) = &step.near
         && worker.report.rack.as_ref() != Some(near)
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -19,6 +19,11 @@
 /// short ones.
 const PATIENCE: Span = Span::from_millis(1_500);
 
+/// Room of all workers, in percent, that lasting tasks leave to short ones however
+/// long they wait. A short task earns several times as much for its callers in the
+/// time for which it needs a core.
+const SPARE_ROOM: u64 = 8;
+
 /// Time without progress after which a run is stopped. A task of seconds that
 /// works at a tenth of its speed still shows progress several times in it.
 const STALL: Span = Span::from_millis(2_500);
@@ -43,7 +48,7 @@
         let mut orders = Vec::new();
         self.leave(now);
         self.find_stalled(now);
-        self.fade_interference(now);
+        self.fade_headroom(now);
         self.stop_unwanted(&mut orders, now);
         self.pace(&mut orders, now);
         self.start_ready(&mut orders, now);
@@ -246,7 +251,8 @@
             return;
         }
         let waited = |t: &super::job::Task| now.since(t.since) > PATIENCE;
-        let patient = !state.tasks.iter().any(|t| startable(t) && waited(t));
+        let patient =
+            !self.has_spare_room() || !state.tasks.iter().any(|t| startable(t) && waited(t));
         let mut placed: IndexMap<WorkerName, u32> = IndexMap::new();
         for index in waiting {
             let need = Need {
@@ -268,6 +274,17 @@
         log_placed(key, &record, &placed);
     }
 
+    /// Whether the workers in use together have more room than is kept for short
+    /// tasks. Lasting tasks that wait may then take what single workers keep:
+    /// a short task finds room on another one.
+    fn has_spare_room(&self) -> bool {
+        let used = self.workers.values().filter(|w| w.fenced && w.listed);
+        let (room, counted) = used.fold((0, 0), |(room, counted), w| {
+            (room + w.report.room.cpu.0, counted + w.load.counted.cpu.0)
+        });
+        counted * 100 < room * (100 - SPARE_ROOM)
+    }
+
     /// Starts all tasks of a gang, or none.
     fn start_gang(
         &mut self,
@@ -353,10 +370,13 @@
             if !place::admits(worker, need, &self.evacuated, now) {
                 continue;
             }
-            if need.step.fills && !place::bears(worker, need, &self.interference, now) {
-                continue;
+            let mut cost = place::cost(worker, need);
+            if need.step.fills {
+                match place::burden(worker, need, &self.slopes, &self.headrooms) {
+                    Some(burden) => cost += burden,
+                    None => continue,
+                }
             }
-            let cost = place::cost(worker, need);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, name));
             }
@@ -389,6 +409,7 @@
             progressed: now,
             usage: 0,
             pace: 100,
+            earlier: 100,
             paced: Time::ZERO,
             harmed: None,
         }
@@ -416,12 +437,11 @@
         worker.lease = worker.lease.max(deadline);
         worker.load.add(&held);
         if step.fills {
-            place::strain(worker, &held, &self.interference);
-            worker.remixed = now;
+            place::strain(worker, &held, &self.slopes);
         }
         worker.runs.insert(task, held);
         if step.target.is_some() {
-            place::sum_strains(worker, &self.interference);
+            place::sum_strains(worker, &self.slopes);
         }
         let address = worker.report.address;
         let mut checkpoint = None;
--- a/crates/jujubelb/src/dispatch/tests/interference.rs
+++ b/crates/jujubelb/src/dispatch/tests/interference.rs
@@ -12,6 +12,10 @@
     }
 }
 
+/// Time in which it becomes known how serving tasks do without neighbours. No
+/// image of unknown effect is tried beside them before.
+const BASELINE: Span = Span::from_millis(2_500);
+
 /// A batch beside serving tasks while other workers are free: the batch goes
 /// where it disturbs nobody and is not slowed.
 #[test]
@@ -51,7 +55,7 @@
     let mut world = World::new(1);
     let serving = lasting(2, 10);
     world.submit(1, job(0, vec![serving]));
-    world.run(Span::from_millis(500));
+    world.run(BASELINE);
     let harmless = Step {
         image: Some("light".into()),
         ..filling(3, 6, Span::from_secs(3))
@@ -74,7 +78,7 @@
 fn a_batch_that_finds_no_place_does_not_hold_up_another() {
     let mut world = World::new(1);
     world.submit(1, job(0, vec![lasting(2, 10)]));
-    world.run(Span::from_millis(500));
+    world.run(BASELINE);
     let image = |name: &str| Step {
         image: Some(name.into()),
         ..filling(2, 6, Span::from_secs(1))
@@ -89,3 +93,30 @@
     world.run(Span::from_millis(2_500));
     assert!(world.completed.contains_key(&light));
 }
+
+/// Lasting tasks of two images that arrive by turns: a filling task disturbs some
+/// images and not others, so a worker that serves one image takes more of them
+/// than one that serves both.
+#[test]
+fn images_gather_on_workers_of_their_own() {
+    let mut world = World::new(6);
+    for i in 0..10 {
+        let image = ["red", "blue"][i as usize % 2];
+        let serving = Step {
+            image: Some(image.into()),
+            ..lasting(3, 10)
+        };
+        world.submit(i, job(0, vec![serving]));
+        world.run(Span::from_millis(100));
+    }
+    world.run(Span::from_secs(1));
+    let mut images: std::collections::BTreeMap<_, std::collections::BTreeSet<u64>> =
+        std::collections::BTreeMap::new();
+    for (_, worker, task, _) in &world.starts {
+        images
+            .entry(worker)
+            .or_default()
+            .insert(task.step.job.0 % 2);
+    }
+    assert!(images.values().all(|i| i.len() == 1), "{images:?}");
+}
--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -1,7 +1,7 @@
 //! Order of what waits.
 
 use super::world::Fault;
-use super::{World, job, step};
+use super::{World, job, lasting, step};
 use crate::model::Span;
 
 /// A burst of batch jobs before urgent checks: the checks don't queue behind it.
@@ -46,3 +46,43 @@
     world.run(Span::from_secs(8));
     assert!(keys.iter().all(|k| world.completed.contains_key(k)));
 }
+
+/// More batch work than fits for a while, jobs that need one task behind jobs
+/// that need the whole worker, all with the same objective. In the order of
+/// arrival one of them would be in time; least work first serves four callers,
+/// and the others still get their results.
+#[test]
+fn small_jobs_pass_large_ones_under_overload() {
+    let mut world = World::new(1);
+    let work = |tasks| job(2, vec![step(tasks, 16, Span::from_secs(3))]);
+    let begun = world.now;
+    let mut jobs: Vec<_> = (0..4).map(|i| world.submit(i, work(4))).collect();
+    jobs.extend((10..18).map(|i| world.submit(i, work(1))));
+    world.run(Span::from_secs(20));
+    let objective = Span::from_millis(6_500);
+    let ends: Vec<_> = jobs.iter().map(|k| world.completed.get(k)).collect();
+    assert!(ends.iter().all(Option::is_some));
+    let in_time = ends
+        .iter()
+        .flatten()
+        .filter(|at| at.since(begun) <= objective);
+    assert!(in_time.count() >= 4);
+}
+
+/// Lasting tasks that ask for more than all workers have, and urgent checks in
+/// between: the checks keep finding room although lasting tasks wait for longer.
+#[test]
+fn lasting_tasks_leave_room_to_urgent_checks() {
+    let mut world = World::new(4);
+    for i in 0..10 {
+        world.submit(i, job(0, vec![lasting(6, 6)]));
+    }
+    world.run(Span::from_secs(4));
+    let mut checks = Vec::new();
+    for i in 100..108 {
+        checks.push(world.submit(i, job(0, vec![step(2, 2, Span::from_millis(600))])));
+        world.run(Span::from_millis(500));
+    }
+    world.run(Span::from_millis(800));
+    assert!(checks.iter().all(|k| world.completed.contains_key(k)));
+}
--- a/crates/jujubelb/src/dispatch/tests/world.rs
+++ b/crates/jujubelb/src/dispatch/tests/world.rs
@@ -2,6 +2,8 @@
 //! driven as the process drives it. Every start is checked: one run of a task
 //! at a time, no start after a good end, no worker over its room.
 
+use std::collections::VecDeque;
+
 use arcstr::ArcStr;
 use indexmap::{IndexMap, IndexSet};
 
@@ -17,6 +19,9 @@
 /// Time of one step of the world.
 const STEP: Span = Span::from_millis(20);
 
+/// Steps that a worker's figures cover: half a second.
+const FIGURE_STEPS: usize = 25;
+
 /// Time between two looks at a worker without news.
 const LOOK_EVERY: Span = Span::from_millis(500);
 
@@ -72,6 +77,8 @@
     late: Vec<(Time, TaskKey, Run, WorkerTime)>,
     looked: Time,
     news: bool,
+    /// What fillers took in each of the last steps.
+    presses: VecDeque<u32>,
 }
 
 impl FakeWorker {
@@ -105,16 +112,28 @@
             .sum()
     }
 
-    /// Tail of a serving task's response times: each filler at full pace adds to
-    /// it, a heavy one by twice the target and a light one not at all.
-    fn tail(&self, target: Span) -> u64 {
+    /// Takes note of what the fillers take from serving tasks, in percent of the
+    /// worker: a heavy one at full pace more than a target allows, a light one
+    /// nothing.
+    fn press(&mut self) {
         let press = |r: &FakeRun| match r.image.as_str() {
             "heavy" => 8 * r.pace,
             "light" => 0,
             _ => r.pace,
         };
         let press: u32 = self.runs.values().filter(|r| r.fills).map(press).sum();
-        target.as_millis() * (30 + u64::from(press) / 4) / 100
+        self.presses.push_back((press / 10).min(97));
+        if self.presses.len() > FIGURE_STEPS {
+            self.presses.pop_front();
+        }
+    }
+
+    /// Tail of a serving task's response times over the last half second. It
+    /// grows with the inverse of what is left idle.
+    fn tail(&self, target: Span) -> u64 {
+        let sum: u32 = self.presses.iter().sum();
+        let mean = sum / (self.presses.len() as u32).max(1);
+        target.as_millis() * 30 / u64::from(100 - mean)
     }
 }
 
@@ -236,6 +255,7 @@
             late: Vec::new(),
             looked: Time::ZERO,
             news: false,
+            presses: VecDeque::new(),
         };
         self.workers.insert(name, worker);
     }
@@ -333,6 +353,7 @@
     fn work(&mut self) {
         let now = self.now;
         for (name, worker) in &mut self.workers {
+            worker.press();
             let target = worker.runs.values().find_map(|r| r.target);
             if target.is_some_and(|t| worker.tail(t) > t.as_millis()) {
                 let since = *self.harmed.entry(name.clone()).or_insert(now);
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -8,8 +8,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::health::Health;
-use super::work::{Run, TaskKey};
+use super::pace::{Headrooms, Trace};
+use super::work::{JobKey, Run, TaskKey};
 use crate::model::{DomainName, Resources, ServiceName, Span, Time, WorkerName, WorkerTime};
+use crate::place::headroom::{Headroom, UNSEEN};
 
 /// Start time of a worker's present incarnation; differs after each restart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
@@ -80,16 +82,14 @@
     pub(crate) usage: u64,
     /// Share of its speed that the run was told to work at, in percent.
     pub(crate) pace: u32,
+    /// The share before that.
+    pub(crate) earlier: u32,
     /// When the share last changed.
     pub(crate) paced: Time,
     /// Since when a serving task's tail has been above its target.
     pub(crate) harmed: Option<Time>,
 }
 
-/// Units of the interference model in a whole worker. An effect depends on the
-/// share of the worker, and the model was made for cores of a large one.
-const UNITS: f64 = 64.0;
-
 /// Slowest rate of a worker's clock, as a share of ours in percent.
 const SLOWEST_CLOCK: u64 = 98;
 
@@ -124,14 +124,14 @@
     pub(crate) answered: Time,
     /// No starts before this time.
     pub(crate) paused: Time,
-    /// When filling tasks last had to be slowed there.
-    pub(crate) disturbed: Time,
-    /// When its filling tasks or their pace last changed.
-    pub(crate) remixed: Time,
-    /// What its serving tasks are expected to suffer, by image.
+    /// When the paces of its filling tasks were last adjusted.
+    pub(crate) adjusted: Time,
+    /// What its filling tasks take from its serving ones, by job.
     pub(crate) strains: Vec<Strain>,
-    /// Whether the effect of one of its filling tasks is not known yet.
-    pub(crate) untested: bool,
+    /// The image of a filling task there whose effect is not known yet.
+    pub(crate) untested: Option<ArcStr>,
+    /// Filling tasks that have ended just now.
+    pub(crate) traces: Vec<Trace>,
     /// What runs there or may run there.
     pub(crate) runs: IndexMap<TaskKey, Held>,
     pub(crate) health: Health,
@@ -171,22 +171,23 @@
     }
 }
 
-/// What the serving tasks of one image on a worker suffer.
+/// What filling tasks take from the serving tasks of one job on a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Strain {
-    pub(crate) image: ServiceName,
-    /// Expected excess of the tail by the filling tasks at full pace, in targets.
-    pub(crate) expected: f64,
-    /// The worst tail of the image's tasks, in percent of their target.
-    pub(crate) tail: u64,
+    pub(crate) job: JobKey,
+    pub(crate) image: ArcStr,
+    /// Headroom that the filling tasks take at their present pace.
+    pub(crate) taken: f64,
 }
 
-impl Held {
-    /// The tail of a serving task's response times in percent of its target.
-    pub(crate) fn tail(&self) -> Option<u64> {
-        Some(self.usage * 100 / self.target?.as_millis().max(1))
+impl Strain {
+    /// Headroom that the load of the job's own users leaves.
+    pub(crate) fn own(&self, known: &Headrooms) -> f64 {
+        known.get(&self.job).map_or(UNSEEN, Headroom::expected)
     }
+}
 
+impl Held {
     /// Processor time that the run uses at full pace, in millicores.
     pub(crate) fn demand(&self) -> u64 {
         if self.target.is_some() {
@@ -215,10 +216,10 @@
             pending: 0,
             answered: Time::ZERO,
             paused: Time::ZERO,
-            disturbed: Time::ZERO,
-            remixed: Time::ZERO,
+            adjusted: Time::ZERO,
             strains: Vec::new(),
-            untested: false,
+            untested: None,
+            traces: Vec::new(),
             runs: IndexMap::new(),
             health: Health::default(),
             load: Load::default(),
@@ -255,15 +256,9 @@
             .is_some_and(|clock| clock > self.lease + CLOCK_MARGIN)
     }
 
-    /// An amount of processor time in the units of the interference model.
-    pub(crate) fn units(&self, millicores: u64) -> f64 {
-        UNITS * millicores as f64 / self.report.room.cpu.0.max(1) as f64
-    }
-
-    /// The worst tail of its serving tasks in percent of their target.
-    pub(crate) fn worst_tail(&self) -> u64 {
-        let running = self.runs.values().filter(|h| h.phase == Phase::Running);
-        running.filter_map(Held::tail).max().unwrap_or(0)
+    /// An amount of processor time as a share of the worker.
+    pub(crate) fn share(&self, millicores: u64) -> f64 {
+        millicores as f64 / self.report.room.cpu.0.max(1) as f64
     }
 
     /// Sums up its runs.
--- a/crates/jujubelb/src/place/interference/mod.rs
+++ b/crates/jujubelb/src/place/interference/mod.rs
@@ -154,16 +154,6 @@
         Some(slowdown)
     }
 
-    /// Trusts all estimates a little less, for a caller that doesn't place what it
-    /// believes to disturb and so would never find out that it does no longer.
-    pub(crate) fn fade(&mut self, kept: f64) {
-        for service in self.services.values_mut() {
-            for estimate in service.classes.values_mut() {
-                estimate.mean *= kept;
-            }
-        }
-    }
-
     /// The estimate for one core of a class.
     pub(crate) fn estimate(&self, service: &ServiceName, class: &ClassName) -> Estimate {
         self.services
--- a/crates/jujubelb/src/place/mod.rs
+++ b/crates/jujubelb/src/place/mod.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod choose;
 mod fair;
+pub(crate) mod headroom;
 pub(crate) mod interference;
 mod policy;
 mod quota;
