Let lasting tasks wait for 3.5 s at most, and ask for the end of a lost leader

The test lasting_tasks_take_the_last_room_in_the_end shows the fault without the change.

The host of the leader before is now asked whether that term is over: a process that was killed is soon followed by another one there, and its answer is proof. In elections hosts that were restarted lately go first, so that a rolling restart changes the leader less often.

Ruled out as proof: a refused connection, because cuts may refuse connections too, and a missing entry, because a worker that is cut off from the store runs on.

--- a/crates/jujubelb/src/dispatch/ends.rs
+++ b/crates/jujubelb/src/dispatch/ends.rs
@@ -16,10 +16,9 @@
     pub(super) fn ended(&mut self, worker: &WorkerName, end: &EndRow, now: Time) {
         if let Some(w) = self.workers.get_mut(worker)
             && w.runs.get(&end.task).is_some_and(|h| h.run == end.run)
+            && let Some(held) = w.runs.shift_remove(&end.task)
         {
-            if let Some(held) = w.runs.shift_remove(&end.task) {
-                w.trace(&held, now);
-            }
+            w.trace(&held, now);
         }
         log::info!(task:% = end.task, run:% = end.run, worker:% = worker, how:% = end.how; "run ended");
         let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -162,6 +162,7 @@
 pub struct Dispatcher {
     term: Term,
     bounds: Bounds,
+    /// When the leader before had certainly stopped, or else when this term began.
     started: Time,
     /// Earlier terms may have started tasks on workers of the roster.
     settled: bool,
@@ -238,6 +239,16 @@
         self.term
     }
 
+    /// Takes note that the leader before has stopped for certain, so that it
+    /// extends no leases any more.
+    pub fn predecessor_stopped(&mut self, now: Time) {
+        if !self.term.resigned {
+            log::info!(term = self.term.number, age:% = now.since(self.started); "the leader before has stopped");
+            self.term.resigned = true;
+            self.started = now;
+        }
+    }
+
     /// Whether a worker has seen a higher token, so that this term is over.
     pub fn is_deposed(&self) -> bool {
         self.deposed
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -19,9 +19,13 @@
 /// short ones.
 const PATIENCE: Span = Span::from_millis(1_500);
 
-/// Room of all workers, in percent, that lasting tasks leave to short ones however
-/// long they wait. A short task earns several times as much for its callers in the
-/// time for which it needs a core.
+/// How long a lasting task waits at most for the sake of short ones. It has to run
+/// again 6 s after its last run.
+const LONG_WAIT: Span = Span::from_millis(3_500);
+
+/// Room of all workers, in percent, that lasting tasks leave to short ones until
+/// then. A short task earns several times as much for its callers in the time for
+/// which it needs a core.
 const SPARE_ROOM: u64 = 8;
 
 /// Time without progress after which a run is stopped. A task of seconds that
@@ -250,9 +254,10 @@
             }
             return;
         }
-        let waited = |t: &super::job::Task| now.since(t.since) > PATIENCE;
-        let patient =
-            !self.has_spare_room() || !state.tasks.iter().any(|t| startable(t) && waited(t));
+        let waiting_for = |t: &super::job::Task| now.since(t.since);
+        let longest = state.tasks.iter().filter(|t| startable(t)).map(waiting_for);
+        let longest = longest.max().unwrap_or_default();
+        let patient = longest <= PATIENCE || (longest <= LONG_WAIT && !self.has_spare_room());
         let mut placed: IndexMap<WorkerName, u32> = IndexMap::new();
         for index in waiting {
             let need = Need {
--- a/crates/jujubelb/src/dispatch/tests/leaders.rs
+++ b/crates/jujubelb/src/dispatch/tests/leaders.rs
@@ -115,6 +115,27 @@
     assert_eq!(world.running(key), 3);
 }
 
+/// A leader's process is killed while a worker is gone. The next leader hears from
+/// the host that the process is no more, so it waits for leases only, and not for
+/// as long as a leader might go on that nothing is known of.
+#[test]
+fn evidence_that_the_old_leader_is_dead_shortens_the_wait() {
+    let mut world = World::new(4);
+    let key = world.submit(1, job(0, vec![lasting(4, 20)]));
+    world.run(Span::from_secs(1));
+    let victim = world.starts[0].1.clone();
+    let i = world.workers.get_index_of(&victim).unwrap();
+    world.kill(i);
+    world.list();
+    world.change_leader();
+    world.run(Span::from_secs(1));
+    world.dispatcher.predecessor_stopped(world.now);
+    world.run(Span::from_secs(5));
+    assert!(world.running(key) < 4);
+    world.run(Span::from_secs(2));
+    assert_eq!(world.running(key), 4);
+}
+
 /// Workers leave one after the other while the leader stops in an orderly way:
 /// what ran on one that has just left starts again when its lease is over, and
 /// not only after the time that a lost leader is given.
--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -69,6 +69,19 @@
     assert!(in_time.count() >= 4);
 }
 
+/// Lasting tasks on nearly all of the room, and some more: room that is kept for
+/// short tasks must not keep a lasting one away for good. It has to run again
+/// within 6 s as long as there is room for it.
+#[test]
+fn lasting_tasks_take_the_last_room_in_the_end() {
+    let mut world = World::new(4);
+    world.submit(1, job(0, vec![lasting(39, 6)]));
+    world.run(Span::from_secs(3));
+    let key = world.submit(2, job(0, vec![lasting(1, 6)]));
+    world.run(Span::from_secs(6));
+    assert_eq!(world.running(key), 1);
+}
+
 /// Lasting tasks that ask for more than all workers have, and urgent checks in
 /// between: the checks keep finding room although lasting tasks wait for longer.
 #[test]
--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::keys::{self, Leader};
+use super::keys::{self, Leader, TermRecord};
 use super::leader;
 use super::state::{LeaderSeen, Node, sleep};
 use super::watch::{Follow, News, follow};
@@ -31,6 +31,12 @@
 /// so that a strong host leads.
 const WEAKNESS_WAIT: Span = Span::from_millis(250);
 
+/// Uptime up to which a host counts as restarted just now.
+const FRESH: Span = Span::from_secs(20);
+
+/// A host that wasn't waits this much longer.
+const VETERAN_WAIT: Span = Span::from_millis(120);
+
 /// Follows the leader's key.
 pub(crate) async fn observe(node: Arc<Node>) {
     let rules = Follow {
@@ -92,6 +98,8 @@
     pub(crate) chain: Revision,
     /// When the lease was certainly not granted yet.
     pub(crate) since: Time,
+    /// The leader before.
+    pub(crate) before: Option<Leader>,
 }
 
 /// Tries to become the leader; `None` if another host was sooner.
@@ -101,18 +109,26 @@
     let distance = node.now().since(sent).scale_up(DISTANCE_WEIGHT, 1);
     let weakness = 1.0 - node.settings.processor.clamp(0.0, 1.0);
     let weakness = Span::from_micros((weakness * WEAKNESS_WAIT.as_micros() as f64) as u64);
-    sleep(distance + weakness).await;
+    // While hosts are restarted in turn, one that was restarted already leads
+    // longest: each change of the leader holds up the tasks of lost workers.
+    let uptime = node.now().since(Time::ZERO);
+    let veteran = if uptime > FRESH {
+        VETERAN_WAIT
+    } else {
+        Span::ZERO
+    };
+    sleep(distance + weakness + veteran).await;
     if node.leader() != LeaderSeen::Absent || node.is_draining() {
         return Ok(None);
     }
     let since = node.now();
     let ttl = LEASE.max(node.settings.shortest_lease);
     let (lease, _) = node.store_called("lease", since, node.kv.lease(ttl).await)?;
-    let number = term
+    let last = term
         .content
         .as_ref()
-        .and_then(|i| keys::decode::<u64>(keys::TERM, i.value.as_deref()?))
-        .unwrap_or(0);
+        .and_then(|i| keys::decode::<TermRecord>(keys::TERM, i.value.as_deref()?));
+    let number = last.as_ref().map_or(0, |t| t.count);
     let before = term.content.map_or(Revision::default(), |i| i.revision);
     // Read after the term: if another host leads in between, the term changes
     // and this try fails.
@@ -127,21 +143,27 @@
         }
     };
     let nonce = rand::random();
+    node.set_term(Some(nonce));
     let leader = Leader {
         host: node.settings.host.clone(),
         peers: node.settings.peers,
         nonce,
     };
+    let record = TermRecord {
+        count: number + 1,
+        leader: leader.clone(),
+    };
     let txn = Txn::default()
         .expect(keys::LEADER, Revision::default())
         .expect(keys::TERM, before)
         .put(keys::LEADER, &keys::encode(&leader), Some(lease))
-        .put(keys::TERM, &keys::encode(&(number + 1)), None)
+        .put(keys::TERM, &keys::encode(&record), None)
         .put(keys::CHAIN, &keys::encode(&nonce), None);
     let revision = match node.kv.txn(&txn).await {
         Ok(revision) => revision,
         Err(TxnError::Conflict | TxnError::LeaseEnded) => {
             give_up(node, lease).await;
+            node.set_term(None);
             return Ok(None);
         }
         Err(TxnError::Call(error)) => match won(node, nonce).await {
@@ -149,6 +171,7 @@
             None => {
                 // Without the lease the try can't succeed later.
                 give_up(node, lease).await;
+                node.set_term(None);
                 return Err(error);
             }
         },
@@ -165,6 +188,7 @@
         nonce,
         chain: revision,
         since,
+        before: last.map(|t| t.leader),
     }))
 }
 
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -14,7 +14,7 @@
 /// The leader's key, bound to its lease.
 pub(crate) const LEADER: &str = "jj/leader";
 
-/// Number of terms so far.
+/// Number of terms so far, and the last leader.
 pub(crate) const TERM: &str = "term";
 
 /// Workers on which tasks may have been started.
@@ -70,6 +70,15 @@
     pub(crate) nonce: u64,
 }
 
+/// Value of the term's key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TermRecord {
+    /// Terms so far.
+    pub(crate) count: u64,
+    /// Who led the last one.
+    pub(crate) leader: Leader,
+}
+
 pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     match postcard::to_allocvec(value) {
         Ok(bytes) => bytes,
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -9,6 +9,7 @@
 
 use super::election::{self, Win};
 use super::keys;
+use super::peers::{self, Ask, Tell};
 use super::state::{LeaderSeen, Node, lock, sleep};
 use super::watch::{Follow, News, follow};
 use crate::dispatch::{
@@ -61,6 +62,9 @@
     pause: Span::from_millis(400),
 };
 
+/// Pause between two questions to the host of the leader before.
+const PREDECESSOR_PAUSE: Span = Span::from_millis(400);
+
 /// Time between two lines on the load.
 const REPORT: Span = Span::from_secs(5);
 
@@ -126,11 +130,15 @@
         tasks.spawn(give_orders(node.clone(), lead.clone()));
         tasks.spawn(follow_workers(node.clone(), lead.clone()));
         tasks.spawn(follow_intake(node.clone(), lead.clone()));
+        if let Some(before) = win.before.filter(|_| !win.term.resigned) {
+            tasks.spawn(ask_predecessor(node.clone(), lead.clone(), before));
+        }
         // Each task runs as long as the term; the first to end ends it.
         tasks.join_next().await;
     }
     node.set_lead(None);
     tasks.shutdown().await;
+    node.set_term(None);
     log::warn!(term = win.term.number, lasted:% = node.now().since(began), draining = node.is_draining(); "term over");
     election::resign(node, win.nonce).await;
     election::give_up(node, win.lease).await;
@@ -254,6 +262,27 @@
     })
 }
 
+/// Asks the host of the leader before until it says that the term is over: a
+/// process that was killed is soon followed by another one at its address.
+/// Never ends, because it runs beside what ends the term.
+async fn ask_predecessor(node: Arc<Node>, lead: Arc<Lead>, before: keys::Leader) {
+    loop {
+        let stopped = match before.host == node.settings.host {
+            true => !node.has_term(before.nonce),
+            false => matches!(
+                peers::ask(&node, before.peers, &Ask::Leads(before.nonce), peers::QUICK).await,
+                Ok(Tell::Leads(false))
+            ),
+        };
+        if stopped {
+            lock(&lead.dispatcher).predecessor_stopped(node.now());
+            lead.plan.notify_one();
+            return std::future::pending().await;
+        }
+        sleep(PREDECESSOR_PAUSE).await;
+    }
+}
+
 async fn follow_workers(node: Arc<Node>, lead: Arc<Lead>) {
     let watcher = node.clone();
     follow(node, WORKERS, move |news| {
--- a/crates/jujubelb/src/node/peers.rs
+++ b/crates/jujubelb/src/node/peers.rs
@@ -44,6 +44,8 @@
     Store(JobKey, JobRecord),
     /// Store a cancellation for such a host.
     Cancel(JobKey),
+    /// Whether the process still leads the term with this nonce.
+    Leads(u64),
 }
 
 /// The answer.
@@ -59,6 +61,8 @@
     Pending(u64),
     /// Outcome of a write.
     Verdict(Verdict),
+    /// Whether the process leads that term.
+    Leads(bool),
 }
 
 /// [`Shown`] between hosts.
@@ -131,10 +135,14 @@
 
     async fn tell(&self, ask: Ask) -> Tell {
         let node = &self.0;
+        if let Ask::Leads(nonce) = ask {
+            return Tell::Leads(node.has_term(nonce));
+        }
         let Some(lead) = node.lead() else {
             return Tell::NotLeader;
         };
         match ask {
+            Ask::Leads(nonce) => Tell::Leads(node.has_term(nonce)),
             Ask::Stored(key, record) => {
                 lead.accept(node, key, record);
                 Tell::Noted
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -119,6 +119,9 @@
     pub(crate) news: Notify,
     /// Present while this process leads.
     lead: Mutex<Option<Arc<Lead>>>,
+    /// Nonce of the term of this process, from before it wins until its last call
+    /// to a worker has ended.
+    term: Mutex<Option<u64>>,
     store: Mutex<StoreHealth>,
     draining: AtomicBool,
     inflight: AtomicUsize,
@@ -138,6 +141,7 @@
             leader: Mutex::new(LeaderSeen::Unknown),
             news: Notify::new(),
             lead: Mutex::new(None),
+            term: Mutex::new(None),
             store: Mutex::new(StoreHealth {
                 failures: 0,
                 since: Time::ZERO,
@@ -207,6 +211,15 @@
         }
     }
 
+    /// Whether this process leads the term with a nonce, or may still win it.
+    pub(crate) fn has_term(&self, nonce: u64) -> bool {
+        *lock(&self.term) == Some(nonce)
+    }
+
+    pub(crate) fn set_term(&self, nonce: Option<u64>) {
+        *lock(&self.term) = nonce;
+    }
+
     pub(crate) fn lead(&self) -> Option<Arc<Lead>> {
         lock(&self.lead).clone()
     }
