Ask a queue's policy service for the tickets of its steps

Cause: jobs of queues with a policy service were refused, because their workers ask for tickets. A deployment that has such queues was served nothing there.

Change: the leader asks the service about up to 30 workers of the step that goes first, keeps tickets for as long as they hold and for the worker's incarnation only, never asks again about a worker that was denied, and starts a task only with a ticket. Hosts whose settings name no such service still refuse.

Tests: dispatch::tests::advice plays the service beside the fake workers; no start may lack a good ticket.

--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! `docs/platform.md` explains how runs stay unique when leaders change and
 //! calls are lost.
 
+mod advice;
 mod commit;
 mod ends;
 mod health;
@@ -30,10 +31,12 @@
 
 use crate::model::{DomainName, Span, Time, WallTime, WorkerName, WorkerTime};
 use crate::place::headroom::Slopes;
+use advice::Permits;
 use job::{Job, TaskState};
 use pace::Headrooms;
 use worker::Worker;
 
+pub use advice::{Grant, Question};
 pub use commit::{Commit, Model, Roster, RosterEntry};
 pub use look::{EndRow, LookReply, LookRequest, RunEnd, RunRow};
 pub use progress::{OccurrenceProgress, Outcome, Progress, StepProgress, TaskProgress};
@@ -88,6 +91,8 @@
         deadline: WorkerTime,
         /// Checkpoint to resume from.
         checkpoint: Option<ArcStr>,
+        /// Ticket of the queue's policy service.
+        ticket: Option<ArcStr>,
     },
     /// Stop a run, or make sure that it never starts.
     Stop {
@@ -183,6 +188,8 @@
     latest: Time,
     /// When that was last written.
     modelled: Time,
+    /// What policy services have said of steps.
+    permits: IndexMap<StepKey, Permits>,
     /// Domains in which nothing may start.
     evacuated: IndexSet<DomainName>,
     /// Count of changes that have to become durable.
@@ -218,6 +225,7 @@
             modelled: now,
             latest: now,
             faded: now,
+            permits: IndexMap::new(),
             evacuated: IndexSet::new(),
             changes: 0,
             dirty: IndexSet::new(),
--- a/crates/jujubelb/src/dispatch/place.rs
+++ b/crates/jujubelb/src/dispatch/place.rs
@@ -61,6 +61,8 @@
     pub(crate) rack: Option<&'a str>,
     /// Whether a lasting task leaves the room that is kept for short ones.
     pub(crate) patient: bool,
+    /// Whether only workers with a ticket may run it.
+    pub(crate) advised: bool,
 }
 
 /// Whether a worker could take a task now.
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -266,6 +266,7 @@
                 service: &record.terms.service,
                 rack: None,
                 patient,
+                advised: record.terms.advice.is_some(),
             };
             let Some(worker) = self.choose(&need, now) else {
                 full.add(step, &record);
@@ -346,6 +347,7 @@
             service: &record.terms.service,
             rack,
             patient: false,
+            advised: record.terms.advice.is_some(),
         };
         let mut chosen = Vec::new();
         for index in 0..step.count {
@@ -375,6 +377,9 @@
             if !place::admits(worker, need, &self.evacuated, now) {
                 continue;
             }
+            if need.advised && self.ticket(need.key, worker, now).is_none() {
+                continue;
+            }
             let mut cost = place::cost(worker, need);
             if need.step.fills {
                 match place::burden(worker, need, &self.slopes, &self.headrooms) {
@@ -389,6 +394,11 @@
         best.map(|(_, name)| name.clone())
     }
 
+    /// The ticket for a step on a worker.
+    fn ticket(&self, step: StepKey, worker: &super::worker::Worker, now: Time) -> Option<&ArcStr> {
+        self.permits.get(&step)?.ticket(worker, now)
+    }
+
     /// The number for the next run of these tasks, which start together.
     fn next_run(&self, tasks: &[TaskKey]) -> Run {
         let last = |t: &TaskKey| Some(self.jobs.get(&t.step.job)?.task(*t)?.run);
@@ -449,6 +459,11 @@
             place::sum_strains(worker, &self.slopes);
         }
         let address = worker.report.address;
+        let ticket = self
+            .workers
+            .get(name)
+            .and_then(|w| self.ticket(task.step, w, now))
+            .cloned();
         let mut checkpoint = None;
         if let Some(known) = self
             .jobs
@@ -468,6 +483,7 @@
                 payload: record.work.payload.clone(),
                 deadline,
                 checkpoint: checkpoint.filter(|_| step.checkpoints),
+                ticket,
             },
         });
     }
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -104,6 +104,11 @@
             StartReply::Unhealthy | StartReply::Malformed | StartReply::NotSent => UNHEALTHY_PAUSE,
         };
         log::info!(task:% = task, run:% = run, worker:% = name, reply:? = reply; "start refused");
+        if reply == StartReply::Refused(Refusal::Ticket)
+            && let Some(permits) = self.permits.get_mut(&task.step)
+        {
+            permits.refused(name);
+        }
         if held.phase != Phase::Starting {
             return;
         }
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+mod advice;
 mod gangs;
 mod interference;
 mod leaders;
--- a/crates/jujubelb/src/dispatch/tests/world.rs
+++ b/crates/jujubelb/src/dispatch/tests/world.rs
@@ -8,9 +8,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::dispatch::{
-    Born, Bounds, Dispatch, Dispatcher, EndRow, JobKey, JobRecord, LookReply, Model, Order,
-    Progress, Refusal, Roster, Run, RunEnd, RunRow, StartReply, Step, StopReply, TaskKey, Term,
-    Terms, Work, WorkerReport,
+    Born, Bounds, Dispatch, Dispatcher, EndRow, Grant, JobKey, JobRecord, LookReply, Model, Order,
+    Progress, Refusal, Roster, Run, RunEnd, RunRow, StartReply, Step, StepKey, StopReply, TaskKey,
+    Term, Terms, Work, WorkerReport,
 };
 use crate::model::{
     Bytes, DomainName, Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime,
@@ -151,6 +151,10 @@
     pub(crate) completed: IndexMap<JobKey, Time>,
     /// Whether the store takes writes.
     pub(crate) store_up: bool,
+    /// Tickets by their text: the step, the worker, the end.
+    pub(crate) tickets: IndexMap<ArcStr, (StepKey, WorkerName, Time)>,
+    /// Starts that were refused for their ticket.
+    pub(crate) bad_tickets: usize,
     cancelled: IndexSet<JobKey>,
     /// Since when a worker's serving tasks are above their target.
     harmed: IndexMap<WorkerName, Time>,
@@ -217,6 +221,8 @@
             starts: Vec::new(),
             completed: IndexMap::new(),
             store_up: true,
+            tickets: IndexMap::new(),
+            bad_tickets: 0,
             cancelled: IndexSet::new(),
             harmed: IndexMap::new(),
             longest_harm: Span::ZERO,
@@ -340,6 +346,27 @@
         }
     }
 
+    /// A policy service that lets steps run on the workers with these numbers.
+    pub(crate) fn advise(&mut self, allowed: &[usize], valid: Span) {
+        let now = self.now;
+        let Some(question) = self.dispatcher.question(now) else {
+            return;
+        };
+        let names: Vec<WorkerName> = allowed
+            .iter()
+            .filter_map(|&i| Some(self.workers.get_index(i)?.0.clone()))
+            .collect();
+        let mut tickets = Vec::new();
+        for name in question.workers.iter().filter(|w| names.contains(w)) {
+            let text = ArcStr::from(format!("t{}", self.tickets.len()));
+            let ticket = (question.step, name.clone(), now + valid);
+            self.tickets.insert(text.clone(), ticket);
+            tickets.push((name.clone(), text));
+        }
+        self.dispatcher
+            .advised(&question, &Grant { tickets, valid }, now);
+    }
+
     /// Number of tasks of a job that run now.
     pub(crate) fn running(&self, key: JobKey) -> usize {
         self.workers
@@ -511,9 +538,19 @@
                 task,
                 run,
                 deadline,
+                ticket,
                 ..
             } => {
+                let policy = self.jobs[&task.step.job].terms.advice.is_some();
+                let held = ticket.as_ref().and_then(|t| self.tickets.get(t));
+                let good = held.is_some_and(|(step, worker, until)| {
+                    *step == task.step && worker == name && now < *until
+                });
                 let reply = match fault {
+                    _ if policy && !good => {
+                        self.bad_tickets += 1;
+                        StartReply::Refused(Refusal::Ticket)
+                    }
                     Fault::Dead => StartReply::NotSent,
                     Fault::Cut => StartReply::NoAnswer,
                     Fault::Late(delay) => {
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -180,10 +180,10 @@
         log::info!(job:% = key, error:% = error; "submission is not valid");
         return Reply::failed(Status::BadRequest, &error.to_string());
     }
-    if queue.terms.advice.is_some() {
+    if queue.terms.advice.is_some() && node.settings.advice.is_none() {
         // An accepted job could never start: its workers ask for tickets.
-        log::error!(job:% = key, queue:% = queue.terms.prefix; "job refused: queues with a policy service are not supported yet");
-        return Reply::later("queues with a policy service are not supported yet");
+        log::error!(job:% = key, queue:% = queue.terms.prefix; "job refused: the settings name no policy service");
+        return Reply::later("the settings of this host name no policy service");
     }
     let record = JobRecord {
         terms: queue.terms.clone(),
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -17,7 +17,7 @@
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
-    CallError, Item, Looked, Revision, Txn, TxnError, WORKER_PREFIX, Workers, decode_worker,
+    Advice, CallError, Item, Looked, Revision, Txn, TxnError, WORKER_PREFIX, Workers, decode_worker,
 };
 
 /// Time between two renewals of the leader's lease, which lasts 2 s.
@@ -62,6 +62,13 @@
     pause: Span::from_millis(400),
 };
 
+/// Pause before it is checked again whether a step waits for its policy service.
+const ADVICE_PAUSE: Span = Span::from_millis(60);
+
+/// Pause after a call to the policy service that failed; it refuses calls while
+/// too many wait.
+const ADVICE_RETRY: Span = Span::from_millis(300);
+
 /// Pause between two questions to the host of the leader before.
 const PREDECESSOR_PAUSE: Span = Span::from_millis(400);
 
@@ -130,6 +137,10 @@
         tasks.spawn(give_orders(node.clone(), lead.clone()));
         tasks.spawn(follow_workers(node.clone(), lead.clone()));
         tasks.spawn(follow_intake(node.clone(), lead.clone()));
+        if let Some(address) = node.settings.advice {
+            let advice = Advice::new(node.client.clone(), address);
+            tasks.spawn(seek_advice(node.clone(), lead.clone(), advice));
+        }
         if let Some(before) = win.before.filter(|_| !win.term.resigned) {
             tasks.spawn(ask_predecessor(node.clone(), lead.clone(), before));
         }
@@ -262,6 +273,29 @@
     })
 }
 
+/// Asks the policy service about the steps that wait for it, one at a time; it
+/// serves the calls of a host in turn.
+async fn seek_advice(node: Arc<Node>, lead: Arc<Lead>, advice: Advice) {
+    loop {
+        let sent = node.now();
+        let question = lock(&lead.dispatcher).question(sent);
+        let Some(question) = question else {
+            sleep(ADVICE_PAUSE).await;
+            continue;
+        };
+        match advice.ask(&question).await {
+            Ok(grant) => {
+                lock(&lead.dispatcher).advised(&question, &grant, sent);
+                lead.plan.notify_one();
+            }
+            Err(error) => {
+                log::warn!(step:% = question.step, asked = question.workers.len(), error:% = error; "policy service has not answered; asking again");
+                sleep(ADVICE_RETRY).await;
+            }
+        }
+    }
+}
+
 /// Asks the host of the leader before until it says that the term is over: a
 /// process that was killed is soon followed by another one at its address.
 /// Never ends, because it runs beside what ends the term.
@@ -455,7 +489,7 @@
     let worker = &dispatch.worker;
     match &dispatch.order {
         Order::Start { task, run, .. } => {
-            let reply = lead.workers.start(&dispatch, None).await;
+            let reply = lead.workers.start(&dispatch).await;
             lock(&lead.dispatcher).start_answered(worker, *task, *run, reply, node.now());
         }
         Order::Stop { task, run } => {
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -38,6 +38,8 @@
     pub peers: SocketAddr,
     /// The store.
     pub store: SocketAddr,
+    /// The policy service that names the workers for steps of some queues.
+    pub advice: Option<SocketAddr>,
     /// Shortest lease that the store grants.
     pub shortest_lease: Span,
     /// Share of a core that the host has.
--- a/crates/jujubelb/src/platform/mod.rs
+++ b/crates/jujubelb/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! Everything that arrives is decoded once into types of the product. What
 //! can't be decoded is logged and left out; it never turns into a zero.
 
+mod advice;
 mod client;
 mod jobs;
 mod kv;
@@ -13,6 +14,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use advice::Advice;
 pub use client::{CallError, Client};
 pub use jobs::{decode_work, encode_pending, encode_state};
 pub use kv::{Item, Kv, LeaseId, Read, Revision, Txn, TxnError, WatchError};
--- a/crates/jujubelb/src/platform/settings.rs
+++ b/crates/jujubelb/src/platform/settings.rs
@@ -24,6 +24,9 @@
     limits: WireLimits,
     bounds: WireBounds,
     platform: WirePlatform,
+    /// The policy service for queues that have one; empty where there is none.
+    #[serde(default)]
+    advice: String,
 }
 
 #[derive(Debug, Deserialize)]
@@ -94,6 +97,13 @@
         readiness: wire.bind_addresses.readiness,
         peers: SocketAddr::new(wire.ip, first),
         store: wire.platform.address,
+        advice: match wire.advice.as_str() {
+            "" => None,
+            text => Some(
+                text.parse()
+                    .wrap_err("advice must be an address with a port")?,
+            ),
+        },
         shortest_lease: millis(wire.platform.ttl_min_ms),
         processor: wire.limits.cpu_share * wire.limits.cores.max(1.0),
         grace: millis(wire.bounds.grace_s * 1e3),
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -149,3 +149,17 @@
     let swapped = SETTINGS.replace("[7720, 7735]", "[7735, 7720]");
     assert!(settings::decode(&swapped).is_err());
 }
+
+/// Guards against tickets that are taken for those of other workers.
+#[test]
+fn tickets_are_read_with_their_workers() {
+    let text = r#"{"granted":[["i-1","c81e"],["i-2","77"]],"valid_ms":3000}"#;
+    let grant = super::advice::decode_grant(text).unwrap();
+    assert_eq!(grant.valid, Span::from_secs(3));
+    let [first, second] = grant.tickets.as_slice() else {
+        panic!("two tickets");
+    };
+    assert_eq!((first.0.as_str(), first.1.as_str()), ("i-1", "c81e"));
+    assert_eq!((second.0.as_str(), second.1.as_str()), ("i-2", "77"));
+    assert!(super::advice::decode_grant(r#"{"granted":[["i-1","c81e"]]}"#).is_err());
+}
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -122,13 +122,14 @@
     }
 
     /// Starts a run.
-    pub async fn start(&self, dispatch: &Dispatch, ticket: Option<&str>) -> StartReply {
+    pub async fn start(&self, dispatch: &Dispatch) -> StartReply {
         let Order::Start {
             task,
             run,
             payload,
             deadline,
             checkpoint,
+            ticket,
         } = &dispatch.order
         else {
             return StartReply::NotSent;
@@ -140,7 +141,7 @@
             deadline_ms: deadline.as_micros() / 1_000,
             fencing_token: self.token,
             checkpoint: checkpoint.as_deref(),
-            ticket,
+            ticket: ticket.as_deref(),
         };
         let answer = self
             .post(
