Keep a leader's batch within one transaction

A batch of 30 jobs with the roster and the model needs 34 entries with the leader's own two; the store takes 32 and refuses more, so the same batch was tried for ever. No end was acknowledged and lasting tasks stayed where the store last knew them. The failure was not logged either.

Change: 28 jobs in a batch; each failed write has a log line. The test a_batch_fits_into_a_transaction fails with 30 jobs (32 entries of 30) and passes now.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -12,9 +12,17 @@
 use crate::model::{DomainName, Resources, ServiceName, Span, Time, WorkerName};
 use crate::place::headroom::Slopes;
 
-/// Jobs in one batch; the store takes 32 entries in a transaction, of which
-/// one is the condition and one may be the roster.
-const JOBS_PER_COMMIT: usize = 30;
+/// Entries that a batch may need; the store takes 32 in a transaction, of which
+/// the leader's condition and its key take one each.
+pub(crate) const MOST_ENTRIES: usize = 30;
+
+/// Jobs in one batch, which may also hold the roster and the model. A batch with
+/// one entry too many would be refused for ever.
+const JOBS_PER_COMMIT: usize = MOST_ENTRIES - 2;
+
+/// Keys of a job that is forgotten.
+#[cfg(test)]
+const KEYS_PER_JOB: usize = 3;
 
 /// Jobs that one batch forgets, at three keys each, beside a small batch.
 const FORGOTTEN_PER_COMMIT: usize = 6;
@@ -85,6 +93,15 @@
     upto: u64,
 }
 
+impl Commit {
+    /// Entries that the batch needs in a transaction.
+    #[cfg(test)]
+    pub(crate) fn entries(&self) -> usize {
+        let singles = usize::from(self.roster.is_some()) + usize::from(self.model.is_some());
+        self.jobs.len() + singles + KEYS_PER_JOB * self.forgotten.len()
+    }
+}
+
 impl Dispatcher {
     /// Whether there is something to write.
     pub fn has_changes(&self) -> bool {
--- a/crates/jujubelb/src/dispatch/tests/records.rs
+++ b/crates/jujubelb/src/dispatch/tests/records.rs
@@ -1,6 +1,9 @@
 //! Text and stored forms.
 
+use super::{World, job, step};
+use crate::dispatch::commit::MOST_ENTRIES;
 use crate::dispatch::{JobKey, Run, StepProgress, TaskKey, TaskProgress};
+use crate::model::Span;
 
 /// Guards against names that workers would not take for the same task.
 #[test]
@@ -37,3 +40,22 @@
     assert_eq!(read, step);
     assert!(read.is_done(9) && read.is_done(31) && !read.is_done(8) && !read.is_done(100));
 }
+
+/// Many jobs change while the store is away and workers come: the batch with all
+/// of that has to fit into one transaction. One entry more, and the store refuses
+/// it however often it is tried, so that nothing becomes durable any more.
+#[test]
+fn a_batch_fits_into_a_transaction() {
+    let mut world = World::new(4);
+    world.store_up = false;
+    for i in 0..60 {
+        world.submit(i, job(0, vec![step(1, 2, Span::from_millis(200))]));
+    }
+    world.run(Span::from_secs(4));
+    world.add_worker(4);
+    world.list();
+    let batch = world.dispatcher.take_commit(world.now).unwrap();
+    assert!(batch.roster.is_some() && batch.model.is_some());
+    assert!(batch.jobs.len() > MOST_ENTRIES / 2);
+    assert!(batch.entries() <= MOST_ENTRIES, "{}", batch.entries());
+}
--- a/crates/jujubelb/src/dispatch/tests/world.rs
+++ b/crates/jujubelb/src/dispatch/tests/world.rs
@@ -235,7 +235,7 @@
         world
     }
 
-    fn add_worker(&mut self, i: usize) {
+    pub(crate) fn add_worker(&mut self, i: usize) {
         let name = WorkerName::new(format!("w{i}"));
         let report = WorkerReport {
             name: name.clone(),
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -402,10 +402,14 @@
             }
             Err(TxnError::Call(error)) => {
                 let effect = !error.had_no_effect();
+                log::warn!(jobs = batch.jobs.len(), roster = batch.roster.is_some(), error:% = error; "changes not written; trying again");
                 let _ = node.store_called::<()>("txn", sent, Err(error));
                 effect
             }
-            Err(TxnError::Conflict | TxnError::LeaseEnded) => true,
+            Err(TxnError::Conflict | TxnError::LeaseEnded) => {
+                log::warn!(jobs = batch.jobs.len(); "changes not written: the condition didn't hold");
+                true
+            }
         };
         lock(&lead.dispatcher).commit_failed(&batch);
         // The write may have been made, or a late one has come before it.
