Do not end the search of a waiting lasting task by one that left room

A pass remembers sizes that found no room and skips larger steps. A lasting task that has just begun to wait is searched for with room left for short tasks; its failure also ended the search for another one that may take that room, as long as such tasks kept coming.

Ruled out: the limit of 3.5 s itself (its test holds), a sick worker (the task's own failure counts for nothing while other jobs succeed there).

Change: a remembered size says whether room was left, and covers only searches that leave it too. The test a_search_that_left_room_says_nothing_of_others fails without.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -230,9 +230,6 @@
         let Some(step) = record.work.steps.get(usize::from(key.step)) else {
             return;
         };
-        if full.covers(step, &record) {
-            return;
-        }
         let Some(state) = self
             .jobs
             .get(&key.job)
@@ -258,6 +255,9 @@
         let longest = state.tasks.iter().filter(|t| startable(t)).map(waiting_for);
         let longest = longest.max().unwrap_or_default();
         let patient = longest <= PATIENCE || (longest <= LONG_WAIT && !self.has_spare_room());
+        if full.covers(step, &record, patient) {
+            return;
+        }
         let mut placed: IndexMap<WorkerName, u32> = IndexMap::new();
         for index in waiting {
             let need = Need {
@@ -269,7 +269,7 @@
                 advised: record.terms.advice.is_some(),
             };
             let Some(worker) = self.choose(&need, now) else {
-                full.add(step, &record);
+                full.add(step, &record, patient);
                 break;
             };
             let task = TaskKey { step: key, index };
@@ -493,6 +493,9 @@
 #[derive(Debug)]
 struct Unplaced {
     size: Resources,
+    /// Whether the search left room for short tasks, so that it says nothing of
+    /// tasks that may take it.
+    patient: bool,
     fills: bool,
     /// Of a filling task, which may be unwelcome where others are not.
     image: Option<ArcStr>,
@@ -501,25 +504,27 @@
 
 /// Sizes that found no room in this pass; a larger one needs no search.
 #[derive(Debug, Default)]
-struct Full {
+pub(super) struct Full {
     sizes: Vec<Unplaced>,
 }
 
 impl Full {
-    fn covers(&self, step: &Step, record: &JobRecord) -> bool {
+    pub(super) fn covers(&self, step: &Step, record: &JobRecord, patient: bool) -> bool {
         self.sizes.iter().any(|known| {
             known.size.fits(&step.size)
+                && (patient || !known.patient)
                 && known.fills == step.fills
                 && known.image.as_ref() == step.image.as_ref().filter(|_| step.fills)
                 && known.service == record.terms.service
         })
     }
 
-    fn add(&mut self, step: &Step, record: &JobRecord) {
+    pub(super) fn add(&mut self, step: &Step, record: &JobRecord, patient: bool) {
         let anywhere = step.label.is_none() && step.per_worker.is_none();
         if anywhere {
             self.sizes.push(Unplaced {
                 size: step.size,
+                patient,
                 fills: step.fills,
                 image: step.image.clone().filter(|_| step.fills),
                 service: record.terms.service.clone(),
--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -2,6 +2,7 @@
 
 use super::world::Fault;
 use super::{World, job, lasting, step};
+use crate::dispatch::plan::Full;
 use crate::model::Span;
 
 /// A burst of batch jobs before urgent checks: the checks don't queue behind it.
@@ -82,6 +83,21 @@
     assert_eq!(world.running(key), 1);
 }
 
+/// A lasting task that has just begun to wait leaves the room for short tasks and
+/// finds none. That must not end the search for another one which has waited so
+/// long that it may take that room; it would wait as long as tasks keep coming.
+#[test]
+fn a_search_that_left_room_says_nothing_of_others() {
+    let record = job(0, vec![lasting(1, 6)]);
+    let (small, large) = (lasting(1, 6), lasting(1, 8));
+    let mut full = Full::default();
+    full.add(&small, &record, true);
+    assert!(full.covers(&large, &record, true));
+    assert!(!full.covers(&large, &record, false));
+    full.add(&small, &record, false);
+    assert!(full.covers(&large, &record, false));
+}
+
 /// Lasting tasks that ask for more than all workers have, and urgent checks in
 /// between: the checks keep finding room although lasting tasks wait for longer.
 #[test]
