--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -181,8 +181,10 @@
         self.acknowledge(commit.upto);
     }
 
-    /// Finds the jobs that ended long ago.
+    /// Finds the jobs that ended long ago, and forgets what was asked for the
+    /// steps of ended ones.
     pub fn expire(&mut self, now: Time) {
+        self.drop_permits();
         let old = |j: &super::job::Job| {
             j.durable.is_some() && j.ended.is_some_and(|at| now.since(at) > RETENTION)
         };
--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -107,7 +107,6 @@
         if now.since(self.faded) >= FADE {
             self.faded = now;
             self.slopes.fade(KEPT);
-            self.drop_permits();
             let jobs = &self.jobs;
             let live = |key: &JobKey| jobs.get(key).is_some_and(|j| j.outcome.is_none());
             self.headrooms.retain(|key, _| live(key));
