Probe unhealthy workers that hold long-running tasks

Cause: an unhealthy worker was probed only while it had no runs, and only a successful run made it healthy.

A worker is probed whatever it holds, with one run at a time; only runs that began after the last failure count as evidence; a long-running task that becomes ready counts as a success, and progress clears a worker on which runs stalled. A probe is not the last attempt of a task.

--- a/crates/jujubelb/src/dispatch/completion.rs
+++ b/crates/jujubelb/src/dispatch/completion.rs
@@ -19,12 +19,14 @@
         completion: &RunCompletion,
         now: Time,
     ) {
+        let mut began = None;
         if let Some(w) = self.workers.get_mut(worker)
             && w.runs
                 .get(&completion.task)
                 .is_some_and(|r| r.run == completion.run)
             && let Some(tracked) = w.runs.shift_remove(&completion.task)
         {
+            began = Some(tracked.since);
             w.record_ended_run(&tracked, now);
         }
         log::info!(task:% = completion.task, run:% = completion.run, worker:% = worker, how:% = completion.outcome; "run completed");
@@ -44,7 +46,10 @@
             task.checkpoint = Some(saved.clone());
         }
         match completion.outcome {
-            RunOutcome::Done => self.task_done(worker, completion.task, live, now),
+            RunOutcome::Done => {
+                self.record_success(worker, began);
+                self.task_done(completion.task, live, now);
+            }
             RunOutcome::Failed => self.task_failed(worker, completion.task, completion.run, now),
             RunOutcome::Stopped | RunOutcome::Lapsed | RunOutcome::Broken | RunOutcome::Alone => {
                 self.release(worker, completion.task, completion.run);
@@ -65,16 +70,23 @@
         }
     }
 
-    fn task_done(&mut self, worker: &WorkerName, key: TaskKey, live: bool, now: Time) {
+    /// Records a successful run as evidence of the worker's health. `began` is when its start
+    /// was ordered; `None` if this term did not know the run.
+    fn record_success(&mut self, worker: &WorkerName, began: Option<Time>) {
+        if let Some(w) = self.workers.get_mut(worker)
+            && w.health.record_success(began.unwrap_or_default())
+        {
+            log::info!(worker:% = worker; "worker considered healthy again");
+        }
+    }
+
+    fn task_done(&mut self, key: TaskKey, live: bool, now: Time) {
         let Some(record) = self.job_record(key.step.job) else {
             return;
         };
         let Some(step) = record.spec.steps.get(usize::from(key.step.step)) else {
             return;
         };
-        if let Some(w) = self.workers.get_mut(worker) {
-            w.health.record_success();
-        }
         if step.long_running {
             // A long-running task is restarted whatever its outcome.
             self.set_state(key, TaskState::Waiting);
@@ -109,8 +121,9 @@
         let Some(step) = record.spec.steps.get(usize::from(key.step.step)) else {
             return;
         };
+        let may_eject = self.ejection_slots() > 0;
         if let Some(w) = self.workers.get_mut(worker)
-            && w.health.record_failure(now, key.step.job)
+            && w.health.record_failure(now, key.step.job, may_eject)
         {
             log::warn!(worker:% = worker; "worker considered unhealthy: runs of several jobs failed without a success in between");
         }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -201,6 +201,8 @@
     expired_jobs: IndexSet<JobKey>,
     /// Whether the durable roster differs from the workers in use.
     roster_dirty: bool,
+    /// How many more unhealthy workers may be probed in this pass.
+    probe_slots: usize,
     /// Set when a worker has refused an order or a poll because of a higher token.
     deposed: bool,
 }
@@ -238,6 +240,7 @@
             dirty_jobs: IndexSet::new(),
             expired_jobs: IndexSet::new(),
             roster_dirty: false,
+            probe_slots: 0,
             deposed: false,
         };
         for entry in &roster.workers {
--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -68,6 +68,8 @@
     pub(crate) rack: Option<&'a str>,
     /// Whether long-running tasks have to leave the reserve for short ones free.
     pub(crate) keep_reserve: bool,
+    /// Whether the tasks may test the health of an unhealthy worker.
+    pub(crate) may_probe: bool,
     /// Whether only workers with a ticket of the policy service may run the tasks.
     pub(crate) needs_ticket: bool,
 }
@@ -81,7 +83,7 @@
 ) -> bool {
     let step = request.step;
     if worker.report.service != *request.service
-        || !worker.accepts_start(now)
+        || !worker.accepts_start(request.may_probe, now)
         || evacuated.contains(&worker.report.domain)
     {
         return false;
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -3,6 +3,7 @@
 use arcstr::ArcStr;
 use indexmap::IndexMap;
 
+use super::health;
 use super::job::TaskState;
 use super::job_spec::{JobRecord, Run, Step, StepKey, TaskKey};
 use super::placement::{self, PlacementRequest};
@@ -152,6 +153,7 @@
 
     /// Marks runs without progress to be stopped, so that they restart on another worker.
     fn stop_stalled(&mut self, now: Time) {
+        let mut ejections = self.ejection_slots();
         for worker in self.workers.values_mut() {
             let mut stalled = Vec::new();
             for (task, tracked) in &mut worker.runs {
@@ -175,7 +177,8 @@
                 }
             }
             for _ in stalled {
-                if worker.health.record_stall(now) {
+                if worker.health.record_stall(now, ejections > 0) {
+                    ejections -= 1;
                     log::warn!(worker:% = worker.report.name; "worker considered unhealthy: several runs make no progress");
                 }
             }
@@ -228,6 +231,9 @@
             self.ready.shift_remove(&key);
         }
         ranked.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
+        let in_use = self.workers.values().filter(|w| w.listed);
+        let probing = in_use.clone().filter(|w| w.is_probing()).count();
+        self.probe_slots = health::probe_slots(in_use.count(), probing);
         let mut unplaced = UnplacedSizes::default();
         for (_, key) in ranked {
             self.start_step(key, &mut unplaced, orders, now);
@@ -287,6 +293,7 @@
                 service: &record.queue.service,
                 rack: None,
                 keep_reserve,
+                may_probe: self.may_probe(key, index, &record),
                 needs_ticket: record.queue.ticket_lifetime.is_some(),
             };
             let Some(worker) = self.choose_worker(&request, now) else {
@@ -301,6 +308,26 @@
         log_placement(key, &record, &tasks_by_worker);
     }
 
+    /// Whether a task may test the health of an unhealthy worker. A probe that fails must
+    /// not use up the attempts of the task.
+    fn may_probe(&self, step: StepKey, index: u32, record: &JobRecord) -> bool {
+        let spec = record.spec.steps.get(usize::from(step.step));
+        let unlimited = spec.is_some_and(|s| s.long_running);
+        let task = self
+            .jobs
+            .get(&step.job)
+            .and_then(|j| j.task(TaskKey { step, index }));
+        let failures = task.map_or(0, |t| t.failed.len());
+        self.probe_slots > 0 && (unlimited || failures + 1 < record.queue.attempts as usize)
+    }
+
+    /// How many more workers may be considered unhealthy.
+    pub(super) fn ejection_slots(&self) -> usize {
+        let in_use = self.workers.values().filter(|w| w.listed);
+        let unhealthy = in_use.clone().filter(|w| w.health.is_unhealthy()).count();
+        health::ejection_slots(in_use.count(), unhealthy)
+    }
+
     /// Whether the workers in use together have more free capacity than short tasks need.
     /// Waiting long-running tasks may then use the reserve of a single worker, because
     /// short tasks find capacity on another one.
@@ -372,6 +399,7 @@
             service: &record.queue.service,
             rack,
             keep_reserve: false,
+            may_probe: (0..step.count).all(|i| self.may_probe(key, i, record)),
             needs_ticket: record.queue.ticket_lifetime.is_some(),
         };
         let mut chosen = Vec::new();
@@ -437,6 +465,7 @@
             phase: RunPhase::Starting,
             size: step.size,
             best_effort: step.best_effort,
+            long_running: step.long_running,
             image: step.image.clone().unwrap_or_default(),
             target: step.target,
             since: now,
@@ -474,6 +503,10 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        if worker.health.is_unhealthy() {
+            log::info!(task:% = task, worker:% = name; "probing an unhealthy worker");
+            self.probe_slots = self.probe_slots.saturating_sub(1);
+        }
         worker.lease_deadline = worker.lease_deadline.max(deadline);
         worker.load.add(&tracked);
         if step.best_effort {
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -283,11 +283,24 @@
             log::warn!(task:% = row.task, worker:% = name; "stopping a run of an unknown job");
             tracked.must_stop = true;
         }
-        if tracked.percent != row.percent {
+        let progressed = tracked.percent != row.percent;
+        // The first value may be the progress of the checkpoint that the run resumed from.
+        let is_first_value = tracked.last_progress == tracked.since;
+        if progressed {
             tracked.last_progress = now;
         }
         tracked.percent = row.percent;
         tracked.usage = row.usage;
+        let (began, long_running) = (tracked.since, tracked.long_running);
+        let recovered = match (progressed, long_running) {
+            (false, _) => false,
+            // A long-running task never succeeds; its readiness is the evidence.
+            (true, true) => row.percent == 100 && worker.health.record_success(began),
+            (true, false) => !is_first_value && worker.health.record_progress(began),
+        };
+        if recovered {
+            log::info!(worker:% = name, task:% = row.task; "worker considered healthy again");
+        }
     }
 
     /// Starts to track a run that an earlier term has started.
@@ -326,6 +339,7 @@
             phase: RunPhase::Running,
             size: step.map_or(Resources::ZERO, |s| s.size),
             best_effort: step.is_some_and(|s| s.best_effort),
+            long_running: step.is_some_and(|s| s.long_running),
             image: step.and_then(|s| s.image.clone()).unwrap_or_default(),
             target: step.and_then(|s| s.target),
             since: now,
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/tests/health.rs
@@ -0,0 +1,104 @@
+//! Workers whose runs fail or make no progress, and their return.
+
+use super::simulation::Fault;
+use super::{Simulation, job, long_running, step};
+use crate::dispatch::JobStatus;
+use crate::model::Span;
+
+/// A lasting task that has waited for 6 s and finds capacity has to start within 3 s, and
+/// disturbances of the last 4 s do not excuse a delay. A sound worker therefore has to be
+/// in use again 7 s after its fault has ended.
+const RETURN_BOUND: Span = Span::from_secs(7);
+
+/// Four workers with a long-running task each, of which the first one has failed the runs
+/// that were started on it and is sound again.
+fn recovered_worker() -> Simulation {
+    let mut sim = Simulation::new(4);
+    sim.submit(1, job(0, vec![long_running(4, 40)]));
+    sim.run(Span::from_secs(1));
+    assert!((0..4).all(|i| sim.runs_on(i) == 1));
+    sim.worker(0).fault = Fault::FailingStarts;
+    for i in 10..30 {
+        sim.submit(i, job(0, vec![step(1, 16, Span::from_millis(400))]));
+        sim.run(Span::from_millis(150));
+    }
+    sim.run(Span::from_secs(2));
+    assert_eq!(sim.dispatcher.summary().sick, 1);
+    sim.worker(0).fault = Fault::None;
+    sim
+}
+
+/// Guards against a worker that stays out of use after its fault because it holds a
+/// long-running task: it was probed only while it had no runs.
+#[test]
+fn a_worker_with_a_long_running_task_returns_for_short_tasks() {
+    let mut sim = recovered_worker();
+    for i in 100..140 {
+        sim.submit(i, job(0, vec![step(1, 16, Span::from_millis(900))]));
+    }
+    sim.run(RETURN_BOUND);
+    assert_eq!(sim.dispatcher.summary().sick, 0);
+}
+
+/// Guards against long-running tasks that wait although a worker that was faulty has
+/// capacity. They never succeed, so their readiness has to count as evidence.
+#[test]
+fn a_worker_with_a_long_running_task_returns_for_long_running_tasks() {
+    let mut sim = recovered_worker();
+    let waiting = sim.submit(100, job(0, vec![long_running(6, 8)]));
+    let last = sim.submit(101, job(0, vec![long_running(6, 8)]));
+    sim.run(RETURN_BOUND);
+    assert_eq!(sim.running(waiting) + sim.running(last), 12);
+    assert_eq!(sim.dispatcher.summary().sick, 0);
+}
+
+/// Guards against probes that use up the attempts of a task: a job must not fail because
+/// its task was the probe of a faulty worker each time.
+#[test]
+fn probes_do_not_use_the_last_attempt_of_a_task() {
+    let mut sim = Simulation::new(4);
+    for i in 0..3 {
+        sim.worker(i).fault = Fault::Failing;
+    }
+    let mut keys = Vec::new();
+    for i in 10..40 {
+        keys.push(sim.submit(i, job(0, vec![step(1, 60, Span::from_millis(300))])));
+        sim.run(Span::from_millis(300));
+    }
+    sim.run(Span::from_secs(10));
+    let failed = keys
+        .iter()
+        .filter(|k| sim.dispatcher.job_status(**k) == Some(JobStatus::Failed));
+    // The jobs that arrive before the faults are recognized may use up their attempts.
+    assert!(failed.count() <= 3);
+}
+
+/// Guards against a fault of the whole fleet that takes every worker out of use: at most
+/// three quarters of the workers are considered unhealthy at a time.
+#[test]
+fn a_quarter_of_the_workers_stays_in_use_when_all_fail() {
+    let mut sim = Simulation::new(8);
+    for i in 0..8 {
+        sim.worker(i).fault = Fault::Failing;
+    }
+    for i in 10..60 {
+        sim.submit(i, job(0, vec![step(1, 8, Span::from_millis(300))]));
+        sim.run(Span::from_millis(60));
+    }
+    assert_eq!(sim.dispatcher.summary().sick, 6);
+}
+
+/// Guards against more than one probe of a worker at a time.
+#[test]
+fn an_unhealthy_worker_gets_one_probe_at_a_time() {
+    let mut sim = Simulation::new(4);
+    sim.worker(0).fault = Fault::Stalled;
+    for i in 10..90 {
+        sim.submit(i, job(0, vec![step(2, 16, Span::from_millis(500))]));
+        sim.run(Span::from_millis(100));
+        if sim.dispatcher.summary().sick == 1 && sim.starts.len() > 60 {
+            assert!(sim.runs_on(0) <= 1, "{} probes", sim.runs_on(0));
+        }
+    }
+    assert_eq!(sim.dispatcher.summary().sick, 1);
+}
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -4,6 +4,7 @@
 
 mod encoding;
 mod gangs;
+mod health;
 mod interference;
 mod leader_changes;
 mod leases;
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -46,6 +46,8 @@
     DelayedStarts(Span),
     /// Every run fails immediately.
     Failing,
+    /// Runs that start now fail immediately; earlier ones go on.
+    FailingStarts,
     /// Runs make no progress.
     Stalled,
     /// Every start is refused for lack of capacity.
@@ -63,6 +65,7 @@
     /// Remaining duration at full pace; `None` for long-running tasks.
     remaining: Option<Span>,
     stopping: Option<Time>,
+    fails: bool,
 }
 
 #[derive(Debug)]
@@ -395,6 +398,11 @@
             .count()
     }
 
+    /// Number of runs on a worker.
+    pub(crate) fn runs_on(&self, i: usize) -> usize {
+        self.workers[i].runs.len()
+    }
+
     fn advance_workers(&mut self) {
         let now = self.now;
         for (name, worker) in &mut self.workers {
@@ -418,7 +426,7 @@
             for (task, run) in &mut worker.runs {
                 if run.stopping.is_some_and(|at| now >= at) {
                     ended.push((*task, RunOutcome::Stopped));
-                } else if worker.fault == Fault::Failing {
+                } else if worker.fault == Fault::Failing || run.fails {
                     ended.push((*task, RunOutcome::Failed));
                 } else if let Some(remaining) = &mut run.remaining
                     && worker.fault != Fault::Stalled
@@ -653,6 +661,7 @@
         );
         let worker = &mut self.workers[name];
         worker.deadline = worker.deadline.max(deadline);
+        let fails = worker.fault == Fault::FailingStarts;
         worker.runs.insert(
             task,
             FakeRun {
@@ -664,6 +673,7 @@
                 pace: 100,
                 remaining: (!step.long_running).then_some(step.estimate),
                 stopping: None,
+                fails,
             },
         );
         self.starts.push((now, name.clone(), task, run));
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -106,6 +106,7 @@
             service: &record.queue.service,
             rack: None,
             keep_reserve: false,
+            may_probe: false,
             needs_ticket: true,
         };
         let step_tickets = self.step_tickets.get(&key);
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -59,6 +59,7 @@
     pub(crate) phase: RunPhase,
     pub(crate) size: Resources,
     pub(crate) best_effort: bool,
+    pub(crate) long_running: bool,
     pub(crate) image: ArcStr,
     /// Upper bound for the tail latency; `None` unless it is a serving task.
     pub(crate) target: Option<Span>,
@@ -270,15 +271,22 @@
         self.load = load;
     }
 
-    /// Whether tasks may be started on the worker now.
-    pub(crate) fn accepts_start(&self, now: Time) -> bool {
+    /// Whether the worker runs a task that tests its health.
+    pub(crate) fn is_probing(&self) -> bool {
+        self.health.is_unhealthy() && self.runs.values().any(|r| self.health.is_probe(r.since))
+    }
+
+    /// Whether tasks may be started on the worker now. `may_probe` says whether the task may
+    /// test an unhealthy worker.
+    pub(crate) fn accepts_start(&self, may_probe: bool, now: Time) -> bool {
         self.listed
             && self.drain_deadline.is_none()
             && self.fenced
             && self.in_roster
             && self.paused_until <= now
             && now.since(self.last_answer) < MAX_ANSWER_AGE
-            && self.health.accepts_start(now, self.runs.len())
+            && (!self.health.is_unhealthy()
+                || (may_probe && self.health.is_probe_due(now) && !self.is_probing()))
     }
 }
 
