Keep the reserve for short tasks out of the search for short tasks

Cause: start_step computed keep_reserve for every step, so the failed search of a long-running task that had to leave the reserve free also ended the search for short tasks of its size or more in that pass. With four workers of 64 cores and five jobs of 20 long-running tasks of 3 cores, a check of one task of 4 cores did not start within 1 s although 4 cores were free on each worker.

Change: only long-running steps keep the reserve. The new test plays that load and failed before.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -280,8 +280,9 @@
         let wait_time = |t: &super::job::Task| now.since(t.since);
         let longest_wait = state.tasks.iter().filter(|t| startable(t)).map(wait_time);
         let longest_wait = longest_wait.max().unwrap_or_default();
-        let keep_reserve = longest_wait <= MIN_RESERVE_WAIT
-            || (longest_wait <= MAX_RESERVE_WAIT && !self.has_spare_capacity());
+        let keep_reserve = step.long_running
+            && (longest_wait <= MIN_RESERVE_WAIT
+                || (longest_wait <= MAX_RESERVE_WAIT && !self.has_spare_capacity()));
         if unplaced.covers(step, &record, keep_reserve) {
             return;
         }
--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -96,6 +96,20 @@
     assert!(unplaced.covers(&large, &record, false));
 }
 
+/// Guards against skipping the search for a short task because the search for a smaller
+/// long-running one, which kept the reserve free, has failed before it in the same pass.
+#[test]
+fn a_waiting_long_running_task_does_not_end_the_search_for_short_ones() {
+    let mut sim = Simulation::new(4);
+    for i in 0..5 {
+        sim.submit(i, job(0, vec![long_running(20, 3)]));
+    }
+    sim.run(Span::from_millis(2_200));
+    let check = sim.submit(100, job(0, vec![step(1, 4, Span::from_millis(600))]));
+    sim.run(Span::from_secs(1));
+    assert!(sim.completed.contains_key(&check));
+}
+
 /// Guards against urgent checks that find no capacity because long-running tasks, which
 /// request more than all workers have, wait for longer.
 #[test]
