Let other hosts call the workers for the leader

A leader that falls behind loses leases and stops what it has started. On the small twin (links of 2 Mbit/s) the payload of each job crossed the leader's link once for each task; orders ran into their timeout, stops followed, and traffic grew as service fell.

Change: hosts announce themselves to the leader. With more than 400 workers, or when calls would take more than 30 % of its link, the leader chooses the strongest hosts of each failure domain as relays and hands them its calls in batches; a payload goes out once for a relay and batch. Relays decide nothing and keep no state: fencing tokens and times on the workers' clocks bound what a late call can do, and a missing result counts as a worker's missing answer. Smaller deployments call directly as before.

Traced on the way: TWICE on the small twin came from runs that ended on workers that the leader had given up because their lease had expired, with all links full.

--- a/crates/jujubelb-lab/src/bench/mod.rs
+++ b/crates/jujubelb-lab/src/bench/mod.rs
@@ -3,6 +3,7 @@
 
 mod all;
 pub mod control;
+pub mod dispatch;
 pub mod domain_move;
 mod fleet;
 pub mod interference;
--- a/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-bench.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use jujubelb_lab::bench::control::Control;
+use jujubelb_lab::bench::dispatch::Dispatch;
 use jujubelb_lab::bench::domain_move::DomainMove;
 use jujubelb_lab::bench::interference::Interference;
 use jujubelb_lab::bench::owner::OwnerCost;
@@ -32,6 +33,8 @@
     DomainMove(DomainMove),
     /// Bytes, store calls and processor time of control by size.
     Control(Control),
+    /// Processor time of the dispatcher by number of workers.
+    Dispatch(Dispatch),
     /// All measurements, one after the other.
     All(All),
     /// The table of docs/CAPACITY.md, computed from the recorded slopes.
@@ -52,6 +55,7 @@
         Command::Interference(interference) => vec![interference.run()],
         Command::DomainMove(domain_move) => vec![domain_move.run()],
         Command::Control(control) => vec![control.run()],
+        Command::Dispatch(dispatch) => vec![dispatch.run()],
         Command::All(all) => all.run(),
         Command::Owner(owner) => vec![owner.run()],
         Command::Capacity => Vec::new(),
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -28,6 +28,7 @@
 
 use arcstr::ArcStr;
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 
 use crate::model::{DomainName, Span, Time, WallTime, WorkerName, WorkerTime};
 use crate::place::headroom::Slopes;
@@ -77,7 +78,7 @@
 const RUNS_PER_TERM: u64 = 10_000;
 
 /// An order for a worker.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Order {
     /// Start a run.
     Start {
@@ -113,7 +114,7 @@
 }
 
 /// An order addressed to a worker.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WorkerOrder {
     /// Worker that executes the order.
     pub worker: WorkerName,
@@ -277,6 +278,13 @@
         self.workers.keys().cloned().collect()
     }
 
+    /// Failure domain of each worker to poll.
+    pub fn worker_domains(&self) -> IndexMap<WorkerName, DomainName> {
+        let domain =
+            |(name, worker): (&WorkerName, &Worker)| (name.clone(), worker.report.domain.clone());
+        self.workers.iter().map(domain).collect()
+    }
+
     /// Sets the failure domains in which no task may start.
     pub fn set_evacuated(&mut self, domains: IndexSet<DomainName>) {
         if domains != self.evacuated {
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -5,6 +5,7 @@
 
 use arcstr::ArcStr;
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use super::Dispatcher;
 use super::job::TaskState;
@@ -13,7 +14,7 @@
 use crate::model::{Resources, Span, Time, WorkerName, WorkerTime};
 
 /// How a run ended, as its worker reports it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[display(rename_all = "lowercase")]
 pub enum RunOutcome {
     /// The task succeeded.
@@ -31,7 +32,7 @@
 }
 
 /// A run that a worker lists as running.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunStatus {
     /// Task that the run belongs to.
     pub task: TaskKey,
@@ -47,7 +48,7 @@
 }
 
 /// A completed run that a worker lists until the completion is acknowledged.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunCompletion {
     /// Sequence number among the completions of the worker's incarnation, from 1.
     pub sequence: u64,
@@ -62,7 +63,7 @@
 }
 
 /// Parameters of a poll.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PollRequest {
     /// Address of the worker.
     pub address: SocketAddr,
@@ -81,7 +82,7 @@
 }
 
 /// Answer to a poll.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PollReply {
     /// Incarnation of the worker; `None` if it does not report one.
     pub incarnation: Option<Incarnation>,
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -1,12 +1,14 @@
 //! Workers' answers to orders.
 
+use serde::{Deserialize, Serialize};
+
 use super::Dispatcher;
 use super::job_spec::{Run, TaskKey};
 use super::worker::RunPhase;
 use crate::model::{Span, Time, WorkerName, WorkerTime};
 
 /// Reason why a worker refused an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
 #[display(rename_all = "lowercase")]
 pub enum Refusal {
     /// The worker has seen a higher fencing token.
@@ -24,7 +26,7 @@
 }
 
 /// Result of a start order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartReply {
     /// The run has started.
     Started,
@@ -41,7 +43,7 @@
 }
 
 /// Result of a stop order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StopReply {
     /// The run is being stopped, or will never start.
     Stopped,
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -10,6 +10,7 @@
 use super::election::{self, ElectionWin};
 use super::keys;
 use super::peers::{self, PeerRequest, PeerResponse};
+use super::relay::{WorkerGateway, maintain_relays};
 use super::state::{KnownLeader, Node, lock, sleep};
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::{
@@ -86,7 +87,7 @@
 #[derive(Debug)]
 pub(crate) struct ActiveTerm {
     pub(crate) dispatcher: Mutex<Dispatcher>,
-    workers: WorkerClient,
+    pub(crate) workers: Arc<WorkerGateway>,
     /// Notified when a planning pass may find something to order.
     plan_needed: Notify,
     /// Notified when there are changes to write.
@@ -147,6 +148,7 @@
             win.nonce,
         ));
         tasks.spawn(dispatch_orders(node.clone(), term.clone()));
+        tasks.spawn(maintain_relays(node.clone(), term.clone()));
         tasks.spawn(watch_workers(node.clone(), term.clone()));
         tasks.spawn(watch_intake(node.clone(), term.clone()));
         if let Some(address) = node.settings.policy_address {
@@ -285,7 +287,11 @@
     dispatcher.set_evacuated(node.evacuated());
     Some(ActiveTerm {
         dispatcher: Mutex::new(dispatcher),
-        workers: WorkerClient::new(node.client.clone(), win.term.token),
+        workers: Arc::new(WorkerGateway::new(
+            WorkerClient::new(node.client.clone(), win.term.token),
+            win.nonce,
+            win.term.token,
+        )),
         plan_needed: Notify::new(),
         commit_needed: Notify::new(),
         committed: Notify::new(),
@@ -538,8 +544,8 @@
             let reply = term.workers.stop(&order, *task, *run).await;
             lock(&term.dispatcher).stop_answered(worker, *task, *run, reply, node.now());
         }
-        Order::Pace { task, run, percent } => {
-            term.workers.pace(&order, *task, *run, *percent).await;
+        Order::Pace { .. } => {
+            term.workers.pace(&order).await;
             return;
         }
     }
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -10,6 +10,7 @@
 use super::callers::CallerApi;
 use super::monitoring::{MonitoringApi, Readiness};
 use super::peers::PeerApi;
+use super::relay::announce_host;
 use super::serve::serve;
 use super::state::{Node, sleep};
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
@@ -72,6 +73,7 @@
     tokio::spawn(watch_operator_keys(node.clone()));
     tokio::spawn(election::watch_leader(node.clone()));
     tokio::spawn(election::run_elections(node.clone()));
+    tokio::spawn(announce_host(node.clone()));
     let callers = serve(
         "callers",
         settings.caller_address,
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod main;
 mod monitoring;
 mod peers;
+mod relay;
 mod serve;
 mod state;
 #[cfg(test)]
@@ -45,6 +46,8 @@
     pub min_lease_ttl: Span,
     /// Processor capacity of the host in cores; may be a fraction.
     pub cpu_cores: f64,
+    /// Speed of the host's network link in Mbit/s.
+    pub link_mbps: f64,
     /// Time from the stop signal until the platform kills the process.
     pub stop_grace: Span,
     /// Time bounds and slowdown factor of the deployment.
--- a/crates/jujubelb/src/node/peers.rs
+++ b/crates/jujubelb/src/node/peers.rs
@@ -11,6 +11,8 @@
 
 use super::callers::{self, WriteOutcome};
 use super::keys;
+use super::leader::ActiveTerm;
+use super::relay::{Carrier, HostReport, RelayBatch, RelayResults};
 use super::state::{Node, lock};
 use crate::dispatch::{JobKey, JobRecord, JobStatus};
 use crate::http::body;
@@ -46,6 +48,12 @@
     StoreCancellation(JobKey),
     /// Asks whether the process still leads the term with this nonce.
     LeadsTerm(u64),
+    /// Announces the sender to the leader, which may use it as a relay.
+    AnnounceHost(HostReport),
+    /// Asks the receiver to make calls to workers.
+    RelayCalls(RelayBatch),
+    /// Results of calls that the sender has made for the leader.
+    RelayResults(RelayResults),
 }
 
 /// The response to a [`PeerRequest`].
@@ -63,6 +71,8 @@
     WriteOutcome(WriteOutcome),
     /// Whether the process leads that term.
     LeadsTerm(bool),
+    /// After what time the host is to announce itself again.
+    AnnounceAgain(Span),
 }
 
 /// A job's status ([`JobStatus`]) as sent between hosts.
@@ -135,14 +145,30 @@
 
     async fn respond(&self, request: PeerRequest) -> PeerResponse {
         let node = &self.0;
-        if let PeerRequest::LeadsTerm(nonce) = request {
-            return PeerResponse::LeadsTerm(node.holds_term(nonce));
+        let term = node.active_term();
+        match (request, term) {
+            (PeerRequest::LeadsTerm(nonce), _) => PeerResponse::LeadsTerm(node.holds_term(nonce)),
+            (PeerRequest::RelayCalls(batch), _) => {
+                Carrier::accept(node, batch);
+                PeerResponse::Acknowledged
+            }
+            (_, None) => PeerResponse::NotLeader,
+            (request, Some(term)) => self.respond_as_leader(&term, request).await,
         }
-        let Some(term) = node.active_term() else {
-            return PeerResponse::NotLeader;
-        };
+    }
+
+    /// Responds to a request that only the leader serves.
+    async fn respond_as_leader(&self, term: &ActiveTerm, request: PeerRequest) -> PeerResponse {
+        let node = &self.0;
         match request {
-            PeerRequest::LeadsTerm(nonce) => PeerResponse::LeadsTerm(node.holds_term(nonce)),
+            PeerRequest::LeadsTerm(_) | PeerRequest::RelayCalls(_) => PeerResponse::NotLeader,
+            PeerRequest::AnnounceHost(report) => {
+                PeerResponse::AnnounceAgain(term.workers.announced(node, report))
+            }
+            PeerRequest::RelayResults(results) => {
+                term.workers.results_received(results);
+                PeerResponse::Acknowledged
+            }
             PeerRequest::JobStored(key, record) => {
                 term.accept(node, key, record);
                 PeerResponse::Acknowledged
--- /dev/null
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -0,0 +1,323 @@
+//! The leader's side: makes calls to workers directly or through a relay.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+
+use indexmap::IndexMap;
+use tokio::sync::{Notify, oneshot};
+
+use super::super::leader::ActiveTerm;
+use super::super::peers::{self, PeerRequest, PeerResponse};
+use super::super::state::{Node, lock, sleep};
+use super::calls::Outbox;
+use super::message::{Action, Call, CallResult, HostReport, RelayBatch, RelayResults};
+use super::selection::{KnownHosts, announce_interval, relay_of};
+use crate::dispatch::{Order, PollRequest, Run, StartReply, StopReply, TaskKey, WorkerOrder};
+use crate::model::{DomainName, HostName, Span, WorkerName};
+use crate::platform::{CallError, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, WorkerClient};
+
+/// Added to the timeout of a call for the way through the relay and back.
+const RELAY_MARGIN: Span = Span::from_millis(900);
+
+/// Time in which calls are collected before they are sent to a relay.
+const COLLECT_PAUSE: Span = Span::from_millis(8);
+
+/// Timeout of a batch. The relay answers when it has read it.
+const BATCH_TIMEOUT: Span = Span::from_millis(900);
+
+/// Interval of choosing the relays anew.
+const SELECTION_INTERVAL: Span = Span::from_millis(250);
+
+/// Calls in a row without a result after which a relay is not used for a while. A relay
+/// reports a worker's missing answer as a result, so that missing results are its own fault
+/// or that of the way to it.
+const MAX_MISSED_RESULTS: u32 = 8;
+
+/// Connection of the leader to one relay.
+#[derive(Debug)]
+struct RelayLink {
+    report: HostReport,
+    outbox: Mutex<Outbox>,
+    queued: Notify,
+    /// Calls without a result since the last one with a result.
+    missed: AtomicU32,
+    /// Set when a batch or several calls have failed. The link is then replaced.
+    failed: AtomicBool,
+}
+
+/// Makes the calls of one term to workers.
+#[derive(Debug)]
+pub(crate) struct WorkerGateway {
+    direct: WorkerClient,
+    nonce: u64,
+    token: u64,
+    hosts: Mutex<KnownHosts>,
+    links: Mutex<IndexMap<HostName, Arc<RelayLink>>>,
+    /// Relay of each worker. Workers without an entry are called directly.
+    routes: Mutex<Arc<IndexMap<WorkerName, Arc<RelayLink>>>>,
+    /// Receivers of the results, by the identifier of the call.
+    waiting: Mutex<IndexMap<u64, oneshot::Sender<CallResult>>>,
+    call_count: AtomicU64,
+    worker_count: AtomicUsize,
+}
+
+impl WorkerGateway {
+    pub(crate) fn new(direct: WorkerClient, nonce: u64, token: u64) -> Self {
+        Self {
+            direct,
+            nonce,
+            token,
+            hosts: Mutex::default(),
+            links: Mutex::default(),
+            routes: Mutex::default(),
+            waiting: Mutex::default(),
+            call_count: AtomicU64::new(0),
+            worker_count: AtomicUsize::new(0),
+        }
+    }
+
+    /// Records the report of a host that may become a relay. Returns after what time the
+    /// host is to announce itself again.
+    pub(crate) fn announced(&self, node: &Node, report: HostReport) -> Span {
+        lock(&self.hosts).announced(report, node.now());
+        announce_interval(self.worker_count.load(Relaxed), node.settings.link_mbps)
+    }
+
+    /// Passes the results of a relay to the calls that wait for them. Results of another
+    /// term, and of calls that were given up, are dropped.
+    pub(crate) fn results_received(&self, received: RelayResults) {
+        if received.nonce != self.nonce {
+            return;
+        }
+        for (id, result) in received.results {
+            self.resolve(id, result);
+        }
+    }
+
+    fn resolve(&self, id: u64, result: CallResult) {
+        if let Some(sender) = lock(&self.waiting).swap_remove(&id) {
+            // The receiver may have given up in the meantime.
+            let _ = sender.send(result);
+        }
+    }
+
+    fn link(&self, worker: &WorkerName) -> Option<Arc<RelayLink>> {
+        let routes = lock(&self.routes).clone();
+        routes
+            .get(worker)
+            .filter(|link| !link.failed.load(Relaxed))
+            .cloned()
+    }
+
+    /// Makes a call through a relay. Returns `None` if there is no result in time.
+    async fn call(&self, link: &RelayLink, action: Action, timeout: Span) -> Option<CallResult> {
+        let id = self.call_count.fetch_add(1, Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.waiting).insert(id, sender);
+        lock(&link.outbox).push(Call { id, action });
+        link.queued.notify_one();
+        match tokio::time::timeout((timeout + RELAY_MARGIN).to_std(), receiver).await {
+            Ok(result) => {
+                link.missed.store(0, Relaxed);
+                result.ok()
+            }
+            Err(_) => {
+                lock(&self.waiting).swap_remove(&id);
+                if link.missed.fetch_add(1, Relaxed) + 1 >= MAX_MISSED_RESULTS {
+                    link.failed.store(true, Relaxed);
+                }
+                None
+            }
+        }
+    }
+
+    async fn order(&self, link: &RelayLink, order: &WorkerOrder) -> Option<CallResult> {
+        let action = Action::Order(order.clone(), None);
+        self.call(link, action, ORDER_TIMEOUT).await
+    }
+
+    /// Starts a run.
+    pub(crate) async fn start(&self, order: &WorkerOrder) -> StartReply {
+        let Some(link) = self.link(&order.worker) else {
+            return self.direct.start(order).await;
+        };
+        match self.order(&link, order).await {
+            Some(CallResult::Started(reply)) => reply,
+            Some(CallResult::NotSent) => StartReply::NotSent,
+            _ => StartReply::NoAnswer,
+        }
+    }
+
+    /// Stops a run.
+    pub(crate) async fn stop(&self, order: &WorkerOrder, task: TaskKey, run: Run) -> StopReply {
+        let Some(link) = self.link(&order.worker) else {
+            return self.direct.stop(order, task, run).await;
+        };
+        match self.order(&link, order).await {
+            Some(CallResult::Stopped(reply)) => reply,
+            _ => StopReply::NoAnswer,
+        }
+    }
+
+    /// Sets the pace of a run. A failed order is corrected by the next one.
+    pub(crate) async fn pace(&self, order: &WorkerOrder) {
+        let Order::Pace { task, run, percent } = order.order else {
+            return;
+        };
+        match self.link(&order.worker) {
+            Some(link) => {
+                self.order(&link, order).await;
+            }
+            None => {
+                self.direct.pace(order, task, run, percent).await;
+            }
+        }
+    }
+
+    /// Polls a worker.
+    pub(crate) async fn poll(
+        &self,
+        worker: &WorkerName,
+        request: &PollRequest,
+    ) -> Result<PollResult, CallError> {
+        let Some(link) = self.link(worker) else {
+            return self.direct.poll(worker, request).await;
+        };
+        let action = Action::Poll(worker.clone(), request.clone());
+        let timeout = request.wait + POLL_TIMEOUT_MARGIN;
+        let relay = link.report.peer_address;
+        match self.call(&link, action, timeout).await {
+            Some(CallResult::Polled(reply)) => Ok(PollResult::Reply(reply)),
+            Some(CallResult::PollFenced) => Ok(PollResult::Fenced),
+            Some(CallResult::PollFailed(true) | CallResult::NotSent) => Err(CallError::NotSent(
+                request.address,
+                format!("the relay {relay} has not reached the worker"),
+            )),
+            _ => Err(CallError::NoResponse(
+                request.address,
+                format!("no result of the relay {relay}"),
+            )),
+        }
+    }
+
+    /// Chooses the relays for these workers, and replaces links that have failed.
+    fn update_routes(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        workers: &IndexMap<WorkerName, DomainName>,
+    ) {
+        let now = node.now();
+        self.worker_count.store(workers.len(), Relaxed);
+        let mut links = lock(&self.links);
+        let mut hosts = lock(&self.hosts);
+        for link in links.values().filter(|l| l.failed.load(Relaxed)) {
+            log::warn!(relay:% = link.report.host; "calls through the relay have failed; it is not used for a while");
+            hosts.suspend(&link.report.host, now);
+        }
+        let mut counts: IndexMap<DomainName, usize> = IndexMap::new();
+        for domain in workers.values() {
+            *counts.entry(domain.clone()).or_default() += 1;
+        }
+        let chosen = hosts.select(&counts, node.settings.link_mbps, now);
+        drop(hosts);
+        let is_chosen = |report: &HostReport| chosen.values().flatten().any(|r| r == report);
+        let before = links.len();
+        links.retain(|_, link| is_chosen(&link.report) && !link.failed.load(Relaxed));
+        let kept = links.len();
+        for report in chosen.values().flatten() {
+            if links.contains_key(&report.host) {
+                continue;
+            }
+            log::info!(relay:% = report.host, domain:% = report.domain; "relay in use");
+            let link = Arc::new(RelayLink {
+                report: report.clone(),
+                outbox: Mutex::default(),
+                queued: Notify::new(),
+                missed: AtomicU32::new(0),
+                failed: AtomicBool::new(false),
+            });
+            links.insert(report.host.clone(), link.clone());
+            tokio::spawn(send_batches(
+                node.clone(),
+                self.clone(),
+                Arc::downgrade(&link),
+            ));
+        }
+        let unchanged = before == kept && kept == links.len();
+        let known = lock(&self.routes).clone();
+        if unchanged && workers.keys().all(|w| known.contains_key(w)) {
+            return;
+        }
+        let route = |(worker, domain): (&WorkerName, &DomainName)| {
+            let relay = relay_of(worker, chosen.get(domain)?)?;
+            Some((worker.clone(), links.get(&relay.host)?.clone()))
+        };
+        let routes: IndexMap<WorkerName, Arc<RelayLink>> =
+            workers.iter().filter_map(route).collect();
+        if !unchanged {
+            log::info!(relays = links.len(), workers = routes.len(); "relays of workers changed");
+        }
+        *lock(&self.routes) = Arc::new(routes);
+    }
+}
+
+/// Sends the calls of a link in batches until the link is replaced.
+async fn send_batches(
+    node: Arc<Node>,
+    gateway: Arc<WorkerGateway>,
+    link: std::sync::Weak<RelayLink>,
+) {
+    loop {
+        let Some(link) = link.upgrade() else {
+            return;
+        };
+        if lock(&link.outbox).is_empty() {
+            let queued = link.queued.notified();
+            tokio::select! { () = queued => {}, () = sleep(SELECTION_INTERVAL) => {} }
+            sleep(COLLECT_PAUSE).await;
+            continue;
+        }
+        let (payloads, calls) = lock(&link.outbox).take_batch();
+        let ids: Vec<u64> = calls.iter().map(|c| c.id).collect();
+        if link.failed.load(Relaxed) {
+            for id in ids {
+                gateway.resolve(id, CallResult::NotSent);
+            }
+            continue;
+        }
+        let batch = RelayBatch {
+            leader: node.settings.peer_address,
+            nonce: gateway.nonce,
+            token: gateway.token,
+            payloads,
+            calls,
+        };
+        let request = PeerRequest::RelayCalls(batch);
+        let sent = peers::call_peer(&node, link.report.peer_address, &request, BATCH_TIMEOUT).await;
+        let error = match sent {
+            Ok(PeerResponse::Acknowledged) => continue,
+            Ok(_) => None,
+            Err(error) => Some(error),
+        };
+        let had_no_effect = error.as_ref().is_none_or(CallError::had_no_effect);
+        let reason = error.map_or("not a relay".to_owned(), |e| e.to_string());
+        log::warn!(relay:% = link.report.host, calls = ids.len(), unsent = had_no_effect, reason = reason; "batch of worker calls not acknowledged");
+        link.failed.store(true, Relaxed);
+        for id in ids {
+            match had_no_effect {
+                true => gateway.resolve(id, CallResult::NotSent),
+                // The relay may have made the call: without its result, the answer is missing.
+                false => drop(lock(&gateway.waiting).swap_remove(&id)),
+            }
+        }
+    }
+}
+
+/// Chooses the relays of a term again and again. Never returns.
+pub(crate) async fn maintain_relays(node: Arc<Node>, term: Arc<ActiveTerm>) {
+    loop {
+        let workers = lock(&term.dispatcher).worker_domains();
+        term.workers.update_routes(&node, &workers);
+        sleep(SELECTION_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -0,0 +1,189 @@
+//! Choice of relays and batches of calls.
+
+use arcstr::ArcStr;
+use indexmap::IndexMap;
+
+use super::calls::{Outbox, restore_payload};
+use super::message::{Action, Call, HostReport};
+use super::selection::{KnownHosts, REPORT_LIFETIME, SUSPENSION, needs_relays, relay_of};
+use crate::dispatch::{JobKey, Order, Run, StepKey, TaskKey, WorkerOrder};
+use crate::model::{DomainName, HostName, Span, Time, WorkerName, WorkerTime};
+
+/// Link speed that does not limit the number of relays.
+const FAST_LINK_MBPS: f64 = 200.0;
+
+fn host(name: &str, domain: &str, cores: f64) -> HostReport {
+    HostReport {
+        host: HostName::new(name),
+        domain: DomainName::new(domain),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        cores,
+        draining: false,
+    }
+}
+
+fn workers(counts: &[(&str, usize)]) -> IndexMap<DomainName, usize> {
+    counts
+        .iter()
+        .map(|(domain, count)| (DomainName::new(*domain), *count))
+        .collect()
+}
+
+fn names(relays: &[HostReport]) -> Vec<&str> {
+    relays.iter().map(|r| r.host.as_str()).collect()
+}
+
+fn start(job: u64, index: u32, payload: &str) -> Call {
+    let step = StepKey {
+        job: JobKey(job),
+        occurrence: 0,
+        step: 0,
+    };
+    let order = WorkerOrder {
+        worker: WorkerName::new("w"),
+        address: ([127, 0, 0, 1], 1).into(),
+        order: Order::Start {
+            task: TaskKey { step, index },
+            run: Run(1),
+            payload: ArcStr::from(payload),
+            deadline: WorkerTime::ZERO,
+            checkpoint: None,
+            ticket: None,
+        },
+    };
+    Call {
+        id: u64::from(index),
+        action: Action::Order(order, None),
+    }
+}
+
+/// Guards against relays on small deployments, where they cost more than they save.
+#[test]
+fn few_workers_on_a_fast_link_need_no_relays() {
+    assert!(!needs_relays(48, 1_000.0));
+    assert!(!needs_relays(350, FAST_LINK_MBPS));
+    assert!(needs_relays(1_100, FAST_LINK_MBPS));
+}
+
+/// Guards against a leader whose link its own calls fill: 120 workers take about 7 Mbit/s.
+#[test]
+fn a_slow_link_needs_relays() {
+    assert!(needs_relays(120, 2.0));
+}
+
+#[test]
+fn relays_are_the_strong_hosts_of_each_domain() {
+    let now = Time::from_millis(1_000);
+    let mut hosts = KnownHosts::default();
+    for domain in ["a", "b"] {
+        for i in 0..3 {
+            hosts.announced(host(&format!("{domain}-strong-{i}"), domain, 0.5), now);
+            hosts.announced(host(&format!("{domain}-weak-{i}"), domain, 0.12), now);
+        }
+    }
+    let chosen = hosts.select(&workers(&[("a", 250), ("b", 250)]), FAST_LINK_MBPS, now);
+    let of = |domain: &str| names(&chosen[&DomainName::new(domain)]);
+    assert_eq!(of("a"), ["a-strong-0", "a-strong-1", "a-strong-2"]);
+    assert_eq!(of("b"), ["b-strong-0", "b-strong-1", "b-strong-2"]);
+}
+
+/// Guards against workers without a relay because their domain has no host that is up.
+#[test]
+fn a_domain_without_hosts_uses_those_of_others() {
+    let now = Time::from_millis(1_000);
+    let mut hosts = KnownHosts::default();
+    hosts.announced(host("a-0", "a", 0.5), now);
+    let chosen = hosts.select(&workers(&[("a", 300), ("b", 300)]), FAST_LINK_MBPS, now);
+    assert_eq!(names(&chosen[&DomainName::new("b")]), ["a-0"]);
+}
+
+/// Guards against calls through a host that has left, is leaving or does not answer.
+#[test]
+fn hosts_that_are_silent_draining_or_suspended_are_not_used() {
+    let now = Time::from_millis(1_000);
+    let counts = workers(&[("a", 500)]);
+    let mut hosts = KnownHosts::default();
+    hosts.announced(host("silent", "a", 0.5), now);
+    let later = now + REPORT_LIFETIME;
+    let draining = HostReport {
+        draining: true,
+        ..host("draining", "a", 0.5)
+    };
+    hosts.announced(draining, later);
+    hosts.announced(host("failing", "a", 0.5), later);
+    hosts.suspend(&HostName::new("failing"), later);
+    assert!(hosts.select(&counts, FAST_LINK_MBPS, later).is_empty());
+    // A report in the meantime does not end the suspension.
+    hosts.announced(host("failing", "a", 0.5), later + Span::from_millis(1));
+    assert!(
+        hosts
+            .select(&counts, FAST_LINK_MBPS, later + Span::from_millis(1))
+            .is_empty()
+    );
+    let chosen = hosts.select(&counts, FAST_LINK_MBPS, later + SUSPENSION);
+    assert_eq!(names(&chosen[0]), ["failing"]);
+}
+
+/// Guards against a new relay that changes the relay of all workers, whose polls in
+/// progress would then be made twice.
+#[test]
+fn few_workers_change_their_relay_when_one_comes() {
+    let before: Vec<HostReport> = (0..3).map(|i| host(&format!("h{i}"), "a", 0.5)).collect();
+    let mut after = before.clone();
+    after.push(host("h3", "a", 0.5));
+    let changed = (0..400)
+        .map(|i| WorkerName::new(format!("w{i}")))
+        .filter(|w| relay_of(w, &before) != relay_of(w, &after));
+    let count = changed.count();
+    assert!((50..150).contains(&count), "{count} of 400 changed");
+}
+
+/// Guards against a payload that crosses the link once for each task of a job.
+#[test]
+fn a_payload_that_orders_share_is_sent_once() {
+    let mut outbox = Outbox::default();
+    for index in 0..40 {
+        outbox.push(start(
+            u64::from(index % 2),
+            index,
+            ["even", "odd"][index as usize % 2],
+        ));
+    }
+    let (payloads, mut calls) = outbox.take_batch();
+    assert_eq!(payloads, ["even", "odd"]);
+    assert_eq!(calls.len(), 40);
+    for call in &mut calls {
+        let expected = ["even", "odd"][call.id as usize % 2];
+        assert!(restore_payload(&mut call.action, &payloads));
+        assert_eq!(call.action, {
+            let Action::Order(order, _) = start(call.id % 2, call.id as u32, expected).action
+            else {
+                unreachable!("a start is an order");
+            };
+            Action::Order(order, Some(call.id as u32 % 2))
+        });
+    }
+}
+
+/// Guards against a start with an empty payload if a batch does not have the payload.
+#[test]
+fn a_payload_that_is_missing_is_noticed() {
+    let mut outbox = Outbox::default();
+    outbox.push(start(1, 0, "text"));
+    let (_, mut calls) = outbox.take_batch();
+    assert!(!restore_payload(&mut calls[0].action, &[]));
+}
+
+/// Guards against batches that fill a slow link for seconds.
+#[test]
+fn batches_are_limited_by_the_size_of_their_payloads() {
+    let mut outbox = Outbox::default();
+    let payload = "x".repeat(4_000);
+    for index in 0..100 {
+        outbox.push(start(u64::from(index), index, &payload));
+    }
+    let (payloads, calls) = outbox.take_batch();
+    assert_eq!(payloads.len(), calls.len());
+    assert!(payloads.len() <= 17);
+    assert!(!outbox.is_empty());
+}
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -12,6 +12,7 @@
 use super::HostSettings;
 use super::keys::Leader;
 use super::leader::ActiveTerm;
+use super::relay::Carrier;
 use crate::model::{DomainName, Span, Time, WallTime};
 use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, QueueConfig};
 use crate::telemetry::{self, Clock, Metrics};
@@ -121,6 +122,8 @@
     leader: Mutex<KnownLeader>,
     /// Notified when the leader, the evacuated domains or the draining state change.
     pub(crate) state_changed: Notify,
+    /// Calls that this process makes for the leader.
+    pub(crate) carrier: Carrier,
     /// The term that this process leads, if any.
     active_term: Mutex<Option<Arc<ActiveTerm>>>,
     /// Nonce of the term that this process leads or tries to win. Set before the
@@ -144,6 +147,7 @@
             evacuated: Mutex::new(IndexSet::new()),
             leader: Mutex::new(KnownLeader::Unknown),
             state_changed: Notify::new(),
+            carrier: Carrier::default(),
             active_term: Mutex::new(None),
             term_nonce: Mutex::new(None),
             store_health: Mutex::new(StoreHealth {
--- a/crates/jujubelb/src/platform/settings.rs
+++ b/crates/jujubelb/src/platform/settings.rs
@@ -42,6 +42,14 @@
     cpu_share: f64,
     #[serde(default = "one_core")]
     cores: f64,
+    /// Speed of the host's network link.
+    #[serde(default = "default_link")]
+    link_mbps: f64,
+}
+
+/// Assumed speed of a link whose speed the settings don't name, in Mbit/s.
+fn default_link() -> f64 {
+    1_000.0
 }
 
 fn one_core() -> f64 {
@@ -115,6 +123,7 @@
         },
         min_lease_ttl: span_from_millis(wire.platform.ttl_min_ms),
         cpu_cores: wire.limits.cpu_share * wire.limits.cores.max(1.0),
+        link_mbps: wire.limits.link_mbps,
         stop_grace: span_from_millis(wire.bounds.grace_s * 1e3),
         bounds: Bounds {
             max_lease: span_from_millis(wire.bounds.hold_max_ms),
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -14,10 +14,10 @@
 
 /// Timeout of an order. Workers answer within a round trip of at most 30 ms; one that
 /// takes longer than this is not going to answer.
-const ORDER_TIMEOUT: Span = Span::from_millis(700);
+pub const ORDER_TIMEOUT: Span = Span::from_millis(700);
 
 /// Added to the wait of a poll for its timeout.
-const POLL_TIMEOUT_MARGIN: Span = Span::from_millis(900);
+pub const POLL_TIMEOUT_MARGIN: Span = Span::from_millis(900);
 
 /// Header that names the worker instance for which a request is meant.
 const EXPECTED_INSTANCE_HEADER: &str = "Expect-Instance";
