Write outcomes before progress, and every changed job in turn

Cause: with more changed jobs than a batch holds, a job that changed again while its batch was written kept its place at the front, so the same jobs were written again and again while others waited; and an outcome, for which a caller waits, queued behind progress, for which nobody does. On the large deployment 160 jobs waited for the store although it could take a hundred times the writes.

Change: a batch holds outcomes first, those of urgent queues before others, then progress; a job that has changed again goes to the back. The three new tests failed before. jujubelb-bench dispatch now plays serving and best-effort tasks as well.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -36,6 +36,13 @@
 const WORKERS_PER_BATCH: usize = 45;
 const WORKERS_PER_SERVICE: usize = 920;
 
+/// Workers for each long-running job that exists from the start.
+const WORKERS_PER_INITIAL_SERVICE: usize = 5;
+
+/// Number of images of serving tasks and of best-effort batch tasks.
+const SERVING_IMAGES: u64 = 16;
+const BATCH_IMAGES: u64 = 30;
+
 /// Options of the measurement.
 #[derive(Debug, Clone, clap::Args)]
 pub struct Dispatch {
@@ -204,6 +211,9 @@
     fleet
         .dispatcher
         .workers_listed((0..workers).map(report).collect(), now);
+    for _ in 0..workers / WORKERS_PER_INITIAL_SERVICE {
+        fleet.submit_service();
+    }
     fleet.advance(WARM_UP);
     fleet.row = Row::default();
     fleet.advance(measured);
@@ -253,16 +263,28 @@
             self.submit(0, steps(2, 13, 12, 23, Span::from_millis(1_000)));
         }
         for _ in 0..batches {
-            self.submit(2, steps(2, 40, 7, 13, Span::from_millis(2_200)));
+            let image = ArcStr::from(format!("b{}", self.counter % BATCH_IMAGES));
+            let mut batch = steps(2, 40, 7, 13, Span::from_millis(2_200));
+            for step in &mut batch {
+                step.best_effort = true;
+                step.checkpoints = true;
+                step.image = Some(image.clone());
+            }
+            self.submit(2, batch);
         }
         for _ in 0..services {
-            let mut lasting = steps(1, 24, 13, 25, Span::from_millis(500));
-            lasting[0].long_running = true;
-            lasting[0].target = Some(Span::from_millis(150));
-            self.submit(0, lasting);
+            self.submit_service();
         }
     }
 
+    fn submit_service(&mut self) {
+        let mut lasting = steps(1, 24, 13, 25, Span::from_millis(500));
+        lasting[0].long_running = true;
+        lasting[0].target = Some(Span::from_millis(150));
+        lasting[0].image = Some(ArcStr::from(format!("s{}", self.counter % SERVING_IMAGES)));
+        self.submit(0, lasting);
+    }
+
     /// Simulated time since the start, in seconds.
     fn row_time(&self) -> f64 {
         self.now.since(Time::from_millis(1_000)).as_secs_f64()
--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -114,12 +114,7 @@
         if !self.has_changes() {
             return None;
         }
-        let keys: Vec<JobKey> = self
-            .dirty_jobs
-            .iter()
-            .take(MAX_JOBS_PER_COMMIT)
-            .copied()
-            .collect();
+        let keys = self.next_to_write();
         let jobs: Vec<(JobKey, Progress)> = keys
             .iter()
             .filter_map(|k| self.jobs.get(k).map(|j| (*k, j.progress())))
@@ -160,6 +155,25 @@
         })
     }
 
+    /// Jobs of the next batch. Callers wait for outcomes, so they precede progress, those of
+    /// urgent queues first; progress follows in the order in which it was made.
+    fn next_to_write(&self) -> Vec<JobKey> {
+        let mut outcomes = Vec::new();
+        let mut progress = Vec::new();
+        for key in &self.dirty_jobs {
+            match self.jobs.get(key) {
+                Some(job) if job.outcome != job.durable_outcome => {
+                    outcomes.push((job.record.queue.priority, *key));
+                }
+                _ if progress.len() < MAX_JOBS_PER_COMMIT => progress.push(*key),
+                _ => {}
+            }
+        }
+        outcomes.sort_by_key(|(priority, _)| *priority);
+        let outcomes = outcomes.into_iter().map(|(_, key)| key);
+        outcomes.chain(progress).take(MAX_JOBS_PER_COMMIT).collect()
+    }
+
     /// Records that a batch is durable.
     pub fn committed(&mut self, commit: &Commit, now: Time) {
         for (key, progress) in &commit.jobs {
@@ -174,6 +188,9 @@
             if self.change_count > commit.last_change && job.progress() != *progress {
                 // The job has changed again, by the first change after the batch at the earliest.
                 job.dirty_since = Some(commit.last_change + 1);
+                // Behind the others, so that jobs that change all the time let them pass.
+                self.dirty_jobs.shift_remove(key);
+                self.dirty_jobs.insert(*key);
             } else {
                 job.dirty_since = None;
                 self.dirty_jobs.shift_remove(key);
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -196,7 +196,8 @@
     evacuated: IndexSet<DomainName>,
     /// Number of changes in this term that had to become durable.
     change_count: u64,
-    /// Jobs with changes that are not durable yet, oldest first.
+    /// Jobs with changes that are not durable yet, in the order in which they were last
+    /// written or, if they were durable then, changed.
     dirty_jobs: IndexSet<JobKey>,
     /// Jobs that ended longer ago than the retention time and are to be deleted.
     expired_jobs: IndexSet<JobKey>,
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/tests/commits.rs
@@ -0,0 +1,72 @@
+//! Order in which changes become durable while there are more than a batch holds.
+
+use super::{Simulation, job, step};
+use crate::dispatch::{Commit, JobKey, Step};
+use crate::model::Span;
+
+/// Jobs of many short steps, so that all of them change all the time.
+const BUSY_JOBS: u64 = 120;
+
+/// A simulation with more changed jobs than two batches hold.
+fn busy() -> Simulation {
+    let mut sim = Simulation::new(40);
+    for i in 0..BUSY_JOBS {
+        let duration = Span::from_millis(200 + 10 * (i % 10));
+        let chain = (0..40).map(|k: u16| Step {
+            after: k.checked_sub(1).into_iter().collect(),
+            ..step(6, 3, duration)
+        });
+        sim.submit(i, job(2, chain.collect()));
+    }
+    sim.store_available = false;
+    sim.run(Span::from_millis(600));
+    sim
+}
+
+/// Makes the next batch durable while every job changes again.
+fn next_commit(sim: &mut Simulation) -> Commit {
+    let commit = sim.dispatcher.take_commit(sim.now).unwrap();
+    sim.run(Span::from_millis(300));
+    sim.dispatcher.committed(&commit, sim.now);
+    commit
+}
+
+fn jobs(commit: &Commit) -> Vec<JobKey> {
+    commit.jobs.iter().map(|(key, _)| *key).collect()
+}
+
+/// Guards against callers who wait for an outcome behind the progress of other jobs, which
+/// nobody waits for.
+#[test]
+fn outcomes_precede_progress() {
+    let mut sim = busy();
+    let check = sim.submit(1_000, job(0, vec![step(1, 2, Span::from_millis(100))]));
+    sim.run(Span::from_millis(400));
+    assert_eq!(jobs(&next_commit(&mut sim))[0], check);
+}
+
+/// Guards against outcomes of batches that make callers of urgent queues wait.
+#[test]
+fn outcomes_of_urgent_queues_precede_others() {
+    let mut sim = busy();
+    sim.submit(1_000, job(2, vec![step(1, 2, Span::from_millis(100))]));
+    sim.run(Span::from_millis(200));
+    let check = sim.submit(1_001, job(0, vec![step(1, 2, Span::from_millis(100))]));
+    sim.run(Span::from_millis(400));
+    assert_eq!(jobs(&next_commit(&mut sim))[..2], [check, JobKey(1_000)]);
+}
+
+/// Guards against jobs that are never written because others, which change all the time,
+/// are first in each batch. Their workers could not forget the ends of runs.
+#[test]
+fn every_changed_job_is_written_in_turn() {
+    let mut sim = busy();
+    let changed: Vec<JobKey> = sim.dispatcher.dirty_jobs.iter().copied().collect();
+    assert!(changed.len() > 60, "{} changed jobs", changed.len());
+    let mut written: Vec<JobKey> = Vec::new();
+    for _ in 0..changed.len().div_ceil(20) {
+        written.extend(jobs(&next_commit(&mut sim)));
+    }
+    let missing = changed.iter().filter(|key| !written.contains(key));
+    assert_eq!(missing.count(), 0);
+}
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod simulation;
 
+mod commits;
 mod encoding;
 mod gangs;
 mod health;
