Compare workers to poll as sets, and let a new term wait for relays

Cause: each scheduling pass compared the names of all workers with each other to find new ones, 1,100 times 1,100 comparisons, which cost more than the pass. And a new leader called all workers directly until hosts had announced themselves: up to 5,025 descriptors and 156 MB, of the 4,100 and 160 MB that a small host has.

Change: the dispatcher counts additions and removals of workers, and the names are compared only after one, as sets. A term that needs relays waits for them for up to 1.5 s, of the 6 s that leases last, before it calls workers directly.

--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use indexmap::IndexSet;
+
 use super::job::Job;
 use super::job_spec::{JobKey, JobRecord, StepKey};
 use super::progress::{JobOutcome, Progress};
@@ -121,6 +123,7 @@
         }
         log::info!(worker:% = name, address:% = report.address, domain:% = report.domain; "worker listed");
         self.workers.insert(name, Worker::new(report, now));
+        self.membership += 1;
         self.roster_dirty = true;
     }
 
@@ -136,7 +139,7 @@
 
     /// Replaces the set of listed workers by `reports`, a full list from the store.
     pub fn workers_listed(&mut self, reports: Vec<WorkerReport>, now: Time) {
-        let names: Vec<WorkerName> = reports.iter().map(|r| r.name.clone()).collect();
+        let names: IndexSet<WorkerName> = reports.iter().map(|r| r.name.clone()).collect();
         for report in reports {
             self.worker_listed(report, now);
         }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -177,6 +177,8 @@
     inherited_resolved: bool,
     jobs: FastMap<JobKey, Job>,
     workers: FastMap<WorkerName, Worker>,
+    /// Number of times that a worker was added or removed.
+    membership: u64,
     /// Steps that may have tasks to start. The next pass removes a step without any.
     ready: IndexSet<StepKey>,
     /// Jobs with occurrences that have not begun.
@@ -229,6 +231,7 @@
             inherited_resolved: roster.workers.is_empty(),
             jobs: FastMap::default(),
             workers: FastMap::default(),
+            membership: 0,
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
             slopes: model.0,
@@ -274,8 +277,13 @@
         self.deposed
     }
 
+    /// Number that changes whenever a worker is added or removed.
+    pub fn membership(&self) -> u64 {
+        self.membership
+    }
+
     /// Names of the workers to poll.
-    pub fn workers(&self) -> Vec<WorkerName> {
+    pub fn workers(&self) -> IndexSet<WorkerName> {
         self.workers.keys().cloned().collect()
     }
 
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -92,6 +92,7 @@
         for name in removed {
             log::info!(worker:% = name; "worker removed: not listed and without runs");
             self.workers.shift_remove(&name);
+            self.membership += 1;
             self.roster_dirty = true;
         }
     }
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -496,15 +496,23 @@
 /// Plans, sends the resulting orders, and keeps one polling task for each worker.
 /// Returns when a worker has seen a higher fencing token.
 async fn dispatch_orders(node: Arc<Node>, term: Arc<ActiveTerm>) {
-    let mut last_load_log = node.now();
+    let began = node.now();
+    let mut last_load_log = began;
     let mut polls = JoinSet::new();
     let mut polled: IndexSet<WorkerName> = IndexSet::new();
+    let mut polled_membership = None;
     loop {
         let (orders, workers, deposed) = {
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
             let orders = dispatcher.plan(node.wall_time(), node.now());
-            (orders, dispatcher.workers(), dispatcher.is_deposed())
+            let current = dispatcher.membership();
+            let workers = (polled_membership != Some(current)).then(|| dispatcher.workers());
+            (
+                orders,
+                workers.map(|w| (current, w)),
+                dispatcher.is_deposed(),
+            )
         };
         if deposed {
             return;
@@ -514,11 +522,16 @@
             last_load_log = now;
             log::info!(figures:? = lock(&term.dispatcher).summary(); "dispatch load");
         }
-        polled.retain(|w| workers.contains(w));
-        for worker in workers {
-            if polled.insert(worker.clone()) {
-                polls.spawn(poll_worker(node.clone(), term.clone(), worker));
+        if let Some((membership, workers)) = workers
+            && term
+                .workers
+                .is_ready(workers.len(), node.settings.link_mbps, now.since(began))
+        {
+            polled_membership = Some(membership);
+            for worker in workers.difference(&polled) {
+                polls.spawn(poll_worker(node.clone(), term.clone(), worker.clone()));
             }
+            polled = workers;
         }
         while polls.try_join_next().is_some() {}
         for order in orders {
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -11,7 +11,7 @@
 use super::super::state::{Node, lock, sleep};
 use super::calls::Outbox;
 use super::message::{Action, Call, CallResult, HostReport, RelayBatch, RelayResults};
-use super::selection::{KnownHosts, announce_interval, relay_of};
+use super::selection::{KnownHosts, announce_interval, needs_relays, relay_of};
 use crate::dispatch::{Order, PollRequest, Run, StartReply, StopReply, TaskKey, WorkerOrder};
 use crate::model::{DomainName, HostName, Span, WorkerName};
 use crate::platform::{CallError, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, WorkerClient};
@@ -25,6 +25,11 @@
 /// Timeout of a batch. The relay answers when it has read it.
 const BATCH_TIMEOUT: Span = Span::from_millis(900);
 
+/// How long a new term waits for the announcements of hosts before it calls workers
+/// directly. Hosts learn of a new leader within a second, and running tasks hold leases of
+/// several seconds.
+const MAX_RELAY_WAIT: Span = Span::from_millis(1_500);
+
 /// Interval of choosing the relays anew.
 const SELECTION_INTERVAL: Span = Span::from_millis(250);
 
@@ -76,6 +81,15 @@
         }
     }
 
+    /// Whether workers may be called: the term needs no relays, has some, or has waited for
+    /// them long enough. Direct calls to all workers of a large deployment take more
+    /// connections and memory than a small host has.
+    pub(crate) fn is_ready(&self, workers: usize, link_mbps: f64, term_age: Span) -> bool {
+        !needs_relays(workers, link_mbps)
+            || !lock(&self.routes).is_empty()
+            || term_age > MAX_RELAY_WAIT
+    }
+
     /// Records the report of a host that may become a relay. Returns after what time the
     /// host is to announce itself again.
     pub(crate) fn announced(&self, node: &Node, report: HostReport) -> Span {
