Count calls through relays and test how their results are matched

Three tests of results without network: one that is repeated, one of another term and one that is missing. The metric relay_calls tells answered, unsent and missing calls apart, so that a relay that loses results shows without its logs.

--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -291,6 +291,7 @@
             WorkerClient::new(node.client.clone(), win.term.token),
             win.nonce,
             win.term.token,
+            node.metrics.relay_calls.clone(),
         )),
         plan_needed: Notify::new(),
         commit_needed: Notify::new(),
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex};
 
 use indexmap::IndexMap;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
 use tokio::sync::{Notify, oneshot};
 
 use super::super::leader::ActiveTerm;
@@ -40,14 +42,26 @@
 
 /// Connection of the leader to one relay.
 #[derive(Debug)]
-struct RelayLink {
+pub(super) struct RelayLink {
     report: HostReport,
-    outbox: Mutex<Outbox>,
+    pub(super) outbox: Mutex<Outbox>,
     queued: Notify,
     /// Calls without a result since the last one with a result.
     missed: AtomicU32,
     /// Set when a batch or several calls have failed. The link is then replaced.
-    failed: AtomicBool,
+    pub(super) failed: AtomicBool,
+}
+
+impl RelayLink {
+    pub(super) fn new(report: HostReport) -> Self {
+        Self {
+            report,
+            outbox: Mutex::default(),
+            queued: Notify::new(),
+            missed: AtomicU32::new(0),
+            failed: AtomicBool::new(false),
+        }
+    }
 }
 
 /// Makes the calls of one term to workers.
@@ -63,11 +77,13 @@
     /// Receivers of the results, by the identifier of the call.
     waiting: Mutex<IndexMap<u64, oneshot::Sender<CallResult>>>,
     call_count: AtomicU64,
+    /// Metric of calls through relays.
+    calls: Counter<u64>,
     worker_count: AtomicUsize,
 }
 
 impl WorkerGateway {
-    pub(crate) fn new(direct: WorkerClient, nonce: u64, token: u64) -> Self {
+    pub(crate) fn new(direct: WorkerClient, nonce: u64, token: u64, calls: Counter<u64>) -> Self {
         Self {
             direct,
             nonce,
@@ -77,6 +93,7 @@
             routes: Mutex::default(),
             waiting: Mutex::default(),
             call_count: AtomicU64::new(0),
+            calls,
             worker_count: AtomicUsize::new(0),
         }
     }
@@ -124,7 +141,28 @@
     }
 
     /// Makes a call through a relay. Returns `None` if there is no result in time.
-    async fn call(&self, link: &RelayLink, action: Action, timeout: Span) -> Option<CallResult> {
+    pub(super) async fn call(
+        &self,
+        link: &RelayLink,
+        action: Action,
+        timeout: Span,
+    ) -> Option<CallResult> {
+        let result = self.await_result(link, action, timeout).await;
+        let label = match result {
+            Some(CallResult::NotSent) => "unsent",
+            Some(_) => "answered",
+            None => "missing",
+        };
+        self.calls.add(1, &[KeyValue::new("result", label)]);
+        result
+    }
+
+    async fn await_result(
+        &self,
+        link: &RelayLink,
+        action: Action,
+        timeout: Span,
+    ) -> Option<CallResult> {
         let id = self.call_count.fetch_add(1, Relaxed);
         let (sender, receiver) = oneshot::channel();
         lock(&self.waiting).insert(id, sender);
@@ -243,13 +281,7 @@
                 continue;
             }
             log::info!(relay:% = report.host, domain:% = report.domain; "relay in use");
-            let link = Arc::new(RelayLink {
-                report: report.clone(),
-                outbox: Mutex::default(),
-                queued: Notify::new(),
-                missed: AtomicU32::new(0),
-                failed: AtomicBool::new(false),
-            });
+            let link = Arc::new(RelayLink::new(report.clone()));
             links.insert(report.host.clone(), link.clone());
             tokio::spawn(send_batches(
                 node.clone(),
--- a/crates/jujubelb/src/node/relay/tests.rs
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -4,10 +4,13 @@
 use indexmap::IndexMap;
 
 use super::calls::{Outbox, restore_payload};
-use super::message::{Action, Call, HostReport};
+use super::gateway::{RelayLink, WorkerGateway};
+use super::message::{Action, Call, CallResult, HostReport, RelayResults};
 use super::selection::{KnownHosts, REPORT_LIFETIME, SUSPENSION, needs_relays, relay_of};
-use crate::dispatch::{JobKey, Order, Run, StepKey, TaskKey, WorkerOrder};
+use crate::dispatch::{JobKey, Order, Run, StartReply, StepKey, TaskKey, WorkerOrder};
 use crate::model::{DomainName, HostName, Span, Time, WorkerName, WorkerTime};
+use crate::platform::{HttpClient, WorkerClient};
+use crate::telemetry::{self, Metrics};
 
 /// Link speed that does not limit the number of relays.
 const FAST_LINK_MBPS: f64 = 200.0;
@@ -187,3 +190,56 @@
     assert!(payloads.len() <= 17);
     assert!(!outbox.is_empty());
 }
+
+/// Nonce of the term in the tests of results.
+const NONCE: u64 = 7;
+
+fn gateway() -> WorkerGateway {
+    let client = WorkerClient::new(HttpClient::new().unwrap(), 1);
+    let calls = Metrics::new().unwrap().counter(&telemetry::RELAY_CALLS);
+    WorkerGateway::new(client, NONCE, 1, calls)
+}
+
+/// Makes a call through a relay that has sent `results` when the call waits for them.
+async fn call(results: Vec<(u64, u64, CallResult)>, timeout: Span) -> Option<CallResult> {
+    let (gateway, link) = (gateway(), RelayLink::new(host("h", "a", 0.5)));
+    let action = start(1, 0, "payload").action;
+    let answer = async {
+        tokio::task::yield_now().await;
+        assert!(!crate::node::state::lock(&link.outbox).is_empty());
+        for (nonce, id, result) in results {
+            let results = vec![(id, result)];
+            gateway.results_received(RelayResults { nonce, results });
+        }
+    };
+    tokio::join!(gateway.call(&link, action, timeout), answer).0
+}
+
+fn started() -> CallResult {
+    CallResult::Started(StartReply::Started)
+}
+
+/// Guards against a result that is applied twice, since a relay sends its results again if
+/// the leader's answer was lost.
+#[tokio::test]
+async fn a_repeated_result_is_ignored() {
+    let refused = CallResult::Started(StartReply::Unhealthy);
+    let results = vec![(NONCE, 0, started()), (NONCE, 0, refused)];
+    assert_eq!(call(results, Span::from_secs(5)).await, Some(started()));
+}
+
+/// Guards against results of an earlier term of the same process, whose calls had the same
+/// identifiers.
+#[tokio::test]
+async fn results_of_another_term_are_ignored() {
+    let refused = CallResult::Started(StartReply::Unhealthy);
+    let results = vec![(NONCE + 1, 0, refused), (NONCE, 0, started())];
+    assert_eq!(call(results, Span::from_secs(5)).await, Some(started()));
+}
+
+/// Guards against a start that counts as not executed because a relay was paused: without a
+/// result, the worker may have the run.
+#[tokio::test]
+async fn a_missing_result_is_no_evidence() {
+    assert_eq!(call(Vec::new(), Span::ZERO).await, None);
+}
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -95,6 +95,7 @@
     pub(crate) request_durations: Histogram<f64>,
     pub(crate) store_calls: Counter<u64>,
     pub(crate) store_durations: Histogram<f64>,
+    pub(crate) relay_calls: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -104,6 +105,7 @@
             request_durations: registry.duration_histogram(&telemetry::REQUEST_DURATION),
             store_calls: registry.counter(&telemetry::STORE_CALLS),
             store_durations: registry.duration_histogram(&telemetry::STORE_CALL_DURATION),
+            relay_calls: registry.counter(&telemetry::RELAY_CALLS),
             registry,
         }
     }
--- a/crates/jujubelb/src/telemetry/metrics.rs
+++ b/crates/jujubelb/src/telemetry/metrics.rs
@@ -70,6 +70,7 @@
     SUBMISSIONS = "submissions", Counter, "1", "code", "Job submissions by result code";
     STORE_CALLS = "store_calls", Counter, "1", "kind, result", "Calls to the store";
     STORE_CALL_DURATION = "store_call_duration", Histogram, "s", "kind", "Duration of calls to the store";
+    RELAY_CALLS = "relay_calls", Counter, "1", "result", "Calls to workers through relays by how they ended";
     SYNCS = "worker_exchanges", Counter, "1", "result", "Exchanges with workers";
     SHARDS = "shards_owned", Gauge, "1", "", "Shards that this process owns";
     TASKS = "tasks", Gauge, "1", "shard, state", "Tasks of the owned shards by state";
