Start loops that have panicked again

Operators of similar systems saw one unexpected error end more than the request that caused it. Here a panic in the watch of the operator's keys or of the leader, in the election or in the polling of one worker ended that loop for good, while the process went on: with an old configuration, or with a worker whose lease lapses. A panic in the main loops of a term ended the term already.

Change: the loops of the process are supervised, and a polling task that panics is started again while its worker is polled. A term that a panic ends leaves nothing behind for callers.

--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -70,6 +70,9 @@
 /// Stands for election whenever there is no leader, and leads the terms that this
 /// host wins, until the process drains.
 pub(crate) async fn run_elections(node: Arc<Node>) {
+    // A term that ended by a panic has left these behind; its tasks have ended with it.
+    node.set_active_term(None);
+    node.set_term_nonce(None);
     loop {
         let changed = node.state_changed.notified();
         if node.is_draining() {
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
 
@@ -12,6 +12,7 @@
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::relay::{WorkerGateway, maintain_relays};
 use super::state::{KnownLeader, Node, lock, sleep};
+use super::supervision::PollTasks;
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::{
     Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order, Progress,
@@ -499,9 +500,9 @@
 async fn dispatch_orders(node: Arc<Node>, term: Arc<ActiveTerm>) {
     let began = node.now();
     let mut last_load_log = began;
-    let mut polls = JoinSet::new();
-    let mut polled: IndexSet<WorkerName> = IndexSet::new();
+    let mut polls = PollTasks::default();
     let mut polled_membership = None;
+    let start_poll = |worker| poll_worker(node.clone(), term.clone(), worker);
     loop {
         let (orders, workers, deposed) = {
             let mut dispatcher = lock(&term.dispatcher);
@@ -529,12 +530,9 @@
                 .is_ready(workers.len(), node.settings.link_mbps, now.since(began))
         {
             polled_membership = Some(membership);
-            for worker in workers.difference(&polled) {
-                polls.spawn(poll_worker(node.clone(), term.clone(), worker.clone()));
-            }
-            polled = workers;
+            polls.update(workers, start_poll);
         }
-        while polls.try_join_next().is_some() {}
+        polls.restart_failed(start_poll);
         for order in orders {
             tokio::spawn(send_order(node.clone(), term.clone(), order));
         }
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -13,6 +13,7 @@
 use super::relay::announce_host;
 use super::serve::serve;
 use super::state::{Node, sleep};
+use super::supervision::supervise;
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use super::{HostSettings, election};
 use crate::model::{DomainName, Span};
@@ -70,10 +71,10 @@
     let node = Arc::new(Node::new(settings, client, Metrics::new()?));
     let settings = &node.settings;
     log::info!(host:% = settings.host, domain:% = settings.domain, callers:% = settings.caller_address, peers:% = settings.peer_address, store:% = settings.store_address, version = env!("CARGO_PKG_VERSION"); "process started");
-    tokio::spawn(watch_operator_keys(node.clone()));
-    tokio::spawn(election::watch_leader(node.clone()));
-    tokio::spawn(election::run_elections(node.clone()));
-    tokio::spawn(announce_host(node.clone()));
+    start_loop(&node, "watch of the operator's keys", watch_operator_keys);
+    start_loop(&node, "watch of the leader", election::watch_leader);
+    start_loop(&node, "election", election::run_elections);
+    start_loop(&node, "announcement to the leader", announce_host);
     let callers = serve(
         "callers",
         settings.caller_address,
@@ -103,6 +104,16 @@
     }
 }
 
+/// Starts a loop that runs as long as the process.
+fn start_loop<F: Future<Output = ()> + Send + 'static>(
+    node: &Arc<Node>,
+    name: &'static str,
+    run: impl Fn(Arc<Node>) -> F + Send + Sync + 'static,
+) {
+    let node = node.clone();
+    tokio::spawn(async move { supervise(name, || run(node.clone())).await });
+}
+
 /// Waits for the stop signal, then drains: returns when the load balancer has taken
 /// the host out of rotation, no request is in flight and the term has ended, or at
 /// the end of the grace period.
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod serve;
 mod state;
+mod supervision;
 #[cfg(test)]
 mod tests;
 mod watch;
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -1,9 +1,14 @@
 //! Tests of the parts of the process that need no network.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
+
 use super::keys;
 use super::peers::{PeerRequest, PeerResponse};
 use super::state::ActiveConfig;
+use super::supervision::{PollTasks, supervise};
 use crate::dispatch::JobKey;
+use crate::model::WorkerName;
 use crate::platform::decode_config;
 
 fn active_config() -> ActiveConfig {
@@ -61,3 +66,45 @@
     );
     assert_eq!(keys::decode::<PeerResponse>("response", &[250, 1]), None);
 }
+
+/// A task that panics when it runs for the first time and counts its runs.
+async fn panic_once(runs: Arc<AtomicU32>) {
+    assert!(runs.fetch_add(1, SeqCst) > 0, "expected by the test");
+}
+
+/// Guards against a loop that an unexpected error ends for good while the process goes on.
+#[tokio::test]
+async fn a_loop_that_panics_starts_again() {
+    let runs = Arc::new(AtomicU32::new(0));
+    supervise("test", || panic_once(runs.clone())).await;
+    assert_eq!(runs.load(SeqCst), 2);
+}
+
+/// Guards against a worker that is never polled again after an unexpected error, so that its
+/// lease lapses and its tasks are lost.
+#[tokio::test]
+async fn polling_that_panics_starts_again() {
+    let runs = Arc::new(AtomicU32::new(0));
+    let start = |_| panic_once(runs.clone());
+    let mut tasks = PollTasks::default();
+    tasks.update([WorkerName::new("w")].into_iter().collect(), start);
+    while runs.load(SeqCst) < 2 {
+        tokio::task::yield_now().await;
+        tasks.restart_failed(start);
+    }
+}
+
+/// Guards against polling a worker that was removed.
+#[tokio::test]
+async fn polling_of_a_removed_worker_is_not_started_again() {
+    let runs = Arc::new(AtomicU32::new(0));
+    let start = |_| panic_once(runs.clone());
+    let mut tasks = PollTasks::default();
+    tasks.update([WorkerName::new("w")].into_iter().collect(), start);
+    tasks.update([].into_iter().collect(), start);
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
+        tasks.restart_failed(start);
+    }
+    assert_eq!(runs.load(SeqCst), 1);
+}
