Send nothing to workers after a term has ended

Cause, found by reading: orders that wait for a free slot are separate tasks, which the end of a term did not stop, so a leader that had resigned could still send starts that only the worker's token and the order's deadline bounded. And the link of a relay and the task that sends its batches kept each other and the gateway alive after the term.

Change: a term's gateway is closed when the term ends, also by a panic. Calls after that are not sent, queued ones are given up as not sent, and links are dropped.

--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -10,7 +10,7 @@
 use super::election::{self, ElectionWin};
 use super::keys;
 use super::peers::{self, PeerRequest, PeerResponse};
-use super::relay::{WorkerGateway, maintain_relays};
+use super::relay::{OpenGateway, WorkerGateway, maintain_relays};
 use super::state::{KnownLeader, Node, lock, sleep};
 use super::supervision::PollTasks;
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
@@ -140,6 +140,7 @@
     };
     if let Some(term) = loaded {
         let term = Arc::new(term);
+        let _open = OpenGateway(term.workers.clone());
         node.set_active_term(Some(term.clone()));
         log::info!(took:% = node.now().since(began), figures:? = lock(&term.dispatcher).summary(); "term started");
         tasks.spawn(write_changes(
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -80,6 +80,27 @@
     /// Metric of calls through relays.
     calls: Counter<u64>,
     worker_count: AtomicUsize,
+    /// Set when the term is over. No call is sent after that.
+    closed: AtomicBool,
+}
+
+/// Closes the gateway of a term when it is dropped, however the term ends.
+#[derive(Debug)]
+pub(crate) struct OpenGateway(pub(crate) Arc<WorkerGateway>);
+
+impl Drop for OpenGateway {
+    fn drop(&mut self) {
+        self.0.close();
+    }
+}
+
+/// Way of a call to a worker.
+#[derive(Debug)]
+enum Way {
+    Direct,
+    Relay(Arc<RelayLink>),
+    /// The term is over.
+    Closed,
 }
 
 impl WorkerGateway {
@@ -95,6 +116,7 @@
             call_count: AtomicU64::new(0),
             calls,
             worker_count: AtomicUsize::new(0),
+            closed: AtomicBool::new(false),
         }
     }
 
@@ -132,12 +154,30 @@
         }
     }
 
-    fn link(&self, worker: &WorkerName) -> Option<Arc<RelayLink>> {
+    fn way(&self, worker: &WorkerName) -> Way {
+        if self.closed.load(Relaxed) {
+            return Way::Closed;
+        }
         let routes = lock(&self.routes).clone();
-        routes
-            .get(worker)
-            .filter(|link| !link.failed.load(Relaxed))
-            .cloned()
+        let link = routes.get(worker).filter(|l| !l.failed.load(Relaxed));
+        link.map_or(Way::Direct, |l| Way::Relay(l.clone()))
+    }
+
+    /// Ends the use of the gateway. Calls that have not been sent are given up, and links
+    /// are dropped.
+    fn close(&self) {
+        self.closed.store(true, Relaxed);
+        for (_, link) in lock(&self.links).drain(..) {
+            link.failed.store(true, Relaxed);
+        }
+        *lock(&self.routes) = Arc::default();
+    }
+
+    #[cfg(test)]
+    pub(super) fn add_link(&self, link: Arc<RelayLink>) {
+        let routes = [(WorkerName::new("w"), link.clone())];
+        *lock(&self.routes) = Arc::new(routes.into_iter().collect());
+        lock(&self.links).insert(link.report.host.clone(), link);
     }
 
     /// Makes a call through a relay. Returns `None` if there is no result in time.
@@ -190,8 +230,10 @@
 
     /// Starts a run.
     pub(crate) async fn start(&self, order: &WorkerOrder) -> StartReply {
-        let Some(link) = self.link(&order.worker) else {
-            return self.direct.start(order).await;
+        let link = match self.way(&order.worker) {
+            Way::Direct => return self.direct.start(order).await,
+            Way::Closed => return StartReply::NotSent,
+            Way::Relay(link) => link,
         };
         match self.order(&link, order).await {
             Some(CallResult::Started(reply)) => reply,
@@ -202,8 +244,10 @@
 
     /// Stops a run.
     pub(crate) async fn stop(&self, order: &WorkerOrder, task: TaskKey, run: Run) -> StopReply {
-        let Some(link) = self.link(&order.worker) else {
-            return self.direct.stop(order, task, run).await;
+        let link = match self.way(&order.worker) {
+            Way::Direct => return self.direct.stop(order, task, run).await,
+            Way::Closed => return StopReply::NoAnswer,
+            Way::Relay(link) => link,
         };
         match self.order(&link, order).await {
             Some(CallResult::Stopped(reply)) => reply,
@@ -216,13 +260,14 @@
         let Order::Pace { task, run, percent } = order.order else {
             return;
         };
-        match self.link(&order.worker) {
-            Some(link) => {
+        match self.way(&order.worker) {
+            Way::Relay(link) => {
                 self.order(&link, order).await;
             }
-            None => {
+            Way::Direct => {
                 self.direct.pace(order, task, run, percent).await;
             }
+            Way::Closed => {}
         }
     }
 
@@ -232,8 +277,13 @@
         worker: &WorkerName,
         request: &PollRequest,
     ) -> Result<PollResult, CallError> {
-        let Some(link) = self.link(worker) else {
-            return self.direct.poll(worker, request).await;
+        let link = match self.way(worker) {
+            Way::Direct => return self.direct.poll(worker, request).await,
+            Way::Closed => {
+                let reason = "the term is over".to_owned();
+                return Err(CallError::NotSent(request.address, reason));
+            }
+            Way::Relay(link) => link,
         };
         let action = Action::Poll(worker.clone(), request.clone());
         let timeout = request.wait + POLL_TIMEOUT_MARGIN;
@@ -258,6 +308,9 @@
         node: &Arc<Node>,
         workers: &IndexMap<WorkerName, DomainName>,
     ) {
+        if self.closed.load(Relaxed) {
+            return;
+        }
         let now = node.now();
         self.worker_count.store(workers.len(), Relaxed);
         let mut links = lock(&self.links);
--- a/crates/jujubelb/src/node/relay/mod.rs
+++ b/crates/jujubelb/src/node/relay/mod.rs
@@ -21,5 +21,5 @@
 mod tests;
 
 pub(crate) use carrier::{Carrier, announce_host};
-pub(crate) use gateway::{WorkerGateway, maintain_relays};
+pub(crate) use gateway::{OpenGateway, WorkerGateway, maintain_relays};
 pub(crate) use message::{HostReport, RelayBatch, RelayResults};
--- a/crates/jujubelb/src/node/relay/tests.rs
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 
 use super::calls::{Outbox, restore_payload};
-use super::gateway::{RelayLink, WorkerGateway};
+use super::gateway::{OpenGateway, RelayLink, WorkerGateway};
 use super::message::{Action, Call, CallResult, HostReport, RelayResults};
 use super::selection::{KnownHosts, REPORT_LIFETIME, SUSPENSION, needs_relays, relay_of};
 use crate::dispatch::{JobKey, Order, Run, StartReply, StepKey, TaskKey, WorkerOrder};
@@ -237,6 +237,22 @@
     assert_eq!(call(results, Span::from_secs(5)).await, Some(started()));
 }
 
+/// Guards against orders that a term still sends after its end, directly or through a relay,
+/// while the next leader sends its own; and against links that outlive their term.
+#[tokio::test]
+async fn nothing_is_sent_after_the_end_of_a_term() {
+    let gateway = std::sync::Arc::new(gateway());
+    let link = std::sync::Arc::new(RelayLink::new(host("h", "a", 0.5)));
+    gateway.add_link(link.clone());
+    let Action::Order(order, _) = start(1, 0, "payload").action else {
+        unreachable!("a start is an order");
+    };
+    drop(OpenGateway(gateway.clone()));
+    assert_eq!(gateway.start(&order).await, StartReply::NotSent);
+    assert!(crate::node::state::lock(&link.outbox).is_empty());
+    assert_eq!(std::sync::Arc::strong_count(&link), 1);
+}
+
 /// Guards against a start that counts as not executed because a relay was paused: without a
 /// result, the worker may have the run.
 #[tokio::test]
