Acknowledge completions while further ones arrive

Callers and operators saw: after seconds of calm, ends of runs that workers had listed were still not acknowledged. Workers keep listing such ends, and a new leader processes all of them again.

Cause: the leader kept one mark a worker, "all processed completions are durable once this change is", and moved the mark forward with every answer that listed a further completion. While a worker completes runs more often than a batch takes to become durable, the mark is always ahead of what is durable, and nothing is acknowledged until the worker pauses. Batches take longer than that while the leader's processor or link is full or the store is slow.

Now each answer with completions adds a mark of its own, and the marks that are durable are acknowledged.

Evidence: with batches of 300 ms and a completion every 60 ms, no completion was acknowledged before (the new test failed with its 16th unacknowledged one); now at most 15 are open at any time, as two batches and a poll explain.

Ruled out: changed jobs that are never written, which the existing test of turns covers, and workers that are removed with open completions, since they are listed and processed again.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -233,9 +233,7 @@
             .min();
         let durable = oldest.map_or(upto, |d| (d - 1).min(upto));
         for worker in self.workers.values_mut() {
-            if worker.pending_change <= durable {
-                worker.acknowledged = worker.processed;
-            }
+            worker.acknowledge(durable);
         }
     }
 }
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -186,12 +186,9 @@
         let clean = self.dirty_jobs.is_empty();
         let changes = self.change_count;
         if let Some(worker) = self.workers.get_mut(name) {
-            if last > worker.processed {
-                worker.processed = last;
-                worker.pending_change = changes;
-            }
+            worker.record_processed(last, changes);
             if clean {
-                worker.acknowledged = worker.processed;
+                worker.acknowledge(changes);
             }
             worker.update_load();
         }
@@ -212,7 +209,7 @@
         log::warn!(worker:% = name, runs = worker.runs.len(); "worker has restarted");
         worker.acknowledged = 0;
         worker.processed = 0;
-        worker.pending_change = 0;
+        worker.unacknowledged.clear();
         // An order still in transit may have granted any lease.
         worker.lease_deadline = clock + self.bounds.max_lease;
         worker.health = Default::default();
--- a/crates/jujubelb/src/dispatch/tests/commits.rs
+++ b/crates/jujubelb/src/dispatch/tests/commits.rs
@@ -70,3 +70,25 @@
     let missing = changed.iter().filter(|key| !written.contains(key));
     assert_eq!(missing.count(), 0);
 }
+
+/// Guards against completions that are never acknowledged because the worker lists further
+/// ones while each batch is written.
+#[test]
+fn completions_are_acknowledged_while_more_arrive() {
+    let mut sim = Simulation::new(1);
+    sim.store_available = false;
+    let mut commit = None;
+    for i in 0..60 {
+        sim.submit(i, job(2, vec![step(1, 8, Span::from_millis(400))]));
+        sim.run(Span::from_millis(60));
+        if i % 5 == 4 {
+            if let Some(written) = commit.take() {
+                sim.dispatcher.committed(&written, sim.now);
+            }
+            commit = sim.dispatcher.take_commit(sim.now);
+        }
+        // A completion is durable after two batches of 300 ms, and there is one every 60 ms.
+        assert!(sim.unacknowledged(0) <= 15, "{}", sim.unacknowledged(0));
+    }
+    assert!(sim.done.len() > 45);
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -398,6 +398,11 @@
             .count()
     }
 
+    /// Number of completions that a worker lists because they are not acknowledged.
+    pub(crate) fn unacknowledged(&self, i: usize) -> usize {
+        self.workers[i].completions.len()
+    }
+
     /// Number of runs on a worker.
     pub(crate) fn runs_on(&self, i: usize) -> usize {
         self.workers[i].runs.len()
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -1,5 +1,6 @@
 //! The leader's view of a worker: capacity, runs, clock and lease.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use arcstr::ArcStr;
@@ -120,8 +121,9 @@
     pub(crate) acknowledged: u64,
     /// Highest sequence number of a completion that has been processed.
     pub(crate) processed: u64,
-    /// Completions up to `processed` are durable once this change is durable.
-    pub(crate) pending_change: u64,
+    /// Completions above `acknowledged` whose effects may not be durable, in the order of
+    /// their sequence numbers. The last one is `processed`.
+    pub(crate) unacknowledged: VecDeque<ProcessedCompletions>,
     /// When the worker last answered a poll.
     pub(crate) last_answer: Time,
     pub(crate) paused_until: Time,
@@ -139,6 +141,16 @@
     pub(crate) load: Load,
 }
 
+/// Completions that one answer of a worker has added.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ProcessedCompletions {
+    /// Highest sequence number among them.
+    pub(crate) last: u64,
+    /// Number of the last change when they were processed. Their effects are durable once
+    /// this change is.
+    pub(crate) change: u64,
+}
+
 /// Resources that the runs of a worker take.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Load {
@@ -215,7 +227,7 @@
             reachable: true,
             acknowledged: 0,
             processed: 0,
-            pending_change: 0,
+            unacknowledged: VecDeque::new(),
             last_answer: Time::ZERO,
             paused_until: Time::ZERO,
             pace_adjusted: Time::ZERO,
@@ -263,6 +275,27 @@
         millicores as f64 / self.report.capacity.cpu.0.max(1) as f64
     }
 
+    /// Records that the completions up to `last` were processed when `change` was the last
+    /// change.
+    pub(crate) fn record_processed(&mut self, last: u64, change: u64) {
+        if last > self.processed {
+            self.processed = last;
+            self.unacknowledged
+                .push_back(ProcessedCompletions { last, change });
+        }
+    }
+
+    /// Allows the worker to forget the completions whose effects are durable, given the last
+    /// change up to which all changes are.
+    pub(crate) fn acknowledge(&mut self, durable: u64) {
+        while let Some(first) = self.unacknowledged.front()
+            && first.change <= durable
+        {
+            self.acknowledged = first.last;
+            self.unacknowledged.pop_front();
+        }
+    }
+
     /// Recomputes `load` from `runs`.
     pub(crate) fn update_load(&mut self) {
         let mut load = Load::default();
