Log completions and stops that are outstanding

The load line of the leader could not tell a leader whose orders do not get through from one whose changes do not become durable, or from one that waits with acknowledgements: all three show as runs that go on or completions that workers keep.

--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -343,6 +343,17 @@
                 .filter(|w| w.health.is_unhealthy())
                 .count(),
             undurable: self.dirty_jobs.len(),
+            unacknowledged: self
+                .workers
+                .values()
+                .map(|w| w.processed - w.acknowledged)
+                .sum(),
+            stopping: self
+                .workers
+                .values()
+                .flat_map(|w| w.runs.values())
+                .filter(|r| r.must_stop)
+                .count(),
             room: self.total_cores(|w| w.report.capacity.cpu.0),
             counted: self.total_cores(|w| w.load.reserved.cpu.0),
             demand: self.total_cores(|w| w.load.cpu_demand),
@@ -421,6 +432,10 @@
     pub sick: usize,
     /// Jobs with changes that are not durable yet.
     pub undurable: usize,
+    /// Completions that have been processed and not yet acknowledged to their workers.
+    pub unacknowledged: u64,
+    /// Runs that have to be stopped and have not ended.
+    pub stopping: usize,
     /// Capacity of the workers in use, in cores.
     pub room: u64,
     /// Cores reserved by the declared sizes of runs.
