Give the oldest changes a place in each batch

Callers and operators saw: completions that workers list stay unacknowledged.

Cause: outcomes precede progress in a batch, and a batch holds 28 jobs. While 28 or more jobs end for each batch, which a saturated leader or a slow store brings about at 30 jobs a second, the progress of a job that goes on is never written. It holds back the acknowledgements of every worker for as long as that lasts.

Now a quarter of a full batch goes to the jobs that have waited longest, outcomes or not; each written job moves to the end of that order.

Evidence: with 40 outcomes for each batch, six batches did not contain the progress of a job of two steps before; the new test passes now, and the tests of the order of outcomes pass unchanged.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use arcstr::ArcStr;
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 use super::Dispatcher;
@@ -20,6 +21,10 @@
 /// store would refuse a batch with more entries at every attempt.
 const MAX_JOBS_PER_COMMIT: usize = MAX_ENTRIES_PER_COMMIT - 2;
 
+/// Number of jobs in a full batch that are there because their changes have waited longest.
+/// A quarter, so that outcomes keep most of the batch.
+const OLDEST_JOBS_PER_COMMIT: usize = MAX_JOBS_PER_COMMIT / 4;
+
 /// Number of keys deleted for a forgotten job.
 #[cfg(test)]
 const KEYS_PER_JOB: usize = 3;
@@ -156,22 +161,40 @@
     }
 
     /// Jobs of the next batch. Callers wait for outcomes, so they precede progress, those of
-    /// urgent queues first; progress follows in the order in which it was made.
+    /// urgent queues first; progress follows in the order in which it was made. The jobs that
+    /// have waited longest have a place in each batch, because workers may forget no
+    /// completion that is later than the oldest change that is not durable.
     fn next_to_write(&self) -> Vec<JobKey> {
         let mut outcomes = Vec::new();
         let mut progress = Vec::new();
+        let mut waiting = Vec::with_capacity(self.dirty_jobs.len());
         for key in &self.dirty_jobs {
-            match self.jobs.get(key) {
-                Some(job) if job.outcome != job.durable_outcome => {
-                    outcomes.push((job.record.queue.priority, *key));
-                }
-                _ if progress.len() < MAX_JOBS_PER_COMMIT => progress.push(*key),
-                _ => {}
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
+            waiting.push((job.dirty_since, *key));
+            if job.outcome != job.durable_outcome {
+                outcomes.push((job.record.queue.priority, *key));
+            } else if progress.len() < MAX_JOBS_PER_COMMIT {
+                progress.push(*key);
             }
         }
         outcomes.sort_by_key(|(priority, _)| *priority);
-        let outcomes = outcomes.into_iter().map(|(_, key)| key);
-        outcomes.chain(progress).take(MAX_JOBS_PER_COMMIT).collect()
+        let ranked = outcomes.into_iter().map(|(_, key)| key).chain(progress);
+        if waiting.len() <= MAX_JOBS_PER_COMMIT {
+            return ranked.collect();
+        }
+        waiting.sort_unstable();
+        let oldest: IndexSet<JobKey> = waiting[..OLDEST_JOBS_PER_COMMIT]
+            .iter()
+            .map(|(_, key)| *key)
+            .collect();
+        let mut keys: Vec<JobKey> = ranked
+            .filter(|key| !oldest.contains(key))
+            .take(MAX_JOBS_PER_COMMIT - OLDEST_JOBS_PER_COMMIT)
+            .collect();
+        keys.extend(oldest);
+        keys
     }
 
     /// Records that a batch is durable.
--- a/crates/jujubelb/src/dispatch/tests/commits.rs
+++ b/crates/jujubelb/src/dispatch/tests/commits.rs
@@ -92,3 +92,31 @@
     }
     assert!(sim.done.len() > 45);
 }
+
+/// Guards against progress that is never written because each batch is full of outcomes. No
+/// worker could forget a completion that is later than that progress.
+#[test]
+fn progress_is_written_while_outcomes_fill_each_batch() {
+    let mut sim = Simulation::new(40);
+    let second = Step {
+        after: vec![0],
+        ..step(1, 4, Span::from_secs(60))
+    };
+    let chain = job(2, vec![step(1, 4, Span::from_millis(100)), second]);
+    let slow = sim.submit(1_000, chain);
+    sim.store_available = false;
+    sim.run(Span::from_millis(400));
+    for batch in 0..6 {
+        for i in 0..40 {
+            let duration = Span::from_millis(100);
+            sim.submit(batch * 40 + i, job(0, vec![step(1, 4, duration)]));
+        }
+        sim.run(Span::from_millis(300));
+        let commit = sim.dispatcher.take_commit(sim.now).unwrap();
+        if jobs(&commit).contains(&slow) {
+            return;
+        }
+        sim.dispatcher.committed(&commit, sim.now);
+    }
+    panic!("six batches without the progress of a job");
+}
