Repeat a stop order only once it is answered, and send it beside starts

Callers and operators saw: tasks of cancelled jobs run on after the time in which they have to be gone.

Cause: a stop order was repeated 0.8 s or 1 s after it was planned, whether or not the first one had been sent. Orders to a worker share four places, first come, first served, and an order without an answer holds its place for 0.7 s, through another host up to 1.6 s. So to a worker that is slow to answer, stops came in faster than they went out, behind starts and paces, and the traffic grew as service fell.

Now a stop is repeated only after its answer, or the note that there is none, has come; and stops do not share the places of starts and paces, since a run has at most one.

Evidence: without answers, three stop orders were sent for one run in 3 s before, now one, and the next after its answer.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -19,6 +19,10 @@
 /// has not completed is sent again.
 const STOP_RETRY_MARGIN: Span = Span::from_millis(600);
 
+/// Longest time for which the answer to a stop order, or the note that there is none, is
+/// awaited before the order is repeated. Calls through another host end well before.
+const MAX_STOP_ANSWER: Span = Span::from_secs(4);
+
 /// How long a long-running task waits before it may use the reserve for short tasks, if the
 /// workers together have spare capacity.
 const MIN_RESERVE_WAIT: Span = Span::from_millis(1_500);
@@ -197,10 +201,15 @@
                 if keep || tracked.phase == RunPhase::Starting {
                     continue;
                 }
-                if tracked.stop_sent.is_some_and(|at| now.since(at) < retry) {
+                let pause = match tracked.stop_pending {
+                    true => MAX_STOP_ANSWER,
+                    false => retry,
+                };
+                if tracked.stop_sent.is_some_and(|at| now.since(at) < pause) {
                     continue;
                 }
                 tracked.stop_sent = Some(now);
+                tracked.stop_pending = true;
                 orders.push(WorkerOrder {
                     worker: name.clone(),
                     address: worker.report.address,
@@ -504,6 +513,7 @@
             confirmed: Time::ZERO,
             deadline,
             stop_sent: None,
+            stop_pending: false,
             stop_confirmed: None,
             must_stop: false,
             percent: 0,
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -222,6 +222,7 @@
         for tracked in worker.runs.values_mut() {
             // An order still in transit may reach the new incarnation.
             tracked.stop_sent = None;
+            tracked.stop_pending = false;
             tracked.stop_confirmed = None;
             tracked.deadline = WorkerTime::from_micros(u64::MAX);
         }
@@ -344,6 +345,7 @@
             confirmed: now,
             deadline: WorkerTime::ZERO,
             stop_sent: None,
+            stop_pending: false,
             stop_confirmed: None,
             must_stop,
             percent: row.percent,
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -140,12 +140,14 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        match reply {
-            StopReply::Stopped => {
-                if let Some(tracked) = worker.runs.get_mut(&task).filter(|r| r.run == run) {
-                    tracked.stop_confirmed = Some(now);
-                }
+        if let Some(tracked) = worker.runs.get_mut(&task).filter(|r| r.run == run) {
+            tracked.stop_pending = false;
+            if reply == StopReply::Stopped {
+                tracked.stop_confirmed = Some(now);
             }
+        }
+        match reply {
+            StopReply::Stopped => {}
             StopReply::Fenced => {
                 log::warn!(worker:% = name, token = self.term.token; "worker has seen a higher token; this term is over");
                 self.deposed = true;
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -10,6 +10,7 @@
 mod leader_changes;
 mod leases;
 mod queueing;
+mod stops;
 mod tickets;
 
 pub(super) use simulation::{Simulation, job, long_running, step};
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/tests/stops.rs
@@ -0,0 +1,37 @@
+//! Stop orders to workers that are slow to answer.
+
+use super::{Simulation, job, long_running};
+use crate::dispatch::{Order, StopReply, WorkerOrder};
+use crate::model::Span;
+
+/// Makes scheduling passes for a span without executing their orders.
+fn plan_for(sim: &mut Simulation, span: Span) -> Vec<WorkerOrder> {
+    let end = sim.now + span;
+    let mut orders = Vec::new();
+    while sim.now < end {
+        sim.now = sim.now + Span::from_millis(20);
+        orders.extend(sim.dispatcher.plan(sim.wall(), sim.now));
+    }
+    orders
+}
+
+/// Guards against stop orders that pile up in front of a worker that is slow to answer, and
+/// delay the stops of other runs there.
+#[test]
+fn a_stop_is_not_repeated_while_it_is_outstanding() {
+    let mut sim = Simulation::new(1);
+    let key = sim.submit(1, job(0, vec![long_running(1, 4)]));
+    sim.run(Span::from_secs(1));
+    sim.cancel(key);
+    let orders = plan_for(&mut sim, Span::from_secs(3));
+    let [order] = &orders[..] else {
+        panic!("{} orders instead of one", orders.len());
+    };
+    let Order::Stop { task, run } = order.order else {
+        panic!("{order:?}");
+    };
+    let reply = StopReply::NoAnswer;
+    sim.dispatcher
+        .stop_answered(&order.worker, task, run, reply, sim.now);
+    assert_eq!(plan_for(&mut sim, Span::from_secs(1)).len(), 1);
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -72,6 +72,8 @@
     /// Time on the worker's clock after which the start order has no effect.
     pub(crate) deadline: WorkerTime,
     pub(crate) stop_sent: Option<Time>,
+    /// Whether the last stop order has no answer yet, not even that there is none.
+    pub(crate) stop_pending: bool,
     /// When the worker last confirmed a stop.
     pub(crate) stop_confirmed: Option<Time>,
     pub(crate) must_stop: bool,
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -49,7 +49,7 @@
 /// wait would loop.
 const MAX_ACKNOWLEDGE_WAIT: Span = Span::from_millis(300);
 
-/// Concurrent orders to one worker.
+/// Concurrent starts and paces sent to one worker.
 const MAX_ORDERS_PER_WORKER: usize = 4;
 
 /// Options for watching the workers' keys. The pause limits the calls to the store,
@@ -95,7 +95,7 @@
     commit_needed: Notify,
     /// Notified after each successful write.
     committed: Notify,
-    /// Limits the concurrent orders to each worker.
+    /// Limits the concurrent starts and paces sent to each worker.
     order_slots: Mutex<IndexMap<WorkerName, Arc<Semaphore>>>,
 }
 
@@ -544,8 +544,13 @@
 
 async fn send_order(node: Arc<Node>, term: Arc<ActiveTerm>, order: WorkerOrder) {
     let slots = term.order_slots(&order.worker);
-    let Ok(_permit) = slots.acquire().await else {
-        return;
+    // Stops do not wait behind starts. At most one for each run is outstanding.
+    let _permit = match &order.order {
+        Order::Stop { .. } => None,
+        Order::Start { .. } | Order::Pace { .. } => match slots.acquire().await {
+            Ok(permit) => Some(permit),
+            Err(_) => return,
+        },
     };
     let worker = &order.worker;
     match &order.order {
