Notice a worker's restart also if the store shows it first

A worker that restarts under its name numbers its completions from 1 again. The leader compared the incarnation in a poll's answer with the one of the newest report, and each report from the store replaced it. If the store showed the new incarnation before the next poll did, the restart went unnoticed: the poll carried the old acknowledged number, the worker forgot completions that nobody had read, and their tasks started again after they had succeeded. A late report of the former incarnation had the opposite effect: a restart was assumed that had not taken place.

The leader now keeps the incarnation that gave the last answer to a poll. After a poll without an answer, or once the report names another incarnation, polls acknowledge nothing until one is answered; completions that are listed again are skipped by their number.

The test fails on the former code with "starts after it has succeeded", and also with the comparison alone changed, because tasks may start and end on the new incarnation before the first poll reaches it.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -124,7 +124,11 @@
         Some(PollRequest {
             address: worker.report.address,
             lease_deadline: deadline,
-            acknowledged: worker.acknowledged,
+            // A worker that has restarted numbers its completions from 1 again.
+            acknowledged: match worker.reachable && !worker.has_new_incarnation() {
+                true => worker.acknowledged,
+                false => 0,
+            },
             wait: match (worker.fenced, mixed) {
                 (false, _) => Span::ZERO,
                 (true, true) => MIXED_POLL_WAIT,
@@ -163,9 +167,10 @@
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
         }
         let restarted = reply.incarnation.is_some()
-            && worker.report.incarnation.is_some()
-            && reply.incarnation != worker.report.incarnation;
+            && worker.incarnation.is_some()
+            && reply.incarnation != worker.incarnation;
         if reply.incarnation.is_some() {
+            worker.incarnation = reply.incarnation;
             worker.report.incarnation = reply.incarnation;
         }
         if restarted {
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -49,6 +49,23 @@
     assert_eq!(sim.running(key), 2);
 }
 
+/// Guards against a restart that is overlooked because the store shows the new incarnation
+/// before the next poll does. Completions are numbered from 1 again, so the new incarnation
+/// would take its first ones for acknowledged and forget them.
+#[test]
+fn completions_of_a_new_incarnation_that_the_store_shows_first_are_kept() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![step(8, 2, Span::from_millis(300))]));
+    sim.run(Span::from_secs(1));
+    sim.crash_worker(0);
+    sim.restart_worker(0);
+    sim.list_workers();
+    let key = sim.submit(2, job(0, vec![step(4, 2, Span::from_millis(300))]));
+    sim.run(Span::from_secs(2));
+    assert!(sim.completed.contains_key(&key));
+    assert_eq!(sim.starts.len(), 12);
+}
+
 /// Guards against a second run of a task while an unanswered start order may still arrive.
 #[test]
 fn an_unanswered_start_is_excluded_before_the_next_start() {
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -109,6 +109,9 @@
     /// Whether the durable roster contains the worker. Nothing is started before, since
     /// the next leader has to know of every worker with runs.
     pub(crate) in_roster: bool,
+    /// Incarnation that gave the last answer to a poll. All that is known of runs and
+    /// completions refers to it; the report may be of an earlier or later incarnation.
+    pub(crate) incarnation: Option<Incarnation>,
     /// Last reading of the worker's clock, with a local time at or after the reading.
     pub(crate) clock_reading: Option<(WorkerTime, Time)>,
     /// Latest lease deadline that the worker may have received.
@@ -210,6 +213,7 @@
             drain_deadline: None,
             fenced: false,
             in_roster: false,
+            incarnation: None,
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
             reachable: true,
@@ -237,6 +241,12 @@
         self.update_drain_deadline(now);
     }
 
+    /// Whether the report is of another incarnation than the one that was last polled.
+    pub(crate) fn has_new_incarnation(&self) -> bool {
+        let (reported, polled) = (self.report.incarnation, self.incarnation);
+        reported.is_some() && polled.is_some() && reported != polled
+    }
+
     fn update_drain_deadline(&mut self, now: Time) {
         self.drain_deadline = match (self.report.drain_remaining, self.drain_deadline) {
             (Some(left), Some(known)) => Some((now + left).max(known)),
