Test that starts respect a capacity that has shrunk

A worker's capacity may shrink and grow while it runs. Placement compares the newest report with all runs that occupy the worker, those that are being stopped and those whose start was not answered included. The new test plays a worker whose capacity shrinks below what runs on it; it passes on the former code as well, so nothing had to be changed.

--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -127,3 +127,28 @@
     sim.run(Span::from_millis(800));
     assert!(checks.iter().all(|k| sim.completed.contains_key(k)));
 }
+
+/// Guards against starts on a worker whose capacity has shrunk below what its runs take,
+/// those that are being stopped included.
+#[test]
+fn a_worker_whose_capacity_shrinks_gets_nothing_beyond_it() {
+    let mut sim = Simulation::new(1);
+    let running = sim.submit(1, job(0, vec![long_running(4, 12)]));
+    sim.run(Span::from_secs(2));
+    assert_eq!(sim.running(running), 4);
+    let full = sim.worker(0).report.capacity;
+    sim.worker(0).report.capacity.cpu.0 = 32_000;
+    sim.list_workers();
+    let waiting = sim.submit(2, job(0, vec![step(4, 6, Span::from_millis(400))]));
+    sim.run(Span::from_secs(3));
+    assert_eq!(sim.running(waiting), 0);
+    sim.cancel(running);
+    sim.run(Span::from_secs(2));
+    assert!(sim.completed.contains_key(&waiting));
+    sim.worker(0).report.capacity = full;
+    sim.list_workers();
+    let large = sim.submit(3, job(0, vec![step(1, 60, Span::from_millis(400))]));
+    sim.run(Span::from_secs(2));
+    assert!(sim.completed.contains_key(&large));
+    assert_eq!(sim.rejected_capacity, 0);
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -172,6 +172,8 @@
     above_target: IndexMap<WorkerName, Time>,
     /// Longest time for which serving tasks were above their target.
     pub(crate) longest_violation: Span,
+    /// Number of starts that were refused for lack of capacity.
+    pub(crate) rejected_capacity: usize,
 }
 
 pub(crate) fn step(count: u32, cores: u64, estimate: Span) -> Step {
@@ -245,6 +247,7 @@
             cancelled: IndexSet::new(),
             above_target: IndexMap::new(),
             longest_violation: Span::ZERO,
+            rejected_capacity: 0,
         };
         for i in 0..workers {
             sim.add_worker(i);
@@ -647,6 +650,7 @@
             size.cpu.0 = 0;
         }
         if !(worker.used() + size).fits(&worker.report.capacity) {
+            self.rejected_capacity += 1;
             return StartReply::Refused(Refusal::Room);
         }
         let elsewhere = self
