Give up tasks that crash the workers that start them

Cause: a retry without a limit. Only an end that the worker reports counted as an attempt, and a worker that crashes reports nothing; its runs went back to the waiting tasks when its lease had expired or its new incarnation answered. All tasks of a lost worker were placed in one pass, which packed sound tasks beside the faulty one again.

A crash, or a lease that expires, now counts against each run that the worker had not yet listed for half a second, once per run. These tasks start apart from each other, after two crashes apart from anything that has just started, and preferably where little else would be lost. A run that outlives half a second clears its task; three crashes on several workers, or four, end the job as failed. The count is stored at the end of the job's state, which former versions ignore and without which this version reads former states.

--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -5,7 +5,9 @@
 use arcstr::ArcStr;
 
 use super::job_spec::{JobRecord, Run, Step, TaskKey};
-use super::progress::{JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskProgress};
+use super::progress::{
+    Crash, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes, TaskProgress,
+};
 use crate::model::{Span, Time, WorkerName};
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,6 +28,9 @@
     /// Failed runs, without duplicates.
     pub(crate) failed: Vec<Run>,
     pub(crate) checkpoint: Option<ArcStr>,
+    /// Crashes of workers shortly after they had started the task, one per run, since a run
+    /// last outlived its probation.
+    pub(crate) crashes: Vec<Crash>,
     /// Whether an earlier leader may have started it on a worker that has not answered yet.
     pub(crate) inherited: bool,
     /// Earliest time of the next start; set after a failure.
@@ -34,6 +39,12 @@
     pub(crate) since: Time,
 }
 
+impl Task {
+    pub(crate) fn is_done(&self) -> bool {
+        self.state == TaskState::Done
+    }
+}
+
 /// Tasks of one step of an occurrence.
 #[derive(Debug)]
 pub(crate) struct StepState {
@@ -49,6 +60,7 @@
             run: Run(0),
             failed: Vec::new(),
             checkpoint: None,
+            crashes: Vec::new(),
             inherited,
             not_before: Time::ZERO,
             since: now,
@@ -166,6 +178,12 @@
         for begun in progress.iter().flat_map(|p| &p.occurrences) {
             job.begin(begun.number, accepted, Some(begun));
         }
+        for known in progress.iter().flat_map(|p| &p.crashes) {
+            let step = job.step_mut(known.occurrence, known.step);
+            if let Some(task) = step.and_then(|s| s.tasks.get_mut(known.index as usize)) {
+                task.crashes.clone_from(&known.crashes);
+            }
+        }
         job
     }
 
@@ -290,6 +308,30 @@
         Progress {
             outcome: self.outcome,
             occurrences,
+            crashes: match self.outcome {
+                Some(_) => Vec::new(),
+                None => self.crashes(),
+            },
+        }
+    }
+
+    /// Crashes that are counted against unfinished tasks.
+    fn crashes(&self) -> Vec<TaskCrashes> {
+        let mut crashes = Vec::new();
+        for occurrence in &self.occurrences {
+            for (step, state) in (0u16..).zip(&occurrence.steps) {
+                for (index, task) in (0u32..).zip(&state.tasks) {
+                    if !task.crashes.is_empty() && !task.is_done() {
+                        crashes.push(TaskCrashes {
+                            occurrence: occurrence.number,
+                            step,
+                            index,
+                            crashes: task.crashes.clone(),
+                        });
+                    }
+                }
+            }
         }
+        crashes
     }
 }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod commit;
 mod completion;
+mod crash;
 mod health;
 mod intake;
 mod job;
@@ -43,7 +44,9 @@
     Run, Schedule, Step, StepKey, TaskKey,
 };
 pub use poll::{PollReply, PollRequest, RunCompletion, RunOutcome, RunStatus};
-pub use progress::{JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskProgress};
+pub use progress::{
+    Crash, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes, TaskProgress,
+};
 pub use replies::{Refusal, StartReply, StopReply};
 pub use tickets::{TicketGrant, TicketRequest};
 pub use worker::{Incarnation, WorkerReport};
@@ -135,7 +138,7 @@
     Running,
     /// All tasks have succeeded.
     Completed,
-    /// A task has used up its attempts.
+    /// A task has used up its attempts, or crashes the workers that start it.
     Failed,
     /// A caller cancelled the job.
     Cancelled,
--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexSet;
 
+use super::crash::Isolation;
 use super::job_spec::{Step, StepKey};
 use super::pace::Headrooms;
 use super::worker::{JobInterference, TrackedRun, Worker};
@@ -58,6 +59,17 @@
 /// of 1 means a tail latency at the target.
 const MIN_HEADROOM_AFTER_START: f64 = 1.45;
 
+/// Cost of placing a task that may crash its worker, for each full worker that would be lost.
+/// Outweighs the capacity left unused, so that little else is lost.
+const EXPOSURE_COST: f64 = 4.0;
+
+/// Cost of placing a task that may crash its worker on one that has just restarted. Such a
+/// worker may crash again without the task, which would then be blamed.
+const RECENT_RESTART_COST: f64 = 4.0;
+
+/// Cost of placing a task beside a run on probation, for each such run.
+const PROBATION_COST: f64 = 2.0;
+
 /// Requirements of a step's tasks for the worker.
 #[derive(Debug)]
 pub(crate) struct PlacementRequest<'a> {
@@ -70,6 +82,8 @@
     pub(crate) keep_reserve: bool,
     /// Whether the tasks may test the health of an unhealthy worker.
     pub(crate) may_probe: bool,
+    /// How far the tasks are kept apart from others because they may crash their worker.
+    pub(crate) isolation: Isolation,
     /// Whether only workers with a ticket of the policy service may run the tasks.
     pub(crate) needs_ticket: bool,
 }
@@ -88,6 +102,7 @@
         || worker.report.service != *request.service
         || !worker.accepts_start(request.may_probe, now)
         || evacuated.contains(&worker.report.domain)
+        || !worker.admits_isolation(request.isolation)
     {
         return false;
     }
@@ -234,6 +249,7 @@
             (false, _) => MORE_IMAGES_COST,
         };
     }
+    cost += PROBATION_COST * f64::from(load.suspects);
     if let Some(data_rack) = &step.data_rack
         && worker.report.rack.as_ref() != Some(data_rack)
     {
@@ -242,6 +258,15 @@
     cost
 }
 
+/// Additional cost of placing a task that may crash the worker.
+pub(crate) fn exposure_cost(worker: &Worker, now: Time) -> f64 {
+    let exposed = EXPOSURE_COST * worker.cpu_share(worker.load.cpu_demand);
+    match worker.has_restarted_recently(now) {
+        true => exposed + RECENT_RESTART_COST,
+        false => exposed,
+    }
+}
+
 /// Fraction of the worker's memory that would remain free with one more task of a step.
 fn free_memory(worker: &Worker, step: &Step) -> f64 {
     let capacity = worker.report.capacity.memory.0;
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -6,6 +6,7 @@
 use arcstr::ArcStr;
 use indexmap::IndexMap;
 
+use super::crash::Isolation;
 use super::health;
 use super::job::TaskState;
 use super::job_spec::{JobRecord, Run, Step, StepKey, TaskKey};
@@ -78,6 +79,7 @@
             }
         }
         for (name, task, run) in lost {
+            self.count_loss(&name, task, run, now);
             self.run_lost(&name, task, run, "the worker's lease has expired", now);
             if let Some(worker) = self.workers.get_mut(&name) {
                 worker.update_load();
@@ -290,21 +292,56 @@
         if unplaced.covers(step, &record, keep_reserve) {
             return;
         }
-        let request = PlacementRequest {
+        let mut suspects: IndexMap<Isolation, Vec<u32>> = IndexMap::new();
+        let mut others = Vec::new();
+        for index in waiting {
+            let task = &state.tasks[index as usize];
+            match task.isolation_at(step.long_running, now) {
+                Isolation::None => others.push(index),
+                isolation => suspects.entry(isolation).or_default().push(index),
+            }
+        }
+        let mut request = PlacementRequest {
             key,
             step,
             service: &record.queue.service,
             rack: None,
             keep_reserve,
-            may_probe: waiting.iter().all(|i| self.may_probe(key, *i, &record)),
+            may_probe: others.iter().all(|i| self.may_probe(key, *i, &record)),
+            isolation: Isolation::None,
             needs_ticket: record.queue.ticket_lifetime.is_some(),
         };
+        if !self.start_tasks(&others, &request, &record, orders, now) {
+            unplaced.add(step, &record, keep_reserve);
+        }
+        request.may_probe = false;
+        for (isolation, tasks) in suspects {
+            request.isolation = isolation;
+            self.start_tasks(&tasks, &request, &record, orders, now);
+        }
+    }
+
+    /// Starts as many of these tasks of a step as the workers have capacity for. Returns
+    /// whether all have been started.
+    fn start_tasks(
+        &mut self,
+        tasks: &[u32],
+        request: &PlacementRequest<'_>,
+        record: &JobRecord,
+        orders: &mut Vec<WorkerOrder>,
+        now: Time,
+    ) -> bool {
+        if tasks.is_empty() {
+            return true;
+        }
+        let (key, step) = (request.key, request.step);
         // A start changes the cost of its own worker only, so one search serves all tasks.
-        let mut candidates = self.candidates(&request, now);
+        let mut candidates = self.candidates(request, now);
         let mut tasks_by_worker: IndexMap<WorkerName, u32> = IndexMap::new();
-        for index in waiting {
+        let mut complete = true;
+        for &index in tasks {
             let Some(Reverse(best)) = candidates.pop() else {
-                unplaced.add(step, &record, keep_reserve);
+                complete = false;
                 break;
             };
             let Some((name, _)) = self.workers.get_index(best.worker) else {
@@ -313,11 +350,12 @@
             let name = name.clone();
             let task = TaskKey { step: key, index };
             let run = self.next_run(&[task]);
-            self.start(&name, task, run, &record, step, orders, now);
-            candidates.extend(self.candidate(best.worker, &request, now).map(Reverse));
+            self.start(&name, task, run, record, step, orders, now);
+            candidates.extend(self.candidate(best.worker, request, now).map(Reverse));
             *tasks_by_worker.entry(name).or_default() += 1;
         }
-        log_placement(key, &record, &tasks_by_worker);
+        log_placement(key, record, &tasks_by_worker);
+        complete
     }
 
     /// Whether a task may test the health of an unhealthy worker. A probe that fails must
@@ -396,6 +434,19 @@
         }
     }
 
+    /// How far the members of a gang are kept apart from other tasks.
+    fn gang_isolation(&self, key: StepKey, now: Time) -> Isolation {
+        let first = TaskKey {
+            step: key,
+            index: 0,
+        };
+        let job = self.jobs.get(&key.job);
+        let task = job.and_then(|j| j.task(first));
+        // Several members may share a worker, so they do not exclude each other.
+        let isolation = task.map(|t| t.isolation_at(false, now)).unwrap_or_default();
+        isolation.min(Isolation::Apart)
+    }
+
     /// Finds workers for all members of a gang, without starting any.
     fn reserve_gang(
         &mut self,
@@ -412,6 +463,7 @@
             rack,
             keep_reserve: false,
             may_probe: (0..step.count).all(|i| self.may_probe(key, i, record)),
+            isolation: self.gang_isolation(key, now),
             needs_ticket: record.queue.ticket_lifetime.is_some(),
         };
         let mut chosen = Vec::new();
@@ -470,6 +522,9 @@
             return None;
         }
         let mut cost = placement::cost(worker, request);
+        if request.isolation > Isolation::None {
+            cost += placement::exposure_cost(worker, now);
+        }
         if request.step.best_effort {
             cost += placement::interference_cost(worker, request, &self.slopes, &self.headrooms)?;
         }
@@ -502,6 +557,8 @@
             target: step.target,
             since: now,
             confirmed: Time::ZERO,
+            last_listed: Time::ZERO,
+            isolation: Isolation::None,
             deadline,
             stop_sent: None,
             stop_confirmed: None,
@@ -531,7 +588,10 @@
             return;
         };
         let deadline = self.start_deadline(clock);
-        let tracked = self.new_run(run, step, deadline, now);
+        let tracked = TrackedRun {
+            isolation: self.isolation(task),
+            ..self.new_run(run, step, deadline, now)
+        };
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Dispatcher;
+use super::crash::Isolation;
 use super::job::TaskState;
 use super::job_spec::{Run, TaskKey};
 use super::worker::{Incarnation, RunPhase, TrackedRun, Worker};
@@ -103,8 +104,8 @@
 const POLL_WAIT: Span = Span::from_millis(1_500);
 
 /// Wait time of a poll of a worker with both serving and best-effort tasks, whose
-/// interference changes within seconds.
-const MIXED_POLL_WAIT: Span = Span::from_millis(350);
+/// interference changes within seconds, or with a run on probation, which ends soon.
+const BRIEF_POLL_WAIT: Span = Span::from_millis(350);
 
 /// How long a run of an unknown job may go on before it is stopped.
 const UNKNOWN_RUN_GRACE: Span = Span::from_secs(5);
@@ -121,6 +122,7 @@
             worker.lease_deadline = worker.lease_deadline.max(deadline);
         }
         let mixed = worker.load.serving_tasks > 0 && worker.load.best_effort_tasks > 0;
+        let brief = mixed || worker.load.suspects > 0;
         Some(PollRequest {
             address: worker.report.address,
             lease_deadline: deadline,
@@ -129,9 +131,9 @@
                 true => worker.acknowledged,
                 false => 0,
             },
-            wait: match (worker.fenced, mixed) {
+            wait: match (worker.fenced, brief) {
                 (false, _) => Span::ZERO,
-                (true, true) => MIXED_POLL_WAIT,
+                (true, true) => BRIEF_POLL_WAIT,
                 (true, false) => POLL_WAIT,
             },
             pending_ack: worker.processed > worker.acknowledged,
@@ -163,6 +165,7 @@
         if !worker.fenced {
             log::info!(worker:% = name, runs = reply.running.len(), token = self.term.token; "worker fenced");
             worker.fenced = true;
+            worker.answering_since = now;
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
         }
@@ -174,7 +177,10 @@
             worker.report.incarnation = reply.incarnation;
         }
         if restarted {
+            self.count_crash(name, sent, reply, now);
             self.worker_restarted(name, reply.clock, now);
+        } else if !worker.lost.is_empty() {
+            self.take_back_losses(name);
         }
         let seen = self.workers.get(name).map_or(0, |w| w.processed);
         let mut last = seen;
@@ -220,6 +226,7 @@
         worker.pending_change = 0;
         // An order still in transit may have granted any lease.
         worker.lease_deadline = clock + self.bounds.max_lease;
+        worker.answering_since = now;
         worker.health = Default::default();
         let lost: Vec<(TaskKey, Run)> = worker
             .runs
@@ -285,6 +292,7 @@
             tracked.phase = RunPhase::Running;
             tracked.confirmed = now;
         }
+        tracked.last_listed = now;
         if unknown && now.since(tracked.since) > UNKNOWN_RUN_GRACE && !tracked.must_stop {
             log::warn!(task:% = row.task, worker:% = name; "stopping a run of an unknown job");
             tracked.must_stop = true;
@@ -307,6 +315,7 @@
         if recovered {
             log::info!(worker:% = name, task:% = row.task; "worker considered healthy again");
         }
+        self.clear_suspect(name, row.task);
     }
 
     /// Starts to track a run that an earlier term has started.
@@ -350,6 +359,8 @@
             target: step.and_then(|s| s.target),
             since: now,
             confirmed: now,
+            last_listed: now,
+            isolation: Isolation::None,
             deadline: WorkerTime::ZERO,
             stop_sent: None,
             stop_confirmed: None,
--- a/crates/jujubelb/src/dispatch/progress.rs
+++ b/crates/jujubelb/src/dispatch/progress.rs
@@ -4,9 +4,10 @@
 
 use arcstr::ArcStr;
 use derive_more::Display;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::job_spec::Run;
+use crate::model::WorkerName;
 
 /// Final state of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
@@ -14,7 +15,7 @@
 pub enum JobOutcome {
     /// All tasks have succeeded.
     Completed,
-    /// A task has used up its attempts.
+    /// A task has used up its attempts, or crashes the workers that start it.
     Failed,
     /// A caller cancelled the job.
     Cancelled,
@@ -68,11 +69,47 @@
     pub steps: Vec<StepProgress>,
 }
 
-/// Durable state of a job.
+/// Crash of a worker shortly after it had started a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Run that was on the worker.
+    pub run: Run,
+    /// Worker that crashed.
+    pub worker: WorkerName,
+}
+
+/// Crashes that are counted against a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrashes {
+    /// Number of the occurrence.
+    pub occurrence: u32,
+    /// Index of the step.
+    pub step: u16,
+    /// Index of the task within its step.
+    pub index: u32,
+    /// Crashes without duplicates, since a run of the task last outlived its probation.
+    pub crashes: Vec<Crash>,
+}
+
+/// Durable state of a job. Versions with fewer fields ignore the last ones and write none,
+/// so new fields are added at the end and have a default.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// Final state; `None` until the job has ended, unchanged afterwards.
     pub outcome: Option<JobOutcome>,
     /// Occurrences that have begun; empty once the job has ended.
     pub occurrences: Vec<OccurrenceProgress>,
+    /// Tasks that may crash the workers that start them; empty once the job has ended.
+    #[serde(deserialize_with = "default_if_missing")]
+    pub crashes: Vec<TaskCrashes>,
+}
+
+/// Reads a value that earlier versions have not written. `postcard` doesn't mark the end of
+/// a structure, so the bytes end there.
+fn default_if_missing<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
--- a/crates/jujubelb/src/dispatch/tests/encoding.rs
+++ b/crates/jujubelb/src/dispatch/tests/encoding.rs
@@ -2,8 +2,11 @@
 
 use super::{Simulation, job, step};
 use crate::dispatch::commit::MAX_ENTRIES_PER_COMMIT;
-use crate::dispatch::{JobKey, Run, StepProgress, TaskKey, TaskProgress};
-use crate::model::Span;
+use crate::dispatch::{
+    Crash, JobKey, JobOutcome, OccurrenceProgress, Progress, Run, StepProgress, TaskCrashes,
+    TaskKey, TaskProgress,
+};
+use crate::model::{Span, WorkerName};
 
 /// Guards against text forms that are not unique. Workers compare tasks by their text form.
 #[test]
@@ -63,3 +66,30 @@
         batch.entries()
     );
 }
+
+/// Guards against a state that another version can't read while hosts are updated one by one.
+#[test]
+fn progress_is_read_across_versions() {
+    type Former = (Option<JobOutcome>, Vec<OccurrenceProgress>);
+    let occurrences = vec![OccurrenceProgress {
+        number: 3,
+        steps: vec![StepProgress::default()],
+    }];
+    let former: Former = (None, occurrences.clone());
+    let bytes = postcard::to_allocvec(&former).unwrap();
+    let mut progress: Progress = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(progress.occurrences, occurrences);
+    assert_eq!(progress.crashes, Vec::new());
+    progress.crashes.push(TaskCrashes {
+        occurrence: 3,
+        step: 0,
+        index: 5,
+        crashes: vec![Crash {
+            run: Run(10_001),
+            worker: WorkerName::new("w1"),
+        }],
+    });
+    let bytes = postcard::to_allocvec(&progress).unwrap();
+    assert_eq!(postcard::from_bytes::<Progress>(&bytes).unwrap(), progress);
+    assert_eq!(postcard::from_bytes::<Former>(&bytes).unwrap(), former);
+}
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod simulation;
 
 mod commits;
+mod crashes;
 mod encoding;
 mod gangs;
 mod health;
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -54,6 +54,16 @@
     NoCapacity,
 }
 
+/// How a worker comes back after a faulty task has crashed it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Return {
+    SameName,
+    NewName,
+}
+
+/// How long a worker that a faulty task has crashed is away.
+const CRASH_DURATION: Span = Span::from_secs(3);
+
 #[derive(Debug, Clone)]
 struct FakeRun {
     run: Run,
@@ -172,6 +182,11 @@
     above_target: IndexMap<WorkerName, Time>,
     /// Longest time for which serving tasks were above their target.
     pub(crate) longest_violation: Span,
+    /// Tasks that crash each worker that starts them.
+    pub(crate) faulty: IndexSet<TaskKey>,
+    pub(crate) back: Return,
+    /// Workers that a faulty task has crashed, with the time at which they are back.
+    crashed: Vec<(Time, WorkerName)>,
     /// Number of starts that were refused for lack of capacity.
     pub(crate) rejected_capacity: usize,
 }
@@ -247,6 +262,9 @@
             cancelled: IndexSet::new(),
             above_target: IndexMap::new(),
             longest_violation: Span::ZERO,
+            faulty: IndexSet::new(),
+            back: Return::SameName,
+            crashed: Vec::new(),
             rejected_capacity: 0,
         };
         for i in 0..workers {
@@ -359,6 +377,7 @@
         let end = self.now + span;
         while self.now < end {
             self.now = self.now + TIME_STEP;
+            self.restore_crashed();
             self.advance_workers();
             self.poll_due();
             self.commit();
@@ -681,9 +700,35 @@
             },
         );
         self.starts.push((now, name.clone(), task, run));
+        if self.faulty.contains(&task) {
+            let i = self.workers.get_index_of(name).unwrap();
+            self.crash_worker(i);
+            self.crashed.push((now + CRASH_DURATION, name.clone()));
+        }
         StartReply::Started
     }
 
+    /// Brings back workers that a faulty task has crashed.
+    fn restore_crashed(&mut self) {
+        let now = self.now;
+        let (due, rest) = std::mem::take(&mut self.crashed)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+        self.crashed = rest;
+        for (_, name) in &due {
+            match self.back {
+                Return::SameName => {
+                    let i = self.workers.get_index_of(name).unwrap();
+                    self.restart_worker(i);
+                }
+                Return::NewName => self.add_worker(self.workers.len()),
+            }
+        }
+        if !due.is_empty() {
+            self.list_workers();
+        }
+    }
+
     /// Ends the worker's process together with its runs.
     pub(crate) fn crash_worker(&mut self, i: usize) {
         let worker = self.worker(i);
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -8,6 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::Dispatcher;
+use super::crash::Isolation;
 use super::job_spec::StepKey;
 use super::placement::{self, PlacementRequest};
 use super::rank;
@@ -107,6 +108,7 @@
             rack: None,
             keep_reserve: false,
             may_probe: false,
+            isolation: Isolation::None,
             needs_ticket: true,
         };
         let step_tickets = self.step_tickets.get(&key);
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use super::crash::Isolation;
 use super::health::Health;
 use super::job_spec::{JobKey, Run, TaskKey};
 use super::pace::{EndedRun, Headrooms};
@@ -68,6 +69,10 @@
     pub(crate) since: Time,
     /// When the worker confirmed the run.
     pub(crate) confirmed: Time,
+    /// When the worker last listed the run as running.
+    pub(crate) last_listed: Time,
+    /// How far the run is kept apart from others until it has outlived its probation.
+    pub(crate) isolation: Isolation,
     /// Time on the worker's clock after which the start order has no effect.
     pub(crate) deadline: WorkerTime,
     pub(crate) stop_sent: Option<Time>,
@@ -137,6 +142,11 @@
     /// Best-effort runs that ended within the window of the worker's latency reports.
     pub(crate) ended_runs: Vec<EndedRun>,
     pub(crate) runs: FastMap<TaskKey, TrackedRun>,
+    /// When the current incarnation first answered a poll of this term.
+    pub(crate) answering_since: Time,
+    /// Runs that were given up with the worker's lease, for which a crash is assumed until the
+    /// worker answers again.
+    pub(crate) lost: Vec<(TaskKey, Run)>,
     pub(crate) health: Health,
     /// Totals of `runs`.
     pub(crate) load: Load,
@@ -154,6 +164,10 @@
     /// Number of tasks with a latency target.
     pub(crate) serving_tasks: u32,
     pub(crate) best_effort_tasks: u32,
+    /// Number of runs on probation.
+    pub(crate) suspects: u32,
+    /// Number of runs on probation beside which nothing may start.
+    pub(crate) lone_suspects: u32,
 }
 
 /// Share of its declared processor time that a serving task is assumed to use. Workers
@@ -171,6 +185,8 @@
         }
         self.cpu_demand += tracked.cpu_demand();
         self.serving_tasks += u32::from(tracked.target.is_some());
+        self.suspects += u32::from(tracked.isolation > Isolation::None);
+        self.lone_suspects += u32::from(tracked.isolation == Isolation::Alone);
     }
 }
 
@@ -227,6 +243,8 @@
             untested_image: None,
             ended_runs: Vec::new(),
             runs: FastMap::default(),
+            answering_since: Time::ZERO,
+            lost: Vec::new(),
             health: Health::default(),
             load: Load::default(),
         };
