Let a task that may crash its worker probe an unhealthy one

A task with a counted crash never tested an unhealthy worker. If only such a worker had capacity and nothing else tested it, the task waited for ever. Once no worker has qualified for 2.5 s (15 s for a finite task after two crashes), the task may start as a probe like any other; before that, a probe should not be a task that may crash the worker.

The new test fails without the change (0 instead of 1 task running after 14 s) and passes with it.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -314,9 +314,12 @@
         if !self.start_tasks(&others, &request, &record, orders, now) {
             unplaced.add(step, &record, keep_reserve);
         }
-        request.may_probe = false;
         for (isolation, tasks) in suspects {
             request.isolation = isolation;
+            // A probe of a worker should not be a task that may crash it, unless no other
+            // worker qualifies.
+            request.may_probe = isolation == Isolation::Spread
+                && tasks.iter().all(|i| self.may_probe(key, *i, &record));
             self.start_tasks(&tasks, &request, &record, orders, now);
         }
     }
--- a/crates/jujubelb/src/dispatch/tests/crashes.rs
+++ b/crates/jujubelb/src/dispatch/tests/crashes.rs
@@ -137,3 +137,25 @@
     sim.run(Span::from_millis(700));
     assert_eq!(sim.states[&key].crashes, Vec::new());
 }
+
+/// Guards against a task that waits for ever after a crash because only an unhealthy worker
+/// has capacity, which nothing else probes.
+#[test]
+fn a_task_probes_an_unhealthy_worker_after_a_crash() {
+    let mut sim = Simulation::new(2);
+    sim.worker(0).fault = Fault::Failing;
+    for i in 10..16 {
+        sim.submit(i, job(0, vec![step(2, 8, Span::from_millis(300))]));
+        sim.run(Span::from_millis(300));
+    }
+    assert_eq!(sim.dispatcher.summary().sick, 1);
+    sim.worker(0).fault = Fault::NoCapacity;
+    let key = sim.submit(1, job(0, vec![long_running(1, 16)]));
+    sim.run(Span::from_millis(300));
+    assert_eq!(sim.starts.last().unwrap().1.as_str(), "w1");
+    sim.crash_worker(1);
+    sim.list_workers();
+    sim.worker(0).fault = Fault::None;
+    sim.run(Span::from_secs(14));
+    assert_eq!(sim.running(key), 1);
+}
