--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -7,6 +7,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use super::crash::Isolation;
 use super::health::Health;
 use super::job_spec::{JobKey, Run, TaskKey};
 use super::pace::{EndedRun, Headrooms};
@@ -69,6 +70,10 @@
     pub(crate) since: Time,
     /// When the worker confirmed the run.
     pub(crate) confirmed: Time,
+    /// When the worker last listed the run as running.
+    pub(crate) last_listed: Time,
+    /// How far the run is kept apart from others until it has outlived its probation.
+    pub(crate) isolation: Isolation,
     /// Time on the worker's clock after which the start order has no effect.
     pub(crate) deadline: WorkerTime,
     pub(crate) stop_sent: Option<Time>,
@@ -112,6 +117,9 @@
     /// Whether the durable roster contains the worker. Nothing is started before, since
     /// the next leader has to know of every worker with runs.
     pub(crate) in_roster: bool,
+    /// Incarnation that gave the last answer to a poll. All that is known of runs and
+    /// completions refers to it; the report may be of an earlier or later incarnation.
+    pub(crate) incarnation: Option<Incarnation>,
     /// Last reading of the worker's clock, with a local time at or after the reading.
     pub(crate) clock_reading: Option<(WorkerTime, Time)>,
     /// Latest lease deadline that the worker may have received.
@@ -138,6 +146,11 @@
     /// Best-effort runs that ended within the window of the worker's latency reports.
     pub(crate) ended_runs: Vec<EndedRun>,
     pub(crate) runs: FastMap<TaskKey, TrackedRun>,
+    /// When the current incarnation first answered a poll of this term.
+    pub(crate) answering_since: Time,
+    /// Runs that were given up with the worker's lease, for which a crash is assumed until the
+    /// worker answers again.
+    pub(crate) lost: Vec<(TaskKey, Run)>,
     pub(crate) health: Health,
     /// Totals of `runs`.
     pub(crate) load: Load,
@@ -165,6 +178,10 @@
     /// Number of tasks with a latency target.
     pub(crate) serving_tasks: u32,
     pub(crate) best_effort_tasks: u32,
+    /// Number of runs on probation.
+    pub(crate) suspects: u32,
+    /// Number of runs on probation beside which nothing may start.
+    pub(crate) lone_suspects: u32,
 }
 
 /// Share of its declared processor time that a serving task is assumed to use. Workers
@@ -182,6 +199,8 @@
         }
         self.cpu_demand += tracked.cpu_demand();
         self.serving_tasks += u32::from(tracked.target.is_some());
+        self.suspects += u32::from(tracked.isolation > Isolation::None);
+        self.lone_suspects += u32::from(tracked.isolation == Isolation::Alone);
     }
 }
 
@@ -224,6 +243,7 @@
             drain_deadline: None,
             fenced: false,
             in_roster: false,
+            incarnation: None,
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
             reachable: true,
@@ -237,6 +257,8 @@
             untested_image: None,
             ended_runs: Vec::new(),
             runs: FastMap::default(),
+            answering_since: Time::ZERO,
+            lost: Vec::new(),
             health: Health::default(),
             load: Load::default(),
         };
@@ -251,6 +273,12 @@
         self.update_drain_deadline(now);
     }
 
+    /// Whether the report is of another incarnation than the one that was last polled.
+    pub(crate) fn has_new_incarnation(&self) -> bool {
+        let (reported, polled) = (self.report.incarnation, self.incarnation);
+        reported.is_some() && polled.is_some() && reported != polled
+    }
+
     fn update_drain_deadline(&mut self, now: Time) {
         self.drain_deadline = match (self.report.drain_remaining, self.drain_deadline) {
             (Some(left), Some(known)) => Some((now + left).max(known)),
