Choose the leader by the capacity that the number of workers needs

Callers of a deployment of hosts of half a core beside hosts of 0.12 of a core saw their jobs stop: a host of 0.12 of a core that had just been added won the election against all strong ones, and was overloaded from then on.

Cause: the delay before a candidacy was a sum of constants in which a recent start (120 ms) outweighed half a core against 0.12 (95 ms), and eight round trips, without a bound, outweighed both. Ruled out: larger constants alone. What 1,100 workers need would let seven equal hosts of 0.1 of a core wait for nothing.

The delay now follows an order of preference: the capacity that the number of workers needs, the link, a recent restart, the way to the store. node/candidacy.rs decides it without I/O. The number of workers stands at the end of the value of `chain`, which each write of a leader changes anyway; a candidate reads it with a read that may be old.

Tests over 20,000 drawn fleets.

--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -2,13 +2,17 @@
 
 use std::sync::Arc;
 
-use super::keys::{self, Leader, TermRecord};
+use serde::de::DeserializeOwned;
+use tokio::sync::Notify;
+
+use super::candidacy::{Candidate, Strength};
+use super::keys::{self, ChainMark, Leader, TermRecord};
 use super::leader;
 use super::state::{KnownLeader, Node, sleep};
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::Term;
 use crate::model::{Span, Time};
-use crate::platform::{CallError, KeyState, LeaseId, Revision, Txn, TxnError};
+use crate::platform::{CallError, KeyState, LeaseId, ReadResult, Revision, Txn, TxnError};
 
 /// Lease of the leader key. Short, so that a dead leader is replaced well before the
 /// leases of running tasks end, but long enough for two failed renewals.
@@ -24,19 +28,9 @@
 /// whether there is a leader.
 const RETRY_PAUSE: Span = Span::from_millis(300);
 
-/// A host delays its candidacy by this many round trips to the store, so that a host
-/// near the store wins.
-const ROUND_TRIP_FACTOR: u64 = 8;
-
-/// Additional delay of a host without processor capacity. It shrinks to zero at one
-/// core, so that a host with enough capacity wins.
-const MAX_CAPACITY_DELAY: Span = Span::from_millis(250);
-
-/// Uptime up to which a host counts as recently restarted.
-const RECENT_RESTART: Span = Span::from_secs(20);
-
-/// Additional delay of a host that was not recently restarted.
-const UPTIME_DELAY: Span = Span::from_millis(120);
+/// Longest wait for the number of workers after the term was read. The number only decides
+/// how long a host waits, so one slow answer must not hold up the election.
+const MARK_WAIT: Span = Span::from_millis(100);
 
 /// Watches the leader key.
 pub(crate) async fn watch_leader(node: Arc<Node>) {
@@ -106,26 +100,43 @@
     pub(crate) lease_requested: Time,
     /// The previous leader.
     pub(crate) predecessor: Option<Leader>,
+    /// Last known number of workers; 0 if it is not known.
+    pub(crate) workers: u32,
 }
 
 /// Tries to become the leader. Returns `None` if another host leads or won, or if the
 /// process drains.
 async fn campaign(node: &Node) -> Result<Option<ElectionWin>, CallError> {
     let sent = node.now();
-    let term = node.record_store_call("key", sent, node.kv.get(keys::TERM).await)?;
-    let distance_delay = node.now().since(sent).scale_up(ROUND_TRIP_FACTOR, 1);
-    let missing_cores = 1.0 - node.settings.cpu_cores.clamp(0.0, 1.0);
-    let capacity_delay =
-        Span::from_micros((missing_cores * MAX_CAPACITY_DELAY.as_micros() as f64) as u64);
-    // During a rolling restart, a host that was already restarted should win, since it
-    // leads longest: each change of the leader delays the tasks of lost workers.
-    let uptime = node.now().since(Time::ZERO);
-    let uptime_delay = if uptime > RECENT_RESTART {
-        UPTIME_DELAY
-    } else {
-        Span::ZERO
+    let term_read = Notify::new();
+    let read_term = async {
+        let result = node.kv.get(keys::TERM).await;
+        term_read.notify_one();
+        (result, node.now().since(sent))
+    };
+    let read_mark = async {
+        let overdue = async {
+            term_read.notified().await;
+            sleep(MARK_WAIT).await;
+        };
+        tokio::select! {
+            result = node.kv.get_stale(keys::COMMIT_CHAIN) => {
+                node.record_store_call("key", sent, result).ok()
+            }
+            () = overdue => None,
+        }
     };
-    sleep(distance_delay + capacity_delay + uptime_delay).await;
+    let ((term, round_trip), mark) = tokio::join!(read_term, read_mark);
+    let term = node.record_store_call("key", sent, term)?;
+    let candidate = Candidate {
+        strength: own_strength(node),
+        uptime: node.now().since(Time::ZERO),
+        round_trip,
+        workers: mark.map_or(0, known_workers),
+    };
+    let delay = candidate.delay();
+    log::debug!(candidate:? = candidate, delay:% = delay; "standing for election after the delay");
+    sleep(delay).await;
     if node.leader() != KnownLeader::Absent || node.is_draining() {
         return Ok(None);
     }
@@ -142,10 +153,10 @@
     // Read after the term key: if another host wins in between, the term key changes
     // and the transaction below fails.
     let resigned = match (
-        read_nonce(node, keys::COMMIT_CHAIN).await,
-        read_nonce(node, keys::RESIGNED).await,
+        read_value::<ChainMark>(node, keys::COMMIT_CHAIN).await,
+        read_value::<u64>(node, keys::RESIGNED).await,
     ) {
-        (Ok(last), Ok(resigned)) => last == resigned,
+        (Ok(last), Ok(resigned)) => last.map(|mark| mark.nonce) == resigned,
         (Err(error), _) | (_, Err(error)) => {
             log::warn!(error:% = error; "can't read whether the last leader resigned; assuming it did not");
             false
@@ -162,12 +173,16 @@
         count: earlier_terms + 1,
         leader: leader.clone(),
     };
+    let mark = ChainMark {
+        nonce,
+        workers: candidate.workers,
+    };
     let txn = Txn::default()
         .expect(keys::LEADER, Revision::default())
         .expect(keys::TERM, term_revision)
         .put(keys::LEADER, &keys::encode(&leader), Some(lease))
         .put(keys::TERM, &keys::encode(&record), None)
-        .put(keys::COMMIT_CHAIN, &keys::encode(&nonce), None);
+        .put(keys::COMMIT_CHAIN, &keys::encode(&mark), None);
     let revision = match node.kv.txn(&txn).await {
         Ok(revision) => revision,
         Err(TxnError::Conflict | TxnError::LeaseExpired) => {
@@ -185,7 +200,7 @@
             }
         },
     };
-    log::info!(term = earlier_terms, resigned = resigned, token = revision.0, lease:% = lease; "election won");
+    log::info!(term = earlier_terms, resigned = resigned, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
     node.set_leader(KnownLeader::Present(leader));
     Ok(Some(ElectionWin {
         term: Term {
@@ -198,11 +213,27 @@
         chain_revision: revision,
         lease_requested,
         predecessor: last.map(|t| t.leader),
+        workers: candidate.workers,
     }))
 }
 
-/// Reads a key whose value is a nonce.
-async fn read_nonce(node: &Node, key: &str) -> Result<Option<u64>, CallError> {
+fn own_strength(node: &Node) -> Strength {
+    Strength {
+        cores: node.settings.cpu_cores,
+        link_mbps: node.settings.link_mbps,
+    }
+}
+
+/// The number of workers that the last leader has noted; 0 if it is not known.
+fn known_workers(read: ReadResult<Option<KeyState>>) -> u32 {
+    read.content
+        .and_then(|item| item.value)
+        .and_then(|value| keys::decode::<ChainMark>(keys::COMMIT_CHAIN, &value))
+        .map_or(0, |mark| mark.workers)
+}
+
+/// Reads and decodes the value of a key.
+async fn read_value<T: DeserializeOwned>(node: &Node, key: &str) -> Result<Option<T>, CallError> {
     let item = node.kv.get(key).await?.content;
     Ok(item.and_then(|i| keys::decode(key, i.value.as_deref()?)))
 }
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::dispatch::JobKey;
 use crate::model::HostName;
@@ -29,7 +29,7 @@
 /// Prefix of what hosts write for the leader: jobs and cancellations.
 pub(crate) const INTAKE_PREFIX: &str = "in/";
 
-/// Key that each election and each write of a leader changes. A leader's write also
+/// Key of the [`ChainMark`], which each election and each write of a leader changes. A leader's write also
 /// expects the key at its last known revision, so that an unanswered write that
 /// reaches the store late has no effect.
 pub(crate) const COMMIT_CHAIN: &str = "chain";
@@ -81,6 +81,26 @@
     pub(crate) leader: Leader,
 }
 
+/// Value of the [`COMMIT_CHAIN`] key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ChainMark {
+    /// Nonce of the term that has written last.
+    pub(crate) nonce: u64,
+    /// Last known number of workers; 0 if it is not known. Older versions don't write it.
+    #[serde(default, deserialize_with = "or_default")]
+    pub(crate) workers: u32,
+}
+
+/// Deserializes a field that was appended to a type. The default stands for it if the bytes
+/// end early, since older versions don't write the field.
+pub(crate) fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
+}
+
 pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     match postcard::to_allocvec(value) {
         Ok(bytes) => bytes,
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinSet;
 
 use super::election::{self, ElectionWin};
-use super::keys;
+use super::keys::{self, ChainMark};
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::relay::{OpenGateway, WorkerGateway, maintain_relays};
 use super::state::{KnownLeader, Node, lock, sleep};
@@ -97,6 +97,8 @@
     committed: Notify,
     /// Limits the concurrent orders to each worker.
     order_slots: Mutex<IndexMap<WorkerName, Arc<Semaphore>>>,
+    /// Number of workers noted by earlier terms; 0 if it is not known.
+    noted_workers: u32,
 }
 
 impl ActiveTerm {
@@ -113,6 +115,20 @@
         self.commit_needed.notify_one();
     }
 
+    /// Number of workers; 0 if it is not known yet.
+    pub(crate) fn worker_count(&self) -> u32 {
+        u32::try_from(self.workers.worker_count()).unwrap_or(u32::MAX)
+    }
+
+    /// The mark that each write of the term leaves.
+    fn chain_mark(&self, nonce: u64) -> ChainMark {
+        let workers = match self.worker_count() {
+            0 => self.noted_workers,
+            count => count,
+        };
+        ChainMark { nonce, workers }
+    }
+
     fn order_slots(&self, worker: &WorkerName) -> Arc<Semaphore> {
         let mut slots = lock(&self.order_slots);
         let new_slots = || Arc::new(Semaphore::new(MAX_ORDERS_PER_WORKER));
@@ -299,6 +315,7 @@
         commit_needed: Notify::new(),
         committed: Notify::new(),
         order_slots: Mutex::new(IndexMap::new()),
+        noted_workers: win.workers,
     })
 }
 
@@ -435,7 +452,11 @@
         let sent = node.now();
         let result = node
             .kv
-            .txn(&commit_transaction(&batch, chain_revision, nonce))
+            .txn(&commit_transaction(
+                &batch,
+                chain_revision,
+                term.chain_mark(nonce),
+            ))
             .await;
         let may_be_stored = match result {
             Ok(revision) => {
@@ -463,7 +484,7 @@
         if may_be_stored && let Ok(read) = node.kv.get(keys::COMMIT_CHAIN).await {
             let is_own_write = read.content.as_ref().and_then(|i| {
                 let value = i.value.as_deref()?;
-                Some(keys::decode::<u64>(keys::COMMIT_CHAIN, value)? == nonce)
+                Some(keys::decode::<ChainMark>(keys::COMMIT_CHAIN, value)?.nonce == nonce)
             });
             if is_own_write != Some(true) {
                 log::warn!("another host has written as the leader; ending the term");
@@ -475,10 +496,10 @@
     }
 }
 
-fn commit_transaction(batch: &Commit, chain_revision: Revision, nonce: u64) -> Txn {
+fn commit_transaction(batch: &Commit, chain_revision: Revision, mark: ChainMark) -> Txn {
     let mut txn = Txn::default()
         .expect(keys::COMMIT_CHAIN, chain_revision)
-        .put(keys::COMMIT_CHAIN, &keys::encode(&nonce), None);
+        .put(keys::COMMIT_CHAIN, &keys::encode(&mark), None);
     for (key, progress) in &batch.jobs {
         txn = txn.put(keys::state(*key), &keys::encode(progress), None);
     }
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! while it holds the leader key in the store, dispatches the tasks of all jobs.
 
 mod callers;
+mod candidacy;
 mod election;
 mod keys;
 mod leader;
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -136,6 +136,11 @@
         announce_interval(self.worker_count.load(Relaxed), node.settings.link_mbps)
     }
 
+    /// Number of workers of the term; 0 while it is not known.
+    pub(crate) fn worker_count(&self) -> usize {
+        self.worker_count.load(Relaxed)
+    }
+
     /// Passes the results of a relay to the calls that wait for them. Results of another
     /// term, and of calls that were given up, are dropped.
     pub(crate) fn results_received(&self, received: RelayResults) {
--- a/crates/jujubelb/src/platform/kv.rs
+++ b/crates/jujubelb/src/platform/kv.rs
@@ -194,8 +194,21 @@
 
     /// Reads a key.
     pub async fn get(&self, key: &str) -> Result<ReadResult<Option<KeyState>>, CallError> {
-        let query = [("key", key.to_owned())];
-        let response = self.get_path("/kv-key", &query, CALL_TIMEOUT).await?;
+        self.get_key(&[("key", key.to_owned())]).await
+    }
+
+    /// Reads a key whose value may be seconds old. Costs a tenth of [`KvClient::get`] and
+    /// does not count toward the store's limit of reads.
+    pub async fn get_stale(&self, key: &str) -> Result<ReadResult<Option<KeyState>>, CallError> {
+        let query = [("key", key.to_owned()), ("stale_ok", "1".to_owned())];
+        self.get_key(&query).await
+    }
+
+    async fn get_key(
+        &self,
+        query: &[(&str, String)],
+    ) -> Result<ReadResult<Option<KeyState>>, CallError> {
+        let response = self.get_path("/kv-key", query, CALL_TIMEOUT).await?;
         match response.status {
             StatusCode::OK => {
                 let found: KeyResponse = response.json()?;
