Let a leader that is too weak hand over to a stronger host

If the strong hosts of a deployment are away when the leader is lost, a weak host wins, and callers had its late orders for as long as it led, also long after the strong hosts were back. A weak leader that keeps its lease was never replaced.

The leader now resigns for a host that covers the need of the number of workers, has announced itself for 3 s, does not drain and reaches the store. It has to have less than 0.7 of the need, no failed call to the store for 3 s, and a term of 3 s, or of 20 s if the term before handed over as well, so that terms can't alternate. It ends the tasks that make changes, writes what is left, notes in `resigned` that it has stopped and why, and revokes its lease. Hosts announce themselves to the leader anyway; their link and whether they reach the store stand at the end of the call, so that no further call is needed and older processes ignore them.

Tests: the conditions one by one, 200 fleets played for five minutes with hosts that fail, and the encodings next to an older version. With a choice that never names a successor, as before, a_weak_leader_hands_over_to_a_strong_host and handing_over_ends_at_a_strong_leader fail. What is not written within 600 ms is not acknowledged to the workers, which report it again.

--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -5,10 +5,10 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
 
-use super::candidacy::{Candidate, Strength};
-use super::keys::{self, ChainMark, Leader, TermRecord};
-use super::leader;
-use super::state::{KnownLeader, Node, sleep};
+use super::candidacy::{Candidate, Incumbent, Strength};
+use super::keys::{self, ChainMark, Leader, Resignation, TermRecord};
+use super::leader::{self, ActiveTerm};
+use super::state::{KnownLeader, Node, lock, sleep};
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::Term;
 use crate::model::{Span, Time};
@@ -32,6 +32,9 @@
 /// how long a host waits, so one slow answer must not hold up the election.
 const MARK_WAIT: Span = Span::from_millis(100);
 
+/// Interval of checking whether the leader should make room for a stronger host.
+const HANDOVER_CHECK_INTERVAL: Span = Span::from_millis(500);
+
 /// Watches the leader key.
 pub(crate) async fn watch_leader(node: Arc<Node>) {
     let options = WatchOptions {
@@ -100,6 +103,8 @@
     pub(crate) lease_requested: Time,
     /// The previous leader.
     pub(crate) predecessor: Option<Leader>,
+    /// Whether the previous leader has made room for a stronger host.
+    pub(crate) after_handover: bool,
     /// Last known number of workers; 0 if it is not known.
     pub(crate) workers: u32,
 }
@@ -152,14 +157,20 @@
     let term_revision = term.content.map_or(Revision::default(), |i| i.revision);
     // Read after the term key: if another host wins in between, the term key changes
     // and the transaction below fails.
-    let resigned = match (
+    let (resigned, after_handover) = match (
         read_value::<ChainMark>(node, keys::COMMIT_CHAIN).await,
-        read_value::<u64>(node, keys::RESIGNED).await,
+        read_value::<Resignation>(node, keys::RESIGNED).await,
     ) {
-        (Ok(last), Ok(resigned)) => last.map(|mark| mark.nonce) == resigned,
+        (Ok(last), Ok(resignation)) => {
+            let resigned = last.map(|m| m.nonce) == resignation.map(|r| r.nonce);
+            (
+                resigned,
+                resigned && resignation.is_some_and(|r| r.handed_over),
+            )
+        }
         (Err(error), _) | (_, Err(error)) => {
             log::warn!(error:% = error; "can't read whether the last leader resigned; assuming it did not");
-            false
+            (false, false)
         }
     };
     let nonce = rand::random();
@@ -200,7 +211,7 @@
             }
         },
     };
-    log::info!(term = earlier_terms, resigned = resigned, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
+    log::info!(term = earlier_terms, resigned = resigned, after_handover = after_handover, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
     node.set_leader(KnownLeader::Present(leader));
     Ok(Some(ElectionWin {
         term: Term {
@@ -213,6 +224,7 @@
         chain_revision: revision,
         lease_requested,
         predecessor: last.map(|t| t.leader),
+        after_handover,
         workers: candidate.workers,
     }))
 }
@@ -238,9 +250,33 @@
     Ok(item.and_then(|i| keys::decode(key, i.value.as_deref()?)))
 }
 
+/// Waits until the leader of a term should make room for a stronger host, and marks the
+/// term as one that hands over.
+pub(crate) async fn await_successor(node: Arc<Node>, term: Arc<ActiveTerm>, after_handover: bool) {
+    let began = node.now();
+    loop {
+        sleep(HANDOVER_CHECK_INTERVAL).await;
+        let now = node.now();
+        let incumbent = Incumbent {
+            strength: own_strength(&node),
+            workers: term.worker_count(),
+            term_age: now.since(began),
+            after_handover,
+            store_calm: node.store_calm(),
+        };
+        let successor = lock(&term.successors).choose(&incumbent, now);
+        if let Some(successor) = successor {
+            log::warn!(incumbent:? = incumbent, needed:? = Strength::needed(incumbent.workers), successor:% = successor; "the leader is too weak; handing over");
+            term.mark_handover();
+            return;
+        }
+    }
+}
+
 /// Records that the leader with this nonce has stopped and calls no worker any more.
-pub(crate) async fn resign(node: &Node, nonce: u64) {
-    let txn = Txn::default().put(keys::RESIGNED, &keys::encode(&nonce), None);
+pub(crate) async fn resign(node: &Node, nonce: u64, handed_over: bool) {
+    let resignation = Resignation { nonce, handed_over };
+    let txn = Txn::default().put(keys::RESIGNED, &keys::encode(&resignation), None);
     if let Err(error) = node.kv.txn(&txn).await {
         log::warn!(error:% = error; "resignation not stored; the next leader has to wait longer");
     }
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -23,7 +23,7 @@
 /// Key of the interference model that leaders have learned.
 pub(crate) const MODEL: &str = "model";
 
-/// Key with the nonce of the last leader that resigned.
+/// Key of the [`Resignation`] of the last leader that resigned.
 pub(crate) const RESIGNED: &str = "resigned";
 
 /// Prefix of what hosts write for the leader: jobs and cancellations.
@@ -91,6 +91,16 @@
     pub(crate) workers: u32,
 }
 
+/// Value of the [`RESIGNED`] key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Resignation {
+    /// Nonce of the term that is over.
+    pub(crate) nonce: u64,
+    /// Whether the leader has made room for a stronger host. Older versions don't write it.
+    #[serde(default, deserialize_with = "or_default")]
+    pub(crate) handed_over: bool,
+}
+
 /// Deserializes a field that was appended to a type. The default stands for it if the bytes
 /// end early, since older versions don't write the field.
 pub(crate) fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -1,16 +1,18 @@
 //! One term of this host as the leader: loads the state from the store, polls the
 //! workers, sends them orders and makes changes durable.
 
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
 use indexmap::IndexMap;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
 
+use super::candidacy::{Eligibility, Successors};
 use super::election::{self, ElectionWin};
 use super::keys::{self, ChainMark};
 use super::peers::{self, PeerRequest, PeerResponse};
-use super::relay::{OpenGateway, WorkerGateway, maintain_relays};
+use super::relay::{HostReport, OpenGateway, WorkerGateway, maintain_relays};
 use super::state::{KnownLeader, Node, lock, sleep};
 use super::supervision::PollTasks;
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
@@ -31,6 +33,10 @@
 /// bounds the rate of calls to the store.
 const COMMIT_PAUSE: Span = Span::from_millis(25);
 
+/// Longest time in which a leader that hands over writes what it has not written yet. Three
+/// attempts; the leader's lease lasts longer.
+const MAX_FLUSH: Span = Span::from_millis(600);
+
 /// Pause after a failed write.
 const COMMIT_RETRY_PAUSE: Span = Span::from_millis(150);
 
@@ -97,6 +103,11 @@
     committed: Notify,
     /// Limits the concurrent orders to each worker.
     order_slots: Mutex<IndexMap<WorkerName, Arc<Semaphore>>>,
+    /// Hosts that are able to succeed this leader.
+    pub(crate) successors: Mutex<Successors>,
+    /// Set when the leader makes room for a stronger host. The writer then returns as soon
+    /// as there is nothing left to write.
+    hands_over: AtomicBool,
     /// Number of workers noted by earlier terms; 0 if it is not known.
     noted_workers: u32,
 }
@@ -115,11 +126,33 @@
         self.commit_needed.notify_one();
     }
 
+    /// Records the announcement of a host. Returns after what time it is to announce itself
+    /// again.
+    pub(crate) fn host_announced(
+        &self,
+        node: &Node,
+        report: HostReport,
+        eligibility: Eligibility,
+    ) -> Span {
+        lock(&self.successors).announced(&report, eligibility, node.now());
+        self.workers.announced(node, report)
+    }
+
     /// Number of workers; 0 if it is not known yet.
     pub(crate) fn worker_count(&self) -> u32 {
         u32::try_from(self.workers.worker_count()).unwrap_or(u32::MAX)
     }
 
+    /// Lets the term end once what is not yet written has been written.
+    pub(crate) fn mark_handover(&self) {
+        self.hands_over.store(true, SeqCst);
+        self.commit_needed.notify_one();
+    }
+
+    fn hands_over(&self) -> bool {
+        self.hands_over.load(SeqCst)
+    }
+
     /// The mark that each write of the term leaves.
     fn chain_mark(&self, nonce: u64) -> ChainMark {
         let workers = match self.worker_count() {
@@ -154,12 +187,14 @@
         loaded = load_term(node, &win) => loaded,
         _ = tasks.join_next() => None,
     };
+    let mut handed_over = false;
     if let Some(term) = loaded {
         let term = Arc::new(term);
         let _open = OpenGateway(term.workers.clone());
         node.set_active_term(Some(term.clone()));
         log::info!(took:% = node.now().since(began), figures:? = lock(&term.dispatcher).summary(); "term started");
-        tasks.spawn(write_changes(
+        let mut writer = JoinSet::new();
+        writer.spawn(write_changes(
             node.clone(),
             term.clone(),
             win.chain_revision,
@@ -180,14 +215,29 @@
                 predecessor,
             ));
         }
+        tasks.spawn(election::await_successor(
+            node.clone(),
+            term.clone(),
+            win.after_handover,
+        ));
         // Every task runs for the whole term: the first that returns ends the term.
-        tasks.join_next().await;
+        tokio::select! { _ = tasks.join_next() => {}, _ = writer.join_next() => {} }
+        handed_over = term.hands_over();
+        if handed_over {
+            // No task makes changes any more, so the writer comes to an end.
+            tasks.shutdown().await;
+            let flush = tokio::time::timeout(MAX_FLUSH.to_std(), writer.join_next());
+            if flush.await.is_err() {
+                log::warn!("changes not written before handing over; workers report them again");
+            }
+        }
+        writer.shutdown().await;
     }
     node.set_active_term(None);
     tasks.shutdown().await;
     node.set_term_nonce(None);
     log::warn!(term = win.term.number, lasted:% = node.now().since(began), draining = node.is_draining(); "term ended");
-    election::resign(node, win.nonce).await;
+    election::resign(node, win.nonce, handed_over).await;
     election::revoke_lease(node, win.lease).await;
     if node.leader() == own_leader_record(node, win.nonce) {
         node.set_leader(KnownLeader::Absent);
@@ -315,6 +365,8 @@
         commit_needed: Notify::new(),
         committed: Notify::new(),
         order_slots: Mutex::new(IndexMap::new()),
+        successors: Mutex::default(),
+        hands_over: AtomicBool::new(false),
         noted_workers: win.workers,
     })
 }
@@ -430,7 +482,7 @@
 }
 
 /// Makes changes durable, one batch at a time. Returns when another host has written
-/// as the leader.
+/// as the leader, or when the term hands over and all changes are written.
 async fn write_changes(
     node: Arc<Node>,
     term: Arc<ActiveTerm>,
@@ -446,6 +498,9 @@
         }
         let batch = lock(&term.dispatcher).take_commit(node.now());
         let Some(batch) = batch else {
+            if term.hands_over() {
+                return;
+            }
             tokio::select! { () = term.commit_needed.notified() => {}, () = sleep(RENEWAL_INTERVAL) => {} }
             continue;
         };
--- a/crates/jujubelb/src/node/peers.rs
+++ b/crates/jujubelb/src/node/peers.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::callers::{self, WriteOutcome};
+use super::candidacy::Eligibility;
 use super::keys;
 use super::leader::ActiveTerm;
 use super::relay::{Carrier, HostReport, RelayBatch, RelayResults};
@@ -48,8 +49,11 @@
     StoreCancellation(JobKey),
     /// Asks whether the process still leads the term with this nonce.
     LeadsTerm(u64),
-    /// Announces the sender to the leader, which may use it as a relay.
-    AnnounceHost(HostReport),
+    /// Announces the sender to the leader, which may use it as a relay or make room for it.
+    AnnounceHost(
+        HostReport,
+        #[serde(default, deserialize_with = "keys::or_default")] Eligibility,
+    ),
     /// Asks the receiver to make calls to workers.
     RelayCalls(RelayBatch),
     /// Results of calls that the sender has made for the leader.
@@ -162,8 +166,8 @@
         let node = &self.0;
         match request {
             PeerRequest::LeadsTerm(_) | PeerRequest::RelayCalls(_) => PeerResponse::NotLeader,
-            PeerRequest::AnnounceHost(report) => {
-                PeerResponse::AnnounceAgain(term.workers.announced(node, report))
+            PeerRequest::AnnounceHost(report, eligibility) => {
+                PeerResponse::AnnounceAgain(term.host_announced(node, report, eligibility))
             }
             PeerRequest::RelayResults(results) => {
                 term.workers.results_received(results);
--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use super::super::candidacy::Eligibility;
 use super::super::peers::{self, PeerRequest, PeerResponse};
 use super::super::state::{KnownLeader, Node, lock, sleep};
 use super::calls::restore_payload;
@@ -136,7 +137,11 @@
                 cores: settings.cpu_cores,
                 draining: node.is_draining(),
             };
-            let request = PeerRequest::AnnounceHost(report);
+            let eligibility = Eligibility {
+                link_mbps: settings.link_mbps,
+                store_reachable: !node.is_store_lost(),
+            };
+            let request = PeerRequest::AnnounceHost(report, eligibility);
             match peers::call_peer(&node, leader.peer_address, &request, peers::MEMORY_TIMEOUT)
                 .await
             {
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -72,6 +72,8 @@
     failures: u32,
     /// When the first of these calls failed.
     failing_since: Time,
+    /// When a call failed last; zero if none has.
+    last_failure: Time,
 }
 
 /// Consecutive failed calls after which the store is considered unreachable from
@@ -155,6 +157,7 @@
             store_health: Mutex::new(StoreHealth {
                 failures: 0,
                 failing_since: Time::ZERO,
+                last_failure: Time::ZERO,
             }),
             draining: AtomicBool::new(false),
             inflight: AtomicUsize::new(0),
@@ -273,6 +276,7 @@
                 health.failing_since = now;
             }
             health.failures += 1;
+            health.last_failure = now;
             if health.failures == STORE_LOST_FAILURES
                 && let Err(error) = &result
             {
@@ -287,6 +291,11 @@
         lock(&self.store_health).failures >= STORE_LOST_FAILURES
     }
 
+    /// Time since the last failed call to the store, or since the start of the process.
+    pub(crate) fn store_calm(&self) -> Span {
+        self.now().since(lock(&self.store_health).last_failure)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(SeqCst)
     }
