Test which end of a run counts after its worker's lease has lapsed

Question: a worker is cut off from all hosts for the length of its lease, a run on it succeeds behind the cut, and the run is given up. Does its success still count when the worker reports it?

Decided: the first success that the leader learns of counts, in both orders of events. If it is reported before the task has started again, the task does not start again. If it is reported after, the task is done and the later run is stopped. The later start breaks no rule: it was made when the lease had certainly expired, and an end whose worker's lease has lapsed since no longer counts as taken note of. Letting the later run decide was considered: it does work again that is done, and nothing observed calls for it.

The simulation follows the rule more closely: a success that is not acknowledged before the lease lapses no longer forbids a start, which the test of the second order needs, and a new check forbids any start after a success was acknowledged, with or without a lapse.

--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -2,6 +2,7 @@
 
 use super::simulation::Fault;
 use super::{Simulation, job, long_running, step};
+use crate::dispatch::JobKey;
 use crate::model::Span;
 
 /// Guards against extending the assumed lease with each unanswered poll, after which
@@ -79,3 +80,42 @@
     assert!(sim.completed.contains_key(&key));
     assert_eq!(sim.starts.len(), 4);
 }
+
+/// Cuts off the worker of a task of 2 s, whose run succeeds behind the cut, until after its
+/// lease. A second worker may be there, on which the task then starts again.
+fn run_ends_behind_a_cut(workers: usize) -> (Simulation, JobKey) {
+    let mut sim = Simulation::new(workers);
+    let key = sim.submit(1, job(0, vec![step(1, 4, Span::from_secs(2))]));
+    sim.run(Span::from_millis(500));
+    let first = sim.starts[0].1.clone();
+    sim.workers[&first].fault = Fault::Partitioned;
+    // The lease lasts 6 s and is given up half a second later.
+    sim.run(Span::from_secs(7));
+    sim.workers[&first].fault = Fault::None;
+    (sim, key)
+}
+
+/// Guards against a second run of a task whose success is reported after the lease of its
+/// worker has expired, but before the task has started again.
+#[test]
+fn a_success_reported_before_the_next_start_counts() {
+    let (mut sim, key) = run_ends_behind_a_cut(1);
+    assert!(!sim.completed.contains_key(&key));
+    sim.run(Span::from_secs(3));
+    assert!(sim.completed.contains_key(&key));
+    assert_eq!(sim.starts.len(), 1);
+}
+
+/// Guards against doing a task's work again although it has succeeded: the success of a run
+/// that was given up with its worker's lease counts also after the next start, and the later
+/// run is stopped. The start was allowed, since the worker's lease had certainly expired.
+#[test]
+fn a_success_reported_after_the_next_start_counts_as_well() {
+    let (mut sim, key) = run_ends_behind_a_cut(2);
+    assert_eq!(sim.starts.len(), 2);
+    assert_eq!(sim.running(key), 1);
+    sim.run(Span::from_millis(700));
+    assert!(sim.completed.contains_key(&key));
+    assert_eq!(sim.running(key), 0);
+    assert_eq!(sim.starts.len(), 2);
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -2,7 +2,9 @@
 //!
 //! The workers follow the published worker protocol, and the dispatcher is driven as the
 //! leader process drives it. Every start is checked: a task has one run at a time, does
-//! not start after it has succeeded, and a worker's capacity is not exceeded.
+//! not start after it has succeeded, and a worker's capacity is not exceeded. A success no
+//! longer counts if the worker's lease has expired before it was acknowledged, but no task
+//! starts after a success of it was acknowledged.
 
 use std::collections::VecDeque;
 
@@ -158,7 +160,11 @@
     pub(crate) states: IndexMap<JobKey, Progress>,
     pub(crate) roster: Roster,
     pub(crate) model: InterferenceModel,
+    /// Tasks that have succeeded, except where the worker's lease has expired before the
+    /// success was acknowledged.
     pub(crate) done: IndexSet<TaskKey>,
+    /// Tasks of which a success was acknowledged.
+    pub(crate) acknowledged: IndexSet<TaskKey>,
     pub(crate) starts: Vec<(Time, WorkerName, TaskKey, Run)>,
     pub(crate) completed: IndexMap<JobKey, Time>,
     /// Whether the store accepts writes.
@@ -237,6 +243,7 @@
             roster: Roster::default(),
             model: InterferenceModel::default(),
             done: IndexSet::new(),
+            acknowledged: IndexSet::new(),
             starts: Vec::new(),
             completed: IndexMap::new(),
             store_available: true,
@@ -418,6 +425,10 @@
                 continue;
             }
             if worker.clock(now) > worker.deadline {
+                let ends = worker.completions.iter();
+                for end in ends.filter(|e| e.outcome == RunOutcome::Done) {
+                    self.done.shift_remove(&end.task);
+                }
                 for task in worker.runs.keys().copied().collect::<Vec<_>>() {
                     worker.complete(task, RunOutcome::Lapsed);
                 }
@@ -512,6 +523,10 @@
                 let latest_deadline = worker.clock(now) + BOUNDS.max_lease;
                 worker.deadline = worker.deadline.max(deadline.min(latest_deadline));
             }
+            let known = worker.completions.iter();
+            let forgotten = known.filter(|e| e.sequence <= request.acknowledged);
+            let succeeded = forgotten.filter(|e| e.outcome == RunOutcome::Done);
+            self.acknowledged.extend(succeeded.map(|e| e.task));
             worker
                 .completions
                 .retain(|e| e.sequence > request.acknowledged);
@@ -659,6 +674,10 @@
             step.long_running || !self.done.contains(&task),
             "{task} starts after it has succeeded"
         );
+        assert!(
+            step.long_running || !self.acknowledged.contains(&task),
+            "{task} starts after its success was acknowledged"
+        );
         let worker = &mut self.workers[name];
         worker.deadline = worker.deadline.max(deadline);
         let fails = worker.fault == Fault::FailingStarts;
