Acknowledge nothing to a worker that may have restarted

What callers see: a task that has succeeded starts again.

Cause: a worker that starts again under its name numbers its ends from 1. The first poll of the new incarnation carried the acknowledgement that was meant for the former one, so the worker forgot ends that nobody had seen. The run counted as lost and its task started again.

A poll after one without an answer now acknowledges nothing, as it extends no lease. The ends that are listed again are known by their numbers.

Ruled out: naming the incarnation in the call. The platform compares the worker's name only, which stays the same.

What remains: a worker that restarts between two polls without breaking one off.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -124,7 +124,12 @@
         Some(PollRequest {
             address: worker.report.address,
             lease_deadline: deadline,
-            acknowledged: worker.acknowledged,
+            // After a poll without an answer the worker may have restarted, and its new
+            // incarnation numbers its completions from 1 again.
+            acknowledged: match worker.reachable {
+                true => worker.acknowledged,
+                false => 0,
+            },
             wait: match (worker.fenced, mixed) {
                 (false, _) => Span::ZERO,
                 (true, true) => MIXED_POLL_WAIT,
