Notice a restart that the store shows before a poll does

What callers see: a task that has succeeded starts again, or waits for a worker whose ends are not read.

Cause: the entry of a restarted worker in the store replaced the known incarnation, so the next poll showed nothing new. The numbers of ends that were known of the former incarnation stayed, and the first ends of the new one counted as known.

The known incarnation now stays until a poll shows another one.

`a_restarted_worker_may_be_listed_before_it_is_polled` fails without the change ("starts after it has succeeded").

--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -80,6 +80,23 @@
     assert_eq!(sim.starts.len(), 4);
 }
 
+/// Guards against taking the ends of a restarted worker for known ones when the store shows
+/// the new incarnation before a poll does: both number their ends from 1.
+#[test]
+fn a_restarted_worker_may_be_listed_before_it_is_polled() {
+    let mut sim = Simulation::new(1);
+    let first = sim.submit(1, job(0, vec![step(3, 4, Span::from_millis(200))]));
+    sim.run(Span::from_secs(1));
+    assert!(sim.completed.contains_key(&first));
+    sim.crash_worker(0);
+    sim.poll_worker(0);
+    sim.restart_worker(0);
+    sim.list_workers();
+    let second = sim.submit(2, job(0, vec![step(1, 4, Span::from_millis(200))]));
+    sim.run(Span::from_secs(2));
+    assert!(sim.completed.contains_key(&second));
+}
+
 /// Guards against an acknowledgement that is meant for the former incarnation of a worker.
 /// The new one numbers its ends from 1 again, so it would forget ends that nobody has seen.
 #[test]
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -230,10 +230,15 @@
         worker
     }
 
-    /// Replaces the report with a newer one of the same worker.
+    /// Replaces the report with a newer one of the same worker. The known incarnation stays:
+    /// a poll that shows another one discards what is known of the former one.
     pub(crate) fn update_report(&mut self, report: WorkerReport, now: Time) {
         self.listed = true;
-        self.report = report;
+        let incarnation = self.report.incarnation.or(report.incarnation);
+        self.report = WorkerReport {
+            incarnation,
+            ..report
+        };
         self.update_drain_deadline(now);
     }
 
