Start a job only after a proof that the term is the newest

Cause: a job that a new leader learned of after its term had begun counted as unknown to every other leader. The old leader goes on until it notices that its term is over, learns of the same job and starts it on a worker that the new leader has not reached yet.

A leader now starts a job only after a renewal of its lease that was sent after it had learned of the job, or a commit, has succeeded. No newer leader was elected before, so every later one reads the job when its term begins. The first start on an incarnation of a worker needs the same proof, because a new incarnation has not seen the newer token. Jobs that are read when the term begins need it as well: a still newer leader may have read before them.

The simulated workers now refuse late starts and stops with a lower token and keep the token of a start, as the platform's workers do; a leader of the simulation confirms its term in each step.

`no_task_runs_twice_while_terms_overlap` plays up to three leaders beside each other with lost answers, late starts and restarts.

Price: a fresh job starts a call to the store later. While a leader is cut from the store, jobs that it learns of wait for the next.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Dispatcher;
+use super::confirmation::Arrival;
 use super::job_spec::JobKey;
 use super::progress::Progress;
 use super::worker::WorkerReport;
@@ -92,6 +93,9 @@
     pub forgotten: Vec<JobKey>,
     /// Number of the last change that the batch contains.
     last_change: u64,
+    /// Last arrival before the batch. The write succeeds only for the newest leader, which
+    /// confirms the term.
+    last_arrival: Arrival,
 }
 
 impl Commit {
@@ -152,6 +156,7 @@
             roster,
             forgotten,
             last_change: self.change_count,
+            last_arrival: self.last_arrival,
         })
     }
 
@@ -205,6 +210,7 @@
                 worker.in_roster = true;
             }
         }
+        self.term_confirmed(commit.last_arrival);
         self.update_acknowledged(commit.last_change);
     }
 
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -17,7 +17,8 @@
 
 impl Dispatcher {
     /// Adds a stored job. `inherited` says that the store held it before this term, so that
-    /// an earlier leader may have started its tasks.
+    /// an earlier leader may have started its tasks. None of its tasks starts before the term
+    /// has been confirmed, see [`term_confirmed`](Self::term_confirmed).
     pub fn accept(
         &mut self,
         key: JobKey,
@@ -34,7 +35,15 @@
         let scheduled = record.spec.schedule.is_some();
         let tasks: u32 = record.spec.steps.iter().map(|s| s.count).sum();
         log::info!(job:% = key, queue:% = record.queue.prefix, tasks = tasks, age:% = age, inherited = inherited; "job accepted from the store");
-        let job = Job::new(Arc::new(record), now - age, progress, inherited, now);
+        let arrival = self.next_arrival();
+        let job = Job::new(
+            Arc::new(record),
+            now - age,
+            progress,
+            inherited,
+            arrival,
+            now,
+        );
         let live = job.outcome.is_none();
         self.jobs.insert(key, job);
         if !live {
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -4,6 +4,7 @@
 
 use arcstr::ArcStr;
 
+use super::confirmation::Arrival;
 use super::job_spec::{JobRecord, Run, Step, TaskKey};
 use super::progress::{JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskProgress};
 use crate::model::{Span, Time, WorkerName};
@@ -137,6 +138,8 @@
     pub(crate) ended: Option<Time>,
     /// Whether the store held the job before this term began.
     pub(crate) inherited: bool,
+    /// When this term learned of the job, in the order of arrivals.
+    pub(crate) arrival: Arrival,
     /// For each step, the estimated duration of the longest chain of dependent steps that
     /// begins with it. Derived from `record`, which does not change.
     critical_paths: Vec<Span>,
@@ -148,6 +151,7 @@
         accepted: Time,
         progress: Option<&Progress>,
         inherited: bool,
+        arrival: Arrival,
         now: Time,
     ) -> Self {
         let mut job = Self {
@@ -162,6 +166,7 @@
             dirty_since: None,
             ended: progress.and_then(|p| p.outcome).map(|_| now),
             inherited,
+            arrival,
         };
         for begun in progress.iter().flat_map(|p| &p.occurrences) {
             job.begin(begun.number, accepted, Some(begun));
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod commit;
 mod completion;
+mod confirmation;
 mod health;
 mod intake;
 mod job;
@@ -38,6 +39,7 @@
 use worker::Worker;
 
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
+pub use confirmation::Arrival;
 pub use job_spec::{
     JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_TASKS_PER_STEP, QueueSettings,
     Run, Schedule, Step, StepKey, TaskKey,
@@ -177,6 +179,11 @@
     inherited_resolved: bool,
     jobs: FastMap<JobKey, Job>,
     workers: FastMap<WorkerName, Worker>,
+    /// Number of the last job or incarnation of a worker that this term has learned of.
+    last_arrival: Arrival,
+    /// The term was the newest at the store after this and all earlier arrivals, so every
+    /// later leader knows of them when its term begins.
+    confirmed: Arrival,
     /// Number of times that a worker was added or removed.
     membership: u64,
     /// Steps that may have tasks to start. The next pass removes a step without any.
@@ -231,6 +238,8 @@
             inherited_resolved: roster.workers.is_empty(),
             jobs: FastMap::default(),
             workers: FastMap::default(),
+            last_arrival: Arrival::default(),
+            confirmed: Arrival::default(),
             membership: 0,
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -221,6 +221,9 @@
                 not_ready.push(*key);
                 continue;
             };
+            if job.arrival > self.confirmed {
+                continue;
+            }
             let step = usize::from(key.step);
             let occurrence = job.occurrence(key.occurrence);
             let startable = occurrence.filter(|o| {
@@ -463,6 +466,9 @@
         now: Time,
     ) -> Option<Candidate> {
         let (_, worker) = self.workers.get_index(index)?;
+        if worker.arrival > self.confirmed {
+            return None;
+        }
         if !placement::admits(worker, request, &self.evacuated, now) {
             return None;
         }
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -161,7 +161,8 @@
         worker.last_answer = now;
         worker.reachable = true;
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
-        if !worker.fenced {
+        let first = !worker.fenced;
+        if first {
             log::info!(worker:% = name, runs = reply.running.len(), token = self.term.token; "worker fenced");
             worker.fenced = true;
             // An earlier term may have granted the longest lease just before.
@@ -173,6 +174,12 @@
         if reply.incarnation.is_some() {
             worker.report.incarnation = reply.incarnation;
         }
+        if first || restarted {
+            let arrival = self.next_arrival();
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.arrival = arrival;
+            }
+        }
         if restarted {
             self.worker_restarted(name, reply.clock, now);
         }
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -9,6 +9,7 @@
 mod interference;
 mod leader_changes;
 mod leases;
+mod overlapping_terms;
 mod queueing;
 mod tickets;
 
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -0,0 +1,385 @@
+//! Leaders of following terms that act beside each other on the same workers.
+//!
+//! An old leader goes on for a while after the next one was elected: it is paused, cut from
+//! the store, or its calls to the store are not answered. Both learn of the same new jobs.
+//! [`Simulation`] checks each start, so a task that runs twice fails the seed.
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+use super::simulation::{BOUNDS, Fault, TIME_STEP};
+use super::{Simulation, job, step};
+use crate::dispatch::{
+    Arrival, Dispatcher, InterferenceModel, JobKey, JobOutcome, Roster, Term, WorkerOrder,
+};
+use crate::model::{Span, Time, WorkerName};
+
+/// Seeds that a test run plays; `JUJUBELB_TERM_SEEDS` sets another number.
+const DEFAULT_SEEDS: u64 = 1_000;
+
+/// Simulated time of one seed. Shorter than the leases of workers, so that a run that is
+/// started twice cannot go unnoticed because the first one lapsed.
+const DURATION: Span = Span::from_millis(4_500);
+
+const WORKERS: usize = 4;
+
+/// What a leader is told of, by watch or by a message of another host.
+#[derive(Debug, Clone, Copy)]
+enum Notice {
+    Job(JobKey),
+    Cancellation(JobKey),
+}
+
+/// A renewal of the leader's lease on its way to the store and back.
+#[derive(Debug, Clone, Copy)]
+struct Renewal {
+    arrived: Arrival,
+    at_store: Time,
+    answer: Time,
+    /// Whether the store had this leader as the newest; `None` before the call arrives.
+    executed: Option<bool>,
+    lost: bool,
+}
+
+struct Leader {
+    dispatcher: Dispatcher,
+    number: u64,
+    /// When its term begins to act: it has read the state from the store.
+    loads: Time,
+    loaded: bool,
+    /// When its process ends, unless it notices before that its term is over.
+    ends: Time,
+    /// Since when it does not reach the store.
+    cut: Time,
+    ended: bool,
+    inbox: Vec<(Time, Notice)>,
+    renewal: Option<Renewal>,
+}
+
+fn term(number: u64) -> Term {
+    Term {
+        token: 10 * (number + 1),
+        number,
+        predecessor_stopped: false,
+    }
+}
+
+struct Overlap {
+    rng: StdRng,
+    sim: Simulation,
+    leaders: Vec<Leader>,
+    /// Number of the newest leader at the store.
+    newest: u64,
+    elections: Vec<Time>,
+    next_job: u64,
+}
+
+impl Overlap {
+    fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let sim = Simulation::new(WORKERS);
+        let mut elections = vec![sim.now + Span::from_millis(rng.random_range(300..1_500))];
+        if rng.random_bool(0.5) {
+            elections.push(elections[0] + Span::from_millis(rng.random_range(100..1_200)));
+        }
+        let mut overlap = Self {
+            rng,
+            sim,
+            leaders: Vec::new(),
+            newest: 0,
+            elections,
+            next_job: 1,
+        };
+        let mut first = overlap.leader(0);
+        std::mem::swap(&mut first.dispatcher, &mut overlap.sim.dispatcher);
+        first.loaded = true;
+        overlap.leaders.push(first);
+        overlap
+    }
+
+    /// A leader that is elected now.
+    fn leader(&mut self, number: u64) -> Leader {
+        let now = self.sim.now;
+        let next = self.elections.get(number as usize).copied();
+        let next = next.unwrap_or(now + DURATION);
+        let rng = &mut self.rng;
+        // It has not renewed its lease for a while when the next leader is elected.
+        let cut = match rng.random_bool(0.5) {
+            true => next - Span::from_millis(rng.random_range(0..300)),
+            false => next + DURATION,
+        };
+        Leader {
+            dispatcher: Dispatcher::new(
+                term(number),
+                BOUNDS,
+                &Roster::default(),
+                InterferenceModel::default(),
+                now,
+            ),
+            number,
+            loads: now + Span::from_millis(rng.random_range(0..400)),
+            loaded: false,
+            ends: next + Span::from_millis(rng.random_range(0..2_500)),
+            cut,
+            ended: false,
+            inbox: Vec::new(),
+            renewal: None,
+        }
+    }
+
+    fn play(&mut self) {
+        let end = self.sim.now + DURATION;
+        while self.sim.now < end {
+            self.sim.now = self.sim.now + TIME_STEP;
+            self.sim.advance_workers();
+            self.change_store();
+            self.crash_workers();
+            let mut order: Vec<usize> = (0..self.leaders.len()).collect();
+            order.shuffle(&mut self.rng);
+            for i in order {
+                self.act(i);
+            }
+        }
+    }
+
+    /// Jobs and cancellations are stored, leaders are elected, and renewals arrive.
+    fn change_store(&mut self) {
+        let now = self.sim.now;
+        if self.rng.random_bool(0.1) {
+            let count = self.rng.random_range(1..4);
+            let estimate = Span::from_millis(self.rng.random_range(300..3_000));
+            let mut record = job(0, vec![step(count, 4, estimate)]);
+            record.accepted = self.sim.wall();
+            let key = JobKey(self.next_job);
+            self.next_job += 1;
+            self.sim.jobs.insert(key, record);
+            self.notify(Notice::Job(key));
+        }
+        if self.rng.random_bool(0.01) && !self.sim.jobs.is_empty() {
+            let i = self.rng.random_range(0..self.sim.jobs.len());
+            let key = self.sim.jobs.keys()[i];
+            self.sim.cancelled.insert(key);
+            self.notify(Notice::Cancellation(key));
+        }
+        let number = self.newest + 1;
+        if self
+            .elections
+            .get(self.newest as usize)
+            .is_some_and(|at| *at <= now)
+        {
+            self.newest = number;
+            let leader = self.leader(number);
+            self.leaders.push(leader);
+        }
+        for leader in &mut self.leaders {
+            if let Some(renewal) = &mut leader.renewal
+                && renewal.executed.is_none()
+                && renewal.at_store <= now
+            {
+                renewal.executed = Some(leader.number == self.newest);
+            }
+        }
+    }
+
+    /// Tells every leader, once or twice, after a delay of its own.
+    fn notify(&mut self, notice: Notice) {
+        let now = self.sim.now;
+        for leader in &mut self.leaders {
+            for _ in 0..self.rng.random_range(1..3) {
+                let delay = Span::from_millis(self.rng.random_range(0..600));
+                leader.inbox.push((now + delay, notice));
+            }
+        }
+    }
+
+    fn crash_workers(&mut self) {
+        if !self.rng.random_bool(0.01) {
+            return;
+        }
+        let i = self.rng.random_range(0..WORKERS);
+        // An end that no leader has made durable is forgotten with the worker.
+        let lost: Vec<_> = self
+            .sim
+            .worker(i)
+            .completions
+            .iter()
+            .map(|c| c.task)
+            .collect();
+        for task in lost {
+            let states = &self.sim.states;
+            let durable = states.get(&task.step.job).is_some_and(|p| {
+                p.outcome == Some(JobOutcome::Completed)
+                    || p.occurrences
+                        .iter()
+                        .flat_map(|o| o.steps.get(usize::from(task.step.step)))
+                        .any(|s| s.is_done(task.index))
+            });
+            if !durable {
+                self.sim.done.shift_remove(&task);
+            }
+        }
+        self.sim.crash_worker(i);
+        // The waiting poll of each leader breaks off.
+        let (name, now) = (self.sim.workers.keys()[i].clone(), self.sim.now);
+        for leader in self.leaders.iter_mut().filter(|l| l.loaded) {
+            if let Some(request) = leader.dispatcher.poll(&name, now) {
+                leader.dispatcher.poll_failed(&name, &request, false);
+            }
+        }
+        self.sim.restart_worker(i);
+    }
+
+    /// One step of a leader.
+    fn act(&mut self, i: usize) {
+        let now = self.sim.now;
+        let leader = &mut self.leaders[i];
+        leader.ended |= now >= leader.ends || leader.dispatcher.is_deposed();
+        if leader.ended || now < leader.loads {
+            return;
+        }
+        std::mem::swap(&mut leader.dispatcher, &mut self.sim.dispatcher);
+        self.load(i);
+        self.read_inbox(i);
+        self.renew(i);
+        self.poll_workers();
+        let reachable = now < self.leaders[i].cut;
+        if reachable && self.rng.random_bool(0.6) {
+            match self.leaders[i].number == self.newest {
+                true => self.sim.commit(),
+                // The write expects the commit chain as this term left it.
+                false => self.leaders[i].ended = true,
+            }
+        }
+        if !self.leaders[i].ended && self.rng.random_bool(0.8) {
+            let orders = self.sim.dispatcher.plan(self.sim.wall(), now);
+            for order in &orders {
+                self.send(order);
+            }
+        }
+        std::mem::swap(&mut self.leaders[i].dispatcher, &mut self.sim.dispatcher);
+    }
+
+    /// Reads the state from the store, as it is now.
+    fn load(&mut self, i: usize) {
+        if std::mem::replace(&mut self.leaders[i].loaded, true) {
+            return;
+        }
+        let now = self.sim.now;
+        let sim = &mut self.sim;
+        let term = term(self.leaders[i].number);
+        sim.dispatcher = Dispatcher::new(term, BOUNDS, &sim.roster, sim.model.clone(), now);
+        let wall = sim.wall();
+        for (key, record) in &sim.jobs {
+            let progress = sim.states.get(key);
+            sim.dispatcher
+                .accept(*key, record.clone(), progress, true, wall, now);
+        }
+        for key in &sim.cancelled {
+            sim.dispatcher.cancel(*key, now);
+        }
+        sim.list_workers();
+    }
+
+    fn read_inbox(&mut self, i: usize) {
+        let (now, wall) = (self.sim.now, self.sim.wall());
+        let inbox = std::mem::take(&mut self.leaders[i].inbox);
+        let (due, later) = inbox.into_iter().partition(|(at, _)| *at <= now);
+        self.leaders[i].inbox = later;
+        let due: Vec<(Time, Notice)> = due;
+        for (_, notice) in due {
+            match notice {
+                Notice::Job(key) => {
+                    let record = self.sim.jobs[&key].clone();
+                    self.sim
+                        .dispatcher
+                        .accept(key, record, None, false, wall, now);
+                }
+                Notice::Cancellation(key) => self.sim.dispatcher.cancel(key, now),
+            }
+        }
+    }
+
+    /// Takes the answer of a renewal, and sends the next one if the term needs it.
+    fn renew(&mut self, i: usize) {
+        let now = self.sim.now;
+        let leader = &mut self.leaders[i];
+        match leader.renewal {
+            Some(renewal) if renewal.answer > now => return,
+            Some(renewal) if !renewal.lost && now < leader.cut => match renewal.executed {
+                Some(true) => self.sim.dispatcher.term_confirmed(renewal.arrived),
+                Some(false) => leader.ended = true,
+                None => {}
+            },
+            _ => {}
+        }
+        leader.renewal = self.sim.dispatcher.needs_confirmation().then(|| {
+            let at_store = now + Span::from_millis(self.rng.random_range(0..80));
+            Renewal {
+                arrived: self.sim.dispatcher.last_arrival(),
+                at_store,
+                answer: at_store + Span::from_millis(self.rng.random_range(20..200)),
+                executed: None,
+                lost: self.rng.random_bool(0.2),
+            }
+        });
+    }
+
+    fn poll_workers(&mut self) {
+        let mut names: Vec<WorkerName> = self.sim.workers.keys().cloned().collect();
+        names.shuffle(&mut self.rng);
+        for name in names {
+            if self.rng.random_bool(0.15) {
+                self.with_fault(&name, |sim| sim.poll_by_name(&name));
+            }
+        }
+    }
+
+    fn send(&mut self, order: &WorkerOrder) {
+        self.with_fault(&order.worker, |sim| sim.execute(order));
+    }
+
+    /// Makes a call that does not arrive, arrives late or is not answered now and then.
+    fn with_fault(&mut self, name: &WorkerName, call: impl FnOnce(&mut Simulation)) {
+        let fault = match self.rng.random_range(0..20) {
+            0 => Fault::Partitioned,
+            1 => Fault::LostAnswers,
+            2 => Fault::DelayedStarts(Span::from_millis(self.rng.random_range(20..600))),
+            _ => Fault::None,
+        };
+        self.sim.workers[name].fault = fault;
+        call(&mut self.sim);
+        self.sim.workers[name].fault = Fault::None;
+    }
+}
+
+/// Guards against two runs of a task that are started by leaders of following terms, of which
+/// the older has not noticed that its term is over.
+#[test]
+fn no_task_runs_twice_while_terms_overlap() {
+    let seeds = std::env::var("JUJUBELB_TERM_SEEDS")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(DEFAULT_SEEDS);
+    let mut starts = 0;
+    let failing: Vec<u64> = (0..seeds)
+        .filter(|seed| {
+            let play = || {
+                let mut overlap = Overlap::new(*seed);
+                overlap.play();
+                overlap.sim.starts.len()
+            };
+            catch_unwind(AssertUnwindSafe(play))
+                .map(|count| starts += count)
+                .is_err()
+        })
+        .collect();
+    assert!(
+        failing.is_empty(),
+        "{} of {seeds} seeds fail: {failing:?}",
+        failing.len()
+    );
+    assert!(starts as u64 > 4 * seeds, "{starts} starts are too few");
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -19,7 +19,7 @@
 };
 
 /// Simulated time per step.
-const TIME_STEP: Span = Span::from_millis(20);
+pub(crate) const TIME_STEP: Span = Span::from_millis(20);
 
 /// Number of steps that a worker's latency report covers, half a second.
 const LATENCY_WINDOW_STEPS: usize = 25;
@@ -44,6 +44,8 @@
     Crashed,
     /// Start orders are not answered and take effect after this delay.
     DelayedStarts(Span),
+    /// Messages take effect, and their answers are lost.
+    LostAnswers,
     /// Every run fails immediately.
     Failing,
     /// Runs that start now fail immediately; earlier ones go on.
@@ -68,6 +70,16 @@
     fails: bool,
 }
 
+/// A start order that has not arrived at its worker yet.
+#[derive(Debug, Clone, Copy)]
+struct DelayedStart {
+    at: Time,
+    task: TaskKey,
+    run: Run,
+    deadline: WorkerTime,
+    token: u64,
+}
+
 #[derive(Debug)]
 pub(crate) struct FakeWorker {
     pub(crate) report: WorkerReport,
@@ -76,11 +88,11 @@
     token: u64,
     deadline: WorkerTime,
     runs: IndexMap<TaskKey, FakeRun>,
-    completions: Vec<RunCompletion>,
+    pub(crate) completions: Vec<RunCompletion>,
     completion_count: u64,
     /// Highest run of each task that must not start any more.
     rejected_runs: IndexMap<TaskKey, Run>,
-    delayed_starts: Vec<(Time, TaskKey, Run, WorkerTime)>,
+    delayed_starts: Vec<DelayedStart>,
     last_poll: Time,
     has_completions: bool,
     /// Interference of best-effort tasks in each of the last steps, in percent of the worker.
@@ -167,7 +179,7 @@
     pub(crate) tickets: IndexMap<ArcStr, (StepKey, WorkerName, Time)>,
     /// Number of starts that were refused because of the ticket.
     pub(crate) rejected_tickets: usize,
-    cancelled: IndexSet<JobKey>,
+    pub(crate) cancelled: IndexSet<JobKey>,
     /// Since when the serving tasks of a worker have been above their target.
     above_target: IndexMap<WorkerName, Time>,
     /// Longest time for which serving tasks were above their target.
@@ -359,6 +371,8 @@
             self.advance_workers();
             self.poll_due();
             self.commit();
+            let arrived = self.dispatcher.last_arrival();
+            self.dispatcher.term_confirmed(arrived);
             let orders = self.dispatcher.plan(self.wall(), self.now);
             for order in orders {
                 self.execute(&order);
@@ -403,7 +417,7 @@
         self.workers[i].runs.len()
     }
 
-    fn advance_workers(&mut self) {
+    pub(crate) fn advance_workers(&mut self) {
         let now = self.now;
         for (name, worker) in &mut self.workers {
             worker.record_interference();
@@ -444,23 +458,20 @@
                 }
             }
         }
-        let due: Vec<(WorkerName, TaskKey, Run, WorkerTime)> = self
+        let due: Vec<(WorkerName, DelayedStart)> = self
             .workers
             .iter_mut()
             .flat_map(|(name, w)| {
                 let (ready, rest) = std::mem::take(&mut w.delayed_starts)
                     .into_iter()
-                    .partition::<Vec<_>, _>(|(at, ..)| *at <= now);
+                    .partition::<Vec<_>, _>(|start| start.at <= now);
                 w.delayed_starts = rest;
                 let name = name.clone();
-                ready
-                    .into_iter()
-                    .map(move |(_, task, run, deadline)| (name.clone(), task, run, deadline))
+                ready.into_iter().map(move |start| (name.clone(), start))
             })
             .collect();
-        for (name, task, run, deadline) in due {
-            let token = self.workers[&name].token;
-            let _ = self.start(&name, task, run, deadline, token);
+        for (name, start) in due {
+            let _ = self.start(&name, start.task, start.run, start.deadline, start.token);
         }
     }
 
@@ -483,7 +494,7 @@
         self.poll_by_name(&name);
     }
 
-    fn poll_by_name(&mut self, name: &WorkerName) {
+    pub(crate) fn poll_by_name(&mut self, name: &WorkerName) {
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(name) {
             worker.last_poll = now;
@@ -535,11 +546,15 @@
                     .collect(),
                 finished: worker.completions.clone(),
             };
+            if worker.fault == Fault::LostAnswers {
+                self.dispatcher.poll_failed(name, &request, false);
+                return;
+            }
             self.dispatcher.poll_answered(name, now, &reply, now);
         }
     }
 
-    fn commit(&mut self) {
+    pub(crate) fn commit(&mut self) {
         if !self.store_available {
             return;
         }
@@ -560,7 +575,7 @@
         }
     }
 
-    fn execute(&mut self, order: &WorkerOrder) {
+    pub(crate) fn execute(&mut self, order: &WorkerOrder) {
         let name = &order.worker;
         let now = self.now;
         let token = self.dispatcher.term().token;
@@ -586,10 +601,20 @@
                     Fault::Crashed => StartReply::NotSent,
                     Fault::Partitioned => StartReply::NoAnswer,
                     Fault::DelayedStarts(delay) => {
-                        let start = (now + delay, *task, *run, *deadline);
+                        let start = DelayedStart {
+                            at: now + delay,
+                            task: *task,
+                            run: *run,
+                            deadline: *deadline,
+                            token,
+                        };
                         self.workers[name].delayed_starts.push(start);
                         StartReply::NoAnswer
                     }
+                    Fault::LostAnswers => {
+                        let _ = self.start(name, *task, *run, *deadline, token);
+                        StartReply::NoAnswer
+                    }
                     Fault::NoCapacity => StartReply::Refused(Refusal::Room),
                     _ => self.start(name, *task, *run, *deadline, token),
                 };
@@ -600,13 +625,17 @@
                 let worker = &mut self.workers[name];
                 let reply = match fault {
                     Fault::Crashed | Fault::Partitioned => StopReply::NoAnswer,
+                    _ if token < worker.token => StopReply::Fenced,
                     _ => {
                         let highest = worker.rejected_runs.entry(*task).or_default();
                         *highest = (*highest).max(*run);
                         if let Some(tracked) = worker.runs.get_mut(task).filter(|r| r.run == *run) {
                             tracked.stopping.get_or_insert(now + TIME_STEP);
                         }
-                        StopReply::Stopped
+                        match fault {
+                            Fault::LostAnswers => StopReply::NoAnswer,
+                            _ => StopReply::Stopped,
+                        }
                     }
                 };
                 self.dispatcher.stop_answered(name, *task, *run, reply, now);
@@ -660,6 +689,7 @@
             "{task} starts after it has succeeded"
         );
         let worker = &mut self.workers[name];
+        worker.token = worker.token.max(token);
         worker.deadline = worker.deadline.max(deadline);
         let fails = worker.fault == Fault::FailingStarts;
         worker.runs.insert(
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use super::confirmation::Arrival;
 use super::health::Health;
 use super::job_spec::{JobKey, Run, TaskKey};
 use super::pace::{EndedRun, Headrooms};
@@ -106,6 +107,9 @@
     pub(crate) drain_deadline: Option<Time>,
     /// Whether its current incarnation has seen this leader's fencing token.
     pub(crate) fenced: bool,
+    /// When this term learned of the current incarnation, in the order of arrivals. Nothing
+    /// is started on it before the term is confirmed after that.
+    pub(crate) arrival: Arrival,
     /// Whether the durable roster contains the worker. Nothing is started before, since
     /// the next leader has to know of every worker with runs.
     pub(crate) in_roster: bool,
@@ -209,6 +213,7 @@
             listed: true,
             drain_deadline: None,
             fenced: false,
+            arrival: Arrival::default(),
             in_roster: false,
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -27,6 +27,13 @@
 /// Interval of renewing the leader's lease, which lasts 2 s.
 const RENEWAL_INTERVAL: Span = Span::from_millis(500);
 
+/// Pause between two renewals, which are also sent to confirm the term when it has learned
+/// of a job. Jobs that arrive in the pause share one renewal, a tenth of a read in price.
+const MIN_RENEWAL_PAUSE: Span = Span::from_millis(10);
+
+/// Pause after a failed renewal, which limits the load on the store during an outage.
+const RENEWAL_RETRY_PAUSE: Span = Span::from_millis(100);
+
 /// Pause after each write. A write holds all changes since the last one, so this
 /// bounds the rate of calls to the store.
 const COMMIT_PAUSE: Span = Span::from_millis(25);
@@ -91,6 +98,8 @@
     pub(crate) workers: Arc<WorkerGateway>,
     /// Notified when a planning pass may find something to order.
     plan_needed: Notify,
+    /// Notified when the term has to be confirmed before it may act on what has arrived.
+    confirmation_needed: Arc<Notify>,
     /// Notified when there are changes to write.
     commit_needed: Notify,
     /// Notified after each successful write.
@@ -103,7 +112,8 @@
     /// Adds a job that is in the store to the dispatcher.
     pub(crate) fn accept(&self, node: &Node, key: JobKey, record: JobRecord) {
         lock(&self.dispatcher).accept(key, record, None, false, node.wall_time(), node.now());
-        self.plan_needed.notify_one();
+        // The renewal that confirms the term starts a planning pass.
+        self.confirmation_needed.notify_one();
     }
 
     /// Applies a cancellation that is in the store.
@@ -128,14 +138,16 @@
     let began = node.now();
     let mut tasks = JoinSet::new();
     let renewed = Arc::new(Mutex::new(win.lease_requested));
+    let confirmation_needed = Arc::new(Notify::new());
     tasks.spawn(renew_lease(
         node.clone(),
         win.lease,
         win.nonce,
         renewed.clone(),
+        confirmation_needed.clone(),
     ));
     let loaded = tokio::select! {
-        loaded = load_term(node, &win) => loaded,
+        loaded = load_term(node, &win, confirmation_needed.clone()) => loaded,
         _ = tasks.join_next() => None,
     };
     if let Some(term) = loaded {
@@ -187,17 +199,27 @@
     })
 }
 
-/// Renews the leader's lease. Returns when the term has to end: the process drains, the
+/// Renews the leader's lease, and confirms the term with each renewal that succeeds: the
+/// leader key is bound to the lease, and the next leader is elected only once that key is
+/// gone. Returns when the term has to end: the process drains, the
 /// lease or the leader key is lost, or no renewal has succeeded for the grace period.
 async fn renew_lease(
     node: Arc<Node>,
     lease: crate::platform::LeaseId,
     nonce: u64,
     renewed: Arc<Mutex<Time>>,
+    confirmation_needed: Arc<Notify>,
 ) {
+    let mut pause = MIN_RENEWAL_PAUSE;
+    let mut last_sent = *lock(&renewed);
     loop {
         let changed = node.state_changed.notified();
-        tokio::select! { () = changed => {}, () = sleep(RENEWAL_INTERVAL) => {} }
+        sleep(pause).await;
+        tokio::select! {
+            () = changed => {},
+            () = confirmation_needed.notified() => {},
+            () = sleep((last_sent + RENEWAL_INTERVAL).since(node.now())) => {},
+        }
         if node.is_draining() {
             return;
         }
@@ -206,8 +228,25 @@
             return;
         }
         let sent = node.now();
+        let mut needed = sent.since(last_sent) >= RENEWAL_INTERVAL;
+        let arrived = node.active_term().map(|term| {
+            let dispatcher = lock(&term.dispatcher);
+            needed |= dispatcher.needs_confirmation();
+            (dispatcher.last_arrival(), term.clone())
+        });
+        if !needed {
+            continue;
+        }
+        last_sent = sent;
         match node.record_store_call("renewal", sent, node.kv.renew_lease(lease).await) {
-            Ok(true) => *lock(&renewed) = sent,
+            Ok(true) => {
+                *lock(&renewed) = sent;
+                pause = MIN_RENEWAL_PAUSE;
+                if let Some((arrived, term)) = arrived {
+                    lock(&term.dispatcher).term_confirmed(arrived);
+                    term.plan_needed.notify_one();
+                }
+            }
             Ok(false) => {
                 log::warn!(lease:% = lease; "the leader's lease has expired");
                 return;
@@ -215,6 +254,7 @@
             Err(error) => {
                 let age = node.now().since(*lock(&renewed));
                 log::warn!(lease:% = lease, age:% = age, error:% = error; "lease not renewed");
+                pause = RENEWAL_RETRY_PAUSE;
                 if age > LEADER_GRACE {
                     return;
                 }
@@ -244,7 +284,11 @@
 }
 
 /// Loads the state that earlier terms have stored.
-async fn load_term(node: &Node, win: &ElectionWin) -> Option<ActiveTerm> {
+async fn load_term(
+    node: &Node,
+    win: &ElectionWin,
+    confirmation_needed: Arc<Notify>,
+) -> Option<ActiveTerm> {
     let roster: Roster = read_all_with_retries(node, keys::ROSTER)
         .await
         .into_iter()
@@ -296,6 +340,7 @@
             node.metrics.relay_calls.clone(),
         )),
         plan_needed: Notify::new(),
+        confirmation_needed,
         commit_needed: Notify::new(),
         committed: Notify::new(),
         order_slots: Mutex::new(IndexMap::new()),
@@ -509,6 +554,9 @@
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
             let orders = dispatcher.plan(node.wall_time(), node.now());
+            if dispatcher.needs_confirmation() {
+                term.confirmation_needed.notify_one();
+            }
             let current = dispatcher.membership();
             let workers = (polled_membership != Some(current)).then(|| dispatcher.workers());
             (
