Start a task whose run was given up only after a proof

What callers see: a task that has succeeded starts again after its worker has restarted while the leader changes.

Cause: the old leader found a restarted worker, gave up its runs and started the tasks on a worker that the new leader had not reached yet. The new leader had read an end of such a run before the restart, and made it durable. The same can happen after a lease that has expired for the old leader only, because the new one extends it.

A task whose run is given up now needs the proof that a new job needs.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -261,6 +261,11 @@
             .and_then(|w| w.runs.shift_remove(&task));
         let age = tracked.map_or(Span::ZERO, |r| now.since(r.since));
         log::warn!(task:% = task, run:% = run, worker:% = name, age:% = age, reason = reason; "run lost");
+        // The run was not seen to end: a newer leader may have reached the worker and know more.
+        let arrival = self.next_arrival();
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.arrival = arrival;
+        }
         self.release(name, task, run);
     }
 
--- a/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -18,7 +18,7 @@
 use crate::model::{Span, Time, WorkerName};
 
 /// Seeds that a test run plays; `JUJUBELB_TERM_SEEDS` sets another number.
-const DEFAULT_SEEDS: u64 = 1_000;
+const DEFAULT_SEEDS: u64 = 4_000;
 
 /// Simulated time of one seed. Shorter than the leases of workers, so that a run that is
 /// started twice cannot go unnoticed because the first one lapsed.
