Count the end of a leader only if it answers for earlier ones

Cause: a new leader waits for unreachable workers only for their leases if the leader before it is known to have stopped.

A leader now records under `settled` that no earlier one can act any more, once every worker has answered or its lease has certainly expired. Without that record the end of the last leader is no evidence. It is one read an election and one write a term more.

The test covers the dispatcher's part. The election's use of the record has no test.

--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -70,8 +70,8 @@
     pub token: u64,
     /// Number of terms before this one.
     pub number: u64,
-    /// Whether the previous leader is known to have stopped, so that it no longer
-    /// extends leases.
+    /// Whether the previous leader and all before it are known to have stopped, so that none
+    /// of them extends leases any longer.
     pub predecessor_stopped: bool,
 }
 
@@ -281,6 +281,13 @@
         }
     }
 
+    /// Whether no earlier leader can still act: all are known to have stopped, or every worker
+    /// on which they may have started tasks has seen this term's token, or its lease has
+    /// expired.
+    pub fn earlier_leaders_stopped(&self) -> bool {
+        self.inherited_resolved || self.term.predecessor_stopped
+    }
+
     /// Whether a worker has seen a higher token, which means that this term is over.
     pub fn is_deposed(&self) -> bool {
         self.deposed
--- a/crates/jujubelb/src/dispatch/tests/leader_changes.rs
+++ b/crates/jujubelb/src/dispatch/tests/leader_changes.rs
@@ -153,3 +153,20 @@
     sim.run(Span::from_secs(3));
     assert_eq!(sim.running(key), 4);
 }
+
+/// Guards against a third leader that takes the end of the second for the end of the first.
+/// The second can't reach a worker, whose lease the first may still extend.
+#[test]
+fn a_leader_answers_for_earlier_ones_only_when_they_have_stopped() {
+    let mut sim = Simulation::new(4);
+    sim.submit(1, job(0, vec![long_running(4, 20)]));
+    sim.run(Span::from_secs(1));
+    sim.worker(0).fault = Fault::Partitioned;
+    sim.change_leader();
+    assert!(!sim.dispatcher.earlier_leaders_stopped());
+    sim.run(Span::from_secs(2));
+    assert!(!sim.dispatcher.earlier_leaders_stopped());
+    sim.worker(0).fault = Fault::None;
+    sim.run(Span::from_secs(1));
+    assert!(sim.dispatcher.earlier_leaders_stopped());
+}
--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -104,7 +104,7 @@
     /// A time before the lease was granted; the lease can't end earlier than its
     /// length after this.
     pub(crate) lease_requested: Time,
-    /// The previous leader.
+    /// The previous leader, if the leaders before it are known to have stopped.
     pub(crate) predecessor: Option<Leader>,
 }
 
@@ -141,14 +141,15 @@
     let term_revision = term.content.map_or(Revision::default(), |i| i.revision);
     // Read after the term key: if another host wins in between, the term key changes
     // and the transaction below fails.
-    let resigned = match (
+    let (resigned, settled) = match (
         read_nonce(node, keys::COMMIT_CHAIN).await,
         read_nonce(node, keys::RESIGNED).await,
+        read_nonce(node, keys::SETTLED).await,
     ) {
-        (Ok(last), Ok(resigned)) => last == resigned,
-        (Err(error), _) | (_, Err(error)) => {
+        (Ok(last), Ok(resigned), Ok(settled)) => (last == resigned, last == settled),
+        (Err(error), ..) | (_, Err(error), _) | (.., Err(error)) => {
             log::warn!(error:% = error; "can't read whether the last leader resigned; assuming it did not");
-            false
+            (false, false)
         }
     };
     let nonce = rand::random();
@@ -185,19 +186,19 @@
             }
         },
     };
-    log::info!(term = earlier_terms, resigned = resigned, token = revision.0, lease:% = lease; "election won");
+    log::info!(term = earlier_terms, resigned = resigned, settled = settled, token = revision.0, lease:% = lease; "election won");
     node.set_leader(KnownLeader::Present(leader));
     Ok(Some(ElectionWin {
         term: Term {
             token: revision.0,
             number: earlier_terms,
-            predecessor_stopped: resigned,
+            predecessor_stopped: resigned && settled,
         },
         lease,
         nonce,
         chain_revision: revision,
         lease_requested,
-        predecessor: last.map(|t| t.leader),
+        predecessor: last.map(|t| t.leader).filter(|_| settled),
     }))
 }
 
@@ -207,9 +208,24 @@
     Ok(item.and_then(|i| keys::decode(key, i.value.as_deref()?)))
 }
 
+/// Records that the leader with this nonce knows that all earlier leaders have stopped.
+/// Returns whether the store has it.
+pub(crate) async fn record_settled(node: &Node, nonce: u64) -> bool {
+    let txn = Txn::default().put(keys::SETTLED, &keys::encode(&nonce), None);
+    let result = node.kv.txn(&txn).await;
+    if let Err(error) = &result {
+        log::warn!(error:% = error; "the end of earlier terms is not stored; trying again");
+    }
+    result.is_ok()
+}
+
 /// Records that the leader with this nonce has stopped and calls no worker any more.
-pub(crate) async fn resign(node: &Node, nonce: u64) {
-    let txn = Txn::default().put(keys::RESIGNED, &keys::encode(&nonce), None);
+/// `settled` says that it knows the same of all earlier leaders.
+pub(crate) async fn resign(node: &Node, nonce: u64, settled: bool) {
+    let mut txn = Txn::default().put(keys::RESIGNED, &keys::encode(&nonce), None);
+    if settled {
+        txn = txn.put(keys::SETTLED, &keys::encode(&nonce), None);
+    }
     if let Err(error) = node.kv.txn(&txn).await {
         log::warn!(error:% = error; "resignation not stored; the next leader has to wait longer");
     }
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -26,6 +26,10 @@
 /// Key with the nonce of the last leader that resigned.
 pub(crate) const RESIGNED: &str = "resigned";
 
+/// Key with the nonce of the last leader that knew that all earlier leaders had stopped.
+/// That it stopped itself is no evidence for them without this.
+pub(crate) const SETTLED: &str = "settled";
+
 /// Prefix of what hosts write for the leader: jobs and cancellations.
 pub(crate) const INTAKE_PREFIX: &str = "in/";
 
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -150,6 +150,7 @@
         loaded = load_term(node, &win, confirmation_needed.clone()) => loaded,
         _ = tasks.join_next() => None,
     };
+    let mut settled = win.term.predecessor_stopped;
     if let Some(term) = loaded {
         let term = Arc::new(term);
         let _open = OpenGateway(term.workers.clone());
@@ -169,6 +170,7 @@
             let policy = PolicyClient::new(node.client.clone(), address);
             tasks.spawn(request_tickets(node.clone(), term.clone(), policy));
         }
+        tasks.spawn(record_settled(node.clone(), term.clone(), win.nonce));
         if let Some(predecessor) = win.predecessor.filter(|_| !win.term.predecessor_stopped) {
             tasks.spawn(await_predecessor_stop(
                 node.clone(),
@@ -178,12 +180,13 @@
         }
         // Every task runs for the whole term: the first that returns ends the term.
         tasks.join_next().await;
+        settled = lock(&term.dispatcher).earlier_leaders_stopped();
     }
     node.set_active_term(None);
     tasks.shutdown().await;
     node.set_term_nonce(None);
     log::warn!(term = win.term.number, lasted:% = node.now().since(began), draining = node.is_draining(); "term ended");
-    election::resign(node, win.nonce).await;
+    election::resign(node, win.nonce, settled).await;
     election::revoke_lease(node, win.lease).await;
     if node.leader() == own_leader_record(node, win.nonce) {
         node.set_leader(KnownLeader::Absent);
@@ -397,6 +400,17 @@
     }
 }
 
+/// Records once that no earlier leader can act any more, for a next leader that finds only
+/// this one gone. Never returns, since the return of a term's task ends the term.
+async fn record_settled(node: Arc<Node>, term: Arc<ActiveTerm>, nonce: u64) {
+    while !lock(&term.dispatcher).earlier_leaders_stopped()
+        || !election::record_settled(&node, nonce).await
+    {
+        sleep(PREDECESSOR_CHECK_INTERVAL).await;
+    }
+    std::future::pending().await
+}
+
 /// Passes changes of the workers' keys to the dispatcher.
 async fn watch_workers(node: Arc<Node>, term: Arc<ActiveTerm>) {
     let observer = node.clone();
