Stand for election only with the operator's keys read

Cause: a host that has just started reads the leader key and the operator's keys by two watches. If the first succeeded earlier, it could win the election without knowing which domains are evacuated, and start tasks there. Found by reading; no test, since it is wiring of the process.

--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -78,7 +78,8 @@
         if node.is_draining() {
             return;
         }
-        if node.leader() != KnownLeader::Absent {
+        // A leader that does not know yet which domains are evacuated would start tasks there.
+        if node.leader() != KnownLeader::Absent || !node.is_operator_state_known() {
             tokio::select! { () = changed => {}, () = sleep(RETRY_PAUSE) => {} }
             continue;
         }
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -181,6 +181,9 @@
                 }
             }
         });
+        if all {
+            observer.set_operator_state_known();
+        }
     })
     .await;
 }
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -121,6 +121,8 @@
     pub(crate) metrics: NodeMetrics,
     config: Mutex<Option<Arc<ActiveConfig>>>,
     evacuated: Mutex<IndexSet<DomainName>>,
+    /// Whether the operator's keys have been read once.
+    operator_state_known: AtomicBool,
     leader: Mutex<KnownLeader>,
     /// Notified when the leader, the evacuated domains or the draining state change.
     pub(crate) state_changed: Notify,
@@ -147,6 +149,7 @@
             metrics: NodeMetrics::new(registry),
             config: Mutex::new(None),
             evacuated: Mutex::new(IndexSet::new()),
+            operator_state_known: AtomicBool::new(false),
             leader: Mutex::new(KnownLeader::Unknown),
             state_changed: Notify::new(),
             carrier: Carrier::default(),
@@ -194,6 +197,17 @@
         self.state_changed.notify_waiters();
     }
 
+    /// Whether the configuration and the evacuated domains have been read since the start.
+    pub(crate) fn is_operator_state_known(&self) -> bool {
+        self.operator_state_known.load(SeqCst)
+    }
+
+    /// Records that the operator's keys have been read.
+    pub(crate) fn set_operator_state_known(&self) {
+        self.operator_state_known.store(true, SeqCst);
+        self.state_changed.notify_waiters();
+    }
+
     pub(crate) fn leader(&self) -> KnownLeader {
         lock(&self.leader).clone()
     }
