Confirm a term without waiting for a lost answer

Cause: the renewals that confirm a term went out one at a time. An answer that the store loses cost 900 ms, and a slow store a whole call, for every job that arrived meanwhile.

Renewals that confirm the term are now sent apart from those that keep the lease, again after 80 ms beside the first, and 8 at the most.

--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -15,8 +15,8 @@
 use super::supervision::PollTasks;
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::{
-    Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order, Progress,
-    Roster, WorkerOrder,
+    Arrival, Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order,
+    Progress, Roster, WorkerOrder,
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
@@ -27,12 +27,18 @@
 /// Interval of renewing the leader's lease, which lasts 2 s.
 const RENEWAL_INTERVAL: Span = Span::from_millis(500);
 
-/// Pause between two renewals, which are also sent to confirm the term when it has learned
-/// of a job. Jobs that arrive in the pause share one renewal, a tenth of a read in price.
-const MIN_RENEWAL_PAUSE: Span = Span::from_millis(10);
+/// Shortest time between two renewals that confirm the term. Jobs that arrive in between
+/// share one, at a tenth of the price of a read.
+const MIN_CONFIRMATION_INTERVAL: Span = Span::from_millis(10);
 
-/// Pause after a failed renewal, which limits the load on the store during an outage.
-const RENEWAL_RETRY_PAUSE: Span = Span::from_millis(100);
+/// Time after which a renewal that should confirm the term is sent again, beside the first.
+/// The store answers in 4 ms; an answer that is lost would otherwise cost the timeout of the
+/// call, 900 ms.
+const CONFIRMATION_RETRY: Span = Span::from_millis(80);
+
+/// Renewals to confirm the term that may be on their way at the same time, which limits the
+/// load on a store that does not answer.
+const MAX_CONFIRMATIONS: usize = 8;
 
 /// Pause after each write. A write holds all changes since the last one, so this
 /// bounds the rate of calls to the store.
@@ -99,7 +105,7 @@
     /// Notified when a planning pass may find something to order.
     plan_needed: Notify,
     /// Notified when the term has to be confirmed before it may act on what has arrived.
-    confirmation_needed: Arc<Notify>,
+    confirmation_needed: Notify,
     /// Notified when there are changes to write.
     commit_needed: Notify,
     /// Notified after each successful write.
@@ -138,16 +144,14 @@
     let began = node.now();
     let mut tasks = JoinSet::new();
     let renewed = Arc::new(Mutex::new(win.lease_requested));
-    let confirmation_needed = Arc::new(Notify::new());
     tasks.spawn(renew_lease(
         node.clone(),
         win.lease,
         win.nonce,
         renewed.clone(),
-        confirmation_needed.clone(),
     ));
     let loaded = tokio::select! {
-        loaded = load_term(node, &win, confirmation_needed.clone()) => loaded,
+        loaded = load_term(node, &win) => loaded,
         _ = tasks.join_next() => None,
     };
     let mut settled = win.term.predecessor_stopped;
@@ -162,6 +166,7 @@
             win.chain_revision,
             win.nonce,
         ));
+        tasks.spawn(confirm_term(node.clone(), term.clone(), win.lease));
         tasks.spawn(dispatch_orders(node.clone(), term.clone()));
         tasks.spawn(maintain_relays(node.clone(), term.clone()));
         tasks.spawn(watch_workers(node.clone(), term.clone()));
@@ -202,27 +207,17 @@
     })
 }
 
-/// Renews the leader's lease, and confirms the term with each renewal that succeeds: the
-/// leader key is bound to the lease, and the next leader is elected only once that key is
-/// gone. Returns when the term has to end: the process drains, the
+/// Renews the leader's lease. Returns when the term has to end: the process drains, the
 /// lease or the leader key is lost, or no renewal has succeeded for the grace period.
 async fn renew_lease(
     node: Arc<Node>,
     lease: crate::platform::LeaseId,
     nonce: u64,
     renewed: Arc<Mutex<Time>>,
-    confirmation_needed: Arc<Notify>,
 ) {
-    let mut pause = MIN_RENEWAL_PAUSE;
-    let mut last_sent = *lock(&renewed);
     loop {
         let changed = node.state_changed.notified();
-        sleep(pause).await;
-        tokio::select! {
-            () = changed => {},
-            () = confirmation_needed.notified() => {},
-            () = sleep((last_sent + RENEWAL_INTERVAL).since(node.now())) => {},
-        }
+        tokio::select! { () = changed => {}, () = sleep(RENEWAL_INTERVAL) => {} }
         if node.is_draining() {
             return;
         }
@@ -231,25 +226,8 @@
             return;
         }
         let sent = node.now();
-        let mut needed = sent.since(last_sent) >= RENEWAL_INTERVAL;
-        let arrived = node.active_term().map(|term| {
-            let dispatcher = lock(&term.dispatcher);
-            needed |= dispatcher.needs_confirmation();
-            (dispatcher.last_arrival(), term.clone())
-        });
-        if !needed {
-            continue;
-        }
-        last_sent = sent;
         match node.record_store_call("renewal", sent, node.kv.renew_lease(lease).await) {
-            Ok(true) => {
-                *lock(&renewed) = sent;
-                pause = MIN_RENEWAL_PAUSE;
-                if let Some((arrived, term)) = arrived {
-                    lock(&term.dispatcher).term_confirmed(arrived);
-                    term.plan_needed.notify_one();
-                }
-            }
+            Ok(true) => *lock(&renewed) = sent,
             Ok(false) => {
                 log::warn!(lease:% = lease; "the leader's lease has expired");
                 return;
@@ -257,7 +235,6 @@
             Err(error) => {
                 let age = node.now().since(*lock(&renewed));
                 log::warn!(lease:% = lease, age:% = age, error:% = error; "lease not renewed");
-                pause = RENEWAL_RETRY_PAUSE;
                 if age > LEADER_GRACE {
                     return;
                 }
@@ -266,6 +243,60 @@
     }
 }
 
+/// Confirms the term by renewals of the lease while it has learned of something that it may
+/// not act on before. The leader key is bound to the lease, and the next leader is elected
+/// only once that key is gone, so a renewal that succeeds shows that none was elected before.
+/// Never returns, since the return of a term's task ends the term.
+async fn confirm_term(node: Arc<Node>, term: Arc<ActiveTerm>, lease: crate::platform::LeaseId) {
+    let mut calls = JoinSet::new();
+    let mut last_sent = Arrival::default();
+    loop {
+        let (arrived, needed) = {
+            let dispatcher = lock(&term.dispatcher);
+            (dispatcher.last_arrival(), dispatcher.needs_confirmation())
+        };
+        while calls.try_join_next().is_some() {}
+        if !needed {
+            term.confirmation_needed.notified().await;
+            continue;
+        }
+        if calls.len() < MAX_CONFIRMATIONS {
+            last_sent = arrived;
+            calls.spawn(confirm_arrivals(node.clone(), term.clone(), lease, arrived));
+        }
+        sleep(MIN_CONFIRMATION_INTERVAL).await;
+        if lock(&term.dispatcher).last_arrival() == last_sent {
+            tokio::select! {
+                () = term.confirmation_needed.notified() => {},
+                () = sleep(CONFIRMATION_RETRY) => {},
+            }
+        }
+    }
+}
+
+/// Renews the lease once, and confirms what had arrived before.
+async fn confirm_arrivals(
+    node: Arc<Node>,
+    term: Arc<ActiveTerm>,
+    lease: crate::platform::LeaseId,
+    arrived: Arrival,
+) {
+    let sent = node.now();
+    let result = node.kv.renew_lease(lease).await;
+    match node.record_store_call("renewal", sent, result) {
+        Ok(true) => {
+            lock(&term.dispatcher).term_confirmed(arrived);
+            term.confirmation_needed.notify_one();
+            term.plan_needed.notify_one();
+        }
+        // The renewal of the lease ends the term.
+        Ok(false) => {}
+        Err(error) => {
+            log::debug!(lease:% = lease, error:% = error; "term not confirmed; trying again");
+        }
+    }
+}
+
 async fn read_all(node: &Node, prefix: &str) -> Result<Vec<KeyState>, CallError> {
     let sent = node.now();
     let result = node.kv.range(prefix).await;
@@ -287,11 +318,7 @@
 }
 
 /// Loads the state that earlier terms have stored.
-async fn load_term(
-    node: &Node,
-    win: &ElectionWin,
-    confirmation_needed: Arc<Notify>,
-) -> Option<ActiveTerm> {
+async fn load_term(node: &Node, win: &ElectionWin) -> Option<ActiveTerm> {
     let roster: Roster = read_all_with_retries(node, keys::ROSTER)
         .await
         .into_iter()
@@ -343,7 +370,7 @@
             node.metrics.relay_calls.clone(),
         )),
         plan_needed: Notify::new(),
-        confirmation_needed,
+        confirmation_needed: Notify::new(),
         commit_needed: Notify::new(),
         committed: Notify::new(),
         order_slots: Mutex::new(IndexMap::new()),
@@ -562,13 +589,16 @@
     let mut last_load_log = began;
     let mut polls = PollTasks::default();
     let mut polled_membership = None;
+    let mut last_arrival = Arrival::default();
     let start_poll = |worker| poll_worker(node.clone(), term.clone(), worker);
     loop {
         let (orders, workers, deposed) = {
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
             let orders = dispatcher.plan(node.wall_time(), node.now());
-            if dispatcher.needs_confirmation() {
+            let unconfirmed = dispatcher.last_arrival();
+            if dispatcher.needs_confirmation() && unconfirmed != last_arrival {
+                last_arrival = unconfirmed;
                 term.confirmation_needed.notify_one();
             }
             let current = dispatcher.membership();
