--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod commit;
 mod completion;
+mod confirmation;
 mod crash;
 mod health;
 mod intake;
@@ -39,6 +40,7 @@
 use worker::Worker;
 
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
+pub use confirmation::Arrival;
 pub use job_spec::{
     JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_TASKS_PER_STEP, QueueSettings,
     Run, Schedule, Step, StepKey, TaskKey,
@@ -71,8 +73,8 @@
     pub token: u64,
     /// Number of terms before this one.
     pub number: u64,
-    /// Whether the previous leader is known to have stopped, so that it no longer
-    /// extends leases.
+    /// Whether the previous leader and all before it are known to have stopped, so that none
+    /// of them extends leases any longer.
     pub predecessor_stopped: bool,
 }
 
@@ -180,6 +182,11 @@
     inherited_resolved: bool,
     jobs: FastMap<JobKey, Job>,
     workers: FastMap<WorkerName, Worker>,
+    /// Number of the last job or incarnation of a worker that this term has learned of.
+    last_arrival: Arrival,
+    /// The term was the newest at the store after this and all earlier arrivals, so every
+    /// later leader knows of them when its term begins.
+    confirmed: Arrival,
     /// Number of times that a worker was added or removed.
     membership: u64,
     /// Steps that may have tasks to start. The next pass removes a step without any.
@@ -234,6 +241,8 @@
             inherited_resolved: roster.workers.is_empty(),
             jobs: FastMap::default(),
             workers: FastMap::default(),
+            last_arrival: Arrival::default(),
+            confirmed: Arrival::default(),
             membership: 0,
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
@@ -275,6 +284,13 @@
         }
     }
 
+    /// Whether no earlier leader can still act: all are known to have stopped, or every worker
+    /// on which they may have started tasks has seen this term's token, or its lease has
+    /// expired.
+    pub fn earlier_leaders_stopped(&self) -> bool {
+        self.inherited_resolved || self.term.predecessor_stopped
+    }
+
     /// Whether a worker has seen a higher token, which means that this term is over.
     pub fn is_deposed(&self) -> bool {
         self.deposed
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -162,7 +162,8 @@
         worker.last_answer = now;
         worker.reachable = true;
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
-        if !worker.fenced {
+        let first = !worker.fenced;
+        if first {
             log::info!(worker:% = name, runs = reply.running.len(), token = self.term.token; "worker fenced");
             worker.fenced = true;
             worker.answering_since = now;
@@ -176,10 +177,16 @@
             worker.incarnation = reply.incarnation;
             worker.report.incarnation = reply.incarnation;
         }
+        if first || restarted {
+            let arrival = self.next_arrival();
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.arrival = arrival;
+            }
+        }
         if restarted {
             self.count_crash(name, sent, reply, now);
             self.worker_restarted(name, reply.clock, now);
-        } else if !worker.lost.is_empty() {
+        } else {
             self.take_back_losses(name);
         }
         let seen = self.workers.get(name).map_or(0, |w| w.processed);
@@ -259,6 +266,11 @@
             .and_then(|w| w.runs.shift_remove(&task));
         let age = tracked.map_or(Span::ZERO, |r| now.since(r.since));
         log::warn!(task:% = task, run:% = run, worker:% = name, age:% = age, reason = reason; "run lost");
+        // The run was not seen to end: a newer leader may have reached the worker and know more.
+        let arrival = self.next_arrival();
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.arrival = arrival;
+        }
         self.release(name, task, run);
     }
 
--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -75,7 +75,8 @@
         if node.is_draining() {
             return;
         }
-        if node.leader() != KnownLeader::Absent {
+        // A leader that does not know yet which domains are evacuated would start tasks there.
+        if node.leader() != KnownLeader::Absent || !node.is_operator_state_known() {
             tokio::select! { () = changed => {}, () = sleep(RETRY_PAUSE) => {} }
             continue;
         }
@@ -101,7 +102,7 @@
     /// A time before the lease was granted; the lease can't end earlier than its
     /// length after this.
     pub(crate) lease_requested: Time,
-    /// The previous leader.
+    /// The previous leader, if the leaders before it are known to have stopped.
     pub(crate) predecessor: Option<Leader>,
     /// Whether the previous leader has made room for a stronger host.
     pub(crate) after_handover: bool,
@@ -157,20 +158,23 @@
     let term_revision = term.content.map_or(Revision::default(), |i| i.revision);
     // Read after the term key: if another host wins in between, the term key changes
     // and the transaction below fails.
-    let (resigned, after_handover) = match (
+    let (resigned, settled, after_handover) = match (
         read_value::<ChainMark>(node, keys::COMMIT_CHAIN).await,
         read_value::<Resignation>(node, keys::RESIGNED).await,
+        read_value::<u64>(node, keys::SETTLED).await,
     ) {
-        (Ok(last), Ok(resignation)) => {
-            let resigned = last.map(|m| m.nonce) == resignation.map(|r| r.nonce);
+        (Ok(last), Ok(resignation), Ok(settled)) => {
+            let last = last.map(|m| m.nonce);
+            let resigned = last == resignation.map(|r| r.nonce);
             (
                 resigned,
+                last == settled,
                 resigned && resignation.is_some_and(|r| r.handed_over),
             )
         }
-        (Err(error), _) | (_, Err(error)) => {
+        (Err(error), ..) | (_, Err(error), _) | (.., Err(error)) => {
             log::warn!(error:% = error; "can't read whether the last leader resigned; assuming it did not");
-            (false, false)
+            (false, false, false)
         }
     };
     let nonce = rand::random();
@@ -211,19 +215,19 @@
             }
         },
     };
-    log::info!(term = earlier_terms, resigned = resigned, after_handover = after_handover, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
+    log::info!(term = earlier_terms, resigned = resigned, settled = settled, after_handover = after_handover, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
     node.set_leader(KnownLeader::Present(leader));
     Ok(Some(ElectionWin {
         term: Term {
             token: revision.0,
             number: earlier_terms,
-            predecessor_stopped: resigned,
+            predecessor_stopped: resigned && settled,
         },
         lease,
         nonce,
         chain_revision: revision,
         lease_requested,
-        predecessor: last.map(|t| t.leader),
+        predecessor: last.map(|t| t.leader).filter(|_| settled),
         after_handover,
         workers: candidate.workers,
     }))
@@ -273,10 +277,36 @@
     }
 }
 
+/// Records that the leader with this nonce knows that all earlier leaders have stopped.
+/// Returns whether the store has it.
+pub(crate) async fn record_settled(node: &Node, nonce: u64) -> bool {
+    let txn = Txn::default().put(keys::SETTLED, &keys::encode(&nonce), None);
+    let result = node.kv.txn(&txn).await;
+    if let Err(error) = &result {
+        log::warn!(error:% = error; "the end of earlier terms is not stored; trying again");
+    }
+    result.is_ok()
+}
+
+/// How a term ended.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct TermEnd {
+    /// Whether all earlier leaders are known to have stopped.
+    pub(crate) settled: bool,
+    /// Whether the leader has made room for a stronger host.
+    pub(crate) handed_over: bool,
+}
+
 /// Records that the leader with this nonce has stopped and calls no worker any more.
-pub(crate) async fn resign(node: &Node, nonce: u64, handed_over: bool) {
-    let resignation = Resignation { nonce, handed_over };
-    let txn = Txn::default().put(keys::RESIGNED, &keys::encode(&resignation), None);
+pub(crate) async fn resign(node: &Node, nonce: u64, end: TermEnd) {
+    let resignation = Resignation {
+        nonce,
+        handed_over: end.handed_over,
+    };
+    let mut txn = Txn::default().put(keys::RESIGNED, &keys::encode(&resignation), None);
+    if end.settled {
+        txn = txn.put(keys::SETTLED, &keys::encode(&nonce), None);
+    }
     if let Err(error) = node.kv.txn(&txn).await {
         log::warn!(error:% = error; "resignation not stored; the next leader has to wait longer");
     }
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::candidacy::{Eligibility, Successors};
-use super::election::{self, ElectionWin};
+use super::election::{self, ElectionWin, TermEnd};
 use super::keys::{self, ChainMark};
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::relay::{HostReport, OpenGateway, WorkerGateway, maintain_relays};
@@ -17,8 +17,8 @@
 use super::supervision::PollTasks;
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::{
-    Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order, Progress,
-    Roster, WorkerOrder,
+    Arrival, Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order,
+    Progress, Roster, WorkerOrder,
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
@@ -29,6 +29,19 @@
 /// Interval of renewing the leader's lease, which lasts 2 s.
 const RENEWAL_INTERVAL: Span = Span::from_millis(500);
 
+/// Shortest time between two renewals that confirm the term. Jobs that arrive in between
+/// share one, at a tenth of the price of a read.
+const MIN_CONFIRMATION_INTERVAL: Span = Span::from_millis(10);
+
+/// Time after which a renewal that should confirm the term is sent again, beside the first.
+/// The store answers in 4 ms; an answer that is lost would otherwise cost the timeout of the
+/// call, 900 ms.
+const CONFIRMATION_RETRY: Span = Span::from_millis(80);
+
+/// Renewals to confirm the term that may be on their way at the same time, which limits the
+/// load on a store that does not answer.
+const MAX_CONFIRMATIONS: usize = 8;
+
 /// Pause after each write. A write holds all changes since the last one, so this
 /// bounds the rate of calls to the store.
 const COMMIT_PAUSE: Span = Span::from_millis(25);
@@ -97,6 +110,8 @@
     pub(crate) workers: Arc<WorkerGateway>,
     /// Notified when a planning pass may find something to order.
     plan_needed: Notify,
+    /// Notified when the term has to be confirmed before it may act on what has arrived.
+    confirmation_needed: Notify,
     /// Notified when there are changes to write.
     commit_needed: Notify,
     /// Notified after each successful write.
@@ -116,7 +131,8 @@
     /// Adds a job that is in the store to the dispatcher.
     pub(crate) fn accept(&self, node: &Node, key: JobKey, record: JobRecord) {
         lock(&self.dispatcher).accept(key, record, None, false, node.wall_time(), node.now());
-        self.plan_needed.notify_one();
+        // The renewal that confirms the term starts a planning pass.
+        self.confirmation_needed.notify_one();
     }
 
     /// Applies a cancellation that is in the store.
@@ -187,7 +203,10 @@
         loaded = load_term(node, &win) => loaded,
         _ = tasks.join_next() => None,
     };
-    let mut handed_over = false;
+    let mut end = TermEnd {
+        settled: win.term.predecessor_stopped,
+        handed_over: false,
+    };
     if let Some(term) = loaded {
         let term = Arc::new(term);
         let _open = OpenGateway(term.workers.clone());
@@ -200,6 +219,7 @@
             win.chain_revision,
             win.nonce,
         ));
+        tasks.spawn(confirm_term(node.clone(), term.clone(), win.lease));
         tasks.spawn(dispatch_orders(node.clone(), term.clone()));
         tasks.spawn(maintain_relays(node.clone(), term.clone()));
         tasks.spawn(watch_workers(node.clone(), term.clone()));
@@ -208,6 +228,7 @@
             let policy = PolicyClient::new(node.client.clone(), address);
             tasks.spawn(request_tickets(node.clone(), term.clone(), policy));
         }
+        tasks.spawn(record_settled(node.clone(), term.clone(), win.nonce));
         if let Some(predecessor) = win.predecessor.filter(|_| !win.term.predecessor_stopped) {
             tasks.spawn(await_predecessor_stop(
                 node.clone(),
@@ -222,8 +243,8 @@
         ));
         // Every task runs for the whole term: the first that returns ends the term.
         tokio::select! { _ = tasks.join_next() => {}, _ = writer.join_next() => {} }
-        handed_over = term.hands_over();
-        if handed_over {
+        end.handed_over = term.hands_over();
+        if end.handed_over {
             // No task makes changes any more, so the writer comes to an end.
             tasks.shutdown().await;
             let flush = tokio::time::timeout(MAX_FLUSH.to_std(), writer.join_next());
@@ -232,12 +253,13 @@
             }
         }
         writer.shutdown().await;
+        end.settled = lock(&term.dispatcher).earlier_leaders_stopped();
     }
     node.set_active_term(None);
     tasks.shutdown().await;
     node.set_term_nonce(None);
     log::warn!(term = win.term.number, lasted:% = node.now().since(began), draining = node.is_draining(); "term ended");
-    election::resign(node, win.nonce, handed_over).await;
+    election::resign(node, win.nonce, end).await;
     election::revoke_lease(node, win.lease).await;
     if node.leader() == own_leader_record(node, win.nonce) {
         node.set_leader(KnownLeader::Absent);
@@ -289,6 +311,60 @@
     }
 }
 
+/// Confirms the term by renewals of the lease while it has learned of something that it may
+/// not act on before. The leader key is bound to the lease, and the next leader is elected
+/// only once that key is gone, so a renewal that succeeds shows that none was elected before.
+/// Never returns, since the return of a term's task ends the term.
+async fn confirm_term(node: Arc<Node>, term: Arc<ActiveTerm>, lease: crate::platform::LeaseId) {
+    let mut calls = JoinSet::new();
+    let mut last_sent = Arrival::default();
+    loop {
+        let (arrived, needed) = {
+            let dispatcher = lock(&term.dispatcher);
+            (dispatcher.last_arrival(), dispatcher.needs_confirmation())
+        };
+        while calls.try_join_next().is_some() {}
+        if !needed {
+            term.confirmation_needed.notified().await;
+            continue;
+        }
+        if calls.len() < MAX_CONFIRMATIONS {
+            last_sent = arrived;
+            calls.spawn(confirm_arrivals(node.clone(), term.clone(), lease, arrived));
+        }
+        sleep(MIN_CONFIRMATION_INTERVAL).await;
+        if lock(&term.dispatcher).last_arrival() == last_sent {
+            tokio::select! {
+                () = term.confirmation_needed.notified() => {},
+                () = sleep(CONFIRMATION_RETRY) => {},
+            }
+        }
+    }
+}
+
+/// Renews the lease once, and confirms what had arrived before.
+async fn confirm_arrivals(
+    node: Arc<Node>,
+    term: Arc<ActiveTerm>,
+    lease: crate::platform::LeaseId,
+    arrived: Arrival,
+) {
+    let sent = node.now();
+    let result = node.kv.renew_lease(lease).await;
+    match node.record_store_call("renewal", sent, result) {
+        Ok(true) => {
+            lock(&term.dispatcher).term_confirmed(arrived);
+            term.confirmation_needed.notify_one();
+            term.plan_needed.notify_one();
+        }
+        // The renewal of the lease ends the term.
+        Ok(false) => {}
+        Err(error) => {
+            log::debug!(lease:% = lease, error:% = error; "term not confirmed; trying again");
+        }
+    }
+}
+
 async fn read_all(node: &Node, prefix: &str) -> Result<Vec<KeyState>, CallError> {
     let sent = node.now();
     let result = node.kv.range(prefix).await;
@@ -362,6 +438,7 @@
             node.metrics.relay_calls.clone(),
         )),
         plan_needed: Notify::new(),
+        confirmation_needed: Notify::new(),
         commit_needed: Notify::new(),
         committed: Notify::new(),
         order_slots: Mutex::new(IndexMap::new()),
@@ -421,6 +498,17 @@
     }
 }
 
+/// Records once that no earlier leader can act any more, for a next leader that finds only
+/// this one gone. Never returns, since the return of a term's task ends the term.
+async fn record_settled(node: Arc<Node>, term: Arc<ActiveTerm>, nonce: u64) {
+    while !lock(&term.dispatcher).earlier_leaders_stopped()
+        || !election::record_settled(&node, nonce).await
+    {
+        sleep(PREDECESSOR_CHECK_INTERVAL).await;
+    }
+    std::future::pending().await
+}
+
 /// Passes changes of the workers' keys to the dispatcher.
 async fn watch_workers(node: Arc<Node>, term: Arc<ActiveTerm>) {
     let observer = node.clone();
@@ -579,12 +667,18 @@
     let mut last_load_log = began;
     let mut polls = PollTasks::default();
     let mut polled_membership = None;
+    let mut last_arrival = Arrival::default();
     let start_poll = |worker| poll_worker(node.clone(), term.clone(), worker);
     loop {
         let (orders, workers, deposed) = {
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
             let orders = dispatcher.plan(node.wall_time(), node.now());
+            let unconfirmed = dispatcher.last_arrival();
+            if dispatcher.needs_confirmation() && unconfirmed != last_arrival {
+                last_arrival = unconfirmed;
+                term.confirmation_needed.notify_one();
+            }
             let current = dispatcher.membership();
             let workers = (polled_membership != Some(current)).then(|| dispatcher.workers());
             (
