Add an emulator of the platform and a soak of real processes

jujubelb-soak starts jujubelb-node processes on loopback addresses against an emulated store, workers and operator, and checks what clients and workers see. The faults of a seed are drawn before it starts. Each checker has a test with a history that breaks it; these tests have not run yet.

--- a/crates/jujubelb-lab/src/lib.rs
+++ b/crates/jujubelb-lab/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod bench;
 pub mod capacity;
 pub mod demo;
+mod emulator;
 pub mod load;
 pub mod program;
+pub mod soak;
 pub mod standin;
--- /dev/null
+++ b/crates/jujubelb-lab/src/soak/check/tests.rs
@@ -0,0 +1,538 @@
+//! Each rule is shown to fail on a history that breaks it, and to hold on one that does not.
+
+use std::time::Duration;
+
+use super::{Violation, check};
+use crate::emulator::history::{
+    Answer, Event, Life, Record, RunEnd, SentJob, SentStep, TaskName, What,
+};
+
+const JOB: &str = "00000000000000aa";
+
+/// A history in the making; times are seconds.
+struct Draft {
+    record: Record,
+}
+
+fn step(count: u32, after: &[u16], lasts: bool) -> SentStep {
+    SentStep {
+        count,
+        cpu: 1_000,
+        memory: 100,
+        work: Duration::from_secs(1),
+        after: after.to_vec(),
+        checkpoints: true,
+        lasts,
+        failing: 0.0,
+    }
+}
+
+fn life(name: &str, life: u64) -> Life {
+    let name = name.into();
+    Life { name, life }
+}
+
+fn task(step: usize, index: u32) -> TaskName {
+    TaskName {
+        job: JOB.into(),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+fn started(worker: &str, step: usize, run: u64) -> What {
+    What::Started {
+        worker: life(worker, 1),
+        zone: "za".into(),
+        service: "main".into(),
+        task: task(step, 0),
+        run,
+        payload: "payload".into(),
+        checkpoint: None,
+        late: false,
+        over_room: false,
+    }
+}
+
+fn ended(worker: &str, number: u64, step: usize, run: u64, end: RunEnd) -> What {
+    What::Ended {
+        worker: life(worker, 1),
+        number,
+        task: task(step, 0),
+        run,
+        end,
+    }
+}
+
+fn noted(worker: &str, number: u64) -> What {
+    let worker = life(worker, 1);
+    What::Acknowledged { worker, number }
+}
+
+fn submit(answer: Answer) -> [What; 2] {
+    let job = || JOB.into();
+    [
+        What::SubmitSent {
+            job: job(),
+            host: 0,
+        },
+        What::SubmitAnswered { job: job(), answer },
+    ]
+}
+
+fn cancel(answer: Answer) -> [What; 2] {
+    let job = || JOB.into();
+    [
+        What::CancelSent {
+            job: job(),
+            host: 0,
+        },
+        What::CancelAnswered { job: job(), answer },
+    ]
+}
+
+fn shown(asked: f64, state: Option<&str>) -> What {
+    What::StateShown {
+        job: JOB.into(),
+        asked: Duration::from_secs_f64(asked),
+        state: state.map(Into::into),
+    }
+}
+
+fn fault(id: u64) -> What {
+    let text = "test".to_owned();
+    What::FaultBegan { id, text }
+}
+
+impl Draft {
+    /// A job with these steps that is accepted at 1 s.
+    fn accepted(steps: Vec<SentStep>) -> Self {
+        Self::submitted(steps).with(1.0, submit(Answer::Status(200)))
+    }
+
+    fn submitted(steps: Vec<SentStep>) -> Self {
+        let job = SentJob {
+            id: JOB.into(),
+            prefix: "/batch/".into(),
+            service: "main".into(),
+            payload: "payload".into(),
+            steps,
+        };
+        let mut record = Record::default();
+        record.jobs.insert(JOB.into(), job);
+        Self { record }
+    }
+
+    fn with(mut self, at: f64, what: impl IntoIterator<Item = What>) -> Self {
+        let at = Duration::from_secs_f64(at);
+        let events = what.into_iter().map(|what| Event { at, what });
+        self.record.events.extend(events);
+        self
+    }
+
+    fn found(self) -> Vec<Violation> {
+        check(&self.record)
+    }
+
+    #[track_caller]
+    fn breaks(self, rule: &str, text: &str) {
+        let found = self.found();
+        assert!(
+            found
+                .iter()
+                .any(|v| v.rule == rule && v.text.contains(text)),
+            "{rule} with {text:?} not found: {found:#?}"
+        );
+    }
+
+    #[track_caller]
+    fn is_clean(self) {
+        assert_eq!(self.found(), []);
+    }
+}
+
+/// A job of one task that runs from 2 s to 3 s, and is acknowledged.
+fn completed_job() -> Draft {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done)])
+        .with(3.2, [noted("w1", 1)])
+        .with(4.0, [shown(3.9, Some("completed"))])
+}
+
+#[test]
+fn history_of_completed_job_is_clean() {
+    completed_job().is_clean();
+}
+
+// Guards against a checker of TWICE that misses a second run beside a running one.
+#[test]
+fn run_beside_another_breaks_twice() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(2.5, [started("w2", 0, 2)])
+        .breaks("TWICE", "while run 1 is on w1#1");
+}
+
+// Guards against a checker that counts a run on a dead worker as running.
+#[test]
+fn run_after_crash_is_allowed() {
+    let worker = life("w1", 1);
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(2.2, [What::Died { worker }])
+        .with(2.5, [started("w2", 0, 2)])
+        .with(3.5, [ended("w2", 1, 0, 2, RunEnd::Done), noted("w2", 1)])
+        .with(4.0, [shown(3.9, Some("completed"))])
+        .is_clean();
+}
+
+// Guards against a checker that looks only at ends acknowledged before the second start.
+#[test]
+fn start_after_done_breaks_twice_even_if_noted_later() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done)])
+        .with(4.0, [started("w2", 0, 2)])
+        .with(5.0, [noted("w1", 1)])
+        .breaks("TWICE", "after it was done");
+}
+
+// Guards against a checker that counts an end that was lost with the lease.
+#[test]
+fn start_after_unnoted_end_is_allowed() {
+    let worker = life("w1", 1);
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done)])
+        .with(8.0, [What::Lapsed { worker }])
+        .with(9.0, [started("w2", 0, 2)])
+        .with(9.5, [noted("w1", 1)])
+        .with(10.0, [ended("w2", 1, 0, 2, RunEnd::Done), noted("w2", 1)])
+        .with(11.0, [shown(10.9, Some("completed"))])
+        .is_clean();
+}
+
+// Guards against a checker that misses a step that starts too early.
+#[test]
+fn start_before_earlier_step_breaks_order() {
+    Draft::accepted(vec![step(2, &[], false), step(1, &[0], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done)])
+        .with(3.5, [started("w1", 1, 1)])
+        .breaks("ORDER", "before task 1 of step 0 is done");
+}
+
+// Guards against a checker that doesn't count failures.
+#[test]
+fn start_after_three_failures_breaks_budget() {
+    let mut draft = Draft::accepted(vec![step(1, &[], false)]);
+    for run in 1..=3 {
+        let end = ended("w1", run, 0, run, RunEnd::Failed);
+        draft = draft.with(
+            run as f64 + 1.0,
+            [started("w1", 0, run), end, noted("w1", run)],
+        );
+    }
+    draft
+        .with(6.0, [started("w1", 0, 4)])
+        .breaks("BUDGET", "after 3 failures");
+}
+
+// Guards against a checker that ignores capacity.
+#[test]
+fn start_beyond_capacity_breaks_limit() {
+    let mut start = started("w1", 0, 1);
+    if let What::Started { over_room, .. } = &mut start {
+        *over_room = true;
+    }
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [start])
+        .breaks("LIMIT", "which is full");
+}
+
+// Guards against a checker that trusts the identifier of a job.
+#[test]
+fn start_of_unknown_job_breaks_unasked() {
+    Draft {
+        record: Record::default(),
+    }
+    .with(2.0, [started("w1", 0, 1)])
+    .breaks("UNASKED", "no client has sent the job");
+}
+
+// Guards against a checker that doesn't compare the payload.
+#[test]
+fn start_with_other_payload_breaks_unasked() {
+    let mut start = started("w1", 0, 1);
+    if let What::Started { payload, .. } = &mut start {
+        *payload = "other".into();
+    }
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [start])
+        .breaks("UNASKED", "the payload is \"other\"");
+}
+
+// Guards against a checker that accepts any task of a known job.
+#[test]
+fn start_of_unknown_task_breaks_unasked() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 1, 1)])
+        .breaks("UNASKED", "the job has no such task");
+}
+
+// Guards against a checker that doesn't compare checkpoints.
+#[test]
+fn start_with_foreign_checkpoint_breaks_unasked() {
+    let mut start = started("w1", 0, 1);
+    if let What::Started { checkpoint, .. } = &mut start {
+        *checkpoint = Some("001000other".into());
+    }
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [start])
+        .breaks("UNASKED", "no run has saved the checkpoint");
+}
+
+// Guards against a checker that ignores the service of a queue.
+#[test]
+fn start_on_other_service_breaks_route() {
+    let mut start = started("w1", 0, 1);
+    if let What::Started { service, .. } = &mut start {
+        *service = "side".into();
+    }
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [start])
+        .breaks("ROUTE", "the worker belongs to side");
+}
+
+// Guards against a job that runs although all its callers were told that it does not.
+#[test]
+fn start_of_refused_job_breaks_refused() {
+    Draft::submitted(vec![step(1, &[], false)])
+        .with(1.0, submit(Answer::Status(503)))
+        .with(1.5, submit(Answer::Status(429)))
+        .with(2.0, [started("w1", 0, 1)])
+        .breaks("REFUSED", "all submissions of the job were rejected");
+}
+
+// Guards against a checker that counts an unanswered submission as rejected.
+#[test]
+fn start_after_unanswered_submission_is_allowed() {
+    Draft::submitted(vec![step(1, &[], false)])
+        .with(1.0, submit(Answer::Nothing))
+        .with(1.5, submit(Answer::Status(503)))
+        .with(2.0, [started("w1", 0, 1)])
+        .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done), noted("w1", 1)])
+        .is_clean();
+}
+
+// Guards against a checker that misses a start long after a cancellation.
+#[test]
+fn start_after_cancellation_breaks_unasked() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, cancel(Answer::Status(200)))
+        .with(5.4, [started("w1", 0, 1)])
+        .breaks("UNASKED", "after the job was cancelled");
+}
+
+// Guards against a bound on time that is applied near a fault, where the rules except it.
+#[test]
+fn start_after_cancellation_near_fault_is_allowed() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, cancel(Answer::Status(200)))
+        .with(3.0, [fault(1), What::FaultEnded { id: 1 }])
+        .with(5.4, [started("w1", 0, 1)])
+        .with(6.0, [ended("w1", 1, 0, 1, RunEnd::Stopped), noted("w1", 1)])
+        .is_clean();
+}
+
+// Guards against a cancelled job that runs on.
+#[test]
+fn run_long_after_cancellation_breaks_unasked() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(10.0, cancel(Answer::Status(200)))
+        .with(
+            15.0,
+            [ended("w1", 1, 0, 1, RunEnd::Stopped), noted("w1", 1)],
+        )
+        .breaks("UNASKED", "is still on w1#1");
+}
+
+// Guards against a checker that stops looking after the first disturbed span.
+#[test]
+fn run_after_cancellation_breaks_unasked_once_calm() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(10.0, cancel(Answer::Status(200)))
+        .with(11.0, [fault(1)])
+        .with(12.0, [What::FaultEnded { id: 1 }])
+        .with(
+            25.0,
+            [ended("w1", 1, 0, 1, RunEnd::Stopped), noted("w1", 1)],
+        )
+        .breaks("UNASKED", "is still on w1#1");
+}
+
+// Guards against a checker that misses starts in an evacuated zone.
+#[test]
+fn start_in_evacuated_zone_breaks_evac() {
+    let zone = || "za".into();
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [What::Evacuated { zone: zone() }])
+        .with(7.5, [started("w1", 0, 1)])
+        .breaks("EVAC", "after the zone was evacuated");
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [What::Evacuated { zone: zone() }])
+        .with(7.0, [What::Restored { zone: zone() }])
+        .with(7.5, [started("w1", 0, 1)])
+        .with(8.5, [ended("w1", 1, 0, 1, RunEnd::Done), noted("w1", 1)])
+        .with(9.0, [shown(8.9, Some("completed"))])
+        .is_clean();
+}
+
+// Guards against a checker that misses starts on a worker that leaves.
+#[test]
+fn start_on_draining_worker_breaks_drain() {
+    let worker = life("w1", 1);
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [What::Draining { worker }])
+        .with(5.0, [started("w1", 0, 1)])
+        .breaks("DRAIN", "after the worker drains");
+}
+
+// Guards against an accepted job that is forgotten.
+#[test]
+fn accepted_job_without_end_breaks_lost() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(60.0, [shown(59.9, Some("queued"))])
+        .breaks("LOST", "is not over at the end; shown: queued");
+}
+
+// Guards against a host that denies a job which another host has accepted.
+#[test]
+fn accepted_job_shown_as_missing_breaks_lost() {
+    completed_job()
+        .with(6.0, [shown(5.9, None)])
+        .breaks("LOST", "shown as not existing");
+}
+
+// Guards against an end that is shown without cause.
+#[test]
+fn unfounded_ends_break_lost_and_mixed() {
+    let job = || Draft::accepted(vec![step(1, &[], false)]);
+    job()
+        .with(3.0, [shown(2.9, Some("failed"))])
+        .breaks("LOST", "failed without cause");
+    job()
+        .with(3.0, [shown(2.9, Some("cancelled"))])
+        .breaks("LOST", "nobody has cancelled it");
+    job()
+        .with(3.0, [shown(2.9, Some("completed"))])
+        .breaks("MIXED", "is not done");
+    job()
+        .with(3.0, [shown(2.9, Some("odd"))])
+        .breaks("MIXED", "can't be read");
+}
+
+// Guards against a task that lasts and is not started again.
+#[test]
+fn lasting_task_that_is_away_breaks_lost() {
+    Draft::accepted(vec![step(1, &[], true)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(4.0, [ended("w1", 1, 0, 1, RunEnd::Failed), noted("w1", 1)])
+        .with(20.0, [started("w1", 0, 2)])
+        .breaks("LOST", "which lasts, is away since 4.000 s");
+}
+
+// Guards against cancellations without an answer.
+#[test]
+fn late_cancellations_break_acks() {
+    let mut draft = Draft::accepted(vec![step(1, &[], false)]);
+    for number in 0..3 {
+        let job = arcstr::ArcStr::from(format!("00000000000000b{number}"));
+        let answer = |status| What::CancelAnswered {
+            job: job.clone(),
+            answer: Answer::Status(status),
+        };
+        draft = draft.with(
+            2.0,
+            [
+                What::SubmitAnswered {
+                    job: job.clone(),
+                    answer: Answer::Status(200),
+                },
+                What::CancelSent {
+                    job: job.clone(),
+                    host: 0,
+                },
+                answer(503),
+            ],
+        );
+    }
+    let job = arcstr::ArcStr::from("00000000000000b1");
+    let answer = Answer::Status(200);
+    draft
+        .with(12.0, [What::CancelAnswered { job, answer }])
+        .breaks("Acks", "1 of 3 cancellations");
+}
+
+// Guards against ends that no host takes note of.
+#[test]
+fn unacknowledged_end_breaks_acks() {
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done)])
+        .with(15.0, [shown(14.9, Some("completed"))])
+        .breaks("Acks", "1 of 1 ends");
+}
+
+// Guards against a host that goes on with a queue that was withdrawn, and against one that
+// does not learn of a new queue.
+#[test]
+fn old_configuration_breaks_config() {
+    let configured = |prefixes: &[&str]| What::Configured {
+        prefixes: prefixes.iter().map(|p| (*p).into()).collect(),
+    };
+    let seen = |asked, exists| What::QueueShown {
+        host: 0,
+        prefix: "/passing/".into(),
+        asked: Duration::from_secs_f64(asked),
+        exists,
+    };
+    completed_job()
+        .with(10.0, [configured(&[])])
+        .with(13.0, [seen(12.9, true)])
+        .breaks("CONFIG", "says that /passing/ exists");
+    completed_job()
+        .with(10.0, [configured(&["/passing/"])])
+        .with(12.0, [seen(11.9, false)])
+        .with(13.0, [seen(12.9, true)])
+        .is_clean();
+    completed_job()
+        .with(10.0, [configured(&["/passing/"])])
+        .with(13.0, [seen(12.9, false)])
+        .breaks("CONFIG", "does not exist");
+}
+
+// Guards against a process that ends by itself unnoticed.
+#[test]
+fn process_that_ends_breaks_fault() {
+    let text = "the process ended by itself".to_owned();
+    completed_job()
+        .with(10.0, [What::ProcessFailed { host: 1, text }])
+        .breaks("FAULT", "host 1: the process ended by itself");
+}
+
+// Guards against a delay of the machine that is counted as one of the product.
+#[test]
+fn delay_of_the_soak_counts_as_fault() {
+    let by = Duration::from_secs(2);
+    Draft::accepted(vec![step(1, &[], false)])
+        .with(2.0, cancel(Answer::Status(200)))
+        .with(5.0, [What::Delayed { by }])
+        .with(5.4, [started("w1", 0, 1)])
+        .with(6.0, [ended("w1", 1, 0, 1, RunEnd::Stopped), noted("w1", 1)])
+        .is_clean();
+}
--- /dev/null
+++ b/crates/jujubelb-lab/src/soak/faults.rs
@@ -0,0 +1,222 @@
+//! Carries out the planned faults.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
+
+use reqwest::Client;
+use rustix::process::Signal;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use super::plan::{Fault, Planned, Target};
+use super::processes::{METRICS_PORT, Processes};
+use crate::emulator::Emulator;
+use crate::emulator::history::What;
+use crate::emulator::http::{Link, Treatment};
+use crate::emulator::platform::entries::worker_key;
+use crate::emulator::platform::settings::HostPlace;
+
+/// Time after a worker's report until it leaves.
+const DRAIN: Duration = Duration::from_millis(4_000);
+
+/// Interval of checking whether a process is back.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long a host's state dump may take; a stopped process gives none.
+const STATE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// What clients may send by mistake.
+const BAD_BYTES: [&[u8]; 4] = [
+    b"\x16\x03\x01\x02\x00\x01\x00\xff\xfe",
+    b"POST /batch/0123456789abcdef HTTP/1.1\r\nHost: q.example\r\nContent-Length: 9\r\n\r\n{\"spec\":1",
+    b"POST /batch/0123456789abcdef HTTP/1.1\r\nHost: q.example\r\nContent-Length: 12\r\n\r\n{\"steps\":[]}",
+    b"GET /batch/%zz%00\xff HTTP/1.1\r\nHost: \xff\xfe\r\nDeadline-Ms: -1e99\r\n\r\n",
+];
+
+/// Everything that faults are done to.
+#[derive(Debug)]
+pub(crate) struct Scene {
+    pub(crate) emulator: Arc<Emulator>,
+    pub(crate) processes: Arc<Processes>,
+    pub(crate) hosts: Vec<HostPlace>,
+    pub(crate) http: Client,
+    pub(crate) last_fault: AtomicU64,
+}
+
+impl Scene {
+    /// The host that says that it leads, or else the first one.
+    async fn find_leader(&self) -> usize {
+        for (index, host) in self.hosts.iter().enumerate() {
+            let url = format!("http://{}:{METRICS_PORT}/state", host.clients.ip());
+            let Ok(response) = self.http.get(url).timeout(STATE_TIMEOUT).send().await else {
+                continue;
+            };
+            if let Ok(state) = response.json::<serde_json::Value>().await
+                && !state["dispatch"].is_null()
+            {
+                return index;
+            }
+        }
+        0
+    }
+
+    async fn host(&self, target: Target) -> usize {
+        match target {
+            Target::Host(index) => index,
+            Target::Leader => self.find_leader().await,
+        }
+    }
+
+    /// Waits until the process of a host runs again.
+    async fn await_process(&self, host: usize) {
+        while !self.processes.runs(host) {
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Does a fault and undoes it after its time.
+    pub(crate) async fn play(&self, planned: Planned) {
+        let history = &self.emulator.history;
+        let id = self.last_fault.fetch_add(1, Relaxed);
+        let host = match planned.fault {
+            Fault::Kill(target)
+            | Fault::Terminate(target)
+            | Fault::Pause(target)
+            | Fault::Reload(target)
+            | Fault::StoreLink(target, ..)
+            | Fault::BadRequests(target) => self.host(target).await,
+            _ => 0,
+        };
+        if let Fault::WorkerDrain(worker) = planned.fault {
+            // An announced departure is no fault until the worker is gone.
+            self.emulator.fleet.drain(worker, DRAIN);
+            sleep(DRAIN).await;
+        }
+        let text = format!("{:?} for {:?} (host {host})", planned.fault, planned.time);
+        history.add(What::FaultBegan { id, text });
+        self.act(planned, host).await;
+        history.add(What::FaultEnded { id });
+    }
+
+    async fn act(&self, planned: Planned, host: usize) {
+        let time = planned.time;
+        match planned.fault {
+            Fault::Kill(_) => {
+                self.processes.stop(host, Signal::KILL, time);
+                self.await_process(host).await;
+            }
+            Fault::Terminate(_) => {
+                self.processes.stop(host, Signal::TERM, time);
+                self.await_process(host).await;
+            }
+            Fault::Pause(_) => {
+                self.processes.signal(host, Signal::STOP);
+                sleep(time).await;
+                self.processes.signal(host, Signal::CONT);
+            }
+            Fault::Reload(_) => self.processes.signal(host, Signal::HUP),
+            Fault::KillAll => {
+                let all = 0..self.hosts.len();
+                for host in all.clone() {
+                    self.processes.stop(host, Signal::KILL, time);
+                }
+                for host in all {
+                    self.await_process(host).await;
+                }
+            }
+            Fault::StoreLink(_, treatment, share) => {
+                disturb(&self.emulator.store_links[host], treatment, share, time).await;
+            }
+            Fault::Store(treatment, share, pauses) => {
+                self.disturb_store(treatment, share, pauses, time).await;
+            }
+            Fault::ForgetHistory => self.emulator.store.with(|s, _| s.forget_history()),
+            Fault::WorkerLink(worker, treatment, share) => {
+                disturb(&self.emulator.worker_links[worker], treatment, share, time).await;
+            }
+            Fault::WorkerCrash(worker, same_name) => {
+                self.emulator.fleet.kill(worker);
+                self.come_back(worker, same_name, time).await;
+            }
+            Fault::WorkerDrain(worker) => {
+                if let Some(life) = self.emulator.fleet.kill(worker) {
+                    let store = &self.emulator.store;
+                    self.emulator.registry.forget(&life.name, store);
+                }
+                self.come_back(worker, false, time).await;
+            }
+            Fault::WorkerCut(worker) => {
+                self.emulator.registry.set_cut(worker, true);
+                sleep(time).await;
+                self.emulator.registry.set_cut(worker, false);
+            }
+            Fault::BadEntry => {
+                let key = worker_key("w-unreadable");
+                let store = &self.emulator.store;
+                store.with(|s, now| s.write(&key, b"{\"service\":7,\xff".to_vec(), now));
+                sleep(time).await;
+                store.with(|s, now| s.delete(&key, now));
+            }
+            Fault::BadRequests(_) => self.send_bad_requests(host).await,
+        }
+    }
+
+    async fn come_back(&self, worker: usize, same_name: bool, after: Duration) {
+        let link = &self.emulator.worker_links[worker];
+        disturb(link, Treatment::Reset, 1.0, after).await;
+        self.emulator.fleet.revive(worker, same_name);
+    }
+
+    async fn disturb_store(&self, treatment: Treatment, share: f64, pauses: bool, time: Duration) {
+        let down = share >= 1.0
+            && matches!(
+                treatment,
+                Treatment::Reset | Treatment::Silence | Treatment::Refuse(_)
+            );
+        let links = &self.emulator.store_links;
+        links.iter().for_each(|l| l.set(treatment, share));
+        if down {
+            self.emulator.registry.set_store_down(true);
+        }
+        if down && pauses {
+            self.emulator.store.pause_leases();
+        }
+        sleep(time).await;
+        if down && pauses {
+            self.emulator.store.resume_leases(time);
+        }
+        if down {
+            self.emulator.registry.set_store_down(false);
+        }
+        links.iter().for_each(|l| l.set(Treatment::Pass, 0.0));
+    }
+
+    async fn send_bad_requests(&self, host: usize) {
+        for bytes in BAD_BYTES {
+            // The process may be down, and may close the connection early.
+            if let Ok(mut stream) = TcpStream::connect(self.hosts[host].clients).await {
+                let _ = stream.write_all(bytes).await;
+                sleep(CHECK_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Ends what overlapping faults may have left behind.
+    pub(crate) fn calm(&self) {
+        let emulator = &self.emulator;
+        for link in emulator.store_links.iter().chain(&emulator.worker_links) {
+            link.set(Treatment::Pass, 0.0);
+        }
+        for host in 0..self.hosts.len() {
+            self.processes.signal(host, Signal::CONT);
+        }
+    }
+}
+
+async fn disturb(link: &Link, treatment: Treatment, share: f64, time: Duration) {
+    link.set(treatment, share);
+    sleep(time).await;
+    link.set(Treatment::Pass, 0.0);
+}
--- /dev/null
+++ b/crates/jujubelb-lab/src/soak/mod.rs
@@ -0,0 +1,15 @@
+//! Soak of real `jujubelb-node` processes against the [emulator](crate::emulator) of the
+//! platform, with faults from outside them. It judges only from what clients, workers and
+//! the operator have seen.
+
+mod check;
+mod clients;
+mod faults;
+mod operator;
+mod plan;
+mod processes;
+mod report;
+mod run;
+
+pub use report::Outcome;
+pub use run::{Options, run};
--- /dev/null
+++ b/crates/jujubelb-lab/src/soak/plan.rs
@@ -0,0 +1,142 @@
+//! The faults of a seed: what is disturbed, when and for how long. Pure; the seed is the only
+//! input besides the size of the deployment.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::emulator::http::Treatment;
+
+/// Time without faults at the start, in which the hosts find a leader.
+const START: Duration = Duration::from_secs(5);
+
+/// Shortest and longest time between two groups of faults, in milliseconds. The longer ones
+/// leave room for bounds that hold from 4 s after a fault.
+const GAP_MS: (u64, u64) = (1_000, 12_000);
+
+/// Time to stop on request, 6 s, and to start again.
+const LONGEST_STOP: Duration = Duration::from_secs(7);
+
+/// Most faults of a group, and longest time between two of them in milliseconds.
+const GROUP: (u64, u64) = (4, 2_500);
+
+/// What a fault is done to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Target {
+    Host(usize),
+    /// The host that leads when the fault begins.
+    Leader,
+}
+
+/// A fault.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Fault {
+    /// The process is killed and starts again after `time`.
+    Kill(Target),
+    /// The process gets SIGTERM and starts again `time` after it has ended.
+    Terminate(Target),
+    /// The process is stopped and goes on after `time`.
+    Pause(Target),
+    /// The process gets SIGHUP.
+    Reload(Target),
+    /// All processes are killed.
+    KillAll,
+    /// The link of one host to the store.
+    StoreLink(Target, Treatment, f64),
+    /// The links of all hosts to the store; workers don't reach it either if no request
+    /// passes. `true` lets leases pause meanwhile.
+    Store(Treatment, f64, bool),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// The link of all hosts to a worker.
+    WorkerLink(usize, Treatment, f64),
+    /// A worker crashes and comes back after `time`, under its name or a new one.
+    WorkerCrash(usize, bool),
+    /// A worker drains, leaves, and comes back `time` later under a new name.
+    WorkerDrain(usize),
+    /// A worker can't reach the store.
+    WorkerCut(usize),
+    /// An entry that can't be read is among those of the workers.
+    BadEntry,
+    /// A client sends what is no request, and bodies that can't be decoded.
+    BadRequests(Target),
+}
+
+/// A fault with its time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Planned {
+    pub(crate) at: Duration,
+    pub(crate) fault: Fault,
+    /// How long it lasts.
+    pub(crate) time: Duration,
+}
+
+impl Planned {
+    /// When the fault has ended at the latest: a process may use its time to stop, a worker
+    /// drains, and both take a moment to come back.
+    pub(crate) fn ends(&self) -> Duration {
+        self.at + self.time + LONGEST_STOP
+    }
+}
+
+/// Draws the faults of a seed, all of which begin before `end`.
+pub(crate) fn draw(seed: u64, hosts: usize, workers: usize, end: Duration) -> Vec<Planned> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut planned = Vec::new();
+    let mut at = START;
+    while at < end {
+        for _ in 0..random.random_range(1..=GROUP.0) {
+            planned.push(draw_fault(&mut random, at, hosts, workers));
+            at += Duration::from_millis(random.random_range(0..GROUP.1));
+        }
+        at += Duration::from_millis(random.random_range(GAP_MS.0..GAP_MS.1));
+    }
+    planned.retain(|p| p.at < end);
+    planned
+}
+
+fn draw_fault(random: &mut StdRng, at: Duration, hosts: usize, workers: usize) -> Planned {
+    let target = match random.random() {
+        true => Target::Leader,
+        false => Target::Host(random.random_range(0..hosts)),
+    };
+    let worker = random.random_range(0..workers);
+    let share = if random.random() { 1.0 } else { 0.4 };
+    let fault = match random.random_range(0..100) {
+        0..14 => Fault::Kill(target),
+        14..24 => Fault::Terminate(target),
+        24..40 => Fault::Pause(target),
+        40..42 => Fault::Reload(target),
+        42..45 => Fault::KillAll,
+        45..55 => Fault::StoreLink(target, draw_treatment(random), share),
+        55..64 => Fault::Store(draw_treatment(random), share, random.random()),
+        64..67 => Fault::ForgetHistory,
+        67..79 => Fault::WorkerLink(worker, draw_treatment(random), share),
+        79..87 => Fault::WorkerCrash(worker, random.random()),
+        87..91 => Fault::WorkerDrain(worker),
+        91..95 => Fault::WorkerCut(worker),
+        95..97 => Fault::BadEntry,
+        _ => Fault::BadRequests(target),
+    };
+    // Around the lengths of leases: 2 s of the leader's, 6 s of the workers'.
+    let time = Duration::from_millis(match random.random_range(0..3) {
+        0 => random.random_range(100..1_500),
+        1 => random.random_range(1_500..4_000),
+        _ => random.random_range(4_000..9_000),
+    });
+    Planned { at, fault, time }
+}
+
+fn draw_treatment(random: &mut StdRng) -> Treatment {
+    let delay = Duration::from_millis(random.random_range(30..400));
+    let late = Duration::from_millis(random.random_range(300..3_500));
+    match random.random_range(0..6) {
+        0 => Treatment::Reset,
+        1 => Treatment::Refuse(if random.random() { 429 } else { 503 }),
+        2 => Treatment::Silence,
+        3 => Treatment::LoseAnswer,
+        4 => Treatment::Late(late),
+        _ => Treatment::Delay(delay),
+    }
+}
--- /dev/null
+++ b/crates/jujubelb-lab/src/soak/run.rs
@@ -0,0 +1,240 @@
+//! One soak: starts the emulator and the processes, plays the faults of the seed, waits
+//! until the deployment is calm, and checks the history.
+
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::check;
+use super::clients::{self, Ground};
+use super::faults::Scene;
+use super::operator;
+use super::plan::{self, Planned};
+use super::processes::Processes;
+use super::report::Outcome;
+use crate::emulator::history::{History, What};
+use crate::emulator::worker::Machine;
+use crate::emulator::{Emulator, Layout, MAX_HOSTS, MAX_WORKERS, ZONES};
+
+/// Time after the last fault until the traffic ends, so that bounds that hold from 4 s after
+/// a fault are checked under load: those on cancelled jobs and on evacuations.
+const CALM_TRAFFIC: Duration = Duration::from_secs(9);
+
+/// Time for clients to see their jobs over, after the traffic.
+const FINISH: Duration = check::FINISH;
+
+/// Pause between two jobs for each five workers.
+const JOB_PAUSE: Duration = Duration::from_millis(500);
+
+/// Every fifth worker belongs to the second service.
+const SIDE_SHARE: usize = 4;
+
+/// Interval at which the soak measures its own delay.
+const DELAY_CHECK: Duration = Duration::from_millis(50);
+
+/// Delay of the soak itself that counts as a fault: its workers and clients were late.
+const MAX_DELAY: Duration = Duration::from_millis(200);
+
+/// Port that reserves a net of loopback addresses.
+const RESERVED_PORT: u16 = 8_000;
+
+/// Speed of a link on which the leader uses relays.
+const SLOW_LINK_MBPS: f64 = 1.0;
+
+/// Options of a soak.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Seed of the load and of the faults.
+    pub seed: u64,
+    /// Time in which faults begin.
+    pub time: Duration,
+    /// Number of hosts.
+    pub hosts: usize,
+    /// Number of workers.
+    pub workers: usize,
+    /// Program of the hosts.
+    pub node: PathBuf,
+    /// Folder for the logs. A seed's own folder in it stays if a rule was broken.
+    pub logs: PathBuf,
+    /// Whether there are faults.
+    pub faults: bool,
+}
+
+/// Runs a soak with one seed.
+pub fn run(options: &Options) -> Result<Outcome> {
+    if !(1..=MAX_HOSTS).contains(&options.hosts) || !(2..=MAX_WORKERS).contains(&options.workers) {
+        return Err(eyre!(
+            "there must be 1 to {MAX_HOSTS} hosts and 2 to {MAX_WORKERS} workers"
+        ));
+    }
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?
+        .block_on(run_seed(options))
+}
+
+async fn run_seed(options: &Options) -> Result<Outcome> {
+    let dir = options
+        .logs
+        .join(format!("seed-{}-{}", options.seed, std::process::id()));
+    std::fs::create_dir_all(&dir)
+        .wrap_err_with(|| format!("can't create the folder {}", dir.display()))?;
+    let mut random = StdRng::seed_from_u64(options.seed);
+    let (_reserved, net) = reserve_net()?;
+    let layout = Layout {
+        net,
+        hosts: options.hosts,
+        machines: draw_machines(&mut random, options.workers),
+        link_mbps: if random.random() {
+            1_000.0
+        } else {
+            SLOW_LINK_MBPS
+        },
+    };
+    let emulator = Arc::new(Emulator::start(&layout, options.seed).await?);
+    emulator.configure(1, &operator::queues(false));
+    tokio::spawn(measure_delay(emulator.history.clone()));
+    let hosts: Vec<_> = (0..options.hosts).map(|h| layout.host(h)).collect();
+    let history = emulator.history.clone();
+    let processes = Processes::start(&options.node, &dir, hosts.clone(), history.clone())?;
+    let processes = Arc::new(processes);
+    let looking = tokio::spawn(processes.clone().look_after());
+    let http = Ground::connect()?;
+    let start = Instant::now();
+    let planned = match options.faults {
+        true => plan::draw(options.seed, options.hosts, options.workers, options.time),
+        false => Vec::new(),
+    };
+    let faults_end = planned.iter().map(Planned::ends).max().unwrap_or_default();
+    let traffic_end = start + options.time.max(faults_end) + CALM_TRAFFIC;
+    let ground = Ground {
+        history: history.clone(),
+        hosts: hosts
+            .iter()
+            .map(|h| format!("http://{}", h.clients))
+            .collect(),
+        traffic_end,
+        end: traffic_end + FINISH,
+    };
+    let scene = Scene {
+        emulator: emulator.clone(),
+        processes: processes.clone(),
+        hosts,
+        http: http.clone(),
+        last_fault: AtomicU64::new(0),
+    };
+    let mut tasks = JoinSet::new();
+    let pause = JOB_PAUSE.mul_f64(5.0 / options.workers as f64);
+    tasks.spawn(clients::send_jobs(
+        ground.clone(),
+        http.clone(),
+        random.random(),
+        pause,
+    ));
+    tasks.spawn(operator::operate(
+        emulator.clone(),
+        random.random(),
+        traffic_end,
+    ));
+    tasks.spawn(play(Arc::new(scene), planned, start));
+    for (index, base) in ground.hosts.iter().enumerate() {
+        let (history, base) = (history.clone(), base.clone());
+        tasks.spawn(operator::probe(
+            history,
+            http.clone(),
+            index,
+            base,
+            traffic_end,
+        ));
+    }
+    while let Some(ended) = tasks.join_next().await {
+        ended.wrap_err("a part of the soak has failed")?;
+    }
+    looking.abort();
+    processes.end();
+    processes.record_panics();
+    finish(options, &history, &dir)
+}
+
+fn finish(options: &Options, history: &History, dir: &Path) -> Result<Outcome> {
+    history.read(|record| {
+        let violations = check::check(record);
+        let mut kept = None;
+        if violations.is_empty() {
+            std::fs::remove_dir_all(dir)
+                .wrap_err_with(|| format!("can't remove the folder {}", dir.display()))?;
+        } else {
+            let lines: String = record.events.iter().map(|e| format!("{e}\n")).collect();
+            let path = dir.join("history.log");
+            std::fs::write(&path, lines)
+                .wrap_err_with(|| format!("can't write {}", path.display()))?;
+            kept = Some(dir.to_owned());
+        }
+        Ok(Outcome::new(options.seed, record, violations, kept))
+    })
+}
+
+/// Plays all faults, each for its time. Returns when all have ended.
+async fn play(scene: Arc<Scene>, planned: Vec<Planned>, start: Instant) {
+    let mut playing = JoinSet::new();
+    for fault in planned {
+        sleep_until(start + fault.at).await;
+        let scene = scene.clone();
+        playing.spawn(async move { scene.play(fault).await });
+    }
+    while playing.join_next().await.is_some() {}
+    scene.calm();
+}
+
+/// Records a fault whenever the soak itself was delayed. Never returns.
+async fn measure_delay(history: Arc<History>) {
+    loop {
+        let before = history.now();
+        sleep(DELAY_CHECK).await;
+        let delay = (history.now() - before).saturating_sub(DELAY_CHECK);
+        if delay > MAX_DELAY {
+            history.add(What::Delayed { by: delay });
+        }
+    }
+}
+
+fn draw_machines(random: &mut StdRng, count: usize) -> Vec<Machine> {
+    let machine = |index: usize| {
+        let zone = ZONES[index % ZONES.len()];
+        let side = index % (SIDE_SHARE + 1) == SIDE_SHARE || (count <= SIDE_SHARE && index == 1);
+        Machine {
+            service: if side { "side" } else { "main" }.into(),
+            zone: zone.into(),
+            rack: format!("r-{zone}-{}", index / ZONES.len() % 2).into(),
+            cpu: 4_000,
+            memory: 4_096,
+            guards_room: random.random(),
+            clock_rate: random.random_range(0.98..=1.0),
+        }
+    };
+    (0..count).map(machine).collect()
+}
+
+/// Finds two parts of loopback addresses that no other soak uses; they stay reserved as long
+/// as the listener.
+fn reserve_net() -> Result<(TcpListener, (u8, u8))> {
+    for _ in 0..100 {
+        let mut random = rand::rng();
+        let net = (random.random_range(100..250), random.random_range(1..250));
+        if let Ok(listener) =
+            TcpListener::bind(format!("127.{}.{}.1:{RESERVED_PORT}", net.0, net.1))
+        {
+            return Ok((listener, net));
+        }
+    }
+    Err(eyre!("no free loopback addresses were found"))
+}
