Notice a worker's restart by the incarnation of its own answers

A worker that restarts under its own name numbers its ends from 1 again. The leader compared the incarnation of an answer with that of the entry in the store. If it had read the new entry first, both were equal: it did not notice the restart, took the new ends for known ones and started their tasks again.

The worker's state now keeps the incarnation that answered the last poll, and a poll acknowledges nothing to an incarnation that has not answered yet. Runs that were confirmed after the answered poll was sent are left to the next poll, since they may belong to the new incarnation.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -120,11 +120,16 @@
         if let Some(deadline) = deadline {
             worker.lease_deadline = worker.lease_deadline.max(deadline);
         }
+        let restarted = match (worker.polled, worker.report.incarnation) {
+            (Some(polled), Some(listed)) => polled != listed,
+            _ => false,
+        };
         let mixed = worker.load.serving_tasks > 0 && worker.load.best_effort_tasks > 0;
         Some(PollRequest {
             address: worker.report.address,
             lease_deadline: deadline,
-            acknowledged: worker.acknowledged,
+            // The completions of an incarnation that has not answered yet are not known.
+            acknowledged: if restarted { 0 } else { worker.acknowledged },
             wait: match (worker.fenced, mixed) {
                 (false, _) => Span::ZERO,
                 (true, true) => MIXED_POLL_WAIT,
@@ -162,14 +167,18 @@
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
         }
-        let restarted = reply.incarnation.is_some()
-            && worker.report.incarnation.is_some()
-            && reply.incarnation != worker.report.incarnation;
+        // Compared with the last answer and not with the report, which may already be that
+        // of the new incarnation.
+        let restarted = match (worker.polled, reply.incarnation) {
+            (Some(polled), Some(answered)) => polled != answered,
+            _ => false,
+        };
         if reply.incarnation.is_some() {
+            worker.polled = reply.incarnation;
             worker.report.incarnation = reply.incarnation;
         }
         if restarted {
-            self.worker_restarted(name, reply.clock, now);
+            self.worker_restarted(name, reply.clock, sent, now);
         }
         let seen = self.workers.get(name).map_or(0, |w| w.processed);
         let mut last = seen;
@@ -204,8 +213,10 @@
         self.deposed = true;
     }
 
-    /// Resets the state of a restarted worker, whose earlier runs have all ended.
-    fn worker_restarted(&mut self, name: &WorkerName, clock: WorkerTime, now: Time) {
+    /// Resets the state of a restarted worker, whose earlier runs have all ended. Runs that
+    /// were confirmed after the answered poll was sent may belong to the new incarnation;
+    /// the next poll tells.
+    fn worker_restarted(&mut self, name: &WorkerName, clock: WorkerTime, sent: Time, now: Time) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -219,7 +230,7 @@
         let lost: Vec<(TaskKey, Run)> = worker
             .runs
             .iter()
-            .filter(|(_, r)| r.phase == RunPhase::Running)
+            .filter(|(_, r)| r.phase == RunPhase::Running && r.confirmed < sent)
             .map(|(k, r)| (*k, r.run))
             .collect();
         for tracked in worker.runs.values_mut() {
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -49,6 +49,25 @@
     assert_eq!(sim.running(key), 2);
 }
 
+/// Guards against ignoring the completions of a restarted worker, whose numbering starts
+/// anew, if its new entry in the store is read before a poll of the new incarnation is
+/// answered. Their tasks would run twice.
+#[test]
+fn completions_of_a_listed_new_incarnation_count() {
+    let mut sim = Simulation::new(1);
+    let first = sim.submit(1, job(0, vec![step(4, 4, Span::from_millis(300))]));
+    sim.run(Span::from_secs(1));
+    assert!(sim.completed.contains_key(&first));
+    sim.crash_worker(0);
+    sim.run(Span::from_secs(1));
+    sim.restart_worker(0);
+    sim.list_workers();
+    let second = sim.submit(2, job(0, vec![step(2, 4, Span::from_millis(300))]));
+    sim.run(Span::from_secs(2));
+    assert!(sim.completed.contains_key(&second));
+    assert_eq!(sim.starts.len(), 6);
+}
+
 /// Guards against a second run of a task while an unanswered start order may still arrive.
 #[test]
 fn an_unanswered_start_is_excluded_before_the_next_start() {
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -116,6 +116,10 @@
     /// Whether the last poll was answered. A poll without an answer may still arrive and
     /// extend the lease, so the following polls carry no lease until one is answered.
     pub(crate) reachable: bool,
+    /// Incarnation that answered the last poll; `processed` and `acknowledged` count its
+    /// completions. The report may be newer: the store can show a restart before a poll of
+    /// the new incarnation is answered.
+    pub(crate) polled: Option<Incarnation>,
     /// Highest sequence number of a completion that may be acknowledged.
     pub(crate) acknowledged: u64,
     /// Highest sequence number of a completion that has been processed.
@@ -213,6 +217,7 @@
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
             reachable: true,
+            polled: None,
             acknowledged: 0,
             processed: 0,
             pending_change: 0,
