Take no new job in after the leader's lease may have ended

A leader whose lease had ended while the store was down or silent to it went on until a renewal told it so. A job that it stored meanwhile was started at once, on workers that the next leader had not fenced yet. The next leader had loaded the state before the job was stored, found it as one that no earlier leader knows, and started it as well.

A leader now passes a new job to the dispatcher only while its lease holds by its own clock, counted from before the last renewal was sent; other jobs wait for a renewal, with their cancellations. Jobs that it knew before are inherited by the next leader, which waits until it has fenced all workers.

--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -8,6 +8,7 @@
 use tokio::task::JoinSet;
 
 use super::election::{self, ElectionWin};
+use super::intake_gate::{AdmittedJob, IntakeGate};
 use super::keys;
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::relay::{OpenGateway, WorkerGateway, maintain_relays};
@@ -18,7 +19,7 @@
     Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order, Progress,
     Roster, WorkerOrder,
 };
-use crate::model::{Span, Time, WorkerName};
+use crate::model::{Span, WorkerName};
 use crate::platform::{
     CallError, KeyState, PolicyClient, PollResult, Revision, Txn, TxnError, WORKER_PREFIX,
     WorkerClient, decode_worker,
@@ -97,17 +98,33 @@
     committed: Notify,
     /// Limits the concurrent orders to each worker.
     order_slots: Mutex<IndexMap<WorkerName, Arc<Semaphore>>>,
+    gate: Arc<Mutex<IntakeGate>>,
 }
 
 impl ActiveTerm {
-    /// Adds a job that is in the store to the dispatcher.
+    /// Adds a job that is in the store to the dispatcher, once the lease is known to hold.
     pub(crate) fn accept(&self, node: &Node, key: JobKey, record: JobRecord) {
-        lock(&self.dispatcher).accept(key, record, None, false, node.wall_time(), node.now());
+        let admitted = lock(&self.gate).admit(key, record, node.now());
+        self.dispatch(node, admitted);
+    }
+
+    /// Adds jobs to the dispatcher that the gate has admitted.
+    fn dispatch(&self, node: &Node, admitted: IndexMap<JobKey, AdmittedJob>) {
+        let now = node.now();
+        let mut dispatcher = lock(&self.dispatcher);
+        for (key, job) in admitted {
+            dispatcher.accept(key, job.record, None, false, node.wall_time(), now);
+            if job.cancelled {
+                dispatcher.cancel(key, now);
+            }
+        }
+        drop(dispatcher);
         self.plan_needed.notify_one();
     }
 
     /// Applies a cancellation that is in the store.
     pub(crate) fn cancel(&self, node: &Node, key: JobKey) {
+        lock(&self.gate).cancel(key);
         lock(&self.dispatcher).cancel(key, node.now());
         self.plan_needed.notify_one();
         self.commit_needed.notify_one();
@@ -127,15 +144,16 @@
 pub(crate) async fn lead_term(node: &Arc<Node>, win: ElectionWin) {
     let began = node.now();
     let mut tasks = JoinSet::new();
-    let renewed = Arc::new(Mutex::new(win.lease_requested));
+    let gate = IntakeGate::new(win.lease_requested, win.lease_length);
+    let gate = Arc::new(Mutex::new(gate));
     tasks.spawn(renew_lease(
         node.clone(),
         win.lease,
         win.nonce,
-        renewed.clone(),
+        gate.clone(),
     ));
     let loaded = tokio::select! {
-        loaded = load_term(node, &win) => loaded,
+        loaded = load_term(node, &win, gate) => loaded,
         _ = tasks.join_next() => None,
     };
     if let Some(term) = loaded {
@@ -193,7 +211,7 @@
     node: Arc<Node>,
     lease: crate::platform::LeaseId,
     nonce: u64,
-    renewed: Arc<Mutex<Time>>,
+    gate: Arc<Mutex<IntakeGate>>,
 ) {
     loop {
         let changed = node.state_changed.notified();
@@ -207,13 +225,18 @@
         }
         let sent = node.now();
         match node.record_store_call("renewal", sent, node.kv.renew_lease(lease).await) {
-            Ok(true) => *lock(&renewed) = sent,
+            Ok(true) => {
+                let admitted = lock(&gate).renewed(sent, node.now());
+                if let Some(term) = node.active_term().filter(|_| !admitted.is_empty()) {
+                    term.dispatch(&node, admitted);
+                }
+            }
             Ok(false) => {
                 log::warn!(lease:% = lease; "the leader's lease has expired");
                 return;
             }
             Err(error) => {
-                let age = node.now().since(*lock(&renewed));
+                let age = lock(&gate).age(node.now());
                 log::warn!(lease:% = lease, age:% = age, error:% = error; "lease not renewed");
                 if age > LEADER_GRACE {
                     return;
@@ -244,7 +267,11 @@
 }
 
 /// Loads the state that earlier terms have stored.
-async fn load_term(node: &Node, win: &ElectionWin) -> Option<ActiveTerm> {
+async fn load_term(
+    node: &Node,
+    win: &ElectionWin,
+    gate: Arc<Mutex<IntakeGate>>,
+) -> Option<ActiveTerm> {
     let roster: Roster = read_all_with_retries(node, keys::ROSTER)
         .await
         .into_iter()
@@ -299,6 +326,7 @@
         commit_needed: Notify::new(),
         committed: Notify::new(),
         order_slots: Mutex::new(IndexMap::new()),
+        gate,
     })
 }
 
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod election;
+mod intake_gate;
 mod keys;
 mod leader;
 mod logging;
