--- a/crates/jujubelb-lab/src/soak/check/tests.rs
+++ b/crates/jujubelb-lab/src/soak/check/tests.rs
@@ -147,7 +147,7 @@
     }
 
     #[track_caller]
-    fn is_clean(self) {
+    fn holds(self) {
         assert_eq!(self.found(), []);
     }
 }
@@ -163,7 +163,7 @@
 
 #[test]
 fn history_of_completed_job_is_clean() {
-    completed_job().is_clean();
+    completed_job().holds();
 }
 
 // Guards against a checker of TWICE that misses a second run beside a running one.
@@ -185,7 +185,7 @@
         .with(2.5, [started("w2", 0, 2)])
         .with(3.5, [ended("w2", 1, 0, 2, RunEnd::Done), noted("w2", 1)])
         .with(4.0, [shown(3.9, Some("completed"))])
-        .is_clean();
+        .holds();
 }
 
 // Guards against a checker that looks only at ends acknowledged before the second start.
@@ -205,13 +205,13 @@
     let worker = life("w1", 1);
     Draft::accepted(vec![step(1, &[], false)])
         .with(2.0, [started("w1", 0, 1)])
-        .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done)])
-        .with(8.0, [What::Lapsed { worker }])
+        .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done), fault(1)])
+        .with(8.0, [What::Lapsed { worker }, What::FaultEnded { id: 1 }])
         .with(9.0, [started("w2", 0, 2)])
         .with(9.5, [noted("w1", 1)])
         .with(10.0, [ended("w2", 1, 0, 2, RunEnd::Done), noted("w2", 1)])
         .with(11.0, [shown(10.9, Some("completed"))])
-        .is_clean();
+        .holds();
 }
 
 // Guards against a checker that misses a step that starts too early.
@@ -324,7 +324,7 @@
         .with(1.5, submit(Answer::Status(503)))
         .with(2.0, [started("w1", 0, 1)])
         .with(3.0, [ended("w1", 1, 0, 1, RunEnd::Done), noted("w1", 1)])
-        .is_clean();
+        .holds();
 }
 
 // Guards against a checker that misses a start long after a cancellation.
@@ -344,7 +344,7 @@
         .with(3.0, [fault(1), What::FaultEnded { id: 1 }])
         .with(5.4, [started("w1", 0, 1)])
         .with(6.0, [ended("w1", 1, 0, 1, RunEnd::Stopped), noted("w1", 1)])
-        .is_clean();
+        .holds();
 }
 
 // Guards against a cancelled job that runs on.
@@ -389,7 +389,7 @@
         .with(7.5, [started("w1", 0, 1)])
         .with(8.5, [ended("w1", 1, 0, 1, RunEnd::Done), noted("w1", 1)])
         .with(9.0, [shown(8.9, Some("completed"))])
-        .is_clean();
+        .holds();
 }
 
 // Guards against a checker that misses starts on a worker that leaves.
@@ -509,7 +509,7 @@
         .with(10.0, [configured(&["/passing/"])])
         .with(12.0, [seen(11.9, false)])
         .with(13.0, [seen(12.9, true)])
-        .is_clean();
+        .holds();
     completed_job()
         .with(10.0, [configured(&["/passing/"])])
         .with(13.0, [seen(12.9, false)])
@@ -534,5 +534,5 @@
         .with(5.0, [What::Delayed { by }])
         .with(5.4, [started("w1", 0, 1)])
         .with(6.0, [ended("w1", 1, 0, 1, RunEnd::Stopped), noted("w1", 1)])
-        .is_clean();
+        .holds();
 }
