--- a/crates/jujubelb-lab/tests/soak.rs
+++ b/crates/jujubelb-lab/tests/soak.rs
@@ -6,12 +6,11 @@
 
 use jujubelb_lab::soak::{Options, run};
 
-/// Seed of the short soak. Its faults include pauses, kills and stops of processes and
-/// disturbances of the store and of workers.
-const SEED: u64 = 20_261_204;
+/// Seed of the short soak, which has 13 faults in its time.
+const SEED: u64 = 4;
 
 /// Time in which faults begin.
-const TIME: Duration = Duration::from_secs(20);
+const TIME: Duration = Duration::from_secs(30);
 
 /// The program of the hosts, built from the present sources. `cargo test --workspace` has
 /// built it; `cargo test -p jujubelb-lab` alone would leave an old one.
