--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -98,7 +98,6 @@
 pub(crate) struct ElectionWin {
     pub(crate) term: Term,
     pub(crate) lease: LeaseId,
-    pub(crate) lease_length: Span,
     pub(crate) nonce: u64,
     /// Revision of the [`keys::COMMIT_CHAIN`] key.
     pub(crate) chain_revision: Revision,
@@ -132,7 +131,7 @@
     }
     let lease_requested = node.now();
     let ttl = LEADER_LEASE.max(node.settings.min_lease_ttl);
-    let (lease, lease_length) =
+    let (lease, _) =
         node.record_store_call("lease", lease_requested, node.kv.grant_lease(ttl).await)?;
     let last = term
         .content
@@ -195,7 +194,6 @@
             predecessor_stopped: resigned,
         },
         lease,
-        lease_length,
         nonce,
         chain_revision: revision,
         lease_requested,
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -8,7 +8,6 @@
 use tokio::task::JoinSet;
 
 use super::election::{self, ElectionWin};
-use super::intake_gate::{AdmittedJob, IntakeGate};
 use super::keys;
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::relay::{OpenGateway, WorkerGateway, maintain_relays};
@@ -19,7 +18,7 @@
     Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order, Progress,
     Roster, WorkerOrder,
 };
-use crate::model::{Span, WorkerName};
+use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
     CallError, KeyState, PolicyClient, PollResult, Revision, Txn, TxnError, WORKER_PREFIX,
     WorkerClient, decode_worker,
@@ -98,33 +97,17 @@
     committed: Notify,
     /// Limits the concurrent orders to each worker.
     order_slots: Mutex<IndexMap<WorkerName, Arc<Semaphore>>>,
-    gate: Arc<Mutex<IntakeGate>>,
 }
 
 impl ActiveTerm {
-    /// Adds a job that is in the store to the dispatcher, once the lease is known to hold.
+    /// Adds a job that is in the store to the dispatcher.
     pub(crate) fn accept(&self, node: &Node, key: JobKey, record: JobRecord) {
-        let admitted = lock(&self.gate).admit(key, record, node.now());
-        self.dispatch(node, admitted);
-    }
-
-    /// Adds jobs to the dispatcher that the gate has admitted.
-    fn dispatch(&self, node: &Node, admitted: IndexMap<JobKey, AdmittedJob>) {
-        let now = node.now();
-        let mut dispatcher = lock(&self.dispatcher);
-        for (key, job) in admitted {
-            dispatcher.accept(key, job.record, None, false, node.wall_time(), now);
-            if job.cancelled {
-                dispatcher.cancel(key, now);
-            }
-        }
-        drop(dispatcher);
+        lock(&self.dispatcher).accept(key, record, None, false, node.wall_time(), node.now());
         self.plan_needed.notify_one();
     }
 
     /// Applies a cancellation that is in the store.
     pub(crate) fn cancel(&self, node: &Node, key: JobKey) {
-        lock(&self.gate).cancel(key);
         lock(&self.dispatcher).cancel(key, node.now());
         self.plan_needed.notify_one();
         self.commit_needed.notify_one();
@@ -144,16 +127,15 @@
 pub(crate) async fn lead_term(node: &Arc<Node>, win: ElectionWin) {
     let began = node.now();
     let mut tasks = JoinSet::new();
-    let gate = IntakeGate::new(win.lease_requested, win.lease_length);
-    let gate = Arc::new(Mutex::new(gate));
+    let renewed = Arc::new(Mutex::new(win.lease_requested));
     tasks.spawn(renew_lease(
         node.clone(),
         win.lease,
         win.nonce,
-        gate.clone(),
+        renewed.clone(),
     ));
     let loaded = tokio::select! {
-        loaded = load_term(node, &win, gate) => loaded,
+        loaded = load_term(node, &win) => loaded,
         _ = tasks.join_next() => None,
     };
     if let Some(term) = loaded {
@@ -211,7 +193,7 @@
     node: Arc<Node>,
     lease: crate::platform::LeaseId,
     nonce: u64,
-    gate: Arc<Mutex<IntakeGate>>,
+    renewed: Arc<Mutex<Time>>,
 ) {
     loop {
         let changed = node.state_changed.notified();
@@ -225,18 +207,13 @@
         }
         let sent = node.now();
         match node.record_store_call("renewal", sent, node.kv.renew_lease(lease).await) {
-            Ok(true) => {
-                let admitted = lock(&gate).renewed(sent, node.now());
-                if let Some(term) = node.active_term().filter(|_| !admitted.is_empty()) {
-                    term.dispatch(&node, admitted);
-                }
-            }
+            Ok(true) => *lock(&renewed) = sent,
             Ok(false) => {
                 log::warn!(lease:% = lease; "the leader's lease has expired");
                 return;
             }
             Err(error) => {
-                let age = lock(&gate).age(node.now());
+                let age = node.now().since(*lock(&renewed));
                 log::warn!(lease:% = lease, age:% = age, error:% = error; "lease not renewed");
                 if age > LEADER_GRACE {
                     return;
@@ -267,11 +244,7 @@
 }
 
 /// Loads the state that earlier terms have stored.
-async fn load_term(
-    node: &Node,
-    win: &ElectionWin,
-    gate: Arc<Mutex<IntakeGate>>,
-) -> Option<ActiveTerm> {
+async fn load_term(node: &Node, win: &ElectionWin) -> Option<ActiveTerm> {
     let roster: Roster = read_all_with_retries(node, keys::ROSTER)
         .await
         .into_iter()
@@ -326,7 +299,6 @@
         commit_needed: Notify::new(),
         committed: Notify::new(),
         order_slots: Mutex::new(IndexMap::new()),
-        gate,
     })
 }
 
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -3,7 +3,6 @@
 
 mod callers;
 mod election;
-mod intake_gate;
 mod keys;
 mod leader;
 mod logging;
