--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -170,6 +170,8 @@
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
         }
+        // Compared with the last answer and not with the report, which may already be that
+        // of the new incarnation.
         let restarted = reply.incarnation.is_some()
             && worker.incarnation.is_some()
             && reply.incarnation != worker.incarnation;
@@ -185,7 +187,7 @@
         }
         if restarted {
             self.count_crash(name, sent, reply, now);
-            self.worker_restarted(name, reply.clock, now);
+            self.worker_restarted(name, reply.clock, sent, now);
         } else {
             self.take_back_losses(name);
         }
@@ -219,8 +221,10 @@
         self.deposed = true;
     }
 
-    /// Resets the state of a restarted worker, whose earlier runs have all ended.
-    fn worker_restarted(&mut self, name: &WorkerName, clock: WorkerTime, now: Time) {
+    /// Resets the state of a restarted worker, whose earlier runs have all ended. Runs that
+    /// were confirmed after the answered poll was sent may belong to the new incarnation;
+    /// the next poll tells.
+    fn worker_restarted(&mut self, name: &WorkerName, clock: WorkerTime, sent: Time, now: Time) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -235,7 +239,7 @@
         let lost: Vec<(TaskKey, Run)> = worker
             .runs
             .iter()
-            .filter(|(_, r)| r.phase == RunPhase::Running)
+            .filter(|(_, r)| r.phase == RunPhase::Running && r.confirmed < sent)
             .map(|(k, r)| (*k, r.run))
             .collect();
         for tracked in worker.runs.values_mut() {
