Keep suspects apart after a change of the leader

A task against which crashes are counted waits up to 15 s for a worker on which it starts apart from others. The wait was counted from the task's last change of state, which a new leader set to the acceptance of the job: for a job that was accepted some seconds earlier the wait was over at once, and the task could start beside others that had just started. An innocent suspect could so be counted a third crash.

The wait now begins with the term. Found by a review; the new test fails on the former code (Spread instead of Alone).

--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -187,6 +187,8 @@
             let step = job.step_mut(known.occurrence, known.step);
             if let Some(task) = step.and_then(|s| s.tasks.get_mut(known.index as usize)) {
                 task.crashes.clone_from(&known.crashes);
+                // The wait for a worker apart from others begins with the term.
+                task.since = now;
             }
         }
         job
--- a/crates/jujubelb/src/dispatch/tests/crashes.rs
+++ b/crates/jujubelb/src/dispatch/tests/crashes.rs
@@ -2,8 +2,12 @@
 
 use super::simulation::{Fault, Return};
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::{JobKey, JobStatus, TaskKey};
-use crate::model::Span;
+use crate::dispatch::confirmation::Arrival;
+use crate::dispatch::crash::Isolation;
+use crate::dispatch::job::Job;
+use crate::dispatch::progress::{Crash, OccurrenceProgress, Progress, StepProgress, TaskCrashes};
+use crate::dispatch::{JobKey, JobStatus, Run, TaskKey};
+use crate::model::{Span, Time, WorkerName};
 
 /// The platform's rule: after three crashes under a task, it may start twice more.
 const MAX_STARTS: usize = 5;
@@ -159,3 +163,39 @@
     sim.run(Span::from_secs(14));
     assert_eq!(sim.running(key), 1);
 }
+
+/// Guards against suspects that start beside other tasks right after a change of the leader,
+/// because their wait was counted from the acceptance of the job.
+#[test]
+fn suspects_are_kept_apart_after_a_change_of_the_leader() {
+    let task = first_task(JobKey(1));
+    let crash = |run: u64| Crash {
+        run: Run(run),
+        worker: WorkerName::new(format!("w{run}")),
+    };
+    let progress = Progress {
+        occurrences: vec![OccurrenceProgress {
+            number: 0,
+            steps: vec![StepProgress::default()],
+        }],
+        crashes: vec![TaskCrashes {
+            occurrence: 0,
+            step: 0,
+            index: 0,
+            crashes: vec![crash(1), crash(2)],
+        }],
+        ..Progress::default()
+    };
+    let record = job(0, vec![step(1, 4, Span::from_secs(1))]).into();
+    let (accepted, now) = (Time::ZERO, Time::from_millis(60_000));
+    let job = Job::new(
+        record,
+        accepted,
+        Some(&progress),
+        true,
+        Arrival::default(),
+        now,
+    );
+    let isolation = job.task(task).map(|t| t.isolation_at(false, now));
+    assert_eq!(isolation, Some(Isolation::Alone));
+}
