Start nothing on an incarnation of a worker before it is polled

A start that is confirmed between the report of a new incarnation and the first poll of it could be given up with the runs of the former incarnation, and its task started again elsewhere while it ran.

A worker now gets no start while its report names another incarnation than the last answer. Runs that were confirmed after the answered poll was sent are already left to the next one. Found by a review; the new test fails on the former code, which orders a start at once.

--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -86,6 +86,22 @@
     assert_eq!(sim.starts.len(), 6);
 }
 
+/// Guards against starts on an incarnation that has not been polled: the poll that shows the
+/// restart would give them up with the runs of the former one.
+#[test]
+fn nothing_starts_on_an_incarnation_before_it_is_polled() {
+    let mut sim = Simulation::new(1);
+    sim.crash_worker(0);
+    sim.restart_worker(0);
+    sim.list_workers();
+    sim.submit(1, job(0, vec![step(1, 4, Span::from_millis(300))]));
+    let arrived = sim.dispatcher.last_arrival();
+    sim.dispatcher.term_confirmed(arrived);
+    assert_eq!(sim.dispatcher.plan(sim.wall(), sim.now), Vec::new());
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.starts.len(), 1);
+}
+
 /// Guards against a second run of a task while an unanswered start order may still arrive.
 #[test]
 fn an_unanswered_start_is_excluded_before_the_next_start() {
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -352,6 +352,8 @@
             && self.drain_deadline.is_none()
             && self.fenced
             && self.in_roster
+            // What runs on the new incarnation is known only after a poll.
+            && !self.has_new_incarnation()
             && self.paused_until <= now
             && now.since(self.last_answer) < MAX_ANSWER_AGE
             && (!self.health.is_unhealthy()
