Poll a worker that is not listed until it keeps no completions

A worker whose entry was gone and that ran nothing was removed at once, also if its last answer had listed completions whose effects were not durable. It kept them for good, unless its entry came back.

Such a worker now stays until an answer lists no completion, or a poll is not answered. Found by a review of the acknowledgements; the new test fails on the former code (4 completions kept). The case needs a store that takes no writes while the entry goes.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -161,6 +161,7 @@
         worker.clock_reading = Some((reply.clock, now));
         worker.last_answer = now;
         worker.reachable = true;
+        worker.keeps_completions = !reply.finished.is_empty();
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
         let first = !worker.fenced;
         if first {
@@ -425,12 +426,16 @@
 }
 
 impl Worker {
-    /// Whether the worker can be removed: it is not listed and has no runs.
+    /// Whether the worker can be removed: it is not listed, has no runs, and keeps no
+    /// completion that it could still forget.
     ///
     /// Every order that may still take effect has an entry in `runs`, so nothing can run on
     /// a worker without any. Such a worker must not stay in the roster, because a new leader
     /// waits for every roster worker that it cannot reach.
     pub(super) fn can_be_forgotten(&self, inherited_resolved: bool) -> bool {
-        !self.listed && self.runs.is_empty() && (self.fenced || inherited_resolved)
+        !self.listed
+            && self.runs.is_empty()
+            && !(self.reachable && self.keeps_completions)
+            && (self.fenced || inherited_resolved)
     }
 }
--- a/crates/jujubelb/src/dispatch/tests/commits.rs
+++ b/crates/jujubelb/src/dispatch/tests/commits.rs
@@ -93,6 +93,23 @@
     assert!(sim.done.len() > 45);
 }
 
+/// Guards against completions of a worker that leaves the list while their effects are not
+/// durable: it would be polled no more, and keep them for good.
+#[test]
+fn completions_of_a_worker_that_is_not_listed_are_acknowledged() {
+    let mut sim = Simulation::new(1);
+    sim.store_available = false;
+    sim.submit(1, job(0, vec![step(4, 4, Span::from_millis(200))]));
+    sim.run(Span::from_millis(500));
+    let name = sim.workers[0].report.name.clone();
+    sim.dispatcher.worker_unlisted(&name);
+    sim.run(Span::from_millis(500));
+    assert_eq!(sim.unacknowledged(0), 4);
+    sim.store_available = true;
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.unacknowledged(0), 0);
+}
+
 /// Guards against progress that is never written because each batch is full of outcomes. No
 /// worker could forget a completion that is later than that progress.
 #[test]
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -131,6 +131,9 @@
     /// Whether the last poll was answered. A poll without an answer may still arrive and
     /// extend the lease, so the following polls carry no lease until one is answered.
     pub(crate) reachable: bool,
+    /// Whether the last answer listed completions, which the worker keeps until a later poll
+    /// acknowledges them.
+    pub(crate) keeps_completions: bool,
     /// Highest sequence number of a completion that may be acknowledged.
     pub(crate) acknowledged: u64,
     /// Highest sequence number of a completion that has been processed.
@@ -252,6 +255,7 @@
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
             reachable: true,
+            keeps_completions: false,
             acknowledged: 0,
             processed: 0,
             unacknowledged: VecDeque::new(),
