Let no fault replace a worker of the emulator that is up

The leader had given the first run up because its worker's address answered as another worker, which was right: two faults at one place overlapped, a crash and a departure, and the return from the second one replaced the worker that had come back from the first, without a record of its end.

A place that is up now keeps its worker. The new test plays the overlap without sockets; it was not run on the former code.

--- a/crates/jujubelb-lab/src/emulator/fleet.rs
+++ b/crates/jujubelb-lab/src/emulator/fleet.rs
@@ -66,13 +66,18 @@
         fleet
     }
 
-    /// Begins a new life at a place, under the name of the life before or a new one.
+    /// Begins a new life at a place that is down, under the name of the life before or a new
+    /// one.
     pub(crate) fn revive(&self, place: usize, same_name: bool) {
         let now = self.history.now();
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let mut state = lock(&self.state);
         let clock_start_ms = state.random.random_range(0..MAX_CLOCK_START_MS);
         let place_state = &mut state.places[place];
+        if place_state.worker.is_some() {
+            // Another fault at the same place has ended first.
+            return;
+        }
         place_state.lives += 1;
         let name = match same_name {
             true => format!("w{place}"),
--- a/crates/jujubelb-lab/src/emulator/mod.rs
+++ b/crates/jujubelb-lab/src/emulator/mod.rs
@@ -8,6 +8,8 @@
 pub(crate) mod platform;
 pub(crate) mod registry;
 pub(crate) mod store;
+#[cfg(test)]
+mod tests;
 pub(crate) mod worker;
 
 use std::net::{Ipv4Addr, SocketAddr};
