Store with the election that earlier leaders have stopped

Cause: a leader noted that no earlier leader can act only after its election, by a write of its own.

A leader that wins knowing that all earlier ones have stopped now stores that in the transaction of the election. The new test checks the transaction.

--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -192,12 +192,8 @@
         nonce,
         workers: candidate.workers,
     };
-    let txn = Txn::default()
-        .expect(keys::LEADER, Revision::default())
-        .expect(keys::TERM, term_revision)
-        .put(keys::LEADER, &keys::encode(&leader), Some(lease))
-        .put(keys::TERM, &keys::encode(&record), None)
-        .put(keys::COMMIT_CHAIN, &keys::encode(&mark), None);
+    let predecessor_stopped = resigned && settled;
+    let txn = election_txn(&record, mark, lease, term_revision, predecessor_stopped);
     let revision = match node.kv.txn(&txn).await {
         Ok(revision) => revision,
         Err(TxnError::Conflict | TxnError::LeaseExpired) => {
@@ -221,7 +217,7 @@
         term: Term {
             token: revision.0,
             number: earlier_terms,
-            predecessor_stopped: resigned && settled,
+            predecessor_stopped,
         },
         lease,
         nonce,
@@ -233,6 +229,28 @@
     }))
 }
 
+/// The transaction that makes a host the leader. `settled` says that all earlier leaders are
+/// known to have stopped; that is stored at once, because the new leader may be lost before
+/// it writes again.
+pub(crate) fn election_txn(
+    record: &TermRecord,
+    mark: ChainMark,
+    lease: LeaseId,
+    term_revision: Revision,
+    settled: bool,
+) -> Txn {
+    let txn = Txn::default()
+        .expect(keys::LEADER, Revision::default())
+        .expect(keys::TERM, term_revision)
+        .put(keys::LEADER, &keys::encode(&record.leader), Some(lease))
+        .put(keys::TERM, &keys::encode(record), None)
+        .put(keys::COMMIT_CHAIN, &keys::encode(&mark), None);
+    match settled {
+        true => txn.put(keys::SETTLED, &keys::encode(&mark.nonce), None),
+        false => txn,
+    }
+}
+
 fn own_strength(node: &Node) -> Strength {
     Strength {
         cores: node.settings.cpu_cores,
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -5,13 +5,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 
-use super::keys;
+use super::election::election_txn;
+use super::keys::{self, ChainMark, Leader, TermRecord};
 use super::peers::{PeerRequest, PeerResponse};
 use super::state::ActiveConfig;
 use super::supervision::{PollTasks, supervise};
 use crate::dispatch::JobKey;
-use crate::model::WorkerName;
-use crate::platform::decode_config;
+use crate::model::{HostName, WorkerName};
+use crate::platform::{LeaseId, Revision, decode_config};
 
 fn active_config() -> ActiveConfig {
     let text = r#"{"version":1,"routes":[
@@ -110,3 +111,23 @@
     }
     assert_eq!(runs.load(SeqCst), 1);
 }
+
+/// Guards against a leader that knows that all earlier ones have stopped and is lost before
+/// it has stored that: the next one would wait for all of them again.
+#[test]
+fn an_election_stores_that_earlier_leaders_have_stopped() {
+    let nonce = 7;
+    let leader = Leader {
+        host: HostName::new("h1"),
+        peer_address: ([127, 0, 0, 1], 7_000).into(),
+        nonce,
+    };
+    let record = TermRecord { count: 2, leader };
+    let mark = ChainMark { nonce, workers: 48 };
+    let stored = |settled| {
+        let txn = election_txn(&record, mark, LeaseId(1), Revision::default(), settled);
+        serde_json::to_string(&txn).is_ok_and(|text| text.contains(keys::SETTLED))
+    };
+    assert!(stored(true));
+    assert!(!stored(false));
+}
