--- a/crates/jujubelb/src/dispatch/tests/commits.rs
+++ b/crates/jujubelb/src/dispatch/tests/commits.rs
@@ -87,7 +87,8 @@
             }
             commit = sim.dispatcher.take_commit(sim.now);
         }
-        // A completion is durable after two batches of 300 ms, and there is one every 60 ms.
+        // A completion waits for the batch in progress and for its own, 600 ms after at most
+        // 300 ms without a batch, and there is one every 60 ms.
         assert!(sim.unacknowledged(0) <= 15, "{}", sim.unacknowledged(0));
     }
     assert!(sim.done.len() > 45);
