Send stops to relays before starts, and keep room for polls

Callers could see a cancelled task run on: a stop took its turn behind all starts that waited for the same relay, and on a link of 2 Mbit/s each batch of 64 KiB of payloads takes a quarter of a second. Leases could expire for the same reason: polls got what starts had left of a batch, which was nothing while more than 400 starts waited.

Cause: one queue for all orders; the limit on outstanding orders of a worker, which stops bypass, is not the only place where they wait.

Stops now go first, in at most half a batch of 400 calls, and starts leave a quarter to polls that wait. Starts therefore have at least a quarter of each batch.

Evidence: a_stop_is_in_the_next_batch_whatever_is_queued, polls_are_sent_while_starts_fill_each_batch (0 of 50 polls) and starts_and_polls_are_sent_while_stops_fill_each_batch (0 polls) failed before. That calls which were given up are still sent is known and not changed here.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -79,7 +79,7 @@
     /// effects are not durable. The worker answers such a poll immediately.
     pub pending_ack: bool,
     /// Latest lease deadline before this poll, restored if the poll was not sent.
-    previous_deadline: WorkerTime,
+    pub(crate) previous_deadline: WorkerTime,
 }
 
 /// Answer to a poll.
--- a/crates/jujubelb/src/node/relay/calls.rs
+++ b/crates/jujubelb/src/node/relay/calls.rs
@@ -15,32 +15,51 @@
 /// slow link of 2 Mbit/s a quarter of a second.
 const MAX_PAYLOAD_BYTES: usize = 64 * 1024;
 
-/// Calls that have not been sent to a relay yet. Orders go before polls, because callers
-/// wait for them, while a poll only renews a lease and reports ends.
+/// Largest number of stop orders in a batch, so that many stops leave room for other calls.
+const MAX_STOPS: usize = MAX_CALLS / 2;
+
+/// Calls of a batch that starts leave to polls, so that leases are renewed while starts fill
+/// each batch. A relay calls about 100 workers, each with one poll at a time.
+const POLL_ROOM: usize = MAX_CALLS / 4;
+
+/// Calls that have not been sent to a relay yet.
+///
+/// Stops go first: a cancelled task has to be gone within seconds, and a stop is small,
+/// while starts with their payloads may take several batches. Starts go before polls,
+/// because callers wait for them. Stops take a limited part of a batch, and starts leave
+/// some room to polls, so that each kind of call is in each batch.
 #[derive(Debug, Default)]
 pub(crate) struct Outbox {
+    stops: VecDeque<Call>,
+    /// Starts, and changes of pace.
     orders: VecDeque<Call>,
     polls: VecDeque<Call>,
 }
 
 impl Outbox {
     pub(crate) fn push(&mut self, call: Call) {
-        match call.action {
-            Action::Poll(..) => self.polls.push_back(call),
-            Action::Order(..) => self.orders.push_back(call),
-        }
+        let queue = match &call.action {
+            Action::Poll(..) => &mut self.polls,
+            Action::Order(order, _) => match order.order {
+                Order::Stop { .. } => &mut self.stops,
+                Order::Start { .. } | Order::Pace { .. } => &mut self.orders,
+            },
+        };
+        queue.push_back(call);
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.orders.is_empty() && self.polls.is_empty()
+        self.stops.is_empty() && self.orders.is_empty() && self.polls.is_empty()
     }
 
     /// Takes the calls of the next batch, with the payloads of its start orders.
     pub(crate) fn take_batch(&mut self) -> (Vec<ArcStr>, Vec<Call>) {
         let mut payloads: IndexMap<JobKey, ArcStr> = IndexMap::new();
         let mut payload_bytes = 0;
-        let mut calls = Vec::new();
-        while calls.len() < MAX_CALLS && payload_bytes < MAX_PAYLOAD_BYTES {
+        let stops = self.stops.len().min(MAX_STOPS);
+        let mut calls: Vec<Call> = self.stops.drain(..stops).collect();
+        let order_limit = MAX_CALLS - self.polls.len().min(POLL_ROOM);
+        while calls.len() < order_limit && payload_bytes < MAX_PAYLOAD_BYTES {
             let Some(mut call) = self.orders.pop_front() else {
                 break;
             };
--- a/crates/jujubelb/src/node/relay/tests.rs
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -7,7 +7,7 @@
 use super::gateway::{OpenGateway, RelayLink, WorkerGateway};
 use super::message::{Action, Call, CallResult, HostReport, RelayResults};
 use super::selection::{KnownHosts, REPORT_LIFETIME, SUSPENSION, needs_relays, relay_of};
-use crate::dispatch::{JobKey, Order, Run, StartReply, StepKey, TaskKey, WorkerOrder};
+use crate::dispatch::{JobKey, Order, PollRequest, Run, StartReply, StepKey, TaskKey, WorkerOrder};
 use crate::model::{DomainName, HostName, Span, Time, WorkerName, WorkerTime};
 use crate::platform::{HttpClient, WorkerClient};
 use crate::telemetry::{self, Metrics};
@@ -60,6 +60,57 @@
     }
 }
 
+/// A call that is no start; its identifier is its index and 1,000.
+fn other(index: u32, action: impl FnOnce(WorkerOrder, TaskKey) -> Action) -> Call {
+    let Action::Order(order, _) = start(0, index, "").action else {
+        unreachable!("a start is an order");
+    };
+    let Order::Start { task, .. } = order.order else {
+        unreachable!("a start is an order");
+    };
+    Call {
+        id: 1_000 + u64::from(index),
+        action: action(order, task),
+    }
+}
+
+fn stop(index: u32) -> Call {
+    other(index, |order, task| {
+        let run = Run(1);
+        let order = WorkerOrder {
+            order: Order::Stop { task, run },
+            ..order
+        };
+        Action::Order(order, None)
+    })
+}
+
+fn poll(index: u32) -> Call {
+    let request = poll_request();
+    other(index, |order, _| Action::Poll(order.worker, request))
+}
+
+fn poll_request() -> PollRequest {
+    PollRequest {
+        address: ([127, 0, 0, 1], 1).into(),
+        lease_deadline: None,
+        acknowledged: 0,
+        wait: Span::ZERO,
+        pending_ack: false,
+        previous_deadline: WorkerTime::ZERO,
+    }
+}
+
+/// Numbers of starts, stops and polls among calls.
+fn counts(calls: &[Call]) -> (usize, usize, usize) {
+    let polls = calls
+        .iter()
+        .filter(|c| matches!(c.action, Action::Poll(..)));
+    let is_stop = |c: &&Call| matches!(&c.action, Action::Order(order, _) if matches!(order.order, Order::Stop { .. }));
+    let (polls, stops) = (polls.count(), calls.iter().filter(is_stop).count());
+    (calls.len() - polls - stops, stops, polls)
+}
+
 /// Guards against relays on small deployments, where they cost more than they save.
 #[test]
 fn few_workers_on_a_fast_link_need_no_relays() {
@@ -191,6 +242,54 @@
     assert!(!outbox.is_empty());
 }
 
+/// Guards against stops that wait behind starts: on a slow link each batch of starts takes a
+/// quarter of a second.
+#[test]
+fn a_stop_is_in_the_next_batch_whatever_is_queued() {
+    let payload = "x".repeat(4_000);
+    for is_shared in [true, false] {
+        let mut outbox = Outbox::default();
+        for index in 0..600 {
+            let job = if is_shared { 0 } else { u64::from(index) };
+            outbox.push(start(job, index, &payload));
+        }
+        outbox.push(stop(0));
+        let (_, calls) = outbox.take_batch();
+        assert_eq!(counts(&calls).1, 1, "shared payload: {is_shared}");
+    }
+}
+
+/// Guards against leases that expire because polls wait behind starts.
+#[test]
+fn polls_are_sent_while_starts_fill_each_batch() {
+    let mut outbox = Outbox::default();
+    for index in 0..1_000 {
+        outbox.push(start(0, index, "payload"));
+    }
+    for index in 0..50 {
+        outbox.push(poll(index));
+    }
+    let (_, calls) = outbox.take_batch();
+    assert_eq!(counts(&calls).2, 50);
+}
+
+/// Guards against starts and polls that are never sent while stops fill each batch.
+#[test]
+fn starts_and_polls_are_sent_while_stops_fill_each_batch() {
+    let mut outbox = Outbox::default();
+    for index in 0..1_000 {
+        outbox.push(stop(index));
+        outbox.push(poll(index));
+        outbox.push(start(0, index, "payload"));
+    }
+    let (_, calls) = outbox.take_batch();
+    let (starts, stops, polls) = counts(&calls);
+    assert!(
+        starts >= 100 && stops >= 100 && polls >= 100,
+        "{starts} starts, {stops} stops, {polls} polls"
+    );
+}
+
 /// Nonce of the term in the tests of results.
 const NONCE: u64 = 7;
 
