Poll without a wait after a poll that was not answered

Callers could see an idle long-running task end and start elsewhere after one lost poll. The poll after a lost one carries no lease, since the lost one may still arrive, but it waited 1.5 s at the worker all the same. Through a relay the next lease came 1.5 + 3.3 + 0.2 + 1.5 = 6.5 s after the last one, and a lease lasts 6 s; directly after 5.6 s.

Such a poll now asks for an answer at once, which leaves 5.0 s through a relay. Two lost polls in a row through a relay still exceed the lease, by these times.

Evidence: a_lost_poll_does_not_end_a_lease failed before; it plays polls with the timeouts of relays against a worker's clock. The simulation itself still answers polls at once.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -131,7 +131,9 @@
                 true => worker.acknowledged,
                 false => 0,
             },
-            wait: match (worker.fenced, brief) {
+            wait: match (worker.fenced && worker.reachable, brief) {
+                // After a poll without an answer this one carries no lease, so a wait would
+                // delay the next one that does.
                 (false, _) => Span::ZERO,
                 (true, true) => BRIEF_POLL_WAIT,
                 (true, false) => POLL_WAIT,
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -2,8 +2,10 @@
 
 use super::simulation::Fault;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::JobKey;
-use crate::model::Span;
+use crate::dispatch::{Incarnation, JobKey, PollReply};
+use crate::model::{Span, WorkerName};
+use crate::node::RELAY_MARGIN;
+use crate::platform::POLL_TIMEOUT_MARGIN;
 
 /// Guards against extending the assumed lease with each unanswered poll, after which
 /// the tasks of a crashed worker would never start elsewhere.
@@ -204,3 +206,39 @@
     sim.run(Span::from_secs(2));
     assert!(sim.completed.contains_key(&second));
 }
+
+/// Pause before the poll after one that was not answered.
+const POLL_PAUSE: Span = Span::from_millis(200);
+
+/// Guards against a lease that expires after one lost poll: the next poll carries no lease,
+/// so the worker must not wait before it answers that one.
+#[test]
+fn a_lost_poll_does_not_end_a_lease() {
+    let mut sim = Simulation::new(1);
+    let name = WorkerName::new("w0");
+    let mut lease = None;
+    for i in 0..8 {
+        let request = sim.dispatcher.poll(&name, sim.now).unwrap();
+        if i == 3 {
+            sim.now = sim.now + request.wait + POLL_TIMEOUT_MARGIN + RELAY_MARGIN;
+            sim.dispatcher.poll_failed(&name, &request, false);
+            sim.now = sim.now + POLL_PAUSE;
+            continue;
+        }
+        let clock = sim.workers[0].clock(sim.now);
+        assert!(
+            lease.is_none_or(|deadline| clock < deadline),
+            "the lease has expired before poll {i}"
+        );
+        lease = lease.max(request.lease_deadline);
+        let sent = sim.now;
+        sim.now = sim.now + request.wait;
+        let reply = PollReply {
+            incarnation: Some(Incarnation(1)),
+            clock: sim.workers[0].clock(sim.now),
+            running: Vec::new(),
+            finished: Vec::new(),
+        };
+        sim.dispatcher.poll_answered(&name, sent, &reply, sim.now);
+    }
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -113,7 +113,7 @@
 
 impl FakeWorker {
     /// Clock of the worker, which starts at a different time on each worker.
-    fn clock(&self, now: Time) -> WorkerTime {
+    pub(crate) fn clock(&self, now: Time) -> WorkerTime {
         WorkerTime::from_micros(
             now.since(Time::from_millis(self.incarnation)).as_micros() + 7_000_000,
         )
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -25,6 +25,8 @@
 
 pub use logging::start_log;
 pub use main::{NodeOptions, run};
+#[cfg(test)]
+pub(crate) use relay::RELAY_MARGIN;
 
 /// Settings of one host, read from the platform's settings file.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -19,7 +19,7 @@
 use crate::platform::{CallError, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, WorkerClient};
 
 /// Added to the timeout of a call for the way through the relay and back.
-const RELAY_MARGIN: Span = Span::from_millis(900);
+pub(crate) const RELAY_MARGIN: Span = Span::from_millis(900);
 
 /// Time in which calls are collected before they are sent to a relay.
 const COLLECT_PAUSE: Span = Span::from_millis(8);
--- a/crates/jujubelb/src/node/relay/mod.rs
+++ b/crates/jujubelb/src/node/relay/mod.rs
@@ -21,5 +21,7 @@
 mod tests;
 
 pub(crate) use carrier::{Carrier, announce_host};
+#[cfg(test)]
+pub(crate) use gateway::RELAY_MARGIN;
 pub(crate) use gateway::{OpenGateway, WorkerGateway, maintain_relays};
 pub(crate) use message::{HostReport, RelayBatch, RelayResults};
