Start nothing on a restarted worker before its new entry is read

Callers could see a task on a worker of the wrong kind. A poll that showed a restart before the store did overwrote the incarnation of the worker's report, while labels, service and room stayed those of the former incarnation. Starts were then allowed by them until the watch brought the new entry. The same happened to a new leader that had loaded the entry of a former incarnation.

The report now keeps its own incarnation. A report of another incarnation than the polled one blocks starts. It holds back acknowledgements only while it may be the later of the two: a poll that was sent after the report came, and was answered by another incarnation, shows that the report is the earlier one. Incarnations are not compared by their values, which come from the worker's clock.

Evidence: nothing_starts_on_a_restarted_worker_before_it_is_listed and nothing_starts_on_a_worker_that_restarted_while_there_was_no_leader failed before (one start each). completions_of_a_restarted_worker_are_acknowledged_before_it_is_listed passed before and keeps the other side. A start between the restart and the first poll of the new incarnation goes by the former labels as before; a first form of the test included it and failed also with this change.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -127,7 +127,7 @@
             address: worker.report.address,
             lease_deadline: deadline,
             // A worker that has restarted numbers its completions from 1 again.
-            acknowledged: match worker.reachable && !worker.has_new_incarnation() {
+            acknowledged: match worker.reachable && !worker.has_newer_report() {
                 true => worker.acknowledged,
                 false => 0,
             },
@@ -180,7 +180,9 @@
             && reply.incarnation != worker.incarnation;
         if reply.incarnation.is_some() {
             worker.incarnation = reply.incarnation;
-            worker.report.incarnation = reply.incarnation;
+        }
+        if sent >= worker.reported {
+            worker.report_outdated = !worker.is_report_current();
         }
         if first || restarted {
             let arrival = self.next_arrival();
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -2,7 +2,9 @@
 
 use super::simulation::Fault;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::{Incarnation, JobKey, PollReply};
+use crate::dispatch::{
+    Incarnation, JobKey, PollReply, Run, RunCompletion, RunOutcome, Step, StepKey, TaskKey,
+};
 use crate::model::{Span, WorkerName};
 use crate::node::RELAY_MARGIN;
 use crate::platform::POLL_TIMEOUT_MARGIN;
@@ -242,3 +244,77 @@
         sim.dispatcher.poll_answered(&name, sent, &reply, sim.now);
     }
 }
+
+/// A task that needs a worker with the label `kind`.
+fn labelled() -> Step {
+    Step {
+        label: Some("kind".into()),
+        ..step(1, 4, Span::from_millis(300))
+    }
+}
+
+/// Guards against a start by the labels of a worker's former incarnation: after a restart the
+/// worker may be of another kind, which only its new entry in the store says.
+#[test]
+fn nothing_starts_on_a_restarted_worker_before_it_is_listed() {
+    for is_polled_between in [true, false] {
+        let mut sim = Simulation::new(1);
+        sim.crash_worker(0);
+        if is_polled_between {
+            sim.poll_worker(0);
+        }
+        sim.restart_worker(0);
+        sim.poll_worker(0);
+        sim.submit(1, job(0, vec![labelled()]));
+        sim.run(Span::from_secs(1));
+        assert_eq!(sim.starts.len(), 0, "poll between: {is_polled_between}");
+        sim.list_workers();
+        sim.run(Span::from_secs(1));
+        assert_eq!(sim.starts.len(), 1);
+    }
+}
+
+/// Guards against the same start by a new leader, whose first poll of the worker shows an
+/// incarnation later than that in the store.
+#[test]
+fn nothing_starts_on_a_worker_that_restarted_while_there_was_no_leader() {
+    let mut sim = Simulation::new(1);
+    sim.crash_worker(0);
+    sim.commit();
+    sim.change_leader();
+    let former = sim.worker(0).report.clone();
+    sim.dispatcher.worker_listed(former, sim.now);
+    sim.restart_worker(0);
+    sim.poll_worker(0);
+    sim.submit(1, job(0, vec![labelled()]));
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.starts.len(), 0);
+    sim.list_workers();
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.starts.len(), 1);
+}
+
+/// Guards against completions of a restarted worker that are not acknowledged until it is
+/// listed, which may take seconds.
+#[test]
+fn completions_of_a_restarted_worker_are_acknowledged_before_it_is_listed() {
+    let mut sim = Simulation::new(1);
+    sim.crash_worker(0);
+    sim.restart_worker(0);
+    sim.run(Span::from_secs(1));
+    let step = StepKey {
+        job: JobKey(9),
+        occurrence: 0,
+        step: 0,
+    };
+    // A start order that was still in transit has reached the new incarnation.
+    sim.worker(0).completions.push(RunCompletion {
+        sequence: 1,
+        task: TaskKey { step, index: 0 },
+        run: Run(1),
+        outcome: RunOutcome::Failed,
+        checkpoint: None,
+    });
+    sim.run(Span::from_secs(2));
+    assert_eq!(sim.unacknowledged(0), 0);
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -109,6 +109,11 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) report: WorkerReport,
+    /// When the first report of the reported incarnation came.
+    pub(crate) reported: Time,
+    /// Whether a poll that was sent after `reported` was answered by another incarnation,
+    /// which is then a later one. Labels, service and room of that one are not known.
+    pub(crate) report_outdated: bool,
     /// Whether the store lists the worker. An unlisted worker gets no new tasks.
     pub(crate) listed: bool,
     /// Earliest time at which a draining worker may be gone; `None` while it is not draining.
@@ -246,6 +251,8 @@
     pub(crate) fn new(report: WorkerReport, now: Time) -> Self {
         let mut worker = Self {
             report,
+            reported: now,
+            report_outdated: false,
             listed: true,
             drain_deadline: None,
             fenced: false,
@@ -278,14 +285,23 @@
     /// Replaces the report with a newer one of the same worker.
     pub(crate) fn update_report(&mut self, report: WorkerReport, now: Time) {
         self.listed = true;
+        if report.incarnation != self.report.incarnation {
+            self.reported = now;
+            self.report_outdated = false;
+        }
         self.report = report;
         self.update_drain_deadline(now);
     }
 
-    /// Whether the report is of another incarnation than the one that was last polled.
-    pub(crate) fn has_new_incarnation(&self) -> bool {
+    /// Whether the report is of the incarnation that was last polled, as far as is known.
+    pub(crate) fn is_report_current(&self) -> bool {
         let (reported, polled) = (self.report.incarnation, self.incarnation);
-        reported.is_some() && polled.is_some() && reported != polled
+        reported.is_none() || polled.is_none() || reported == polled
+    }
+
+    /// Whether the report may be of a later incarnation than the one that was last polled.
+    pub(crate) fn has_newer_report(&self) -> bool {
+        !self.is_report_current() && !self.report_outdated
     }
 
     fn update_drain_deadline(&mut self, now: Time) {
@@ -356,8 +372,9 @@
             && self.drain_deadline.is_none()
             && self.fenced
             && self.in_roster
-            // What runs on the new incarnation is known only after a poll.
-            && !self.has_new_incarnation()
+            // What runs on an incarnation is known only after a poll, and its labels and
+            // room only from its own report.
+            && self.is_report_current()
             && self.paused_until <= now
             && now.since(self.last_answer) < MAX_ANSWER_AGE
             && (!self.health.is_unhealthy()
