Give up a stop order after 0.4 s, so that a third one is in time

Callers could see a cancelled task run on for longer than 3.4 s when two stop orders, or the results of their relay, were lost: without a result a stop through a relay was given up after 1.6 s, and the third was sent 3.26 s after the cancellation.

Workers answer within a round trip, and a stop can be repeated without harm, so its timeout is now 0.4 s, through a relay 1.3 s. The leader still has one stop of a run outstanding, and repeats it 1.0 s after the last at the earliest, as before. Directly the interval stays the same, through a relay it falls from 1.6 to 1.3 s, so stops cannot pile up as in docs/incidents/order-storm.md.

Evidence: a_third_stop_is_in_time_after_two_were_lost failed before.

--- a/crates/jujubelb/src/dispatch/tests/stops.rs
+++ b/crates/jujubelb/src/dispatch/tests/stops.rs
@@ -1,8 +1,11 @@
 //! Stop orders to workers that are slow to answer.
 
+use super::simulation::BOUNDS;
 use super::{Simulation, job, long_running};
 use crate::dispatch::{Order, StopReply, WorkerOrder};
 use crate::model::Span;
+use crate::node::RELAY_MARGIN;
+use crate::platform::STOP_TIMEOUT;
 
 /// Makes scheduling passes for a span without executing their orders.
 fn plan_for(sim: &mut Simulation, span: Span) -> Vec<WorkerOrder> {
@@ -35,3 +38,35 @@
         .stop_answered(&order.worker, task, run, reply, sim.now);
     assert_eq!(plan_for(&mut sim, Span::from_secs(1)).len(), 1);
 }
+
+/// Time after a cancellation within which the tasks have to be gone.
+const CANCEL_LIMIT: Span = Span::from_millis(3_400);
+
+/// Guards against a cancelled task that runs on because two stop orders, or the results of
+/// their relay, were lost.
+#[test]
+fn a_third_stop_is_in_time_after_two_were_lost() {
+    let mut sim = Simulation::new(1);
+    let key = sim.submit(1, job(0, vec![long_running(1, 4)]));
+    sim.run(Span::from_secs(1));
+    let cancelled = sim.now;
+    sim.cancel(key);
+    let mut sent = Vec::new();
+    while sent.len() < 3 {
+        for order in plan_for(&mut sim, Span::from_millis(20)) {
+            let Order::Stop { task, run } = order.order else {
+                panic!("{order:?}");
+            };
+            sent.push(sim.now.since(cancelled));
+            if sent.len() < 3 {
+                sim.now = sim.now + STOP_TIMEOUT + RELAY_MARGIN;
+                let reply = StopReply::NoAnswer;
+                sim.dispatcher
+                    .stop_answered(&order.worker, task, run, reply, sim.now);
+            }
+        }
+    }
+    let gone = sent[2] + BOUNDS.max_stop;
+    // The rest is for the way of the third order, a batch of 250 ms on a slow link.
+    assert!(gone + Span::from_millis(250) <= CANCEL_LIMIT, "{sent:?}");
+}
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -16,7 +16,9 @@
 use super::selection::{KnownHosts, announce_interval, needs_relays, relay_of};
 use crate::dispatch::{Order, PollRequest, Run, StartReply, StopReply, TaskKey, WorkerOrder};
 use crate::model::{DomainName, HostName, Span, WorkerName};
-use crate::platform::{CallError, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, WorkerClient};
+use crate::platform::{
+    CallError, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT, WorkerClient,
+};
 
 /// Added to the timeout of a call for the way through the relay and back.
 pub(crate) const RELAY_MARGIN: Span = Span::from_millis(900);
@@ -230,7 +232,11 @@
 
     async fn order(&self, link: &RelayLink, order: &WorkerOrder) -> Option<CallResult> {
         let action = Action::Order(order.clone(), None);
-        self.call(link, action, ORDER_TIMEOUT).await
+        let timeout = match order.order {
+            Order::Stop { .. } => STOP_TIMEOUT,
+            Order::Start { .. } | Order::Pace { .. } => ORDER_TIMEOUT,
+        };
+        self.call(link, action, timeout).await
     }
 
     /// Starts a run.
--- a/crates/jujubelb/src/platform/mod.rs
+++ b/crates/jujubelb/src/platform/mod.rs
@@ -25,4 +25,4 @@
     CONFIG_KEY, EVACUATION_PREFIX, OperatorConfig, QueueConfig, WORKER_PREFIX, decode_config,
     decode_worker,
 };
-pub use workers::{ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, WorkerClient};
+pub use workers::{ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT, WorkerClient};
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -16,6 +16,10 @@
 /// takes longer than this is not going to answer.
 pub const ORDER_TIMEOUT: Span = Span::from_millis(700);
 
+/// Timeout of a stop order. Shorter than that of a start, since a stop can be repeated without
+/// harm: a third one has to end a cancelled task in time after two were lost.
+pub const STOP_TIMEOUT: Span = Span::from_millis(400);
+
 /// Added to the wait of a poll for its timeout.
 pub const POLL_TIMEOUT_MARGIN: Span = Span::from_millis(900);
 
@@ -188,7 +192,7 @@
                 &order.worker,
                 "/run-stop",
                 &body,
-                ORDER_TIMEOUT,
+                STOP_TIMEOUT,
             )
             .await;
         match response {
