Keep a cancellation that arrives before its job

A leader that learned of a cancellation before the job ignored it, and could start tasks of the job until the watch of the store repeated the cancellation. Messages of two hosts, one that took the job and one that took the cancellation, may arrive in this order.

The dispatcher now keeps up to 1,000 such cancellations and ends the job on arrival.

Evidence: a_job_that_is_cancelled_before_it_arrives_does_not_start failed before (one start).

--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -15,6 +15,10 @@
 /// hosts differ.
 const MAX_JOB_AGE: Span = Span::from_secs(600);
 
+/// Largest number of cancellations that are kept for jobs that have not arrived yet. Beyond
+/// it the oldest is dropped; the watch of the store repeats it after its job.
+const MAX_EARLY_CANCELS: usize = 1_000;
+
 impl Dispatcher {
     /// Adds a stored job. `inherited` says that the store held it before this term, so that
     /// an earlier leader may have started its tasks. None of its tasks starts before the term
@@ -31,6 +35,7 @@
         if self.jobs.contains_key(&key) {
             return;
         }
+        let cancelled = self.early_cancels.shift_remove(&key);
         let age = wall.since(record.accepted).min(MAX_JOB_AGE);
         let scheduled = record.spec.schedule.is_some();
         let tasks: u32 = record.spec.steps.iter().map(|s| s.count).sum();
@@ -57,11 +62,17 @@
         }
         self.queue_ready_steps(key);
         self.finish_if_complete(key, now);
+        if cancelled {
+            self.cancel(key, now);
+        }
     }
 
     /// Ends a job that its caller has cancelled. The cancellation is durable already.
     pub fn cancel(&mut self, key: JobKey, now: Time) {
         let Some(job) = self.jobs.get(&key) else {
+            if self.early_cancels.insert(key) && self.early_cancels.len() > MAX_EARLY_CANCELS {
+                self.early_cancels.shift_remove_index(0);
+            }
             return;
         };
         if job.outcome.is_none() {
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -193,6 +193,8 @@
     ready: IndexSet<StepKey>,
     /// Jobs with occurrences that have not begun.
     scheduled: IndexSet<JobKey>,
+    /// Jobs that were cancelled before they arrived.
+    early_cancels: IndexSet<JobKey>,
     /// Interference of best-effort images with serving images.
     slopes: Slopes,
     headrooms: Headrooms,
@@ -246,6 +248,7 @@
             membership: 0,
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
+            early_cancels: IndexSet::new(),
             slopes: model.0,
             headrooms: Headrooms::default(),
             model_written: now,
--- a/crates/jujubelb/src/dispatch/tests/stops.rs
+++ b/crates/jujubelb/src/dispatch/tests/stops.rs
@@ -2,7 +2,7 @@
 
 use super::simulation::BOUNDS;
 use super::{Simulation, job, long_running};
-use crate::dispatch::{Order, StopReply, WorkerOrder};
+use crate::dispatch::{JobKey, Order, StopReply, WorkerOrder};
 use crate::model::Span;
 use crate::node::RELAY_MARGIN;
 use crate::platform::STOP_TIMEOUT;
@@ -70,3 +70,13 @@
     // The rest is for the way of the third order, a batch of 250 ms on a slow link.
     assert!(gone + Span::from_millis(250) <= CANCEL_LIMIT, "{sent:?}");
 }
+
+/// Guards against starting a job whose cancellation has reached the leader before the job.
+#[test]
+fn a_job_that_is_cancelled_before_it_arrives_does_not_start() {
+    let mut sim = Simulation::new(1);
+    sim.cancel(JobKey(1));
+    sim.submit(1, job(0, vec![long_running(1, 4)]));
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.starts.len(), 0);
+}
