--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -79,7 +79,7 @@
     /// effects are not durable. The worker answers such a poll immediately.
     pub pending_ack: bool,
     /// Latest lease deadline before this poll, restored if the poll was not sent.
-    previous_deadline: WorkerTime,
+    pub(crate) previous_deadline: WorkerTime,
 }
 
 /// Answer to a poll.
@@ -127,11 +127,13 @@
             address: worker.report.address,
             lease_deadline: deadline,
             // A worker that has restarted numbers its completions from 1 again.
-            acknowledged: match worker.reachable && !worker.has_new_incarnation() {
+            acknowledged: match worker.reachable && !worker.has_newer_report() {
                 true => worker.acknowledged,
                 false => 0,
             },
-            wait: match (worker.fenced, brief) {
+            wait: match (worker.fenced && worker.reachable, brief) {
+                // After a poll without an answer this one carries no lease, so a wait would
+                // delay the next one that does.
                 (false, _) => Span::ZERO,
                 (true, true) => BRIEF_POLL_WAIT,
                 (true, false) => POLL_WAIT,
@@ -178,7 +180,9 @@
             && reply.incarnation != worker.incarnation;
         if reply.incarnation.is_some() {
             worker.incarnation = reply.incarnation;
-            worker.report.incarnation = reply.incarnation;
+        }
+        if sent >= worker.reported {
+            worker.report_outdated = !worker.is_report_current();
         }
         if first || restarted {
             let arrival = self.next_arrival();
