Keep the wait for a lost leader across further changes of the leader

The host of a leader was replaced while 16 workers were dark, and the leader changed twice more within 31 s.

Cause: the store held only whether all earlier leaders were known to have stopped (`settled`). Without that, a new leader asked none of them and counted 16 s and the lease from the beginning of its own term, so each change began the wait anew.

Ruled out: asking the last leader alone, and taking its resignation for that of all. Counting from the election of the lost leader itself instead of its successor's: the overlapping terms find tasks that run twice.

Change: the key `succession` replaces `settled`. Each election stores the earlier leaders that may still act, each with a lower bound of the time since its successor was elected; the leader rewrites it once a second while there are any, asks each of them, and removes one that answers or that had to stop 16 s after its successor's election. Ages grow by 98 % of the clock, so a single change with a leader that can't be asked now waits 22.8 s instead of 22.5 s. These writes and the resignation expect the term key as the own election left it, so that a leader whose term is over replaces nothing of a newer one.

Why it is safe: a leader acts for 12 s after its last renewal, which the store executed before the successor's election, and 4 s are for a pause. A stored age never exceeds the true one. A list that the last leader did not write counts for nothing. Inherited tasks wait for the longest lease after the last of the earlier leaders stopped or answered, as before.

Changed tests: `an_election_stores_that_earlier_leaders_have_stopped` is `an_election_stores_which_earlier_leaders_may_act`, since the election now always stores the list; it compares the stored value. Tests of `earlier_leaders_stopped()` check that the list is empty, which is the same statement.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -10,9 +10,9 @@
 use arcstr::ArcStr;
 use indexmap::IndexMap;
 use jujubelb::dispatch::{
-    Bounds, Dispatcher, Incarnation, InterferenceModel, JobKey, JobRecord, JobSpec, Order,
-    PollReply, QueueSettings, Roster, Run, RunCompletion, RunOutcome, RunStatus, StartReply, Step,
-    StopReply, TaskKey, Term, WorkerOrder, WorkerReport,
+    Bounds, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel, JobKey, JobRecord, JobSpec,
+    Order, PollReply, QueueSettings, Roster, Run, RunCompletion, RunOutcome, RunStatus, StartReply,
+    Step, StopReply, Succession, TaskKey, Term, WorkerOrder, WorkerReport,
 };
 use jujubelb::model::{
     Bytes, DomainName, Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime,
@@ -178,7 +178,6 @@
     let term = Term {
         token: 1,
         number: 0,
-        predecessor_stopped: false,
     };
     let bounds = Bounds {
         max_lease: Span::from_secs(6),
@@ -189,6 +188,7 @@
     let dispatcher = Dispatcher::new(
         term,
         bounds,
+        EarlierLeaders::new(&Succession::empty(0), now),
         &Roster::default(),
         InterferenceModel::default(),
         now,
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod rank;
 mod replies;
+mod succession;
 #[cfg(test)]
 mod tests;
 mod tickets;
@@ -50,6 +51,7 @@
     Crash, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes, TaskProgress,
 };
 pub use replies::{Refusal, StartReply, StopReply};
+pub use succession::{EarlierLeader, EarlierLeaders, LeaderTerm, MAX_EARLIER_LEADERS, Succession};
 pub use tickets::{TicketGrant, TicketRequest};
 pub use worker::{Incarnation, WorkerReport};
 
@@ -73,9 +75,6 @@
     pub token: u64,
     /// Number of terms before this one.
     pub number: u64,
-    /// Whether the previous leader and all before it are known to have stopped, so that none
-    /// of them extends leases any longer.
-    pub predecessor_stopped: bool,
 }
 
 /// Run numbers reserved for each task in one term. Term `n` starts numbering at
@@ -165,9 +164,9 @@
 /// lease at the store.
 pub const LEADER_GRACE: Span = Span::from_secs(12);
 
-/// How long a new leader waits, on top of the lease, for roster workers that it can't
-/// reach: [`LEADER_GRACE`] of the previous leader, plus 4 s for a pause of that
-/// leader's host during which its clock does not advance.
+/// How long a leader may act after its successor was elected: [`LEADER_GRACE`], plus 4 s for
+/// a pause of its host during which its clock does not advance. A new leader waits for this
+/// time, and then for the lease, for roster workers that it can't reach.
 const UNREACHABLE_WORKER_WAIT: Span = Span::from_secs(LEADER_GRACE.as_micros() / 1_000_000 + 4);
 
 /// Scheduling state of one leader's term.
@@ -175,8 +174,10 @@
 pub struct Dispatcher {
     term: Term,
     bounds: Bounds,
-    /// When the previous leader was known to have stopped, otherwise when this term began.
-    takeover: Time,
+    /// When this term began to act.
+    began: Time,
+    /// Earlier leaders that may still extend leases.
+    earlier: EarlierLeaders,
     /// Whether all workers on which earlier terms may have started tasks have answered,
     /// or their leases have expired. Until then inherited tasks are not started.
     inherited_resolved: bool,
@@ -222,22 +223,29 @@
 }
 
 impl Dispatcher {
-    /// Creates the dispatcher of a new term. `roster` names the workers on which earlier
+    /// Creates the dispatcher of a new term. `earlier` are the leaders that may still act
+    /// besides it, `roster` names the workers on which earlier
     /// terms may have started tasks, and `model` is the interference model that they learned.
     pub fn new(
         term: Term,
         bounds: Bounds,
+        mut earlier: EarlierLeaders,
         roster: &Roster,
         model: InterferenceModel,
         now: Time,
     ) -> Self {
+        earlier.extended_until(now);
+        if roster.workers.is_empty() {
+            earlier.clear();
+        }
         let mut dispatcher = Self {
             term,
             bounds: Bounds {
                 max_lease: bounds.max_lease.min(MAX_LEASE),
                 ..bounds
             },
-            takeover: now,
+            began: now,
+            earlier,
             inherited_resolved: roster.workers.is_empty(),
             jobs: FastMap::default(),
             workers: FastMap::default(),
@@ -274,21 +282,20 @@
         self.term
     }
 
-    /// Records that the previous leader is known to have stopped, so that it no longer
-    /// extends leases.
-    pub fn predecessor_stopped(&mut self, now: Time) {
-        if !self.term.predecessor_stopped {
-            log::info!(term = self.term.number, age:% = now.since(self.takeover); "previous leader has stopped");
-            self.term.predecessor_stopped = true;
-            self.takeover = now;
+    /// Records that the earlier leader of the term with this nonce is known to have stopped,
+    /// so that it no longer extends leases.
+    pub fn leader_stopped(&mut self, nonce: u64, now: Time) {
+        if let Some(age) = self.earlier.stopped(nonce, now) {
+            let left = self.earlier.at(now).len();
+            log::info!(term = self.term.number, nonce = nonce, age:% = age, left = left; "earlier leader has stopped");
         }
     }
 
-    /// Whether no earlier leader can still act: all are known to have stopped, or every worker
-    /// on which they may have started tasks has seen this term's token, or its lease has
-    /// expired.
-    pub fn earlier_leaders_stopped(&self) -> bool {
-        self.inherited_resolved || self.term.predecessor_stopped
+    /// Earlier leaders that can still act. There are none once all are known to have stopped
+    /// or had to, or every worker on which they may have started tasks has seen this term's
+    /// token.
+    pub fn earlier_leaders(&self, now: Time) -> Vec<EarlierLeader> {
+        self.earlier.at(now)
     }
 
     /// Whether a worker has seen a higher token, which means that this term is over.
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -13,7 +13,7 @@
 use super::placement::{self, PlacementRequest};
 use super::rank::{self, StepRank};
 use super::worker::{RunPhase, TrackedRun};
-use super::{Dispatcher, Order, UNREACHABLE_WORKER_WAIT, WorkerOrder};
+use super::{Dispatcher, Order, WorkerOrder};
 use crate::model::{Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime};
 
 /// Time added to [`Bounds::max_stop`](super::Bounds::max_stop) before a stop order whose run
@@ -41,7 +41,7 @@
 /// that runs at a tenth of its speed still reports progress several times within it.
 const STALL_TIMEOUT: Span = Span::from_millis(2_500);
 
-/// Allowance for the network delay of the previous leader's last poll.
+/// Allowance for the network delay of an earlier leader's last poll.
 const LEASE_MARGIN: Span = Span::from_millis(300);
 
 /// Time added to [`Bounds::max_stop`](super::Bounds::max_stop) when tasks are stopped before
@@ -110,18 +110,15 @@
             return;
         }
         let lease = self.bounds.max_lease.scale_up(103, 100) + LEASE_MARGIN;
-        let wait = match self.term.predecessor_stopped {
-            true => lease,
-            false => UNREACHABLE_WORKER_WAIT + lease,
-        };
         let unreachable = self
             .workers
             .values()
             .filter(|w| w.in_roster && !w.fenced)
             .count();
-        let waited = now.since(self.takeover);
-        if unreachable == 0 || waited > wait {
-            log::info!(waited:% = waited, suspects = unreachable; "tasks inherited from earlier terms may start");
+        let leases_expired = self.earlier.quiet_for(now).is_some_and(|t| t > lease);
+        if unreachable == 0 || leases_expired {
+            self.earlier.clear();
+            log::info!(waited:% = now.since(self.began), suspects = unreachable; "tasks inherited from earlier terms may start");
             self.inherited_resolved = true;
             for job in self.jobs.values_mut() {
                 job.inherited = false;
--- a/crates/jujubelb/src/dispatch/tests/leader_changes.rs
+++ b/crates/jujubelb/src/dispatch/tests/leader_changes.rs
@@ -1,7 +1,8 @@
 //! Changes of the leader: adoption of runs and waits for unreachable workers.
 
-use super::simulation::Fault;
+use super::simulation::{Fault, leader_term};
 use super::{Simulation, job, long_running, step};
+use crate::dispatch::JobKey;
 use crate::model::Span;
 
 /// Guards against starting a task again that is running when the leader changes.
@@ -129,7 +130,7 @@
     sim.list_workers();
     sim.change_leader();
     sim.run(Span::from_secs(1));
-    sim.dispatcher.predecessor_stopped(sim.now);
+    sim.dispatcher.leader_stopped(0, sim.now);
     sim.run(Span::from_secs(5));
     assert!(sim.running(key) < 4);
     sim.run(Span::from_secs(2));
@@ -163,10 +164,82 @@
     sim.run(Span::from_secs(1));
     sim.worker(0).fault = Fault::Partitioned;
     sim.change_leader();
-    assert!(!sim.dispatcher.earlier_leaders_stopped());
+    assert!(!sim.dispatcher.earlier_leaders(sim.now).is_empty());
     sim.run(Span::from_secs(2));
-    assert!(!sim.dispatcher.earlier_leaders_stopped());
+    assert!(!sim.dispatcher.earlier_leaders(sim.now).is_empty());
     sim.worker(0).fault = Fault::None;
     sim.run(Span::from_secs(1));
-    assert!(sim.dispatcher.earlier_leaders_stopped());
+    assert!(sim.dispatcher.earlier_leaders(sim.now).is_empty());
+}
+
+/// A job with a task on each of four workers, of which one is lost when the leader is.
+fn lose_worker_and_leader(sim: &mut Simulation) -> JobKey {
+    let key = sim.submit(1, job(0, vec![long_running(4, 20)]));
+    sim.run(Span::from_secs(1));
+    let victim = sim.starts[0].1.clone();
+    let i = sim.workers.get_index_of(&victim).unwrap();
+    sim.crash_worker(i);
+    sim.list_workers();
+    sim.change_leader();
+    key
+}
+
+/// Guards against each change of the leader beginning anew the wait for an earlier leader that
+/// can't be asked.
+#[test]
+fn further_changes_do_not_prolong_the_wait() {
+    let mut sim = Simulation::new(4);
+    let key = lose_worker_and_leader(&mut sim);
+    let first = sim.now;
+    for (number, term) in [(1, 6), (2, 8)] {
+        sim.run(Span::from_secs(term));
+        sim.change_leader();
+        sim.run(Span::from_millis(400));
+        sim.dispatcher.leader_stopped(number, sim.now);
+    }
+    while sim.running(key) < 4 && sim.now.since(first) < Span::from_secs(60) {
+        sim.run(Span::from_millis(20));
+    }
+    // 16 s and the lease on clocks that are 2 % apart, and a second for each change, which is
+    // the age that is not stored yet.
+    let waited = sim.now.since(first);
+    assert!(waited > Span::from_millis(22_300), "waited {waited}");
+    assert!(waited < Span::from_millis(25_000), "waited {waited}");
+}
+
+/// Guards against taking the answer of one earlier leader for that of all.
+#[test]
+fn an_answer_removes_one_earlier_leader() {
+    let mut sim = Simulation::new(4);
+    let key = lose_worker_and_leader(&mut sim);
+    let first = sim.now;
+    sim.run(Span::from_secs(2));
+    sim.change_leader();
+    assert_eq!(sim.dispatcher.earlier_leaders(sim.now).len(), 2);
+    sim.dispatcher.leader_stopped(1, sim.now);
+    let left = sim.dispatcher.earlier_leaders(sim.now);
+    assert_eq!(
+        left.iter().map(|l| l.term).collect::<Vec<_>>(),
+        [Some(leader_term(0))]
+    );
+    while sim.now.since(first) < Span::from_secs(22) {
+        sim.run(Span::from_millis(20));
+        assert!(sim.running(key) < 4);
+    }
+    sim.run(Span::from_secs(3));
+    assert_eq!(sim.running(key), 4);
+}
+
+/// Guards against counting the lease of a worker from the beginning of the term, when an
+/// earlier leader that answers late may have extended it since.
+#[test]
+fn a_late_answer_begins_the_lease() {
+    let mut sim = Simulation::new(4);
+    let key = lose_worker_and_leader(&mut sim);
+    sim.run(Span::from_secs(7));
+    sim.dispatcher.leader_stopped(0, sim.now);
+    sim.run(Span::from_secs(6));
+    assert!(sim.running(key) < 4);
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.running(key), 4);
 }
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -13,6 +13,7 @@
 mod overlapping_terms;
 mod queueing;
 mod stops;
+mod succession;
 mod tickets;
 
 pub(super) use simulation::{Simulation, job, long_running, step};
--- a/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -10,22 +10,33 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
-use super::simulation::{BOUNDS, Fault, TIME_STEP};
-use super::{Simulation, job, step};
+use super::simulation::{BOUNDS, Fault, TIME_STEP, leader_term};
+use super::{Simulation, job, long_running, step};
 use crate::dispatch::{
-    Arrival, Dispatcher, InterferenceModel, JobKey, JobOutcome, Roster, Term, WorkerOrder,
+    Arrival, Dispatcher, EarlierLeaders, InterferenceModel, JobKey, JobOutcome, JobRecord, Roster,
+    Succession, Term, WorkerOrder,
 };
 use crate::model::{Span, Time, WorkerName};
 
 /// Seeds that a test run plays; `JUJUBELB_TERM_SEEDS` sets another number.
 const DEFAULT_SEEDS: u64 = 4_000;
 
+/// How many more short seeds are played than long ones.
+const LONG_SEED_RATIO: u64 = 20;
+
 /// Simulated time of one seed. Shorter than the leases of workers, so that a run that is
 /// started twice cannot go unnoticed because the first one lapsed.
 const DURATION: Span = Span::from_millis(4_500);
 
 const WORKERS: usize = 4;
 
+/// Simulated time of a seed that outlasts the wait for leaders that can't be asked.
+const LONG_DURATION: Span = Span::from_secs(46);
+
+/// Longest time that a leader acts after the election of the next one, less the longest time
+/// without a renewal before that election.
+const MAX_ACTING: u64 = 15_700;
+
 /// What a leader is told of, by watch or by a message of another host.
 #[derive(Debug, Clone, Copy)]
 enum Notice {
@@ -47,6 +58,9 @@
 struct Leader {
     dispatcher: Dispatcher,
     number: u64,
+    /// What its election has stored about earlier leaders, and when.
+    succession: Succession,
+    elected: Time,
     /// When its term begins to act: it has read the state from the store.
     loads: Time,
     loaded: bool,
@@ -54,6 +68,11 @@
     ends: Time,
     /// Since when it does not reach the store.
     cut: Time,
+    /// Since when it reaches no worker but dark ones, which it alone reaches.
+    confined: Time,
+    /// Whether its host answers once the leader has ended.
+    answers: bool,
+    resigned: bool,
     ended: bool,
     inbox: Vec<(Time, Notice)>,
     renewal: Option<Renewal>,
@@ -63,18 +82,26 @@
     Term {
         token: 10 * (number + 1),
         number,
-        predecessor_stopped: false,
     }
 }
 
 struct Overlap {
     rng: StdRng,
+    /// Decides what is known of earlier leaders.
+    evidence: StdRng,
     sim: Simulation,
     leaders: Vec<Leader>,
     /// Number of the newest leader at the store.
     newest: u64,
     elections: Vec<Time>,
     next_job: u64,
+    /// What the store holds about earlier leaders.
+    succession: Succession,
+    duration: Span,
+    /// Number of the leader that alone reaches a worker, and since when.
+    dark: Vec<(WorkerName, u64, Time)>,
+    /// Index of the leader that makes calls now.
+    acting: usize,
 }
 
 impl Overlap {
@@ -85,13 +112,53 @@
         if rng.random_bool(0.5) {
             elections.push(elections[0] + Span::from_millis(rng.random_range(100..1_200)));
         }
+        Self::start(seed, rng, sim, elections, DURATION)
+    }
+
+    /// Leaders that follow each other while some workers are dark: no leader reaches them,
+    /// except for one that may go on for a long time after its term.
+    fn long(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let sim = Simulation::new(WORKERS);
+        let mut elections = vec![sim.now + Span::from_millis(rng.random_range(1_000..3_000))];
+        for _ in 0..rng.random_range(1..4) {
+            let last = elections[elections.len() - 1];
+            elections.push(last + Span::from_millis(rng.random_range(500..14_000)));
+        }
+        let mut overlap = Self::start(seed, rng, sim, elections, LONG_DURATION);
+        for i in 0..WORKERS - 1 {
+            if overlap.rng.random_bool(0.6) {
+                let leader = overlap.rng.random_range(0..overlap.elections.len());
+                let successor = overlap.elections[leader];
+                let since = successor - Span::from_millis(overlap.rng.random_range(0..400));
+                let name = overlap.sim.workers.keys()[i].clone();
+                overlap.dark.push((name, leader as u64, since));
+            }
+        }
+        let record = job(0, vec![long_running(3 * WORKERS as u32, 4)]);
+        overlap.store_job(record);
+        overlap
+    }
+
+    fn start(
+        seed: u64,
+        rng: StdRng,
+        sim: Simulation,
+        elections: Vec<Time>,
+        duration: Span,
+    ) -> Self {
         let mut overlap = Self {
             rng,
+            evidence: StdRng::seed_from_u64(!seed),
             sim,
             leaders: Vec::new(),
             newest: 0,
             elections,
             next_job: 1,
+            succession: Succession::empty(0),
+            duration,
+            dark: Vec::new(),
+            acting: 0,
         };
         let mut first = overlap.leader(0);
         std::mem::swap(&mut first.dispatcher, &mut overlap.sim.dispatcher);
@@ -104,26 +171,46 @@
     fn leader(&mut self, number: u64) -> Leader {
         let now = self.sim.now;
         let next = self.elections.get(number as usize).copied();
-        let next = next.unwrap_or(now + DURATION);
+        let next = next.unwrap_or(now + self.duration);
         let rng = &mut self.rng;
+        let is_long = self.duration == LONG_DURATION;
+        let goes_on = is_long && rng.random_bool(0.5);
         // It has not renewed its lease for a while when the next leader is elected.
-        let cut = match rng.random_bool(0.5) {
+        let cut = match goes_on || rng.random_bool(0.5) {
             true => next - Span::from_millis(rng.random_range(0..300)),
-            false => next + DURATION,
+            false => next + self.duration,
+        };
+        let loads = now + Span::from_millis(rng.random_range(0..400));
+        let ends = match (goes_on, is_long) {
+            (true, _) => next + Span::from_millis(rng.random_range(0..MAX_ACTING)),
+            (false, true) => next - TIME_STEP.scale_up(3, 1),
+            (false, false) => next + Span::from_millis(rng.random_range(0..2_500)),
         };
+        let confined = match is_long {
+            true => next,
+            false => next + self.duration,
+        };
+        let answers = self.evidence.random_bool(0.5);
+        let resigned = self.evidence.random_bool(0.5);
         Leader {
             dispatcher: Dispatcher::new(
                 term(number),
                 BOUNDS,
+                EarlierLeaders::new(&Succession::empty(number), now),
                 &Roster::default(),
                 InterferenceModel::default(),
                 now,
             ),
             number,
-            loads: now + Span::from_millis(rng.random_range(0..400)),
+            succession: self.succession.clone(),
+            elected: now,
+            loads,
             loaded: false,
-            ends: next + Span::from_millis(rng.random_range(0..2_500)),
+            ends,
             cut,
+            confined,
+            answers,
+            resigned,
             ended: false,
             inbox: Vec::new(),
             renewal: None,
@@ -131,7 +218,7 @@
     }
 
     fn play(&mut self) {
-        let end = self.sim.now + DURATION;
+        let end = self.sim.now + self.duration;
         while self.sim.now < end {
             self.sim.now = self.sim.now + TIME_STEP;
             self.sim.advance_workers();
@@ -148,17 +235,13 @@
     /// Jobs and cancellations are stored, leaders are elected, and renewals arrive.
     fn change_store(&mut self) {
         let now = self.sim.now;
-        if self.rng.random_bool(0.1) {
+        let is_long = self.duration == LONG_DURATION;
+        if self.rng.random_bool(if is_long { 0.002 } else { 0.1 }) {
             let count = self.rng.random_range(1..4);
             let estimate = Span::from_millis(self.rng.random_range(300..3_000));
-            let mut record = job(0, vec![step(count, 4, estimate)]);
-            record.accepted = self.sim.wall();
-            let key = JobKey(self.next_job);
-            self.next_job += 1;
-            self.sim.jobs.insert(key, record);
-            self.notify(Notice::Job(key));
+            self.store_job(job(0, vec![step(count, 4, estimate)]));
         }
-        if self.rng.random_bool(0.01) && !self.sim.jobs.is_empty() {
+        if !is_long && self.rng.random_bool(0.01) && !self.sim.jobs.is_empty() {
             let i = self.rng.random_range(0..self.sim.jobs.len());
             let key = self.sim.jobs.keys()[i];
             self.sim.cancelled.insert(key);
@@ -171,6 +254,16 @@
             .is_some_and(|at| *at <= now)
         {
             self.newest = number;
+            // A leader that is elected between the end of another one and its resignation
+            // asks it.
+            let last = &self.leaders[self.leaders.len() - 1];
+            let is_read = self.evidence.random_bool(0.95);
+            self.succession = Succession::following(
+                leader_term(last.number),
+                last.ended && last.resigned,
+                Some(&self.succession).filter(|_| is_read),
+                number,
+            );
             let leader = self.leader(number);
             self.leaders.push(leader);
         }
@@ -184,6 +277,14 @@
         }
     }
 
+    fn store_job(&mut self, mut record: JobRecord) {
+        record.accepted = self.sim.wall();
+        let key = JobKey(self.next_job);
+        self.next_job += 1;
+        self.sim.jobs.insert(key, record);
+        self.notify(Notice::Job(key));
+    }
+
     /// Tells every leader, once or twice, after a delay of its own.
     fn notify(&mut self, notice: Notice) {
         let now = self.sim.now;
@@ -196,7 +297,7 @@
     }
 
     fn crash_workers(&mut self) {
-        if !self.rng.random_bool(0.01) {
+        if self.duration == LONG_DURATION || !self.rng.random_bool(0.01) {
             return;
         }
         let i = self.rng.random_range(0..WORKERS);
@@ -235,6 +336,7 @@
     /// One step of a leader.
     fn act(&mut self, i: usize) {
         let now = self.sim.now;
+        self.acting = i;
         let leader = &mut self.leaders[i];
         leader.ended |= now >= leader.ends || leader.dispatcher.is_deposed();
         if leader.ended || now < leader.loads {
@@ -244,6 +346,7 @@
         self.load(i);
         self.read_inbox(i);
         self.renew(i);
+        self.follow_earlier_leaders(i);
         self.poll_workers();
         let reachable = now < self.leaders[i].cut;
         if reachable && self.rng.random_bool(0.6) {
@@ -270,7 +373,10 @@
         let now = self.sim.now;
         let sim = &mut self.sim;
         let term = term(self.leaders[i].number);
-        sim.dispatcher = Dispatcher::new(term, BOUNDS, &sim.roster, sim.model.clone(), now);
+        let leader = &self.leaders[i];
+        let earlier = EarlierLeaders::new(&leader.succession, leader.elected);
+        sim.dispatcher =
+            Dispatcher::new(term, BOUNDS, earlier, &sim.roster, sim.model.clone(), now);
         let wall = sim.wall();
         for (key, record) in &sim.jobs {
             let progress = sim.states.get(key);
@@ -327,6 +433,33 @@
         });
     }
 
+    /// Takes the answers of hosts whose leaders have ended, and stores who is left.
+    fn follow_earlier_leaders(&mut self, i: usize) {
+        let now = self.sim.now;
+        for other in &self.leaders[..i] {
+            if other.ended && other.answers && self.evidence.random_bool(0.02) {
+                self.sim.dispatcher.leader_stopped(other.number, now);
+            }
+        }
+        let leader = &self.leaders[i];
+        if leader.number == self.newest && now < leader.cut && self.evidence.random_bool(0.05) {
+            self.succession = Succession {
+                nonce: leader.number,
+                earlier: self.sim.dispatcher.earlier_leaders(now),
+            };
+        }
+    }
+
+    /// Whether the acting leader reaches a worker.
+    fn reaches(&self, name: &WorkerName) -> bool {
+        let (now, leader) = (self.sim.now, &self.leaders[self.acting]);
+        let dark = self.dark.iter().find(|(n, ..)| n == name);
+        match dark {
+            Some((_, number, since)) if *since <= now => *number == leader.number,
+            _ => now < leader.confined,
+        }
+    }
+
     fn poll_workers(&mut self) {
         let mut names: Vec<WorkerName> = self.sim.workers.keys().cloned().collect();
         names.shuffle(&mut self.rng);
@@ -344,6 +477,7 @@
     /// Makes a call that does not arrive, arrives late or is not answered now and then.
     fn with_fault(&mut self, name: &WorkerName, call: impl FnOnce(&mut Simulation)) {
         let fault = match self.rng.random_range(0..20) {
+            _ if !self.reaches(name) => Fault::Partitioned,
             0 => Fault::Partitioned,
             1 => Fault::LostAnswers,
             2 => Fault::DelayedStarts(Span::from_millis(self.rng.random_range(20..600))),
@@ -355,24 +489,25 @@
     }
 }
 
-/// Guards against two runs of a task that are started by leaders of following terms, of which
-/// the older has not noticed that its term is over.
-#[test]
-fn no_task_runs_twice_while_terms_overlap() {
-    let seeds = std::env::var("JUJUBELB_TERM_SEEDS")
+fn seeds() -> u64 {
+    std::env::var("JUJUBELB_TERM_SEEDS")
         .ok()
         .and_then(|s| s.parse().ok())
-        .unwrap_or(DEFAULT_SEEDS);
-    let mut starts = 0;
+        .unwrap_or(DEFAULT_SEEDS)
+}
+
+/// Plays a number of seeds, none of which may fail, and returns the sum of what they count.
+fn play(seeds: u64, new: fn(u64) -> Overlap, count: fn(&Overlap) -> usize) -> usize {
+    let mut total = 0;
     let failing: Vec<u64> = (0..seeds)
         .filter(|seed| {
             let play = || {
-                let mut overlap = Overlap::new(*seed);
+                let mut overlap = new(*seed);
                 overlap.play();
-                overlap.sim.starts.len()
+                count(&overlap)
             };
             catch_unwind(AssertUnwindSafe(play))
-                .map(|count| starts += count)
+                .map(|count| total += count)
                 .is_err()
         })
         .collect();
@@ -381,5 +516,27 @@
         "{} of {seeds} seeds fail: {failing:?}",
         failing.len()
     );
+    total
+}
+
+/// Guards against two runs of a task that are started by leaders of following terms, of which
+/// the older has not noticed that its term is over.
+#[test]
+fn no_task_runs_twice_while_terms_overlap() {
+    let seeds = seeds();
+    let starts = play(seeds, Overlap::new, |o| o.sim.starts.len());
     assert!(starts as u64 > 4 * seeds, "{starts} starts are too few");
 }
+
+/// Guards against starting inherited tasks while an earlier leader may still extend the
+/// leases of workers that no later one reaches, and against waiting anew at each change.
+#[test]
+fn no_task_runs_twice_while_earlier_leaders_act() {
+    let seeds = seeds() / LONG_SEED_RATIO;
+    let restarts = play(seeds, Overlap::long, |overlap| {
+        let starts = &overlap.sim.starts;
+        let first = |i: usize| starts[..i].iter().all(|s| s.2 != starts[i].2);
+        (0..starts.len()).filter(|i| !first(*i)).count()
+    });
+    assert!(restarts as u64 > seeds, "{restarts} restarts are too few");
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -12,9 +12,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::dispatch::{
-    Bounds, Dispatcher, Incarnation, InterferenceModel, JobKey, JobRecord, JobSpec, Order,
-    PollReply, Progress, QueueSettings, Refusal, Roster, Run, RunCompletion, RunOutcome, RunStatus,
-    StartReply, Step, StepKey, StopReply, TaskKey, Term, TicketGrant, WorkerOrder, WorkerReport,
+    Bounds, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel, JobKey, JobRecord, JobSpec,
+    LeaderTerm, Order, PollReply, Progress, QueueSettings, Refusal, Roster, Run, RunCompletion,
+    RunOutcome, RunStatus, StartReply, Step, StepKey, StopReply, Succession, TaskKey, Term,
+    TicketGrant, WorkerOrder, WorkerReport,
 };
 use crate::model::{
     Bytes, DomainName, Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime,
@@ -176,6 +177,9 @@
 pub(crate) struct Simulation {
     pub(crate) now: Time,
     pub(crate) dispatcher: Dispatcher,
+    /// What the store holds about earlier leaders.
+    succession: Succession,
+    succession_written: Time,
     pub(crate) workers: IndexMap<WorkerName, FakeWorker>,
     pub(crate) jobs: IndexMap<JobKey, JobRecord>,
     /// Durable states of jobs, as the store holds them.
@@ -209,6 +213,14 @@
     pub(crate) rejected_capacity: usize,
 }
 
+/// The term with a number, which is its nonce as well.
+pub(crate) fn leader_term(number: u64) -> LeaderTerm {
+    LeaderTerm {
+        nonce: number,
+        address: ([10, 1, 0, number as u8], 80).into(),
+    }
+}
+
 pub(crate) fn step(count: u32, cores: u64, estimate: Span) -> Step {
     Step {
         count,
@@ -255,17 +267,19 @@
         let term = Term {
             token: 10,
             number: 0,
-            predecessor_stopped: false,
         };
         let mut sim = Self {
             now,
             dispatcher: Dispatcher::new(
                 term,
                 BOUNDS,
+                EarlierLeaders::new(&Succession::empty(0), now),
                 &Roster::default(),
                 InterferenceModel::default(),
                 now,
             ),
+            succession: Succession::empty(0),
+            succession_written: now,
             workers: IndexMap::new(),
             jobs: IndexMap::new(),
             states: IndexMap::new(),
@@ -370,16 +384,28 @@
         self.replace_leader(false);
     }
 
-    /// Replaces the leader. `predecessor_stopped` says that the previous one is known to have
-    /// stopped.
-    pub(crate) fn replace_leader(&mut self, predecessor_stopped: bool) {
+    /// Replaces the leader. `resigned` says that the previous one is known to have stopped.
+    pub(crate) fn replace_leader(&mut self, resigned: bool) {
         let old = self.dispatcher.term();
         let term = Term {
             token: old.token + 10,
             number: old.number + 1,
-            predecessor_stopped,
         };
-        self.dispatcher = Dispatcher::new(term, BOUNDS, &self.roster, self.model.clone(), self.now);
+        self.succession = Succession::following(
+            leader_term(old.number),
+            resigned,
+            Some(&self.succession),
+            term.number,
+        );
+        self.succession_written = self.now;
+        self.dispatcher = Dispatcher::new(
+            term,
+            BOUNDS,
+            EarlierLeaders::new(&self.succession, self.now),
+            &self.roster,
+            self.model.clone(),
+            self.now,
+        );
         for (key, record) in &self.jobs {
             let progress = self.states.get(key);
             let wall = WallTime::from_micros(1_700_000_000_000_000 + self.now.as_micros());
@@ -392,6 +418,18 @@
         self.list_workers();
     }
 
+    /// Stores the earlier leaders as the leader process does.
+    fn store_succession(&mut self) {
+        let earlier = self.dispatcher.earlier_leaders(self.now);
+        let fewer = earlier.len() < self.succession.earlier.len();
+        let due =
+            !earlier.is_empty() && self.now.since(self.succession_written) >= Span::from_secs(1);
+        if self.store_available && (fewer || due) {
+            self.succession.earlier = earlier;
+            self.succession_written = self.now;
+        }
+    }
+
     pub(crate) fn run(&mut self, span: Span) {
         let end = self.now + span;
         while self.now < end {
@@ -400,6 +438,7 @@
             self.advance_workers();
             self.poll_due();
             self.commit();
+            self.store_succession();
             let arrived = self.dispatcher.last_arrival();
             self.dispatcher.term_confirmed(arrived);
             let orders = self.dispatcher.plan(self.wall(), self.now);
--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -10,7 +10,7 @@
 use super::leader::{self, ActiveTerm};
 use super::state::{KnownLeader, Node, lock, sleep};
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
-use crate::dispatch::Term;
+use crate::dispatch::{EarlierLeader, EarlierLeaders, Succession, Term};
 use crate::model::{Span, Time};
 use crate::platform::{CallError, KeyState, LeaseId, ReadResult, Revision, Txn, TxnError};
 
@@ -102,8 +102,8 @@
     /// A time before the lease was granted; the lease can't end earlier than its
     /// length after this.
     pub(crate) lease_requested: Time,
-    /// The previous leader, if the leaders before it are known to have stopped.
-    pub(crate) predecessor: Option<Leader>,
+    /// Earlier leaders that are not known to have stopped.
+    pub(crate) earlier: EarlierLeaders,
     /// Whether the previous leader has made room for a stronger host.
     pub(crate) after_handover: bool,
     /// Last known number of workers; 0 if it is not known.
@@ -155,26 +155,25 @@
         .as_ref()
         .and_then(|i| keys::decode::<TermRecord>(keys::TERM, i.value.as_deref()?));
     let earlier_terms = last.as_ref().map_or(0, |t| t.count);
+    let has_terms = term.content.is_some();
     let term_revision = term.content.map_or(Revision::default(), |i| i.revision);
     // Read after the term key: if another host wins in between, the term key changes
     // and the transaction below fails.
-    let (resigned, settled, after_handover) = match (
-        read_value::<ChainMark>(node, keys::COMMIT_CHAIN).await,
-        read_value::<Resignation>(node, keys::RESIGNED).await,
-        read_value::<u64>(node, keys::SETTLED).await,
-    ) {
-        (Ok(last), Ok(resignation), Ok(settled)) => {
-            let last = last.map(|m| m.nonce);
-            let resigned = last == resignation.map(|r| r.nonce);
-            (
-                resigned,
-                last == settled,
-                resigned && resignation.is_some_and(|r| r.handed_over),
-            )
-        }
-        (Err(error), ..) | (_, Err(error), _) | (.., Err(error)) => {
+    let resignation = match read_value::<Resignation>(node, keys::RESIGNED).await {
+        Ok(resignation) => resignation,
+        Err(error) => {
             log::warn!(error:% = error; "can't read whether the last leader resigned; assuming it did not");
-            (false, false, false)
+            None
+        }
+    };
+    let resignation =
+        resignation.filter(|r| last.as_ref().is_some_and(|l| l.leader.nonce == r.nonce));
+    let after_handover = resignation.is_some_and(|r| r.handed_over);
+    let stored = match read_value::<Succession>(node, keys::SUCCESSION).await {
+        Ok(stored) => stored,
+        Err(error) => {
+            log::warn!(error:% = error; "can't read which earlier leaders may still act; assuming any");
+            None
         }
     };
     let nonce = rand::random();
@@ -192,8 +191,13 @@
         nonce,
         workers: candidate.workers,
     };
-    let predecessor_stopped = resigned && settled;
-    let txn = election_txn(&record, mark, lease, term_revision, predecessor_stopped);
+    let resigned = resignation.is_some();
+    let succession = match &last {
+        Some(last) => Succession::following(last.leader.term(), resigned, stored.as_ref(), nonce),
+        None if has_terms => Succession::unknown(nonce),
+        None => Succession::empty(nonce),
+    };
+    let txn = election_txn(&record, mark, lease, term_revision, &succession);
     let revision = match node.kv.txn(&txn).await {
         Ok(revision) => revision,
         Err(TxnError::Conflict | TxnError::LeaseExpired) => {
@@ -211,44 +215,40 @@
             }
         },
     };
-    log::info!(term = earlier_terms, resigned = resigned, settled = settled, after_handover = after_handover, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
+    let earlier = EarlierLeaders::new(&succession, node.now());
+    log::info!(term = earlier_terms, resigned = resigned, earlier:? = succession.earlier, after_handover = after_handover, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
     node.set_leader(KnownLeader::Present(leader));
     Ok(Some(ElectionWin {
         term: Term {
             token: revision.0,
             number: earlier_terms,
-            predecessor_stopped,
         },
         lease,
         nonce,
         chain_revision: revision,
         lease_requested,
-        predecessor: last.map(|t| t.leader).filter(|_| settled),
+        earlier,
         after_handover,
         workers: candidate.workers,
     }))
 }
 
-/// The transaction that makes a host the leader. `settled` says that all earlier leaders are
-/// known to have stopped; that is stored at once, because the new leader may be lost before
-/// it writes again.
+/// The transaction that makes a host the leader. What is known of earlier leaders is stored
+/// at once, because the new leader may be lost before it writes again.
 pub(crate) fn election_txn(
     record: &TermRecord,
     mark: ChainMark,
     lease: LeaseId,
     term_revision: Revision,
-    settled: bool,
+    succession: &Succession,
 ) -> Txn {
-    let txn = Txn::default()
+    Txn::default()
         .expect(keys::LEADER, Revision::default())
         .expect(keys::TERM, term_revision)
         .put(keys::LEADER, &keys::encode(&record.leader), Some(lease))
         .put(keys::TERM, &keys::encode(record), None)
-        .put(keys::COMMIT_CHAIN, &keys::encode(&mark), None);
-    match settled {
-        true => txn.put(keys::SETTLED, &keys::encode(&mark.nonce), None),
-        false => txn,
-    }
+        .put(keys::COMMIT_CHAIN, &keys::encode(&mark), None)
+        .put(keys::SUCCESSION, &keys::encode(succession), None)
 }
 
 fn own_strength(node: &Node) -> Strength {
@@ -295,38 +295,53 @@
     }
 }
 
-/// Records that the leader with this nonce knows that all earlier leaders have stopped.
-/// Returns whether the store has it.
-pub(crate) async fn record_settled(node: &Node, nonce: u64) -> bool {
-    let txn = Txn::default().put(keys::SETTLED, &keys::encode(&nonce), None);
-    let result = node.kv.txn(&txn).await;
-    if let Err(error) = &result {
-        log::warn!(error:% = error; "the end of earlier terms is not stored; trying again");
-    }
-    result.is_ok()
+/// Stores the earlier leaders that may still act. The write has no effect once a newer leader
+/// was elected, whose record it would replace; `elected` is the revision of the own election.
+pub(crate) async fn store_succession(
+    node: &Node,
+    elected: Revision,
+    succession: &Succession,
+) -> Result<(), TxnError> {
+    let txn = Txn::default().expect(keys::TERM, elected).put(
+        keys::SUCCESSION,
+        &keys::encode(succession),
+        None,
+    );
+    node.kv.txn(&txn).await.map(|_| ())
 }
 
 /// How a term ended.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct TermEnd {
-    /// Whether all earlier leaders are known to have stopped.
-    pub(crate) settled: bool,
+    /// Earlier leaders that may still act.
+    pub(crate) earlier: Vec<EarlierLeader>,
     /// Whether the leader has made room for a stronger host.
     pub(crate) handed_over: bool,
 }
 
-/// Records that the leader with this nonce has stopped and calls no worker any more.
-pub(crate) async fn resign(node: &Node, nonce: u64, end: TermEnd) {
+/// Records that the leader with this nonce has stopped and calls no worker any more. A newer
+/// leader, which has read the resignation before, asks the host instead.
+pub(crate) async fn resign(node: &Node, nonce: u64, elected: Revision, end: TermEnd) {
     let resignation = Resignation {
         nonce,
         handed_over: end.handed_over,
     };
-    let mut txn = Txn::default().put(keys::RESIGNED, &keys::encode(&resignation), None);
-    if end.settled {
-        txn = txn.put(keys::SETTLED, &keys::encode(&nonce), None);
-    }
-    if let Err(error) = node.kv.txn(&txn).await {
-        log::warn!(error:% = error; "resignation not stored; the next leader has to wait longer");
+    let succession = Succession {
+        nonce,
+        earlier: end.earlier,
+    };
+    let txn = Txn::default()
+        .expect(keys::TERM, elected)
+        .put(keys::RESIGNED, &keys::encode(&resignation), None)
+        .put(keys::SUCCESSION, &keys::encode(&succession), None);
+    match node.kv.txn(&txn).await {
+        Ok(_) => {}
+        Err(TxnError::Conflict) => {
+            log::info!("resignation not stored: there is a newer leader, which asks this host");
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "resignation not stored; the next leader has to wait longer");
+        }
     }
 }
 
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, Serialize};
 
-use crate::dispatch::JobKey;
+use crate::dispatch::{JobKey, LeaderTerm};
 use crate::model::HostName;
 
 /// Prefix of the keys that every host watches.
@@ -26,9 +26,9 @@
 /// Key of the [`Resignation`] of the last leader that resigned.
 pub(crate) const RESIGNED: &str = "resigned";
 
-/// Key with the nonce of the last leader that knew that all earlier leaders had stopped.
-/// That it stopped itself is no evidence for them without this.
-pub(crate) const SETTLED: &str = "settled";
+/// Key of the [`Succession`](crate::dispatch::Succession): earlier leaders that are not known
+/// to have stopped. That the last one stopped is no evidence for those before it.
+pub(crate) const SUCCESSION: &str = "succession";
 
 /// Prefix of what hosts write for the leader: jobs and cancellations.
 pub(crate) const INTAKE_PREFIX: &str = "in/";
@@ -76,6 +76,15 @@
     pub(crate) nonce: u64,
 }
 
+impl Leader {
+    pub(crate) fn term(&self) -> LeaderTerm {
+        LeaderTerm {
+            nonce: self.nonce,
+            address: self.peer_address,
+        }
+    }
+}
+
 /// Value of the [`TERM`] key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TermRecord {
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -17,8 +17,8 @@
 use super::supervision::PollTasks;
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::{
-    Arrival, Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order,
-    Progress, Roster, WorkerOrder,
+    Arrival, Commit, Dispatcher, EarlierLeader, InterferenceModel, JobKey, JobRecord, LEADER_GRACE,
+    LeaderTerm, Order, Progress, Roster, Succession, WorkerOrder,
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
@@ -94,8 +94,13 @@
 /// queue is full.
 const POLICY_RETRY_PAUSE: Span = Span::from_millis(300);
 
-/// Interval of asking the previous leader's host whether its term is over.
-const PREDECESSOR_CHECK_INTERVAL: Span = Span::from_millis(400);
+/// Interval of asking the host of an earlier leader whether its term is over, and of checking
+/// whether fewer earlier leaders may act.
+const LEADER_CHECK_INTERVAL: Span = Span::from_millis(400);
+
+/// Interval of storing the ages of earlier leaders. What has passed since the last write is
+/// lost to the next leader, which then waits longer.
+const SUCCESSION_INTERVAL: Span = Span::from_secs(1);
 
 /// Interval of logging the dispatch load.
 const LOAD_LOG_INTERVAL: Span = Span::from_secs(5);
@@ -204,7 +209,7 @@
         _ = tasks.join_next() => None,
     };
     let mut end = TermEnd {
-        settled: win.term.predecessor_stopped,
+        earlier: Vec::new(),
         handed_over: false,
     };
     if let Some(term) = loaded {
@@ -228,14 +233,14 @@
             let policy = PolicyClient::new(node.client.clone(), address);
             tasks.spawn(request_tickets(node.clone(), term.clone(), policy));
         }
-        tasks.spawn(record_settled(node.clone(), term.clone(), win.nonce));
-        if let Some(predecessor) = win.predecessor.filter(|_| !win.term.predecessor_stopped) {
-            tasks.spawn(await_predecessor_stop(
-                node.clone(),
-                term.clone(),
-                predecessor,
-            ));
-        }
+        tasks.spawn(store_succession(
+            node.clone(),
+            term.clone(),
+            win.nonce,
+            win.chain_revision,
+            win.earlier.at(node.now()),
+        ));
+        tasks.spawn(ask_earlier_leaders(node.clone(), term.clone()));
         tasks.spawn(election::await_successor(
             node.clone(),
             term.clone(),
@@ -253,13 +258,15 @@
             }
         }
         writer.shutdown().await;
-        end.settled = lock(&term.dispatcher).earlier_leaders_stopped();
+        end.earlier = lock(&term.dispatcher).earlier_leaders(node.now());
+    } else {
+        end.earlier = win.earlier.at(node.now());
     }
     node.set_active_term(None);
     tasks.shutdown().await;
     node.set_term_nonce(None);
     log::warn!(term = win.term.number, lasted:% = node.now().since(began), draining = node.is_draining(); "term ended");
-    election::resign(node, win.nonce, end).await;
+    election::resign(node, win.nonce, win.chain_revision, end).await;
     election::revoke_lease(node, win.lease).await;
     if node.leader() == own_leader_record(node, win.nonce) {
         node.set_leader(KnownLeader::Absent);
@@ -408,7 +415,14 @@
     let intake = read_all_with_retries(node, keys::INTAKE_PREFIX).await;
     let workers = read_all_with_retries(node, WORKER_PREFIX).await;
     let (now, wall_time) = (node.now(), node.wall_time());
-    let mut dispatcher = Dispatcher::new(win.term, node.settings.bounds, &roster, model, now);
+    let mut dispatcher = Dispatcher::new(
+        win.term,
+        node.settings.bounds,
+        win.earlier.clone(),
+        &roster,
+        model,
+        now,
+    );
     for item in &intake {
         if let Some(key) = keys::parse_job(&item.key, keys::JOB_PREFIX)
             && let Some(record) = item
@@ -471,18 +485,35 @@
     }
 }
 
-/// Asks the previous leader's host until it answers that its term is over. After the
-/// process was killed, the restarted one at the same address gives this answer.
+/// Asks the host of each earlier leader that may still act whether its term is over.
 /// Never returns, since the return of a term's task ends the term.
-async fn await_predecessor_stop(node: Arc<Node>, term: Arc<ActiveTerm>, predecessor: keys::Leader) {
-    loop {
-        let stopped = match predecessor.host == node.settings.host {
-            true => !node.holds_term(predecessor.nonce),
+async fn ask_earlier_leaders(node: Arc<Node>, term: Arc<ActiveTerm>) {
+    let mut calls = JoinSet::new();
+    for leader in lock(&term.dispatcher).earlier_leaders(node.now()) {
+        if let Some(leader) = leader.term {
+            calls.spawn(await_leader_stop(node.clone(), term.clone(), leader));
+        }
+    }
+    while calls.join_next().await.is_some() {}
+    std::future::pending().await
+}
+
+/// Asks the host of an earlier leader until it answers that its term is over, or the leader
+/// can no longer act. After the process was killed, the restarted one at the same address
+/// gives this answer.
+async fn await_leader_stop(node: Arc<Node>, term: Arc<ActiveTerm>, leader: LeaderTerm) {
+    let may_act = || {
+        let earlier = lock(&term.dispatcher).earlier_leaders(node.now());
+        earlier.iter().any(|l| l.term == Some(leader))
+    };
+    while may_act() {
+        let stopped = match leader.address == node.settings.peer_address {
+            true => !node.holds_term(leader.nonce),
             false => matches!(
                 peers::call_peer(
                     &node,
-                    predecessor.peer_address,
-                    &PeerRequest::LeadsTerm(predecessor.nonce),
+                    leader.address,
+                    &PeerRequest::LeadsTerm(leader.nonce),
                     peers::MEMORY_TIMEOUT
                 )
                 .await,
@@ -490,21 +521,41 @@
             ),
         };
         if stopped {
-            lock(&term.dispatcher).predecessor_stopped(node.now());
+            lock(&term.dispatcher).leader_stopped(leader.nonce, node.now());
             term.plan_needed.notify_one();
-            return std::future::pending().await;
+            return;
         }
-        sleep(PREDECESSOR_CHECK_INTERVAL).await;
+        sleep(LEADER_CHECK_INTERVAL).await;
     }
 }
 
-/// Records once that no earlier leader can act any more, for a next leader that finds only
-/// this one gone. Never returns, since the return of a term's task ends the term.
-async fn record_settled(node: Arc<Node>, term: Arc<ActiveTerm>, nonce: u64) {
-    while !lock(&term.dispatcher).earlier_leaders_stopped()
-        || !election::record_settled(&node, nonce).await
-    {
-        sleep(PREDECESSOR_CHECK_INTERVAL).await;
+/// Stores the earlier leaders that may still act whenever there are fewer, and their ages
+/// regularly, for a next leader. `stored` is what the election has stored. Never returns,
+/// since the return of a term's task ends the term.
+async fn store_succession(
+    node: Arc<Node>,
+    term: Arc<ActiveTerm>,
+    nonce: u64,
+    elected: Revision,
+    stored: Vec<EarlierLeader>,
+) {
+    let mut count = stored.len();
+    let mut written = node.now();
+    while count > 0 {
+        let now = node.now();
+        let earlier = lock(&term.dispatcher).earlier_leaders(now);
+        if earlier.len() != count || now.since(written) >= SUCCESSION_INTERVAL {
+            let succession = Succession { nonce, earlier };
+            match election::store_succession(&node, elected, &succession).await {
+                Ok(()) => (count, written) = (succession.earlier.len(), now),
+                // A newer leader was elected; the renewal of the lease ends the term.
+                Err(TxnError::Conflict) => break,
+                Err(error) => {
+                    log::warn!(earlier = succession.earlier.len(), error:% = error; "earlier leaders are not stored; trying again");
+                }
+            }
+        }
+        sleep(LEADER_CHECK_INTERVAL).await;
     }
     std::future::pending().await
 }
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -10,9 +10,9 @@
 use super::peers::{PeerRequest, PeerResponse};
 use super::state::ActiveConfig;
 use super::supervision::{PollTasks, supervise};
-use crate::dispatch::JobKey;
+use crate::dispatch::{JobKey, Succession};
 use crate::model::{HostName, WorkerName};
-use crate::platform::{LeaseId, Revision, decode_config};
+use crate::platform::{LeaseId, Revision, Txn, decode_config};
 
 fn active_config() -> ActiveConfig {
     let text = r#"{"version":1,"routes":[
@@ -112,22 +112,31 @@
     assert_eq!(runs.load(SeqCst), 1);
 }
 
-/// Guards against a leader that knows that all earlier ones have stopped and is lost before
+/// Guards against a leader that knows which earlier ones may still act and is lost before
 /// it has stored that: the next one would wait for all of them again.
 #[test]
-fn an_election_stores_that_earlier_leaders_have_stopped() {
+fn an_election_stores_which_earlier_leaders_may_act() {
     let nonce = 7;
     let leader = Leader {
         host: HostName::new("h1"),
         peer_address: ([127, 0, 0, 1], 7_000).into(),
         nonce,
     };
+    let succession = Succession::following(leader.term(), false, None, nonce);
     let record = TermRecord { count: 2, leader };
     let mark = ChainMark { nonce, workers: 48 };
-    let stored = |settled| {
-        let txn = election_txn(&record, mark, LeaseId(1), Revision::default(), settled);
-        serde_json::to_string(&txn).is_ok_and(|text| text.contains(keys::SETTLED))
-    };
-    assert!(stored(true));
-    assert!(!stored(false));
+    for succession in [Succession::empty(nonce), succession] {
+        let txn = election_txn(&record, mark, LeaseId(1), Revision::default(), &succession);
+        let put = Txn::default().put(keys::SUCCESSION, &keys::encode(&succession), None);
+        let puts = |txn: &Txn| serde_json::to_value(txn).unwrap()["puts"].clone();
+        let stored = puts(&txn);
+        assert!(
+            stored.as_array().unwrap().contains(&puts(&put)[0]),
+            "{stored}"
+        );
+        assert_eq!(
+            keys::decode::<Succession>(keys::SUCCESSION, &keys::encode(&succession)),
+            Some(succession)
+        );
+    }
 }
