Start jobs that name their leader's token without a call to the store

Cause: a leader started a job only after a renewal of its lease, sent after it had learned of the job, had succeeded.

Change: the transaction that stores a job expects the leader key's revision if the host knows it, and the record names that token (JobRecord::term_token, an appended field). A leader starts a job on arrival if the record names its own token; any other record, new incarnations of workers and runs that are given up need the proof as before. After a conflict the job is stored without the condition and without a token, and only an answered transaction with the condition puts a token into the message. A leader that stores a job for another host learns of it at once.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -312,6 +312,7 @@
                 schedule: None,
             },
             accepted: wall(self.now),
+            term_token: None,
         };
         self.jobs.insert(key, record.clone());
         self.dispatcher
--- a/crates/jujubelb/src/dispatch/confirmation.rs
+++ b/crates/jujubelb/src/dispatch/confirmation.rs
@@ -3,10 +3,13 @@
 //! A leader may go on for a while after the next one was elected, and both then learn of the
 //! same new jobs. A job is started only by a leader that was still the newest at the store
 //! after it had learned of the job: every later leader then reads the job when its term
-//! begins, and treats it as inherited. The same holds for the incarnations of workers,
-//! since a new incarnation has not seen the token of a newer leader.
+//! begins, and treats it as inherited. A job that was stored under the condition that this
+//! term is the newest needs no further proof, see [`JobRecord::term_token`]. The same
+//! confirmation is needed for the incarnations of workers, since a new incarnation has not
+//! seen the token of a newer leader, and for runs that are given up.
 
 use super::Dispatcher;
+use super::job_spec::JobRecord;
 
 /// Number of a job or an incarnation of a worker in the order in which a dispatcher learned
 /// of them.
@@ -31,6 +34,15 @@
         self.confirmed = self.confirmed.max(upto);
     }
 
+    /// Number of a job that the dispatcher has just learned of. A job that was stored under
+    /// this term's token gets one that is confirmed already.
+    pub(super) fn job_arrival(&mut self, record: &JobRecord) -> Arrival {
+        match record.term_token == Some(self.term.token) {
+            true => Arrival::default(),
+            false => self.next_arrival(),
+        }
+    }
+
     /// Numbers a job or an incarnation that the dispatcher has just learned of.
     pub(super) fn next_arrival(&mut self) -> Arrival {
         self.last_arrival.0 += 1;
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -17,8 +17,9 @@
 
 impl Dispatcher {
     /// Adds a stored job. `inherited` says that the store held it before this term, so that
-    /// an earlier leader may have started its tasks. None of its tasks starts before the term
-    /// has been confirmed, see [`term_confirmed`](Self::term_confirmed).
+    /// an earlier leader may have started its tasks. Returns whether the job is new and
+    /// confirmed: it was stored under this term's token. No task of any other job starts before
+    /// the term has been confirmed, see [`term_confirmed`](Self::term_confirmed).
     pub fn accept(
         &mut self,
         key: JobKey,
@@ -27,15 +28,16 @@
         inherited: bool,
         wall: WallTime,
         now: Time,
-    ) {
+    ) -> bool {
         if self.jobs.contains_key(&key) {
-            return;
+            return false;
         }
         let age = wall.since(record.accepted).min(MAX_JOB_AGE);
         let scheduled = record.spec.schedule.is_some();
         let tasks: u32 = record.spec.steps.iter().map(|s| s.count).sum();
-        log::info!(job:% = key, queue:% = record.queue.prefix, tasks = tasks, age:% = age, inherited = inherited; "job accepted from the store");
-        let arrival = self.next_arrival();
+        let arrival = self.job_arrival(&record);
+        let confirmed = arrival <= self.confirmed;
+        log::info!(job:% = key, queue:% = record.queue.prefix, tasks = tasks, age:% = age, inherited = inherited, confirmed = confirmed; "job accepted from the store");
         let job = Job::new(
             Arc::new(record),
             now - age,
@@ -47,7 +49,7 @@
         let live = job.outcome.is_none();
         self.jobs.insert(key, job);
         if !live {
-            return;
+            return false;
         }
         if scheduled {
             self.scheduled.insert(key);
@@ -57,6 +59,7 @@
         }
         self.queue_ready_steps(key);
         self.finish_if_complete(key, now);
+        confirmed
     }
 
     /// Ends a job that its caller has cancelled. The cancellation is durable already.
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -150,7 +150,8 @@
     pub(crate) ended: Option<Time>,
     /// Whether the store held the job before this term began.
     pub(crate) inherited: bool,
-    /// When this term learned of the job or last gave up a run of it, in the order of arrivals.
+    /// When this term learned of the job or last gave up a run of it, in the order of arrivals;
+    /// the default if the job was stored under this term's token and no run was given up.
     pub(crate) arrival: Arrival,
     /// For each step, the estimated duration of the longest chain of dependent steps that
     /// begins with it. Derived from `record`, which does not change.
--- a/crates/jujubelb/src/dispatch/job_spec.rs
+++ b/crates/jujubelb/src/dispatch/job_spec.rs
@@ -1,12 +1,14 @@
 //! Jobs as callers submit them, and the settings of the queue that accepted them.
 //!
 //! `postcard` encodes these types in the store and between hosts, so the order of their
-//! fields must not change.
+//! fields must not change. New fields are added at the end of [`JobRecord`] and have a default:
+//! it comes last in every value that holds it, so versions with fewer fields ignore the rest.
 
 use arcstr::ArcStr;
 use derive_more::{Display, From, FromStr};
 use serde::{Deserialize, Serialize};
 
+use super::progress::default_if_missing;
 use crate::model::{Resources, ServiceName, Span, WallTime};
 
 /// Identifier of a job, chosen by the caller; written as 16 lower-case hexadecimal digits.
@@ -250,4 +252,9 @@
     pub spec: JobSpec,
     /// When the job was accepted, on the clock of the host that accepted it.
     pub accepted: WallTime,
+    /// Fencing token of a term that was the newest at the store when it stored the job, which
+    /// the same transaction has checked; `None` if that is not known. Every leader after that
+    /// term reads the job when its own term begins.
+    #[serde(default, deserialize_with = "default_if_missing")]
+    pub term_token: Option<u64>,
 }
--- a/crates/jujubelb/src/dispatch/progress.rs
+++ b/crates/jujubelb/src/dispatch/progress.rs
@@ -106,7 +106,7 @@
 
 /// Reads a value that earlier versions have not written. `postcard` doesn't mark the end of
 /// a structure, so the bytes end there.
-fn default_if_missing<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+pub(super) fn default_if_missing<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
     T: Deserialize<'de> + Default,
--- a/crates/jujubelb/src/dispatch/tests/encoding.rs
+++ b/crates/jujubelb/src/dispatch/tests/encoding.rs
@@ -3,10 +3,10 @@
 use super::{Simulation, job, step};
 use crate::dispatch::commit::MAX_ENTRIES_PER_COMMIT;
 use crate::dispatch::{
-    Crash, JobKey, JobOutcome, OccurrenceProgress, Progress, Run, StepProgress, TaskCrashes,
-    TaskKey, TaskProgress,
+    Crash, JobKey, JobOutcome, JobRecord, JobSpec, OccurrenceProgress, Progress, QueueSettings,
+    Run, StepProgress, TaskCrashes, TaskKey, TaskProgress,
 };
-use crate::model::{Span, WorkerName};
+use crate::model::{Span, WallTime, WorkerName};
 
 /// Guards against text forms that are not unique. Workers compare tasks by their text form.
 #[test]
@@ -93,3 +93,22 @@
     assert_eq!(postcard::from_bytes::<Progress>(&bytes).unwrap(), progress);
     assert_eq!(postcard::from_bytes::<Former>(&bytes).unwrap(), former);
 }
+
+/// Guards against jobs that another version can't read, and a token that is read where a former
+/// version wrote none.
+#[test]
+fn jobs_are_read_across_versions() {
+    type Former = (QueueSettings, JobSpec, WallTime);
+    let mut record = job(1, vec![step(2, 4, Span::from_millis(200))]);
+    let former: Former = (record.queue.clone(), record.spec.clone(), record.accepted);
+    let bytes = postcard::to_allocvec(&(JobKey(7), &former)).unwrap();
+    let read: (JobKey, JobRecord) = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read.1, record);
+    assert_eq!(read.1.term_token, None);
+    record.term_token = Some(70_001);
+    let bytes = postcard::to_allocvec(&(JobKey(7), &record)).unwrap();
+    let read: (JobKey, JobRecord) = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read.1, record);
+    let read: (JobKey, Former) = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read.1, former);
+}
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod simulation;
 
 mod commits;
+mod confirmation;
 mod crashes;
 mod encoding;
 mod gangs;
--- a/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -3,6 +3,10 @@
 //! An old leader goes on for a while after the next one was elected: it is paused, cut from
 //! the store, or its calls to the store are not answered. Both learn of the same new jobs.
 //! [`Simulation`] checks each start, so a task that runs twice fails the seed.
+//!
+//! Hosts store jobs without a condition, or under the token of the leader that they know, which
+//! the store compares with its newest one. What they know may be old, their writes arrive late
+//! or get no answer, and they try again.
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
@@ -13,7 +17,8 @@
 use super::simulation::{BOUNDS, Fault, TIME_STEP};
 use super::{Simulation, job, step};
 use crate::dispatch::{
-    Arrival, Dispatcher, InterferenceModel, JobKey, JobOutcome, Roster, Term, WorkerOrder,
+    Arrival, Dispatcher, InterferenceModel, JobKey, JobOutcome, JobRecord, Roster, Term,
+    WorkerOrder,
 };
 use crate::model::{Span, Time, WorkerName};
 
@@ -29,10 +34,32 @@
 /// What a leader is told of, by watch or by a message of another host.
 #[derive(Debug, Clone, Copy)]
 enum Notice {
-    Job(JobKey),
+    /// A job, and the token that its record names.
+    Job(JobKey, Option<u64>),
     Cancellation(JobKey),
 }
 
+/// How hosts store jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Storing {
+    /// At once and without a condition.
+    Unconditional,
+    /// Most jobs under the token of the leader that the host knows.
+    UnderTokens,
+}
+
+/// A host's transaction that stores a job, on its way to the store.
+#[derive(Debug, Clone)]
+struct JobWrite {
+    key: JobKey,
+    record: JobRecord,
+    at_store: Time,
+    /// Token of the leader that the host knows, which the store expects to be the newest.
+    token: Option<u64>,
+    /// Whether the host gets the answer.
+    answered: bool,
+}
+
 /// A renewal of the leader's lease on its way to the store and back.
 #[derive(Debug, Clone, Copy)]
 struct Renewal {
@@ -75,10 +102,12 @@
     newest: u64,
     elections: Vec<Time>,
     next_job: u64,
+    storing: Storing,
+    writes: Vec<JobWrite>,
 }
 
 impl Overlap {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, storing: Storing) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let sim = Simulation::new(WORKERS);
         let mut elections = vec![sim.now + Span::from_millis(rng.random_range(300..1_500))];
@@ -92,6 +121,8 @@
             newest: 0,
             elections,
             next_job: 1,
+            storing,
+            writes: Vec::new(),
         };
         let mut first = overlap.leader(0);
         std::mem::swap(&mut first.dispatcher, &mut overlap.sim.dispatcher);
@@ -155,8 +186,21 @@
             record.accepted = self.sim.wall();
             let key = JobKey(self.next_job);
             self.next_job += 1;
-            self.sim.jobs.insert(key, record);
-            self.notify(Notice::Job(key));
+            match self.storing {
+                Storing::Unconditional => {
+                    self.sim.jobs.insert(key, record);
+                    self.notify(Notice::Job(key, None));
+                }
+                Storing::UnderTokens => self.send_job(key, &record),
+            }
+        }
+        let (due, later) = std::mem::take(&mut self.writes)
+            .into_iter()
+            .partition(|w| w.at_store <= now);
+        self.writes = later;
+        let due: Vec<JobWrite> = due;
+        for write in due {
+            self.store_job(write);
         }
         if self.rng.random_bool(0.01) && !self.sim.jobs.is_empty() {
             let i = self.rng.random_range(0..self.sim.jobs.len());
@@ -184,6 +228,63 @@
         }
     }
 
+    /// A host sends a job to the store. If it gets no answer, it tries again, and the first
+    /// attempt may arrive after the second.
+    fn send_job(&mut self, key: JobKey, record: &JobRecord) {
+        let now = self.sim.now;
+        let rng = &mut self.rng;
+        let known = match rng.random_bool(0.3) {
+            true => self.newest.saturating_sub(rng.random_range(1..3)),
+            false => self.newest,
+        };
+        let token = rng.random_bool(0.8).then(|| term(known).token);
+        let mut write = JobWrite {
+            key,
+            record: record.clone(),
+            at_store: now + Span::from_millis(rng.random_range(0..60)),
+            token,
+            answered: rng.random_bool(0.7),
+        };
+        if !write.answered {
+            write.at_store = now + Span::from_millis(rng.random_range(0..1_200));
+            let again = JobWrite {
+                at_store: now + Span::from_millis(rng.random_range(100..800)),
+                token: token.filter(|_| rng.random_bool(0.7)),
+                answered: true,
+                ..write.clone()
+            };
+            self.writes.push(again);
+        }
+        self.writes.push(write);
+    }
+
+    /// The store executes a write. Each leader may see the record by its watch, and the host
+    /// tells the leaders of it, with a token only if its own write was made and answered.
+    fn store_job(&mut self, write: JobWrite) {
+        let JobWrite { key, token, .. } = write;
+        let is_newest = token.is_none_or(|t| t == term(self.newest).token);
+        if is_newest && !self.sim.jobs.contains_key(&key) {
+            let record = JobRecord {
+                term_token: token,
+                ..write.record
+            };
+            self.sim.jobs.insert(key, record);
+            self.notify(Notice::Job(key, token));
+            if write.answered {
+                self.notify(Notice::Job(key, token));
+            }
+        } else if write.answered && token.is_some() {
+            let delay = Span::from_millis(self.rng.random_range(0..60));
+            self.writes.push(JobWrite {
+                at_store: self.sim.now + delay,
+                token: None,
+                ..write
+            });
+        } else if write.answered {
+            self.notify(Notice::Job(key, None));
+        }
+    }
+
     /// Tells every leader, once or twice, after a delay of its own.
     fn notify(&mut self, notice: Notice) {
         let now = self.sim.now;
@@ -291,8 +392,9 @@
         let due: Vec<(Time, Notice)> = due;
         for (_, notice) in due {
             match notice {
-                Notice::Job(key) => {
-                    let record = self.sim.jobs[&key].clone();
+                Notice::Job(key, token) => {
+                    let mut record = self.sim.jobs[&key].clone();
+                    record.term_token = token;
                     self.sim
                         .dispatcher
                         .accept(key, record, None, false, wall, now);
@@ -355,10 +457,8 @@
     }
 }
 
-/// Guards against two runs of a task that are started by leaders of following terms, of which
-/// the older has not noticed that its term is over.
-#[test]
-fn no_task_runs_twice_while_terms_overlap() {
+/// Plays all seeds.
+fn play_seeds(storing: Storing) {
     let seeds = std::env::var("JUJUBELB_TERM_SEEDS")
         .ok()
         .and_then(|s| s.parse().ok())
@@ -367,7 +467,7 @@
     let failing: Vec<u64> = (0..seeds)
         .filter(|seed| {
             let play = || {
-                let mut overlap = Overlap::new(*seed);
+                let mut overlap = Overlap::new(*seed, storing);
                 overlap.play();
                 overlap.sim.starts.len()
             };
@@ -383,3 +483,17 @@
     );
     assert!(starts as u64 > 4 * seeds, "{starts} starts are too few");
 }
+
+/// Guards against two runs of a task that are started by leaders of following terms, of which
+/// the older has not noticed that its term is over.
+#[test]
+fn no_task_runs_twice_while_terms_overlap() {
+    play_seeds(Storing::Unconditional);
+}
+
+/// Guards against two runs of a task of which one leader starts the job on the strength of its
+/// token, and another one because it takes the job for its own.
+#[test]
+fn no_task_runs_twice_with_jobs_stored_under_tokens() {
+    play_seeds(Storing::UnderTokens);
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -244,6 +244,7 @@
             schedule: None,
         },
         accepted: WallTime::from_micros(0),
+        term_token: None,
     }
 }
 
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -11,6 +11,7 @@
 use rocket::{Data, Request, Route};
 use serde::{Deserialize, Serialize};
 
+use super::job_write::{WriteResult, assess_job_write, job_txn};
 use super::keys;
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::state::{Node, lock, sleep};
@@ -208,13 +209,17 @@
         queue: queue.settings.clone(),
         spec,
         accepted: node.wall_time(),
+        term_token: None,
     };
     let began = node.now();
-    let outcome = write_with_retries(node, CallerWrite::Job(key, &record), until).await;
-    log::info!(job:% = key, queue:% = queue.settings.prefix, verdict:% = outcome, took:% = node.now().since(began), store_lost = node.is_store_lost(); "submission answered");
-    match outcome {
+    let result = write_with_retries(node, CallerWrite::Job(key, &record), until).await;
+    log::info!(job:% = key, queue:% = queue.settings.prefix, verdict:% = result.outcome, token:? = result.token, took:% = node.now().since(began), store_lost = node.is_store_lost(); "submission answered");
+    match result.outcome {
         WriteOutcome::Stored => {
-            notify_leader(node, PeerRequest::JobStored(key, record));
+            notify_leader(
+                node,
+                PeerRequest::JobStored(key, result.stored_record(record)),
+            );
             CallerResponse::json(Status::Ok, "{}".to_owned())
         }
         WriteOutcome::Unclear => CallerResponse::error(
@@ -228,7 +233,9 @@
 }
 
 async fn cancel(node: &Arc<Node>, key: JobKey, until: Time) -> CallerResponse {
-    let outcome = write_with_retries(node, CallerWrite::Cancellation(key), until).await;
+    let outcome = write_with_retries(node, CallerWrite::Cancellation(key), until)
+        .await
+        .outcome;
     log::info!(job:% = key, verdict:% = outcome; "cancellation answered");
     match outcome {
         WriteOutcome::Stored => {
@@ -256,18 +263,20 @@
 /// Makes a write, repeating it until its outcome is known, the attempts are used up or
 /// no time is left. Goes through the leader on the second attempt, and on every attempt
 /// while this host can't reach the store.
-async fn write_with_retries(node: &Node, write: CallerWrite<'_>, until: Time) -> WriteOutcome {
+async fn write_with_retries(node: &Node, write: CallerWrite<'_>, until: Time) -> WriteResult {
     let mut unclear = false;
     for attempt in 0..MAX_WRITE_ATTEMPTS {
         let remote = node
             .remote_leader()
             .filter(|_| node.is_store_lost() || attempt == 1);
-        let outcome = match (remote, write) {
+        let result = match (remote, write) {
             // Nothing was sent, so the write certainly won't be made, and the caller
             // can try another host at once.
-            (None, _) if node.is_store_lost() && !unclear => return WriteOutcome::Refused,
+            (None, _) if node.is_store_lost() && !unclear => {
+                return WriteOutcome::Refused.into();
+            }
             (None, CallerWrite::Job(key, record)) => store_job(node, key, record).await,
-            (None, CallerWrite::Cancellation(key)) => store_cancel(node, key).await,
+            (None, CallerWrite::Cancellation(key)) => store_cancel(node, key).await.into(),
             (Some(leader), write) => {
                 let request = match write {
                     CallerWrite::Job(key, record) => PeerRequest::StoreJob(key, record.clone()),
@@ -276,15 +285,15 @@
                 match peers::call_peer(node, leader.peer_address, &request, peers::STORE_TIMEOUT)
                     .await
                 {
-                    Ok(PeerResponse::WriteOutcome(outcome)) => outcome,
-                    Ok(_) => WriteOutcome::Refused,
-                    Err(error) if error.had_no_effect() => WriteOutcome::Refused,
-                    Err(_) => WriteOutcome::Unclear,
+                    Ok(PeerResponse::WriteOutcome(outcome)) => outcome.into(),
+                    Ok(_) => WriteOutcome::Refused.into(),
+                    Err(error) if error.had_no_effect() => WriteOutcome::Refused.into(),
+                    Err(_) => WriteOutcome::Unclear.into(),
                 }
             }
         };
-        match outcome {
-            WriteOutcome::Stored | WriteOutcome::Missing => return outcome,
+        match result.outcome {
+            WriteOutcome::Stored | WriteOutcome::Missing => return result,
             WriteOutcome::Unclear => unclear = true,
             WriteOutcome::Refused => {}
         }
@@ -294,25 +303,28 @@
         sleep(WRITE_RETRY_PAUSE).await;
     }
     match unclear {
-        true => WriteOutcome::Unclear,
-        false => WriteOutcome::Refused,
+        true => WriteOutcome::Unclear.into(),
+        false => WriteOutcome::Refused.into(),
     }
 }
 
-/// Stores a job unless it is stored already.
-pub(crate) async fn store_job(node: &Node, key: JobKey, record: &JobRecord) -> WriteOutcome {
-    let name = keys::job(key);
-    let txn =
-        Txn::default()
-            .expect(&name, Revision::default())
-            .put(&name, &keys::encode(record), None);
-    match write(node, &txn).await {
-        Ok(_) | Err(TxnError::Conflict) => WriteOutcome::Stored,
-        Err(TxnError::LeaseExpired) => WriteOutcome::Refused,
-        Err(TxnError::Call(error)) if error.had_no_effect() => WriteOutcome::Refused,
-        Err(TxnError::Call(error)) => {
+/// Stores a job unless it is stored already. If this host knows a leader, the job is stored
+/// under the condition that no newer one was elected; if the condition fails, without it.
+pub(crate) async fn store_job(node: &Node, key: JobKey, record: &JobRecord) -> WriteResult {
+    let mut leader = node.leader_revision();
+    loop {
+        let result = write(node, &job_txn(key, record, leader)).await;
+        if let Err(TxnError::Call(error)) = &result
+            && !error.had_no_effect()
+        {
             log::warn!(job:% = key, error:% = error; "the store has not answered the write of a job");
-            WriteOutcome::Unclear
+        }
+        match (assess_job_write(&result, leader), leader) {
+            (Some(result), _) => return result,
+            (None, known) => {
+                log::info!(job:% = key, token:? = known.map(|r| r.0); "the job exists or the leader has changed; storing the job without a token");
+                leader = None;
+            }
         }
     }
 }
--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -46,17 +46,18 @@
     watch_prefix(node, options, move |event| {
         let leader = |item: &KeyState| {
             let value = item.value.as_deref()?;
-            keys::decode::<Leader>(&item.key, value)
+            let leader = keys::decode::<Leader>(&item.key, value)?;
+            Some(KnownLeader::Present(leader, item.revision))
         };
         let found = |items: &[KeyState]| items.iter().rfind(|i| i.key == keys::LEADER).map(leader);
         match event {
             WatchEvent::Snapshot(items) => {
                 let seen = found(&items).flatten();
-                observer.set_leader(seen.map_or(KnownLeader::Absent, KnownLeader::Present));
+                observer.set_leader(seen.unwrap_or(KnownLeader::Absent));
             }
             WatchEvent::Changes(items) => {
                 if let Some(seen) = found(&items) {
-                    observer.set_leader(seen.map_or(KnownLeader::Absent, KnownLeader::Present));
+                    observer.set_leader(seen.unwrap_or(KnownLeader::Absent));
                 }
             }
         }
@@ -212,7 +213,7 @@
         },
     };
     log::info!(term = earlier_terms, resigned = resigned, settled = settled, after_handover = after_handover, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
-    node.set_leader(KnownLeader::Present(leader));
+    node.set_leader(KnownLeader::Present(leader, revision));
     Ok(Some(ElectionWin {
         term: Term {
             token: revision.0,
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -130,9 +130,12 @@
 impl ActiveTerm {
     /// Adds a job that is in the store to the dispatcher.
     pub(crate) fn accept(&self, node: &Node, key: JobKey, record: JobRecord) {
-        lock(&self.dispatcher).accept(key, record, None, false, node.wall_time(), node.now());
-        // The renewal that confirms the term starts a planning pass.
-        self.confirmation_needed.notify_one();
+        let (wall, now) = (node.wall_time(), node.now());
+        match lock(&self.dispatcher).accept(key, record, None, false, wall, now) {
+            true => self.plan_needed.notify_one(),
+            // The renewal that confirms the term starts a planning pass.
+            false => self.confirmation_needed.notify_one(),
+        }
     }
 
     /// Applies a cancellation that is in the store.
@@ -261,20 +264,11 @@
     log::warn!(term = win.term.number, lasted:% = node.now().since(began), draining = node.is_draining(); "term ended");
     election::resign(node, win.nonce, end).await;
     election::revoke_lease(node, win.lease).await;
-    if node.leader() == own_leader_record(node, win.nonce) {
+    if node.is_known_leader(win.nonce) {
         node.set_leader(KnownLeader::Absent);
     }
 }
 
-/// The state of the leader key while this process leads the term with a nonce.
-fn own_leader_record(node: &Node, nonce: u64) -> KnownLeader {
-    KnownLeader::Present(keys::Leader {
-        host: node.settings.host.clone(),
-        peer_address: node.settings.peer_address,
-        nonce,
-    })
-}
-
 /// Renews the leader's lease. Returns when the term has to end: the process drains, the
 /// lease or the leader key is lost, or no renewal has succeeded for the grace period.
 async fn renew_lease(
@@ -289,7 +283,7 @@
         if node.is_draining() {
             return;
         }
-        if node.leader() != own_leader_record(&node, nonce) {
+        if !node.is_known_leader(nonce) {
             log::warn!(leader:? = node.leader(); "the leader key no longer names this term");
             return;
         }
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod candidacy;
 mod election;
+mod job_write;
 mod keys;
 mod leader;
 mod logging;
--- a/crates/jujubelb/src/node/monitoring.rs
+++ b/crates/jujubelb/src/node/monitoring.rs
@@ -60,7 +60,7 @@
         let leader = match node.leader() {
             KnownLeader::Unknown => "unknown".to_owned(),
             KnownLeader::Absent => "none".to_owned(),
-            KnownLeader::Present(leader) => leader.host.to_string(),
+            KnownLeader::Present(leader, _) => leader.host.to_string(),
         };
         serde_json::json!({
             "host": node.settings.host,
--- a/crates/jujubelb/src/node/peers.rs
+++ b/crates/jujubelb/src/node/peers.rs
@@ -196,7 +196,11 @@
                 PeerResponse::WriteOutcome(WriteOutcome::Refused)
             }
             PeerRequest::StoreJob(key, record) => {
-                PeerResponse::WriteOutcome(callers::store_job(node, key, &record).await)
+                let result = callers::store_job(node, key, &record).await;
+                if result.outcome == WriteOutcome::Stored {
+                    term.accept(node, key, result.stored_record(record));
+                }
+                PeerResponse::WriteOutcome(result.outcome)
             }
             PeerRequest::StoreCancellation(key) => {
                 PeerResponse::WriteOutcome(callers::store_cancel(node, key).await)
--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -126,7 +126,7 @@
     loop {
         let changed = node.state_changed.notified();
         let mut pause = ANNOUNCE_RETRY_PAUSE;
-        if let KnownLeader::Present(leader) = node.leader()
+        if let KnownLeader::Present(leader, _) = node.leader()
             && leader.host != node.settings.host
         {
             let settings = &node.settings;
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -14,7 +14,7 @@
 use super::leader::ActiveTerm;
 use super::relay::Carrier;
 use crate::model::{DomainName, Span, Time, WallTime};
-use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, QueueConfig};
+use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, QueueConfig, Revision};
 use crate::telemetry::{self, Clock, Metrics};
 
 /// Locks a mutex, ignoring poisoning: no holder can leave the data inconsistent.
@@ -61,8 +61,8 @@
     Unknown,
     /// The leader key doesn't exist.
     Absent,
-    /// The leader key names this leader.
-    Present(Leader),
+    /// The leader key names this leader. Its revision is the fencing token of the term.
+    Present(Leader, Revision),
 }
 
 /// Outcome of the latest calls to the store.
@@ -219,8 +219,8 @@
         let mut leader = lock(&self.leader);
         if *leader != seen {
             match &seen {
-                KnownLeader::Present(l) => {
-                    log::info!(leader:% = l.host, address:% = l.peer_address; "leader changed");
+                KnownLeader::Present(l, token) => {
+                    log::info!(leader:% = l.host, address:% = l.peer_address, token = token.0; "leader changed");
                 }
                 KnownLeader::Absent => log::warn!("there is no leader"),
                 KnownLeader::Unknown => {}
@@ -233,11 +233,29 @@
     /// The leader, if it is known and is another host.
     pub(crate) fn remote_leader(&self) -> Option<Leader> {
         match self.leader() {
-            KnownLeader::Present(leader) if leader.host != self.settings.host => Some(leader),
+            KnownLeader::Present(leader, _) if leader.host != self.settings.host => Some(leader),
             _ => None,
         }
     }
 
+    /// Revision of the leader key as this host knows it; `None` if no leader is known.
+    pub(crate) fn leader_revision(&self) -> Option<Revision> {
+        match *lock(&self.leader) {
+            KnownLeader::Present(_, revision) => Some(revision),
+            KnownLeader::Unknown | KnownLeader::Absent => None,
+        }
+    }
+
+    /// Whether the leader key, as this host knows it, names the term of this process with a
+    /// nonce.
+    pub(crate) fn is_known_leader(&self, nonce: u64) -> bool {
+        let settings = &self.settings;
+        matches!(&*lock(&self.leader), KnownLeader::Present(leader, _)
+            if leader.host == settings.host
+                && leader.peer_address == settings.peer_address
+                && leader.nonce == nonce)
+    }
+
     /// Whether this process leads the term with this nonce, or may still win it.
     pub(crate) fn holds_term(&self, nonce: u64) -> bool {
         *lock(&self.term_nonce) == Some(nonce)
