--- a/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -3,6 +3,10 @@
 //! An old leader goes on for a while after the next one was elected: it is paused, cut from
 //! the store, or its calls to the store are not answered. Both learn of the same new jobs.
 //! [`Simulation`] checks each start, so a task that runs twice fails the seed.
+//!
+//! Hosts store jobs without a condition, or under the token of the leader that they know, which
+//! the store compares with its newest one. What they know may be old, their writes arrive late
+//! or get no answer, and they try again.
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
@@ -40,10 +44,32 @@
 /// What a leader is told of, by watch or by a message of another host.
 #[derive(Debug, Clone, Copy)]
 enum Notice {
-    Job(JobKey),
+    /// A job, and the token that its record names.
+    Job(JobKey, Option<u64>),
     Cancellation(JobKey),
 }
 
+/// How hosts store jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Storing {
+    /// At once and without a condition.
+    Unconditional,
+    /// Most jobs under the token of the leader that the host knows.
+    UnderTokens,
+}
+
+/// A host's transaction that stores a job, on its way to the store.
+#[derive(Debug, Clone)]
+struct JobWrite {
+    key: JobKey,
+    record: JobRecord,
+    at_store: Time,
+    /// Token of the leader that the host knows, which the store expects to be the newest.
+    token: Option<u64>,
+    /// Whether the host gets the answer.
+    answered: bool,
+}
+
 /// A renewal of the leader's lease on its way to the store and back.
 #[derive(Debug, Clone, Copy)]
 struct Renewal {
@@ -102,17 +128,31 @@
     dark: Vec<(WorkerName, u64, Time)>,
     /// Index of the leader that makes calls now.
     acting: usize,
+    storing: Storing,
+    writes: Vec<JobWrite>,
 }
 
 impl Overlap {
+    /// Jobs are stored without a condition on the leader.
     fn new(seed: u64) -> Self {
+        Self::short(seed, Storing::Unconditional)
+    }
+
+    /// Jobs are stored under the tokens that hosts know.
+    fn under_tokens(seed: u64) -> Self {
+        Self::short(seed, Storing::UnderTokens)
+    }
+
+    fn short(seed: u64, storing: Storing) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let sim = Simulation::new(WORKERS);
         let mut elections = vec![sim.now + Span::from_millis(rng.random_range(300..1_500))];
         if rng.random_bool(0.5) {
             elections.push(elections[0] + Span::from_millis(rng.random_range(100..1_200)));
         }
-        Self::start(seed, rng, sim, elections, DURATION)
+        let mut overlap = Self::start(seed, rng, sim, elections, DURATION);
+        overlap.storing = storing;
+        overlap
     }
 
     /// Leaders that follow each other while some workers are dark: no leader reaches them,
@@ -136,7 +176,7 @@
             }
         }
         let record = job(0, vec![long_running(3 * WORKERS as u32, 4)]);
-        overlap.store_job(record);
+        overlap.submit(record);
         overlap
     }
 
@@ -159,6 +199,8 @@
             duration,
             dark: Vec::new(),
             acting: 0,
+            storing: Storing::Unconditional,
+            writes: Vec::new(),
         };
         let mut first = overlap.leader(0);
         std::mem::swap(&mut first.dispatcher, &mut overlap.sim.dispatcher);
@@ -239,7 +281,15 @@
         if self.rng.random_bool(if is_long { 0.002 } else { 0.1 }) {
             let count = self.rng.random_range(1..4);
             let estimate = Span::from_millis(self.rng.random_range(300..3_000));
-            self.store_job(job(0, vec![step(count, 4, estimate)]));
+            self.submit(job(0, vec![step(count, 4, estimate)]));
+        }
+        let (due, later) = std::mem::take(&mut self.writes)
+            .into_iter()
+            .partition(|w| w.at_store <= now);
+        self.writes = later;
+        let due: Vec<JobWrite> = due;
+        for write in due {
+            self.store_job(write);
         }
         if !is_long && self.rng.random_bool(0.01) && !self.sim.jobs.is_empty() {
             let i = self.rng.random_range(0..self.sim.jobs.len());
@@ -277,12 +327,75 @@
         }
     }
 
-    fn store_job(&mut self, mut record: JobRecord) {
+    /// A caller submits a job.
+    fn submit(&mut self, mut record: JobRecord) {
         record.accepted = self.sim.wall();
         let key = JobKey(self.next_job);
         self.next_job += 1;
-        self.sim.jobs.insert(key, record);
-        self.notify(Notice::Job(key));
+        match self.storing {
+            Storing::Unconditional => {
+                self.sim.jobs.insert(key, record);
+                self.notify(Notice::Job(key, None));
+            }
+            Storing::UnderTokens => self.send_job(key, &record),
+        }
+    }
+
+    /// A host sends a job to the store. If it gets no answer, it tries again, and the first
+    /// attempt may arrive after the second.
+    fn send_job(&mut self, key: JobKey, record: &JobRecord) {
+        let now = self.sim.now;
+        let rng = &mut self.rng;
+        let known = match rng.random_bool(0.3) {
+            true => self.newest.saturating_sub(rng.random_range(1..3)),
+            false => self.newest,
+        };
+        let token = rng.random_bool(0.8).then(|| term(known).token);
+        let mut write = JobWrite {
+            key,
+            record: record.clone(),
+            at_store: now + Span::from_millis(rng.random_range(0..60)),
+            token,
+            answered: rng.random_bool(0.7),
+        };
+        if !write.answered {
+            write.at_store = now + Span::from_millis(rng.random_range(0..1_200));
+            let again = JobWrite {
+                at_store: now + Span::from_millis(rng.random_range(100..800)),
+                token: token.filter(|_| rng.random_bool(0.7)),
+                answered: true,
+                ..write.clone()
+            };
+            self.writes.push(again);
+        }
+        self.writes.push(write);
+    }
+
+    /// The store executes a write. Each leader may see the record by its watch, and the host
+    /// tells the leaders of it, with a token only if its own write was made and answered.
+    fn store_job(&mut self, write: JobWrite) {
+        let JobWrite { key, token, .. } = write;
+        let is_newest = token.is_none_or(|t| t == term(self.newest).token);
+        if is_newest && !self.sim.jobs.contains_key(&key) {
+            let record = JobRecord {
+                term_token: token,
+                ..write.record
+            };
+            self.sim.jobs.insert(key, record);
+            self.notify(Notice::Job(key, token));
+            if write.answered {
+                self.notify(Notice::Job(key, token));
+            }
+        } else if write.answered && token.is_some() {
+            let delay = Span::from_millis(self.rng.random_range(0..60));
+            self.writes.push(JobWrite {
+                at_store: self.sim.now + delay,
+                token: None,
+                ..write
+            });
+        } else if write.answered {
+            self.notify(Notice::Job(key, None));
+        }
     }
 
     /// Tells every leader, once or twice, after a delay of its own.
@@ -397,8 +510,9 @@
         let due: Vec<(Time, Notice)> = due;
         for (_, notice) in due {
             match notice {
-                Notice::Job(key) => {
-                    let record = self.sim.jobs[&key].clone();
+                Notice::Job(key, token) => {
+                    let mut record = self.sim.jobs[&key].clone();
+                    record.term_token = token;
                     self.sim
                         .dispatcher
                         .accept(key, record, None, false, wall, now);
@@ -540,3 +654,12 @@
     });
     assert!(restarts as u64 > seeds, "{restarts} restarts are too few");
 }
+
+/// Guards against two runs of a task of which one leader starts the job on the strength of its
+/// token, and another one because it takes the job for its own.
+#[test]
+fn no_task_runs_twice_with_jobs_stored_under_tokens() {
+    let seeds = seeds();
+    let starts = play(seeds, Overlap::under_tokens, |o| o.sim.starts.len());
+    assert!(starts as u64 > 4 * seeds, "{starts} starts are too few");
+}
