Count crashes before the lease ends, and take them back under any leader

A caller's faulty task could crash one more worker for each change of the leader, and a sound job could be shown as failed although none of its workers had crashed.

Cause: a crash was recorded only when the same term saw the lease end, 6.4 s later, or saw a restart of an incarnation that it had polled. What was lost with a lease was kept with the worker, so it was forgotten when the worker was removed or the leader changed. The end of a lease counted also for workers that the store went on listing, and for unanswered starts.

A worker that refuses a second connection in a row, or that neither answers nor is listed, is now assumed to have crashed; the crash is durable with the job, with address and incarnation. The same incarnation takes it back under any leader, matched by run and worker. Giving up is decided when the task could start again, and leaves out assumed crashes of workers that the store still lists.

Ruled out: a durable record of each start, which costs a write for every sound task; and a new field of `Crash`, which stands in a list, so that stored states could not be read. The details are a new last field of `Progress`, with a test of both directions.

Conclusion: a change of the leader loses a crash only if it comes before the leader has been refused a second connection and has written the crash.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -246,6 +246,7 @@
         };
         let expired = self.jobs.iter().filter(|(_, j)| old(j)).map(|(k, _)| *k);
         self.expired_jobs.extend(expired);
+        self.drop_settled();
     }
 
     /// Records that a batch was not written. Its changes are part of the next one.
--- a/crates/jujubelb/src/dispatch/crash.rs
+++ b/crates/jujubelb/src/dispatch/crash.rs
@@ -15,12 +15,20 @@
 //! Of the workers that qualify, one with few runs that has not restarted recently is preferred.
 //! If none qualifies for some time, the task starts where the fewest such tasks are. A run that
 //! outlives [`PROBATION`] clears its task: the count starts anew.
+//!
+//! A worker that refuses connections, or that neither answers nor is listed, is assumed to have
+//! crashed. The crash counts at once and is durable with the job; it is taken back when the
+//! same incarnation answers, also to a later leader and after the worker was removed. Whether
+//! a task is given up is decided when it could start again: assumed crashes of workers that
+//! the store still lists do not count then.
+
+use derive_more::Display;
 
 use super::Dispatcher;
 use super::job::Task;
-use super::job_spec::{Run, TaskKey};
+use super::job_spec::{JobKey, Run, TaskKey};
 use super::poll::PollReply;
-use super::progress::{Crash, JobOutcome};
+use super::progress::{Crash, CrashDetail, JobOutcome};
 use super::worker::{RunPhase, TrackedRun, Worker};
 use crate::model::{Span, Time, WorkerName};
 
@@ -63,10 +71,28 @@
     Alone,
 }
 
+/// Number of starts of a task that these crashes followed. Those of a gang's members after
+/// the same start count once.
+fn crashed_starts(crashes: &[Crash]) -> usize {
+    let is_first = |i: usize| crashes[..i].iter().all(|c| c.run != crashes[i].run);
+    (0..crashes.len()).filter(|i| is_first(*i)).count()
+}
+
 /// Whether a task with these crashes is given up.
 fn is_given_up(crashes: &[Crash]) -> bool {
     let several = crashes.iter().any(|c| c.worker != crashes[0].worker);
-    crashes.len() >= MAX_CRASHES_IN_ALL || (crashes.len() >= MAX_CRASHES && several)
+    let starts = crashed_starts(crashes);
+    starts >= MAX_CRASHES_IN_ALL || (starts >= MAX_CRASHES && several)
+}
+
+/// What shows that a worker has crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "lowercase")]
+enum Evidence {
+    /// A new incarnation has answered.
+    Restart,
+    /// The worker does not answer.
+    Silence,
 }
 
 impl TrackedRun {
@@ -79,7 +105,7 @@
 impl Task {
     /// How far the task has to be kept apart from others.
     fn isolation(&self) -> Isolation {
-        match self.crashes.len() {
+        match crashed_starts(&self.crashes) {
             0 => Isolation::None,
             1 => Isolation::Apart,
             _ => Isolation::Alone,
@@ -148,51 +174,100 @@
 impl Dispatcher {
     /// Counts the crash of a worker that has restarted against the runs that had just
     /// started on it.
-    pub(super) fn count_crash(
-        &mut self,
-        name: &WorkerName,
-        sent: Time,
-        reply: &PollReply,
-        now: Time,
-    ) {
-        let Some(worker) = self.workers.get_mut(name) else {
+    pub(super) fn count_crash(&mut self, name: &WorkerName, sent: Time, reply: &PollReply) {
+        let Some(worker) = self.workers.get(name) else {
             return;
         };
-        worker.lost.clear();
         for (task, run) in worker.suspects(sent, reply) {
-            self.record_crash(name, task, run, now);
+            self.record_crash(name, task, run, Evidence::Restart);
         }
     }
 
-    /// Counts the loss of a worker, until it answers again, as a crash against a run that had
-    /// just started on it.
-    pub(super) fn count_loss(&mut self, name: &WorkerName, task: TaskKey, run: Run, now: Time) {
-        let suspected = |w: &&mut Worker| {
-            let tracked = w.runs.get(&task).filter(|r| r.run == run);
-            tracked.is_some_and(|r| !r.has_outlived_probation())
+    /// Assumes a crash of a worker that refuses connections, or that neither answers nor is
+    /// listed. Counted at once, since only this leader knows what had just started on it, and
+    /// its lease outlasts many a leader.
+    pub(super) fn assume_crash(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
         };
-        if let Some(worker) = self.workers.get_mut(name).filter(suspected) {
-            worker.lost.push((task, run));
-            self.record_crash(name, task, run, now);
+        let runs = worker.runs.iter().map(|(task, r)| (*task, r.run));
+        for (task, run) in runs.collect::<Vec<_>>() {
+            self.count_loss(name, task, run);
         }
     }
 
-    /// Takes back the crash that was assumed when a worker was lost: the same incarnation has
-    /// answered.
-    pub(super) fn take_back_losses(&mut self, name: &WorkerName) {
-        let Some(worker) = self.workers.get_mut(name) else {
+    /// Assumes a crash of a worker that does not answer, if the run had just started on it.
+    pub(super) fn count_loss(&mut self, name: &WorkerName, task: TaskKey, run: Run) {
+        let Some(worker) = self.workers.get(name) else {
             return;
         };
-        for (key, run) in std::mem::take(&mut worker.lost) {
-            let counted = self.counted_task(key);
-            let job = self.jobs.get_mut(&key.step.job);
-            if let Some(task) = job.and_then(|j| j.task_mut(counted)) {
-                task.crashes.retain(|c| c.run != run);
-                self.mark_dirty(key.step.job);
-            }
+        let tracked = worker.runs.get(&task).filter(|r| r.run == run);
+        if tracked.is_some_and(|r| r.phase != RunPhase::Starting && !r.has_outlived_probation()) {
+            self.record_crash(name, task, run, Evidence::Silence);
         }
     }
 
+    /// Settles the assumed crashes of a worker that has answered: they are taken back if it is
+    /// the same incarnation or knows the run, and certain otherwise.
+    pub(super) fn settle_assumed(&mut self, name: &WorkerName, reply: &PollReply) {
+        for key in self.assumed.shift_remove(name).unwrap_or_default() {
+            let Some(job) = self.jobs.get_mut(&key) else {
+                continue;
+            };
+            let mut details = std::mem::take(&mut job.crash_details);
+            details.retain_mut(|detail| {
+                if !detail.is_assumed || detail.crash.worker != *name {
+                    return true;
+                }
+                detail.is_assumed = false;
+                let (task, run) = (detail.task(key), detail.crash.run);
+                let same = reply.incarnation.is_none()
+                    || detail.incarnation.is_none()
+                    || detail.incarnation == reply.incarnation;
+                let steps = &job.record.spec.steps;
+                let spec = steps.get(usize::from(detail.step));
+                let is_gang = spec.is_some_and(|s| s.gang);
+                // A crash under any member of a gang is counted against the first one.
+                let is_run = |(t, r): (TaskKey, Run)| {
+                    r == run && t.step == task.step && (is_gang || t.index == task.index)
+                };
+                let mut running = reply.running.iter().map(|r| (r.task, r.run));
+                let mut finished = reply.finished.iter().map(|c| (c.task, c.run));
+                let taken_back = same || running.any(is_run) || finished.any(is_run);
+                if taken_back && let Some(state) = job.task_mut(task) {
+                    state.crashes.retain(|c| *c != detail.crash);
+                    log::info!(task:% = task, run:% = run, worker:% = name, crashes = crashed_starts(&state.crashes); "assumed crash taken back: the worker has answered");
+                }
+                !taken_back
+            });
+            job.crash_details = details;
+            self.mark_dirty(key);
+        }
+    }
+
+    /// Makes the jobs with assumed crashes known by the workers.
+    pub(super) fn index_assumed(&mut self, key: JobKey, details: &[CrashDetail]) {
+        for detail in details.iter().filter(|d| d.is_assumed) {
+            let jobs = self.assumed.entry(detail.crash.worker.clone());
+            jobs.or_default().insert(key);
+        }
+    }
+
+    /// Forgets assumed crashes of jobs that have ended, and those whose task was cleared.
+    pub(super) fn drop_settled(&mut self) {
+        let jobs = &self.jobs;
+        self.assumed.retain(|worker, keys| {
+            keys.retain(|key| {
+                let live = jobs.get(key).filter(|j| j.outcome.is_none());
+                live.is_some_and(|j| {
+                    let mut details = j.crash_details.iter();
+                    details.any(|d| d.is_assumed && d.crash.worker == *worker)
+                })
+            });
+            !keys.is_empty()
+        });
+    }
+
     /// Clears a task whose run has outlived its probation.
     pub(super) fn clear_suspect(&mut self, name: &WorkerName, key: TaskKey) {
         let tracked = self
@@ -210,12 +285,17 @@
             // Another member may still crash its worker.
             return;
         }
-        let job = self.jobs.get_mut(&key.step.job);
-        if let Some(task) = job.and_then(|j| j.task_mut(key))
+        let counted = self.counted_task(key);
+        let Some(job) = self.jobs.get_mut(&key.step.job) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(counted)
             && task.run == run
         {
             log::info!(task:% = key, run:% = run, worker:% = name, crashes = task.crashes.len(); "task has outlived its probation");
             task.crashes.clear();
+            job.crash_details
+                .retain(|d| d.task(key.step.job) != counted);
             self.mark_dirty(key.step.job);
         }
     }
@@ -242,9 +322,12 @@
         }
     }
 
-    /// Records a crash against a task, and gives up its job after too many of them. Does not
-    /// count a run twice.
-    fn record_crash(&mut self, name: &WorkerName, key: TaskKey, run: Run, now: Time) {
+    /// Records a crash against a task. Does not count the same crash twice.
+    fn record_crash(&mut self, name: &WorkerName, key: TaskKey, run: Run, evidence: Evidence) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let (address, incarnation) = (worker.report.address, worker.incarnation);
         let counted = self.counted_task(key);
         let Some(job) = self.jobs.get_mut(&key.step.job) else {
             return;
@@ -253,21 +336,74 @@
         let Some(task) = job.task_mut(counted) else {
             return;
         };
-        if !live || task.is_done() || task.crashes.iter().any(|c| c.run == run) {
-            return;
-        }
-        task.crashes.push(Crash {
+        let crash = Crash {
             run,
             worker: name.clone(),
+        };
+        if !live || task.is_done() || task.crashes.contains(&crash) {
+            return;
+        }
+        task.crashes.push(crash.clone());
+        let crashes = crashed_starts(&task.crashes);
+        let is_assumed = evidence == Evidence::Silence;
+        job.crash_details.push(CrashDetail {
+            occurrence: counted.step.occurrence,
+            step: counted.step.step,
+            index: counted.index,
+            crash,
+            address,
+            incarnation,
+            is_assumed,
         });
-        let crashes = task.crashes.clone();
+        if is_assumed {
+            let jobs = self.assumed.entry(name.clone()).or_default();
+            jobs.insert(key.step.job);
+        }
         self.mark_dirty(key.step.job);
-        log::info!(task:% = key, run:% = run, worker:% = name, crashes = crashes.len(); "worker crashed or was lost shortly after it started the task");
-        if is_given_up(&crashes) {
-            let workers: Vec<&str> = crashes.iter().map(|c| c.worker.as_str()).collect();
-            let runs: Vec<u64> = crashes.iter().map(|c| c.run.0).collect();
+        log::info!(task:% = key, run:% = run, worker:% = name, crashes = crashes, evidence:% = evidence; "worker crashed or was lost shortly after it started the task");
+    }
+
+    /// Whether a task that could start now is given up instead. A task can start when the
+    /// leases of the workers that it was on have ended, so that what the store says of them
+    /// is newer than their crash.
+    pub(super) fn is_faulty(&self, key: TaskKey) -> bool {
+        let counted = self.counted_task(key);
+        let job = self.jobs.get(&key.step.job);
+        let crashes = job.and_then(|j| Some((j, &j.task(counted)?.crashes)));
+        let Some((job, crashes)) = crashes.filter(|(_, c)| c.len() >= MAX_CRASHES) else {
+            return false;
+        };
+        let details = job.crash_details.iter();
+        let details: Vec<&CrashDetail> = details
+            .filter(|d| d.task(key.step.job) == counted)
+            .collect();
+        let is_alive = |crash: &Crash| {
+            let detail = details.iter().find(|d| d.crash == *crash);
+            detail.is_some_and(|d| d.is_assumed && self.is_listed_alive(d))
+        };
+        let certain = crashes.iter().filter(|c| !is_alive(c)).cloned();
+        is_given_up(&certain.collect::<Vec<_>>())
+    }
+
+    /// Whether the store still lists the incarnation whose crash is assumed. It lists a crashed
+    /// worker for about 4.5 s, less than a lease.
+    fn is_listed_alive(&self, assumed: &CrashDetail) -> bool {
+        let worker = self.workers.get(&assumed.crash.worker);
+        worker.filter(|w| w.listed).is_some_and(|w| {
+            let reported = w.report.incarnation;
+            reported.is_none() || assumed.incarnation.is_none() || reported == assumed.incarnation
+        })
+    }
+
+    /// Fails the job of a task that crashes the workers that start it.
+    pub(super) fn give_up(&mut self, key: TaskKey, now: Time) {
+        let counted = self.counted_task(key);
+        let job = self.jobs.get(&key.step.job);
+        if let Some(task) = job.and_then(|j| j.task(counted)) {
+            let workers: Vec<&str> = task.crashes.iter().map(|c| c.worker.as_str()).collect();
+            let runs: Vec<u64> = task.crashes.iter().map(|c| c.run.0).collect();
             log::info!(job:% = key.step.job, task:% = key, workers:? = workers, runs:? = runs; "job failed: a task crashes the workers that start it");
-            self.finish(key.step.job, JobOutcome::Failed, now);
         }
+        self.finish(key.step.job, JobOutcome::Failed, now);
     }
 }
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -45,6 +45,7 @@
             now,
         );
         let live = job.outcome.is_none();
+        self.index_assumed(key, &job.crash_details);
         self.jobs.insert(key, job);
         if !live {
             return;
@@ -143,6 +144,9 @@
         {
             log::info!(worker:% = name, runs = worker.runs.len(); "worker no longer listed");
             worker.listed = false;
+            if !worker.reachable {
+                self.assume_crash(name);
+            }
         }
     }
 
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -7,7 +7,8 @@
 use super::confirmation::Arrival;
 use super::job_spec::{JobRecord, Run, Step, TaskKey};
 use super::progress::{
-    Crash, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes, TaskProgress,
+    Crash, CrashDetail, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes,
+    TaskProgress,
 };
 use crate::model::{Span, Time, WorkerName};
 
@@ -152,6 +153,9 @@
     pub(crate) inherited: bool,
     /// When this term learned of the job or last gave up a run of it, in the order of arrivals.
     pub(crate) arrival: Arrival,
+    /// Details of the crashes in [`Task::crashes`], except for those that earlier versions
+    /// have counted.
+    pub(crate) crash_details: Vec<CrashDetail>,
     /// For each step, the estimated duration of the longest chain of dependent steps that
     /// begins with it. Derived from `record`, which does not change.
     critical_paths: Vec<Span>,
@@ -179,6 +183,9 @@
             ended: progress.and_then(|p| p.outcome).map(|_| now),
             inherited,
             arrival,
+            crash_details: progress
+                .map(|p| p.crash_details.clone())
+                .unwrap_or_default(),
         };
         for begun in progress.iter().flat_map(|p| &p.occurrences) {
             job.begin(begun.number, accepted, Some(begun));
@@ -319,6 +326,10 @@
                 Some(_) => Vec::new(),
                 None => self.crashes(),
             },
+            crash_details: match self.outcome {
+                Some(_) => Vec::new(),
+                None => self.crash_details.clone(),
+            },
         }
     }
 
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -47,7 +47,8 @@
 };
 pub use poll::{PollReply, PollRequest, RunCompletion, RunOutcome, RunStatus};
 pub use progress::{
-    Crash, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes, TaskProgress,
+    Crash, CrashDetail, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes,
+    TaskProgress,
 };
 pub use replies::{Refusal, StartReply, StopReply};
 pub use tickets::{TicketGrant, TicketRequest};
@@ -187,6 +188,9 @@
     /// The term was the newest at the store after this and all earlier arrivals, so every
     /// later leader knows of them when its term begins.
     confirmed: Arrival,
+    /// Jobs with assumed crashes, by the worker that does not answer. It may be unlisted and
+    /// removed before it answers again.
+    assumed: IndexMap<WorkerName, IndexSet<JobKey>>,
     /// Number of times that a worker was added or removed.
     membership: u64,
     /// Steps that may have tasks to start. The next pass removes a step without any.
@@ -243,6 +247,7 @@
             workers: FastMap::default(),
             last_arrival: Arrival::default(),
             confirmed: Arrival::default(),
+            assumed: IndexMap::new(),
             membership: 0,
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -83,7 +83,7 @@
             }
         }
         for (name, task, run) in lost {
-            self.count_loss(&name, task, run, now);
+            self.count_loss(&name, task, run);
             self.run_lost(&name, task, run, "the worker's lease has expired", now);
             if let Some(worker) = self.workers.get_mut(&name) {
                 worker.update_load();
@@ -275,6 +275,7 @@
         let Some(state) = self
             .jobs
             .get(&key.job)
+            .filter(|j| j.outcome.is_none())
             .and_then(|j| j.step(key.occurrence, key.step))
         else {
             return;
@@ -289,10 +290,19 @@
             .filter(|(_, t)| startable(t))
             .map(|(i, _)| i)
             .collect();
+        if step.gang && waiting.len() < step.count as usize {
+            return;
+        }
+        let mut tasks = waiting.iter().map(|i| TaskKey {
+            step: key,
+            index: *i,
+        });
+        if let Some(faulty) = tasks.find(|t| self.is_faulty(*t)) {
+            self.give_up(faulty, now);
+            return;
+        }
         if step.gang {
-            if waiting.len() == step.count as usize {
-                self.start_gang(key, &record, step, orders, now);
-            }
+            self.start_gang(key, &record, step, orders, now);
             return;
         }
         let wait_time = |t: &super::job::Task| now.since(t.since);
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -147,10 +147,15 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        let repeated = !worker.reachable;
         worker.reachable = false;
         if unsent && request.lease_deadline == Some(worker.lease_deadline) {
             worker.lease_deadline = request.previous_deadline;
         }
+        // The first poll after a crash fails with the connection, the next one is refused.
+        if (unsent && repeated) || !worker.listed {
+            self.assume_crash(name);
+        }
     }
 
     /// Processes the answer to a poll that was sent at `sent`.
@@ -186,11 +191,10 @@
                 worker.arrival = arrival;
             }
         }
+        self.settle_assumed(name, reply);
         if restarted {
-            self.count_crash(name, sent, reply, now);
+            self.count_crash(name, sent, reply);
             self.worker_restarted(name, reply.clock, sent, now);
-        } else {
-            self.take_back_losses(name);
         }
         let seen = self.workers.get(name).map_or(0, |w| w.processed);
         let mut last = seen;
--- a/crates/jujubelb/src/dispatch/progress.rs
+++ b/crates/jujubelb/src/dispatch/progress.rs
@@ -2,11 +2,14 @@
 //!
 //! `postcard` encodes these types, so the order of their fields must not change.
 
+use std::net::SocketAddr;
+
 use arcstr::ArcStr;
 use derive_more::Display;
 use serde::{Deserialize, Deserializer, Serialize};
 
-use super::job_spec::Run;
+use super::job_spec::{JobKey, Run, StepKey, TaskKey};
+use super::worker::Incarnation;
 use crate::model::WorkerName;
 
 /// Final state of a job.
@@ -91,6 +94,39 @@
     pub crashes: Vec<Crash>,
 }
 
+/// Details of a crash that is counted against a task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashDetail {
+    /// Number of the occurrence.
+    pub occurrence: u32,
+    /// Index of the step.
+    pub step: u16,
+    /// Index of the task within its step.
+    pub index: u32,
+    /// The crash among those that are counted against the task.
+    pub crash: Crash,
+    /// Address of the worker's order interface, which a worker of another name may take over.
+    pub address: SocketAddr,
+    /// Incarnation that gave the last answer; `None` if the worker does not report one.
+    pub incarnation: Option<Incarnation>,
+    /// Whether the crash is not certain, because the worker does not answer. It no longer
+    /// counts once the same incarnation answers again.
+    pub is_assumed: bool,
+}
+
+impl CrashDetail {
+    pub(super) fn task(&self, job: JobKey) -> TaskKey {
+        TaskKey {
+            step: StepKey {
+                job,
+                occurrence: self.occurrence,
+                step: self.step,
+            },
+            index: self.index,
+        }
+    }
+}
+
 /// Durable state of a job. Versions with fewer fields ignore the last ones and write none,
 /// so new fields are added at the end and have a default.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -102,6 +138,9 @@
     /// Tasks that may crash the workers that start them; empty once the job has ended.
     #[serde(deserialize_with = "default_if_missing")]
     pub crashes: Vec<TaskCrashes>,
+    /// Details of `crashes`, except for those that earlier versions have counted.
+    #[serde(deserialize_with = "default_if_missing")]
+    pub crash_details: Vec<CrashDetail>,
 }
 
 /// Reads a value that earlier versions have not written. `postcard` doesn't mark the end of
--- a/crates/jujubelb/src/dispatch/tests/encoding.rs
+++ b/crates/jujubelb/src/dispatch/tests/encoding.rs
@@ -3,8 +3,8 @@
 use super::{Simulation, job, step};
 use crate::dispatch::commit::MAX_ENTRIES_PER_COMMIT;
 use crate::dispatch::{
-    Crash, JobKey, JobOutcome, OccurrenceProgress, Progress, Run, StepProgress, TaskCrashes,
-    TaskKey, TaskProgress,
+    Crash, CrashDetail, Incarnation, JobKey, JobOutcome, OccurrenceProgress, Progress, Run,
+    StepProgress, TaskCrashes, TaskKey, TaskProgress,
 };
 use crate::model::{Span, WorkerName};
 
@@ -93,3 +93,41 @@
     assert_eq!(postcard::from_bytes::<Progress>(&bytes).unwrap(), progress);
     assert_eq!(postcard::from_bytes::<Former>(&bytes).unwrap(), former);
 }
+
+/// Guards against a state with details of crashes that the previous version can't read, and
+/// against one of that version that this one can't read.
+#[test]
+fn crash_details_are_read_across_versions() {
+    type Former = (
+        Option<JobOutcome>,
+        Vec<OccurrenceProgress>,
+        Vec<TaskCrashes>,
+    );
+    let crash = Crash {
+        run: Run(10_001),
+        worker: WorkerName::new("w1"),
+    };
+    let crashes = vec![TaskCrashes {
+        occurrence: 3,
+        step: 0,
+        index: 5,
+        crashes: vec![crash.clone()],
+    }];
+    let former: Former = (None, Vec::new(), crashes.clone());
+    let bytes = postcard::to_allocvec(&former).unwrap();
+    let mut progress: Progress = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(progress.crashes, crashes);
+    assert_eq!(progress.crash_details, Vec::new());
+    progress.crash_details.push(CrashDetail {
+        occurrence: 3,
+        step: 0,
+        index: 5,
+        crash,
+        address: ([10, 0, 0, 1], 80).into(),
+        incarnation: Some(Incarnation(7)),
+        is_assumed: true,
+    });
+    let bytes = postcard::to_allocvec(&progress).unwrap();
+    assert_eq!(postcard::from_bytes::<Progress>(&bytes).unwrap(), progress);
+    assert_eq!(postcard::from_bytes::<Former>(&bytes).unwrap(), former);
+}
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod simulation;
 
 mod commits;
+mod crash_evidence;
 mod crashes;
 mod encoding;
 mod gangs;
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -155,9 +155,6 @@
     pub(crate) runs: FastMap<TaskKey, TrackedRun>,
     /// When the current incarnation first answered a poll of this term.
     pub(crate) answering_since: Time,
-    /// Runs that were given up with the worker's lease, for which a crash is assumed until the
-    /// worker answers again.
-    pub(crate) lost: Vec<(TaskKey, Run)>,
     pub(crate) health: Health,
     /// Totals of `runs`.
     pub(crate) load: Load,
@@ -267,7 +264,6 @@
             ended_runs: Vec::new(),
             runs: FastMap::default(),
             answering_since: Time::ZERO,
-            lost: Vec::new(),
             health: Health::default(),
             load: Load::default(),
         };
