Begin the wait of inherited suspects when they may start

After a change of the leader a task with crashes started beside others at once if a worker could not be reached, and its crash then concerned them as well.

Cause: the wait for a worker apart from others was counted from the beginning of the term, but inherited tasks wait 6.5 s or 22.5 s for an unreachable worker, longer than that wait. It now begins when inherited tasks may start.

Evidence: the new test found the task where the fewest suspects are instead of alone before the change, and passes now.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -128,6 +128,11 @@
                 for step in job.occurrences.iter_mut().flat_map(|o| &mut o.steps) {
                     for task in &mut step.tasks {
                         task.inherited = false;
+                        if !task.crashes.is_empty() {
+                            // The wait for a worker apart from others begins when the task
+                            // may start.
+                            task.since = now;
+                        }
                     }
                 }
             }
--- a/crates/jujubelb/src/dispatch/tests/crash_evidence.rs
+++ b/crates/jujubelb/src/dispatch/tests/crash_evidence.rs
@@ -145,3 +145,24 @@
     sim.run(Span::from_secs(25));
     assert_eq!(sim.dispatcher.job_status(key), Some(JobStatus::Completed));
 }
+
+/// Guards against suspects that start beside others right after the wait for an unreachable
+/// worker, because it was taken for a wait for a worker apart from others.
+#[test]
+fn suspects_are_kept_apart_after_the_wait_of_a_new_leader() {
+    // Larger than any worker, so that it keeps waiting.
+    let record = job(0, vec![long_running(1, 100)]);
+    let (mut sim, key) = with_stored_crashes(3, record, vec![crash(1), crash(2)]);
+    sim.worker(0).fault = Fault::Partitioned;
+    let isolation = |sim: &Simulation| {
+        let task = sim.dispatcher.jobs[&key].task(first_task(key)).unwrap();
+        task.isolation_at(true, sim.now)
+    };
+    while !sim.dispatcher.inherited_resolved {
+        sim.run(TIME_STEP);
+    }
+    sim.run(Span::from_secs(2));
+    assert_eq!(isolation(&sim), Isolation::Alone);
+    sim.run(Span::from_secs(1));
+    assert_eq!(isolation(&sim), Isolation::Spread);
+}
