Clear a task whose adopted run outlives its probation

A sound task kept its crashes if the leader changed shortly after its start, and was given up earlier than the table says.

Cause: an adopted run was tracked without isolation, and only isolated runs clear their task. An adopted run now has the isolation of its task.

Not changed: an adopted run is on probation for half a second from its adoption, since a worker does not report for how long a run has lasted.

Evidence: the crash of the new test's task stayed stored before the change, and is cleared now.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -8,7 +8,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::Dispatcher;
-use super::crash::Isolation;
 use super::job::TaskState;
 use super::job_spec::{Run, TaskKey};
 use super::worker::{Incarnation, RunPhase, TrackedRun, Worker};
@@ -368,6 +367,7 @@
             }
         }
         log::info!(task:% = row.task, run:% = row.run, worker:% = name, unwanted = must_stop; "run adopted");
+        let isolation = self.isolation(row.task);
         let tracked = TrackedRun {
             run: row.run,
             phase: RunPhase::Running,
@@ -379,7 +379,7 @@
             since: now,
             confirmed: now,
             last_listed: now,
-            isolation: Isolation::None,
+            isolation,
             deadline: WorkerTime::ZERO,
             stop_sent: None,
             stop_pending: false,
--- a/crates/jujubelb/src/dispatch/tests/crash_evidence.rs
+++ b/crates/jujubelb/src/dispatch/tests/crash_evidence.rs
@@ -166,3 +166,17 @@
     sim.run(Span::from_secs(1));
     assert_eq!(isolation(&sim), Isolation::Spread);
 }
+
+/// Guards against a count that stays although an adopted run has outlived its probation.
+#[test]
+fn an_adopted_run_that_outlives_its_probation_clears_its_task() {
+    let record = job(0, vec![step(1, 4, Span::from_secs(60))]);
+    let (mut sim, key) = with_stored_crashes(4, record, vec![crash(1)]);
+    next_placement(&mut sim);
+    sim.run(Span::from_millis(100));
+    sim.replace_leader(true);
+    assert_eq!(sim.states[&key].crashes.len(), 1);
+    sim.run(Span::from_secs(2));
+    assert_eq!(sim.running(key), 1);
+    assert_eq!(sim.states[&key].crashes, Vec::new());
+}
