Clear a gang when all its members have outlived probation

A gang that ran well between crashes was given up after three of them, since its count was never cleared.

--- a/crates/jujubelb/src/dispatch/crash.rs
+++ b/crates/jujubelb/src/dispatch/crash.rs
@@ -25,7 +25,7 @@
 use derive_more::Display;
 
 use super::Dispatcher;
-use super::job::Task;
+use super::job::{Task, TaskState};
 use super::job_spec::{JobKey, Run, TaskKey};
 use super::poll::PollReply;
 use super::progress::{Crash, CrashDetail, JobOutcome};
@@ -281,8 +281,7 @@
         };
         tracked.isolation = Isolation::None;
         let run = tracked.run;
-        if self.counts_as_gang(key) {
-            // Another member may still crash its worker.
+        if !self.is_cleared(key, run) {
             return;
         }
         let counted = self.counted_task(key);
@@ -300,6 +299,24 @@
         }
     }
 
+    /// Whether a run that has outlived its probation clears its task: a gang's does once all
+    /// members of the same start have.
+    fn is_cleared(&self, key: TaskKey, run: Run) -> bool {
+        let job = self.jobs.get(&key.step.job);
+        let Some(step) = job.and_then(|j| j.step(key.step.occurrence, key.step.step)) else {
+            return false;
+        };
+        let outlived = |index: u32, task: &Task| {
+            let TaskState::Placed(name) = &task.state else {
+                return false;
+            };
+            let worker = self.workers.get(name);
+            let tracked = worker.and_then(|w| w.runs.get(&TaskKey { index, ..key }));
+            tracked.is_some_and(|r| r.run == run && r.has_outlived_probation())
+        };
+        !self.counts_as_gang(key) || (0u32..).zip(&step.tasks).all(|(i, t)| outlived(i, t))
+    }
+
     /// How far a run of a task is kept apart from others during its probation.
     pub(super) fn isolation(&self, key: TaskKey) -> Isolation {
         let job = self.jobs.get(&key.step.job);
--- a/crates/jujubelb/src/dispatch/tests/crash_evidence.rs
+++ b/crates/jujubelb/src/dispatch/tests/crash_evidence.rs
@@ -180,3 +180,57 @@
     assert_eq!(sim.running(key), 1);
     assert_eq!(sim.states[&key].crashes, Vec::new());
 }
+
+fn gang(estimate: Span) -> JobRecord {
+    let step = Step {
+        gang: true,
+        ..step(2, 40, estimate)
+    };
+    job(0, vec![step])
+}
+
+/// Guards against a gang that is given up for crashes between which it ran well.
+#[test]
+fn a_gang_that_outlives_its_probation_is_cleared() {
+    let (mut sim, key) = with_stored_crashes(4, gang(Span::from_secs(60)), vec![crash(1)]);
+    sim.run(Span::from_secs(3));
+    assert_eq!(sim.running(key), 2);
+    assert_eq!(sim.states[&key].crashes, Vec::new());
+}
+
+/// Guards against clearing a gang of which one member has crashed its worker.
+#[test]
+fn a_gang_is_cleared_only_when_all_members_have_outlived_probation() {
+    let (mut sim, key) = with_stored_crashes(2, gang(Span::from_secs(60)), vec![crash(1)]);
+    next_placement(&mut sim);
+    sim.run(Span::from_millis(100));
+    sim.crash_worker(1);
+    sim.run(Span::from_secs(3));
+    assert!(!sim.states[&key].crashes.is_empty());
+}
+
+/// Guards against a crash under one member of a gang that is forgotten when the worker of
+/// another member, which was only cut off, answers again.
+#[test]
+fn the_return_of_a_worker_keeps_the_crash_of_another() {
+    let mut sim = Simulation::new(2);
+    let key = sim.submit(1, gang(Span::from_secs(60)));
+    sim.run(Span::from_millis(100));
+    assert_eq!(sim.running(key), 2);
+    sim.worker(0).fault = Fault::Partitioned;
+    sim.crash_worker(1);
+    sim.run(Span::from_millis(100));
+    sim.restart_worker(1);
+    sim.worker(1).fault = Fault::NoCapacity;
+    sim.list_workers();
+    sim.run(Span::from_secs(8));
+    sim.worker(0).fault = Fault::NoCapacity;
+    sim.run(Span::from_millis(700));
+    let workers: Vec<&str> = sim.states[&key]
+        .crashes
+        .iter()
+        .flat_map(|c| &c.crashes)
+        .map(|c| c.worker.as_str())
+        .collect();
+    assert_eq!(workers, ["w1"]);
+}
