Count crashes on one address as those of one worker

A sound job could be failed by one bad host whose worker comes back under another name after each crash: `several` compared names. It compares addresses, where they are known.

The simulation now checks each start of a faulty task against the limit of five, so that every test with such a task checks it.

--- a/crates/jujubelb/src/dispatch/crash.rs
+++ b/crates/jujubelb/src/dispatch/crash.rs
@@ -79,8 +79,13 @@
 }
 
 /// Whether a task with these crashes is given up.
-fn is_given_up(crashes: &[Crash]) -> bool {
-    let several = crashes.iter().any(|c| c.worker != crashes[0].worker);
+fn is_given_up(crashes: &[Crash], details: &[&CrashDetail]) -> bool {
+    let address = |crash: &Crash| Some(details.iter().find(|d| d.crash == *crash)?.address);
+    let elsewhere = |crash: &Crash| match (address(crash), address(&crashes[0])) {
+        (Some(one), Some(other)) => one != other,
+        _ => crash.worker != crashes[0].worker,
+    };
+    let several = crashes.iter().any(elsewhere);
     let starts = crashed_starts(crashes);
     starts >= MAX_CRASHES_IN_ALL || (starts >= MAX_CRASHES && several)
 }
@@ -399,7 +404,7 @@
             detail.is_some_and(|d| d.is_assumed && self.is_listed_alive(d))
         };
         let certain = crashes.iter().filter(|c| !is_alive(c)).cloned();
-        is_given_up(&certain.collect::<Vec<_>>())
+        is_given_up(&certain.collect::<Vec<_>>(), &details)
     }
 
     /// Whether the store still lists the incarnation whose crash is assumed. It lists a crashed
--- a/crates/jujubelb/src/dispatch/tests/crash_evidence.rs
+++ b/crates/jujubelb/src/dispatch/tests/crash_evidence.rs
@@ -234,3 +234,30 @@
         .collect();
     assert_eq!(workers, ["w1"]);
 }
+
+/// Guards against giving up a sound task because of a host that crashes again and again, and
+/// whose worker comes back under another name each time.
+#[test]
+fn crashes_on_one_address_count_as_crashes_of_one_worker() {
+    let mut sim = Simulation::new(2);
+    sim.worker(0).fault = Fault::NoCapacity;
+    let key = sim.submit(1, job(0, vec![step(1, 4, Span::from_secs(2))]));
+    for _ in 0..3 {
+        let task = first_task(key);
+        let holds =
+            |w: &WorkerName, sim: &Simulation| sim.dispatcher.workers[w].runs.contains_key(&task);
+        let last = sim.workers.len() - 1;
+        let name = sim.workers.get_index(last).unwrap().0.clone();
+        while !holds(&name, &sim) {
+            sim.run(TIME_STEP);
+        }
+        sim.crash_worker(last);
+        sim.run(Span::from_secs(3));
+        let address = sim.worker(last).report.address;
+        sim.add_worker(last + 1);
+        sim.worker(last + 1).report.address = address;
+        sim.list_workers();
+    }
+    sim.run(Span::from_secs(30));
+    assert_eq!(sim.dispatcher.job_status(key), Some(JobStatus::Completed));
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -65,6 +65,10 @@
     NewName,
 }
 
+/// Starts of a task that crashes each worker that starts it. The platform allows two after
+/// the third crash.
+const MAX_FAULTY_STARTS: usize = 5;
+
 /// How long a worker that a faulty task has crashed is away.
 const CRASH_DURATION: Span = Span::from_secs(3);
 
@@ -735,6 +739,14 @@
             step.long_running || !self.acknowledged.contains(&task),
             "{task} starts after its success was acknowledged"
         );
+        if self.faulty.contains(&task) {
+            let earlier = self.starts.iter().filter(|(_, _, t, _)| *t == task);
+            let crashed = earlier.count();
+            assert!(
+                crashed < MAX_FAULTY_STARTS,
+                "{task} starts after it has crashed {crashed} workers"
+            );
+        }
         let worker = &mut self.workers[name];
         worker.token = worker.token.max(token);
         worker.deadline = worker.deadline.max(deadline);
