--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -8,7 +8,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::Dispatcher;
-use super::crash::Isolation;
 use super::job::TaskState;
 use super::job_spec::{Run, TaskKey};
 use super::worker::{Incarnation, RunPhase, TrackedRun, Worker};
@@ -149,10 +148,15 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        let repeated = !worker.reachable;
         worker.reachable = false;
         if unsent && request.lease_deadline == Some(worker.lease_deadline) {
             worker.lease_deadline = request.previous_deadline;
         }
+        // The first poll after a crash fails with the connection, the next one is refused.
+        if (unsent && repeated) || !worker.listed {
+            self.assume_crash(name);
+        }
     }
 
     /// Processes the answer to a poll that was sent at `sent`.
@@ -190,11 +194,10 @@
                 worker.arrival = arrival;
             }
         }
+        self.settle_assumed(name, reply);
         if restarted {
-            self.count_crash(name, sent, reply, now);
+            self.count_crash(name, sent, reply);
             self.worker_restarted(name, reply.clock, sent, now);
-        } else {
-            self.take_back_losses(name);
         }
         let seen = self.workers.get(name).map_or(0, |w| w.processed);
         let mut last = seen;
@@ -368,6 +371,7 @@
             }
         }
         log::info!(task:% = row.task, run:% = row.run, worker:% = name, unwanted = must_stop; "run adopted");
+        let isolation = self.isolation(row.task);
         let tracked = TrackedRun {
             run: row.run,
             phase: RunPhase::Running,
@@ -379,7 +383,7 @@
             since: now,
             confirmed: now,
             last_listed: now,
-            isolation: Isolation::None,
+            isolation,
             deadline: WorkerTime::ZERO,
             stop_sent: None,
             stop_pending: false,
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -4,6 +4,7 @@
 
 mod commits;
 mod confirmation;
+mod crash_evidence;
 mod crashes;
 mod encoding;
 mod gangs;
