Bound what one submission can cost the leader

A submission could name any amount of processor time or memory, any number of steps, and a schedule whose occurrences are all due. Sums of amounts overflowed: they panicked in the scheduling pass of a build with checks, and started again from zero in one without, so that a task that no worker has room for was placed ("attempt to add with overflow" in the check of free memory). A schedule of 2^32 occurrences without an interval kept the leader in one pass, and took memory until the process ended. Chains of steps are calculated in a time that grows with the square of their number, and steps beyond 65,535 had no index of their own.

Sums of amounts and times now stay at the largest value. A job has at most 1,000 steps and 100,000 tasks an occurrence, and at most 1,000 occurrences or 100,000 tasks of it are open; later ones begin as earlier ones end.

Evidence: extreme_jobs.

--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -33,7 +33,7 @@
         }
         let age = wall.since(record.accepted).min(MAX_JOB_AGE);
         let scheduled = record.spec.schedule.is_some();
-        let tasks: u32 = record.spec.steps.iter().map(|s| s.count).sum();
+        let tasks = record.spec.tasks();
         log::info!(job:% = key, queue:% = record.queue.prefix, tasks = tasks, age:% = age, inherited = inherited; "job accepted from the store");
         let arrival = self.next_arrival();
         let job = Job::new(
@@ -87,6 +87,10 @@
                 if due > wall {
                     break;
                 }
+                if !job.has_room_for_occurrence() {
+                    log::debug!(job:% = key, occurrence = job.begun, late:% = wall.since(due); "occurrence waits: too many have not ended");
+                    break;
+                }
                 log::info!(job:% = key, occurrence = job.begun, late:% = wall.since(due); "occurrence begun");
                 let number = job.begun;
                 job.begin(number, local_time(due, wall, now), None);
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -5,7 +5,7 @@
 use arcstr::ArcStr;
 
 use super::confirmation::Arrival;
-use super::job_spec::{JobRecord, Run, Step, TaskKey};
+use super::job_spec::{JobRecord, MAX_TASKS_PER_JOB, Run, Step, TaskKey};
 use super::progress::{
     Crash, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes, TaskProgress,
 };
@@ -108,6 +108,10 @@
     }
 }
 
+/// Maximum number of occurrences of a job that have begun and not ended. Without a limit, a
+/// schedule whose occurrences are all due would take any amount of memory at once.
+const MAX_OPEN_OCCURRENCES: usize = 1_000;
+
 #[derive(Debug)]
 pub(crate) struct Occurrence {
     pub(crate) number: u32,
@@ -214,7 +218,7 @@
                 })
                 .collect(),
         };
-        self.begun = self.begun.max(number + 1);
+        self.begun = self.begun.max(number.saturating_add(1));
         self.occurrences.push(Occurrence {
             number,
             since,
@@ -263,6 +267,15 @@
         })
     }
 
+    /// Whether one more occurrence may begin beside those that have not ended.
+    pub(crate) fn has_room_for_occurrence(&self) -> bool {
+        let open = self.occurrences.iter();
+        let open = open.filter(|o| !o.steps.iter().all(StepState::is_done));
+        let open = open.take(MAX_OPEN_OCCURRENCES).count();
+        let tasks = self.record.spec.tasks().saturating_mul(open as u64 + 1);
+        open == 0 || (open < MAX_OPEN_OCCURRENCES && tasks <= MAX_TASKS_PER_JOB)
+    }
+
     /// Whether every occurrence has begun and all its tasks have succeeded.
     pub(crate) fn is_complete(&self) -> bool {
         self.begun >= self.record.spec.occurrences()
@@ -281,10 +294,11 @@
     pub(crate) fn remaining_work(&self, occurrence: &Occurrence) -> u64 {
         let left = |(spec, state): (&Step, &StepState)| {
             let tasks = u64::from(spec.count - state.done);
-            tasks * spec.size.cpu.0 * spec.estimate.as_millis() / 1_000
+            let work = tasks.saturating_mul(spec.size.cpu.0);
+            work.saturating_mul(spec.estimate.as_millis()) / 1_000
         };
         let steps = self.record.spec.steps.iter().zip(&occurrence.steps);
-        steps.map(left).sum()
+        steps.map(left).fold(0, u64::saturating_add)
     }
 
     /// Estimated duration of the longest chain of dependent steps of the job.
--- a/crates/jujubelb/src/dispatch/job_spec.rs
+++ b/crates/jujubelb/src/dispatch/job_spec.rs
@@ -159,6 +159,12 @@
     /// The job has no steps.
     #[error("the job has no steps")]
     NoSteps,
+    /// The job has more than [`MAX_STEPS`].
+    #[error("the job has more than {MAX_STEPS} steps")]
+    StepCount,
+    /// The steps have more than [`MAX_TASKS_PER_JOB`] together.
+    #[error("the steps have more than {MAX_TASKS_PER_JOB} tasks together")]
+    JobTaskCount,
     /// The step with this index has no tasks or more than [`MAX_TASKS_PER_STEP`].
     #[error("step {0} has no tasks or more than {MAX_TASKS_PER_STEP}")]
     TaskCount(usize),
@@ -173,6 +179,15 @@
 /// Maximum number of tasks in a step. Bounds the memory that one submission can claim.
 pub const MAX_TASKS_PER_STEP: u32 = 10_000;
 
+/// Maximum number of steps of a job. The chains of steps are calculated in a time that grows
+/// with the square of their number: 60,000 steps, which fit a body of 1 MiB, would hold up
+/// the leader for seconds.
+pub const MAX_STEPS: usize = 1_000;
+
+/// Maximum number of tasks of an occurrence of a job. Each takes about 150 bytes of the leader's
+/// memory.
+pub const MAX_TASKS_PER_JOB: u64 = 100_000;
+
 /// Maximum length of a payload; the platform's limit for the field.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 
@@ -182,6 +197,9 @@
         if self.steps.is_empty() {
             return Err(JobSpecError::NoSteps);
         }
+        if self.steps.len() > MAX_STEPS {
+            return Err(JobSpecError::StepCount);
+        }
         if self.payload.len() > MAX_PAYLOAD_BYTES {
             return Err(JobSpecError::PayloadLength);
         }
@@ -193,9 +211,17 @@
                 return Err(JobSpecError::Dependency(i));
             }
         }
+        if self.tasks() > MAX_TASKS_PER_JOB {
+            return Err(JobSpecError::JobTaskCount);
+        }
         Ok(())
     }
 
+    /// Number of tasks of one occurrence.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|s| u64::from(s.count)).sum()
+    }
+
     /// Number of occurrences; 1 for a job without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |s| s.count.max(1))
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -42,7 +42,8 @@
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
 pub use job_spec::{
-    JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_TASKS_PER_STEP, QueueSettings,
+    JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_JOB,
+    MAX_TASKS_PER_STEP, QueueSettings,
     Run, Schedule, Step, StepKey, TaskKey,
 };
 pub use poll::{PollReply, PollRequest, RunCompletion, RunOutcome, RunStatus};
--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -11,7 +11,7 @@
 use super::job_spec::{Step, StepKey};
 use super::pace::Headrooms;
 use super::worker::{JobInterference, TrackedRun, Worker};
-use crate::model::{DomainName, ServiceName, Time};
+use crate::model::{DomainName, Millicores, ServiceName, Time};
 use crate::place::headroom::{HeadroomEstimate, Slopes};
 
 /// Cost of running on another rack than the data. The capacity left unused costs at most
@@ -97,8 +97,8 @@
 ) -> bool {
     let step = request.step;
     // Most workers are full, so the cheapest check of what is free comes first.
-    let free_memory = worker.report.capacity.memory.0;
-    if worker.load.reserved.memory.0 + step.size.memory.0 > free_memory
+    let capacity = worker.report.capacity;
+    if worker.load.reserved.memory + step.size.memory > capacity.memory
         || worker.report.service != *request.service
         || !worker.accepts_start(request.may_probe, now)
         || evacuated.contains(&worker.report.domain)
@@ -119,14 +119,14 @@
     let mut size = step.size;
     if step.best_effort {
         size.cpu.0 = 0;
-        if worker.load.cpu_demand + step.size.cpu.0 > worker.report.capacity.cpu.0 {
+        if worker.load.cpu_demand.saturating_add(step.size.cpu.0) > capacity.cpu.0 {
             return false;
         }
     }
     let mut required = worker.load.reserved + size;
     if step.long_running && request.keep_reserve {
-        let share = worker.report.capacity.cpu.0 * SHORT_TASK_RESERVE_PERCENT / 100;
-        required.cpu.0 += share.min(step.size.cpu.0);
+        let share = capacity.cpu.0 * SHORT_TASK_RESERVE_PERCENT / 100;
+        required.cpu += Millicores(share.min(step.size.cpu.0));
     }
     if !required.fits(&worker.report.capacity) {
         return false;
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -5,6 +5,7 @@
 mod commits;
 mod crashes;
 mod encoding;
+mod extreme_jobs;
 mod gangs;
 mod health;
 mod interference;
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -204,7 +204,7 @@
         } else {
             self.reserved += size;
         }
-        self.cpu_demand += tracked.cpu_demand();
+        self.cpu_demand = self.cpu_demand.saturating_add(tracked.cpu_demand());
         self.serving_tasks += u32::from(tracked.target.is_some());
         self.suspects += u32::from(tracked.isolation > Isolation::None);
         self.lone_suspects += u32::from(tracked.isolation == Isolation::Alone);
@@ -233,7 +233,7 @@
     /// Expected processor time of the run at full pace, in millicores.
     pub(crate) fn cpu_demand(&self) -> u64 {
         if self.target.is_some() {
-            self.size.cpu.0 * SERVING_CPU_PERCENT / 100
+            self.size.cpu.0.saturating_mul(SERVING_CPU_PERCENT) / 100
         } else if self.usage > 0 && self.pace == 100 {
             self.usage
         } else {
--- a/crates/jujubelb/src/http/body.rs
+++ b/crates/jujubelb/src/http/body.rs
@@ -15,9 +15,12 @@
 
 /// Reads a complete body of at most `limit` bytes.
 pub(crate) async fn read(data: Data<'_>, limit: Bytes) -> Result<Vec<u8>, Failure> {
-    let mut stream = data.open((limit.0 + MAX_DISCARDED_BYTES).bytes());
+    let mut stream = data.open(limit.0.saturating_add(MAX_DISCARDED_BYTES).bytes());
     let mut body = Vec::new();
-    let read = (&mut stream).take(limit.0 + 1).read_to_end(&mut body).await;
+    let read = (&mut stream)
+        .take(limit.0.saturating_add(1))
+        .read_to_end(&mut body)
+        .await;
     read.map_err(|error| {
         Failure::new(Code::Malformed, format!("the body is incomplete: {error}"))
     })?;
--- a/crates/jujubelb/src/model/unit.rs
+++ b/crates/jujubelb/src/model/unit.rs
@@ -1,27 +1,15 @@
 //! Units of time and resources.
 
-use std::ops::{Add, Sub};
+use std::iter::Sum;
+use std::ops::{Add, AddAssign, Sub};
 use std::time::Duration;
 
-use derive_more::{Add as DeriveAdd, AddAssign, From, Into, Sum};
+use derive_more::{From, Into};
 use serde::{Deserialize, Serialize};
 
 /// A duration in microseconds.
 #[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    DeriveAdd,
-    AddAssign,
-    Sum,
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Span(u64);
@@ -37,12 +25,12 @@
 
     /// A span of `ms` milliseconds.
     pub const fn from_millis(ms: u64) -> Self {
-        Self(ms * 1_000)
+        Self(ms.saturating_mul(1_000))
     }
 
     /// A span of `s` seconds.
     pub const fn from_secs(s: u64) -> Self {
-        Self(s * 1_000_000)
+        Self(s.saturating_mul(1_000_000))
     }
 
     /// The span in microseconds.
@@ -72,7 +60,7 @@
 
     /// The span multiplied by `num / den`, rounded up.
     pub const fn scale_up(self, num: u64, den: u64) -> Self {
-        Self((self.0 * num).div_ceil(den))
+        Self(self.0.saturating_mul(num).div_ceil(den))
     }
 }
 
@@ -112,7 +100,7 @@
 
             /// The instant `ms` milliseconds after the zero point of the clock.
             pub const fn from_millis(ms: u64) -> Self {
-                Self(ms * 1_000)
+                Self(ms.saturating_mul(1_000))
             }
 
             /// Microseconds since the zero point of the clock.
@@ -168,9 +156,6 @@
     Hash,
     Serialize,
     Deserialize,
-    DeriveAdd,
-    AddAssign,
-    Sum,
     From,
     Into,
 )]
@@ -190,9 +175,6 @@
     Hash,
     Serialize,
     Deserialize,
-    DeriveAdd,
-    AddAssign,
-    Sum,
     From,
     Into,
 )]
@@ -202,30 +184,55 @@
 impl Bytes {
     /// A size of `n` mebibytes.
     pub const fn from_mib(n: u64) -> Self {
-        Self(n << 20)
+        Self(n.saturating_mul(1 << 20))
     }
 
     /// A size of `n` gibibytes.
     pub const fn from_gib(n: u64) -> Self {
-        Self(n << 30)
+        Self(n.saturating_mul(1 << 30))
     }
 }
 
+/// Sums that stay at the largest value where they would overflow. Amounts come from outside,
+/// and a sum that starts again from zero would fit any limit.
+macro_rules! saturating_sums {
+    ($($name:ident |$a:ident, $b:ident| $sum:expr;)*) => {$(
+        impl Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                let ($a, $b) = (self, other);
+                $sum
+            }
+        }
+
+        impl AddAssign for $name {
+            fn add_assign(&mut self, other: Self) {
+                *self = *self + other;
+            }
+        }
+
+        impl Sum for $name {
+            fn sum<I: Iterator<Item = Self>>(amounts: I) -> Self {
+                amounts.fold(Self::default(), Self::add)
+            }
+        }
+    )*};
+}
+
+saturating_sums! {
+    Span |a, b| Self(a.0.saturating_add(b.0));
+    Millicores |a, b| Self(a.0.saturating_add(b.0));
+    Bytes |a, b| Self(a.0.saturating_add(b.0));
+    Resources |a, b| Self {
+        cpu: a.cpu + b.cpu,
+        memory: a.memory + b.memory,
+        accelerators: a.accelerators.saturating_add(b.accelerators),
+    };
+}
+
 /// An amount of each resource that a worker has or a task uses.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    Serialize,
-    Deserialize,
-    DeriveAdd,
-    AddAssign,
-    Sum,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Resources {
     /// Processor time in thousandths of a core.
     pub cpu: Millicores,
