Start nothing and extend no lease once the leader's grace period is over

Callers could see a task run twice. The next leader waits 22 s for workers that it can't reach, since the one before goes on for at most 12 s after its last renewal. But that bound was only compared when a renewal had failed. A leader that was paused for longer and then cut from the store polled and planned for up to 0.9 s more. A worker that the next leader had not reached obeyed it: the simulation shows the task of an expired run started there while it ran elsewhere.

Each pass and each poll now compares the time of the last renewal. After 12 s nothing is started, and polls extend no lease; a renewal that succeeds ends this state.

A second way: an order that is held back while its worker restarts under its name. The clock of the new incarnation starts anew and it has seen no token, so that neither refuses the order. A start that was planned more than 2.5 s ago is not sent now. Not ruled out: a pause between this check and the call, a relay that is paused, and an order that is delayed on its way to such a worker, since an order can't name an incarnation. Nor does the clock of the process count the suspension of a machine; the next leader allows 4 s for that.

Ruled out by tests: orders sent after their deadline, after the next leader has fenced the worker, and to workers that it does not reach, for pauses from 0.1 to 30 s.

Evidence: paused_leaders.

simulation.rs notes a renewal in each step, as the leader process does.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -237,6 +237,7 @@
             }
             self.row.commit_time += began.elapsed();
             let began = Instant::now();
+            self.dispatcher.set_lease_renewed(self.now);
             let orders = self.dispatcher.plan(wall(self.now), self.now);
             self.row.pass_time += began.elapsed();
             self.row.passes += 1;
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -43,14 +43,13 @@
 pub use confirmation::Arrival;
 pub use job_spec::{
     JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_JOB,
-    MAX_TASKS_PER_STEP, QueueSettings,
-    Run, Schedule, Step, StepKey, TaskKey,
+    MAX_TASKS_PER_STEP, QueueSettings, Run, Schedule, Step, StepKey, TaskKey,
 };
 pub use poll::{PollReply, PollRequest, RunCompletion, RunOutcome, RunStatus};
 pub use progress::{
     Crash, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes, TaskProgress,
 };
-pub use replies::{Refusal, StartReply, StopReply};
+pub use replies::{Refusal, StartReply, StopReply, is_start_overdue};
 pub use tickets::{TicketGrant, TicketRequest};
 pub use worker::{Incarnation, WorkerReport};
 
@@ -178,6 +177,10 @@
     bounds: Bounds,
     /// When the previous leader was known to have stopped, otherwise when this term began.
     takeover: Time,
+    /// When the last successful renewal of the leader's lease was sent. Nothing is started and
+    /// no worker's lease is extended later than [`LEADER_GRACE`] after it, since the next leader
+    /// counts on that for workers that it can't reach.
+    renewed: Time,
     /// Whether all workers on which earlier terms may have started tasks have answered,
     /// or their leases have expired. Until then inherited tasks are not started.
     inherited_resolved: bool,
@@ -239,6 +242,7 @@
                 ..bounds
             },
             takeover: now,
+            renewed: now,
             inherited_resolved: roster.workers.is_empty(),
             jobs: FastMap::default(),
             workers: FastMap::default(),
@@ -285,6 +289,17 @@
         }
     }
 
+    /// Sets when the last successful renewal of the leader's lease was sent.
+    pub fn set_lease_renewed(&mut self, sent: Time) {
+        self.renewed = sent;
+    }
+
+    /// Whether the term may still start runs and extend the leases of workers. A process that
+    /// was paused may find the grace period over before any of its calls tells that.
+    fn is_within_grace(&self, now: Time) -> bool {
+        now.since(self.renewed) <= LEADER_GRACE
+    }
+
     /// Whether no earlier leader can still act: all are known to have stopped, or every worker
     /// on which they may have started tasks has seen this term's token, or its lease has
     /// expired.
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -65,7 +65,9 @@
         self.decay_slopes(now);
         self.stop_unwanted(&mut orders, now);
         self.adjust_paces(&mut orders, now);
-        self.start_ready(&mut orders, now);
+        if self.is_within_grace(now) {
+            self.start_ready(&mut orders, now);
+        }
         orders
     }
 
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -68,8 +68,8 @@
 pub struct PollRequest {
     /// Address of the worker.
     pub address: SocketAddr,
-    /// New lease deadline on the worker's clock; `None` until the clock is known, and after a
-    /// poll that was not answered.
+    /// New lease deadline on the worker's clock; `None` until the clock is known, after a poll
+    /// that was not answered, and once the leader's grace period is over.
     pub lease_deadline: Option<WorkerTime>,
     /// Highest sequence number of a completion that the worker may forget.
     pub acknowledged: u64,
@@ -113,9 +113,11 @@
 impl Dispatcher {
     /// Parameters of the next poll of a worker; `None` once the worker has been removed.
     pub fn poll(&mut self, name: &WorkerName, now: Time) -> Option<PollRequest> {
+        let may_extend = self.is_within_grace(now);
         let worker = self.workers.get_mut(name)?;
         let lease = self.bounds.max_lease;
-        let clock = worker.min_clock(now).filter(|_| worker.reachable);
+        let clock = worker.min_clock(now);
+        let clock = clock.filter(|_| worker.reachable && may_extend);
         let deadline = clock.map(|c| c + lease);
         let previous_deadline = worker.lease_deadline;
         if let Some(deadline) = deadline {
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -164,6 +164,14 @@
     }
 }
 
+/// Whether a start order that was planned at `planned` must not be sent any more, since the
+/// process was paused or the worker was busy for too long. The deadline in the order has the
+/// same effect, except on a worker that has restarted in the meantime: its clock starts anew
+/// and it has seen no token.
+pub fn is_start_overdue(planned: Time, now: Time) -> bool {
+    now.since(planned) > START_VALIDITY
+}
+
 /// How long a start order stays valid. Short, because a task whose start got no answer
 /// cannot start elsewhere before. Polls extend the lease of the run well before it ends.
 const START_VALIDITY: Span = Span::from_millis(2_500);
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -12,6 +12,7 @@
 mod leader_changes;
 mod leases;
 mod overlapping_terms;
+mod paused_leaders;
 mod queueing;
 mod stops;
 mod tickets;
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -402,6 +402,7 @@
             self.commit();
             let arrived = self.dispatcher.last_arrival();
             self.dispatcher.term_confirmed(arrived);
+            self.dispatcher.set_lease_renewed(self.now);
             let orders = self.dispatcher.plan(self.wall(), self.now);
             for order in orders {
                 self.execute(&order);
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -18,7 +18,7 @@
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::{
     Arrival, Commit, Dispatcher, InterferenceModel, JobKey, JobRecord, LEADER_GRACE, Order,
-    Progress, Roster, WorkerOrder,
+    Progress, Roster, StartReply, WorkerOrder, is_start_overdue,
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
@@ -125,6 +125,8 @@
     hands_over: AtomicBool,
     /// Number of workers noted by earlier terms; 0 if it is not known.
     noted_workers: u32,
+    /// When the last successful renewal of the leader's lease was sent.
+    renewed: Arc<Mutex<Time>>,
 }
 
 impl ActiveTerm {
@@ -200,7 +202,7 @@
         renewed.clone(),
     ));
     let loaded = tokio::select! {
-        loaded = load_term(node, &win) => loaded,
+        loaded = load_term(node, &win, renewed.clone()) => loaded,
         _ = tasks.join_next() => None,
     };
     let mut end = TermEnd {
@@ -386,7 +388,11 @@
 }
 
 /// Loads the state that earlier terms have stored.
-async fn load_term(node: &Node, win: &ElectionWin) -> Option<ActiveTerm> {
+async fn load_term(
+    node: &Node,
+    win: &ElectionWin,
+    renewed: Arc<Mutex<Time>>,
+) -> Option<ActiveTerm> {
     let roster: Roster = read_all_with_retries(node, keys::ROSTER)
         .await
         .into_iter()
@@ -445,6 +451,7 @@
         successors: Mutex::default(),
         hands_over: AtomicBool::new(false),
         noted_workers: win.workers,
+        renewed,
     })
 }
 
@@ -670,10 +677,12 @@
     let mut last_arrival = Arrival::default();
     let start_poll = |worker| poll_worker(node.clone(), term.clone(), worker);
     loop {
+        let planned = node.now();
         let (orders, workers, deposed) = {
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
-            let orders = dispatcher.plan(node.wall_time(), node.now());
+            dispatcher.set_lease_renewed(*lock(&term.renewed));
+            let orders = dispatcher.plan(node.wall_time(), planned);
             let unconfirmed = dispatcher.last_arrival();
             if dispatcher.needs_confirmation() && unconfirmed != last_arrival {
                 last_arrival = unconfirmed;
@@ -705,14 +714,15 @@
         }
         polls.restart_failed(start_poll);
         for order in orders {
-            tokio::spawn(send_order(node.clone(), term.clone(), order));
+            tokio::spawn(send_order(node.clone(), term.clone(), order, planned));
         }
         sleep(PLAN_PAUSE).await;
         tokio::select! { () = term.plan_needed.notified() => {}, () = sleep(MAX_PLAN_WAIT) => {} }
     }
 }
 
-async fn send_order(node: Arc<Node>, term: Arc<ActiveTerm>, order: WorkerOrder) {
+/// Sends an order that was planned at `planned`, and passes the answer to the dispatcher.
+async fn send_order(node: Arc<Node>, term: Arc<ActiveTerm>, order: WorkerOrder, planned: Time) {
     let slots = term.order_slots(&order.worker);
     // Stops do not wait behind starts. At most one for each run is outstanding.
     let _permit = match &order.order {
@@ -725,7 +735,10 @@
     let worker = &order.worker;
     match &order.order {
         Order::Start { task, run, .. } => {
-            let reply = term.workers.start(&order).await;
+            let reply = match is_start_overdue(planned, node.now()) {
+                true => StartReply::NotSent,
+                false => term.workers.start(&order).await,
+            };
             lock(&term.dispatcher).start_answered(worker, *task, *run, reply, node.now());
         }
         Order::Stop { task, run } => {
