Refuse a page of a range that does not go on

A page with more to come that ends at or before the key at which the last one ended was read again without end, and its keys were collected until the memory was full. Found by reading. Such a page is now an error that names both keys.

--- a/crates/jujubelb/src/platform/kv.rs
+++ b/crates/jujubelb/src/platform/kv.rs
@@ -155,6 +155,21 @@
     store_revision: Revision,
 }
 
+impl RangeResponse {
+    /// Key after which the next page begins; `None` if this is the last page. `after` is the
+    /// key after which this page begins. A page that does not go on from there is an error,
+    /// since reading on would never end.
+    fn next(&self, after: &str) -> Result<Option<String>, String> {
+        match self.items.last().filter(|_| self.has_more) {
+            Some(last) if last.key.as_str() <= after => Err(format!(
+                "the page after the key `{after}` ends at `{}`",
+                last.key
+            )),
+            last => Ok(last.map(|item| item.key.clone())),
+        }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct WatchResponse {
     events: Vec<WireKeyState>,
@@ -248,16 +263,18 @@
             }
             let page: RangeResponse = response.json()?;
             revision.get_or_insert(page.store_revision);
-            if let Some(last) = page.items.last() {
-                after.clone_from(&last.key);
-            }
-            let more = page.has_more && !page.items.is_empty();
+            let next = page
+                .next(&after)
+                .map_err(|reason| CallError::UnreadableBody(self.address, reason))?;
             items.extend(page.items.into_iter().filter_map(decode_key_state));
-            if !more {
-                return Ok(ReadResult {
-                    content: items,
-                    revision: revision.unwrap_or_default(),
-                });
+            match next {
+                Some(key) => after = key,
+                None => {
+                    return Ok(ReadResult {
+                        content: items,
+                        revision: revision.unwrap_or_default(),
+                    });
+                }
             }
         }
     }
@@ -416,3 +433,16 @@
         revision: item.revision,
     })
 }
+
+/// Decodes a page of a range that begins after a key, and the key after which the next one
+/// begins; for tests of the format.
+#[cfg(test)]
+pub(crate) fn decode_page(
+    bytes: &[u8],
+    after: &str,
+) -> Result<(Vec<KeyState>, Option<String>), String> {
+    let page: RangeResponse = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+    let next = page.next(after)?;
+    let items = page.items.into_iter().filter_map(decode_key_state);
+    Ok((items.collect(), next))
+}
