Refuse numbers out of range instead of taking others for them

Negative estimates, targets, objectives and settings were taken for zero, times above the largest span for that span, and memory of 2^44 MiB for none, since its high bits were shifted out.

Numbers are decoded into types with ranges, and an error names the number and the range. The remaining time of a draining worker may still be negative, because it may have passed. A queue with such a number is ignored like any other that can't be decoded.

--- a/crates/jujubelb/src/platform/jobs.rs
+++ b/crates/jujubelb/src/platform/jobs.rs
@@ -3,8 +3,9 @@
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
 
+use super::numbers::{Cpu, Mebibytes, Millis};
 use crate::dispatch::{JobSpec, JobStatus, Schedule, Step};
-use crate::model::{Bytes, Resources, Span, WallTime};
+use crate::model::{Resources, Span, WallTime};
 
 #[derive(Debug, Deserialize)]
 struct WireJob {
@@ -14,9 +15,9 @@
     steps: Vec<WireStep>,
     /// Start of the first occurrence in milliseconds since the Unix epoch.
     #[serde(default)]
-    first_run_ms: Option<f64>,
+    first_run_ms: Option<Millis>,
     #[serde(default)]
-    interval_ms: Option<f64>,
+    interval_ms: Option<Millis>,
     /// Number of occurrences; 0 for a job that runs once, without a schedule.
     #[serde(default)]
     repeat_count: u32,
@@ -28,15 +29,15 @@
     count: u32,
     /// Millicores per task.
     #[serde(default)]
-    cpu: u64,
+    cpu: Cpu,
     /// Mebibytes of memory per task.
     #[serde(default)]
-    mem_mb: u64,
+    mem_mb: Mebibytes,
     /// Accelerators per task.
     #[serde(default)]
     gpu: u32,
     #[serde(default)]
-    estimate_ms: f64,
+    estimate_ms: Millis,
     /// Indices of earlier steps that have to be done first.
     #[serde(default)]
     after: Vec<u16>,
@@ -65,7 +66,7 @@
     image: Option<ArcStr>,
     /// Bound for the tail latency of a long-running task; 0 for none.
     #[serde(default)]
-    target_ms: f64,
+    target_ms: Millis,
     /// Whether the tasks are best-effort: they use only processor time that others leave.
     #[serde(default)]
     fills: bool,
@@ -74,10 +75,6 @@
     may_miss: Option<u32>,
 }
 
-fn span_from_millis(ms: f64) -> Span {
-    Span::from_micros((ms.max(0.0) * 1e3) as u64)
-}
-
 fn non_empty(value: Option<ArcStr>) -> Option<ArcStr> {
     value.filter(|v| !v.is_empty())
 }
@@ -86,8 +83,8 @@
 pub fn decode_submission(bytes: &[u8]) -> Result<JobSpec, serde_json::Error> {
     let job: WireJob = serde_json::from_slice(bytes)?;
     let schedule = (job.repeat_count > 0).then(|| Schedule {
-        first: WallTime::from_micros((job.first_run_ms.unwrap_or(0.0).max(0.0) * 1e3) as u64),
-        interval: span_from_millis(job.interval_ms.unwrap_or(0.0)),
+        first: WallTime::ZERO + job.first_run_ms.unwrap_or_default().0,
+        interval: job.interval_ms.unwrap_or_default().0,
         count: job.repeat_count,
     });
     Ok(JobSpec {
@@ -100,8 +97,8 @@
 fn decode_step(step: WireStep) -> Step {
     Step {
         count: step.count,
-        size: Resources::new(step.cpu, Bytes::from_mib(step.mem_mb).0, step.gpu),
-        estimate: span_from_millis(step.estimate_ms),
+        size: Resources::new(step.cpu.0, step.mem_mb.0.0, step.gpu),
+        estimate: step.estimate_ms.0,
         after: step.after,
         checkpoints: step.checkpoints,
         gang: step.gang,
@@ -112,7 +109,7 @@
         speculative: step.speculative,
         long_running: step.long_running,
         image: non_empty(step.image),
-        target: (step.target_ms > 0.0).then(|| span_from_millis(step.target_ms)),
+        target: Some(step.target_ms.0).filter(|&target| target > Span::ZERO),
         best_effort: step.fills,
         max_unavailable: step.may_miss,
     }
--- a/crates/jujubelb/src/platform/mod.rs
+++ b/crates/jujubelb/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod jobs;
 mod kv;
+mod numbers;
 mod policy_service;
 mod settings;
 mod store_entries;
--- a/crates/jujubelb/src/platform/policy_service.rs
+++ b/crates/jujubelb/src/platform/policy_service.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::client::{CallError, HttpClient, HttpRequest};
+use super::numbers::Millis;
 use crate::dispatch::{TicketGrant, TicketRequest};
 use crate::model::{Span, WorkerName};
 
@@ -26,7 +27,7 @@
     #[serde(default)]
     granted: Vec<(WorkerName, ArcStr)>,
     /// How long the tickets are valid.
-    valid_ms: f64,
+    valid_ms: Millis,
 }
 
 /// Client of the policy service.
@@ -71,7 +72,7 @@
 fn decode_wire_grant(wire: WireTicketGrant) -> TicketGrant {
     TicketGrant {
         tickets: wire.granted,
-        lifetime: Span::from_micros((wire.valid_ms.max(0.0) * 1e3) as u64),
+        lifetime: wire.valid_ms.0,
     }
 }
 
--- a/crates/jujubelb/src/platform/settings.rs
+++ b/crates/jujubelb/src/platform/settings.rs
@@ -6,6 +6,7 @@
 use eyre::{Context, OptionExt, Result};
 use serde::Deserialize;
 
+use super::numbers::{Millis, Ratio, Seconds};
 use crate::dispatch::Bounds;
 use crate::model::{DomainName, HostName, Span};
 use crate::node::HostSettings;
@@ -39,41 +40,41 @@
 #[derive(Debug, Deserialize)]
 struct WireLimits {
     /// Share of each core that the host may use.
-    cpu_share: f64,
+    cpu_share: Ratio,
     #[serde(default = "one_core")]
-    cores: f64,
+    cores: Ratio,
     /// Speed of the host's network link.
     #[serde(default = "default_link")]
-    link_mbps: f64,
+    link_mbps: Ratio,
 }
 
 /// Assumed speed of a link whose speed the settings don't name, in Mbit/s.
-fn default_link() -> f64 {
-    1_000.0
+fn default_link() -> Ratio {
+    Ratio(1_000.0)
 }
 
-fn one_core() -> f64 {
-    1.0
+fn one_core() -> Ratio {
+    Ratio(1.0)
 }
 
 #[derive(Debug, Deserialize)]
 struct WireBounds {
     /// Time from the stop signal until the platform kills the process.
-    grace_s: f64,
+    grace_s: Seconds,
     /// Longest lease of what runs on a worker.
-    hold_max_ms: f64,
+    hold_max_ms: Millis,
     /// Longest time that stopping a run takes.
-    stop_ms: f64,
+    stop_ms: Millis,
     /// How early an occurrence may start.
     #[serde(default)]
-    early_ms: f64,
+    early_ms: Millis,
     /// Factor by which a task takes longer away from its data.
     #[serde(default = "no_factor")]
-    remote_factor: f64,
+    remote_factor: Ratio,
 }
 
-fn no_factor() -> f64 {
-    1.0
+fn no_factor() -> Ratio {
+    Ratio(1.0)
 }
 
 #[derive(Debug, Deserialize)]
@@ -82,15 +83,11 @@
     address: SocketAddr,
     /// Shortest lease that the store grants.
     #[serde(default = "shortest_lease")]
-    ttl_min_ms: f64,
+    ttl_min_ms: Millis,
 }
 
-fn shortest_lease() -> f64 {
-    1_000.0
-}
-
-fn span_from_millis(ms: f64) -> Span {
-    Span::from_micros((ms.max(0.0) * 1e3) as u64)
+fn shortest_lease() -> Millis {
+    Millis(Span::from_secs(1))
 }
 
 /// Reads the settings file.
@@ -121,15 +118,15 @@
                     .wrap_err("advice must be an IP address with a port")?,
             ),
         },
-        min_lease_ttl: span_from_millis(wire.platform.ttl_min_ms),
-        cpu_cores: wire.limits.cpu_share * wire.limits.cores.max(1.0),
-        link_mbps: wire.limits.link_mbps,
-        stop_grace: span_from_millis(wire.bounds.grace_s * 1e3),
+        min_lease_ttl: wire.platform.ttl_min_ms.0,
+        cpu_cores: wire.limits.cpu_share.0 * wire.limits.cores.0.max(1.0),
+        link_mbps: wire.limits.link_mbps.0,
+        stop_grace: wire.bounds.grace_s.0,
         bounds: Bounds {
-            max_lease: span_from_millis(wire.bounds.hold_max_ms),
-            max_stop: span_from_millis(wire.bounds.stop_ms),
-            max_early_start: span_from_millis(wire.bounds.early_ms),
-            remote_factor: wire.bounds.remote_factor,
+            max_lease: wire.bounds.hold_max_ms.0,
+            max_stop: wire.bounds.stop_ms.0,
+            max_early_start: wire.bounds.early_ms.0,
+            remote_factor: wire.bounds.remote_factor.0,
         },
     })
 }
--- a/crates/jujubelb/src/platform/store_entries.rs
+++ b/crates/jujubelb/src/platform/store_entries.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::numbers::{Cpu, Mebibytes, Millis, Ratio};
 use crate::dispatch::{Incarnation, QueueSettings, WorkerReport};
 use crate::model::{Bytes, DomainName, Resources, ServiceName, Span, WorkerName};
 
@@ -57,15 +58,15 @@
     host: ArcStr,
     prefix: ArcStr,
     service: ServiceName,
-    timeout_ms: Option<u64>,
+    timeout_ms: Option<Millis>,
     /// Fixed part of the duration objective of a job.
-    target_duration_ms: Option<f64>,
+    target_duration_ms: Option<Millis>,
     /// 0 goes first.
     priority: Option<u8>,
     /// Failed runs of a task after which its job has failed.
     max_attempts: Option<u32>,
     /// Part of the objective as a multiple of the job's longest chain of work.
-    slack_factor: Option<f64>,
+    slack_factor: Option<Ratio>,
     /// Present if the queue has a policy service.
     advice: Option<WireAdvice>,
 }
@@ -73,7 +74,7 @@
 #[derive(Debug, Deserialize)]
 struct WireAdvice {
     /// How long a ticket of the policy service is valid.
-    valid_ms: Option<u64>,
+    valid_ms: Option<Millis>,
 }
 
 /// Body limit if the configuration sets none.
@@ -112,20 +113,16 @@
 
 fn decode_queue(route: WireRoute) -> QueueConfig {
     QueueConfig {
-        timeout: route.timeout_ms.map_or(DEFAULT_TIMEOUT, Span::from_millis),
+        timeout: route.timeout_ms.map_or(DEFAULT_TIMEOUT, |t| t.0),
         settings: QueueSettings {
             host: route.host,
             prefix: route.prefix,
             service: route.service,
             priority: route.priority.unwrap_or(0),
             attempts: route.max_attempts.unwrap_or(DEFAULT_MAX_ATTEMPTS).max(1),
-            slack_factor: route.slack_factor.unwrap_or(1.0),
-            target_duration: Span::from_micros(
-                (route.target_duration_ms.unwrap_or(0.0) * 1e3) as u64,
-            ),
-            ticket_lifetime: route
-                .advice
-                .map(|a| Span::from_millis(a.valid_ms.unwrap_or(0))),
+            slack_factor: route.slack_factor.map_or(1.0, |factor| factor.0),
+            target_duration: route.target_duration_ms.unwrap_or_default().0,
+            ticket_lifetime: route.advice.map(|a| a.valid_ms.unwrap_or_default().0),
         },
     }
 }
@@ -159,10 +156,10 @@
 struct WireCapacity {
     /// In millicores.
     #[serde(default)]
-    cpu: u64,
+    cpu: Cpu,
     /// In mebibytes.
     #[serde(default)]
-    mem_mb: u64,
+    mem_mb: Mebibytes,
     /// Number of accelerators.
     #[serde(default)]
     gpu: u32,
@@ -179,6 +176,7 @@
             return None;
         }
     };
+    // A time that has passed is reported as negative; the worker may stop at once.
     let remaining_ms = entry.drain_remaining_ms.unwrap_or(0.0).max(0.0);
     Some(WorkerReport {
         name: WorkerName::new(name),
@@ -187,11 +185,7 @@
         domain: entry.zone,
         rack: entry.labels.get(1).cloned(),
         labels: entry.labels,
-        capacity: Resources::new(
-            entry.room.cpu,
-            Bytes::from_mib(entry.room.mem_mb).0,
-            entry.room.gpu,
-        ),
+        capacity: Resources::new(entry.room.cpu.0, entry.room.mem_mb.0.0, entry.room.gpu),
         drain_remaining: (entry.state == WireState::Draining)
             .then(|| Span::from_micros((remaining_ms * 1e3) as u64)),
         incarnation: entry.born,
