Refuse a poll reply with an unreadable row of a task

A row that could not be decoded was logged and left out. A run without a row counts as ended, and its task was started again; an end without a row was acknowledged with the later ones and forgotten, so that a task that was done ran again. Found by reading; no worker has sent such a row.

Such a reply is now refused as a whole, like one that can't be parsed, and the worker counts as unreachable until it sends another one. Rows of names that are no tasks are ignored as before. Percentages, usages and the clock are refused out of range.

--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use super::client::{CallError, HttpClient, HttpRequest, HttpResponse};
+use super::numbers::Millis;
 use crate::dispatch::{
     Incarnation, Order, PollReply, PollRequest, Refusal, Run, RunCompletion, RunOutcome, RunStatus,
     StartReply, StopReply, TaskKey, WorkerOrder,
@@ -22,6 +23,9 @@
 /// Header that names the worker instance for which a request is meant.
 const EXPECTED_INSTANCE_HEADER: &str = "Expect-Instance";
 
+/// Largest usage of a run, in milliseconds or millicores: sums of thousands can be calculated.
+const MAX_AMOUNT: f64 = 1e12;
+
 #[derive(Debug, Serialize)]
 struct WireStart<'a> {
     task: String,
@@ -74,7 +78,7 @@
 #[derive(Debug, Deserialize)]
 struct WirePollReply {
     /// The worker's clock.
-    clock_ms: f64,
+    clock_ms: Millis,
     /// Incarnation of the worker.
     #[serde(default)]
     born: Option<Incarnation>,
@@ -245,10 +249,9 @@
             .post(request.address, worker, "/hold", &body, timeout)
             .await?;
         match response.status {
-            StatusCode::OK => Ok(PollResult::Reply(decode_poll_reply(
-                worker,
-                response.json()?,
-            ))),
+            StatusCode::OK => decode_poll_reply(worker, response.json()?)
+                .map(PollResult::Reply)
+                .map_err(|reason| CallError::UnreadableBody(request.address, reason)),
             StatusCode::CONFLICT if decode_refusal(&response) == Refusal::Fence => {
                 Ok(PollResult::Fenced)
             }
@@ -278,39 +281,72 @@
     }
 }
 
-/// Rows that can't be decoded are logged and ignored.
-fn decode_poll_reply(worker: &WorkerName, reply: WirePollReply) -> PollReply {
-    let warn_unreadable = |row: &Vec<Value>, list: &str| {
-        log::warn!(worker:% = worker, list = list, row:? = row; "row in a worker's poll reply can't be decoded; ignored");
-    };
-    let running = reply.running.iter().filter_map(|row| {
-        let decoded = decode_run_status(row);
-        if decoded.is_none() {
-            warn_unreadable(row, "running");
-        }
-        decoded
-    });
-    let finished = reply.finished.iter().filter_map(|row| {
-        let decoded = decode_run_completion(row);
-        if decoded.is_none() {
-            warn_unreadable(row, "finished");
-        }
-        decoded
-    });
-    PollReply {
+/// Decodes a reply to a poll. A row of a task that can't be read is an error: without it, a
+/// run would count as ended, or its end as acknowledged, and the task would start again. Rows
+/// of tasks that are none of this system's are logged and ignored.
+fn decode_poll_reply(worker: &WorkerName, reply: WirePollReply) -> Result<PollReply, String> {
+    let decode_rows = RowDecoder { worker };
+    Ok(PollReply {
         incarnation: reply.born,
-        clock: WorkerTime::from_micros((reply.clock_ms.max(0.0) * 1e3) as u64),
-        running: running.collect(),
-        finished: finished.collect(),
+        clock: WorkerTime::ZERO + reply.clock_ms.0,
+        running: decode_rows.decode("running", 0, &reply.running, decode_run_status)?,
+        finished: decode_rows.decode("finished", 1, &reply.finished, decode_run_completion)?,
+    })
+}
+
+/// Decodes the rows of a worker's reply.
+struct RowDecoder<'a> {
+    worker: &'a WorkerName,
+}
+
+impl RowDecoder<'_> {
+    /// Decodes the rows of a list whose column `task` names the task.
+    fn decode<T>(
+        &self,
+        list: &str,
+        task: usize,
+        rows: &[Vec<Value>],
+        decode: impl Fn(&[Value]) -> Option<T>,
+    ) -> Result<Vec<T>, String> {
+        let mut decoded = Vec::with_capacity(rows.len());
+        for row in rows {
+            let named = row.get(task).and_then(Value::as_str);
+            match decode(row) {
+                Some(item) => decoded.push(item),
+                None if named.is_some_and(|name| TaskKey::parse(name).is_none()) => {
+                    log::warn!(worker:% = self.worker, list = list, row:? = row; "row of an unknown task in a worker's poll reply; ignored");
+                }
+                None => {
+                    let row = Value::from(row.clone());
+                    return Err(format!("row {row} of the list `{list}` can't be decoded"));
+                }
+            }
+        }
+        Ok(decoded)
     }
 }
 
+/// Decodes the body of a reply to a poll; for tests of the format.
+#[cfg(test)]
+pub(crate) fn decode_poll(bytes: &[u8]) -> Result<PollReply, String> {
+    let reply = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+    decode_poll_reply(&WorkerName::new("w"), reply)
+}
+
 /// The name of a checkpoint; an empty text stands for none.
 fn decode_checkpoint(value: Option<&Value>) -> Option<ArcStr> {
     let text = value?.as_str()?;
     (!text.is_empty()).then(|| ArcStr::from(text))
 }
 
+/// A percentage, a latency or an amount of processor time, rounded down.
+fn decode_amount(value: &Value) -> Option<u64> {
+    let amount = value.as_f64()?;
+    (0.0..=MAX_AMOUNT)
+        .contains(&amount)
+        .then_some(amount as u64)
+}
+
 /// Decodes a row of a run: `[task, run, checkpoint, percent, usage]`, where `percent` is
 /// the progress or the pace.
 fn decode_run_status(row: &[Value]) -> Option<RunStatus> {
@@ -318,8 +354,8 @@
         task: TaskKey::parse(row.first()?.as_str()?)?,
         run: Run(row.get(1)?.as_u64()?),
         checkpoint: decode_checkpoint(row.get(2)),
-        percent: row.get(3)?.as_f64()? as u32,
-        usage: row.get(4).and_then(Value::as_f64).map_or(0, |u| u as u64),
+        percent: u32::try_from(decode_amount(row.get(3)?)?).ok()?,
+        usage: row.get(4).map_or(Some(0), decode_amount)?,
     })
 }
 
