Fuzz the decoders of what comes from outside

Arbitrary bytes and damaged documents: submissions, configurations, worker entries, poll replies, tickets, pages of the store, settings files, values in the store and messages of other hosts. Places of valid documents are dropped, exchanged or replaced by odd values, texts are cut and altered, keys are repeated, lists are nested deeply. Nothing may panic or go on without end, an error has a text, and what is accepted is within its ranges. Declarations have such a test already.

--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the parts of the process that need no network.
 
 mod candidacy;
+mod decoding;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -1,5 +1,8 @@
 //! Tests of the encoding and decoding of the platform's formats.
 
+mod damage;
+mod fuzzing;
+
 use super::store_entries::{decode_config, decode_worker};
 use super::{decode_submission, encode_job_status, encode_pending_count, settings};
 use crate::dispatch::JobStatus;
