Show that withdrawn keys and workers that left are not in use again

The position of a watch and the effect of the operator's keys are functions of their own now, without a call to the store, so that a test can reach them. Behaviour is unchanged.

Evidence: node::tests::withdrawn and dispatch::tests::withdrawn_workers.

--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -16,5 +16,6 @@
 mod queueing;
 mod stops;
 mod tickets;
+mod withdrawn_workers;
 
 pub(super) use simulation::{Simulation, job, long_running, step};
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -155,37 +155,43 @@
 async fn watch_operator_keys(node: Arc<Node>) {
     let observer = node.clone();
     watch_prefix(node, OPERATOR_KEYS, move |event| {
-        let (all, items) = match event {
-            WatchEvent::Snapshot(items) => (true, items),
-            WatchEvent::Changes(items) => (false, items),
-        };
-        if let Some(config) = items.iter().rfind(|i| i.key == CONFIG_KEY) {
-            apply_config(&observer, config);
+        apply_operator_keys(&observer, event)
+    })
+    .await;
+}
+
+/// Applies the configuration and the evacuated domains. What a snapshot does not hold was
+/// withdrawn, except for the configuration, of which the last one stays active.
+pub(super) fn apply_operator_keys(node: &Node, event: WatchEvent) {
+    let (all, items) = match event {
+        WatchEvent::Snapshot(items) => (true, items),
+        WatchEvent::Changes(items) => (false, items),
+    };
+    if let Some(config) = items.iter().rfind(|i| i.key == CONFIG_KEY) {
+        apply_config(node, config);
+    }
+    node.change_evacuated(|domains| {
+        if all {
+            domains.clear();
         }
-        observer.change_evacuated(|domains| {
-            if all {
-                domains.clear();
-            }
-            for item in &items {
-                let Some(domain) = item.key.strip_prefix(EVACUATION_PREFIX) else {
-                    continue;
-                };
-                let domain = DomainName::new(domain);
-                match item.value {
-                    Some(_) => {
-                        domains.insert(domain);
-                    }
-                    None => {
-                        domains.shift_remove(&domain);
-                    }
+        for item in &items {
+            let Some(domain) = item.key.strip_prefix(EVACUATION_PREFIX) else {
+                continue;
+            };
+            let domain = DomainName::new(domain);
+            match item.value {
+                Some(_) => {
+                    domains.insert(domain);
+                }
+                None => {
+                    domains.shift_remove(&domain);
                 }
             }
-        });
-        if all {
-            observer.set_operator_state_known();
         }
-    })
-    .await;
+    });
+    if all {
+        node.set_operator_state_known();
+    }
 }
 
 fn apply_config(node: &Node, item: &KeyState) {
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod candidacy;
 mod decoding;
+mod withdrawn;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
--- a/crates/jujubelb/src/node/watch.rs
+++ b/crates/jujubelb/src/node/watch.rs
@@ -30,31 +30,62 @@
 /// Pause after a failed call, which limits the load on the store during an outage.
 const RETRY_PAUSE: Span = Span::from_millis(250);
 
+/// Position of a watch in the history of the store.
+#[derive(Debug, Default)]
+pub(crate) struct WatchPosition {
+    /// Revision up to which changes are known; `None` if all keys have to be read.
+    last: Option<Revision>,
+}
+
+impl WatchPosition {
+    /// Takes a read of all keys.
+    pub(crate) fn keys_read(&mut self, read: ReadResult<Vec<KeyState>>) -> WatchEvent {
+        self.last = Some(read.revision);
+        WatchEvent::Snapshot(read.content)
+    }
+
+    /// Takes the answer to a watch; `None` says that the store has discarded the history since
+    /// the position. All keys then have to be read, because the discarded history may hold
+    /// the removal of a key.
+    pub(crate) fn changes_read(
+        &mut self,
+        read: Option<ReadResult<Vec<KeyState>>>,
+    ) -> Option<WatchEvent> {
+        let Some(read) = read else {
+            self.last = None;
+            return None;
+        };
+        self.last = self.last.max(Some(read.revision));
+        Some(WatchEvent::Changes(read.content))
+    }
+
+    /// Revision after which to watch for changes; `None` if all keys have to be read.
+    pub(crate) fn watched(&self) -> Option<Revision> {
+        self.last
+    }
+}
+
 /// Passes all keys with a prefix and their later changes to `apply`. Never returns.
 pub(crate) async fn watch_prefix(
     node: Arc<Node>,
     options: WatchOptions,
     mut apply: impl FnMut(WatchEvent),
 ) {
-    let mut last: Option<Revision> = None;
+    let mut position = WatchPosition::default();
     loop {
-        let result = match last {
+        let result = match position.watched() {
             None => read_all(&node, options)
                 .await
-                .map(|r| (WatchEvent::Snapshot(r.content), r.revision)),
-            Some(after) => match watch_changes(&node, options, after).await {
-                Ok(Some(r)) => Ok((WatchEvent::Changes(r.content), r.revision)),
-                Ok(None) => {
-                    log::warn!(prefix = options.prefix; "the store has discarded the history of the watched keys; reading all of them again");
-                    last = None;
-                    continue;
-                }
-                Err(error) => Err(error),
-            },
+                .map(|read| Some(position.keys_read(read))),
+            Some(after) => watch_changes(&node, options, after)
+                .await
+                .map(|read| position.changes_read(read)),
         };
         match result {
-            Ok((event, next)) => {
-                last = Some(last.map_or(next, |known| known.max(next)));
+            Ok(None) => {
+                log::warn!(prefix = options.prefix; "the store has discarded the history of the watched keys; reading all of them again");
+            }
+            Ok(Some(event)) => {
                 let idle = matches!(&event, WatchEvent::Changes(items) if items.is_empty());
                 if !idle {
                     apply(event);
