--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -39,7 +39,7 @@
         let cancelled = self.early_cancels.shift_remove(&key);
         let age = wall.since(record.accepted).min(MAX_JOB_AGE);
         let scheduled = record.spec.schedule.is_some();
-        let tasks: u32 = record.spec.steps.iter().map(|s| s.count).sum();
+        let tasks = record.spec.tasks();
         let arrival = self.job_arrival(&record);
         let confirmed = arrival <= self.confirmed;
         log::info!(job:% = key, queue:% = record.queue.prefix, tasks = tasks, age:% = age, inherited = inherited, confirmed = confirmed; "job accepted from the store");
@@ -102,6 +102,10 @@
                 if due > wall {
                     break;
                 }
+                if !job.has_room_for_occurrence() {
+                    log::debug!(job:% = key, occurrence = job.begun, late:% = wall.since(due); "occurrence waits: too many have not ended");
+                    break;
+                }
                 log::info!(job:% = key, occurrence = job.begun, late:% = wall.since(due); "occurrence begun");
                 let number = job.begun;
                 job.begin(number, local_time(due, wall, now), None);
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -7,15 +7,18 @@
 mod crash_evidence;
 mod crashes;
 mod encoding;
+mod extreme_jobs;
 mod gangs;
 mod health;
 mod interference;
 mod leader_changes;
 mod leases;
 mod overlapping_terms;
+mod paused_leaders;
 mod queueing;
 mod stops;
 mod succession;
 mod tickets;
+mod withdrawn_workers;
 
 pub(super) use simulation::{Simulation, job, long_running, step};
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -1,7 +1,9 @@
 //! Tests of the parts of the process that need no network.
 
 mod candidacy;
+mod decoding;
 mod job_write;
+mod withdrawn;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
