Wait for a worker's answer before a job starts on the strength of its token

Cause: a worker restarts after the new leader has fenced it, its new incarnation has seen no token, and the old leader starts a job there that names its token, after its poll of the worker has broken off and before the next one. A proof at the store would have failed.

Change: such a job starts on a worker whose last poll had no answer only once the worker has answered again. A new incarnation then needs a proof of its own, as before.

--- a/crates/jujubelb/src/dispatch/tests/confirmation.rs
+++ b/crates/jujubelb/src/dispatch/tests/confirmation.rs
@@ -58,3 +58,22 @@
     sim.dispatcher.term_confirmed(arrived);
     assert_eq!(started_jobs(&mut sim).len(), 3);
 }
+
+/// Guards against a start on a worker that may have restarted after a newer leader had reached
+/// it: its new incarnation obeys an old leader, which has no proof for the job but its token.
+#[test]
+fn a_job_waits_for_the_answer_of_a_worker_that_may_have_restarted() {
+    let mut sim = cut_leader();
+    let token = sim.dispatcher.term().token;
+    for name in sim.dispatcher.workers() {
+        if let Some(request) = sim.dispatcher.poll(&name, sim.now) {
+            sim.dispatcher.poll_failed(&name, &request, false);
+        }
+    }
+    let own = sim.submit(1, job_with(Some(token)));
+    assert_eq!(started_jobs(&mut sim), []);
+    for name in sim.dispatcher.workers() {
+        sim.poll_by_name(&name);
+    }
+    assert_eq!(started_jobs(&mut sim), [own]);
+}
