Raise the token for a worker that has restarted under its name

What callers see: a task that has succeeded starts again (TWICE), and its job ends late or not (LOST).

Cause: a poll without an answer may be executed seconds later, by the next incarnation of its worker. The call names the worker, which keeps its name over a restart, and the new incarnation has seen no token or that of the same term, so nothing refuses it. The incarnation takes the acknowledged number for its own, since each one numbers its ends from 1, and forgets ends that the leader has not read. Its runs are then listed neither as running nor as ended, count as lost and start again.

Change: when the leader notices a new incarnation, or first hears from a worker that was not in the roster, its next write of the commit chain raises the token of the term to the revision of that write. The revision is higher than the token of every call before it, and lower than that of the next leader, since the write fails once a newer leader was elected. Nothing starts on the worker before it has answered a poll that was sent with the raised token. The same holds for late starts, stops and paces. A call that was sent before the token was raised may be refused because a later one overtook it; this no longer ends the term.

The test a_late_poll_acknowledges_nothing_of_the_next_incarnation fails without the change: with the token left as it is and workers admitted at once, the worker forgets both ends. Messages between hosts and stored data are unchanged. A scaled token with a counter for each worker was ruled out: an earlier version's lower tokens would be refused after a rollback.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -232,8 +232,10 @@
             self.poll_due();
             let began = Instant::now();
             if let Some(commit) = self.dispatcher.take_commit(self.now) {
-                self.dispatcher.committed(&commit, self.now);
                 self.row.commits += 1;
+                // The token of the term is lower than the revisions of its writes.
+                let revision = self.dispatcher.term().token + self.row.commits as u64;
+                self.dispatcher.committed(&commit, revision, self.now);
             }
             self.row.commit_time += began.elapsed();
             let began = Instant::now();
--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -10,7 +10,7 @@
 use super::confirmation::Arrival;
 use super::job_spec::JobKey;
 use super::progress::Progress;
-use super::worker::WorkerReport;
+use super::worker::{Admission, Worker, WorkerReport};
 use crate::model::{DomainName, Resources, ServiceName, Span, Time, WorkerName};
 use crate::place::headroom::Slopes;
 
@@ -96,6 +96,9 @@
     pub model: Option<InterferenceModel>,
     /// Jobs whose keys are to be deleted.
     pub forgotten: Vec<JobKey>,
+    /// Whether the revision of the write becomes the fencing token of all calls that are sent
+    /// after it.
+    pub raises_token: bool,
     /// Number of the last change that the batch contains.
     last_change: u64,
     /// Last arrival before the batch. The write succeeds only for the newest leader, which
@@ -115,7 +118,10 @@
 impl Dispatcher {
     /// Whether there are changes to write.
     pub fn has_changes(&self) -> bool {
-        !self.dirty_jobs.is_empty() || self.roster_dirty || !self.expired_jobs.is_empty()
+        !self.dirty_jobs.is_empty()
+            || self.roster_dirty
+            || self.raise_needed
+            || !self.expired_jobs.is_empty()
     }
 
     /// Returns the next batch to write. Only one batch may be in progress at a time.
@@ -160,6 +166,7 @@
             model,
             roster,
             forgotten,
+            raises_token: std::mem::take(&mut self.raise_needed),
             last_change: self.change_count,
             last_arrival: self.last_arrival,
         })
@@ -202,8 +209,9 @@
         keys
     }
 
-    /// Records that a batch is durable.
-    pub fn committed(&mut self, commit: &Commit, now: Time) {
+    /// Records that a batch is durable. `revision` is that of its write. If the batch raises the
+    /// token, all calls that are sent from now on have to carry that revision.
+    pub fn committed(&mut self, commit: &Commit, revision: u64, now: Time) {
         for (key, progress) in &commit.jobs {
             let outcome = &progress.outcome;
             let Some(job) = self.jobs.get_mut(key) else {
@@ -233,6 +241,9 @@
                 worker.in_roster = true;
             }
         }
+        if commit.raises_token {
+            self.raise_token(revision, now);
+        }
         self.term_confirmed(commit.last_arrival);
         self.update_acknowledged(commit.last_change);
     }
@@ -252,6 +263,20 @@
     /// Records that a batch was not written. Its changes are part of the next one.
     pub fn commit_failed(&mut self, commit: &Commit) {
         self.roster_dirty |= commit.roster.is_some();
+        self.raise_needed |= commit.raises_token;
+    }
+
+    /// Raises the token, so that the next poll of a restarted worker rules out calls that were
+    /// made to its earlier incarnations.
+    fn raise_token(&mut self, token: u64, now: Time) {
+        self.token = self.token.max(token);
+        let waiting = |w: &&mut Worker| w.admission == Admission::AwaitsToken;
+        let mut raised = 0;
+        for worker in self.workers.values_mut().filter(waiting) {
+            worker.admission = Admission::AwaitsPoll(now);
+            raised += 1;
+        }
+        log::info!(token = self.token, workers = raised; "token raised for new incarnations of workers");
     }
 
     /// Allows workers to forget completions whose effects are durable.
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -38,7 +38,7 @@
 use job::{Job, TaskState};
 use pace::Headrooms;
 use tickets::StepTickets;
-use worker::Worker;
+use worker::{Admission, Worker};
 
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
@@ -72,7 +72,7 @@
 /// A leader's term.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Term {
-    /// Fencing token of all orders in this term; increases with each term.
+    /// Lowest fencing token of the calls in this term; increases with each term.
     pub token: u64,
     /// Number of terms before this one.
     pub number: u64,
@@ -174,6 +174,11 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     term: Term,
+    /// Fencing token of the calls that are made now: that of the term, or the revision of a
+    /// later write of this term, which is lower than the token of any later term.
+    token: u64,
+    /// Whether the token has to be raised for workers that have restarted.
+    raise_needed: bool,
     bounds: Bounds,
     /// When this term began to act.
     began: Time,
@@ -250,6 +255,8 @@
         }
         let mut dispatcher = Self {
             term,
+            token: term.token,
+            raise_needed: false,
             bounds: Bounds {
                 max_lease: bounds.max_lease.min(MAX_LEASE),
                 ..bounds
@@ -285,6 +292,8 @@
             let mut worker = Worker::new(entry.report(), now);
             worker.listed = false;
             worker.in_roster = true;
+            // The token of a new term is higher than those of all calls before it.
+            worker.admission = Admission::Admitted;
             dispatcher.workers.insert(entry.name.clone(), worker);
         }
         dispatcher
@@ -295,6 +304,11 @@
         self.term
     }
 
+    /// Fencing token of the calls that are made now.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
     /// Records that the earlier leader of the term with this nonce is known to have stopped,
     /// so that it no longer extends leases.
     pub fn leader_stopped(&mut self, nonce: u64, now: Time) {
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -10,7 +10,7 @@
 use super::Dispatcher;
 use super::job::TaskState;
 use super::job_spec::{Run, TaskKey};
-use super::worker::{Incarnation, RunPhase, TrackedRun, Worker};
+use super::worker::{Admission, Incarnation, RunPhase, TrackedRun, Worker};
 use crate::model::{Resources, Span, Time, WorkerName, WorkerTime};
 
 /// How a run ended, as its worker reports it.
@@ -74,8 +74,9 @@
     pub acknowledged: u64,
     /// How long the worker may delay the answer while no run completes.
     pub wait: Span,
-    /// Whether completions have been listed that cannot be acknowledged yet, because their
-    /// effects are not durable. The worker answers such a poll immediately.
+    /// Whether the next write changes what the poll says: completions have been listed that
+    /// cannot be acknowledged yet, because their effects are not durable, or the token has to
+    /// be raised for the worker. The worker answers such a poll immediately.
     pub pending_ack: bool,
     /// Latest lease deadline before this poll, restored if the poll was not sent.
     pub(crate) previous_deadline: WorkerTime,
@@ -132,14 +133,15 @@
                 true => worker.acknowledged,
                 false => 0,
             },
-            wait: match (worker.fenced && worker.reachable, brief) {
+            wait: match (worker.reachable && worker.is_admitted(), brief) {
                 // After a poll without an answer this one carries no lease, so a wait would
-                // delay the next one that does.
+                // delay the next one that does. Nothing starts before a worker is admitted.
                 (false, _) => Span::ZERO,
                 (true, true) => BRIEF_POLL_WAIT,
                 (true, false) => POLL_WAIT,
             },
-            pending_ack: worker.processed > worker.acknowledged,
+            pending_ack: worker.processed > worker.acknowledged
+                || (worker.fenced && worker.admission == Admission::AwaitsToken),
             previous_deadline,
         })
     }
@@ -173,8 +175,9 @@
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
         let first = !worker.fenced;
         if first {
-            log::info!(worker:% = name, runs = reply.running.len(), token = self.term.token; "worker fenced");
+            log::info!(worker:% = name, runs = reply.running.len(), token = self.token; "worker fenced");
             worker.fenced = true;
+            self.raise_needed |= worker.admission == Admission::AwaitsToken;
             worker.answering_since = now;
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
@@ -184,6 +187,12 @@
         let restarted = reply.incarnation.is_some()
             && worker.incarnation.is_some()
             && reply.incarnation != worker.incarnation;
+        if !restarted
+            && let Admission::AwaitsPoll(raised) = worker.admission
+            && sent >= raised
+        {
+            worker.admission = Admission::Admitted;
+        }
         if reply.incarnation.is_some() {
             worker.incarnation = reply.incarnation;
         }
@@ -227,7 +236,7 @@
 
     /// Records that a worker has refused a poll because it has seen a higher token.
     pub fn poll_fenced(&mut self, name: &WorkerName) {
-        log::warn!(worker:% = name, token = self.term.token; "worker has seen a higher token; this term is over");
+        log::warn!(worker:% = name, token = self.token; "worker has seen a higher token; this term is over");
         self.deposed = true;
     }
 
@@ -239,6 +248,8 @@
             return;
         };
         log::warn!(worker:% = name, runs = worker.runs.len(); "worker has restarted");
+        worker.admission = Admission::AwaitsToken;
+        self.raise_needed = true;
         worker.acknowledged = 0;
         worker.processed = 0;
         worker.unacknowledged.clear();
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -23,6 +23,9 @@
     Ticket,
     /// A reason that this version does not know.
     Unknown,
+    /// The worker may have seen a token to which this term was raised after the order was
+    /// sent.
+    Overtaken,
 }
 
 /// Result of a start order.
@@ -97,7 +100,7 @@
                 return;
             }
             StartReply::Refused(Refusal::Fence) => {
-                log::warn!(worker:% = name, token = self.term.token; "worker has seen a higher token; this term is over");
+                log::warn!(worker:% = name, token = self.token; "worker has seen a higher token; this term is over");
                 self.deposed = true;
                 return;
             }
@@ -149,7 +152,7 @@
         match reply {
             StopReply::Stopped => {}
             StopReply::Fenced => {
-                log::warn!(worker:% = name, token = self.term.token; "worker has seen a higher token; this term is over");
+                log::warn!(worker:% = name, token = self.token; "worker has seen a higher token; this term is over");
                 self.deposed = true;
             }
             StopReply::NoAnswer => {
--- a/crates/jujubelb/src/dispatch/tests/commits.rs
+++ b/crates/jujubelb/src/dispatch/tests/commits.rs
@@ -27,7 +27,7 @@
 fn next_commit(sim: &mut Simulation) -> Commit {
     let commit = sim.dispatcher.take_commit(sim.now).unwrap();
     sim.run(Span::from_millis(300));
-    sim.dispatcher.committed(&commit, sim.now);
+    sim.committed(&commit);
     commit
 }
 
@@ -83,7 +83,7 @@
         sim.run(Span::from_millis(60));
         if i % 5 == 4 {
             if let Some(written) = commit.take() {
-                sim.dispatcher.committed(&written, sim.now);
+                sim.committed(&written);
             }
             commit = sim.dispatcher.take_commit(sim.now);
         }
@@ -134,7 +134,7 @@
         if jobs(&commit).contains(&slow) {
             return;
         }
-        sim.dispatcher.committed(&commit, sim.now);
+        sim.committed(&commit);
     }
     panic!("six batches without the progress of a job");
 }
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -11,6 +11,7 @@
 mod gangs;
 mod health;
 mod interference;
+mod late_calls;
 mod leader_changes;
 mod leases;
 mod overlapping_terms;
--- a/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -14,7 +14,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
-use super::simulation::{BOUNDS, Fault, TIME_STEP, leader_term};
+use super::simulation::{BOUNDS, Fault, REVISIONS_PER_TERM, TIME_STEP, leader_term};
 use super::{Simulation, job, long_running, step};
 use crate::dispatch::{
     Arrival, Dispatcher, EarlierLeaders, InterferenceModel, JobKey, JobOutcome, JobRecord, Roster,
@@ -106,7 +106,7 @@
 
 fn term(number: u64) -> Term {
     Term {
-        token: 10 * (number + 1),
+        token: REVISIONS_PER_TERM * (number + 1),
         number,
     }
 }
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -12,10 +12,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::dispatch::{
-    Bounds, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel, JobKey, JobRecord, JobSpec,
-    LeaderTerm, Order, PollReply, Progress, QueueSettings, Refusal, Roster, Run, RunCompletion,
-    RunOutcome, RunStatus, StartReply, Step, StepKey, StopReply, Succession, TaskKey, Term,
-    TicketGrant, WorkerOrder, WorkerReport,
+    Bounds, Commit, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel, JobKey, JobRecord,
+    JobSpec, LeaderTerm, Order, PollReply, PollRequest, Progress, QueueSettings, Refusal, Roster,
+    Run, RunCompletion, RunOutcome, RunStatus, StartReply, Step, StepKey, StopReply, Succession,
+    TaskKey, Term, TicketGrant, WorkerOrder, WorkerReport,
 };
 use crate::model::{
     Bytes, DomainName, Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime,
@@ -27,6 +27,10 @@
 /// Number of steps that a worker's latency report covers, half a second.
 const LATENCY_WINDOW_STEPS: usize = 25;
 
+/// Difference between the tokens of two terms. The revisions of a leader's writes lie between
+/// its token and that of the next leader.
+pub(crate) const REVISIONS_PER_TERM: u64 = 1_000_000;
+
 /// Time between two polls of a worker without new completions.
 const POLL_INTERVAL: Span = Span::from_millis(500);
 
@@ -97,6 +101,32 @@
     token: u64,
 }
 
+/// A poll that got no answer and is executed late, by whichever incarnation of its worker is
+/// there then.
+#[derive(Debug, Clone)]
+pub(crate) struct LatePoll {
+    worker: WorkerName,
+    request: PollRequest,
+    token: u64,
+}
+
+impl LatePoll {
+    /// A poll that a leader sends now; `None` if it does not know the worker.
+    pub(crate) fn unanswered(
+        dispatcher: &mut Dispatcher,
+        worker: &WorkerName,
+        now: Time,
+    ) -> Option<Self> {
+        let request = dispatcher.poll(worker, now)?;
+        dispatcher.poll_failed(worker, &request, false);
+        Some(Self {
+            worker: worker.clone(),
+            request,
+            token: dispatcher.token(),
+        })
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct FakeWorker {
     pub(crate) report: WorkerReport,
@@ -181,6 +211,8 @@
 pub(crate) struct Simulation {
     pub(crate) now: Time,
     pub(crate) dispatcher: Dispatcher,
+    /// Number of writes; there are fewer than [`REVISIONS_PER_TERM`].
+    commits: u64,
     /// What the store holds about earlier leaders.
     succession: Succession,
     succession_written: Time,
@@ -270,11 +302,12 @@
     pub(crate) fn new(workers: usize) -> Self {
         let now = Time::from_millis(1_000);
         let term = Term {
-            token: 10,
+            token: REVISIONS_PER_TERM,
             number: 0,
         };
         let mut sim = Self {
             now,
+            commits: 0,
             dispatcher: Dispatcher::new(
                 term,
                 BOUNDS,
@@ -393,7 +426,7 @@
     pub(crate) fn replace_leader(&mut self, resigned: bool) {
         let old = self.dispatcher.term();
         let term = Term {
-            token: old.token + 10,
+            token: old.token + REVISIONS_PER_TERM,
             number: old.number + 1,
         };
         self.succession = Succession::following(
@@ -565,7 +598,9 @@
                 .workers
                 .get(&name)
                 .is_some_and(|w| w.has_completions || now.since(w.last_poll) >= POLL_INTERVAL);
-            if due {
+            // The leader polls a worker that it has reached and not admitted without a pause.
+            let known = &self.dispatcher.workers[&name];
+            if due || (known.fenced && !known.is_admitted()) {
                 self.poll_by_name(&name);
             }
         }
@@ -581,10 +616,11 @@
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(name) {
             worker.last_poll = now;
+            let fault = worker.fault;
             let Some(request) = self.dispatcher.poll(name, now) else {
                 return;
             };
-            match worker.fault {
+            match fault {
                 Fault::Partitioned => {
                     self.dispatcher.poll_failed(name, &request, false);
                     return;
@@ -595,24 +631,13 @@
                 }
                 _ => {}
             }
-            let token = self.dispatcher.term().token;
-            if token < worker.token {
+            let token = self.dispatcher.token();
+            if !self.execute_poll(name, &request, token) {
                 self.dispatcher.poll_fenced(name);
                 return;
             }
+            let worker = &mut self.workers[name];
             worker.has_completions = false;
-            worker.token = token;
-            if let Some(deadline) = request.lease_deadline {
-                let latest_deadline = worker.clock(now) + BOUNDS.max_lease;
-                worker.deadline = worker.deadline.max(deadline.min(latest_deadline));
-            }
-            let known = worker.completions.iter();
-            let forgotten = known.filter(|e| e.sequence <= request.acknowledged);
-            let succeeded = forgotten.filter(|e| e.outcome == RunOutcome::Done);
-            self.acknowledged.extend(succeeded.map(|e| e.task));
-            worker
-                .completions
-                .retain(|e| e.sequence > request.acknowledged);
             let reply = PollReply {
                 incarnation: Some(Incarnation(worker.incarnation)),
                 clock: worker.clock(now),
@@ -633,7 +658,7 @@
                     .collect(),
                 finished: worker.completions.clone(),
             };
-            if worker.fault == Fault::LostAnswers {
+            if fault == Fault::LostAnswers {
                 self.dispatcher.poll_failed(name, &request, false);
                 return;
             }
@@ -641,6 +666,42 @@
         }
     }
 
+    /// Executes a poll on its worker. Returns false if the worker has seen a higher token.
+    fn execute_poll(&mut self, name: &WorkerName, request: &PollRequest, token: u64) -> bool {
+        let now = self.now;
+        let worker = &mut self.workers[name];
+        if token < worker.token {
+            return false;
+        }
+        worker.token = token;
+        if let Some(deadline) = request.lease_deadline {
+            let latest_deadline = worker.clock(now) + BOUNDS.max_lease;
+            worker.deadline = worker.deadline.max(deadline.min(latest_deadline));
+        }
+        let known = worker.completions.iter();
+        let forgotten = known.filter(|e| e.sequence <= request.acknowledged);
+        let succeeded = forgotten.filter(|e| e.outcome == RunOutcome::Done);
+        self.acknowledged.extend(succeeded.map(|e| e.task));
+        worker
+            .completions
+            .retain(|e| e.sequence > request.acknowledged);
+        true
+    }
+
+    /// Polls a worker without an answer, and without an effect until
+    /// [`execute_late`](Self::execute_late).
+    pub(crate) fn poll_late(&mut self, i: usize) -> LatePoll {
+        let name = self.workers.get_index(i).unwrap().0.clone();
+        LatePoll::unanswered(&mut self.dispatcher, &name, self.now).unwrap()
+    }
+
+    /// Executes a late poll, unless its worker is down.
+    pub(crate) fn execute_late(&mut self, poll: &LatePoll) {
+        if self.workers[&poll.worker].fault != Fault::Crashed {
+            self.execute_poll(&poll.worker, &poll.request, poll.token);
+        }
+    }
+
     pub(crate) fn commit(&mut self) {
         if !self.store_available {
             return;
@@ -653,7 +714,7 @@
             if let Some(roster) = &commit.roster {
                 self.roster = roster.clone();
             }
-            self.dispatcher.committed(&commit, self.now);
+            self.committed(&commit);
         }
         for key in self.jobs.keys() {
             if self.dispatcher.job_status(*key) == Some(crate::dispatch::JobStatus::Completed) {
@@ -662,10 +723,17 @@
         }
     }
 
+    /// Tells the dispatcher that a batch is durable.
+    pub(crate) fn committed(&mut self, commit: &Commit) {
+        self.commits += 1;
+        let revision = self.dispatcher.term().token + self.commits;
+        self.dispatcher.committed(commit, revision, self.now);
+    }
+
     pub(crate) fn execute(&mut self, order: &WorkerOrder) {
         let name = &order.worker;
         let now = self.now;
-        let token = self.dispatcher.term().token;
+        let token = self.dispatcher.token();
         let fault = self.workers[name].fault;
         match &order.order {
             Order::Start {
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -56,6 +56,18 @@
     Unsure,
 }
 
+/// Whether calls that were made to an earlier incarnation of a worker may still take effect on
+/// the current one. A call names only the worker, so the token has to tell them apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Admission {
+    /// They can't: the incarnation has seen a higher token.
+    Admitted,
+    /// They may: the token was not raised since the incarnation was noticed.
+    AwaitsToken,
+    /// The token was raised at this time, and no poll that was sent later has been answered.
+    AwaitsPoll(Time),
+}
+
 /// A run that occupies or may occupy a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct TrackedRun {
@@ -120,6 +132,8 @@
     pub(crate) drain_deadline: Option<Time>,
     /// Whether its current incarnation has seen this leader's fencing token.
     pub(crate) fenced: bool,
+    /// Whether late calls to an earlier incarnation are ruled out. Nothing is started before.
+    pub(crate) admission: Admission,
     /// When this term learned of the current incarnation, in the order of arrivals. Nothing
     /// is started on it before the term is confirmed after that.
     pub(crate) arrival: Arrival,
@@ -253,6 +267,7 @@
             listed: true,
             drain_deadline: None,
             fenced: false,
+            admission: Admission::AwaitsToken,
             arrival: Arrival::default(),
             in_roster: false,
             incarnation: None,
@@ -295,6 +310,12 @@
         reported.is_none() || polled.is_none() || reported == polled
     }
 
+    /// Whether the current incarnation has seen this leader's token, and late calls to an
+    /// earlier one are ruled out.
+    pub(crate) fn is_admitted(&self) -> bool {
+        self.fenced && self.admission == Admission::Admitted
+    }
+
     /// Whether the report may be of a later incarnation than the one that was last polled.
     pub(crate) fn has_newer_report(&self) -> bool {
         !self.is_report_current() && !self.report_outdated
@@ -366,7 +387,7 @@
     pub(crate) fn accepts_start(&self, may_probe: bool, now: Time) -> bool {
         self.listed
             && self.drain_deadline.is_none()
-            && self.fenced
+            && self.is_admitted()
             && self.in_roster
             // What runs on an incarnation is known only after a poll, and its labels and
             // room only from its own report.
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -23,7 +23,7 @@
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
     CallError, KeyState, PolicyClient, PollResult, Revision, Txn, TxnError, WORKER_PREFIX,
-    WorkerClient, decode_worker,
+    decode_worker,
 };
 
 /// Interval of renewing the leader's lease, which lasts 2 s.
@@ -162,6 +162,17 @@
         self.commit_needed.notify_one();
     }
 
+    /// Records that a batch is durable, and raises the fencing token if the batch asks for it.
+    fn committed(&self, node: &Node, batch: &Commit, revision: Revision) {
+        let mut dispatcher = lock(&self.dispatcher);
+        if batch.raises_token {
+            // Under the lock, so that no restart is noticed in between, and before the time is
+            // read, since polls that are sent after it count as sent under the new token.
+            self.workers.raise_token(revision.0);
+        }
+        dispatcher.committed(batch, revision.0, node.now());
+    }
+
     /// Records the announcement of a host. Returns after what time it is to announce itself
     /// again.
     pub(crate) fn host_announced(
@@ -493,7 +504,7 @@
     Some(ActiveTerm {
         dispatcher: Mutex::new(dispatcher),
         workers: Arc::new(WorkerGateway::new(
-            WorkerClient::new(node.client.clone(), win.term.token),
+            node.client.clone(),
             win.nonce,
             win.term.token,
             node.metrics.relay_calls.clone(),
@@ -704,7 +715,7 @@
             Ok(revision) => {
                 chain_revision = revision;
                 let _ = node.record_store_call("txn", sent, Ok(()));
-                lock(&term.dispatcher).committed(&batch, node.now());
+                term.committed(&node, &batch, revision);
                 term.committed.notify_waiters();
                 sleep(COMMIT_PAUSE).await;
                 continue;
@@ -877,6 +888,7 @@
                 }
                 term.plan_needed.notify_one();
             }
+            Ok(PollResult::Overtaken) => {}
             Ok(PollResult::Fenced) => {
                 lock(&term.dispatcher).poll_fenced(&worker);
                 term.plan_needed.notify_one();
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -1,6 +1,8 @@
 //! The leader's side: makes calls to workers directly or through a relay.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{
+    AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering::Relaxed, Ordering::SeqCst,
+};
 use std::sync::{Arc, Mutex};
 
 use indexmap::IndexMap;
@@ -14,10 +16,13 @@
 use super::calls::Outbox;
 use super::message::{Action, Call, CallResult, HostReport, RelayBatch, RelayResults};
 use super::selection::{KnownHosts, announce_interval, needs_relays, relay_of};
-use crate::dispatch::{Order, PollRequest, Run, StartReply, StopReply, TaskKey, WorkerOrder};
+use crate::dispatch::{
+    Order, PollRequest, Refusal, Run, StartReply, StopReply, TaskKey, WorkerOrder,
+};
 use crate::model::{DomainName, HostName, Span, WorkerName};
 use crate::platform::{
-    CallError, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT, WorkerClient,
+    CallError, HttpClient, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT,
+    WorkerClient,
 };
 
 /// Added to the timeout of a call for the way through the relay and back.
@@ -69,9 +74,10 @@
 /// Makes the calls of one term to workers.
 #[derive(Debug)]
 pub(crate) struct WorkerGateway {
-    direct: WorkerClient,
+    client: HttpClient,
     nonce: u64,
-    token: u64,
+    /// Fencing token of the calls that are sent now. Only grows.
+    token: AtomicU64,
     hosts: Mutex<KnownHosts>,
     links: Mutex<IndexMap<HostName, Arc<RelayLink>>>,
     /// Relay of each worker. Workers without an entry are called directly.
@@ -106,11 +112,11 @@
 }
 
 impl WorkerGateway {
-    pub(crate) fn new(direct: WorkerClient, nonce: u64, token: u64, calls: Counter<u64>) -> Self {
+    pub(crate) fn new(client: HttpClient, nonce: u64, token: u64, calls: Counter<u64>) -> Self {
         Self {
-            direct,
+            client,
             nonce,
-            token,
+            token: AtomicU64::new(token),
             hosts: Mutex::default(),
             links: Mutex::default(),
             routes: Mutex::default(),
@@ -131,6 +137,25 @@
             || term_age > MAX_RELAY_WAIT
     }
 
+    /// Raises the fencing token of the calls that are sent from now on.
+    pub(crate) fn raise_token(&self, token: u64) {
+        self.token.fetch_max(token, SeqCst);
+    }
+
+    fn token(&self) -> u64 {
+        self.token.load(SeqCst)
+    }
+
+    fn direct(&self) -> WorkerClient {
+        WorkerClient::new(self.client.clone(), self.token())
+    }
+
+    /// Whether a refused call may have been refused because of a later call of this term: the
+    /// token was raised after `token` was read for it. Otherwise the term is over.
+    fn may_be_overtaken(&self, token: u64) -> bool {
+        token < self.token()
+    }
+
     /// Records the report of a host that may become a relay. Returns after what time the
     /// host is to announce itself again.
     pub(crate) fn announced(&self, node: &Node, report: HostReport) -> Span {
@@ -241,28 +266,39 @@
 
     /// Starts a run.
     pub(crate) async fn start(&self, order: &WorkerOrder) -> StartReply {
-        let link = match self.way(&order.worker) {
-            Way::Direct => return self.direct.start(order).await,
-            Way::Closed => return StartReply::NotSent,
-            Way::Relay(link) => link,
+        let token = self.token();
+        let reply = match self.way(&order.worker) {
+            Way::Direct => self.direct().start(order).await,
+            Way::Closed => StartReply::NotSent,
+            Way::Relay(link) => match self.order(&link, order).await {
+                Some(CallResult::Started(reply)) => reply,
+                Some(CallResult::NotSent) => StartReply::NotSent,
+                _ => StartReply::NoAnswer,
+            },
         };
-        match self.order(&link, order).await {
-            Some(CallResult::Started(reply)) => reply,
-            Some(CallResult::NotSent) => StartReply::NotSent,
-            _ => StartReply::NoAnswer,
+        match reply {
+            StartReply::Refused(Refusal::Fence) if self.may_be_overtaken(token) => {
+                StartReply::Refused(Refusal::Overtaken)
+            }
+            reply => reply,
         }
     }
 
     /// Stops a run.
     pub(crate) async fn stop(&self, order: &WorkerOrder, task: TaskKey, run: Run) -> StopReply {
-        let link = match self.way(&order.worker) {
-            Way::Direct => return self.direct.stop(order, task, run).await,
-            Way::Closed => return StopReply::NoAnswer,
-            Way::Relay(link) => link,
+        let token = self.token();
+        let reply = match self.way(&order.worker) {
+            Way::Direct => self.direct().stop(order, task, run).await,
+            Way::Closed => StopReply::NoAnswer,
+            Way::Relay(link) => match self.order(&link, order).await {
+                Some(CallResult::Stopped(reply)) => reply,
+                _ => StopReply::NoAnswer,
+            },
         };
-        match self.order(&link, order).await {
-            Some(CallResult::Stopped(reply)) => reply,
-            _ => StopReply::NoAnswer,
+        match reply {
+            // It has to be repeated under the present token.
+            StopReply::Fenced if self.may_be_overtaken(token) => StopReply::NoAnswer,
+            reply => reply,
         }
     }
 
@@ -276,7 +312,7 @@
                 self.order(&link, order).await;
             }
             Way::Direct => {
-                self.direct.pace(order, task, run, percent).await;
+                self.direct().pace(order, task, run, percent).await;
             }
             Way::Closed => {}
         }
@@ -287,9 +323,21 @@
         &self,
         worker: &WorkerName,
         request: &PollRequest,
+    ) -> Result<PollResult, CallError> {
+        let token = self.token();
+        match self.send_poll(worker, request).await {
+            Ok(PollResult::Fenced) if self.may_be_overtaken(token) => Ok(PollResult::Overtaken),
+            result => result,
+        }
+    }
+
+    async fn send_poll(
+        &self,
+        worker: &WorkerName,
+        request: &PollRequest,
     ) -> Result<PollResult, CallError> {
         let link = match self.way(worker) {
-            Way::Direct => return self.direct.poll(worker, request).await,
+            Way::Direct => return self.direct().poll(worker, request).await,
             Way::Closed => {
                 let reason = "the term is over".to_owned();
                 return Err(CallError::NotSent(request.address, reason));
@@ -398,7 +446,7 @@
         let batch = RelayBatch {
             leader: node.settings.peer_address,
             nonce: gateway.nonce,
-            token: gateway.token,
+            token: gateway.token(),
             payloads,
             calls,
         };
--- a/crates/jujubelb/src/node/relay/tests.rs
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -9,7 +9,7 @@
 use super::selection::{KnownHosts, REPORT_LIFETIME, SUSPENSION, needs_relays, relay_of};
 use crate::dispatch::{JobKey, Order, PollRequest, Run, StartReply, StepKey, TaskKey, WorkerOrder};
 use crate::model::{DomainName, HostName, Span, Time, WorkerName, WorkerTime};
-use crate::platform::{HttpClient, WorkerClient};
+use crate::platform::HttpClient;
 use crate::telemetry::{self, Metrics};
 
 /// Link speed that does not limit the number of relays.
@@ -294,7 +294,7 @@
 const NONCE: u64 = 7;
 
 fn gateway() -> WorkerGateway {
-    let client = WorkerClient::new(HttpClient::new().unwrap(), 1);
+    let client = HttpClient::new().unwrap();
     let calls = Metrics::new().unwrap().counter(&telemetry::RELAY_CALLS);
     WorkerGateway::new(client, NONCE, 1, calls)
 }
