Start nothing on a worker whose last poll has no answer

What callers see: as before, a task that has succeeded starts again.

Cause: a worker that restarts under its name is noticed by the next answer to a poll. Until then the leader started tasks on it, on the strength of an answer of the former incarnation that was up to 2.5 s old, and under a token that late calls to that incarnation carry as well. This was excluded only for jobs that are confirmed by their token.

Change: no task starts on a worker between a poll without an answer and the next answer.

Evidence: polls of leaders of following terms are now executed late by new incarnations, often just when the worker has an end to forget.

The test a_restarted_worker_is_sent_no_earlier_acknowledgement relied on a start on the unnoticed incarnation. It now checks the acknowledged number of the poll itself, 3 before the restart and 0 after it, and that the task is done once the new entry is heard.

What remains: a restart during a poll that is not over yet is noticed at the end of that poll, at most 2.4 s later.

--- a/crates/jujubelb/src/dispatch/confirmation.rs
+++ b/crates/jujubelb/src/dispatch/confirmation.rs
@@ -9,7 +9,7 @@
 //! seen the token of a newer leader, and for runs that are given up.
 
 use super::Dispatcher;
-use super::job_spec::{JobKey, JobRecord};
+use super::job_spec::JobRecord;
 
 /// Number of a job or an incarnation of a worker in the order in which a dispatcher learned
 /// of them.
@@ -43,12 +43,6 @@
         }
     }
 
-    /// Whether only the token in its record has confirmed a job.
-    pub(super) fn is_confirmed_by_token(&self, key: JobKey) -> bool {
-        let job = self.jobs.get(&key);
-        job.is_some_and(|j| j.arrival == Arrival::default())
-    }
-
     /// Numbers a job or an incarnation that the dispatcher has just learned of.
     pub(super) fn next_arrival(&mut self) -> Arrival {
         self.last_arrival.0 += 1;
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -547,10 +547,9 @@
         if worker.arrival > self.confirmed {
             return None;
         }
-        // The worker may have restarted since its last answer, and then has not seen the token
-        // of a newer leader. A job that is started on the strength of its token alone waits for
-        // the next answer, which names the incarnation.
-        if !worker.reachable && self.is_confirmed_by_token(request.key.job) {
+        // The worker may have restarted since its last answer. The new incarnation would obey an
+        // older leader, and late calls to the former one; the next answer names it.
+        if !worker.reachable {
             return None;
         }
         if !placement::admits(worker, request, &self.evacuated, now) {
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -201,14 +201,23 @@
     let first = sim.submit(1, job(0, vec![step(3, 4, Span::from_millis(200))]));
     sim.run(Span::from_secs(1));
     assert!(sim.completed.contains_key(&first));
+    let name = sim.workers[0].report.name.clone();
+    assert_eq!(acknowledged(&mut sim, &name), 3);
     sim.crash_worker(0);
     sim.poll_worker(0);
     sim.restart_worker(0);
+    assert_eq!(acknowledged(&mut sim, &name), 0);
+    sim.list_workers();
     let second = sim.submit(2, job(0, vec![step(1, 4, Span::from_millis(200))]));
     sim.run(Span::from_secs(2));
     assert!(sim.completed.contains_key(&second));
 }
 
+/// Highest end that the next poll of a worker acknowledges.
+fn acknowledged(sim: &mut Simulation, name: &WorkerName) -> u64 {
+    sim.dispatcher.poll(name, sim.now).unwrap().acknowledged
+}
+
 /// Pause before the poll after one that was not answered.
 const POLL_PAUSE: Span = Span::from_millis(200);
 
--- a/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -14,7 +14,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
-use super::simulation::{BOUNDS, Fault, REVISIONS_PER_TERM, TIME_STEP, leader_term};
+use super::simulation::{BOUNDS, Fault, LatePoll, REVISIONS_PER_TERM, TIME_STEP, leader_term};
 use super::{Simulation, job, long_running, step};
 use crate::dispatch::{
     Arrival, Dispatcher, EarlierLeaders, InterferenceModel, JobKey, JobOutcome, JobRecord, Roster,
@@ -115,6 +115,9 @@
     rng: StdRng,
     /// Decides what is known of earlier leaders.
     evidence: StdRng,
+    /// Decides which polls are executed late.
+    delays: StdRng,
+    late_polls: Vec<(Time, LatePoll)>,
     sim: Simulation,
     leaders: Vec<Leader>,
     /// Number of the newest leader at the store.
@@ -190,6 +193,8 @@
         let mut overlap = Self {
             rng,
             evidence: StdRng::seed_from_u64(!seed),
+            delays: StdRng::seed_from_u64(seed.rotate_left(32)),
+            late_polls: Vec::new(),
             sim,
             leaders: Vec::new(),
             newest: 0,
@@ -266,6 +271,7 @@
             self.sim.advance_workers();
             self.change_store();
             self.crash_workers();
+            self.execute_late_polls();
             let mut order: Vec<usize> = (0..self.leaders.len()).collect();
             order.shuffle(&mut self.rng);
             for i in order {
@@ -409,6 +415,24 @@
         }
     }
 
+    /// Executes late polls at the latest at their time, and often just when the worker has an
+    /// end to forget.
+    fn execute_late_polls(&mut self) {
+        let now = self.sim.now;
+        let (due, later) =
+            std::mem::take(&mut self.late_polls)
+                .into_iter()
+                .partition(|(at, poll)| {
+                    let harms = self.sim.would_forget(poll) && self.delays.random_bool(0.5);
+                    *at <= now || harms
+                });
+        self.late_polls = later;
+        let due: Vec<(Time, LatePoll)> = due;
+        for (_, poll) in &due {
+            self.sim.execute_late(poll);
+        }
+    }
+
     fn crash_workers(&mut self) {
         if self.duration == LONG_DURATION || !self.rng.random_bool(0.01) {
             return;
@@ -436,11 +460,14 @@
             }
         }
         self.sim.crash_worker(i);
-        // The waiting poll of each leader breaks off.
+        // The waiting poll of each leader breaks off, and may be executed later.
         let (name, now) = (self.sim.workers.keys()[i].clone(), self.sim.now);
         for leader in self.leaders.iter_mut().filter(|l| l.loaded) {
-            if let Some(request) = leader.dispatcher.poll(&name, now) {
-                leader.dispatcher.poll_failed(&name, &request, false);
+            if let Some(poll) = LatePoll::unanswered(&mut leader.dispatcher, &name, now)
+                && self.delays.random_bool(0.5)
+            {
+                let delay = Span::from_millis(self.delays.random_range(0..2_000));
+                self.late_polls.push((now + delay, poll));
             }
         }
         self.sim.restart_worker(i);
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -695,6 +695,12 @@
         LatePoll::unanswered(&mut self.dispatcher, &name, self.now).unwrap()
     }
 
+    /// Whether the worker of a late poll lists an end that the poll acknowledges.
+    pub(crate) fn would_forget(&self, poll: &LatePoll) -> bool {
+        let mut ends = self.workers[&poll.worker].completions.iter();
+        ends.any(|end| end.sequence <= poll.request.acknowledged)
+    }
+
     /// Executes a late poll, unless its worker is down.
     pub(crate) fn execute_late(&mut self, poll: &LatePoll) {
         if self.workers[&poll.worker].fault != Fault::Crashed {
