Decode the items of the store one by one

One item that could not be decoded (a value of another type, a number too large, deep nesting in place of a text) made the whole page of a range or the whole answer to a watch an error. The process then repeated the same call for ever: a new leader did not begin its term, and every process stopped following the workers, the configuration or the leader, so callers saw refusals and jobs that did not run.

The items of a page are now kept as raw text, which may be nested to any depth, and decoded one by one. An item of which only the key can be read is one with an empty value: the key is there and names nothing, so an earlier entry of it is not used any longer. An item without a readable key is logged and ignored. The next page begins after the last readable key; a page that is not the last and has none is an error.

--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -436,7 +436,7 @@
 }
 
 /// Loads the state that earlier terms have stored.
-async fn load_term(
+pub(super) async fn load_term(
     node: &Node,
     win: &ElectionWin,
     renewed: Arc<Mutex<Time>>,
@@ -609,7 +609,7 @@
 }
 
 /// Passes changes of the workers' keys to the dispatcher.
-async fn watch_workers(node: Arc<Node>, term: Arc<ActiveTerm>) {
+pub(super) async fn watch_workers(node: Arc<Node>, term: Arc<ActiveTerm>) {
     let observer = node.clone();
     watch_prefix(node, WORKER_KEYS, move |event| {
         let now = observer.now();
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -3,19 +3,52 @@
 mod candidacy;
 mod decoding;
 mod job_write;
+mod odd_entries;
 mod withdrawn;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 
+use super::HostSettings;
 use super::election::election_txn;
 use super::keys::{self, ChainMark, Leader, TermRecord};
 use super::peers::{PeerRequest, PeerResponse};
-use super::state::ActiveConfig;
+use super::state::{ActiveConfig, Node};
 use super::supervision::{PollTasks, supervise};
-use crate::dispatch::{JobKey, Succession};
-use crate::model::{HostName, WorkerName};
-use crate::platform::{LeaseId, Revision, Txn, decode_config};
+use crate::dispatch::{Bounds, JobKey, Succession};
+use crate::model::{DomainName, HostName, Span, WorkerName};
+use crate::platform::{HttpClient, LeaseId, Revision, Txn, decode_config};
+use crate::telemetry::Metrics;
+
+/// A process that has just started and that reads the store at this address.
+fn node_with_store(store: SocketAddr) -> Node {
+    let address = ([127, 0, 0, 1], 1).into();
+    let settings = HostSettings {
+        host: HostName::new("h1"),
+        domain: DomainName::new("a"),
+        caller_address: address,
+        readiness_address: address,
+        peer_address: address,
+        store_address: store,
+        policy_address: None,
+        min_lease_ttl: Span::from_secs(1),
+        cpu_cores: 1.0,
+        link_mbps: 100.0,
+        stop_grace: Span::from_secs(6),
+        bounds: Bounds {
+            max_lease: Span::from_secs(6),
+            max_stop: Span::from_millis(400),
+            max_early_start: Span::ZERO,
+            remote_factor: 1.0,
+        },
+    };
+    Node::new(
+        settings,
+        HttpClient::new().unwrap(),
+        Metrics::new().unwrap(),
+    )
+}
 
 fn active_config() -> ActiveConfig {
     let text = r#"{"version":1,"routes":[
--- a/crates/jujubelb/src/node/tests/withdrawn.rs
+++ b/crates/jujubelb/src/node/tests/withdrawn.rs
@@ -1,42 +1,15 @@
 //! Keys of the operator that were withdrawn while the process did not see it: its history was
 //! forgotten, or the process was started again.
 
-use super::super::HostSettings;
 use super::super::main::apply_operator_keys;
 use super::super::state::Node;
 use super::super::watch::{WatchEvent, WatchPosition};
-use crate::dispatch::Bounds;
-use crate::model::{DomainName, HostName, Span};
-use crate::platform::{CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KeyState, ReadResult, Revision};
-use crate::telemetry::Metrics;
+use super::node_with_store;
+use crate::platform::{CONFIG_KEY, EVACUATION_PREFIX, KeyState, ReadResult, Revision};
 
 /// A process that has just started and has read nothing.
 fn started() -> Node {
-    let address = ([127, 0, 0, 1], 1).into();
-    let settings = HostSettings {
-        host: HostName::new("h1"),
-        domain: DomainName::new("a"),
-        caller_address: address,
-        readiness_address: address,
-        peer_address: address,
-        store_address: address,
-        policy_address: None,
-        min_lease_ttl: Span::from_secs(1),
-        cpu_cores: 1.0,
-        link_mbps: 100.0,
-        stop_grace: Span::from_secs(6),
-        bounds: Bounds {
-            max_lease: Span::from_secs(6),
-            max_stop: Span::from_millis(400),
-            max_early_start: Span::ZERO,
-            remote_factor: 1.0,
-        },
-    };
-    Node::new(
-        settings,
-        HttpClient::new().unwrap(),
-        Metrics::new().unwrap(),
-    )
+    node_with_store(([127, 0, 0, 1], 1).into())
 }
 
 fn key(name: &str, value: Option<String>, revision: u64) -> KeyState {
--- a/crates/jujubelb/src/platform/client.rs
+++ b/crates/jujubelb/src/platform/client.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use reqwest::{Method, StatusCode};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::model::Span;
@@ -57,7 +56,7 @@
 }
 
 impl HttpResponse {
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+    pub(crate) fn json<'a, T: Deserialize<'a>>(&'a self) -> Result<T, CallError> {
         serde_json::from_slice(&self.body)
             .map_err(|e| CallError::UnreadableBody(self.peer, e.to_string()))
     }
--- a/crates/jujubelb/src/platform/kv.rs
+++ b/crates/jujubelb/src/platform/kv.rs
@@ -7,6 +7,7 @@
 use derive_more::Display;
 use reqwest::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 use super::client::{CallError, HttpClient, HttpRequest, HttpResponse};
@@ -39,9 +40,9 @@
 pub struct KeyState {
     /// Name of the key.
     pub key: String,
-    /// Decoded value; `None` if the key was removed.
+    /// Decoded value; `None` if the key was removed. Empty if it can't be read.
     pub value: Option<Vec<u8>>,
-    /// Revision of the last change of the key.
+    /// Revision of the last change of the key; 0 if the item in a list can't be read.
     pub revision: Revision,
 }
 
@@ -148,31 +149,48 @@
     store_revision: Option<Revision>,
 }
 
+/// The parts of an item that are read if the item as a whole can't be.
 #[derive(Debug, Deserialize)]
-struct RangeResponse {
-    items: Vec<WireKeyState>,
+struct DamagedItem<'a> {
+    key: String,
+    #[serde(borrow, default)]
+    tombstone: Option<&'a RawValue>,
+}
+
+/// Items are kept as text and decoded one by one, because one that can't be decoded must not
+/// take the others with it. The text may be nested to any depth.
+#[derive(Debug, Deserialize)]
+struct RangeResponse<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     has_more: bool,
     store_revision: Revision,
 }
 
-impl RangeResponse {
-    /// Key after which the next page begins; `None` if this is the last page. `after` is the
-    /// key after which this page begins. A page that does not go on from there is an error,
-    /// since reading on would never end.
-    fn next(&self, after: &str) -> Result<Option<String>, String> {
-        match self.items.last().filter(|_| self.has_more) {
-            Some(last) if last.key.as_str() <= after => Err(format!(
-                "the page after the key `{after}` ends at `{}`",
-                last.key
+impl RangeResponse<'_> {
+    /// Decodes the page of a range that begins after the key `after`. Returns its items, and the
+    /// key after which the next page begins, or `None` if this is the last page. A page that
+    /// does not go on from `after` is an error, since reading on would never end.
+    fn decode(&self, after: &str) -> Result<(Vec<KeyState>, Option<String>), String> {
+        let items: Vec<KeyState> = self.items.iter().filter_map(|i| decode_item(i)).collect();
+        if !self.has_more {
+            return Ok((items, None));
+        }
+        // The next page repeats items behind the last readable key.
+        match items.last().map(|item| item.key.clone()) {
+            Some(last) if last.as_str() > after => Ok((items, Some(last))),
+            Some(last) => Err(format!("the page after the key `{after}` ends at `{last}`")),
+            None => Err(format!(
+                "the page after the key `{after}` has no readable key, and is not the last one"
             )),
-            last => Ok(last.map(|item| item.key.clone())),
         }
     }
 }
 
 #[derive(Debug, Deserialize)]
-struct WatchResponse {
-    events: Vec<WireKeyState>,
+struct WatchResponse<'a> {
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
     store_revision: Revision,
 }
 
@@ -261,12 +279,12 @@
             if response.status != StatusCode::OK {
                 return Err(response.unexpected_status());
             }
-            let page: RangeResponse = response.json()?;
+            let page: RangeResponse<'_> = response.json()?;
             revision.get_or_insert(page.store_revision);
-            let next = page
-                .next(&after)
+            let (found, next) = page
+                .decode(&after)
                 .map_err(|reason| CallError::UnreadableBody(self.address, reason))?;
-            items.extend(page.items.into_iter().filter_map(decode_key_state));
+            items.extend(found);
             match next {
                 Some(key) => after = key,
                 None => {
@@ -296,12 +314,12 @@
         let response = self.get_path("/kv-watch", &query, timeout).await?;
         match response.status {
             StatusCode::OK => {
-                let changes: WatchResponse = response.json()?;
+                let changes: WatchResponse<'_> = response.json()?;
                 Ok(ReadResult {
                     content: changes
                         .events
-                        .into_iter()
-                        .filter_map(decode_key_state)
+                        .iter()
+                        .filter_map(|e| decode_item(e))
                         .collect(),
                     revision: changes.store_revision,
                 })
@@ -415,6 +433,31 @@
     }
 }
 
+/// Decodes an item of a range or a watch. If only its key can be read, it is one with an empty
+/// value, which names nothing, so that an earlier value of the key is not used any longer.
+/// Returns `None` if its key can't be read either.
+fn decode_item(item: &RawValue) -> Option<KeyState> {
+    let error = match serde_json::from_str::<WireKeyState>(item.get()) {
+        Ok(item) => return decode_key_state(item),
+        Err(error) => error,
+    };
+    match serde_json::from_str::<DamagedItem<'_>>(item.get()) {
+        Ok(damaged) => {
+            log::warn!(key = damaged.key, error:% = error; "item of the store can't be decoded; its value counts as empty");
+            let removed = damaged.tombstone.is_some_and(|t| t.get() == "true");
+            Some(KeyState {
+                key: damaged.key,
+                value: (!removed).then(Vec::new),
+                revision: Revision::default(),
+            })
+        }
+        Err(_) => {
+            log::warn!(error:% = error; "item of the store has no readable key; ignored");
+            None
+        }
+    }
+}
+
 /// Returns `None` if the value is not valid base64.
 fn decode_key_state(item: WireKeyState) -> Option<KeyState> {
     let value = match (item.tombstone, &item.value) {
@@ -441,8 +484,6 @@
     bytes: &[u8],
     after: &str,
 ) -> Result<(Vec<KeyState>, Option<String>), String> {
-    let page: RangeResponse = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
-    let next = page.next(after)?;
-    let items = page.items.into_iter().filter_map(decode_key_state);
-    Ok((items.collect(), next))
+    let page: RangeResponse<'_> = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+    page.decode(after)
 }
--- a/crates/jujubelb/src/platform/tests/fuzzing.rs
+++ b/crates/jujubelb/src/platform/tests/fuzzing.rs
@@ -362,3 +362,16 @@
     let last = decode_page(PAGE.as_bytes(), "in/job/2").map(|(_, next)| next);
     assert_eq!(last, Ok(None));
 }
+
+/// Guards against reading on from an item whose key can't be read: from the key before it the
+/// pages go on, and without any readable key they would never end.
+#[test]
+fn a_page_goes_on_from_its_last_readable_key() {
+    let odd = r#"{"items":[{"key":[]}],"has_more":true,"store_revision":9}"#;
+    let error = decode_page(odd.as_bytes(), "in/job/1").unwrap_err();
+    assert!(error.contains("no readable key"), "{error}");
+    let more = PAGE.replace("\"has_more\":false", "\"has_more\":true");
+    let last = more.replace("],", r#",{"key":[]}],"#);
+    let next = decode_page(last.as_bytes(), "").map(|(items, next)| (items.len(), next));
+    assert_eq!(next, Ok((2, Some("in/job/2".to_owned()))));
+}
