Count a value that is not base64 as an empty one

An event or item of the store whose value is not base64 was dropped, so an earlier entry of its key stayed in use: a worker whose entry was overwritten got further tasks. A read of one such key answered that the key does not exist, so a condition on it expected revision 0 and failed at every attempt.

The key now exists with an empty value, which names no worker, no configuration and no job, and has its revision.

platform::tests::a_value_that_is_not_base64_counts_as_empty failed before with no item of two, and odd_entries::a_leader_uses_the_other_workers with the overwritten worker still in use.

--- a/crates/jujubelb/src/node/tests/odd_entries.rs
+++ b/crates/jujubelb/src/node/tests/odd_entries.rs
@@ -45,6 +45,9 @@
     ]
 }
 
+/// An item whose value is not base64.
+const UNENCODED: &str = r#"{"key":"servers/d","value":"\u0000%","revision":10}"#;
+
 /// Items of which even the key can't be read.
 fn nameless() -> Vec<String> {
     let deep = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
@@ -97,9 +100,14 @@
             let items = [nameless(), vec![good("g", 3)], nameless()];
             Some(page(&items.concat(), false))
         }
-        // The entry of `b` is overwritten, and another worker comes.
+        // The entries of `b` and `d` are overwritten, and another worker comes.
         ("/kv-watch", "9") => {
-            let items = [nameless(), odd("b"), vec![good("h", 10)], odd("i")];
+            let items = [
+                nameless(),
+                odd("b"),
+                vec![good("h", 10), UNENCODED.to_owned()],
+            ];
+            let items = [items.concat(), odd("i")];
             Some(changes(&items.concat(), 11))
         }
         ("/kv-watch", "11") => Some(changes(&[good("j", 12)], 12)),
@@ -222,7 +230,7 @@
     let term = Arc::new(begin_term(&node).await);
     assert_eq!(workers(&term, &node), ["b", "d", "f", "g"]);
     let watch = tokio::spawn(watch_workers(node.clone(), term.clone()));
-    let expected = ["d", "f", "g", "h", "j"];
+    let expected = ["f", "g", "h", "j"];
     let followed = timeout(LIMIT, async {
         while workers(&term, &node) != expected {
             tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/jujubelb/src/platform/kv.rs
+++ b/crates/jujubelb/src/platform/kv.rs
@@ -246,7 +246,7 @@
             StatusCode::OK => {
                 let found: KeyResponse = response.json()?;
                 Ok(ReadResult {
-                    content: decode_key_state(found.item),
+                    content: Some(decode_key_state(found.item)),
                     revision: found.store_revision,
                 })
             }
@@ -438,7 +438,7 @@
 /// Returns `None` if its key can't be read either.
 fn decode_item(item: &RawValue) -> Option<KeyState> {
     let error = match serde_json::from_str::<WireKeyState>(item.get()) {
-        Ok(item) => return decode_key_state(item),
+        Ok(item) => return Some(decode_key_state(item)),
         Err(error) => error,
     };
     match serde_json::from_str::<DamagedItem<'_>>(item.get()) {
@@ -458,23 +458,21 @@
     }
 }
 
-/// Returns `None` if the value is not valid base64.
-fn decode_key_state(item: WireKeyState) -> Option<KeyState> {
+/// Decodes the value of an item. One that is not valid base64 counts as empty: the key exists,
+/// and names nothing.
+fn decode_key_state(item: WireKeyState) -> KeyState {
     let value = match (item.tombstone, &item.value) {
         (true, _) | (false, None) => None,
-        (false, Some(text)) => match BASE64_STANDARD.decode(text) {
-            Ok(bytes) => Some(bytes),
-            Err(error) => {
-                log::warn!(key = item.key, error:% = error; "value in the store is not valid base64; ignored");
-                return None;
-            }
-        },
+        (false, Some(text)) => Some(BASE64_STANDARD.decode(text).unwrap_or_else(|error| {
+            log::warn!(key = item.key, error:% = error; "value in the store is not valid base64; it counts as empty");
+            Vec::new()
+        })),
     };
-    Some(KeyState {
+    KeyState {
         key: item.key,
         value,
         revision: item.revision,
-    })
+    }
 }
 
 /// Decodes a page of a range that begins after a key, and the key after which the next one
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -3,6 +3,7 @@
 mod damage;
 mod fuzzing;
 
+use super::kv::decode_page;
 use super::store_entries::{decode_config, decode_worker};
 use super::{decode_submission, encode_job_status, encode_pending_count, settings};
 use crate::dispatch::JobStatus;
@@ -100,6 +101,19 @@
     assert_eq!(decode_worker("other/i-1", good.as_bytes()), None);
 }
 
+/// Guards against an entry that keeps an earlier one of its key in use because its value is not
+/// base64.
+#[test]
+fn a_value_that_is_not_base64_counts_as_empty() {
+    let page = r#"{"items":[{"key":"servers/i-1","value":"\u0000%","revision":4},
+        {"key":"servers/i-2","value":"AAE","revision":5}],"has_more":false,"store_revision":9}"#;
+    let (items, _) = decode_page(page.as_bytes(), "").unwrap();
+    let values: Vec<_> = items.iter().map(|i| (i.key.as_str(), &i.value)).collect();
+    let empty = Some(Vec::new());
+    assert_eq!(values, [("servers/i-1", &empty), ("servers/i-2", &empty)]);
+    assert_eq!(decode_worker("servers/i-1", b""), None);
+}
+
 /// Guards against field and status names that callers don't know.
 #[test]
 fn responses_use_the_platforms_names() {
