Check the ranges of all fields of a worker's entry

An entry with port 0, a group address, a remaining time of 1e300 ms, or names and labels of any number and length named a worker. Such a worker was polled for ever and, once in the roster, waited for by the next leader; a long name could make the roster larger than a value of the store may be, so that nothing became durable. The remaining time was the last number of an entry without a bound; one that has passed may still be negative.

Entries out of these ranges now name no worker; the limits are far above what workers report.

platform::tests::entries_with_fields_out_of_range_name_no_worker failed before: 13 of 15 such entries were taken (port 65536 and 1e400 were refused).

--- a/crates/jujubelb/src/platform/numbers.rs
+++ b/crates/jujubelb/src/platform/numbers.rs
@@ -36,6 +36,22 @@
     }
 }
 
+/// Time that remains, in milliseconds. One that has passed is given as negative, and is zero.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(try_from = "f64")]
+pub(super) struct RemainingMillis(pub(super) Span);
+
+impl TryFrom<f64> for RemainingMillis {
+    type Error = String;
+
+    fn try_from(ms: f64) -> Result<Self, String> {
+        match (-MAX_MILLIS..0.0).contains(&ms) {
+            true => Ok(Self(Span::ZERO)),
+            false => Millis::try_from(ms).map(|time| Self(time.0)),
+        }
+    }
+}
+
 /// A time in seconds.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(try_from = "f64")]
--- a/crates/jujubelb/src/platform/store_entries.rs
+++ b/crates/jujubelb/src/platform/store_entries.rs
@@ -1,12 +1,12 @@
 //! Entries that the operator and the workers write into the store.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use arcstr::ArcStr;
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::numbers::{Cpu, Mebibytes, Millis, Ratio};
+use super::numbers::{Cpu, Mebibytes, Millis, Ratio, RemainingMillis};
 use crate::dispatch::{Incarnation, QueueSettings, WorkerReport};
 use crate::model::{Bytes, DomainName, Resources, ServiceName, Span, WorkerName};
 
@@ -127,6 +127,13 @@
     }
 }
 
+/// Length in bytes of the longest name or label of a worker. The store has no longer keys. Names
+/// are stored in the roster, which a long one could make too large to be written.
+const MAX_NAME_BYTES: usize = 200;
+
+/// Largest number of labels of a worker, which are searched for each placement.
+const MAX_LABELS: usize = 64;
+
 #[derive(Debug, Deserialize)]
 struct WireWorker {
     service: ServiceName,
@@ -139,12 +146,35 @@
     labels: Vec<ArcStr>,
     /// Time until a draining worker stops.
     #[serde(default)]
-    drain_remaining_ms: Option<f64>,
+    drain_remaining_ms: Option<RemainingMillis>,
     /// Incarnation of the worker.
     #[serde(default)]
     born: Option<Incarnation>,
 }
 
+impl WireWorker {
+    /// Checks what the types of the fields allow and no worker has.
+    fn check(&self, name: &str) -> Result<(), &'static str> {
+        let is_one_host = match self.address.ip() {
+            IpAddr::V4(ip) => !ip.is_unspecified() && !ip.is_multicast() && !ip.is_broadcast(),
+            IpAddr::V6(ip) => !ip.is_unspecified() && !ip.is_multicast(),
+        };
+        if !is_one_host || self.address.port() == 0 {
+            return Err("the address is not that of a server");
+        }
+        let mut texts = [name, self.service.as_str(), self.zone.as_str()]
+            .into_iter()
+            .chain(self.labels.iter().map(ArcStr::as_str));
+        if name.is_empty() || texts.any(|text| text.len() > MAX_NAME_BYTES) {
+            return Err("the name is empty, or a name or label is too long");
+        }
+        match self.labels.len() <= MAX_LABELS {
+            true => Ok(()),
+            false => Err("there are too many labels"),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum WireState {
@@ -176,8 +206,10 @@
             return None;
         }
     };
-    // A time that has passed is reported as negative; the worker may stop at once.
-    let remaining_ms = entry.drain_remaining_ms.unwrap_or(0.0).max(0.0);
+    if let Err(problem) = entry.check(name) {
+        log::debug!(key = key, problem = problem; "entry of a worker can't be used; ignored");
+        return None;
+    }
     Some(WorkerReport {
         name: WorkerName::new(name),
         address: entry.address,
@@ -187,7 +219,7 @@
         labels: entry.labels,
         capacity: Resources::new(entry.room.cpu.0, entry.room.mem_mb.0.0, entry.room.gpu),
         drain_remaining: (entry.state == WireState::Draining)
-            .then(|| Span::from_micros((remaining_ms * 1e3) as u64)),
+            .then(|| entry.drain_remaining_ms.unwrap_or_default().0),
         incarnation: entry.born,
     })
 }
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -114,6 +114,46 @@
     assert_eq!(decode_worker("servers/i-1", b""), None);
 }
 
+/// Guards against entries that decode and hurt: an address that is nobody's, a time that lasts
+/// for ever, and texts that are copied often and stored with the roster.
+#[test]
+fn entries_with_fields_out_of_range_name_no_worker() {
+    let good = r#"{"service":"s","address":"10.1.0.9:80","zone":"z","state":"draining",
+        "drain_remaining_ms":-1200,"room":{"cpu":16000,"mem_mb":32,"gpu":0},"labels":["a","r1-2"]}"#;
+    let report = decode_worker("servers/i-1", good.as_bytes()).unwrap();
+    assert_eq!(report.drain_remaining, Some(Span::ZERO));
+    let long = "x".repeat(201);
+    let many = format!("\"labels\":[{}\"a\"", "\"l\",".repeat(64));
+    let mut accepted = Vec::new();
+    for (from, to) in [
+        ("10.1.0.9:80", "10.1.0.9:0"),
+        ("10.1.0.9:80", "10.1.0.9:65536"),
+        ("10.1.0.9:80", "0.0.0.0:80"),
+        ("10.1.0.9:80", "[::]:80"),
+        ("10.1.0.9:80", "224.0.0.1:80"),
+        ("10.1.0.9:80", "255.255.255.255:80"),
+        ("-1200", "1e300"),
+        ("-1200", "-1e300"),
+        ("-1200", "1e400"),
+        ("\"service\":\"s\"", &format!("\"service\":\"{long}\"")),
+        ("\"zone\":\"z\"", &format!("\"zone\":\"{long}\"")),
+        ("\"labels\":[\"a\"", &format!("\"labels\":[\"{long}\"")),
+        ("\"labels\":[\"a\"", &many),
+    ] {
+        assert!(good.contains(from), "{from}");
+        if decode_worker("servers/i-1", good.replace(from, to).as_bytes()).is_some() {
+            accepted.push(to.chars().take(30).collect::<String>());
+        }
+    }
+    if decode_worker(&format!("servers/{long}"), good.as_bytes()).is_some() {
+        accepted.push("a long name".to_owned());
+    }
+    if decode_worker("servers/", good.as_bytes()).is_some() {
+        accepted.push("an empty name".to_owned());
+    }
+    assert_eq!(accepted, [""; 0]);
+}
+
 /// Guards against field and status names that callers don't know.
 #[test]
 fn responses_use_the_platforms_names() {
