Let a worker join the roster with its first answer

A worker joined the durable roster as soon as it was listed. An entry of another writer that decodes and names nobody (an address that does not answer, or one that answers as another worker) was so in the roster for as long as it was listed. After a change of the leader the new one waited for it, 23.1 s, before it started any task of an earlier term: callers saw jobs that did not run.

A worker now joins with its first answer to a poll of the term, or stays if the stored roster had it. Nothing starts on a worker before it has answered and the roster is stored, so no run is missed. A new worker is written to the roster after its answer rather than beside its poll.

odd_workers::a_new_leader_does_not_wait_for_a_worker_that_never_answered failed before (23.1 s until the job had completed instead of less than 2 s), and so did a_worker_of_the_roster_stays_in_it_until_it_answers (the odd worker was in the roster). The other tests of the file passed before and guard the change.

encoding::a_batch_fits_into_a_transaction expected a roster in the batch right after a worker was listed. The listed worker is now polled once before the batch is taken; its assertions and bounds are unchanged.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -73,7 +73,9 @@
 /// of them, or outlast its lease, before it starts inherited tasks.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
-    /// Workers in the order in which they were first listed.
+    /// Workers in the order in which they were first listed. A worker joins when it first answers
+    /// a poll: other writers may list any number that never do, and a new leader would wait
+    /// for each of them.
     pub workers: Vec<RosterEntry>,
 }
 
@@ -132,7 +134,7 @@
             workers: self
                 .workers
                 .values()
-                .filter(|w| w.listed || w.in_roster)
+                .filter(|w| w.fenced || w.in_roster)
                 .map(|w| RosterEntry {
                     name: w.report.name.clone(),
                     address: w.report.address,
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -152,7 +152,6 @@
         log::info!(worker:% = name, address:% = report.address, domain:% = report.domain; "worker listed");
         self.workers.insert(name, Worker::new(report, now));
         self.membership += 1;
-        self.roster_dirty = true;
     }
 
     /// Records that the store no longer lists a worker.
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -175,6 +175,7 @@
         if first {
             log::info!(worker:% = name, runs = reply.running.len(), token = self.term.token; "worker fenced");
             worker.fenced = true;
+            self.roster_dirty |= !worker.in_roster;
             worker.answering_since = now;
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
--- a/crates/jujubelb/src/dispatch/tests/encoding.rs
+++ b/crates/jujubelb/src/dispatch/tests/encoding.rs
@@ -1,5 +1,6 @@
 //! Text forms, stored forms and the size of write batches.
 
+use super::simulation::TIME_STEP;
 use super::{Simulation, job, step};
 use crate::dispatch::commit::MAX_ENTRIES_PER_COMMIT;
 use crate::dispatch::{
@@ -57,6 +58,8 @@
     sim.run(Span::from_secs(4));
     sim.add_worker(4);
     sim.list_workers();
+    // The worker joins the roster with its first answer.
+    sim.run(TIME_STEP);
     let batch = sim.dispatcher.take_commit(sim.now).unwrap();
     assert!(batch.roster.is_some() && batch.model.is_some());
     assert!(batch.jobs.len() > MAX_ENTRIES_PER_COMMIT / 2);
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -13,6 +13,7 @@
 mod interference;
 mod leader_changes;
 mod leases;
+mod odd_workers;
 mod overlapping_terms;
 mod paused_leaders;
 mod queueing;
