Draw the odd entries of the soak from eight kinds

The fault left one entry that is no JSON. It now leaves one that nests deeply, has a value of another type, a number too large, a port out of range, port 0 or an unknown service, names nobody, or is no JSON.

--- a/crates/jujubelb-lab/src/soak/faults.rs
+++ b/crates/jujubelb-lab/src/soak/faults.rs
@@ -35,6 +35,36 @@
     b"GET /batch/%zz%00\xff HTTP/1.1\r\nHost: \xff\xfe\r\nDeadline-Ms: -1e99\r\n\r\n",
 ];
 
+/// Entry of a worker that could be used, if anything answered at its address.
+const UNANSWERED_ENTRY: &str = r#"{"service":"main","address":"127.0.0.1:1","zone":"a",
+    "state":"ready","room":{"cpu":64000,"mem_mb":262144},"labels":["plain","r1"],"born":1}"#;
+
+/// Changes of that entry, each with the part that is replaced. The first leaves it as it is.
+const ENTRY_CHANGES: [(&str, &str); 6] = [
+    ("", ""),
+    ("\"main\"", "7"),
+    ("\"main\"", "\"unknown\""),
+    ("64000", "18446744073709551616"),
+    (":1\"", ":65536\""),
+    (":1\"", ":0\""),
+];
+
+/// Depth of nesting beyond what decoders that recurse take.
+const DEEP_NESTING: usize = 30_000;
+
+/// An entry of another writer, which names no worker to use. The number chooses its kind.
+fn bad_entry(number: u128) -> Vec<u8> {
+    let kind = number as usize % (ENTRY_CHANGES.len() + 2);
+    if let Some((part, odd)) = ENTRY_CHANGES.get(kind) {
+        return UNANSWERED_ENTRY.replacen(part, odd, 1).into_bytes();
+    }
+    if kind == ENTRY_CHANGES.len() {
+        let nested = "[".repeat(DEEP_NESTING) + &"]".repeat(DEEP_NESTING);
+        return UNANSWERED_ENTRY.replace("\"r1\"", &nested).into_bytes();
+    }
+    b"{\"service\":7,\xff".to_vec()
+}
+
 /// Everything that faults are done to.
 #[derive(Debug)]
 pub(crate) struct Scene {
@@ -155,7 +185,9 @@
             Fault::BadEntry => {
                 let key = worker_key("w-unreadable");
                 let store = &self.emulator.store;
-                store.with(|s, now| s.write(&key, b"{\"service\":7,\xff".to_vec(), now));
+                // Not drawn, so that the plans of earlier seeds stay as they are.
+                let entry = bad_entry(planned.at.as_millis());
+                store.with(|s, now| s.write(&key, entry, now));
                 sleep(time).await;
                 store.with(|s, now| s.delete(&key, now));
             }
--- a/crates/jujubelb-lab/src/soak/plan.rs
+++ b/crates/jujubelb-lab/src/soak/plan.rs
@@ -57,7 +57,7 @@
     WorkerDrain(usize),
     /// A worker can't reach the store.
     WorkerCut(usize),
-    /// An entry that can't be read is among those of the workers.
+    /// An entry that can't be read, or names nobody, is among those of the workers.
     BadEntry,
     /// A client sends what is no request, and bodies that can't be decoded.
     BadRequests(Target),
