--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -178,6 +178,7 @@
             log::info!(worker:% = name, runs = reply.running.len(), token = self.token; "worker fenced");
             worker.fenced = true;
             self.raise_needed |= worker.admission == Admission::AwaitsToken;
+            self.roster_dirty |= !worker.in_roster;
             worker.answering_since = now;
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -14,6 +14,7 @@
 mod late_calls;
 mod leader_changes;
 mod leases;
+mod odd_workers;
 mod overlapping_terms;
 mod paused_leaders;
 mod queueing;
