Log what becomes of a start that got no answer

The log showed that a start got no answer, and then a lost run or nothing: a stop that was confirmed and a run that the worker listed after all left no line, so it could not be told which of the two had happened after a restart of the worker. Both now have one line, and the figure unanswered of dispatch load counts the starts of which nothing is known yet.

--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -38,7 +38,7 @@
 use job::{Job, TaskState};
 use pace::Headrooms;
 use tickets::StepTickets;
-use worker::Worker;
+use worker::{RunPhase, Worker};
 
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
@@ -398,6 +398,12 @@
                 .values()
                 .map(|w| w.processed - w.acknowledged)
                 .sum(),
+            unanswered: self
+                .workers
+                .values()
+                .flat_map(|w| w.runs.values())
+                .filter(|r| r.phase == RunPhase::Unsure)
+                .count(),
             stopping: self
                 .workers
                 .values()
@@ -484,6 +490,8 @@
     pub undurable: usize,
     /// Completions that have been processed and not yet acknowledged to their workers.
     pub unacknowledged: u64,
+    /// Runs whose start order got no answer, and of which nothing is known yet.
+    pub unanswered: usize,
     /// Runs that have to be stopped and have not ended.
     pub stopping: usize,
     /// Capacity of the workers in use, in cores.
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -313,6 +313,9 @@
             return;
         };
         if tracked.phase != RunPhase::Running {
+            if tracked.phase == RunPhase::Unsure {
+                log::info!(task:% = row.task, run:% = row.run, worker:% = name, age:% = now.since(tracked.since); "run of an unanswered start found");
+            }
             tracked.phase = RunPhase::Running;
             tracked.confirmed = now;
         }
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -143,6 +143,9 @@
         if let Some(tracked) = worker.runs.get_mut(&task).filter(|r| r.run == run) {
             tracked.stop_pending = false;
             if reply == StopReply::Stopped {
+                if tracked.phase == RunPhase::Unsure && tracked.stop_confirmed.is_none() {
+                    log::info!(task:% = task, run:% = run, worker:% = name, age:% = now.since(tracked.since); "stop of an unanswered start confirmed");
+                }
                 tracked.stop_confirmed = Some(now);
             }
         }
