Keep the first confirmation of a stop, so that an unanswered start is ruled out

A start without an answer is given up once a poll that was sent after a confirmed stop does not list it. Each repeated stop replaced the time of the confirmation. Stops are repeated after 1 s, and a poll of a quiet worker waits for 1.5 s, so no poll was ever sent after the last confirmation. Before a restart the deadline of the start ends this after 2.5 s; after a restart it has none, because the clock is another one.

The first confirmation suffices, as the worker refuses the run from then on; a restart still discards it. a_start_is_ruled_out_while_its_stop_is_repeated plays this order of events with polls that wait.

--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -146,7 +146,10 @@
                 if tracked.phase == RunPhase::Unsure && tracked.stop_confirmed.is_none() {
                     log::info!(task:% = task, run:% = run, worker:% = name, age:% = now.since(tracked.since); "stop of an unanswered start confirmed");
                 }
-                tracked.stop_confirmed = Some(now);
+                // The worker refuses the run from the first confirmation on. Were each repeated
+                // stop to replace its time, a poll that waits for longer than the stop is
+                // repeated would never have been sent after it.
+                tracked.stop_confirmed.get_or_insert(now);
             }
         }
         match reply {
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -19,6 +19,7 @@
 mod stops;
 mod succession;
 mod tickets;
+mod unanswered_starts;
 mod withdrawn_workers;
 
 pub(super) use simulation::{Simulation, job, long_running, step};
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -80,7 +80,7 @@
     pub(crate) stop_sent: Option<Time>,
     /// Whether the last stop order has no answer yet, not even that there is none.
     pub(crate) stop_pending: bool,
-    /// When the worker last confirmed a stop.
+    /// When the worker first confirmed a stop of the run in its current incarnation.
     pub(crate) stop_confirmed: Option<Time>,
     pub(crate) must_stop: bool,
     /// Progress of the run, or readiness of a serving task, at the last poll.
