Count no confirmation of a stop that was ordered before its worker restarted

A stop rules out an unanswered start on the incarnation that confirmed it. If the answer arrived after the restart was noticed, it counted for the new incarnation, which knows of no stop: the task could start elsewhere while the first start order, still in transit, reached the new incarnation. The answer is now processed with the time of its order, and confirms nothing if the current incarnation answered first after that; the stop is repeated as before.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -397,8 +397,14 @@
                 if worker.runs.swap_remove(task).is_some() {
                     worker.end(*task, *run, RunOutcome::Stopped);
                 }
-                self.dispatcher
-                    .stop_answered(&order.worker, *task, *run, StopReply::Stopped, now);
+                self.dispatcher.stop_answered(
+                    &order.worker,
+                    *task,
+                    *run,
+                    StopReply::Stopped,
+                    now,
+                    now,
+                );
             }
             Order::Pace { .. } => {}
         }
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -128,13 +128,14 @@
         }
     }
 
-    /// Processes the result of a stop order.
+    /// Processes the result of a stop order that was planned at `planned`.
     pub fn stop_answered(
         &mut self,
         name: &WorkerName,
         task: TaskKey,
         run: Run,
         reply: StopReply,
+        planned: Time,
         now: Time,
     ) {
         let Some(worker) = self.workers.get_mut(name) else {
@@ -142,7 +143,8 @@
         };
         if let Some(tracked) = worker.runs.get_mut(&task).filter(|r| r.run == run) {
             tracked.stop_pending = false;
-            if reply == StopReply::Stopped {
+            // An earlier answer may be of an earlier incarnation, and then does not bind this one.
+            if reply == StopReply::Stopped && planned >= worker.answering_since {
                 if tracked.phase == RunPhase::Unsure && tracked.stop_confirmed.is_none() {
                     log::info!(task:% = task, run:% = run, worker:% = name, age:% = now.since(tracked.since); "stop of an unanswered start confirmed");
                 }
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -725,7 +725,8 @@
                         }
                     }
                 };
-                self.dispatcher.stop_answered(name, *task, *run, reply, now);
+                self.dispatcher
+                    .stop_answered(name, *task, *run, reply, now, now);
             }
             Order::Pace { task, run, percent } => {
                 if let Some(tracked) = self.workers[name].runs.get_mut(task)
--- a/crates/jujubelb/src/dispatch/tests/stops.rs
+++ b/crates/jujubelb/src/dispatch/tests/stops.rs
@@ -35,7 +35,7 @@
     };
     let reply = StopReply::NoAnswer;
     sim.dispatcher
-        .stop_answered(&order.worker, task, run, reply, sim.now);
+        .stop_answered(&order.worker, task, run, reply, sim.now, sim.now);
     assert_eq!(plan_for(&mut sim, Span::from_secs(1)).len(), 1);
 }
 
@@ -62,7 +62,7 @@
                 sim.now = sim.now + STOP_TIMEOUT + RELAY_MARGIN;
                 let reply = StopReply::NoAnswer;
                 sim.dispatcher
-                    .stop_answered(&order.worker, task, run, reply, sim.now);
+                    .stop_answered(&order.worker, task, run, reply, sim.now, sim.now);
             }
         }
     }
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -835,7 +835,7 @@
         }
         Order::Stop { task, run } => {
             let reply = term.workers.stop(&order, *task, *run).await;
-            lock(&term.dispatcher).stop_answered(worker, *task, *run, reply, node.now());
+            lock(&term.dispatcher).stop_answered(worker, *task, *run, reply, planned, node.now());
         }
         Order::Pace { .. } => {
             term.workers.pace(&order).await;
