--- a/crates/jujubelb/src/dispatch/tests/unanswered_starts.rs
+++ b/crates/jujubelb/src/dispatch/tests/unanswered_starts.rs
@@ -90,6 +90,45 @@
     }
 }
 
+/// Guards against the same fault if the start is found unanswered only after the poll that
+/// shows the restart.
+#[test]
+fn a_start_that_is_unanswered_after_the_restart_is_ruled_out() {
+    for gang in [false, true] {
+        let mut sim = Simulation::new(1);
+        sim.submit(1, job(0, vec![three_tasks(gang)]));
+        let arrived = sim.dispatcher.last_arrival();
+        sim.dispatcher.term_confirmed(arrived);
+        let orders = sim.dispatcher.plan(sim.wall(), sim.now);
+        assert_eq!(orders.len(), 3);
+        sim.crash_worker(0);
+        sim.now = sim.now + TIME_STEP;
+        sim.restart_worker(0);
+        sim.poll_worker(0);
+        sim.list_workers();
+        for WorkerOrder { worker, order, .. } in &orders {
+            if let Order::Start { task, run, .. } = order {
+                let reply = StartReply::NoAnswer;
+                sim.dispatcher
+                    .start_answered(worker, *task, *run, reply, sim.now);
+            }
+        }
+        let start = poll_until_start(&mut sim, Span::from_secs(20));
+        assert!(start.is_some_and(|t| t <= MAX_WAIT), "{gang} {start:?}");
+    }
+}
+
+/// Guards against runs of a cancelled job that take a worker's room for good.
+#[test]
+fn a_start_of_a_cancelled_job_is_ruled_out() {
+    let (mut sim, key) = restarted_worker(three_tasks(false));
+    sim.cancel(key);
+    sim.poll_worker(0);
+    sim.list_workers();
+    assert_eq!(poll_until_start(&mut sim, MAX_WAIT), None);
+    assert_eq!(sim.dispatcher.summary().running, 0);
+}
+
 /// The task and the run of the only order to stop among these.
 fn stop_of(orders: &[WorkerOrder]) -> (TaskKey, Run) {
     match orders {
