--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -234,7 +234,7 @@
             if let Some(commit) = self.dispatcher.take_commit(self.now) {
                 self.row.commits += 1;
                 // The token of the term is lower than the revisions of its writes.
-                let revision = self.dispatcher.term().token + self.row.commits as u64;
+                let revision = self.dispatcher.term().token + self.row.commits;
                 self.dispatcher.committed(&commit, revision, self.now);
             }
             self.row.commit_time += began.elapsed();
