Send a call again that a later one of the same term overtook

A start that was refused because a poll with the raised token had overtaken it was given up and planned anew. The other members of its gang ran on alone until their time was over, which callers see as a gang that is late, and a stop waited for a second before it was repeated.

A worker does nothing for a lower token, so the same call is now sent again as long as the token has been raised since it was sent. Nothing outside the gateway has to know of overtaken calls any more. a_call_that_was_overtaken_is_sent_again failed before: the start counted as refused.

--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -23,9 +23,6 @@
     Ticket,
     /// A reason that this version does not know.
     Unknown,
-    /// The worker may have seen a token to which this term was raised after the order was
-    /// sent.
-    Overtaken,
 }
 
 /// Result of a start order.
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -888,7 +888,6 @@
                 }
                 term.plan_needed.notify_one();
             }
-            Ok(PollResult::Overtaken) => {}
             Ok(PollResult::Fenced) => {
                 lock(&term.dispatcher).poll_fenced(&worker);
                 term.plan_needed.notify_one();
--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -86,7 +86,7 @@
     match &call.action {
         Action::Poll(worker, request) => match client.poll(worker, request).await {
             Ok(PollResult::Reply(reply)) => CallResult::Polled(reply),
-            Ok(PollResult::Fenced | PollResult::Overtaken) => CallResult::PollFenced,
+            Ok(PollResult::Fenced) => CallResult::PollFenced,
             Err(error) => CallResult::PollFailed(error.had_no_effect()),
         },
         Action::Order(order, _) => match &order.order {
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -150,9 +150,9 @@
         WorkerClient::new(self.client.clone(), self.token())
     }
 
-    /// Whether a refused call may have been refused because of a later call of this term: the
-    /// token was raised after `token` was read for it. Otherwise the term is over.
-    fn may_be_overtaken(&self, token: u64) -> bool {
+    /// Whether the token was raised after `token` was read for a call. If the call was refused
+    /// because of its token, a later one may have overtaken it; otherwise the term is over.
+    fn is_outdated(&self, token: u64) -> bool {
         token < self.token()
     }
 
@@ -266,39 +266,49 @@
 
     /// Starts a run.
     pub(crate) async fn start(&self, order: &WorkerOrder) -> StartReply {
-        let token = self.token();
-        let reply = match self.way(&order.worker) {
-            Way::Direct => self.direct().start(order).await,
-            Way::Closed => StartReply::NotSent,
-            Way::Relay(link) => match self.order(&link, order).await {
-                Some(CallResult::Started(reply)) => reply,
-                Some(CallResult::NotSent) => StartReply::NotSent,
-                _ => StartReply::NoAnswer,
-            },
-        };
-        match reply {
-            StartReply::Refused(Refusal::Fence) if self.may_be_overtaken(token) => {
-                StartReply::Refused(Refusal::Overtaken)
+        loop {
+            let token = self.token();
+            let reply = self.send_start(order).await;
+            // A refused order has had no effect, so it is sent again under the raised token.
+            if reply != StartReply::Refused(Refusal::Fence) || !self.is_outdated(token) {
+                return reply;
             }
-            reply => reply,
+        }
+    }
+
+    async fn send_start(&self, order: &WorkerOrder) -> StartReply {
+        let link = match self.way(&order.worker) {
+            Way::Direct => return self.direct().start(order).await,
+            Way::Closed => return StartReply::NotSent,
+            Way::Relay(link) => link,
+        };
+        match self.order(&link, order).await {
+            Some(CallResult::Started(reply)) => reply,
+            Some(CallResult::NotSent) => StartReply::NotSent,
+            _ => StartReply::NoAnswer,
         }
     }
 
     /// Stops a run.
     pub(crate) async fn stop(&self, order: &WorkerOrder, task: TaskKey, run: Run) -> StopReply {
-        let token = self.token();
-        let reply = match self.way(&order.worker) {
-            Way::Direct => self.direct().stop(order, task, run).await,
-            Way::Closed => StopReply::NoAnswer,
-            Way::Relay(link) => match self.order(&link, order).await {
-                Some(CallResult::Stopped(reply)) => reply,
-                _ => StopReply::NoAnswer,
-            },
+        loop {
+            let token = self.token();
+            let reply = self.send_stop(order, task, run).await;
+            if reply != StopReply::Fenced || !self.is_outdated(token) {
+                return reply;
+            }
+        }
+    }
+
+    async fn send_stop(&self, order: &WorkerOrder, task: TaskKey, run: Run) -> StopReply {
+        let link = match self.way(&order.worker) {
+            Way::Direct => return self.direct().stop(order, task, run).await,
+            Way::Closed => return StopReply::NoAnswer,
+            Way::Relay(link) => link,
         };
-        match reply {
-            // It has to be repeated under the present token.
-            StopReply::Fenced if self.may_be_overtaken(token) => StopReply::NoAnswer,
-            reply => reply,
+        match self.order(&link, order).await {
+            Some(CallResult::Stopped(reply)) => reply,
+            _ => StopReply::NoAnswer,
         }
     }
 
@@ -324,10 +334,12 @@
         worker: &WorkerName,
         request: &PollRequest,
     ) -> Result<PollResult, CallError> {
-        let token = self.token();
-        match self.send_poll(worker, request).await {
-            Ok(PollResult::Fenced) if self.may_be_overtaken(token) => Ok(PollResult::Overtaken),
-            result => result,
+        loop {
+            let token = self.token();
+            let result = self.send_poll(worker, request).await;
+            if !matches!(result, Ok(PollResult::Fenced)) || !self.is_outdated(token) {
+                return result;
+            }
         }
     }
 
--- a/crates/jujubelb/src/node/relay/tests.rs
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -7,7 +7,9 @@
 use super::gateway::{OpenGateway, RelayLink, WorkerGateway};
 use super::message::{Action, Call, CallResult, HostReport, RelayResults};
 use super::selection::{KnownHosts, REPORT_LIFETIME, SUSPENSION, needs_relays, relay_of};
-use crate::dispatch::{JobKey, Order, PollRequest, Run, StartReply, StepKey, TaskKey, WorkerOrder};
+use crate::dispatch::{
+    JobKey, Order, PollRequest, Refusal, Run, StartReply, StepKey, TaskKey, WorkerOrder,
+};
 use crate::model::{DomainName, HostName, Span, Time, WorkerName, WorkerTime};
 use crate::platform::HttpClient;
 use crate::telemetry::{self, Metrics};
@@ -358,3 +360,38 @@
 async fn a_missing_result_is_no_evidence() {
     assert_eq!(call(Vec::new(), Span::ZERO).await, None);
 }
+
+/// Makes a start through a relay whose worker refuses it because of its token, and accepts it
+/// if it is sent again. Before the refusal the token is raised to `raised`.
+async fn start_refused(raised: u64) -> StartReply {
+    let gateway = gateway();
+    gateway.add_link(std::sync::Arc::new(RelayLink::new(host("h", "a", 0.5))));
+    let Action::Order(order, _) = start(1, 0, "payload").action else {
+        unreachable!("a start is an order");
+    };
+    let refused = CallResult::Started(StartReply::Refused(Refusal::Fence));
+    let answers = async {
+        tokio::task::yield_now().await;
+        gateway.raise_token(raised);
+        for (id, result) in [(0, refused), (1, started())] {
+            let (nonce, results) = (NONCE, vec![(id, result)]);
+            gateway.results_received(RelayResults { nonce, results });
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::join!(gateway.start(&order), answers).0
+}
+
+/// Guards against a term that ends because a call was overtaken by a later one of the same term
+/// with a raised token, and against a gang that waits for the member that was refused.
+#[tokio::test]
+async fn a_call_that_was_overtaken_is_sent_again() {
+    assert_eq!(start_refused(2).await, StartReply::Started);
+}
+
+/// Guards against a leader that goes on although its worker has seen the token of a newer one.
+#[tokio::test]
+async fn a_call_that_was_refused_under_the_present_token_is_not_sent_again() {
+    let refused = StartReply::Refused(Refusal::Fence);
+    assert_eq!(start_refused(1).await, refused);
+}
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -99,9 +99,6 @@
     Reply(PollReply),
     /// The worker refused the poll because it has seen a higher fencing token.
     Fenced,
-    /// The worker refused the poll, and may have seen a token to which this term was raised
-    /// after the poll was sent.
-    Overtaken,
 }
 
 /// Client of the workers for one leader's term.
