Check a start again when its turn to be sent comes

At most four starts and paces are sent to a worker at a time; others wait, up to 2.5 s. Whether the worker is reachable and admitted was checked only when the start was planned. If the worker restarted in between, the start went to the new incarnation, whose labels, capacity and clock are others, and under the token that late calls to the former one carry. Callers may see a task that is done start again, or one on a worker that does not suit it.

The dispatcher is now asked again before the start is sent: its worker has answered the last poll and has not restarted since the order was planned. Otherwise the start counts as not sent. Calls that wait for a relay are not checked again.

--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -166,6 +166,18 @@
         }
     }
 
+    /// Whether a start order that has waited may still be sent: its worker has answered the last
+    /// poll and has not restarted since the order was planned. A new incarnation may have other
+    /// labels and capacity, and the deadline of the order means nothing on its clock.
+    pub fn may_send_start(&self, name: &WorkerName, task: TaskKey, run: Run) -> bool {
+        self.workers.get(name).is_some_and(|worker| {
+            let tracked = worker.runs.get(&task).filter(|r| r.run == run);
+            worker.reachable
+                && worker.is_admitted()
+                && tracked.is_some_and(|r| r.since >= worker.answering_since)
+        })
+    }
+
     /// Deadline of a start order that is sent now, on the worker's clock.
     pub(super) fn start_deadline(&self, clock: WorkerTime) -> WorkerTime {
         clock + START_VALIDITY.min(self.bounds.max_lease)
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -838,9 +838,11 @@
     let worker = &order.worker;
     match &order.order {
         Order::Start { task, run, .. } => {
-            let reply = match is_start_overdue(planned, node.now()) {
-                true => StartReply::NotSent,
-                false => term.workers.start(&order).await,
+            let may_send = !is_start_overdue(planned, node.now())
+                && lock(&term.dispatcher).may_send_start(worker, *task, *run);
+            let reply = match may_send {
+                true => term.workers.start(&order).await,
+                false => StartReply::NotSent,
             };
             lock(&term.dispatcher).start_answered(worker, *task, *run, reply, node.now());
         }
