Admit a worker only by a poll that was sent after the token was raised

A poll that was sent at the very reading of the clock at which the token was raised may carry the former token. It admitted the worker; now only a later one does. Found by reading.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -190,7 +190,7 @@
             && reply.incarnation != worker.incarnation;
         if !restarted
             && let Admission::AwaitsPoll(raised) = worker.admission
-            && sent >= raised
+            && sent > raised
         {
             worker.admission = Admission::Admitted;
         }
