Refuse a page with an item that can't be decoded outside the workers' entries

Since items are decoded one by one, an item that can't be decoded was left out or counted as empty under every prefix. A new leader that overlooked the state of a job would have started its tasks again, and one that overlooked the roster would not have waited for earlier leaders.

Only the workers' prefix is open to other writers, so only there the other items hold.

--- a/crates/jujubelb/src/platform/kv.rs
+++ b/crates/jujubelb/src/platform/kv.rs
@@ -10,6 +10,7 @@
 use serde_json::value::RawValue;
 use thiserror::Error;
 
+use super::WORKER_PREFIX;
 use super::client::{CallError, HttpClient, HttpRequest, HttpResponse};
 use crate::model::Span;
 
@@ -167,12 +168,36 @@
     store_revision: Revision,
 }
 
+/// What becomes of items that can't be decoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OddItems {
+    /// The others hold.
+    Ignored,
+    /// The page can't be used.
+    Refused,
+}
+
+impl OddItems {
+    /// Other writers leave odd items among those of the workers. Anywhere else an item that
+    /// is overlooked does harm: without its state, the tasks of a job would run again.
+    fn under(prefix: &str) -> Self {
+        match prefix == WORKER_PREFIX {
+            true => Self::Ignored,
+            false => Self::Refused,
+        }
+    }
+}
+
 impl RangeResponse<'_> {
     /// Decodes the page of a range that begins after the key `after`. Returns its items, and the
     /// key after which the next page begins, or `None` if this is the last page. A page that
     /// does not go on from `after` is an error, since reading on would never end.
-    fn decode(&self, after: &str) -> Result<(Vec<KeyState>, Option<String>), String> {
-        let items: Vec<KeyState> = self.items.iter().filter_map(|i| decode_item(i)).collect();
+    fn decode(
+        &self,
+        after: &str,
+        odd: OddItems,
+    ) -> Result<(Vec<KeyState>, Option<String>), String> {
+        let items = decode_items(&self.items, odd)?;
         if !self.has_more {
             return Ok((items, None));
         }
@@ -282,7 +307,7 @@
             let page: RangeResponse<'_> = response.json()?;
             revision.get_or_insert(page.store_revision);
             let (found, next) = page
-                .decode(&after)
+                .decode(&after, OddItems::under(prefix))
                 .map_err(|reason| CallError::UnreadableBody(self.address, reason))?;
             items.extend(found);
             match next {
@@ -315,12 +340,10 @@
         match response.status {
             StatusCode::OK => {
                 let changes: WatchResponse<'_> = response.json()?;
+                let content = decode_items(&changes.events, OddItems::under(prefix))
+                    .map_err(|reason| CallError::UnreadableBody(self.address, reason))?;
                 Ok(ReadResult {
-                    content: changes
-                        .events
-                        .iter()
-                        .filter_map(|e| decode_item(e))
-                        .collect(),
+                    content,
                     revision: changes.store_revision,
                 })
             }
@@ -433,14 +456,22 @@
     }
 }
 
-/// Decodes an item of a range or a watch. If only its key can be read, it is one with an empty
-/// value, which names nothing, so that an earlier value of the key is not used any longer.
-/// Returns `None` if its key can't be read either.
-fn decode_item(item: &RawValue) -> Option<KeyState> {
-    let error = match serde_json::from_str::<WireKeyState>(item.get()) {
-        Ok(item) => return Some(decode_key_state(item)),
-        Err(error) => error,
-    };
+/// Decodes the items of a range or a watch.
+fn decode_items(items: &[&RawValue], odd: OddItems) -> Result<Vec<KeyState>, String> {
+    let mut decoded = Vec::with_capacity(items.len());
+    for item in items {
+        match serde_json::from_str::<WireKeyState>(item.get()) {
+            Ok(item) => decoded.push(decode_key_state(item)),
+            Err(error) if odd == OddItems::Ignored => decoded.extend(salvage_item(item, &error)),
+            Err(error) => return Err(format!("an item can't be decoded: {error}")),
+        }
+    }
+    Ok(decoded)
+}
+
+/// Reads what can be read of an item. If that is its key, it is one with an empty value, which
+/// names nothing, so that an earlier value of the key is not used any longer.
+fn salvage_item(item: &RawValue, error: &serde_json::Error) -> Option<KeyState> {
     match serde_json::from_str::<DamagedItem<'_>>(item.get()) {
         Ok(damaged) => {
             log::warn!(key = damaged.key, error:% = error; "item of the store can't be decoded; its value counts as empty");
@@ -475,13 +506,14 @@
     }
 }
 
-/// Decodes a page of a range that begins after a key, and the key after which the next one
-/// begins; for tests of the format.
+/// Decodes a page of a range of a prefix that begins after a key, and the key after which the
+/// next one begins; for tests of the format.
 #[cfg(test)]
 pub(crate) fn decode_page(
+    prefix: &str,
     bytes: &[u8],
     after: &str,
 ) -> Result<(Vec<KeyState>, Option<String>), String> {
     let page: RangeResponse<'_> = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
-    page.decode(after)
+    page.decode(after, OddItems::under(prefix))
 }
--- a/crates/jujubelb/src/platform/tests/fuzzing.rs
+++ b/crates/jujubelb/src/platform/tests/fuzzing.rs
@@ -7,7 +7,7 @@
 use super::super::kv::decode_page;
 use super::super::policy_service::decode_grant;
 use super::super::workers::decode_poll;
-use super::super::{decode_config, decode_submission, decode_worker, settings};
+use super::super::{WORKER_PREFIX, decode_config, decode_submission, decode_worker, settings};
 use super::SETTINGS;
 use super::damage::{apply, damage};
 use crate::model::Span;
@@ -91,7 +91,7 @@
 }
 
 fn page(bytes: &[u8]) -> Result<(), String> {
-    decode_page(bytes, "").map(|_| ())
+    decode_page(WORKER_PREFIX, bytes, "").map(|_| ())
 }
 
 fn host_settings(bytes: &[u8]) -> Result<(), String> {
@@ -356,10 +356,10 @@
 #[test]
 fn a_page_that_does_not_go_on_is_refused() {
     let more = PAGE.replace("\"has_more\":false", "\"has_more\":true");
-    let next = |after| decode_page(more.as_bytes(), after).map(|(_, next)| next);
+    let next = |after| decode_page(WORKER_PREFIX, more.as_bytes(), after).map(|(_, next)| next);
     assert_eq!(next("in/job/1"), Ok(Some("in/job/2".to_owned())));
     assert!(next("in/job/2").is_err() && next("in/job/3").is_err());
-    let last = decode_page(PAGE.as_bytes(), "in/job/2").map(|(_, next)| next);
+    let last = decode_page(WORKER_PREFIX, PAGE.as_bytes(), "in/job/2").map(|(_, next)| next);
     assert_eq!(last, Ok(None));
 }
 
@@ -368,10 +368,11 @@
 #[test]
 fn a_page_goes_on_from_its_last_readable_key() {
     let odd = r#"{"items":[{"key":[]}],"has_more":true,"store_revision":9}"#;
-    let error = decode_page(odd.as_bytes(), "in/job/1").unwrap_err();
+    let error = decode_page(WORKER_PREFIX, odd.as_bytes(), "in/job/1").unwrap_err();
     assert!(error.contains("no readable key"), "{error}");
     let more = PAGE.replace("\"has_more\":false", "\"has_more\":true");
     let last = more.replace("],", r#",{"key":[]}],"#);
-    let next = decode_page(last.as_bytes(), "").map(|(items, next)| (items.len(), next));
+    let next =
+        decode_page(WORKER_PREFIX, last.as_bytes(), "").map(|(items, next)| (items.len(), next));
     assert_eq!(next, Ok((2, Some("in/job/2".to_owned()))));
 }
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -5,7 +5,7 @@
 
 use super::kv::decode_page;
 use super::store_entries::{decode_config, decode_worker};
-use super::{decode_submission, encode_job_status, encode_pending_count, settings};
+use super::{WORKER_PREFIX, decode_submission, encode_job_status, encode_pending_count, settings};
 use crate::dispatch::JobStatus;
 use crate::model::{Bytes, Resources, Span};
 
@@ -107,13 +107,25 @@
 fn a_value_that_is_not_base64_counts_as_empty() {
     let page = r#"{"items":[{"key":"servers/i-1","value":"\u0000%","revision":4},
         {"key":"servers/i-2","value":"AAE","revision":5}],"has_more":false,"store_revision":9}"#;
-    let (items, _) = decode_page(page.as_bytes(), "").unwrap();
+    let (items, _) = decode_page(WORKER_PREFIX, page.as_bytes(), "").unwrap();
     let values: Vec<_> = items.iter().map(|i| (i.key.as_str(), &i.value)).collect();
     let empty = Some(Vec::new());
     assert_eq!(values, [("servers/i-1", &empty), ("servers/i-2", &empty)]);
     assert_eq!(decode_worker("servers/i-1", b""), None);
 }
 
+/// Guards against a state of a job that is overlooked because its item can't be decoded: a new
+/// leader would start the tasks again that are done. Other writers have no keys there.
+#[test]
+fn an_odd_item_outside_the_entries_of_workers_is_an_error() {
+    let page = r#"{"items":[{"key":"state/1","value":"AAE=","revision":4},{"key":"state/2"}],
+        "has_more":false,"store_revision":9}"#;
+    let error = decode_page("state/", page.as_bytes(), "").unwrap_err();
+    assert!(error.contains("can't be decoded"), "{error}");
+    let (items, _) = decode_page(WORKER_PREFIX, page.as_bytes(), "").unwrap();
+    assert_eq!(items.len(), 2);
+}
+
 /// Guards against entries that decode and hurt: an address that is nobody's, a time that lasts
 /// for ever, and texts that are copied often and stored with the roster.
 #[test]
