--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -73,9 +73,8 @@
 /// of them, or outlast its lease, before it starts inherited tasks.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
-    /// Workers in the order in which they were first listed. A worker joins when it first answers
-    /// a poll: other writers may list any number that never do, and a new leader would wait
-    /// for each of them.
+    /// Workers that have answered a poll, in the order in which they were first listed. Other
+    /// writers may list any number that never answers, and a new leader would wait for each.
     pub workers: Vec<RosterEntry>,
 }
 
@@ -273,12 +272,12 @@
     fn raise_token(&mut self, token: u64, now: Time) {
         self.token = self.token.max(token);
         let waiting = |w: &&mut Worker| w.admission == Admission::AwaitsToken;
-        let mut raised = 0;
+        let mut count = 0;
         for worker in self.workers.values_mut().filter(waiting) {
             worker.admission = Admission::AwaitsPoll(now);
-            raised += 1;
+            count += 1;
         }
-        log::info!(token = self.token, workers = raised; "token raised for new incarnations of workers");
+        log::info!(token = self.token, workers = count; "token raised for new incarnations of workers");
     }
 
     /// Allows workers to forget completions whose effects are durable.
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -60,7 +60,8 @@
 /// the current one. A call names only the worker, so the token has to tell them apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Admission {
-    /// They can't: the incarnation has seen a higher token.
+    /// They can't: the incarnation has seen a higher token, or will see that of a new term
+    /// before anything is started on it.
     Admitted,
     /// They may: the token was not raised since the incarnation was noticed.
     AwaitsToken,
--- a/crates/jujubelb/src/node/relay/message.rs
+++ b/crates/jujubelb/src/node/relay/message.rs
@@ -44,7 +44,7 @@
     pub(crate) leader: SocketAddr,
     /// Nonce of the leader's term.
     pub(crate) nonce: u64,
-    /// Fencing token of the term.
+    /// Fencing token of the leader when it sends the batch.
     pub(crate) token: u64,
     /// Payloads of the start orders. One that several orders share is sent once.
     pub(crate) payloads: Vec<ArcStr>,
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -101,11 +101,11 @@
     Fenced,
 }
 
-/// Client of the workers for one leader's term.
+/// Client of the workers for calls with one fencing token.
 #[derive(Debug, Clone)]
 pub struct WorkerClient {
     client: HttpClient,
-    /// Fencing token of the term, sent with every order.
+    /// Fencing token, sent with every order.
     token: u64,
 }
 
