--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -99,16 +99,13 @@
     Reply(PollReply),
     /// The worker refused the poll because it has seen a higher fencing token.
     Fenced,
-    /// The worker refused the poll, and may have seen a token to which this term was raised
-    /// after the poll was sent.
-    Overtaken,
 }
 
-/// Client of the workers for one leader's term.
+/// Client of the workers for calls with one fencing token.
 #[derive(Debug, Clone)]
 pub struct WorkerClient {
     client: HttpClient,
-    /// Fencing token of the term, sent with every order.
+    /// Fencing token, sent with every order.
     token: u64,
 }
 
