Check a start again before it is sent a second time

A start that was refused because a later call with a raised token had overtaken it was sent again without a check. If the token had been raised because its own worker had restarted, the start reached the new incarnation, which may have other labels and less room.

The caller now says before each attempt whether the start may still be sent. a_start_that_was_overtaken_is_checked_before_it_is_sent_again guards it.

--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -18,7 +18,7 @@
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::{
     Arrival, Commit, Dispatcher, EarlierLeader, InterferenceModel, JobKey, JobRecord, LEADER_GRACE,
-    LeaderTerm, Order, Progress, Roster, StartReply, Succession, WorkerOrder, is_start_overdue,
+    LeaderTerm, Order, Progress, Roster, Succession, WorkerOrder, is_start_overdue,
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
@@ -838,12 +838,11 @@
     let worker = &order.worker;
     match &order.order {
         Order::Start { task, run, .. } => {
-            let may_send = !is_start_overdue(planned, node.now())
-                && lock(&term.dispatcher).may_send_start(worker, *task, *run);
-            let reply = match may_send {
-                true => term.workers.start(&order).await,
-                false => StartReply::NotSent,
+            let may_send = || {
+                !is_start_overdue(planned, node.now())
+                    && lock(&term.dispatcher).may_send_start(worker, *task, *run)
             };
+            let reply = term.workers.start(&order, may_send).await;
             lock(&term.dispatcher).start_answered(worker, *task, *run, reply, node.now());
         }
         Order::Stop { task, run } => {
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -264,10 +264,17 @@
         self.call(link, action, timeout).await
     }
 
-    /// Starts a run.
-    pub(crate) async fn start(&self, order: &WorkerOrder) -> StartReply {
+    /// Starts a run. `may_send` is asked each time before the order is sent.
+    pub(crate) async fn start(
+        &self,
+        order: &WorkerOrder,
+        may_send: impl Fn() -> bool,
+    ) -> StartReply {
         loop {
             let token = self.token();
+            if !may_send() {
+                return StartReply::NotSent;
+            }
             let reply = self.send_start(order).await;
             // A refused order has had no effect, so it is sent again under the raised token.
             if reply != StartReply::Refused(Refusal::Fence) || !self.is_outdated(token) {
--- a/crates/jujubelb/src/node/relay/tests.rs
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -349,7 +349,7 @@
         unreachable!("a start is an order");
     };
     drop(OpenGateway(gateway.clone()));
-    assert_eq!(gateway.start(&order).await, StartReply::NotSent);
+    assert_eq!(gateway.start(&order, || true).await, StartReply::NotSent);
     assert!(crate::node::state::lock(&link.outbox).is_empty());
     assert_eq!(std::sync::Arc::strong_count(&link), 1);
 }
@@ -362,8 +362,9 @@
 }
 
 /// Makes a start through a relay whose worker refuses it because of its token, and accepts it
-/// if it is sent again. Before the refusal the token is raised to `raised`.
-async fn start_refused(raised: u64) -> StartReply {
+/// if it is sent again, which `may_repeat` allows. Before the refusal the token is raised to
+/// `raised`.
+async fn start_refused(raised: u64, may_repeat: bool) -> StartReply {
     let gateway = gateway();
     gateway.add_link(std::sync::Arc::new(RelayLink::new(host("h", "a", 0.5))));
     let Action::Order(order, _) = start(1, 0, "payload").action else {
@@ -379,19 +380,28 @@
             tokio::task::yield_now().await;
         }
     };
-    tokio::join!(gateway.start(&order), answers).0
+    let sent = std::cell::Cell::new(false);
+    let may_send = || !sent.replace(true) || may_repeat;
+    tokio::join!(gateway.start(&order, may_send), answers).0
 }
 
 /// Guards against a term that ends because a call was overtaken by a later one of the same term
 /// with a raised token, and against a gang that waits for the member that was refused.
 #[tokio::test]
 async fn a_call_that_was_overtaken_is_sent_again() {
-    assert_eq!(start_refused(2).await, StartReply::Started);
+    assert_eq!(start_refused(2, true).await, StartReply::Started);
 }
 
 /// Guards against a leader that goes on although its worker has seen the token of a newer one.
 #[tokio::test]
 async fn a_call_that_was_refused_under_the_present_token_is_not_sent_again() {
     let refused = StartReply::Refused(Refusal::Fence);
-    assert_eq!(start_refused(1).await, refused);
+    assert_eq!(start_refused(1, true).await, refused);
+}
+
+/// Guards against a start that is sent again to a worker that has restarted in the meantime, for
+/// which the token was raised.
+#[tokio::test]
+async fn a_start_that_was_overtaken_is_checked_before_it_is_sent_again() {
+    assert_eq!(start_refused(2, false).await, StartReply::NotSent);
 }
