--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -21,6 +21,9 @@
 HOLD_MAX_MS = 6000
 STOP_MS = 200
 HEARTBEAT_S = 1.5
+GANG_MS = 3000
+CHECKPOINT_S = 1.0
+RESTORE_S = 0.25
 
 
 class Record:
@@ -66,17 +69,22 @@
     def __init__(self, ip, port, handle):
         self.ip, self.port, self.handle = ip, port, handle
         self.server, self.writers = None, set()
+        # Connections of an earlier life of the machine stay open, and get no answer.
+        self.life, self.silent = 0, False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, self.port, backlog=200)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        life = self.life
         try:
             while True:
                 request = await read_request(reader)
-                reply = await self.handle(*request)
-                if reply is None:
+                reply = None
+                if life == self.life and not self.silent:
+                    reply = await self.handle(*request)
+                if reply is None or life != self.life:
                     await reader.read()
                     break
                 writer.write(encode_reply(*reply))
@@ -233,30 +241,51 @@
         self.fleet, self.name, self.zone, self.labels, self.cpu = fleet, name, zone, labels, cpu
         self.ip, self.port = ip, port
         self.server = Server(ip, port, self.handle)
-        self.up = False
+        self.up, self.down_since = False, time.monotonic()
 
-    async def start(self):
+    async def start(self, clock_s=None):
         self.born = int(time.time() * 1000)
-        self.clock_base = time.monotonic() - random.random() * 500
+        # A new life's clock starts anew; the first lives have been up for a while.
+        self.clock_base = time.monotonic() - (random.uniform(200, 500) if clock_s is None else clock_s)
         self.token, self.deadline, self.number = 0, 0, 0
         self.running, self.finished, self.ended = {}, [], {}
-        self.sequence = 0
+        self.sequence, self.last_hold = 0, 0.0
         self.changed = asyncio.Condition()
-        await self.server.start()
+        self.server.silent = False
+        if not self.server.server:
+            await self.server.start()
         self.up = True
         self.fleet.record.add(f"{self.name}: up, born {self.born}")
         await self.register()
 
-    async def crash(self):
+    async def crash(self, dark=False):
+        """Ends the incarnation. If the machine goes dark, nothing resets its connections."""
         self.up = False
-        self.server.stop()
+        if dark:
+            self.server.life += 1
+            self.server.silent = True
+        else:
+            self.server.stop()
         for task, run in self.running.items():
             run["timer"].cancel()
             self.fleet.lost.append((task, run["run"], self.name))
             self.fleet.record.add(f"{self.name}: crash ends {task} run {run['run']}, {time.monotonic() - run['since']:.3f} s after its start")
         self.fleet.record.add(f"{self.name}: crashed")
-        self.running = {}
+        crashed, self.running = self.running, {}
         self.down_since = time.monotonic()
+        for task, run in crashed.items():
+            if "gang" in run:
+                await run["gang"].leave(task)
+
+    def cut(self):
+        """Partitions the runner: it runs on, and nothing answers or resets its connections."""
+        self.server.life += 1
+        self.server.silent = True
+        self.fleet.record.add(f"{self.name}: cut off")
+
+    def heal(self):
+        self.server.silent = False
+        self.fleet.record.add(f"{self.name}: reachable again")
 
     async def register(self):
         self.sequence += 1
@@ -273,9 +302,9 @@
         listed = True
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            if self.up:
+            if self.up and not self.server.silent:
                 await self.register()
-                listed = True
+                listed, self.down_since = True, time.monotonic()
             elif listed and time.monotonic() - self.down_since > 3 * HEARTBEAT_S:
                 await self.fleet.store.write(f"servers/{self.name}", None)
                 listed = False
@@ -296,10 +325,13 @@
             return
         run["timer"].cancel()
         self.number += 1
-        self.finished.append([self.number, task, run["run"], how, ""])
+        gang = run.get("gang")
+        self.finished.append([self.number, task, run["run"], how, gang.saved if gang else ""])
         self.ended[task] = max(self.ended.get(task, 0), run["run"])
-        self.fleet.ends.append((task, run["run"], how))
-        self.fleet.record.add(f"{self.name}: {task} run {run['run']} ends {how}")
+        self.fleet.ends.append((time.monotonic(), task, run["run"], how))
+        self.fleet.record.add(f"{self.name}: {task} run {run['run']} ends {how}" + (f" saved {gang.saved!r}" if gang else ""))
+        if gang:
+            await gang.leave(task)
         async with self.changed:
             self.changed.notify_all()
 
@@ -337,6 +369,7 @@
         if path == "/pace":
             return 200, {"clock_ms": self.clock()}
         if path == "/hold":
+            self.last_hold = time.monotonic()
             acknowledged = call.get("acknowledged", 0)
             self.finished = [row for row in self.finished if row[0] > acknowledged]
             self.extend(call.get("deadline_ms"))
@@ -347,7 +380,8 @@
                         await asyncio.wait_for(self.changed.wait(), wait)
                     except asyncio.TimeoutError:
                         pass
-            running = [[t, r["run"], "", self.percent(r), 100] for t, r in self.running.items()]
+            running = [[t, r["run"], r["gang"].saved if "gang" in r else "", self.percent(r), 100]
+                       for t, r in self.running.items()]
             return 200, {"clock_ms": self.clock(), "born": self.born, "running": running,
                          "finished": self.finished[:500]}
         return 400, {}
@@ -355,6 +389,8 @@
     def percent(self, run):
         if run["work"] is None:
             return 100
+        if "gang" in run:
+            return min(99, int(100 * run["gang"].progress / run["work"]))
         return min(99, int(100 * (time.monotonic() - run["since"]) / run["work"]))
 
     def start_run(self, call):
@@ -372,6 +408,8 @@
         spec = json.loads(call["spec"])
         if used + spec["cpu"] > self.cpu:
             return 409, {**reply, "reason": "room"}
+        if spec.get("gang"):
+            return self.start_member(task, run, spec, call.get("checkpoint", ""), reply)
         work = spec.get("work_s")
         wait = self.finish_later(task, work, "done") if work else asyncio.sleep(3600)
         timer = asyncio.ensure_future(wait)
@@ -381,6 +419,62 @@
         return 200, reply
 
 
+    def start_member(self, task, run, spec, checkpoint, reply):
+        """Starts a member of a gang. It works once all members of the run are present."""
+        gang = self.fleet.gang(task, run, spec)
+        timer = asyncio.ensure_future(self.wait_for_others(task, gang))
+        self.running[task] = {"run": run, "cpu": spec["cpu"], "since": time.monotonic(), "work": spec["work_s"],
+                              "timer": timer, "gang": gang}
+        self.fleet.starts.append((time.monotonic(), task, run, self.name))
+        self.fleet.record.add(f"{self.name}: starts {task} run {run} checkpoint {checkpoint!r}")
+        gang.join(task, self, checkpoint)
+        return 200, reply
+
+    async def wait_for_others(self, task, gang):
+        await asyncio.sleep(GANG_MS / 1000)
+        if not gang.working and task in self.running:
+            self.running[task]["timer"] = asyncio.ensure_future(asyncio.sleep(0))
+            await self.end(task, "alone")
+
+
+class Gang:
+    """One run of a gang. Its members work together from the moment when all are present and
+    carry the same checkpoint, and end together."""
+
+    def __init__(self, fleet, spec):
+        self.fleet, self.size, self.work_s = fleet, spec["gang"], spec["work_s"]
+        self.members, self.working, self.saved = {}, False, ""
+        self.progress = 0.0
+
+    def join(self, task, runner, checkpoint):
+        self.members[task] = (runner, checkpoint)
+        values = {value for _, value in self.members.values()}
+        if len(self.members) == self.size and len(values) == 1:
+            self.working, self.saved = True, checkpoint
+            self.progress = int(checkpoint, 16) / 1000 if checkpoint else 0.0
+            self.timer = asyncio.ensure_future(self.work())
+
+    async def work(self):
+        if self.saved:
+            await asyncio.sleep(RESTORE_S)
+        while self.progress < self.work_s:
+            await asyncio.sleep(CHECKPOINT_S)
+            self.progress += CHECKPOINT_S
+            self.saved = f"{int(self.progress * 1000):016x}"
+        self.working = False
+        for task, (runner, _) in list(self.members.items()):
+            await runner.end(task, "done")
+
+    async def leave(self, task):
+        """A member has ended: the others end as broken."""
+        self.members.pop(task, None)
+        if self.working:
+            self.working = False
+            self.timer.cancel()
+            for other, (runner, _) in list(self.members.items()):
+                await runner.end(other, "broken")
+
+
 class Deployment:
     """The store, the runners and the processes of the system."""
 
@@ -390,7 +484,7 @@
         self.net = f"127.{random.randint(100, 249)}.{random.randint(1, 249)}"
         self.hosts = [f"{self.net}.{10 + i}" for i in range(hosts)]
         self.processes, self.servers = {}, []
-        self.starts, self.ends, self.lost = [], [], []
+        self.starts, self.ends, self.lost, self.gangs = [], [], [], {}
         self.dir = tempfile.mkdtemp(prefix="review-")
         self.runners = []
         for i in range(runners):
@@ -472,6 +566,12 @@
         except ValueError:
             return status, {}
 
+    def gang(self, task, run, spec):
+        key = (task.rsplit(".", 1)[0], run)
+        if key not in self.gangs:
+            self.gangs[key] = Gang(self, spec)
+        return self.gangs[key]
+
     def end(self):
         for process in self.processes.values():
             process.kill()
