--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -505,7 +505,7 @@
             asyncio.ensure_future(runner.lapse())
         await self.store.write("op/config", {
             "version": 1,
-            "routes": [{"name": "r-1", "host": "q.example", "prefix": "/work/", "kind": "unsafe", "timeout_ms": 3000,
+            "routes": [{"name": "r-1", "host": "q.example", "prefix": "/jobs/", "kind": "unsafe", "timeout_ms": 3000,
                         "target_duration_ms": 1000, "priority": 0, "service": "svc", "max_attempts": 4,
                         "slack_factor": 2.0, "allowed_regions": []}],
             "services": [{"name": "svc", "health_path": "/healthz", "max_connections": 64, "protocol": "h1",
@@ -560,7 +560,7 @@
 
     async def client(self, host, method, job, body=None):
         self.record.add(f"client: {method} {job} sent to h{host}")
-        status, text = await self.call(host, method, f"/work/{job}", body)
+        status, text = await self.call(host, method, f"/jobs/{job}", body)
         self.record.add(f"client: {method} {job} answered {status} {text}")
         try:
             return status, json.loads(text) if text else {}
