Count starts on a restarted worker by its own incarnation

Cause: the deadline of a start is a time on the clock of the incarnation that was polled. The next incarnation has a clock that starts anew, takes the order for an early one and grants the longest lease from then on, while the leader gives the run up with the lease of the former one. Starts that had waited behind unanswered ones were sent although those, the entry in the store and the clocks of the answers showed that the worker may have restarted.

Change: after a call without an answer, or once the store shows another incarnation, no start is sent before a later poll is answered. The clock in the answer to a start tells a new incarnation, whose run is stopped. A start without an answer is given up with the known lease only if the store, read after another incarnation would have registered, shows none; else it counts for 12 s and the longest lease that a worker grants. A call that was given up while it waited for a relay is not sent any more.

Ruled out: refusing the start on other incarnations, since a call names its worker only and a new incarnation has seen no token.

Test: dispatch/tests/unnoticed_restarts.rs.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -390,7 +390,7 @@
                     &order.worker,
                     *task,
                     *run,
-                    StartReply::Started,
+                    StartReply::Started.into(),
                     now,
                 );
                 self.row.starts += 1;
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -163,6 +163,13 @@
             worker.listed = false;
             if !worker.reachable {
                 self.assume_crash(name);
+    /// Records that a change of workers' entries was read from the store, of any worker. The
+    /// changes are read in order, so all that were made before the last read are known now.
+    pub fn entries_read(&mut self, now: Time) {
+        self.listed_until = self.last_listed;
+        self.last_listed = now;
+    }
+
             }
         }
     }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -51,7 +51,7 @@
     Crash, CrashDetail, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes,
     TaskProgress,
 };
-pub use replies::{Refusal, StartReply, StopReply, is_start_overdue};
+pub use replies::{Refusal, StartAnswer, StartReply, StopReply, is_start_overdue};
 pub use succession::{EarlierLeader, EarlierLeaders, LeaderTerm, MAX_EARLIER_LEADERS, Succession};
 pub use tickets::{TicketGrant, TicketRequest};
 pub use worker::{Incarnation, WorkerReport};
@@ -180,6 +180,9 @@
     /// Whether the token has to be raised for workers that have restarted.
     raise_needed: bool,
     bounds: Bounds,
+    /// Longest lease that a worker grants, however late the deadline of a call is on its clock.
+    /// That of the calls of this system is shorter on the incarnation that they are meant for.
+    lease_cap: Span,
     /// When this term began to act.
     began: Time,
     /// Earlier leaders that may still extend leases.
@@ -201,6 +204,10 @@
     /// Jobs with assumed crashes, by the worker that does not answer. It may be unlisted and
     /// removed before it answers again.
     assumed: IndexMap<WorkerName, IndexSet<JobKey>>,
+    /// When workers' entries were last read from the store.
+    last_listed: Time,
+    /// All entries that workers had written before this are known.
+    listed_until: Time,
     /// Number of times that a worker was added or removed.
     membership: u64,
     /// Steps that may have tasks to start. The next pass removes a step without any.
@@ -265,6 +272,7 @@
             earlier,
             renewed: now,
             inherited_resolved: roster.workers.is_empty(),
+            lease_cap: bounds.max_lease,
             jobs: FastMap::default(),
             workers: FastMap::default(),
             last_arrival: Arrival::default(),
@@ -274,6 +282,8 @@
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
             early_cancels: IndexSet::new(),
+            last_listed: Time::ZERO,
+            listed_until: Time::ZERO,
             slopes: model.0,
             headrooms: Headrooms::default(),
             model_written: now,
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -48,6 +48,12 @@
 /// their worker leaves, so that their last checkpoint is reported in time.
 const DRAIN_MARGIN: Span = Span::from_millis(700);
 
+/// Longest time by this host's clock for which a lease lasts on a worker, whose clock may be
+/// 2 % slow.
+fn longest_duration(lease: Span) -> Span {
+    lease.scale_up(103, 100) + LEASE_MARGIN
+}
+
 impl Dispatcher {
     /// Makes one scheduling pass and returns the orders to send. Returns none once the term
     /// is over.
@@ -74,14 +80,19 @@
     /// Gives up the runs of workers whose lease has certainly expired, and removes workers
     /// that are no longer needed.
     fn expire_leases(&mut self, now: Time) {
+        let longest_lease = longest_duration(self.lease_cap);
         let mut lost = Vec::new();
         for (name, worker) in &self.workers {
             if !worker.runs.is_empty() && worker.is_lease_expired(now) {
-                let runs = worker.runs.iter();
-                let expired = runs
-                    .filter(|(_, r)| r.phase != RunPhase::Starting)
-                    .map(|(t, r)| (name.clone(), *t, r.run));
-                lost.extend(expired);
+                let has_ended = |r: &TrackedRun| match r.phase {
+                    RunPhase::Starting => false,
+                    RunPhase::Running => true,
+                    RunPhase::Unsure => {
+                        worker.is_start_ruled_out(r, self.listed_until, longest_lease, now)
+                    }
+                };
+                let expired = worker.runs.iter().filter(|(_, r)| has_ended(r));
+                lost.extend(expired.map(|(t, r)| (name.clone(), *t, r.run)));
             }
         }
         for (name, task, run) in lost {
@@ -111,7 +122,7 @@
         if self.inherited_resolved {
             return;
         }
-        let lease = self.bounds.max_lease.scale_up(103, 100) + LEASE_MARGIN;
+        let lease = longest_duration(self.bounds.max_lease);
         let unreachable = self
             .workers
             .values()
@@ -549,7 +560,7 @@
         }
         // The worker may have restarted since its last answer. The new incarnation would obey an
         // older leader, and late calls to the former one; the next answer names it.
-        if !worker.reachable {
+        if !worker.is_answering() {
             return None;
         }
         if !placement::admits(worker, request, &self.evacuated, now) {
@@ -597,6 +608,7 @@
             last_listed: Time::ZERO,
             isolation: Isolation::None,
             deadline,
+            ordered: WorkerTime::ZERO,
             stop_sent: None,
             stop_pending: false,
             stop_confirmed: None,
@@ -628,6 +640,7 @@
         let deadline = self.start_deadline(clock);
         let tracked = TrackedRun {
             isolation: self.isolation(task),
+            ordered: clock,
             ..self.new_run(run, step, deadline, now)
         };
         let Some(worker) = self.workers.get_mut(name) else {
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -10,7 +10,7 @@
 use super::Dispatcher;
 use super::job::TaskState;
 use super::job_spec::{Run, TaskKey};
-use super::worker::{Admission, Incarnation, RunPhase, TrackedRun, Worker};
+use super::worker::{Admission, Incarnation, MAX_CALL_DELAY, RunPhase, TrackedRun, Worker};
 use crate::model::{Resources, Span, Time, WorkerName, WorkerTime};
 
 /// How a run ended, as its worker reports it.
@@ -117,7 +117,7 @@
         let worker = self.workers.get_mut(name)?;
         let lease = self.bounds.max_lease;
         let clock = worker.min_clock(now);
-        let clock = clock.filter(|_| worker.reachable && may_extend);
+        let clock = clock.filter(|_| worker.is_answering() && may_extend);
         let deadline = clock.map(|c| c + lease);
         let previous_deadline = worker.lease_deadline;
         if let Some(deadline) = deadline {
@@ -129,12 +129,12 @@
             address: worker.report.address,
             lease_deadline: deadline,
             // A worker that has restarted numbers its completions from 1 again.
-            acknowledged: match worker.reachable && !worker.has_newer_report() {
+            acknowledged: match worker.is_answering() && !worker.has_newer_report() {
                 true => worker.acknowledged,
                 false => 0,
             },
-            wait: match (worker.reachable && worker.is_admitted(), brief) {
-                // After a poll without an answer this one carries no lease, so a wait would
+            wait: match (worker.is_answering() && worker.is_admitted(), brief) {
+                // After a call without an answer this poll carries no lease, so a wait would
                 // delay the next one that does. Nothing starts before a worker is admitted.
                 (false, _) => Span::ZERO,
                 (true, true) => BRIEF_POLL_WAIT,
@@ -148,12 +148,21 @@
 
     /// Records that a poll was not answered. `unsent` says that it certainly did not reach
     /// the worker.
-    pub fn poll_failed(&mut self, name: &WorkerName, request: &PollRequest, unsent: bool) {
+    pub fn poll_failed(
+        &mut self,
+        name: &WorkerName,
+        request: &PollRequest,
+        unsent: bool,
+        now: Time,
+    ) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
         let repeated = !worker.reachable;
         worker.reachable = false;
+        if !unsent && request.lease_deadline.is_some() {
+            worker.unanswered = now;
+        }
         if unsent && request.lease_deadline == Some(worker.lease_deadline) {
             worker.lease_deadline = request.previous_deadline;
         }
@@ -171,6 +180,7 @@
         worker.clock_reading = Some((reply.clock, now));
         worker.last_answer = now;
         worker.reachable = true;
+        worker.doubted = worker.doubted.filter(|since| sent <= *since);
         worker.keeps_completions = !reply.finished.is_empty();
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
         let first = !worker.fenced;
@@ -182,6 +192,12 @@
             worker.answering_since = now;
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
+            if !reply.running.is_empty() {
+                // An order to the former incarnation may have granted the longest lease of all
+                // on this one.
+                let latest = WorkerTime::ZERO + MAX_CALL_DELAY + self.lease_cap;
+                worker.lease_deadline = worker.lease_deadline.max(latest);
+            }
         }
         // Compared with the last answer and not with the report, which may already be that
         // of the new incarnation.
@@ -254,8 +270,8 @@
         worker.acknowledged = 0;
         worker.processed = 0;
         worker.unacknowledged.clear();
-        // An order still in transit may have granted any lease.
-        worker.lease_deadline = clock + self.bounds.max_lease;
+        // An order to the former incarnation may have granted the longest lease of all.
+        worker.lease_deadline = clock + self.lease_cap;
         worker.answering_since = now;
         worker.health = Default::default();
         let lost: Vec<(TaskKey, Run)> = worker
@@ -402,6 +418,7 @@
             last_listed: now,
             isolation,
             deadline: WorkerTime::ZERO,
+            ordered: WorkerTime::ZERO,
             stop_sent: None,
             stop_pending: false,
             stop_confirmed: None,
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -4,7 +4,7 @@
 
 use super::Dispatcher;
 use super::job_spec::{Run, TaskKey};
-use super::worker::RunPhase;
+use super::worker::{CLOCK_MARGIN, RunPhase};
 use crate::model::{Span, Time, WorkerName, WorkerTime};
 
 /// Reason why a worker refused an order.
@@ -42,6 +42,22 @@
     NoAnswer,
 }
 
+/// Answer to a start order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartAnswer {
+    /// Result of the order.
+    pub reply: StartReply,
+    /// Reading of the worker's clock; `None` if there is no answer or it does not tell.
+    pub clock: Option<WorkerTime>,
+}
+
+impl From<StartReply> for StartAnswer {
+    fn from(reply: StartReply) -> Self {
+        let clock = None;
+        Self { reply, clock }
+    }
+}
+
 /// Result of a stop order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StopReply {
@@ -61,15 +77,16 @@
 const UNHEALTHY_PAUSE: Span = Span::from_millis(700);
 
 impl Dispatcher {
-    /// Processes the result of a start order.
+    /// Processes the answer to a start order.
     pub fn start_answered(
         &mut self,
         name: &WorkerName,
         task: TaskKey,
         run: Run,
-        reply: StartReply,
+        answer: StartAnswer,
         now: Time,
     ) {
+        let StartAnswer { reply, clock } = answer;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -77,7 +94,25 @@
             // The run has completed or was given up before this answer arrived.
             return;
         };
+        // The clock of a new incarnation starts anew.
+        let is_other = clock.is_some_and(|c| c + CLOCK_MARGIN < tracked.ordered);
+        if is_other {
+            log::warn!(task:% = task, run:% = run, worker:% = name, reply:? = reply, clock:? = clock, expected:? = tracked.ordered; "worker has restarted: its clock is behind");
+            worker.doubted = Some(now);
+        }
+        // The incarnation that has started the run may be one that no poll has shown. It may have
+        // other labels and capacity, and its lease has nothing to do with that of the former one.
+        let is_misplaced = is_other || tracked.since < worker.answering_since;
         let pause = match reply {
+            StartReply::Started if is_misplaced && tracked.phase == RunPhase::Starting => {
+                log::warn!(task:% = task, run:% = run, worker:% = name; "run started by an incarnation that no poll has shown; stopping it");
+                tracked.phase = RunPhase::Unsure;
+                worker.unanswered = now;
+                if let Some(job) = self.jobs.get_mut(&task.step.job) {
+                    job.started = true;
+                }
+                return;
+            }
             StartReply::Started => {
                 if tracked.phase == RunPhase::Starting {
                     tracked.phase = RunPhase::Running;
@@ -93,6 +128,8 @@
                     log::warn!(task:% = task, run:% = run, worker:% = name, age:% = now.since(tracked.since); "start order not answered; the run may exist");
                     tracked.phase = RunPhase::Unsure;
                 }
+                worker.doubted = Some(now);
+                worker.unanswered = now;
                 worker.paused_until = now + UNHEALTHY_PAUSE;
                 return;
             }
@@ -166,13 +203,15 @@
         }
     }
 
-    /// Whether a start order that has waited may still be sent: its worker has answered the last
-    /// poll and has not restarted since the order was planned. A new incarnation may have other
-    /// labels and capacity, and the deadline of the order means nothing on its clock.
+    /// Whether a start order that has waited may still be sent: nothing shows that its worker
+    /// has restarted since the order was planned, neither a call without an answer nor the entry
+    /// in the store. A new incarnation may have other labels and capacity, and the deadline of the
+    /// order means nothing on its clock.
     pub fn may_send_start(&self, name: &WorkerName, task: TaskKey, run: Run) -> bool {
         self.workers.get(name).is_some_and(|worker| {
             let tracked = worker.runs.get(&task).filter(|r| r.run == run);
-            worker.reachable
+            worker.is_answering()
+                && worker.is_report_current()
                 && worker.is_admitted()
                 && tracked.is_some_and(|r| r.since >= worker.answering_since)
         })
--- a/crates/jujubelb/src/dispatch/tests/confirmation.rs
+++ b/crates/jujubelb/src/dispatch/tests/confirmation.rs
@@ -67,7 +67,7 @@
     let token = sim.dispatcher.term().token;
     for name in sim.dispatcher.workers() {
         if let Some(request) = sim.dispatcher.poll(&name, sim.now) {
-            sim.dispatcher.poll_failed(&name, &request, false);
+            sim.dispatcher.poll_failed(&name, &request, false, sim.now);
         }
     }
     let own = sim.submit(1, job_with(Some(token)));
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -232,7 +232,7 @@
         let request = sim.dispatcher.poll(&name, sim.now).unwrap();
         if i == 3 {
             sim.now = sim.now + request.wait + POLL_TIMEOUT_MARGIN + RELAY_MARGIN;
-            sim.dispatcher.poll_failed(&name, &request, false);
+            sim.dispatcher.poll_failed(&name, &request, false, sim.now);
             sim.now = sim.now + POLL_PAUSE;
             continue;
         }
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -22,6 +22,7 @@
 mod succession;
 mod tickets;
 mod unanswered_starts;
+mod unnoticed_restarts;
 mod withdrawn_workers;
 
 pub(super) use simulation::{Simulation, job, long_running, step};
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -14,8 +14,8 @@
 use crate::dispatch::{
     Bounds, Commit, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel, JobKey, JobRecord,
     JobSpec, LeaderTerm, Order, PollReply, PollRequest, Progress, QueueSettings, Refusal, Roster,
-    Run, RunCompletion, RunOutcome, RunStatus, StartReply, Step, StepKey, StopReply, Succession,
-    TaskKey, Term, TicketGrant, WorkerOrder, WorkerReport,
+    Run, RunCompletion, RunOutcome, RunStatus, StartAnswer, StartReply, Step, StepKey, StopReply,
+    Succession, TaskKey, Term, TicketGrant, WorkerOrder, WorkerReport,
 };
 use crate::model::{
     Bytes, DomainName, Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime,
@@ -118,7 +118,7 @@
         now: Time,
     ) -> Option<Self> {
         let request = dispatcher.poll(worker, now)?;
-        dispatcher.poll_failed(worker, &request, false);
+        dispatcher.poll_failed(worker, &request, false, now);
         Some(Self {
             worker: worker.clone(),
             request,
@@ -389,6 +389,7 @@
             })
             .collect();
         self.dispatcher.workers_listed(listed, self.now);
+        self.dispatcher.entries_read(self.now);
     }
 
     pub(crate) fn worker(&mut self, i: usize) -> &mut FakeWorker {
@@ -480,6 +481,9 @@
             let arrived = self.dispatcher.last_arrival();
             self.dispatcher.term_confirmed(arrived);
             self.dispatcher.set_lease_renewed(self.now);
+            if self.store_available {
+                self.dispatcher.entries_read(self.now);
+            }
             let orders = self.dispatcher.plan(self.wall(), self.now);
             for order in orders {
                 self.execute(&order);
@@ -622,11 +626,11 @@
             };
             match fault {
                 Fault::Partitioned => {
-                    self.dispatcher.poll_failed(name, &request, false);
+                    self.dispatcher.poll_failed(name, &request, false, now);
                     return;
                 }
                 Fault::Crashed => {
-                    self.dispatcher.poll_failed(name, &request, true);
+                    self.dispatcher.poll_failed(name, &request, true, now);
                     return;
                 }
                 _ => {}
@@ -659,7 +663,7 @@
                 finished: worker.completions.clone(),
             };
             if fault == Fault::LostAnswers {
-                self.dispatcher.poll_failed(name, &request, false);
+                self.dispatcher.poll_failed(name, &request, false, now);
                 return;
             }
             self.dispatcher.poll_answered(name, now, &reply, now);
@@ -779,8 +783,11 @@
                     Fault::NoCapacity => StartReply::Refused(Refusal::Room),
                     _ => self.start(name, *task, *run, *deadline, token),
                 };
+                let is_answered = !matches!(reply, StartReply::NotSent | StartReply::NoAnswer);
+                let clock = is_answered.then(|| self.workers[name].clock(now));
+                let answer = StartAnswer { reply, clock };
                 self.dispatcher
-                    .start_answered(name, *task, *run, reply, now);
+                    .start_answered(name, *task, *run, answer, now);
             }
             Order::Stop { task, run } => {
                 let worker = &mut self.workers[name];
@@ -865,7 +872,8 @@
         }
         let worker = &mut self.workers[name];
         worker.token = worker.token.max(token);
-        worker.deadline = worker.deadline.max(deadline);
+        let latest_deadline = worker.clock(now) + BOUNDS.max_lease;
+        worker.deadline = worker.deadline.max(deadline.min(latest_deadline));
         let fails = worker.fault == Fault::FailingStarts;
         worker.runs.insert(
             task,
--- a/crates/jujubelb/src/dispatch/tests/unanswered_starts.rs
+++ b/crates/jujubelb/src/dispatch/tests/unanswered_starts.rs
@@ -108,9 +108,9 @@
         sim.list_workers();
         for WorkerOrder { worker, order, .. } in &orders {
             if let Order::Start { task, run, .. } = order {
-                let reply = StartReply::NoAnswer;
+                let answer = StartReply::NoAnswer.into();
                 sim.dispatcher
-                    .start_answered(worker, *task, *run, reply, sim.now);
+                    .start_answered(worker, *task, *run, answer, sim.now);
             }
         }
         let start = poll_until_start(&mut sim, Span::from_secs(20));
@@ -162,9 +162,9 @@
     else {
         panic!("{orders:?}");
     };
-    let reply = StartReply::NoAnswer;
+    let answer = StartReply::NoAnswer.into();
     sim.dispatcher
-        .start_answered(&name, task, run, reply, sim.now);
+        .start_answered(&name, task, run, answer, sim.now);
     let stopped = sim.now + TIME_STEP;
     sim.now = stopped;
     let orders = sim.dispatcher.plan(sim.wall(), sim.now);
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -90,6 +90,9 @@
     pub(crate) isolation: Isolation,
     /// Time on the worker's clock after which the start order has no effect.
     pub(crate) deadline: WorkerTime,
+    /// Lower bound for the worker's clock when the start was ordered. An answer with an earlier
+    /// reading comes from another incarnation.
+    pub(crate) ordered: WorkerTime,
     pub(crate) stop_sent: Option<Time>,
     /// Whether the last stop order has no answer yet, not even that there is none.
     pub(crate) stop_pending: bool,
@@ -113,11 +116,19 @@
     pub(crate) above_target: Option<Time>,
 }
 
+/// Longest time after which a worker executes a call that it has not answered. The platform
+/// names seconds; up to 12 s were seen.
+pub(crate) const MAX_CALL_DELAY: Span = Span::from_secs(12);
+
+/// Time in which a worker that has started writes its entry to the store. Workers write one
+/// with each heartbeat, every 1.5 s.
+const REGISTRATION_TIME: Span = Span::from_secs(2);
+
 /// Lowest assumed rate of a worker's clock relative to this host's clock.
 const MIN_CLOCK_RATE_PERCENT: u64 = 98;
 
 /// Allowance for the delay between reading a clock and using the value.
-const CLOCK_MARGIN: Span = Span::from_millis(300);
+pub(crate) const CLOCK_MARGIN: Span = Span::from_millis(300);
 
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -151,6 +162,12 @@
     /// Whether the last poll was answered. A poll without an answer may still arrive and
     /// extend the lease, so the following polls carry no lease until one is answered.
     pub(crate) reachable: bool,
+    /// Since when the worker may have restarted unnoticed: a start got no answer, or an answer
+    /// came from another incarnation. Nothing starts until a poll that was sent later is answered.
+    pub(crate) doubted: Option<Time>,
+    /// When the last call that may extend a lease was given up without an answer. Its deadline
+    /// is a time on the clock of one incarnation, and does not bind another one that executes it.
+    pub(crate) unanswered: Time,
     /// Whether the last answer listed completions, which the worker keeps until a later poll
     /// acknowledges them.
     pub(crate) keeps_completions: bool,
@@ -275,6 +292,8 @@
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
             reachable: true,
+            doubted: None,
+            unanswered: Time::ZERO,
             keeps_completions: false,
             acknowledged: 0,
             processed: 0,
@@ -317,6 +336,12 @@
         self.fenced && self.admission == Admission::Admitted
     }
 
+    /// Whether the last poll was answered, and no call since shows that the worker may have
+    /// restarted.
+    pub(crate) fn is_answering(&self) -> bool {
+        self.reachable && self.doubted.is_none()
+    }
+
     /// Whether the report may be of a later incarnation than the one that was last polled.
     pub(crate) fn has_newer_report(&self) -> bool {
         !self.is_report_current() && !self.report_outdated
@@ -343,6 +368,23 @@
             .is_some_and(|clock| clock > self.lease_deadline + CLOCK_MARGIN)
     }
 
+    /// Whether a start without an answer has no effect any more, given that the lease has
+    /// expired on the clock of the incarnation that was polled. Another incarnation may have
+    /// executed it as well, with a lease of up to `longest_lease` from then on. There is none if
+    /// the store, read at `listed` after it would have registered, does not show it.
+    pub(crate) fn is_start_ruled_out(
+        &self,
+        tracked: &TrackedRun,
+        listed: Time,
+        longest_lease: Span,
+        now: Time,
+    ) -> bool {
+        let restarted = self.has_newer_report() || tracked.since < self.answering_since;
+        let is_known = listed > self.unanswered + REGISTRATION_TIME;
+        (is_known && !restarted)
+            || now.since(self.unanswered.max(tracked.since)) > MAX_CALL_DELAY + longest_lease
+    }
+
     /// An amount of processor time as a fraction of the worker's capacity.
     pub(crate) fn cpu_share(&self, millicores: u64) -> f64 {
         millicores as f64 / self.report.capacity.cpu.0.max(1) as f64
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -630,6 +630,7 @@
                 let listed = items
                     .iter()
                     .filter_map(|i| decode_worker(&i.key, i.value.as_deref()?));
+        dispatcher.entries_read(now);
                 dispatcher.workers_listed(listed.collect(), now);
             }
             WatchEvent::Changes(items) => {
@@ -842,8 +843,8 @@
                 !is_start_overdue(planned, node.now())
                     && lock(&term.dispatcher).may_send_start(worker, *task, *run)
             };
-            let reply = term.workers.start(&order, may_send).await;
-            lock(&term.dispatcher).start_answered(worker, *task, *run, reply, node.now());
+            let answer = term.workers.start(&order, may_send).await;
+            lock(&term.dispatcher).start_answered(worker, *task, *run, answer, node.now());
         }
         Order::Stop { task, run } => {
             let reply = term.workers.stop(&order, *task, *run).await;
@@ -896,7 +897,7 @@
             }
             Err(error) => {
                 let had_no_effect = error.had_no_effect();
-                lock(&term.dispatcher).poll_failed(&worker, &request, had_no_effect);
+                lock(&term.dispatcher).poll_failed(&worker, &request, had_no_effect, node.now());
                 failures += 1;
                 if failures == 2 {
                     log::warn!(worker:% = worker, error:% = error; "worker is unreachable");
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -5,6 +5,7 @@
 };
 use std::sync::{Arc, Mutex};
 
+use arcstr::ArcStr;
 use indexmap::IndexMap;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -17,7 +18,7 @@
 use super::message::{Action, Call, CallResult, HostReport, RelayBatch, RelayResults};
 use super::selection::{KnownHosts, announce_interval, needs_relays, relay_of};
 use crate::dispatch::{
-    Order, PollRequest, Refusal, Run, StartReply, StopReply, TaskKey, WorkerOrder,
+    Order, PollRequest, Refusal, Run, StartAnswer, StartReply, StopReply, TaskKey, WorkerOrder,
 };
 use crate::model::{DomainName, HostName, Span, WorkerName};
 use crate::platform::{
@@ -255,6 +256,15 @@
         }
     }
 
+    /// Takes the calls of the next batch. Calls that were given up while they waited are left
+    /// out: their missing results count as missing answers already.
+    pub(super) fn take_batch(&self, link: &RelayLink) -> (Vec<ArcStr>, Vec<Call>) {
+        let (payloads, mut calls) = lock(&link.outbox).take_batch();
+        let waiting = lock(&self.waiting);
+        calls.retain(|call| waiting.contains_key(&call.id));
+        (payloads, calls)
+    }
+
     async fn order(&self, link: &RelayLink, order: &WorkerOrder) -> Option<CallResult> {
         let action = Action::Order(order.clone(), None);
         let timeout = match order.order {
@@ -269,30 +279,32 @@
         &self,
         order: &WorkerOrder,
         may_send: impl Fn() -> bool,
-    ) -> StartReply {
+    ) -> StartAnswer {
         loop {
             let token = self.token();
             if !may_send() {
-                return StartReply::NotSent;
+                return StartReply::NotSent.into();
             }
-            let reply = self.send_start(order).await;
+            let answer = self.send_start(order).await;
             // A refused order has had no effect, so it is sent again under the raised token.
-            if reply != StartReply::Refused(Refusal::Fence) || !self.is_outdated(token) {
-                return reply;
+            let is_fenced = answer.reply == StartReply::Refused(Refusal::Fence);
+            if !is_fenced || !self.is_outdated(token) {
+                return answer;
             }
         }
     }
 
-    async fn send_start(&self, order: &WorkerOrder) -> StartReply {
+    async fn send_start(&self, order: &WorkerOrder) -> StartAnswer {
         let link = match self.way(&order.worker) {
             Way::Direct => return self.direct().start(order).await,
-            Way::Closed => return StartReply::NotSent,
+            Way::Closed => return StartReply::NotSent.into(),
             Way::Relay(link) => link,
         };
         match self.order(&link, order).await {
-            Some(CallResult::Started(reply)) => reply,
-            Some(CallResult::NotSent) => StartReply::NotSent,
-            _ => StartReply::NoAnswer,
+            Some(CallResult::StartAnswered(answer)) => answer,
+            Some(CallResult::Started(reply)) => reply.into(),
+            Some(CallResult::NotSent) => StartReply::NotSent.into(),
+            _ => StartReply::NoAnswer.into(),
         }
     }
 
@@ -454,7 +466,10 @@
             sleep(COLLECT_PAUSE).await;
             continue;
         }
-        let (payloads, calls) = lock(&link.outbox).take_batch();
+        let (payloads, calls) = gateway.take_batch(&link);
+        if calls.is_empty() {
+            continue;
+        }
         let ids: Vec<u64> = calls.iter().map(|c| c.id).collect();
         if link.failed.load(Relaxed) {
             for id in ids {
--- a/crates/jujubelb/src/node/relay/message.rs
+++ b/crates/jujubelb/src/node/relay/message.rs
@@ -5,7 +5,7 @@
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{PollReply, PollRequest, StartReply, StopReply, WorkerOrder};
+use crate::dispatch::{PollReply, PollRequest, StartAnswer, StartReply, StopReply, WorkerOrder};
 use crate::model::{DomainName, HostName, WorkerName};
 
 /// Description of a host that may become a relay.
@@ -60,12 +60,15 @@
     PollFenced,
     /// A poll has failed. It had no effect if the value is true.
     PollFailed(bool),
+    /// Result of a start order, from a relay of an older version.
     Started(StartReply),
     Stopped(StopReply),
     /// A pace order has been sent, whether or not it was successful.
     Paced,
     /// The call was not made and will not be made.
     NotSent,
+    /// Answer to a start order.
+    StartAnswered(StartAnswer),
 }
 
 /// Results of a relay's calls.
--- a/crates/jujubelb/src/node/relay/tests.rs
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -349,7 +349,10 @@
         unreachable!("a start is an order");
     };
     drop(OpenGateway(gateway.clone()));
-    assert_eq!(gateway.start(&order, || true).await, StartReply::NotSent);
+    assert_eq!(
+        gateway.start(&order, || true).await.reply,
+        StartReply::NotSent
+    );
     assert!(crate::node::state::lock(&link.outbox).is_empty());
     assert_eq!(std::sync::Arc::strong_count(&link), 1);
 }
@@ -361,6 +364,30 @@
     assert_eq!(call(Vec::new(), Span::ZERO).await, None);
 }
 
+/// Guards against a call that leaves for a relay after it was given up: its worker may have
+/// restarted since, and a start would count as sent at the time at which it was given up.
+#[tokio::test]
+async fn a_call_that_was_given_up_is_not_sent() {
+    let gateway = gateway();
+    let link = RelayLink::new(host("h", "a", 0.5));
+    let call = |index| start(1, index, "payload").action;
+    assert_eq!(gateway.call(&link, call(0), Span::ZERO).await, None);
+    let second = gateway.call(&link, call(1), Span::from_secs(5));
+    let batch = async {
+        tokio::task::yield_now().await;
+        let (_, calls) = gateway.take_batch(&link);
+        let ids: Vec<u64> = calls.iter().map(|c| c.id).collect();
+        let results = vec![(1, started())];
+        gateway.results_received(RelayResults {
+            nonce: NONCE,
+            results,
+        });
+        ids
+    };
+    let (result, ids) = tokio::join!(second, batch);
+    assert_eq!((result, ids), (Some(started()), vec![1]));
+}
+
 /// Makes a start through a relay whose worker refuses it because of its token, and accepts it
 /// if it is sent again, which `may_repeat` allows. Before the refusal the token is raised to
 /// `raised`.
@@ -382,7 +409,9 @@
     };
     let sent = std::cell::Cell::new(false);
     let may_send = || !sent.replace(true) || may_repeat;
-    tokio::join!(gateway.start(&order, may_send), answers).0
+    tokio::join!(gateway.start(&order, may_send), answers)
+        .0
+        .reply
 }
 
 /// Guards against a term that ends because a call was overtaken by a later one of the same term
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -9,7 +9,7 @@
 use super::numbers::Millis;
 use crate::dispatch::{
     Incarnation, Order, PollReply, PollRequest, Refusal, Run, RunCompletion, RunOutcome, RunStatus,
-    StartReply, StopReply, TaskKey, WorkerOrder,
+    StartAnswer, StartReply, StopReply, TaskKey, WorkerOrder,
 };
 use crate::model::{Span, WorkerName, WorkerTime};
 
@@ -73,6 +73,13 @@
     wait_ms: Option<u64>,
 }
 
+/// What every answer with a body has.
+#[derive(Debug, Deserialize)]
+struct WireClock {
+    /// The worker's clock.
+    clock_ms: Millis,
+}
+
 #[derive(Debug, Deserialize)]
 struct WireRefusal {
     #[serde(default)]
@@ -137,7 +144,7 @@
     }
 
     /// Starts a run. Returns `NotSent` for an order that is not a start.
-    pub async fn start(&self, order: &WorkerOrder) -> StartReply {
+    pub async fn start(&self, order: &WorkerOrder) -> StartAnswer {
         let Order::Start {
             task,
             run,
@@ -147,7 +154,7 @@
             ticket,
         } = &order.order
         else {
-            return StartReply::NotSent;
+            return StartReply::NotSent.into();
         };
         let body = WireStart {
             task: task.to_string(),
@@ -167,19 +174,23 @@
                 ORDER_TIMEOUT,
             )
             .await;
-        match response {
-            Err(CallError::NotSent(..)) => StartReply::NotSent,
+        let response = match response {
+            Err(CallError::NotSent(..)) => return StartReply::NotSent.into(),
             Err(error) => {
                 log::debug!(error:% = error; "start order failed");
-                StartReply::NoAnswer
+                return StartReply::NoAnswer.into();
             }
-            Ok(response) => match response.status.as_u16() {
+            Ok(response) => response,
+        };
+        StartAnswer {
+            reply: match response.status.as_u16() {
                 200 => StartReply::Started,
                 409 => StartReply::Refused(decode_refusal(&response)),
                 400 => StartReply::Malformed,
                 421 | 429 | 503 => StartReply::Unhealthy,
                 _ => StartReply::NoAnswer,
             },
+            clock: decode_clock(&response),
         }
     }
 
@@ -264,6 +275,12 @@
     }
 }
 
+/// Reading of the worker's clock in an answer. Answers without a body have none.
+fn decode_clock(response: &HttpResponse) -> Option<WorkerTime> {
+    let clock: WireClock = response.json().ok()?;
+    Some(WorkerTime::ZERO + clock.clock_ms.0)
+}
+
 /// The reason for which a worker refused an order. The texts are the platform's.
 fn decode_refusal(response: &HttpResponse) -> Refusal {
     match response.json::<WireRefusal>() {
