Keep a cancelled job from being stored by a late write

Cause: the cancellation read the key of the job, found none and wrote nothing. The condition of the late write, that the key is absent, still held. Ruled out: that the leader ignores a stored cancellation (there was none), and as a remedy that the answering host remembers the open write, which another one has sent.

Change: a cancellation that finds no job creates the job's key as a tombstone, so that the late write fails whichever host sent it. DELETE and GET are answered 410 as before, a repeated submission 503 without a time to come back, which is true: it never runs. The leader deletes a tombstone after ten minutes. A cancellation of a job that never was costs one write more, and a submission that finds its key existing one read.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -36,8 +36,9 @@
 /// Maximum number of changed jobs in a batch that also deletes jobs.
 const MAX_JOBS_WITH_FORGOTTEN: usize = 10;
 
-/// How long an ended job is kept. Callers may ask for its state for two minutes, and a
-/// duplicate of its submission may arrive seconds after the job was accepted.
+/// How long an ended job is kept, and the mark of one that was cancelled before it was stored.
+/// Callers may ask for a job's state for two minutes, and a write or a duplicate of its submission
+/// may arrive seconds late.
 const RETENTION: Span = Span::from_secs(600);
 
 /// A worker on which tasks may have been started, with what is needed to poll it.
@@ -235,6 +236,7 @@
         }
         for key in &commit.forgotten {
             self.jobs.shift_remove(key);
+            self.withdrawn.swap_remove(key);
             self.expired_jobs.shift_remove(key);
         }
         for entry in commit.roster.iter().flat_map(|r| &r.workers) {
@@ -258,6 +260,9 @@
         };
         let expired = self.jobs.iter().filter(|(_, j)| old(j)).map(|(k, _)| *k);
         self.expired_jobs.extend(expired);
+        let withdrawn = self.withdrawn.iter();
+        let expired = withdrawn.filter(|(_, at)| now.since(**at) > RETENTION);
+        self.expired_jobs.extend(expired.map(|(k, _)| *k));
         self.drop_settled();
     }
 
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Records that the store holds a mark that a job was cancelled before it was stored. The mark
+    /// is deleted after the retention time.
+    pub fn job_withdrawn(&mut self, key: JobKey, now: Time) {
+        if !self.withdrawn.contains_key(&key) {
+            log::info!(job:% = key; "job cancelled before it was stored");
+            self.withdrawn.insert(key, now);
+        }
+    }
+
     /// Begins all occurrences that are due.
     pub(super) fn begin_due_occurrences(&mut self, wall: WallTime, now: Time) {
         let scheduled: Vec<JobKey> = self.scheduled.iter().copied().collect();
@@ -154,6 +163,13 @@
         self.membership += 1;
     }
 
+    /// Records that a change of workers' entries was read from the store, of any worker. The
+    /// changes are read in order, so all that were made before the last read are known now.
+    pub fn entries_read(&mut self, now: Time) {
+        self.listed_until = self.last_listed;
+        self.last_listed = now;
+    }
+
     /// Records that the store no longer lists a worker.
     pub fn worker_unlisted(&mut self, name: &WorkerName) {
         if let Some(worker) = self.workers.get_mut(name)
@@ -163,13 +179,6 @@
             worker.listed = false;
             if !worker.reachable {
                 self.assume_crash(name);
-    /// Records that a change of workers' entries was read from the store, of any worker. The
-    /// changes are read in order, so all that were made before the last read are known now.
-    pub fn entries_read(&mut self, now: Time) {
-        self.listed_until = self.last_listed;
-        self.last_listed = now;
-    }
-
             }
         }
     }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -234,7 +234,11 @@
     /// Jobs with changes that are not durable yet, in the order in which they were last
     /// written or, if they were durable then, changed.
     dirty_jobs: IndexSet<JobKey>,
-    /// Jobs that ended longer ago than the retention time and are to be deleted.
+    /// Jobs that were cancelled before they were stored, with the time at which this term learned
+    /// of it. The store keeps a mark of each, which rules out a late write of the job.
+    withdrawn: IndexMap<JobKey, Time>,
+    /// Jobs that ended, or were withdrawn, longer ago than the retention time and are to be
+    /// deleted.
     expired_jobs: IndexSet<JobKey>,
     /// Whether the durable roster differs from the workers in use.
     roster_dirty: bool,
@@ -268,22 +272,22 @@
                 max_lease: bounds.max_lease.min(MAX_LEASE),
                 ..bounds
             },
+            lease_cap: bounds.max_lease,
             began: now,
             earlier,
             renewed: now,
             inherited_resolved: roster.workers.is_empty(),
-            lease_cap: bounds.max_lease,
             jobs: FastMap::default(),
             workers: FastMap::default(),
             last_arrival: Arrival::default(),
             confirmed: Arrival::default(),
             assumed: IndexMap::new(),
+            last_listed: Time::ZERO,
+            listed_until: Time::ZERO,
             membership: 0,
             ready: IndexSet::new(),
             scheduled: IndexSet::new(),
             early_cancels: IndexSet::new(),
-            last_listed: Time::ZERO,
-            listed_until: Time::ZERO,
             slopes: model.0,
             headrooms: Headrooms::default(),
             model_written: now,
@@ -293,6 +297,7 @@
             evacuated: IndexSet::new(),
             change_count: 0,
             dirty_jobs: IndexSet::new(),
+            withdrawn: IndexMap::new(),
             expired_jobs: IndexSet::new(),
             roster_dirty: false,
             probe_slots: 0,
--- a/crates/jujubelb/src/dispatch/tests/commits.rs
+++ b/crates/jujubelb/src/dispatch/tests/commits.rs
@@ -138,3 +138,24 @@
     }
     panic!("six batches without the progress of a job");
 }
+
+/// Guards against marks of jobs that were cancelled before they were stored, and that stay in
+/// the store for good: any client can cause one with an identifier that it has made up.
+#[test]
+fn marks_of_withdrawn_jobs_are_deleted() {
+    let mut sim = Simulation::new(1);
+    let key = JobKey(7);
+    sim.dispatcher.job_withdrawn(key, sim.now);
+    assert_eq!(sim.dispatcher.job_status(key), None);
+    for (minutes, forgotten) in [(2, vec![]), (9, vec![key])] {
+        sim.now = sim.now + Span::from_secs(60 * minutes);
+        sim.dispatcher.expire(sim.now);
+        let commit = sim.dispatcher.take_commit(sim.now);
+        let deleted = commit.map(|commit| {
+            sim.committed(&commit);
+            commit.forgotten
+        });
+        assert_eq!(deleted.unwrap_or_default(), forgotten);
+    }
+    assert!(!sim.dispatcher.has_changes());
+}
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -11,8 +11,11 @@
 use rocket::{Data, Request, Route};
 use serde::{Deserialize, Serialize};
 
-use super::job_write::{WriteResult, assess_job_write, job_txn};
-use super::keys;
+use super::job_write::{
+    WriteResult, assess_cancellation, assess_existing_job, assess_job_write, cancellation_txn,
+    job_txn, stored_job,
+};
+use super::keys::{self, StoredJob};
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::state::{Node, lock, sleep};
 use crate::dispatch::{JobKey, JobOutcome, JobRecord, JobStatus, Progress};
@@ -40,6 +43,10 @@
 /// other hosts may still reach it.
 const RETRY_AFTER_S: u32 = 1;
 
+/// Attempts to cancel a job that is stored or withdrawn by another write in between, which can
+/// happen once.
+const MAX_CANCEL_ATTEMPTS: u32 = 2;
+
 /// Outcome of a write to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
 #[display(rename_all = "lowercase")]
@@ -50,8 +57,10 @@
     Refused,
     /// It is not known whether the write was or will be made.
     Unclear,
-    /// The job to cancel doesn't exist.
+    /// The job to cancel doesn't exist, and no write that is still open can store it.
     Missing,
+    /// The job was cancelled before it was stored. It never runs.
+    Withdrawn,
 }
 
 /// A response to a caller.
@@ -229,6 +238,11 @@
         WriteOutcome::Refused | WriteOutcome::Missing => {
             CallerResponse::unavailable("the job was not accepted: the store can't be reached")
         }
+        // Without a time to come back: no later attempt succeeds either.
+        WriteOutcome::Withdrawn => CallerResponse::error(
+            Status::ServiceUnavailable,
+            "the job was not accepted: it was cancelled before",
+        ),
     }
 }
 
@@ -242,7 +256,9 @@
             notify_leader(node, PeerRequest::CancellationStored(key));
             CallerResponse::json(Status::Ok, "{}".to_owned())
         }
-        WriteOutcome::Missing => CallerResponse::error(Status::Gone, "no such job"),
+        WriteOutcome::Missing | WriteOutcome::Withdrawn => {
+            CallerResponse::error(Status::Gone, "no such job")
+        }
         WriteOutcome::Refused => {
             CallerResponse::unavailable("the job was not cancelled: the store can't be reached")
         }
@@ -293,7 +309,9 @@
             }
         };
         match result.outcome {
-            WriteOutcome::Stored | WriteOutcome::Missing => return result,
+            WriteOutcome::Stored | WriteOutcome::Missing | WriteOutcome::Withdrawn => {
+                return result;
+            }
             WriteOutcome::Unclear => unclear = true,
             WriteOutcome::Refused => {}
         }
@@ -321,27 +339,37 @@
         }
         match (assess_job_write(&result, leader), leader) {
             (Some(result), _) => return result,
-            (None, known) => {
-                log::info!(job:% = key, token:? = known.map(|r| r.0); "the job exists or the leader has changed; storing the job without a token");
+            (None, Some(known)) => {
+                log::info!(job:% = key, token = known.0; "the job exists or the leader has changed; storing the job without a token");
                 leader = None;
             }
+            (None, None) => {
+                let outcome = assess_existing_job(key, &read(node, &keys::job(key)).await);
+                log::info!(job:% = key, outcome:% = outcome; "the job exists");
+                return outcome.into();
+            }
         }
     }
 }
 
-/// Stores the cancellation of a job if the job exists.
+/// Stores the cancellation of a job, or that the job must not be stored any more if the store
+/// does not have it.
 pub(crate) async fn store_cancel(node: &Node, key: JobKey) -> WriteOutcome {
-    match read(node, &keys::job(key)).await {
-        Ok(None) => return WriteOutcome::Missing,
-        Ok(Some(_)) => {}
-        Err(_) => return WriteOutcome::Refused,
-    }
-    let txn = Txn::default().put(keys::cancel(key), &[], None);
-    match write(node, &txn).await {
-        Ok(_) => WriteOutcome::Stored,
-        Err(TxnError::Call(error)) if !error.had_no_effect() => WriteOutcome::Unclear,
-        Err(_) => WriteOutcome::Refused,
+    for _ in 0..MAX_CANCEL_ATTEMPTS {
+        let Ok(item) = read(node, &keys::job(key)).await else {
+            return WriteOutcome::Refused;
+        };
+        let stored = stored_job(key, item.as_ref());
+        let Some(txn) = cancellation_txn(key, stored.as_ref()) else {
+            return WriteOutcome::Withdrawn;
+        };
+        let result = write(node, &txn).await;
+        if let Some(outcome) = assess_cancellation(stored.as_ref(), &result) {
+            return outcome;
+        }
+        log::info!(job:% = key; "the job to cancel was stored in the meantime");
     }
+    WriteOutcome::Refused
 }
 
 /// Makes a transaction and records the call.
@@ -439,7 +467,11 @@
 
 /// The status of a job according to the store; `None` if the job doesn't exist.
 async fn stored_status(node: &Node, key: JobKey) -> Result<Option<JobStatus>, CallError> {
-    if read(node, &keys::job(key)).await?.is_none() {
+    let item = read(node, &keys::job(key)).await?;
+    if matches!(
+        stored_job(key, item.as_ref()),
+        None | Some(StoredJob::Withdrawn)
+    ) {
         return Ok(None);
     }
     let name = keys::state(key);
--- a/crates/jujubelb/src/node/job_write.rs
+++ b/crates/jujubelb/src/node/job_write.rs
@@ -1,4 +1,4 @@
-//! The transaction that stores a job, and what its result says about the job.
+//! The transactions that store and cancel a job, and what their results say about the job.
 //!
 //! A host that knows a leader stores a job under the condition that the leader key is at the
 //! revision that it knows, which is the fencing token of the leader's term. The leader then
@@ -6,9 +6,9 @@
 //! begins.
 
 use super::callers::WriteOutcome;
-use super::keys;
+use super::keys::{self, StoredJob};
 use crate::dispatch::{JobKey, JobRecord};
-use crate::platform::{Revision, Txn, TxnError};
+use crate::platform::{CallError, KeyState, Revision, Txn, TxnError};
 
 /// What a host knows of a write that a caller has requested.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,8 +56,8 @@
     }
 }
 
-/// What the result of [`job_txn`] with the same `leader` says about the job. `None` if the job
-/// exists or the leader has changed, so that the job has to be stored without the condition.
+/// What the result of [`job_txn`] with the same `leader` says about the job. `None` if a
+/// condition has failed: the key of the job exists, or the leader has changed.
 pub(crate) fn assess_job_write(
     result: &Result<Revision, TxnError>,
     leader: Option<Revision>,
@@ -69,11 +69,56 @@
                 token: leader.map(|r| r.0),
             });
         }
-        Err(TxnError::Conflict) if leader.is_some() => return None,
-        Err(TxnError::Conflict) => WriteOutcome::Stored,
+        Err(TxnError::Conflict) => return None,
         Err(TxnError::LeaseExpired) => WriteOutcome::Refused,
         Err(TxnError::Call(error)) if error.had_no_effect() => WriteOutcome::Refused,
         Err(TxnError::Call(_)) => WriteOutcome::Unclear,
     };
     Some(outcome.into())
 }
+
+/// What the key of a job says about a submission that found it existing.
+pub(crate) fn assess_existing_job(
+    key: JobKey,
+    read: &Result<Option<KeyState>, CallError>,
+) -> WriteOutcome {
+    match read.as_ref().map(|item| stored_job(key, item.as_ref())) {
+        Ok(Some(StoredJob::Withdrawn)) => WriteOutcome::Withdrawn,
+        // A key that is gone since belonged to a job that ended long ago.
+        Ok(Some(StoredJob::Accepted(_)) | None) => WriteOutcome::Stored,
+        Err(_) => WriteOutcome::Unclear,
+    }
+}
+
+/// The content of a job's key; `None` if the key does not exist.
+pub(crate) fn stored_job(key: JobKey, item: Option<&KeyState>) -> Option<StoredJob> {
+    let value = item?.value.as_deref()?;
+    Some(StoredJob::decode(&keys::job(key), value))
+}
+
+/// What to write to cancel a job, by the content of its key; `None` if it is withdrawn already.
+///
+/// A job that the store does not have may still be stored by a write that is on its way, also
+/// one of another host that has given up on it. So the answer that there is no such job needs
+/// a write that rules this out.
+pub(crate) fn cancellation_txn(key: JobKey, stored: Option<&StoredJob>) -> Option<Txn> {
+    match stored {
+        None => Some(keys::tombstone_txn(key)),
+        Some(StoredJob::Accepted(_)) => Some(Txn::default().put(&keys::cancel(key), &[], None)),
+        Some(StoredJob::Withdrawn) => None,
+    }
+}
+
+/// What the result of [`cancellation_txn`] says. `None` if the job was stored in the meantime.
+pub(crate) fn assess_cancellation(
+    stored: Option<&StoredJob>,
+    result: &Result<Revision, TxnError>,
+) -> Option<WriteOutcome> {
+    Some(match (result, stored) {
+        (Ok(_), None) => WriteOutcome::Missing,
+        (Ok(_), Some(_)) => WriteOutcome::Stored,
+        (Err(TxnError::Conflict), _) => return None,
+        (Err(TxnError::Call(error)), _) if !error.had_no_effect() => WriteOutcome::Unclear,
+        (Err(_), _) => WriteOutcome::Refused,
+    })
+}
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -5,8 +5,9 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, Serialize};
 
-use crate::dispatch::{JobKey, LeaderTerm};
+use crate::dispatch::{JobKey, JobRecord, LeaderTerm};
 use crate::model::HostName;
+use crate::platform::{Revision, Txn};
 
 /// Prefix of the keys that every host watches.
 pub(crate) const SYSTEM_PREFIX: &str = "jj/";
@@ -41,6 +42,11 @@
 /// Prefix of the keys of accepted jobs.
 pub(crate) const JOB_PREFIX: &str = "in/job/";
 
+/// Value of a job's key if the job was cancelled when the store did not have it. While the key
+/// exists, no write of the job takes effect, however late it reaches the store. Never the
+/// encoding of a job: older versions log it as one that can't be decoded, and ignore it.
+const TOMBSTONE: &[u8] = b"cancelled";
+
 /// Prefix of the keys of cancellations.
 pub(crate) const CANCEL_PREFIX: &str = "in/cancel/";
 
@@ -59,6 +65,33 @@
     format!("{STATE_PREFIX}{key}")
 }
 
+/// The transaction that keeps a job from being stored from now on, unless it is stored already.
+pub(crate) fn tombstone_txn(key: JobKey) -> Txn {
+    let name = job(key);
+    Txn::default()
+        .expect(&name, Revision::default())
+        .put(&name, TOMBSTONE, None)
+}
+
+/// What the value of a job's key says.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum StoredJob {
+    /// The job was accepted. `None` if its record can't be decoded.
+    Accepted(Option<Box<JobRecord>>),
+    /// The job was cancelled before it was stored, and never runs.
+    Withdrawn,
+}
+
+impl StoredJob {
+    /// Decodes the value of a job's key.
+    pub(crate) fn decode(name: &str, value: &[u8]) -> Self {
+        match value == TOMBSTONE {
+            true => Self::Withdrawn,
+            false => Self::Accepted(decode(name, value).map(Box::new)),
+        }
+    }
+}
+
 /// Parses the job out of a key with this prefix.
 pub(crate) fn parse_job(key: &str, prefix: &str) -> Option<JobKey> {
     JobKey::parse(key.strip_prefix(prefix)?)
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -10,7 +10,7 @@
 
 use super::candidacy::{Eligibility, Successors};
 use super::election::{self, ElectionWin, TermEnd};
-use super::keys::{self, ChainMark};
+use super::keys::{self, ChainMark, StoredJob};
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::relay::{HostReport, OpenGateway, WorkerGateway, maintain_relays};
 use super::state::{KnownLeader, Node, lock, sleep};
@@ -482,13 +482,18 @@
         now,
     );
     for item in &intake {
-        if let Some(key) = keys::parse_job(&item.key, keys::JOB_PREFIX)
-            && let Some(record) = item
-                .value
-                .as_deref()
-                .and_then(|v| keys::decode(&item.key, v))
-        {
-            dispatcher.accept(key, record, states.get(&key), true, wall_time, now);
+        let (Some(key), Some(value)) = (
+            keys::parse_job(&item.key, keys::JOB_PREFIX),
+            item.value.as_deref(),
+        ) else {
+            continue;
+        };
+        match StoredJob::decode(&item.key, value) {
+            StoredJob::Accepted(Some(record)) => {
+                dispatcher.accept(key, *record, states.get(&key), true, wall_time, now);
+            }
+            StoredJob::Accepted(None) => {}
+            StoredJob::Withdrawn => dispatcher.job_withdrawn(key, now),
         }
     }
     for item in &intake {
@@ -625,12 +630,12 @@
     watch_prefix(node, WORKER_KEYS, move |event| {
         let now = observer.now();
         let mut dispatcher = lock(&term.dispatcher);
+        dispatcher.entries_read(now);
         match event {
             WatchEvent::Snapshot(items) => {
                 let listed = items
                     .iter()
                     .filter_map(|i| decode_worker(&i.key, i.value.as_deref()?));
-        dispatcher.entries_read(now);
                 dispatcher.workers_listed(listed.collect(), now);
             }
             WatchEvent::Changes(items) => {
@@ -665,10 +670,15 @@
             let Some(value) = item.value.as_deref() else {
                 continue;
             };
-            if let Some(key) = keys::parse_job(&item.key, keys::JOB_PREFIX)
-                && let Some(record) = keys::decode(&item.key, value)
-            {
-                term.accept(&observer, key, record);
+            let Some(key) = keys::parse_job(&item.key, keys::JOB_PREFIX) else {
+                continue;
+            };
+            match StoredJob::decode(&item.key, value) {
+                StoredJob::Accepted(Some(record)) => term.accept(&observer, key, *record),
+                StoredJob::Accepted(None) => {}
+                StoredJob::Withdrawn => {
+                    lock(&term.dispatcher).job_withdrawn(key, observer.now());
+                }
             }
         }
         for item in items.iter().filter(|i| i.value.is_some()) {
