Take a 421 for the end of the worker that had the address

Callers saw tasks that last stand still for 20 s and more after their worker had crashed and the leader's host was lost, although a new worker answered at the same address within 2 s.

Cause: the new leader polls the former worker, which is answered with 421 by the worker that has the address now. That counted as "unreachable", so the leader waited for the lost leader and for the leases, 22.8 s in all, before it started any inherited task. Under one leader the same answer left the runs waiting for their lease. Ruled out: that the new leader reads the store too early; a worker with another name is listed, which says nothing of the former one.

Change: a 421 ends the runs of the expected worker. The proof holds for an address, so nothing starts at an address that the durable roster does not name.

Tests: tasks_of_a_replaced_worker_start_again_at_once and nothing_starts_at_an_address_that_the_roster_does_not_name; the code before has no such answer of a poll, and a roster with one address for good.

--- a/crates/jujubelb/src/dispatch/commit.rs
+++ b/crates/jujubelb/src/dispatch/commit.rs
@@ -140,7 +140,7 @@
             workers: self
                 .workers
                 .values()
-                .filter(|w| w.fenced || w.in_roster)
+                .filter(|w| w.fenced || w.roster_address.is_some())
                 .map(|w| RosterEntry {
                     name: w.report.name.clone(),
                     address: w.report.address,
@@ -241,7 +241,7 @@
         }
         for entry in commit.roster.iter().flat_map(|r| &r.workers) {
             if let Some(worker) = self.workers.get_mut(&entry.name) {
-                worker.in_roster = true;
+                worker.roster_address = Some(entry.address);
             }
         }
         if commit.raises_token {
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -152,7 +152,9 @@
         let name = report.name.clone();
         if let Some(worker) = self.workers.get_mut(&name) {
             let (listed, leaving) = (worker.listed, worker.drain_deadline.is_some());
+            let moved = worker.report.address != report.address;
             worker.update_report(report, now);
+            self.roster_dirty |= moved && worker.fenced;
             if !listed || leaving != worker.drain_deadline.is_some() {
                 log::info!(worker:% = name, leaving:? = worker.report.drain_remaining; "worker listed");
             }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -306,7 +306,7 @@
         for entry in &roster.workers {
             let mut worker = Worker::new(entry.report(), now);
             worker.listed = false;
-            worker.in_roster = true;
+            worker.roster_address = Some(entry.address);
             // The token of a new term is higher than those of all calls before it.
             worker.admission = Admission::Admitted;
             dispatcher.workers.insert(entry.name.clone(), worker);
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -126,7 +126,7 @@
         let unreachable = self
             .workers
             .values()
-            .filter(|w| w.in_roster && !w.fenced)
+            .filter(|w| w.roster_address.is_some() && !w.fenced && !w.replaced)
             .count();
         let leases_expired = self.earlier.quiet_for(now).is_some_and(|t| t > lease);
         if unreachable == 0 || leases_expired {
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -180,6 +180,7 @@
         worker.clock_reading = Some((reply.clock, now));
         worker.last_answer = now;
         worker.reachable = true;
+        worker.replaced = false;
         worker.doubted = worker.doubted.filter(|since| sent <= *since);
         worker.keeps_completions = !reply.finished.is_empty();
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
@@ -188,7 +189,7 @@
             log::info!(worker:% = name, runs = reply.running.len(), token = self.token; "worker fenced");
             worker.fenced = true;
             self.raise_needed |= worker.admission == Admission::AwaitsToken;
-            self.roster_dirty |= !worker.in_roster;
+            self.roster_dirty |= worker.roster_address != Some(worker.report.address);
             worker.answering_since = now;
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
@@ -251,6 +252,30 @@
         self.learn_headroom(name, now);
     }
 
+    /// Records that another worker has answered at a worker's address. The process that had the
+    /// address has ended, with all that ran on it, and no order can reach it any more.
+    pub fn worker_replaced(&mut self, name: &WorkerName, now: Time) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.reachable = false;
+        let first = !std::mem::replace(&mut worker.replaced, true);
+        let ended = worker.runs.iter();
+        // The answer to a start that is on its way tells what became of it.
+        let ended = ended.filter(|(_, r)| r.phase != RunPhase::Starting);
+        let ended: Vec<(TaskKey, Run)> = ended.map(|(task, r)| (*task, r.run)).collect();
+        if first {
+            log::warn!(worker:% = name, runs = ended.len(), fenced = worker.fenced; "another worker has the address of the worker, whose process has ended");
+        }
+        for (task, run) in ended {
+            self.count_loss(name, task, run);
+            self.run_lost(name, task, run, "another worker has the address", now);
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.update_load();
+        }
+    }
+
     /// Records that a worker has refused a poll because it has seen a higher token.
     pub fn poll_fenced(&mut self, name: &WorkerName) {
         log::warn!(worker:% = name, token = self.token; "worker has seen a higher token; this term is over");
@@ -478,6 +503,6 @@
         !self.listed
             && self.runs.is_empty()
             && !(self.reachable && self.keeps_completions)
-            && (self.fenced || inherited_resolved)
+            && (self.fenced || self.replaced || inherited_resolved)
     }
 }
--- a/crates/jujubelb/src/dispatch/tests/leader_changes.rs
+++ b/crates/jujubelb/src/dispatch/tests/leader_changes.rs
@@ -243,3 +243,43 @@
     sim.run(Span::from_secs(1));
     assert_eq!(sim.running(key), 4);
 }
+
+/// Guards against waiting for the lease of a lost worker at whose address another one answers:
+/// the address has one process at a time, so that the former one has ended with its runs.
+#[test]
+fn tasks_of_a_replaced_worker_start_again_at_once() {
+    for changes_leader in [false, true] {
+        let mut sim = Simulation::new(4);
+        let key = sim.submit(1, job(0, vec![long_running(4, 20)]));
+        sim.run(Span::from_secs(1));
+        let victim = sim.starts[0].1.clone();
+        let i = sim.workers.get_index_of(&victim).unwrap();
+        sim.crash_worker(i);
+        if changes_leader {
+            sim.change_leader();
+        }
+        sim.run(Span::from_secs(1));
+        assert!(sim.running(key) < 4, "{changes_leader}");
+        sim.dispatcher.worker_replaced(&victim, sim.now);
+        sim.run(Span::from_millis(200));
+        assert_eq!(sim.running(key), 4, "{changes_leader}");
+    }
+}
+
+/// Guards against taking the end of a worker's process at one address for the end of the next
+/// one at another address, which the next leader would not find: nothing is started at an
+/// address that the durable roster does not name.
+#[test]
+fn nothing_starts_at_an_address_that_the_roster_does_not_name() {
+    let mut sim = Simulation::new(1);
+    sim.worker(0).report.address = ([10, 0, 0, 99], 80).into();
+    sim.store_available = false;
+    sim.list_workers();
+    let key = sim.submit(1, job(0, vec![long_running(1, 8)]));
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.running(key), 0);
+    sim.store_available = true;
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.running(key), 1);
+    assert_eq!(sim.roster.workers[0].address, sim.workers[0].report.address);
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -149,9 +149,9 @@
     /// When this term learned of the current incarnation, in the order of arrivals. Nothing
     /// is started on it before the term is confirmed after that.
     pub(crate) arrival: Arrival,
-    /// Whether the durable roster contains the worker. Nothing is started before, since
-    /// the next leader has to know of every worker with runs.
-    pub(crate) in_roster: bool,
+    /// Address at which the durable roster has the worker; `None` if it is not in it. Nothing is
+    /// started at another address, since the next leader has to find every worker with runs.
+    pub(crate) roster_address: Option<SocketAddr>,
     /// Incarnation that gave the last answer to a poll. All that is known of runs and
     /// completions refers to it; the report may be of an earlier or later incarnation.
     pub(crate) incarnation: Option<Incarnation>,
@@ -162,6 +162,8 @@
     /// Whether the last poll was answered. A poll without an answer may still arrive and
     /// extend the lease, so the following polls carry no lease until one is answered.
     pub(crate) reachable: bool,
+    /// Whether another worker answers at its address, which shows that its process has ended.
+    pub(crate) replaced: bool,
     /// Since when the worker may have restarted unnoticed: a start got no answer, or an answer
     /// came from another incarnation. Nothing starts until a poll that was sent later is answered.
     pub(crate) doubted: Option<Time>,
@@ -287,11 +289,12 @@
             fenced: false,
             admission: Admission::AwaitsToken,
             arrival: Arrival::default(),
-            in_roster: false,
+            roster_address: None,
             incarnation: None,
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
             reachable: true,
+            replaced: false,
             doubted: None,
             unanswered: Time::ZERO,
             keeps_completions: false,
@@ -316,6 +319,9 @@
     /// Replaces the report with a newer one of the same worker.
     pub(crate) fn update_report(&mut self, report: WorkerReport, now: Time) {
         self.listed = true;
+        if report.address != self.report.address {
+            self.replaced = false;
+        }
         if report.incarnation != self.report.incarnation {
             self.reported = now;
             self.report_outdated = false;
@@ -431,7 +437,7 @@
         self.listed
             && self.drain_deadline.is_none()
             && self.is_admitted()
-            && self.in_roster
+            && self.roster_address == Some(self.report.address)
             // What runs on an incarnation is known only after a poll, and its labels and
             // room only from its own report.
             && self.is_report_current()
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -905,6 +905,12 @@
                 term.plan_needed.notify_one();
                 return;
             }
+            Ok(PollResult::Replaced) => {
+                failures += 1;
+                lock(&term.dispatcher).worker_replaced(&worker, node.now());
+                term.plan_needed.notify_one();
+                sleep(POLL_RETRY_PAUSE).await;
+            }
             Err(error) => {
                 let had_no_effect = error.had_no_effect();
                 lock(&term.dispatcher).poll_failed(&worker, &request, had_no_effect, node.now());
--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -87,6 +87,7 @@
         Action::Poll(worker, request) => match client.poll(worker, request).await {
             Ok(PollResult::Reply(reply)) => CallResult::Polled(reply),
             Ok(PollResult::Fenced) => CallResult::PollFenced,
+            Ok(PollResult::Replaced) => CallResult::PollReplaced,
             Err(error) => CallResult::PollFailed(error.had_no_effect()),
         },
         Action::Order(order, _) => match &order.order {
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -381,6 +381,7 @@
         match self.call(&link, action, timeout).await {
             Some(CallResult::Polled(reply)) => Ok(PollResult::Reply(reply)),
             Some(CallResult::PollFenced) => Ok(PollResult::Fenced),
+            Some(CallResult::PollReplaced) => Ok(PollResult::Replaced),
             Some(CallResult::PollFailed(true) | CallResult::NotSent) => Err(CallError::NotSent(
                 request.address,
                 format!("the relay {relay} has not reached the worker"),
--- a/crates/jujubelb/src/node/relay/message.rs
+++ b/crates/jujubelb/src/node/relay/message.rs
@@ -69,6 +69,8 @@
     NotSent,
     /// Answer to a start order.
     StartAnswered(StartAnswer),
+    /// A poll was answered by another worker at the same address.
+    PollReplaced,
 }
 
 /// Results of a relay's calls.
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -106,6 +106,8 @@
     Reply(PollReply),
     /// The worker refused the poll because it has seen a higher fencing token.
     Fenced,
+    /// Another worker has the address, so the process of the expected one has ended.
+    Replaced,
 }
 
 /// Client of the workers for calls with one fencing token.
@@ -270,6 +272,7 @@
             StatusCode::CONFLICT if decode_refusal(&response) == Refusal::Fence => {
                 Ok(PollResult::Fenced)
             }
+            StatusCode::MISDIRECTED_REQUEST => Ok(PollResult::Replaced),
             _ => Err(response.unexpected_status()),
         }
     }
