Bound the leases of a lost leader by votes on its term

Cause: a leader that is cut from the store goes on extending leases for 12 s, so that work lives through an absence of the store, and a pause of its host may add 4 s.

Change: a lease counts from the last proof that the term is the newest one, which the store gives, or a majority of the term's voters while the store does not answer. The next leader makes the voters refuse, after which no proof is possible, and waits for a lease alone. The process clock counts the time in which the host is suspended.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -239,7 +239,7 @@
             }
             self.row.commit_time += began.elapsed();
             let began = Instant::now();
-            self.dispatcher.set_lease_renewed(self.now);
+            self.dispatcher.set_authority(self.now);
             let orders = self.dispatcher.plan(wall(self.now), self.now);
             self.row.pass_time += began.elapsed();
             self.row.passes += 1;
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -25,6 +25,7 @@
 #[cfg(test)]
 mod tests;
 mod tickets;
+mod voters;
 mod worker;
 
 use std::sync::Arc;
@@ -54,6 +55,7 @@
 pub use replies::{Refusal, StartAnswer, StartReply, StopReply, is_start_overdue};
 pub use succession::{EarlierLeader, EarlierLeaders, LeaderTerm, MAX_EARLIER_LEADERS, Succession};
 pub use tickets::{TicketGrant, TicketRequest};
+pub use voters::{VoterRecord, VoterSet};
 pub use worker::{Incarnation, WorkerReport};
 
 /// Limits of the deployment, from the host's settings.
@@ -161,13 +163,13 @@
 /// change of the leader, which takes about 3 s.
 const MAX_LEASE: Span = Span::from_secs(6);
 
-/// How long a leader may go on extending workers' leases after it last renewed its own
-/// lease at the store.
+/// How long a term goes on after the leader last renewed its own lease at the store. Work lives
+/// through an absence of the store for as long, if a majority of the term's voters confirm it.
 pub const LEADER_GRACE: Span = Span::from_secs(12);
 
-/// How long a leader may act after its successor was elected: [`LEADER_GRACE`], plus 4 s for
-/// a pause of its host during which its clock does not advance. A new leader waits for this
-/// time, and then for the lease, for roster workers that it can't reach.
+/// How long a leader of whose voters nothing is known may act after its successor was elected:
+/// [`LEADER_GRACE`], plus 4 s for a pause of its host during which its clock does not advance. A
+/// new leader waits for this time, and then for the lease, for roster workers that it can't reach.
 const UNREACHABLE_WORKER_WAIT: Span = Span::from_secs(LEADER_GRACE.as_micros() / 1_000_000 + 4);
 
 /// Scheduling state of one leader's term.
@@ -187,10 +189,10 @@
     began: Time,
     /// Earlier leaders that may still extend leases.
     earlier: EarlierLeaders,
-    /// When the last successful renewal of the leader's lease was sent. Nothing is started and
-    /// no worker's lease is extended later than [`LEADER_GRACE`] after it, since the next leader
-    /// counts on that for workers that it can't reach.
-    renewed: Time,
+    /// When the term was last known to be the newest one. Every lease ends at most the longest
+    /// lease after it, however late the call that grants it is sent, since the next leader counts
+    /// on that for workers that it can't reach.
+    authority: Time,
     /// Whether all workers on which earlier terms may have started tasks have answered,
     /// or their leases have expired. Until then inherited tasks are not started.
     inherited_resolved: bool,
@@ -275,7 +277,7 @@
             lease_cap: bounds.max_lease,
             began: now,
             earlier,
-            renewed: now,
+            authority: now,
             inherited_resolved: roster.workers.is_empty(),
             jobs: FastMap::default(),
             workers: FastMap::default(),
@@ -333,15 +335,16 @@
         }
     }
 
-    /// Sets when the last successful renewal of the leader's lease was sent.
-    pub fn set_lease_renewed(&mut self, sent: Time) {
-        self.renewed = sent;
+    /// Sets when the term was last known to be the newest one: when a call was sent that only the
+    /// newest leader can make, or whose answers confirm it.
+    pub fn set_authority(&mut self, at: Time) {
+        self.authority = at;
     }
 
-    /// Whether the term may still start runs and extend the leases of workers. A process that
-    /// was paused may find the grace period over before any of its calls tells that.
-    fn is_within_grace(&self, now: Time) -> bool {
-        now.since(self.renewed) <= LEADER_GRACE
+    /// Whether the term may still start runs. Later than half a lease after the last proof that
+    /// it is the newest, another leader is likely, and the run would not last.
+    fn may_start(&self, now: Time) -> bool {
+        now.since(self.authority).scale_up(2, 1) <= self.bounds.max_lease
     }
 
     /// Earlier leaders that can still act. There are none once all are known to have stopped
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -71,7 +71,7 @@
         self.decay_slopes(now);
         self.stop_unwanted(&mut orders, now);
         self.adjust_paces(&mut orders, now);
-        if self.is_within_grace(now) {
+        if self.may_start(now) {
             self.start_ready(&mut orders, now);
         }
         orders
@@ -634,10 +634,13 @@
         orders: &mut Vec<WorkerOrder>,
         now: Time,
     ) {
-        let Some(clock) = self.workers.get(name).and_then(|w| w.min_clock(now)) else {
+        let worker = self.workers.get(name);
+        let Some((clock, last)) =
+            worker.and_then(|w| Some((w.min_clock(now)?, w.clock_at(self.authority)?)))
+        else {
             return;
         };
-        let deadline = self.start_deadline(clock);
+        let deadline = self.start_deadline(clock, last);
         let tracked = TrackedRun {
             isolation: self.isolation(task),
             ordered: clock,
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -113,12 +113,12 @@
 impl Dispatcher {
     /// Parameters of the next poll of a worker; `None` once the worker has been removed.
     pub fn poll(&mut self, name: &WorkerName, now: Time) -> Option<PollRequest> {
-        let may_extend = self.is_within_grace(now);
+        let authority = self.authority;
         let worker = self.workers.get_mut(name)?;
         let lease = self.bounds.max_lease;
-        let clock = worker.min_clock(now);
-        let clock = clock.filter(|_| worker.is_answering() && may_extend);
-        let deadline = clock.map(|c| c + lease);
+        let deadline = worker.clock_at(authority).map(|clock| clock + lease);
+        let is_ahead = |d: &WorkerTime| worker.min_clock(now).is_some_and(|clock| *d > clock);
+        let deadline = deadline.filter(|d| worker.is_answering() && is_ahead(d));
         let previous_deadline = worker.lease_deadline;
         if let Some(deadline) = deadline {
             worker.lease_deadline = worker.lease_deadline.max(deadline);
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -217,9 +217,11 @@
         })
     }
 
-    /// Deadline of a start order that is sent now, on the worker's clock.
-    pub(super) fn start_deadline(&self, clock: WorkerTime) -> WorkerTime {
-        clock + START_VALIDITY.min(self.bounds.max_lease)
+    /// Deadline of a start order that is sent now, on the worker's clock. `clock` is the present
+    /// reading, and `last` that at which the term was last known to be the newest.
+    pub(super) fn start_deadline(&self, clock: WorkerTime, last: WorkerTime) -> WorkerTime {
+        let lease = self.bounds.max_lease;
+        (clock + START_VALIDITY.min(lease)).min(last + lease)
     }
 }
 
--- a/crates/jujubelb/src/dispatch/tests/leader_changes.rs
+++ b/crates/jujubelb/src/dispatch/tests/leader_changes.rs
@@ -184,6 +184,21 @@
     key
 }
 
+/// Guards against waiting for a leader that is lost for good: once its voters refuse its term,
+/// the tasks of lost workers start again as soon as the leases have ended that it can have granted.
+/// Those that last have to run again within 6 s, and 7 s after the last disruption.
+#[test]
+fn refused_votes_shorten_the_wait_for_a_lost_leader() {
+    let mut sim = Simulation::new(4);
+    let key = lose_worker_and_leader(&mut sim);
+    sim.run(Span::from_millis(300));
+    sim.dispatcher.leader_stopped(0, sim.now);
+    sim.run(Span::from_secs(6));
+    assert!(sim.running(key) < 4);
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.running(key), 4);
+}
+
 /// Guards against each change of the leader beginning anew the wait for an earlier leader that
 /// can't be asked.
 #[test]
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -218,6 +218,9 @@
     sim.dispatcher.poll(name, sim.now).unwrap().acknowledged
 }
 
+/// Interval at which a leader renews its lease, from which the leases of workers count.
+const RENEWAL_INTERVAL: Span = Span::from_millis(500);
+
 /// Pause before the poll after one that was not answered.
 const POLL_PAUSE: Span = Span::from_millis(200);
 
@@ -229,6 +232,7 @@
     let name = WorkerName::new("w0");
     let mut lease = None;
     for i in 0..8 {
+        sim.dispatcher.set_authority(sim.now - RENEWAL_INTERVAL);
         let request = sim.dispatcher.poll(&name, sim.now).unwrap();
         if i == 3 {
             sim.now = sim.now + request.wait + POLL_TIMEOUT_MARGIN + RELAY_MARGIN;
--- a/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -100,6 +100,9 @@
     answers: bool,
     resigned: bool,
     ended: bool,
+    /// Whether its voters may confirm its term while it does not reach the store. A later leader
+    /// makes them refuse.
+    has_votes: bool,
     inbox: Vec<(Time, Notice)>,
     renewal: Option<Renewal>,
 }
@@ -117,6 +120,8 @@
     evidence: StdRng,
     /// Decides which polls are executed late.
     delays: StdRng,
+    /// Decides what voters answer, and when they are asked.
+    votes: StdRng,
     late_polls: Vec<(Time, LatePoll)>,
     sim: Simulation,
     leaders: Vec<Leader>,
@@ -194,6 +199,7 @@
             rng,
             evidence: StdRng::seed_from_u64(!seed),
             delays: StdRng::seed_from_u64(seed.rotate_left(32)),
+            votes: StdRng::seed_from_u64(!seed.rotate_left(32)),
             late_polls: Vec::new(),
             sim,
             leaders: Vec::new(),
@@ -259,6 +265,7 @@
             answers,
             resigned,
             ended: false,
+            has_votes: true,
             inbox: Vec::new(),
             renewal: None,
         }
@@ -486,6 +493,7 @@
         self.load(i);
         self.read_inbox(i);
         self.renew(i);
+        self.prove_authority(i);
         self.follow_earlier_leaders(i);
         self.poll_workers();
         let reachable = now < self.leaders[i].cut;
@@ -517,6 +525,7 @@
         let earlier = EarlierLeaders::new(&leader.succession, leader.elected);
         sim.dispatcher =
             Dispatcher::new(term, BOUNDS, earlier, &sim.roster, sim.model.clone(), now);
+        sim.dispatcher.set_authority(leader.elected);
         let wall = sim.wall();
         for (key, record) in &sim.jobs {
             let progress = sim.states.get(key);
@@ -574,9 +583,28 @@
         });
     }
 
-    /// Takes the answers of hosts whose leaders have ended, and stores who is left.
+    /// Learns from the store, or else from its voters, that the term is the newest. The voters may
+    /// not know of a newer leader that has not asked them to refuse.
+    fn prove_authority(&mut self, i: usize) {
+        let now = self.sim.now;
+        let leader = &self.leaders[i];
+        let renews = now < leader.cut && leader.number == self.newest;
+        if renews || (leader.has_votes && self.votes.random_bool(0.1)) {
+            self.sim.dispatcher.set_authority(now);
+        }
+    }
+
+    /// Takes the answers of hosts whose leaders have ended, makes the voters of earlier terms
+    /// refuse, and stores who is left.
     fn follow_earlier_leaders(&mut self, i: usize) {
         let now = self.sim.now;
+        for other in 0..i {
+            if self.votes.random_bool(0.02) {
+                self.leaders[other].has_votes = false;
+                let number = self.leaders[other].number;
+                self.sim.dispatcher.leader_stopped(number, now);
+            }
+        }
         for other in &self.leaders[..i] {
             if other.ended && other.answers && self.evidence.random_bool(0.02) {
                 self.sim.dispatcher.leader_stopped(other.number, now);
--- a/crates/jujubelb/src/dispatch/tests/paused_leaders.rs
+++ b/crates/jujubelb/src/dispatch/tests/paused_leaders.rs
@@ -199,3 +199,25 @@
     assert_eq!(sim.running(key), 1);
     assert_eq!(sim.starts.len(), 2);
 }
+
+/// Guards against a lease that a paused leader extends from the time at which it goes on. The next
+/// leader counts it from the last proof that the old one was the newest, and may have started the
+/// tasks of a worker that it does not reach.
+#[test]
+fn a_pause_between_the_last_proof_and_a_poll_extends_no_lease() {
+    for pause in PAUSES_MS {
+        let mut sim = Simulation::new(2);
+        let key = sim.submit(1, job(0, vec![long_running(1, 8)]));
+        sim.run(Span::from_secs(1));
+        let victim = sim.starts[0].1.clone();
+        let mut old = PausedLeader::pause(&mut sim);
+        sim.change_leader();
+        sim.workers[&victim].fault = Fault::Partitioned;
+        // The voters of the old leader refuse its term at once.
+        sim.dispatcher.leader_stopped(0, sim.now);
+        sim.run(Span::from_millis(pause));
+        old.act(&mut sim, |sim| sim.poll_by_name(&victim));
+        sim.run(Span::from_secs(8));
+        assert_eq!(sim.running(key), 1, "paused for {pause} ms");
+    }
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -480,7 +480,7 @@
             self.store_succession();
             let arrived = self.dispatcher.last_arrival();
             self.dispatcher.term_confirmed(arrived);
-            self.dispatcher.set_lease_renewed(self.now);
+            self.dispatcher.set_authority(self.now);
             if self.store_available {
                 self.dispatcher.entries_read(self.now);
             }
--- a/crates/jujubelb/src/dispatch/tests/unanswered_starts.rs
+++ b/crates/jujubelb/src/dispatch/tests/unanswered_starts.rs
@@ -65,7 +65,7 @@
         sim.commit();
         let arrived = sim.dispatcher.last_arrival();
         sim.dispatcher.term_confirmed(arrived);
-        sim.dispatcher.set_lease_renewed(sim.now);
+        sim.dispatcher.set_authority(sim.now);
         for order in sim.dispatcher.plan(sim.wall(), sim.now) {
             if matches!(order.order, Order::Start { .. }) {
                 return Some(sim.now.since(began));
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -368,6 +368,19 @@
         Some(clock + Span::from_micros(elapsed))
     }
 
+    /// Lower bound for the worker's clock at a time before or after its last reading; `None`
+    /// before the first answer.
+    pub(crate) fn clock_at(&self, time: Time) -> Option<WorkerTime> {
+        let (clock, at) = self.clock_reading?;
+        if time >= at {
+            return self.min_clock(time);
+        }
+        let elapsed = at.since(time).as_micros();
+        Some(WorkerTime::from_micros(
+            clock.as_micros().saturating_sub(elapsed),
+        ))
+    }
+
     /// Whether the worker's lease has certainly expired, so that all its runs have ended.
     pub(crate) fn is_lease_expired(&self, now: Time) -> bool {
         self.min_clock(now)
--- a/crates/jujubelb/src/node/election.rs
+++ b/crates/jujubelb/src/node/election.rs
@@ -10,7 +10,7 @@
 use super::leader::{self, ActiveTerm};
 use super::state::{KnownLeader, Node, lock, sleep};
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
-use crate::dispatch::{EarlierLeader, EarlierLeaders, Succession, Term};
+use crate::dispatch::{EarlierLeader, EarlierLeaders, LeaderTerm, Succession, Term, VoterRecord};
 use crate::model::{Span, Time};
 use crate::platform::{CallError, KeyState, LeaseId, ReadResult, Revision, Txn, TxnError};
 
@@ -105,6 +105,10 @@
     pub(crate) lease_requested: Time,
     /// Earlier leaders that are not known to have stopped.
     pub(crate) earlier: EarlierLeaders,
+    /// Voters of this term, which has none yet, and of those of earlier leaders.
+    pub(crate) voters: VoterRecord,
+    /// The term as other hosts are told of it.
+    pub(crate) leader: LeaderTerm,
     /// Whether the previous leader has made room for a stronger host.
     pub(crate) after_handover: bool,
     /// Last known number of workers; 0 if it is not known.
@@ -198,7 +202,17 @@
         None if has_terms => Succession::unknown(nonce),
         None => Succession::empty(nonce),
     };
-    let txn = election_txn(&record, mark, lease, term_revision, &succession);
+    // The last leader may rewrite this until the election, which therefore expects what was read.
+    let sent = node.now();
+    let stored = node.record_store_call("key", sent, node.kv.get(keys::VOTERS).await)?;
+    let voters_revision = stored.content.as_ref().map(|i| i.revision);
+    let stored = stored
+        .content
+        .and_then(|i| keys::decode::<VoterRecord>(keys::VOTERS, i.value.as_deref()?));
+    let voters = VoterRecord::following(stored.as_ref(), &succession.earlier, nonce);
+    let txn = election_txn(&record, mark, lease, term_revision, &succession)
+        .expect(keys::VOTERS, voters_revision.unwrap_or_default())
+        .put(keys::VOTERS, &keys::encode(&voters), None);
     let revision = match node.kv.txn(&txn).await {
         Ok(revision) => revision,
         Err(TxnError::Conflict | TxnError::LeaseExpired) => {
@@ -218,6 +232,7 @@
     };
     let earlier = EarlierLeaders::new(&succession, node.now());
     log::info!(term = earlier_terms, resigned = resigned, earlier:? = succession.earlier, after_handover = after_handover, workers = candidate.workers, cores = candidate.strength.cores, delay:% = delay, token = revision.0, lease:% = lease; "election won");
+    let leader_term = leader.term();
     node.set_leader(KnownLeader::Present(leader, revision));
     Ok(Some(ElectionWin {
         term: Term {
@@ -229,6 +244,8 @@
         chain_revision: revision,
         lease_requested,
         earlier,
+        voters,
+        leader: leader_term,
         after_handover,
         workers: candidate.workers,
     }))
@@ -311,6 +328,20 @@
     node.kv.txn(&txn).await.map(|_| ())
 }
 
+/// Stores the voters of the own term. The write has no effect once a newer leader was elected,
+/// which has read what was stored before.
+pub(crate) async fn store_voters(
+    node: &Node,
+    elected: Revision,
+    voters: &VoterRecord,
+) -> Result<(), TxnError> {
+    let txn =
+        Txn::default()
+            .expect(keys::TERM, elected)
+            .put(keys::VOTERS, &keys::encode(voters), None);
+    node.kv.txn(&txn).await.map(|_| ())
+}
+
 /// How a term ended.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TermEnd {
--- a/crates/jujubelb/src/node/job_write.rs
+++ b/crates/jujubelb/src/node/job_write.rs
@@ -104,7 +104,7 @@
 pub(crate) fn cancellation_txn(key: JobKey, stored: Option<&StoredJob>) -> Option<Txn> {
     match stored {
         None => Some(keys::tombstone_txn(key)),
-        Some(StoredJob::Accepted(_)) => Some(Txn::default().put(&keys::cancel(key), &[], None)),
+        Some(StoredJob::Accepted(_)) => Some(Txn::default().put(keys::cancel(key), &[], None)),
         Some(StoredJob::Withdrawn) => None,
     }
 }
--- a/crates/jujubelb/src/node/keys.rs
+++ b/crates/jujubelb/src/node/keys.rs
@@ -31,6 +31,10 @@
 /// to have stopped. That the last one stopped is no evidence for those before it.
 pub(crate) const SUCCESSION: &str = "succession";
 
+/// Key of the [`VoterRecord`](crate::dispatch::VoterRecord): hosts that may confirm the newest
+/// term, and earlier ones, while the store does not answer their leaders.
+pub(crate) const VOTERS: &str = "voters";
+
 /// Prefix of what hosts write for the leader: jobs and cancellations.
 pub(crate) const INTAKE_PREFIX: &str = "in/";
 
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -15,10 +15,11 @@
 use super::relay::{HostReport, OpenGateway, WorkerGateway, maintain_relays};
 use super::state::{KnownLeader, Node, lock, sleep};
 use super::supervision::PollTasks;
+use super::voters::{self, maintain_voters};
 use super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use crate::dispatch::{
     Arrival, Commit, Dispatcher, EarlierLeader, InterferenceModel, JobKey, JobRecord, LEADER_GRACE,
-    LeaderTerm, Order, Progress, Roster, Succession, WorkerOrder, is_start_overdue,
+    LeaderTerm, Order, Progress, Roster, Succession, VoterRecord, WorkerOrder, is_start_overdue,
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
@@ -142,6 +143,8 @@
     noted_workers: u32,
     /// When the last successful renewal of the leader's lease was sent.
     renewed: Arc<Mutex<Time>>,
+    /// When the last other call was sent that shows that the term is the newest one.
+    confirmed: Mutex<Time>,
 }
 
 impl ActiveTerm {
@@ -209,6 +212,35 @@
         ChainMark { nonce, workers }
     }
 
+    /// When the term was last known to be the newest one.
+    pub(crate) fn authority(&self) -> Time {
+        let renewed = *lock(&self.renewed);
+        renewed.max(*lock(&self.confirmed))
+    }
+
+    /// Records that a call that was sent at this time shows that the term is the newest one.
+    pub(crate) fn confirmed_newest(&self, sent: Time) {
+        let mut confirmed = lock(&self.confirmed);
+        *confirmed = confirmed.max(sent);
+    }
+
+    /// The hosts that have announced themselves recently.
+    pub(crate) fn hosts(&self, now: Time) -> Vec<HostReport> {
+        self.workers.hosts(now)
+    }
+
+    /// Whether an earlier leader may still act.
+    pub(crate) fn may_act(&self, leader: LeaderTerm, now: Time) -> bool {
+        let earlier = lock(&self.dispatcher).earlier_leaders(now);
+        earlier.iter().any(|l| l.term == Some(leader))
+    }
+
+    /// Records that an earlier leader can't extend leases any more.
+    pub(crate) fn leader_stopped(&self, nonce: u64, now: Time) {
+        lock(&self.dispatcher).leader_stopped(nonce, now);
+        self.plan_needed.notify_one();
+    }
+
     fn order_slots(&self, worker: &WorkerName) -> Arc<Semaphore> {
         let mut slots = lock(&self.order_slots);
         let new_slots = || Arc::new(Semaphore::new(MAX_ORDERS_PER_WORKER));
@@ -266,7 +298,18 @@
             win.chain_revision,
             win.earlier.at(node.now()),
         ));
-        tasks.spawn(ask_earlier_leaders(node.clone(), term.clone()));
+        tasks.spawn(ask_earlier_leaders(
+            node.clone(),
+            term.clone(),
+            win.voters.clone(),
+        ));
+        tasks.spawn(maintain_voters(
+            node.clone(),
+            term.clone(),
+            win.leader,
+            win.chain_revision,
+            win.voters.clone(),
+        ));
         tasks.spawn(election::await_successor(
             node.clone(),
             term.clone(),
@@ -414,6 +457,7 @@
     let result = node.kv.renew_lease(lease).await;
     match node.record_store_call("renewal", sent, result) {
         Ok(true) => {
+            term.confirmed_newest(sent);
             lock(&term.dispatcher).term_confirmed(arrived);
             term.confirmation_needed.notify_one();
             term.plan_needed.notify_one();
@@ -481,6 +525,7 @@
         model,
         now,
     );
+    dispatcher.set_authority(win.lease_requested);
     for item in &intake {
         let (Some(key), Some(value)) = (
             keys::parse_job(&item.key, keys::JOB_PREFIX),
@@ -523,6 +568,7 @@
         hands_over: AtomicBool::new(false),
         noted_workers: win.workers,
         renewed,
+        confirmed: Mutex::new(win.lease_requested),
     })
 }
 
@@ -549,13 +595,20 @@
     }
 }
 
-/// Asks the host of each earlier leader that may still act whether its term is over.
-/// Never returns, since the return of a term's task ends the term.
-async fn ask_earlier_leaders(node: Arc<Node>, term: Arc<ActiveTerm>) {
+/// Asks the host of each earlier leader that may still act whether its term is over, and its
+/// voters to refuse it. Never returns, since the return of a term's task ends the term.
+async fn ask_earlier_leaders(node: Arc<Node>, term: Arc<ActiveTerm>, voters: VoterRecord) {
     let mut calls = JoinSet::new();
     for leader in lock(&term.dispatcher).earlier_leaders(node.now()) {
-        if let Some(leader) = leader.term {
-            calls.spawn(await_leader_stop(node.clone(), term.clone(), leader));
+        let Some(leader) = leader.term else {
+            continue;
+        };
+        calls.spawn(await_leader_stop(node.clone(), term.clone(), leader));
+        if let Some(voters) = voters.of_term(leader.nonce).cloned() {
+            let (node, term) = (node.clone(), term.clone());
+            calls.spawn(async move {
+                voters::end_authority(&node, &term, leader, &voters).await;
+            });
         }
     }
     while calls.join_next().await.is_some() {}
@@ -566,11 +619,7 @@
 /// can no longer act. After the process was killed, the restarted one at the same address
 /// gives this answer.
 async fn await_leader_stop(node: Arc<Node>, term: Arc<ActiveTerm>, leader: LeaderTerm) {
-    let may_act = || {
-        let earlier = lock(&term.dispatcher).earlier_leaders(node.now());
-        earlier.iter().any(|l| l.term == Some(leader))
-    };
-    while may_act() {
+    while term.may_act(leader, node.now()) {
         let stopped = match leader.address == node.settings.peer_address {
             true => !node.holds_term(leader.nonce),
             false => matches!(
@@ -585,8 +634,7 @@
             ),
         };
         if stopped {
-            lock(&term.dispatcher).leader_stopped(leader.nonce, node.now());
-            term.plan_needed.notify_one();
+            term.leader_stopped(leader.nonce, node.now());
             return;
         }
         sleep(LEADER_CHECK_INTERVAL).await;
@@ -725,6 +773,7 @@
         let may_be_stored = match result {
             Ok(revision) => {
                 chain_revision = revision;
+                term.confirmed_newest(sent);
                 let _ = node.record_store_call("txn", sent, Ok(()));
                 term.committed(&node, &batch, revision);
                 term.committed.notify_waiters();
@@ -795,7 +844,7 @@
         let (orders, workers, deposed) = {
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
-            dispatcher.set_lease_renewed(*lock(&term.renewed));
+            dispatcher.set_authority(term.authority());
             let orders = dispatcher.plan(node.wall_time(), planned);
             let unconfirmed = dispatcher.last_arrival();
             if dispatcher.needs_confirmation() && unconfirmed != last_arrival {
@@ -873,13 +922,18 @@
     let mut failures = 0u32;
     loop {
         let committed = term.committed.notified();
-        let request = lock(&term.dispatcher).poll(&worker, node.now());
+        let next_request = || {
+            let mut dispatcher = lock(&term.dispatcher);
+            dispatcher.set_authority(term.authority());
+            dispatcher.poll(&worker, node.now())
+        };
+        let request = next_request();
         let Some(mut request) = request else {
             return;
         };
         if request.pending_ack {
             tokio::select! { () = committed => {}, () = sleep(MAX_ACKNOWLEDGE_WAIT) => {} }
-            match lock(&term.dispatcher).poll(&worker, node.now()) {
+            match next_request() {
                 Some(next) => request = next,
                 None => return,
             }
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod supervision;
 #[cfg(test)]
 mod tests;
+mod voters;
 mod watch;
 
 use std::net::SocketAddr;
--- a/crates/jujubelb/src/node/peers.rs
+++ b/crates/jujubelb/src/node/peers.rs
@@ -15,6 +15,7 @@
 use super::leader::ActiveTerm;
 use super::relay::{Carrier, HostReport, RelayBatch, RelayResults};
 use super::state::{Node, lock};
+use super::voters::Ballot;
 use crate::dispatch::{JobKey, JobRecord, JobStatus};
 use crate::http::body;
 use crate::model::{Bytes, Span};
@@ -58,6 +59,8 @@
     RelayCalls(RelayBatch),
     /// Results of calls that the sender has made for the leader.
     RelayResults(RelayResults),
+    /// Asks the receiver to vote on a term.
+    Vote(Ballot),
 }
 
 /// The response to a [`PeerRequest`].
@@ -77,6 +80,8 @@
     LeadsTerm(bool),
     /// After what time the host is to announce itself again.
     AnnounceAgain(Span),
+    /// Whether the voter agrees.
+    Vote(bool),
 }
 
 /// A job's status ([`JobStatus`]) as sent between hosts.
@@ -152,6 +157,7 @@
         let term = node.active_term();
         match (request, term) {
             (PeerRequest::LeadsTerm(nonce), _) => PeerResponse::LeadsTerm(node.holds_term(nonce)),
+            (PeerRequest::Vote(ballot), _) => PeerResponse::Vote(node.vote(ballot)),
             (PeerRequest::RelayCalls(batch), _) => {
                 Carrier::accept(node, batch);
                 PeerResponse::Acknowledged
@@ -165,7 +171,9 @@
     async fn respond_as_leader(&self, term: &ActiveTerm, request: PeerRequest) -> PeerResponse {
         let node = &self.0;
         match request {
-            PeerRequest::LeadsTerm(_) | PeerRequest::RelayCalls(_) => PeerResponse::NotLeader,
+            PeerRequest::LeadsTerm(_) | PeerRequest::RelayCalls(_) | PeerRequest::Vote(_) => {
+                PeerResponse::NotLeader
+            }
             PeerRequest::AnnounceHost(report, eligibility) => {
                 PeerResponse::AnnounceAgain(term.host_announced(node, report, eligibility))
             }
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -20,7 +20,7 @@
 use crate::dispatch::{
     Order, PollRequest, Refusal, Run, StartAnswer, StartReply, StopReply, TaskKey, WorkerOrder,
 };
-use crate::model::{DomainName, HostName, Span, WorkerName};
+use crate::model::{DomainName, HostName, Span, Time, WorkerName};
 use crate::platform::{
     CallError, HttpClient, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT,
     WorkerClient,
@@ -164,6 +164,11 @@
         announce_interval(self.worker_count.load(Relaxed), node.settings.link_mbps)
     }
 
+    /// The hosts that have announced themselves recently.
+    pub(crate) fn hosts(&self, now: Time) -> Vec<HostReport> {
+        lock(&self.hosts).reports(now)
+    }
+
     /// Number of workers of the term; 0 while it is not known.
     pub(crate) fn worker_count(&self) -> usize {
         self.worker_count.load(Relaxed)
--- a/crates/jujubelb/src/node/relay/selection.rs
+++ b/crates/jujubelb/src/node/relay/selection.rs
@@ -99,6 +99,13 @@
         }
     }
 
+    /// The reports of the hosts that have announced themselves recently.
+    pub(crate) fn reports(&mut self, now: Time) -> Vec<HostReport> {
+        self.0
+            .retain(|_, known| now.since(known.reported) < REPORT_LIFETIME);
+        self.0.values().map(|known| known.report.clone()).collect()
+    }
+
     /// Chooses the relays for the workers of each failure domain: the strongest hosts of
     /// the domain, or of any domain if it has none. Empty while the leader needs no relays.
     pub(crate) fn select(
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -13,6 +13,7 @@
 use super::keys::Leader;
 use super::leader::ActiveTerm;
 use super::relay::Carrier;
+use super::voters::Voter;
 use crate::model::{DomainName, Span, Time, WallTime};
 use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, QueueConfig, Revision};
 use crate::telemetry::{self, Clock, Metrics};
@@ -136,6 +137,8 @@
     /// election, and cleared only after the last call to a worker has ended.
     term_nonce: Mutex<Option<u64>>,
     store_health: Mutex<StoreHealth>,
+    /// Votes of this host on the terms of others.
+    pub(crate) voter: Mutex<Voter>,
     draining: AtomicBool,
     inflight: AtomicUsize,
 }
@@ -162,6 +165,7 @@
                 failing_since: Time::ZERO,
                 last_failure: Time::ZERO,
             }),
+            voter: Mutex::default(),
             draining: AtomicBool::new(false),
             inflight: AtomicUsize::new(0),
         }
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -4,6 +4,7 @@
 mod decoding;
 mod job_write;
 mod odd_entries;
+mod voters;
 mod withdrawn;
 
 use std::net::SocketAddr;
--- a/crates/jujubelb/src/node/tests/odd_entries.rs
+++ b/crates/jujubelb/src/node/tests/odd_entries.rs
@@ -12,7 +12,7 @@
 use super::super::state::{Node, lock};
 use super::super::watch::{WatchEvent, WatchOptions, watch_prefix};
 use super::node_with_store;
-use crate::dispatch::{EarlierLeaders, Succession, Term};
+use crate::dispatch::{EarlierLeaders, LeaderTerm, Succession, Term, VoterRecord};
 use crate::model::{Span, Time};
 use crate::platform::{LeaseId, Revision, WORKER_PREFIX};
 
@@ -162,6 +162,11 @@
         chain_revision: Revision(1),
         lease_requested: node.now(),
         earlier: EarlierLeaders::new(&Succession::empty(1), node.now()),
+        voters: VoterRecord::default(),
+        leader: LeaderTerm {
+            nonce: 1,
+            address: node.settings.peer_address,
+        },
         after_handover: false,
         workers: 0,
     };
