Start all members of a gang with one checkpoint

Cause: the checkpoint was kept once for each member, and workers report the values that they have saved at different times, or none. The published protocol asks for one value and says that that of any member is valid for all. Ruled out: members that are not started together; they have one run number and are sent at once.

Change: the checkpoint of a gang is kept with its first task, as its failures and crashes are. A checkpoint of an earlier run no longer replaces one of a later run.

--- a/crates/jujubelb/src/dispatch/completion.rs
+++ b/crates/jujubelb/src/dispatch/completion.rs
@@ -43,7 +43,7 @@
             return;
         }
         if let Some(saved) = &completion.checkpoint {
-            task.checkpoint = Some(saved.clone());
+            job.record_checkpoint(completion.task, completion.run, saved);
         }
         match completion.outcome {
             RunOutcome::Done => {
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -262,6 +262,32 @@
             .get_mut(key.index as usize)
     }
 
+    /// Records a checkpoint of a run, unless one of a later run is known. The value of any member
+    /// of a gang is valid for all, so that of a gang is kept once, with its first task.
+    pub(crate) fn record_checkpoint(&mut self, key: TaskKey, run: Run, saved: &ArcStr) {
+        if let Some(task) = self.task_mut(self.checkpoint_holder(key))
+            && (run >= task.run || task.checkpoint.is_none())
+        {
+            task.checkpoint = Some(saved.clone());
+        }
+    }
+
+    /// The checkpoint from which a task resumes. That of all members of a gang is the same.
+    pub(crate) fn checkpoint(&self, key: TaskKey) -> Option<ArcStr> {
+        self.task(self.checkpoint_holder(key))?.checkpoint.clone()
+    }
+
+    fn checkpoint_holder(&self, key: TaskKey) -> TaskKey {
+        let steps = &self.record.spec.steps;
+        let is_gang = steps
+            .get(usize::from(key.step.step))
+            .is_some_and(|s| s.gang);
+        match is_gang {
+            true => TaskKey { index: 0, ..key },
+            false => key,
+        }
+    }
+
     /// Whether all steps that a step depends on are done.
     pub(crate) fn is_step_ready(&self, occurrence: &Occurrence, step: usize) -> bool {
         let Some(spec) = self.record.spec.steps.get(step) else {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -669,13 +669,11 @@
             .and_then(|w| self.ticket(task.step, w, now))
             .cloned();
         let mut checkpoint = None;
-        if let Some(known) = self
-            .jobs
-            .get_mut(&task.step.job)
-            .and_then(|j| j.task_mut(task))
-        {
-            known.run = run;
-            checkpoint.clone_from(&known.checkpoint);
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            checkpoint = job.checkpoint(task);
+            if let Some(known) = job.task_mut(task) {
+                known.run = run;
+            }
         }
         self.set_state(task, TaskState::Placed(name.clone()));
         orders.push(WorkerOrder {
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -353,11 +353,10 @@
         }
         let job = self.jobs.get_mut(&row.task.step.job);
         let unknown = job.is_none();
-        if let Some(task) = job.and_then(|j| j.task_mut(row.task))
-            && row.checkpoint.is_some()
-            && task.run == row.run
+        if let Some(job) = job
+            && let Some(saved) = &row.checkpoint
         {
-            task.checkpoint.clone_from(&row.checkpoint);
+            job.record_checkpoint(row.task, row.run, saved);
         }
         let Some(worker) = self.workers.get_mut(name) else {
             return;
--- a/crates/jujubelb/src/dispatch/tests/gangs.rs
+++ b/crates/jujubelb/src/dispatch/tests/gangs.rs
@@ -1,7 +1,10 @@
 //! Gangs: all members start or none.
 
+use arcstr::ArcStr;
+
+use super::simulation::TIME_STEP;
 use super::{Simulation, job, step};
-use crate::dispatch::Step;
+use crate::dispatch::{Incarnation, Order, PollReply, RunCompletion, RunOutcome, Step};
 use crate::model::Span;
 
 /// Guards against starting some members of a gang that then hold capacity while the others
@@ -42,3 +45,46 @@
     assert_eq!(sim.starts.len(), 6);
     assert_eq!(racks.len(), 1);
 }
+
+/// Guards against members that start again with different checkpoints and never work together:
+/// the workers of a gang report the values that they have saved at different times.
+#[test]
+fn members_start_again_with_one_checkpoint() {
+    let mut sim = Simulation::new(4);
+    let gang = Step {
+        gang: true,
+        checkpoints: true,
+        ..step(4, 40, Span::from_secs(9))
+    };
+    sim.submit(1, job(0, vec![gang]));
+    sim.run(Span::from_millis(400));
+    let members = sim.starts.clone();
+    assert_eq!(members.len(), 4);
+    for (i, (_, name, task, run)) in members.iter().enumerate() {
+        sim.now = sim.now + TIME_STEP;
+        let worker = &sim.workers[name];
+        let reply = PollReply {
+            incarnation: Some(Incarnation(worker.incarnation)),
+            clock: worker.clock(sim.now),
+            running: Vec::new(),
+            finished: vec![RunCompletion {
+                sequence: 1,
+                task: *task,
+                run: *run,
+                outcome: RunOutcome::Broken,
+                // The third worker has not saved any.
+                checkpoint: (i != 2).then(|| ArcStr::from(format!("saved-{i}"))),
+            }],
+        };
+        sim.dispatcher.poll_answered(name, sim.now, &reply, sim.now);
+    }
+    let orders = sim.dispatcher.plan(sim.wall(), sim.now);
+    let checkpoints: Vec<Option<ArcStr>> = orders
+        .iter()
+        .filter_map(|order| match &order.order {
+            Order::Start { checkpoint, .. } => Some(checkpoint.clone()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(checkpoints, vec![Some(ArcStr::from("saved-3")); 4]);
+}
