Let clients of the soak cancel submissions without a clear answer

Cause: the soak could not find the cancelled jobs that run for good, since its clients cancelled accepted jobs only, and a cancellation that is answered 410 counted for nothing.

Change: a client gives up after an unclear answer as often as after a refusal, and then cancels the job until it is answered 2xx or 410. Either answer counts: no task of the job may start 3 s later, or run on.

--- a/crates/jujubelb-lab/src/soak/check/orders.rs
+++ b/crates/jujubelb-lab/src/soak/check/orders.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{CONTACT, Calm, RESOLUTION, Violation};
-use crate::emulator::history::{Event, Life, Record, TaskName, What};
+use crate::emulator::history::{Answer, Event, Life, Record, TaskName, What};
 use crate::emulator::worker::MAX_STOP;
 
 /// Time after the acknowledgement of a cancellation from which no task of the job starts.
@@ -66,7 +66,9 @@
             What::SubmitSent { job, .. } => {
                 self.sent.insert(job);
             }
-            What::CancelAnswered { job, answer } if answer.is_accepted() => {
+            What::CancelAnswered { job, answer }
+                if answer.is_accepted() || *answer == Answer::Status(410) =>
+            {
                 self.cancelled.entry(job).or_insert(at);
             }
             What::Evacuated { zone } => {
--- a/crates/jujubelb-lab/src/soak/clients.rs
+++ b/crates/jujubelb-lab/src/soak/clients.rs
@@ -26,7 +26,7 @@
 /// Attempts to submit or to cancel a job.
 const MAX_ATTEMPTS: usize = 12;
 
-/// Share of rejected clients that give up.
+/// Share of clients that give up after a submission that was rejected, or got no clear answer.
 const GIVES_UP_SHARE: f64 = 0.4;
 
 /// Share of accepted jobs that are submitted once more, seconds later.
@@ -64,6 +64,16 @@
     }
 }
 
+/// How the submission of a job has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Submission {
+    Accepted,
+    /// No attempt can have stored the job.
+    Refused,
+    /// An attempt may have stored the job, or may still. The client cancels it.
+    Unclear,
+}
+
 /// A client with the jobs that it sends.
 struct Caller {
     ground: Ground,
@@ -149,8 +159,13 @@
 
 /// Submits a job, perhaps cancels it, and asks for its state until it is over.
 async fn follow(mut caller: Caller, job: SentJob) {
-    if !caller.submit(&job).await {
-        return;
+    match caller.submit(&job).await {
+        Submission::Accepted => {}
+        Submission::Refused => return,
+        Submission::Unclear => {
+            caller.cancel(&job).await;
+            return;
+        }
     }
     if caller.random.random::<f64>() < REPEATED_SHARE {
         caller.pause(500..3_000).await;
@@ -170,7 +185,7 @@
 
 /// Submits a job that lasts, and cancels it when the traffic ends.
 async fn follow_lasting(mut caller: Caller, job: SentJob) {
-    if caller.submit(&job).await {
+    if caller.submit(&job).await == Submission::Accepted {
         sleep_until(caller.ground.traffic_end).await;
         caller.cancel(&job).await;
     }
@@ -206,9 +221,9 @@
         request.send().await
     }
 
-    /// Submits a job until it is accepted or the client gives up. Returns whether it was
-    /// accepted.
-    async fn submit(&mut self, job: &SentJob) -> bool {
+    /// Submits a job until it is accepted or the client gives up.
+    async fn submit(&mut self, job: &SentJob) -> Submission {
+        let mut result = Submission::Refused;
         self.ground.history.add_job(job.clone());
         for attempt in 0..MAX_ATTEMPTS {
             let impatient = attempt == 0 && self.random.random::<f64>() < IMPATIENT_SHARE;
@@ -219,14 +234,17 @@
             };
             let answer = self.submit_once(job, timeout).await;
             if answer.is_accepted() {
-                return true;
+                return Submission::Accepted;
+            }
+            if !answer.is_refused() {
+                result = Submission::Unclear;
             }
-            if answer.is_refused() && self.random.random::<f64>() < GIVES_UP_SHARE {
-                return false;
+            if self.random.random::<f64>() < GIVES_UP_SHARE {
+                break;
             }
             self.pause(150..900).await;
         }
-        false
+        result
     }
 
     async fn submit_once(&mut self, job: &SentJob, timeout: Duration) -> Answer {
