Bound the lease that a new leader assumes on a young worker

Cause: at its first contact with a worker that runs something, a new leader assumed a lease up to 12 s and the longest lease after the worker's start. What an earlier leader's order can have granted was granted before the contact, so on a worker that has just started the bound was too late by up to 12 s, and the tasks of a worker that is lost right after would wait for it.

Change: the time of the grant is the worker's clock at the contact, or 12 s if that is earlier. Fields that keep a suspected restart and the clock at an order are named so. Tests of dispatch and node pass.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -608,7 +608,7 @@
             last_listed: Time::ZERO,
             isolation: Isolation::None,
             deadline,
-            ordered: WorkerTime::ZERO,
+            order_clock: WorkerTime::ZERO,
             stop_sent: None,
             stop_pending: false,
             stop_confirmed: None,
@@ -643,7 +643,7 @@
         let deadline = self.start_deadline(clock, last);
         let tracked = TrackedRun {
             isolation: self.isolation(task),
-            ordered: clock,
+            order_clock: clock,
             ..self.new_run(run, step, deadline, now)
         };
         let Some(worker) = self.workers.get_mut(name) else {
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -181,7 +181,7 @@
         worker.last_answer = now;
         worker.reachable = true;
         worker.replaced = false;
-        worker.doubted = worker.doubted.filter(|since| sent <= *since);
+        worker.restart_suspected = worker.restart_suspected.filter(|since| sent <= *since);
         worker.keeps_completions = !reply.finished.is_empty();
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
         let first = !worker.fenced;
@@ -194,9 +194,10 @@
             // An earlier term may have granted the longest lease just before.
             worker.lease_deadline = reply.clock + self.bounds.max_lease;
             if !reply.running.is_empty() {
-                // An order to the former incarnation may have granted the longest lease of all
-                // on this one.
-                let latest = WorkerTime::ZERO + MAX_CALL_DELAY + self.lease_cap;
+                // An order to the former incarnation may have granted the longest lease of all,
+                // if this one was young enough to be taken for that.
+                let latest_grant = reply.clock.min(WorkerTime::ZERO + MAX_CALL_DELAY);
+                let latest = latest_grant + self.lease_cap;
                 worker.lease_deadline = worker.lease_deadline.max(latest);
             }
         }
@@ -442,7 +443,7 @@
             last_listed: now,
             isolation,
             deadline: WorkerTime::ZERO,
-            ordered: WorkerTime::ZERO,
+            order_clock: WorkerTime::ZERO,
             stop_sent: None,
             stop_pending: false,
             stop_confirmed: None,
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -95,10 +95,10 @@
             return;
         };
         // The clock of a new incarnation starts anew.
-        let is_other = clock.is_some_and(|c| c + CLOCK_MARGIN < tracked.ordered);
+        let is_other = clock.is_some_and(|c| c + CLOCK_MARGIN < tracked.order_clock);
         if is_other {
-            log::warn!(task:% = task, run:% = run, worker:% = name, reply:? = reply, clock:? = clock, expected:? = tracked.ordered; "worker has restarted: its clock is behind");
-            worker.doubted = Some(now);
+            log::warn!(task:% = task, run:% = run, worker:% = name, reply:? = reply, clock:? = clock, expected:? = tracked.order_clock; "worker has restarted: its clock is behind");
+            worker.restart_suspected = Some(now);
         }
         // The incarnation that has started the run may be one that no poll has shown. It may have
         // other labels and capacity, and its lease has nothing to do with that of the former one.
@@ -128,7 +128,7 @@
                     log::warn!(task:% = task, run:% = run, worker:% = name, age:% = now.since(tracked.since); "start order not answered; the run may exist");
                     tracked.phase = RunPhase::Unsure;
                 }
-                worker.doubted = Some(now);
+                worker.restart_suspected = Some(now);
                 worker.unanswered = now;
                 worker.paused_until = now + UNHEALTHY_PAUSE;
                 return;
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -92,7 +92,7 @@
     pub(crate) deadline: WorkerTime,
     /// Lower bound for the worker's clock when the start was ordered. An answer with an earlier
     /// reading comes from another incarnation.
-    pub(crate) ordered: WorkerTime,
+    pub(crate) order_clock: WorkerTime,
     pub(crate) stop_sent: Option<Time>,
     /// Whether the last stop order has no answer yet, not even that there is none.
     pub(crate) stop_pending: bool,
@@ -166,7 +166,7 @@
     pub(crate) replaced: bool,
     /// Since when the worker may have restarted unnoticed: a start got no answer, or an answer
     /// came from another incarnation. Nothing starts until a poll that was sent later is answered.
-    pub(crate) doubted: Option<Time>,
+    pub(crate) restart_suspected: Option<Time>,
     /// When the last call that may extend a lease was given up without an answer. Its deadline
     /// is a time on the clock of one incarnation, and does not bind another one that executes it.
     pub(crate) unanswered: Time,
@@ -295,7 +295,7 @@
             lease_deadline: WorkerTime::ZERO,
             reachable: true,
             replaced: false,
-            doubted: None,
+            restart_suspected: None,
             unanswered: Time::ZERO,
             keeps_completions: false,
             acknowledged: 0,
@@ -345,7 +345,7 @@
     /// Whether the last poll was answered, and no call since shows that the worker may have
     /// restarted.
     pub(crate) fn is_answering(&self) -> bool {
-        self.reachable && self.doubted.is_none()
+        self.reachable && self.restart_suspected.is_none()
     }
 
     /// Whether the report may be of a later incarnation than the one that was last polled.
