Replace the voters of a term without a gap

Cause, from the logs of all hosts: hosts restart in turn, so that the leader replaces its voters, and the store becomes silent at that moment (31.0 s). The leader stopped asking the former voters before it wrote the new ones, and the write had no answer. So nobody could confirm the term until the store was back at 37.7 s, and the leases ended at 37 s.

Change: while it is open which set the store names, a proof needs a majority of each of them. The next leader makes the set refuse that it reads, which rules out further proofs in either case. A host votes in all sets of one term.

Test: a_voter_votes_in_each_set_of_a_term.

--- a/crates/jujubelb/src/node/tests/voters.rs
+++ b/crates/jujubelb/src/node/tests/voters.rs
@@ -8,6 +8,15 @@
 const SET: u64 = 7;
 const TOKEN: u64 = 500;
 
+fn enroll(term: u64, set: u64) -> Ballot {
+    Ballot::Enroll { term, set }
+}
+
+fn confirm(set: u64) -> Ballot {
+    let token = TOKEN;
+    Ballot::Confirm { set, token }
+}
+
 fn host(number: u8, domain: &str) -> HostReport {
     HostReport {
         host: HostName::new(format!("h{number}")),
@@ -44,16 +53,16 @@
 #[test]
 fn a_voter_keeps_its_word() {
     let mut voter = Voter::default();
-    let confirm = Ballot::Confirm(SET, TOKEN);
+    let confirm = confirm(SET);
     assert!(!voter.vote(confirm, None));
-    assert!(voter.vote(Ballot::Enroll(SET), None));
+    assert!(voter.vote(enroll(1, SET), None));
     assert!(voter.vote(confirm, None));
     assert!(voter.vote(confirm, Some(TOKEN)));
     assert!(!voter.vote(confirm, Some(TOKEN + 1)));
     assert!(voter.vote(Ballot::Refuse(SET), None));
     assert!(!voter.vote(confirm, None));
     // The call to enroll arrives once more, late.
-    assert!(!voter.vote(Ballot::Enroll(SET), None));
+    assert!(!voter.vote(enroll(1, SET), None));
     assert!(!voter.vote(confirm, None));
 }
 
@@ -61,11 +70,11 @@
 #[test]
 fn a_voter_of_the_next_leader_leaves_the_former_one() {
     let mut voter = Voter::default();
-    for id in [SET, SET + 1] {
-        assert!(voter.vote(Ballot::Enroll(id), None));
+    for term in [1, 2] {
+        assert!(voter.vote(enroll(term, SET + term), None));
     }
-    assert!(!voter.vote(Ballot::Confirm(SET, TOKEN), None));
-    assert!(voter.vote(Ballot::Confirm(SET + 1, TOKEN), None));
+    assert!(!voter.vote(confirm(SET + 1), None));
+    assert!(voter.vote(confirm(SET + 2), None));
 }
 
 /// Guards against voters of one failure domain, with which the majority would be lost.
@@ -109,3 +118,19 @@
     assert_eq!(changed.of_term(3), Some(&set(3, 4)));
     assert_eq!(changed.sets.len(), 2);
 }
+
+/// Guards against a leader without a proof while the store is away because it was about to replace
+/// its voters: the former ones vote on until the write of the new ones is answered.
+#[test]
+fn a_voter_votes_in_each_set_of_a_term() {
+    let mut voter = Voter::default();
+    for set in [SET, SET + 1] {
+        assert!(voter.vote(enroll(1, set), None));
+    }
+    assert!(voter.vote(confirm(SET), None));
+    assert!(voter.vote(confirm(SET + 1), None));
+    // The next leader makes the set refuse that the store names.
+    assert!(voter.vote(Ballot::Refuse(SET + 1), None));
+    assert!(voter.vote(confirm(SET), None));
+    assert!(!voter.vote(confirm(SET + 1), None));
+}
--- a/crates/jujubelb/src/node/voters.rs
+++ b/crates/jujubelb/src/node/voters.rs
@@ -39,21 +39,31 @@
 /// Timeout of a call to a voter, which answers from memory.
 const VOTE_TIMEOUT: Span = Span::from_millis(400);
 
-/// A request to a voter. The number is the identifier of the set.
+/// Largest number of sets of which it is open which one the store names. Each takes a call to
+/// each of its voters for a proof.
+const MAX_POSSIBLE_SETS: usize = 3;
+
+/// A request to a voter, with the identifier of the set.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Ballot {
     /// Asks the host to become a voter of the set.
-    Enroll(u64),
+    Enroll {
+        /// Nonce of the term.
+        term: u64,
+        set: u64,
+    },
     /// Asks whether the host knows of no leader after the one with this token.
-    Confirm(u64, u64),
+    Confirm { set: u64, token: u64 },
     /// Asks the host never to confirm the term of the set again.
     Refuse(u64),
 }
 
-/// The votes of a host. It votes in one set at a time, that of the newest leader.
+/// The votes of a host. It votes for one term at a time, in any number of its sets.
 #[derive(Debug, Default)]
 pub(crate) struct Voter {
-    enrolled: Option<u64>,
+    /// Nonce of the term.
+    term: Option<u64>,
+    enrolled: IndexSet<u64>,
     /// The last sets that it was asked to refuse.
     refused: VecDeque<u64>,
 }
@@ -62,18 +72,21 @@
     /// Answers a request. `newest` is the token of the newest leader that the host knows.
     pub(crate) fn vote(&mut self, ballot: Ballot, newest: Option<u64>) -> bool {
         match ballot {
-            Ballot::Enroll(set) => {
+            Ballot::Enroll { term, set } => {
                 let is_refused = self.refused.contains(&set);
                 if !is_refused {
-                    self.enrolled = Some(set);
+                    if self.term.replace(term) != Some(term) {
+                        self.enrolled.clear();
+                    }
+                    self.enrolled.insert(set);
                 }
                 !is_refused
             }
-            Ballot::Confirm(set, token) => {
-                self.enrolled == Some(set) && newest.is_none_or(|known| known <= token)
+            Ballot::Confirm { set, token } => {
+                self.enrolled.contains(&set) && newest.is_none_or(|known| known <= token)
             }
             Ballot::Refuse(set) => {
-                self.enrolled = self.enrolled.filter(|known| *known != set);
+                self.enrolled.swap_remove(&set);
                 if !self.refused.contains(&set) {
                     self.refused.push_back(set);
                 }
@@ -158,54 +171,82 @@
     elected: Revision,
     mut record: VoterRecord,
 ) {
-    let mut voters = VoterSet::empty(leader.nonce);
+    // The last of the sets that the store may name. There are several while writes of new ones
+    // have no answer; the next leader makes one of them refuse, so a proof needs a majority of each.
+    let mut possible = vec![VoterSet::empty(leader.nonce)];
     let mut changed = Time::ZERO;
     loop {
         sleep(VOTE_INTERVAL).await;
         let asked = node.now();
-        if asked.since(term.authority()) > MAX_PROOF_AGE {
-            let ballot = Ballot::Confirm(voters.id, elected.0);
-            let majority = voters.majority();
-            let agreeing = poll_voters(&node, &voters.hosts, ballot, majority).await;
-            if !voters.hosts.is_empty() {
-                log::info!(voters = voters.hosts.len(), agreeing = agreeing.len(), age:% = asked.since(term.authority()); "voters asked whether the term is the newest");
-            }
-            if agreeing.len() >= majority {
+        let age = asked.since(term.authority());
+        if age > MAX_PROOF_AGE {
+            if is_confirmed(&node, &possible, elected.0).await {
                 term.confirmed_newest(asked);
             }
             continue;
         }
         let hosts = term.hosts(asked);
-        if asked.since(changed) < MIN_CHANGE_INTERVAL || !needs_change(&voters.hosts, &hosts) {
+        let is_outdated = possible
+            .last()
+            .is_none_or(|s| needs_change(&s.hosts, &hosts));
+        let is_stored = possible.len() == 1;
+        if asked.since(changed) < MIN_CHANGE_INTERVAL || (is_stored && !is_outdated) {
             continue;
         }
         changed = asked;
-        // The former voters are not asked any more: the store may name the new ones from now on,
-        // and the next leader would ask only them to refuse this term.
-        voters = VoterSet::empty(leader.nonce);
-        let id = rand::random();
-        let chosen = choose_voters(&hosts);
-        let enrolled = poll_voters(&node, &chosen, Ballot::Enroll(id), chosen.len()).await;
-        let next = VoterSet {
-            term: leader.nonce,
-            id,
-            hosts: enrolled.into_iter().collect(),
+        if is_outdated && possible.len() < MAX_POSSIBLE_SETS {
+            possible.push(enroll_voters(&node, leader, &hosts).await);
+        }
+        let Some(next) = possible.last().cloned() else {
+            continue;
         };
         record = record.with(next.clone());
         match election::store_voters(&node, elected, &record).await {
             Ok(()) => {
                 log::info!(voters:? = next.hosts; "voters of the term chosen");
-                voters = next;
+                possible = vec![next];
             }
             // A newer leader was elected; the renewal of the lease ends the term.
             Err(TxnError::Conflict) => log::warn!("voters not stored: there is a newer leader"),
             Err(error) => {
-                log::warn!(error:% = error; "voters not stored; trying again");
+                log::warn!(sets = possible.len(), error:% = error; "voters not stored; trying again");
             }
         }
     }
 }
 
+/// Enrolls hosts as a new set of voters. The hosts that do not answer are not part of it.
+async fn enroll_voters(node: &Arc<Node>, leader: LeaderTerm, hosts: &[HostReport]) -> VoterSet {
+    let id = rand::random();
+    let chosen = choose_voters(hosts);
+    let ballot = Ballot::Enroll {
+        term: leader.nonce,
+        set: id,
+    };
+    let enrolled = poll_voters(node, &chosen, ballot, chosen.len()).await;
+    VoterSet {
+        term: leader.nonce,
+        id,
+        hosts: enrolled.into_iter().collect(),
+    }
+}
+
+/// Whether a majority of each of these sets knows of no leader after the one with this token.
+async fn is_confirmed(node: &Arc<Node>, sets: &[VoterSet], token: u64) -> bool {
+    for voters in sets {
+        let (set, majority) = (voters.id, voters.majority());
+        let ballot = Ballot::Confirm { set, token };
+        let agreeing = poll_voters(node, &voters.hosts, ballot, majority).await;
+        if !voters.hosts.is_empty() {
+            log::info!(voters = voters.hosts.len(), agreeing = agreeing.len(), sets = sets.len(); "voters asked whether the term is the newest");
+        }
+        if agreeing.len() < majority {
+            return false;
+        }
+    }
+    true
+}
+
 /// Asks the voters of an earlier term to refuse it, until no majority can confirm it any more
 /// or its leader can't act for another reason.
 pub(crate) async fn end_authority(
