Show how old the evidence for the configuration is, and outages of watches

Callers were answered 404 for a queue that exists. The logs could not tell why: the line showed the version alone, and a watch without an answer was logged at level debug.

Change: the process remembers when the last call was sent whose answer shows that its configuration is the newest, and the revision of the key. Both are in the line "no such queue", the age also in the metrics and the state dump. A watch logs the beginning of an outage with its position and the error, and the end with the number of failed calls.

No decision has changed.

--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -150,7 +150,7 @@
     let host = host.split(':').next().unwrap_or_default();
     let path = request.uri().path().as_str();
     let Some(queue) = config.queue(host, path) else {
-        log::info!(host = host, path = path, version = config.operator.version; "no such queue");
+        log::info!(host = host, path = path, version = config.operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()); "no such queue");
         return CallerResponse::error(Status::NotFound, "no such queue");
     };
     let job_id = path.get(queue.settings.prefix.len()..).unwrap_or_default();
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -14,13 +14,13 @@
 use super::serve::serve;
 use super::state::{Node, sleep};
 use super::supervision::supervise;
-use super::watch::{WatchEvent, WatchOptions, watch_prefix};
+use super::watch::{WatchEvent, WatchObserver, WatchOptions, watch_prefix};
 use super::{HostSettings, election};
-use crate::model::{DomainName, Span};
+use crate::model::{DomainName, Span, Time};
 use crate::platform::{
     CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KeyState, decode_config, load_settings,
 };
-use crate::telemetry::Metrics;
+use crate::telemetry::{self, Metrics};
 
 /// Options from the command line.
 #[derive(Debug, Clone)]
@@ -90,6 +90,14 @@
         settings.peer_address,
         PeerApi(node.clone()).routes(),
     );
+    let observed = Arc::downgrade(&node);
+    node.metrics
+        .registry
+        .observable_gauge(&telemetry::CONFIG_EVIDENCE_AGE, move |observe| {
+            if let Some(age) = observed.upgrade().and_then(|n| n.config_age()) {
+                observe(age.as_secs_f64(), &[]);
+            }
+        });
     if let Some(port) = options.metrics_port {
         let ip: IpAddr = settings.peer_address.ip();
         let address = SocketAddr::new(ip, port);
@@ -153,11 +161,20 @@
 
 /// Watches the configuration and the evacuated domains.
 async fn watch_operator_keys(node: Arc<Node>) {
-    let observer = node.clone();
-    watch_prefix(node, OPERATOR_KEYS, move |event| {
-        apply_operator_keys(&observer, event)
-    })
-    .await;
+    let observer = OperatorKeys(node.clone());
+    watch_prefix(node, OPERATOR_KEYS, observer).await;
+}
+
+struct OperatorKeys(Arc<Node>);
+
+impl WatchObserver for OperatorKeys {
+    fn apply(&mut self, event: WatchEvent) {
+        apply_operator_keys(&self.0, event);
+    }
+
+    fn answered(&mut self, sent: Time) {
+        self.0.confirm_config(sent);
+    }
 }
 
 /// Applies the configuration and the evacuated domains. What a snapshot does not hold was
@@ -200,7 +217,7 @@
         return;
     };
     match decode_config(value) {
-        Ok(operator) => node.set_config(operator),
+        Ok(operator) => node.set_config(operator, item.revision),
         Err(error) => {
             log::error!(key = item.key, error:% = error; "configuration can't be decoded; the previous one stays active");
         }
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod election;
 mod job_write;
 mod keys;
+mod known_config;
 mod leader;
 mod logging;
 mod main;
--- a/crates/jujubelb/src/node/monitoring.rs
+++ b/crates/jujubelb/src/node/monitoring.rs
@@ -10,6 +10,7 @@
 
 use super::logging;
 use super::state::{KnownLeader, Node, lock};
+use crate::model::Span;
 
 /// Path of the readiness check.
 const READINESS_PATH: &str = "/readyz";
@@ -66,6 +67,8 @@
             "host": node.settings.host,
             "leader": leader,
             "config_version": node.config().map(|c| c.operator.version),
+            "config_revision": node.config().map(|c| c.revision.0),
+            "config_age_s": node.config_age().map(Span::as_secs_f64),
             "store_lost": node.is_store_lost(),
             "draining": node.is_draining(),
             "requests_in_flight": node.inflight(),
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -3,19 +3,19 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arcstr::ArcStr;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 use tokio::sync::Notify;
 
 use super::HostSettings;
 use super::keys::Leader;
+use super::known_config::{ActiveConfig, KnownConfig};
 use super::leader::ActiveTerm;
 use super::relay::Carrier;
 use super::voters::Voter;
 use crate::model::{DomainName, Span, Time, WallTime};
-use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, QueueConfig, Revision};
+use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, Revision};
 use crate::telemetry::{self, Clock, Metrics};
 
 /// Locks a mutex, ignoring poisoning: no holder can leave the data inconsistent.
@@ -23,38 +23,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// The active configuration, with its queues indexed by host name.
-#[derive(Debug, Default)]
-pub(crate) struct ActiveConfig {
-    pub(crate) operator: OperatorConfig,
-    /// Indices into `operator.queues` by host name, longest prefix first.
-    queues: IndexMap<ArcStr, Vec<usize>>,
-}
-
-impl ActiveConfig {
-    pub(crate) fn new(operator: OperatorConfig) -> Self {
-        let mut queues: IndexMap<ArcStr, Vec<usize>> = IndexMap::new();
-        for (i, queue) in operator.queues.iter().enumerate() {
-            queues
-                .entry(queue.settings.host.clone())
-                .or_default()
-                .push(i);
-        }
-        for list in queues.values_mut() {
-            list.sort_by_key(|&i| std::cmp::Reverse(operator.queues[i].settings.prefix.len()));
-        }
-        Self { operator, queues }
-    }
-
-    /// The queue of a host name that has the longest prefix matching a path.
-    pub(crate) fn queue(&self, host: &str, path: &str) -> Option<&QueueConfig> {
-        let list = self.queues.get(host)?;
-        list.iter()
-            .map(|&i| &self.operator.queues[i])
-            .find(|q| path.starts_with(q.settings.prefix.as_str()))
-    }
-}
-
 /// The leader according to the last read of the leader key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum KnownLeader {
@@ -122,7 +90,7 @@
     pub(crate) client: HttpClient,
     pub(crate) kv: KvClient,
     pub(crate) metrics: NodeMetrics,
-    config: Mutex<Option<Arc<ActiveConfig>>>,
+    config: Mutex<KnownConfig>,
     evacuated: Mutex<IndexSet<DomainName>>,
     /// Whether the operator's keys have been read once.
     operator_state_known: AtomicBool,
@@ -152,7 +120,7 @@
             client,
             kv,
             metrics: NodeMetrics::new(registry),
-            config: Mutex::new(None),
+            config: Mutex::default(),
             evacuated: Mutex::new(IndexSet::new()),
             operator_state_known: AtomicBool::new(false),
             leader: Mutex::new(KnownLeader::Unknown),
@@ -181,18 +149,23 @@
 
     /// The active configuration; `None` until one was read.
     pub(crate) fn config(&self) -> Option<Arc<ActiveConfig>> {
-        lock(&self.config).clone()
+        lock(&self.config).active().cloned()
     }
 
     /// Activates a configuration, unless its version is not newer than the active one.
-    pub(crate) fn set_config(&self, operator: OperatorConfig) {
-        let mut config = lock(&self.config);
-        let known = config.as_ref().map(|c| c.operator.version);
-        if known.is_some_and(|v| v >= operator.version) {
-            return;
-        }
-        log::info!(version = operator.version, before:? = known, queues = operator.queues.len(); "configuration activated");
-        *config = Some(Arc::new(ActiveConfig::new(operator)));
+    pub(crate) fn set_config(&self, operator: OperatorConfig, revision: Revision) {
+        lock(&self.config).activate(operator, revision);
+    }
+
+    /// Records that a call to the store sent at this time has shown the newest configuration.
+    pub(crate) fn confirm_config(&self, sent: Time) {
+        lock(&self.config).confirm(sent);
+    }
+
+    /// Age of the evidence that the active configuration is the newest; `None` without any.
+    pub(crate) fn config_age(&self) -> Option<Span> {
+        let now = self.now();
+        lock(&self.config).evidence_age(now)
     }
 
     pub(crate) fn evacuated(&self) -> IndexSet<DomainName> {
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -15,7 +15,8 @@
 use super::election::election_txn;
 use super::keys::{self, ChainMark, Leader, TermRecord};
 use super::peers::{PeerRequest, PeerResponse};
-use super::state::{ActiveConfig, Node};
+use super::known_config::ActiveConfig;
+use super::state::Node;
 use super::supervision::{PollTasks, supervise};
 use crate::dispatch::{Bounds, JobKey, Succession};
 use crate::model::{DomainName, HostName, Span, WorkerName};
@@ -56,7 +57,7 @@
         {"host":"a.example","prefix":"/q/","service":"s"},
         {"host":"a.example","prefix":"/q/deep/","service":"t"},
         {"host":"b.example","prefix":"/q/","service":"u"}]}"#;
-    ActiveConfig::new(decode_config(text.as_bytes()).unwrap())
+    ActiveConfig::new(decode_config(text.as_bytes()).unwrap(), Revision(1))
 }
 
 /// Guards against a request that is routed to a queue with a shorter prefix or of
--- a/crates/jujubelb/src/node/watch.rs
+++ b/crates/jujubelb/src/node/watch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::state::{Node, sleep};
-use crate::model::Span;
+use crate::model::{Span, Time};
 use crate::platform::{CallError, KeyState, ReadResult, Revision, WatchError};
 
 /// An update of the watched keys.
@@ -65,14 +65,39 @@
     }
 }
 
-/// Passes all keys with a prefix and their later changes to `apply`. Never returns.
+/// What is told of the watched keys.
+pub(crate) trait WatchObserver {
+    /// Takes an update.
+    fn apply(&mut self, event: WatchEvent);
+
+    /// All changes made before `sent` have been applied.
+    fn answered(&mut self, _sent: Time) {}
+}
+
+impl<F: FnMut(WatchEvent)> WatchObserver for F {
+    fn apply(&mut self, event: WatchEvent) {
+        self(event);
+    }
+}
+
+/// The failures of a watch since its last answer.
+#[derive(Debug, Clone, Copy)]
+struct WatchOutage {
+    calls: u32,
+    /// When the first of the failed calls was sent.
+    since: Time,
+}
+
+/// Passes all keys with a prefix and their later changes to an observer. Never returns.
 pub(crate) async fn watch_prefix(
     node: Arc<Node>,
     options: WatchOptions,
-    mut apply: impl FnMut(WatchEvent),
+    mut observer: impl WatchObserver,
 ) {
     let mut position = WatchPosition::default();
+    let mut outage: Option<WatchOutage> = None;
     loop {
+        let sent = node.now();
         let result = match position.watched() {
             None => read_all(&node, options)
                 .await
@@ -81,6 +106,11 @@
                 .await
                 .map(|read| position.changes_read(read)),
         };
+        if result.is_ok()
+            && let Some(ended) = outage.take()
+        {
+            log::info!(prefix = options.prefix, failures = ended.calls, outage:% = node.now().since(ended.since); "watch of the store is answered again");
+        }
         match result {
             Ok(None) => {
                 log::warn!(prefix = options.prefix; "the store has discarded the history of the watched keys; reading all of them again");
@@ -88,12 +118,25 @@
             Ok(Some(event)) => {
                 let idle = matches!(&event, WatchEvent::Changes(items) if items.is_empty());
                 if !idle {
-                    apply(event);
+                    observer.apply(event);
+                }
+                observer.answered(sent);
+                if !idle {
                     sleep(options.pause).await;
                 }
             }
             Err(error) => {
-                log::debug!(prefix = options.prefix, error:% = error; "watch of the store failed");
+                let failed = outage.get_or_insert(WatchOutage {
+                    calls: 0,
+                    since: sent,
+                });
+                failed.calls += 1;
+                // One line for each outage, since it may last for minutes.
+                let level = match failed.calls {
+                    1 => log::Level::Warn,
+                    _ => log::Level::Debug,
+                };
+                log::log!(level, prefix = options.prefix, after:? = position.watched().map(|r| r.0), took:% = node.now().since(sent), error:% = error; "watch of the store failed");
                 sleep(RETRY_PAUSE).await;
             }
         }
