Close the idle connections to the store after a call on one has timed out

Callers were answered 404 for a queue that had been added longer ago than the bound, by a host that reaches the store.

Cause: all calls to the store share a pool of connections. If all of them go silent without a reset while new ones work, each attempt of a watch takes another idle one, and waits 1.7 s for its timeout and 0.25 s before the next attempt. A host holds one idle connection for each call that ran beside another in the last minute.

Evidence: a_watch_skips_idle_connections_that_went_silent_with_its_own holds four idle connections, makes all silent and changes the configuration. Before, the watch tries three of them after its own and needs 7.85 s; three attempts in all are beyond the bound (5.85 s; a host is in touch again 4 s after the silence began). Now it opens a new connection at once: 2.0 s, and no call is sent on a silent one.

Why it works: a timeout says nothing of one connection alone. The client of the store keeps its connections apart from those to workers and hosts, and starts a new pool when a call on the present one has timed out; calls on their way go on. A pool is replaced by one of its own calls only, so at most once in each 0.9 s, the shortest timeout.

Ruled out as a remedy: probes of TCP see no peer that is silent above it, and connections of their own for the watches would leave submissions with the silent ones: they are refused as long as the store counts as lost.

--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -18,7 +18,7 @@
 use super::{HostSettings, election};
 use crate::model::{DomainName, Span, Time};
 use crate::platform::{
-    CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KeyState, decode_config, load_settings,
+    CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KeyState, KvClient, decode_config, load_settings,
 };
 use crate::telemetry::{self, Metrics};
 
@@ -68,7 +68,8 @@
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let client = HttpClient::new()?;
-    let node = Arc::new(Node::new(settings, client, Metrics::new()?));
+    let kv = KvClient::new(settings.store_address)?;
+    let node = Arc::new(Node::new(settings, client, kv, Metrics::new()?));
     let settings = &node.settings;
     log::info!(host:% = settings.host, domain:% = settings.domain, callers:% = settings.caller_address, peers:% = settings.peer_address, store:% = settings.store_address, version = env!("CARGO_PKG_VERSION"); "process started");
     start_loop(&node, "watch of the operator's keys", watch_operator_keys);
@@ -160,7 +161,7 @@
 }
 
 /// Watches the configuration and the evacuated domains.
-async fn watch_operator_keys(node: Arc<Node>) {
+pub(super) async fn watch_operator_keys(node: Arc<Node>) {
     let observer = OperatorKeys(node.clone());
     watch_prefix(node, OPERATOR_KEYS, observer).await;
 }
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -112,8 +112,12 @@
 }
 
 impl Node {
-    pub(crate) fn new(settings: HostSettings, client: HttpClient, registry: Metrics) -> Self {
-        let kv = KvClient::new(client.clone(), settings.store_address);
+    pub(crate) fn new(
+        settings: HostSettings,
+        client: HttpClient,
+        kv: KvClient,
+        registry: Metrics,
+    ) -> Self {
         Self {
             settings,
             clock: Clock::start(),
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -4,6 +4,7 @@
 mod decoding;
 mod job_write;
 mod odd_entries;
+mod silent_connections;
 mod voters;
 mod withdrawn;
 
@@ -14,13 +15,13 @@
 use super::HostSettings;
 use super::election::election_txn;
 use super::keys::{self, ChainMark, Leader, TermRecord};
-use super::peers::{PeerRequest, PeerResponse};
 use super::known_config::ActiveConfig;
+use super::peers::{PeerRequest, PeerResponse};
 use super::state::Node;
 use super::supervision::{PollTasks, supervise};
 use crate::dispatch::{Bounds, JobKey, Succession};
 use crate::model::{DomainName, HostName, Span, WorkerName};
-use crate::platform::{HttpClient, LeaseId, Revision, Txn, decode_config};
+use crate::platform::{HttpClient, KvClient, LeaseId, Revision, Txn, decode_config};
 use crate::telemetry::Metrics;
 
 /// A process that has just started and that reads the store at this address.
@@ -48,6 +49,7 @@
     Node::new(
         settings,
         HttpClient::new().unwrap(),
+        KvClient::new(store).unwrap(),
         Metrics::new().unwrap(),
     )
 }
--- a/crates/jujubelb/src/platform/client.rs
+++ b/crates/jujubelb/src/platform/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for all calls to the platform and between the hosts of the system.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use reqwest::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,11 @@
     /// effect, or have one later.
     #[error("no response from {0}: {1}")]
     NoResponse(SocketAddr, String),
+    /// The request was sent, and its timeout has passed without a complete response. As with
+    /// [`CallError::NoResponse`], it may have an effect. Idle connections that were opened before
+    /// may be silent as well.
+    #[error("no response from {0} in time: {1}")]
+    TimedOut(SocketAddr, String),
     /// The response has a status that the call doesn't expect.
     #[error("unexpected status {1} from {0}")]
     UnexpectedStatus(SocketAddr, u16),
@@ -42,7 +48,7 @@
             // Too many requests, or service unavailable: the platform guarantees that
             // such a request had no effect.
             Self::UnexpectedStatus(_, status) => matches!(status, 429 | 503),
-            Self::NoResponse(..) | Self::UnreadableBody(..) => false,
+            Self::NoResponse(..) | Self::TimedOut(..) | Self::UnreadableBody(..) => false,
         }
     }
 }
@@ -73,6 +79,69 @@
     http: reqwest::Client,
 }
 
+/// HTTP client whose idle connections are all closed after a call has timed out on one. Open
+/// connections may go silent together, and a client that tries them one by one waits for as
+/// many timeouts.
+#[derive(Debug, Clone)]
+pub(crate) struct RenewingClient {
+    current: Arc<Mutex<Generation>>,
+}
+
+/// Connections that were opened since the last timeout.
+#[derive(Debug, Clone)]
+struct Generation {
+    client: HttpClient,
+    number: u64,
+}
+
+impl RenewingClient {
+    /// A client without open connections.
+    pub(crate) fn new() -> Result<Self, reqwest::Error> {
+        let client = HttpClient::new()?;
+        let first = Generation { client, number: 0 };
+        Ok(Self {
+            current: Arc::new(Mutex::new(first)),
+        })
+    }
+
+    /// Sends a request with a JSON body, if any, and reads the response.
+    pub(crate) async fn call<B: Serialize>(
+        &self,
+        call: HttpRequest<'_, B>,
+    ) -> Result<HttpResponse, CallError> {
+        let used = self.lock().clone();
+        let result = used.client.call(call).await;
+        if let Err(CallError::TimedOut(peer, _)) = result {
+            self.replace(peer, used.number);
+        }
+        result
+    }
+
+    /// Lets later calls open new connections. Calls that are on their way go on.
+    fn replace(&self, peer: SocketAddr, suspected: u64) {
+        let mut current = self.lock();
+        // Of many calls that time out together the first one is enough.
+        if current.number != suspected {
+            return;
+        }
+        match HttpClient::new() {
+            Ok(client) => {
+                let number = suspected + 1;
+                *current = Generation { client, number };
+                log::info!(peer:% = peer, generation = number; "a call has timed out; its idle connections are closed");
+            }
+            Err(error) => {
+                log::error!(peer:% = peer, error:% = error; "idle connections can't be replaced");
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Generation> {
+        // No holder can leave the data inconsistent.
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// One HTTP request.
 #[derive(Debug)]
 pub(crate) struct HttpRequest<'a, B> {
@@ -119,16 +188,9 @@
         if let Some(body) = call.body {
             request = request.json(body);
         }
-        let failed = |e: reqwest::Error| match e.is_connect() || e.is_builder() {
-            true => CallError::NotSent(peer, describe(&e)),
-            false => CallError::NoResponse(peer, describe(&e)),
-        };
-        let response = request.send().await.map_err(failed)?;
+        let response = request.send().await.map_err(|e| failure(peer, &e))?;
         let status = response.status();
-        let body = response
-            .bytes()
-            .await
-            .map_err(|e| CallError::NoResponse(peer, describe(&e)))?;
+        let body = response.bytes().await.map_err(|e| failure(peer, &e))?;
         Ok(HttpResponse {
             status,
             body: body.to_vec(),
@@ -146,15 +208,9 @@
     ) -> Result<HttpResponse, CallError> {
         let url = format!("http://{peer}{path}");
         let request = self.http.post(url).timeout(timeout.to_std()).body(body);
-        let response = request.send().await.map_err(|e| match e.is_connect() {
-            true => CallError::NotSent(peer, describe(&e)),
-            false => CallError::NoResponse(peer, describe(&e)),
-        })?;
+        let response = request.send().await.map_err(|e| failure(peer, &e))?;
         let status = response.status();
-        let body = response
-            .bytes()
-            .await
-            .map_err(|e| CallError::NoResponse(peer, describe(&e)))?;
+        let body = response.bytes().await.map_err(|e| failure(peer, &e))?;
         Ok(HttpResponse {
             status,
             body: body.to_vec(),
@@ -163,6 +219,18 @@
     }
 }
 
+/// What an error of a call says of the effect of its request.
+fn failure(peer: SocketAddr, error: &reqwest::Error) -> CallError {
+    let text = describe(error);
+    if error.is_connect() || error.is_builder() {
+        CallError::NotSent(peer, text)
+    } else if error.is_timeout() {
+        CallError::TimedOut(peer, text)
+    } else {
+        CallError::NoResponse(peer, text)
+    }
+}
+
 /// The error with the causes that its own text leaves out.
 fn describe(error: &reqwest::Error) -> String {
     use std::error::Error;
--- a/crates/jujubelb/src/platform/kv.rs
+++ b/crates/jujubelb/src/platform/kv.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 use super::WORKER_PREFIX;
-use super::client::{CallError, HttpClient, HttpRequest, HttpResponse};
+use super::client::{CallError, HttpRequest, HttpResponse, RenewingClient};
 use crate::model::Span;
 
 /// Timeout of a call that is answered at once. The store answers in 4 ms, and takes
@@ -238,16 +238,17 @@
 /// Client of the store.
 #[derive(Debug, Clone)]
 pub struct KvClient {
-    client: HttpClient,
+    client: RenewingClient,
     address: SocketAddr,
 }
 
 const NO_BODY: Option<&()> = None;
 
 impl KvClient {
-    /// Creates a client of the store at an address.
-    pub fn new(client: HttpClient, address: SocketAddr) -> Self {
-        Self { client, address }
+    /// Creates a client of the store at an address, with connections of its own.
+    pub fn new(address: SocketAddr) -> Result<Self, reqwest::Error> {
+        let client = RenewingClient::new()?;
+        Ok(Self { client, address })
     }
 
     /// Reads a key.
