Answer 404 for a queue only with evidence that no newer configuration has it

Callers were answered 404 for a queue that had been added longer ago than the bound, by a host whose watch had not been answered for seconds. Whatever holds a watch back, the answer was a guess: the class of fault is a definite answer that rests on a belief of any age.

Cause: a request was matched against the active configuration without a look at what shows that it is the newest.

Change: the configuration carries the time at which the last call was sent whose answer showed the newest one. If that is longer ago than the deployment's bound (config_ms of the settings), the request reads the key from the store first. All requests that wait share one read, and none is made for 0.25 s after a failed one or while the store counts as lost, so a flood of requests for missing queues is none of calls. A missing queue is answered 404 only within the bound, otherwise 503 with Retry-After, also if a newer configuration exists that can't be decoded. Known queues are confirmed the same way, since they may have been withdrawn, and are served on if the store can't be reached.

Ruled out: the version in messages of the leader, which may be behind itself and does not reach a host that is cut off from it; a condition on the configuration in the write of a job, which helps submissions only.

Evidence: with the former lookup (no read, always in force) four of the six tests of config_evidence.rs fail: 404 instead of the queue, 404 instead of 503 without a store, a withdrawn queue served, no read. Now all pass.

--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -11,6 +11,7 @@
 use rocket::{Data, Request, Route};
 use serde::{Deserialize, Serialize};
 
+use super::config_check::current_config;
 use super::job_write::{
     WriteResult, assess_cancellation, assess_existing_job, assess_job_write, cancellation_txn,
     job_txn, stored_job,
@@ -143,15 +144,20 @@
     data: Data<'_>,
     began: Time,
 ) -> CallerResponse {
-    let Some(config) = node.config() else {
+    let Some((config, is_in_force)) = current_config(node).await else {
         return CallerResponse::unavailable("this host has not read its configuration yet");
     };
     let host = request.headers().get_one("Host").unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
     let path = request.uri().path().as_str();
     let Some(queue) = config.queue(host, path) else {
-        log::info!(host = host, path = path, version = config.operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()); "no such queue");
-        return CallerResponse::error(Status::NotFound, "no such queue");
+        log::info!(host = host, path = path, version = config.operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), in_force = is_in_force; "no such queue");
+        return match is_in_force {
+            true => CallerResponse::error(Status::NotFound, "no such queue"),
+            false => CallerResponse::unavailable(
+                "no such queue is known, and there may be a newer configuration",
+            ),
+        };
     };
     let job_id = path.get(queue.settings.prefix.len()..).unwrap_or_default();
     if job_id.is_empty() {
--- /dev/null
+++ b/crates/jujubelb/src/node/config_check.rs
@@ -0,0 +1,73 @@
+//! Asks the store for the configuration before an answer that its age does not allow.
+
+use std::sync::Arc;
+
+use super::known_config::ActiveConfig;
+use super::state::Node;
+use crate::model::{Span, Time};
+use crate::platform::{CONFIG_KEY, CallError, KeyState, decode_config};
+
+/// Time after a failed read in which none is made, which limits the load on the store.
+const READ_PAUSE: Span = Span::from_millis(250);
+
+/// The reads of the configuration by requests.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigReads {
+    last_failure: Option<Time>,
+}
+
+/// The active configuration, and whether a queue that it does not hold does not exist; `None`
+/// until one was read. Reads it from the store if the watch has not shown for too long which one
+/// is the newest. Known queues are served without that if the store can't be reached.
+pub(crate) async fn current_config(node: &Node) -> Option<(Arc<ActiveConfig>, bool)> {
+    if node.is_config_overdue() && !node.is_store_lost() && node.config().is_some() {
+        read_config(node).await;
+    }
+    node.config_in_force()
+}
+
+/// Reads the configuration, once for all requests that wait for it.
+async fn read_config(node: &Node) {
+    let mut reads = node.config_reads.lock().await;
+    let sent = node.now();
+    let has_just_failed = |failed| sent.since(failed) < READ_PAUSE;
+    if !node.is_config_overdue() || reads.last_failure.is_some_and(has_just_failed) {
+        return;
+    }
+    let age = node.config_age().map(|a| a.to_string());
+    let result = node.kv.get(CONFIG_KEY).await;
+    let result = node.record_store_call("key", sent, result);
+    if let Err(error) = apply_read(node, sent, result.map(|r| r.content)) {
+        reads.last_failure = Some(node.now());
+        log::warn!(age:? = age, error:% = error; "the configuration can't be confirmed; queues that it does not hold are answered 503");
+        return;
+    }
+    log::info!(age:? = age, took:% = node.now().since(sent); "configuration confirmed before an answer");
+}
+
+fn apply_read(
+    node: &Node,
+    sent: Time,
+    result: Result<Option<KeyState>, CallError>,
+) -> Result<(), CallError> {
+    if let Some(item) = result? {
+        apply_config(node, &item);
+    }
+    node.confirm_config(sent);
+    Ok(())
+}
+
+/// Applies the value of the configuration's key.
+pub(super) fn apply_config(node: &Node, item: &KeyState) {
+    let Some(value) = &item.value else {
+        log::warn!(key = item.key; "the configuration was removed; the previous one stays active");
+        return;
+    };
+    match decode_config(value) {
+        Ok(operator) => node.set_config(operator, item.revision),
+        Err(error) => {
+            node.mark_config_superseded();
+            log::error!(key = item.key, revision = item.revision.0, error:% = error; "configuration can't be decoded; the previous one stays active");
+        }
+    }
+}
--- a/crates/jujubelb/src/node/known_config.rs
+++ b/crates/jujubelb/src/node/known_config.rs
@@ -46,13 +46,17 @@
     }
 }
 
-/// The active configuration and how long it is known to be the newest.
+/// The active configuration and the evidence that it is the newest. Whoever answers by what it
+/// does not hold needs that evidence.
 #[derive(Debug, Default)]
 pub(crate) struct KnownConfig {
     active: Option<Arc<ActiveConfig>>,
-    /// When the last call was sent whose answer shows that the active configuration was the
-    /// newest. The answer itself may have been on its way for as long as a watch waits.
+    /// When the last call was sent whose answer has shown the newest configuration. The answer
+    /// itself may have come later by the wait of a watch, and changes made meanwhile may be
+    /// missing in it.
     proven: Option<Time>,
+    /// Whether a configuration follows the active one and can't be decoded.
+    superseded: bool,
 }
 
 impl KnownConfig {
@@ -64,6 +68,7 @@
     /// Activates a configuration, unless its version is not newer than the active one.
     pub(crate) fn activate(&mut self, operator: OperatorConfig, revision: Revision) {
         let known = self.active.as_ref().map(|c| c.operator.version);
+        self.superseded = false;
         if known.is_some_and(|v| v >= operator.version) {
             return;
         }
@@ -71,14 +76,30 @@
         self.active = Some(Arc::new(ActiveConfig::new(operator, revision)));
     }
 
-    /// Records that a call sent at this time has shown all configurations up to the newest.
+    /// Records that the newest configuration can't be decoded.
+    pub(crate) fn mark_superseded(&mut self) {
+        self.superseded = true;
+    }
+
+    /// Records that a call sent at this time has shown the newest configuration.
     pub(crate) fn confirm(&mut self, sent: Time) {
         self.proven = self.proven.max(Some(sent));
     }
 
-    /// Age of the evidence that the active configuration is the newest; `None` without any.
+    /// Age of the evidence of which configuration is the newest; `None` without any.
     pub(crate) fn evidence_age(&self, now: Time) -> Option<Span> {
-        self.active.as_ref()?;
         self.proven.map(|sent| now.since(sent))
     }
+
+    /// Whether the store has to be asked which configuration is the newest, because a change
+    /// may be unknown for longer than `bound`.
+    pub(crate) fn is_overdue(&self, now: Time, bound: Span) -> bool {
+        self.evidence_age(now).is_none_or(|age| age > bound)
+    }
+
+    /// Whether the active configuration has certainly been the newest within `bound`, so that a
+    /// queue that it does not hold does not exist.
+    pub(crate) fn is_in_force(&self, now: Time, bound: Span) -> bool {
+        self.active.is_some() && !self.superseded && !self.is_overdue(now, bound)
+    }
 }
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::callers::CallerApi;
+use super::config_check::apply_config;
 use super::monitoring::{MonitoringApi, Readiness};
 use super::peers::PeerApi;
 use super::relay::announce_host;
@@ -17,9 +18,7 @@
 use super::watch::{WatchEvent, WatchObserver, WatchOptions, watch_prefix};
 use super::{HostSettings, election};
 use crate::model::{DomainName, Span, Time};
-use crate::platform::{
-    CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KeyState, KvClient, decode_config, load_settings,
-};
+use crate::platform::{CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KvClient, load_settings};
 use crate::telemetry::{self, Metrics};
 
 /// Options from the command line.
@@ -211,16 +210,3 @@
         node.set_operator_state_known();
     }
 }
-
-fn apply_config(node: &Node, item: &KeyState) {
-    let Some(value) = &item.value else {
-        log::warn!(key = item.key; "the configuration was removed; the previous one stays active");
-        return;
-    };
-    match decode_config(value) {
-        Ok(operator) => node.set_config(operator, item.revision),
-        Err(error) => {
-            log::error!(key = item.key, error:% = error; "configuration can't be decoded; the previous one stays active");
-        }
-    }
-}
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod candidacy;
+mod config_check;
 mod election;
 mod job_write;
 mod keys;
@@ -57,6 +58,8 @@
     pub link_mbps: f64,
     /// Time from the stop signal until the platform kills the process.
     pub stop_grace: Span,
+    /// Time after its acknowledgement from which a configuration has to be in force.
+    pub config_bound: Span,
     /// Time bounds and slowdown factor of the deployment.
     pub bounds: Bounds,
 }
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 
 use super::HostSettings;
+use super::config_check::ConfigReads;
 use super::keys::Leader;
 use super::known_config::{ActiveConfig, KnownConfig};
 use super::leader::ActiveTerm;
@@ -91,6 +92,8 @@
     pub(crate) kv: KvClient,
     pub(crate) metrics: NodeMetrics,
     config: Mutex<KnownConfig>,
+    /// Reads of the configuration by requests, one at a time.
+    pub(crate) config_reads: tokio::sync::Mutex<ConfigReads>,
     evacuated: Mutex<IndexSet<DomainName>>,
     /// Whether the operator's keys have been read once.
     operator_state_known: AtomicBool,
@@ -125,6 +128,7 @@
             kv,
             metrics: NodeMetrics::new(registry),
             config: Mutex::default(),
+            config_reads: tokio::sync::Mutex::default(),
             evacuated: Mutex::new(IndexSet::new()),
             operator_state_known: AtomicBool::new(false),
             leader: Mutex::new(KnownLeader::Unknown),
@@ -161,17 +165,37 @@
         lock(&self.config).activate(operator, revision);
     }
 
+    /// Records that the newest configuration can't be decoded.
+    pub(crate) fn mark_config_superseded(&self) {
+        lock(&self.config).mark_superseded();
+    }
+
     /// Records that a call to the store sent at this time has shown the newest configuration.
     pub(crate) fn confirm_config(&self, sent: Time) {
         lock(&self.config).confirm(sent);
     }
 
-    /// Age of the evidence that the active configuration is the newest; `None` without any.
+    /// Age of the evidence of which configuration is the newest; `None` without any.
     pub(crate) fn config_age(&self) -> Option<Span> {
         let now = self.now();
         lock(&self.config).evidence_age(now)
     }
 
+    /// Whether the store has to be asked which configuration is the newest.
+    pub(crate) fn is_config_overdue(&self) -> bool {
+        let now = self.now();
+        lock(&self.config).is_overdue(now, self.settings.config_bound)
+    }
+
+    /// The active configuration, and whether a queue that it does not hold does not exist;
+    /// `None` until one was read.
+    pub(crate) fn config_in_force(&self) -> Option<(Arc<ActiveConfig>, bool)> {
+        let now = self.now();
+        let config = lock(&self.config);
+        let active = config.active()?.clone();
+        Some((active, config.is_in_force(now, self.settings.config_bound)))
+    }
+
     pub(crate) fn evacuated(&self) -> IndexSet<DomainName> {
         lock(&self.evacuated).clone()
     }
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of the parts of the process that need no network.
 
 mod candidacy;
+mod config_evidence;
+mod config_store;
 mod decoding;
 mod job_write;
 mod odd_entries;
@@ -39,6 +41,7 @@
         cpu_cores: 1.0,
         link_mbps: 100.0,
         stop_grace: Span::from_secs(6),
+        config_bound: Span::from_secs(60),
         bounds: Bounds {
             max_lease: Span::from_secs(6),
             max_stop: Span::from_millis(400),
--- a/crates/jujubelb/src/platform/settings.rs
+++ b/crates/jujubelb/src/platform/settings.rs
@@ -65,6 +65,9 @@
     hold_max_ms: Millis,
     /// Longest time that stopping a run takes.
     stop_ms: Millis,
+    /// Time after its acknowledgement from which a configuration has to be in force.
+    #[serde(default = "default_config_bound")]
+    config_ms: Millis,
     /// How early an occurrence may start.
     #[serde(default)]
     early_ms: Millis,
@@ -73,6 +76,11 @@
     remote_factor: Ratio,
 }
 
+/// Bound of deployments whose settings name none.
+fn default_config_bound() -> Millis {
+    Millis(Span::from_millis(2_500))
+}
+
 fn no_factor() -> Ratio {
     Ratio(1.0)
 }
@@ -122,6 +130,7 @@
         cpu_cores: wire.limits.cpu_share.0 * wire.limits.cores.0.max(1.0),
         link_mbps: wire.limits.link_mbps.0,
         stop_grace: wire.bounds.grace_s.0,
+        config_bound: wire.bounds.config_ms.0,
         bounds: Bounds {
             max_lease: wire.bounds.hold_max_ms.0,
             max_stop: wire.bounds.stop_ms.0,
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -196,6 +196,7 @@
 grace_s = 6
 hold_max_ms = 6000
 stop_ms = 400
+config_ms = 4000
 [platform]
 address = "10.200.1.7:8169"
 "#;
@@ -209,6 +210,9 @@
     assert_eq!(read.bounds.max_lease, Span::from_secs(6));
     assert_eq!(read.peer_address.port(), 7720);
     assert_eq!(read.min_lease_ttl, Span::from_secs(1));
+    assert_eq!(read.config_bound, Span::from_secs(4));
+    let unbounded = settings::decode(&SETTINGS.replace("config_ms = 4000", "")).unwrap();
+    assert_eq!(unbounded.config_bound, Span::from_millis(2_500));
 }
 
 /// Guards against settings with missing or invalid fields being used.
