Decode the operator's keys one by one

Callers would be answered by the last configuration before an item that can't be decoded, for ever.

Cause: one item under op/ that can't be decoded made the whole page or change an error. The watch kept its position and read the same answer again and again. That rule is meant for the state of jobs, where an overlooked item does harm.

Change: as among the workers' entries the others hold, and an item with a readable key counts as empty. One without a readable key is kept, since it may be the configuration: both put the configuration in doubt, so that a queue that it lacks is answered 503 and not 404.

Evidence: an_odd_item_among_the_keys_of_the_operator_hides_no_other and an_unreadable_item_of_the_operator_puts_the_configuration_in_doubt. Before, decode_page refuses the page with "an item can't be decoded", by its rule for all prefixes but one.

--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -18,7 +18,9 @@
 use super::watch::{WatchEvent, WatchObserver, WatchOptions, watch_prefix};
 use super::{HostSettings, election};
 use crate::model::{DomainName, Span, Time};
-use crate::platform::{CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KvClient, load_settings};
+use crate::platform::{
+    CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KvClient, OPERATOR_PREFIX, load_settings,
+};
 use crate::telemetry::{self, Metrics};
 
 /// Options from the command line.
@@ -36,7 +38,7 @@
 /// Options for watching the operator's keys. The wait bounds how long a dead
 /// connection can hide a change, which has to be active within 2.5 s.
 const OPERATOR_KEYS: WatchOptions = WatchOptions {
-    prefix: "op/",
+    prefix: OPERATOR_PREFIX,
     wait: Span::from_millis(1_000),
     pause: Span::from_millis(40),
 };
@@ -187,6 +189,10 @@
     if let Some(config) = items.iter().rfind(|i| i.key == CONFIG_KEY) {
         apply_config(node, config);
     }
+    if items.iter().any(|i| i.key.is_empty()) {
+        // It may be a newer configuration.
+        node.mark_config_superseded();
+    }
     node.change_evacuated(|domains| {
         if all {
             domains.clear();
--- a/crates/jujubelb/src/node/tests/config_evidence.rs
+++ b/crates/jujubelb/src/node/tests/config_evidence.rs
@@ -7,11 +7,13 @@
 
 use super::super::callers::CallerApi;
 use super::super::known_config::KnownConfig;
+use super::super::main::apply_operator_keys;
 use super::super::state::Node;
+use super::super::watch::WatchEvent;
 use super::config_store::{ConfigStore, HOST};
 use super::node_with_store;
 use crate::model::{Span, Time};
-use crate::platform::{OperatorConfig, Revision, decode_config};
+use crate::platform::{CONFIG_KEY, KeyState, OperatorConfig, Revision, decode_config};
 
 const BOUND: Span = Span::from_millis(2_500);
 
@@ -135,3 +137,23 @@
     known.activate(operator(3), Revision(6));
     assert!(known.is_in_force(at(1_100), BOUND));
 }
+
+/// Guards against a 404 by the configuration before an item that can't be decoded, which may be
+/// a newer one.
+#[test]
+fn an_unreadable_item_of_the_operator_puts_the_configuration_in_doubt() {
+    for key in [CONFIG_KEY, ""] {
+        let node = node_with_store(([127, 0, 0, 1], 1).into());
+        node.set_config(operator(1), Revision(1));
+        node.confirm_config(node.now());
+        let is_in_force = || node.config_in_force().unwrap().1;
+        assert!(is_in_force());
+        let item = KeyState {
+            key: key.to_owned(),
+            value: Some(Vec::new()),
+            revision: Revision(2),
+        };
+        apply_operator_keys(&node, WatchEvent::Changes(vec![item]));
+        assert!(!is_in_force(), "after an item with the key `{key}`");
+    }
+}
--- a/crates/jujubelb/src/platform/kv.rs
+++ b/crates/jujubelb/src/platform/kv.rs
@@ -10,8 +10,8 @@
 use serde_json::value::RawValue;
 use thiserror::Error;
 
-use super::WORKER_PREFIX;
 use super::client::{CallError, HttpRequest, HttpResponse, RenewingClient};
+use super::{OPERATOR_PREFIX, WORKER_PREFIX};
 use crate::model::Span;
 
 /// Timeout of a call that is answered at once. The store answers in 4 ms, and takes
@@ -39,7 +39,7 @@
 /// The current value of a key, or its removal.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyState {
-    /// Name of the key.
+    /// Name of the key; empty if it can't be read, which only items of the operator show.
     pub key: String,
     /// Decoded value; `None` if the key was removed. Empty if it can't be read.
     pub value: Option<Vec<u8>>,
@@ -171,19 +171,23 @@
 /// What becomes of items that can't be decoded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OddItems {
-    /// The others hold.
+    /// The others hold, and one with a readable key counts as empty.
     Ignored,
+    /// As `Ignored`, and one without a readable key is kept with an empty key.
+    Kept,
     /// The page can't be used.
     Refused,
 }
 
 impl OddItems {
-    /// Other writers leave odd items among those of the workers. Anywhere else an item that
-    /// is overlooked does harm: without its state, the tasks of a job would run again.
+    /// Other writers leave odd items among those of the workers, and each key of the operator
+    /// has a meaning of its own. Anywhere else an item that is overlooked does harm: without its
+    /// state, the tasks of a job would run again.
     fn under(prefix: &str) -> Self {
-        match prefix == WORKER_PREFIX {
-            true => Self::Ignored,
-            false => Self::Refused,
+        match prefix {
+            WORKER_PREFIX => Self::Ignored,
+            OPERATOR_PREFIX => Self::Kept,
+            _ => Self::Refused,
         }
     }
 }
@@ -202,7 +206,8 @@
             return Ok((items, None));
         }
         // The next page repeats items behind the last readable key.
-        match items.last().map(|item| item.key.clone()) {
+        let readable = items.iter().rfind(|item| !item.key.is_empty());
+        match readable.map(|item| item.key.clone()) {
             Some(last) if last.as_str() > after => Ok((items, Some(last))),
             Some(last) => Err(format!("the page after the key `{after}` ends at `{last}`")),
             None => Err(format!(
@@ -463,30 +468,34 @@
     for item in items {
         match serde_json::from_str::<WireKeyState>(item.get()) {
             Ok(item) => decoded.push(decode_key_state(item)),
-            Err(error) if odd == OddItems::Ignored => decoded.extend(salvage_item(item, &error)),
-            Err(error) => return Err(format!("an item can't be decoded: {error}")),
+            Err(error) if odd == OddItems::Refused => {
+                return Err(format!("an item can't be decoded: {error}"));
+            }
+            Err(error) => {
+                let salvaged = salvage_item(item, &error);
+                if odd == OddItems::Kept || !salvaged.key.is_empty() {
+                    decoded.push(salvaged);
+                }
+            }
         }
     }
     Ok(decoded)
 }
 
-/// Reads what can be read of an item. If that is its key, it is one with an empty value, which
-/// names nothing, so that an earlier value of the key is not used any longer.
-fn salvage_item(item: &RawValue, error: &serde_json::Error) -> Option<KeyState> {
-    match serde_json::from_str::<DamagedItem<'_>>(item.get()) {
-        Ok(damaged) => {
-            log::warn!(key = damaged.key, error:% = error; "item of the store can't be decoded; its value counts as empty");
-            let removed = damaged.tombstone.is_some_and(|t| t.get() == "true");
-            Some(KeyState {
-                key: damaged.key,
-                value: (!removed).then(Vec::new),
-                revision: Revision::default(),
-            })
-        }
-        Err(_) => {
-            log::warn!(error:% = error; "item of the store has no readable key; ignored");
-            None
-        }
+/// Reads what can be read of an item: its key, if any, with an empty value, which names nothing,
+/// so that an earlier value of the key is not used any longer.
+fn salvage_item(item: &RawValue, error: &serde_json::Error) -> KeyState {
+    let damaged = serde_json::from_str::<DamagedItem<'_>>(item.get()).ok();
+    let is_removed = damaged
+        .as_ref()
+        .and_then(|d| d.tombstone)
+        .is_some_and(|t| t.get() == "true");
+    let key = damaged.map(|d| d.key).unwrap_or_default();
+    log::warn!(key = key, error:% = error; "item of the store can't be decoded; its value counts as empty");
+    KeyState {
+        key,
+        value: (!is_removed).then(Vec::new),
+        revision: Revision::default(),
     }
 }
 
--- a/crates/jujubelb/src/platform/mod.rs
+++ b/crates/jujubelb/src/platform/mod.rs
@@ -23,7 +23,7 @@
 pub use policy_service::PolicyClient;
 pub use settings::{SETTINGS_PATH_VARIABLE, load as load_settings};
 pub use store_entries::{
-    CONFIG_KEY, EVACUATION_PREFIX, OperatorConfig, QueueConfig, WORKER_PREFIX, decode_config,
-    decode_worker,
+    CONFIG_KEY, EVACUATION_PREFIX, OPERATOR_PREFIX, OperatorConfig, QueueConfig, WORKER_PREFIX,
+    decode_config, decode_worker,
 };
 pub use workers::{ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT, WorkerClient};
--- a/crates/jujubelb/src/platform/store_entries.rs
+++ b/crates/jujubelb/src/platform/store_entries.rs
@@ -10,6 +10,9 @@
 use crate::dispatch::{Incarnation, QueueSettings, WorkerReport};
 use crate::model::{Bytes, DomainName, Resources, ServiceName, Span, WorkerName};
 
+/// Prefix of the operator's keys.
+pub const OPERATOR_PREFIX: &str = "op/";
+
 /// Key of the operator's configuration.
 pub const CONFIG_KEY: &str = "op/config";
 
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -5,7 +5,10 @@
 
 use super::kv::decode_page;
 use super::store_entries::{decode_config, decode_worker};
-use super::{WORKER_PREFIX, decode_submission, encode_job_status, encode_pending_count, settings};
+use super::{
+    OPERATOR_PREFIX, WORKER_PREFIX, decode_submission, encode_job_status, encode_pending_count,
+    settings,
+};
 use crate::dispatch::JobStatus;
 use crate::model::{Bytes, Resources, Span};
 
@@ -126,6 +129,27 @@
     assert_eq!(items.len(), 2);
 }
 
+/// Guards against a watch of the operator's keys that stays at its position for ever because one
+/// item can't be decoded.
+#[test]
+fn an_odd_item_among_the_keys_of_the_operator_hides_no_other() {
+    let page = r#"{"items":[{"key":"op/config","value":7,"revision":4},{"revision":5},
+        {"key":"op/evacuate/a","revision":6,"tombstone":true,"value":7},
+        {"key":"op/evacuate/b","value":"e30=","revision":7}],"has_more":false,"store_revision":9}"#;
+    let (items, _) = decode_page(OPERATOR_PREFIX, page.as_bytes(), "").unwrap();
+    let found: Vec<_> = items
+        .iter()
+        .map(|i| (i.key.as_str(), i.value.as_deref()))
+        .collect();
+    let expected = [
+        ("op/config", Some(&b""[..])),
+        ("", Some(b"")),
+        ("op/evacuate/a", None),
+        ("op/evacuate/b", Some(b"{}")),
+    ];
+    assert_eq!(found, expected);
+}
+
 /// Guards against entries that decode and hurt: an address that is nobody's, a time that lasts
 /// for ever, and texts that are copied often and stored with the roster.
 #[test]
