Answer no 404 by a configuration with a queue that can't be decoded

Callers of such a queue would be answered 404, although it exists. Found by reading; not seen on a platform, whose store accepts only valid configurations.

Cause: a queue that can't be decoded was left out, and the version counted as taken in full.

Change: the configuration counts these queues; while there are any, a queue that it lacks is answered 503 with Retry-After. Ruled out: to keep the former version, since its other queues are out of date, and to keep the former form of the queue, which the newer version has changed.

Evidence: a_queue_that_cannot_be_decoded_is_no_missing_one. Before, nothing in the decoded configuration showed that a queue was missing, so the test can't be written against it. The line "configuration activated" shows the count.

--- a/crates/jujubelb/src/node/known_config.rs
+++ b/crates/jujubelb/src/node/known_config.rs
@@ -72,7 +72,7 @@
         if known.is_some_and(|v| v >= operator.version) {
             return;
         }
-        log::info!(version = operator.version, revision = revision.0, before:? = known, queues = operator.queues.len(); "configuration activated");
+        log::info!(version = operator.version, revision = revision.0, before:? = known, queues = operator.queues.len(), unreadable = operator.unreadable; "configuration activated");
         self.active = Some(Arc::new(ActiveConfig::new(operator, revision)));
     }
 
@@ -97,9 +97,12 @@
         self.evidence_age(now).is_none_or(|age| age > bound)
     }
 
-    /// Whether the active configuration has certainly been the newest within `bound`, so that a
-    /// queue that it does not hold does not exist.
+    /// Whether the active configuration has certainly been the newest within `bound` and is read
+    /// in full, so that a queue that it does not hold does not exist.
     pub(crate) fn is_in_force(&self, now: Time, bound: Span) -> bool {
-        self.active.is_some() && !self.superseded && !self.is_overdue(now, bound)
+        let is_complete = |c: &Arc<ActiveConfig>| c.operator.unreadable == 0;
+        self.active.as_ref().is_some_and(is_complete)
+            && !self.superseded
+            && !self.is_overdue(now, bound)
     }
 }
--- a/crates/jujubelb/src/node/tests/config_evidence.rs
+++ b/crates/jujubelb/src/node/tests/config_evidence.rs
@@ -138,6 +138,23 @@
     assert!(known.is_in_force(at(1_100), BOUND));
 }
 
+/// Guards against a 404 for a queue that the newest configuration has and that can't be decoded.
+#[test]
+fn a_queue_that_cannot_be_decoded_is_no_missing_one() {
+    let text = format!(
+        r#"{{"version":2,"routes":[{{"host":"{HOST}","prefix":"/q1/","service":"s"}},
+            {{"host":"{HOST}","prefix":"/q2/","service":7}}]}}"#
+    );
+    let mut known = KnownConfig::default();
+    known.activate(decode_config(text.as_bytes()).unwrap(), Revision(4));
+    known.confirm(at(1_000));
+    let config = known.active().unwrap();
+    assert!(config.queue(HOST, "/q1/").is_some() && config.queue(HOST, "/q2/").is_none());
+    assert!(!known.is_in_force(at(1_100), BOUND));
+    known.activate(operator(3), Revision(6));
+    assert!(known.is_in_force(at(1_100), BOUND));
+}
+
 /// Guards against a 404 by the configuration before an item that can't be decoded, which may be
 /// a newer one.
 #[test]
--- a/crates/jujubelb/src/platform/store_entries.rs
+++ b/crates/jujubelb/src/platform/store_entries.rs
@@ -38,6 +38,8 @@
     pub version: u64,
     /// Queues that could be decoded.
     pub queues: Vec<QueueConfig>,
+    /// Number of queues that could not be decoded.
+    pub unreadable: usize,
     /// Largest body of a caller's request.
     pub body_limit: Bytes,
 }
@@ -89,23 +91,24 @@
 /// Failed runs of a task until its job fails, if the configuration sets none.
 const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 
-/// Decodes the operator's configuration. A queue that can't be decoded is logged and
-/// ignored.
+/// Decodes the operator's configuration. A queue that can't be decoded is logged and counted.
 pub fn decode_config(bytes: &[u8]) -> Result<OperatorConfig, serde_json::Error> {
     let config: WireConfig = serde_json::from_slice(bytes)?;
-    let queues = config
+    let listed = config.routes.len();
+    let queues: Vec<QueueConfig> = config
         .routes
         .into_iter()
         .filter_map(|route| match serde_json::from_value::<WireRoute>(route) {
             Ok(route) => Some(decode_queue(route)),
             Err(error) => {
-                log::warn!(version = config.version, error:% = error; "queue in the configuration can't be decoded; ignored");
+                log::warn!(version = config.version, error:% = error; "queue in the configuration can't be decoded");
                 None
             }
         })
         .collect();
     Ok(OperatorConfig {
         version: config.version,
+        unreadable: listed - queues.len(),
         queues,
         body_limit: config
             .limits
