Let connections of the soak go silent, and the operator change the configuration then

The soak missed the fault behind the outdated configuration: its links cut, refuse or silence requests for a time, on all connections alike, and its operator changes one queue at times that no fault knows of.

Change: a link can make its open connections silent. A burst of requests before each opens connections, and the operator changes the configuration right after it.

--- a/crates/jujubelb-lab/src/emulator/http.rs
+++ b/crates/jujubelb-lab/src/emulator/http.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Longest head of a request; callers of the emulator send a few hundred bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -94,6 +94,8 @@
     state: Mutex<LinkState>,
     /// Notified when open requests have to be cut.
     cut: Notify,
+    /// How often the open connections have gone silent.
+    silences: watch::Sender<u64>,
 }
 
 #[derive(Debug)]
@@ -114,9 +116,15 @@
                 random,
             }),
             cut: Notify::new(),
+            silences: watch::Sender::new(0),
         }
     }
 
+    /// Makes the open connections silent for good, without a reset; new ones work.
+    pub(crate) fn silence_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     /// Sets the treatment of a share of the requests. Requests that are being answered
     /// are cut if new ones would get no answer.
     pub(crate) fn set(&self, treatment: Treatment, share: f64) {
@@ -161,9 +169,13 @@
 
 async fn serve_connection<S: Service>(mut stream: TcpStream, link: Arc<Link>, service: Arc<S>) {
     let mut buffer = Vec::new();
+    let mut silences = link.silences.subscribe();
     // The option only saves time; the connection works without it.
     let _ = stream.set_nodelay(true);
     while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        if matches!(silences.has_changed(), Ok(true)) {
+            return stay_silent(stream).await;
+        }
         let mut delay = Duration::ZERO;
         match link.draw() {
             Treatment::Pass => {}
@@ -196,6 +208,7 @@
         let reply = tokio::select! {
             reply = service.serve(request) => reply,
             () = link.cut.notified() => return reset(&stream),
+            _ = silences.changed() => return stay_silent(stream).await,
         };
         tokio::time::sleep(delay).await;
         if write_reply(&mut stream, &reply).await.is_err() {
--- a/crates/jujubelb-lab/src/soak/faults.rs
+++ b/crates/jujubelb-lab/src/soak/faults.rs
@@ -8,14 +8,16 @@
 use rustix::process::Signal;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use super::plan::{Fault, Planned, Target};
+use super::plan::{Fault, Peers, Planned, Target};
 use super::processes::{METRICS_PORT, Processes};
 use crate::emulator::Emulator;
 use crate::emulator::history::What;
 use crate::emulator::http::{Link, Treatment};
-use crate::emulator::platform::entries::worker_key;
+use crate::emulator::platform::entries::{QUEUE_HOST, worker_key};
 use crate::emulator::platform::settings::HostPlace;
 
 /// Time after a worker's report until it leaves.
@@ -27,6 +29,13 @@
 /// How long a host's state dump may take; a stopped process gives none.
 const STATE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Cancellations of jobs that don't exist, sent at a time to each host. Each makes the host call
+/// the store, on a connection of its own.
+const BURST_REQUESTS: u64 = 8;
+
+/// How long a burst may take.
+const BURST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// What clients may send by mistake.
 const BAD_BYTES: [&[u8]; 4] = [
     b"\x16\x03\x01\x02\x00\x01\x00\xff\xfe",
@@ -73,6 +82,8 @@
     pub(crate) hosts: Vec<HostPlace>,
     pub(crate) http: Client,
     pub(crate) last_fault: AtomicU64,
+    /// Wakes the operator for a change of the configuration.
+    pub(crate) change_now: Arc<Notify>,
 }
 
 impl Scene {
@@ -192,6 +203,7 @@
                 store.with(|s, now| s.delete(&key, now));
             }
             Fault::BadRequests(_) => self.send_bad_requests(host).await,
+            Fault::SilentConnections(peers) => self.silence_connections(peers).await,
         }
     }
 
@@ -225,6 +237,33 @@
         links.iter().for_each(|l| l.set(Treatment::Pass, 0.0));
     }
 
+    async fn silence_connections(&self, peers: Peers) {
+        let mut burst = JoinSet::new();
+        for host in &self.hosts {
+            for job in 0..BURST_REQUESTS {
+                let url = format!("http://{}/batch/{job:016x}", host.clients);
+                let request = self.http.delete(url).header("Host", QUEUE_HOST);
+                burst.spawn(request.timeout(BURST_TIMEOUT).send());
+            }
+        }
+        // The requests only open connections; what they are answered doesn't matter.
+        while burst.join_next().await.is_some() {}
+        let emulator = &self.emulator;
+        if peers != Peers::Workers {
+            emulator
+                .store_links
+                .iter()
+                .for_each(|l| l.silence_connections());
+        }
+        if peers != Peers::Store {
+            emulator
+                .worker_links
+                .iter()
+                .for_each(|l| l.silence_connections());
+        }
+        self.change_now.notify_one();
+    }
+
     async fn send_bad_requests(&self, host: usize) {
         for bytes in BAD_BYTES {
             // The process may be down, and may close the connection early.
--- a/crates/jujubelb-lab/src/soak/operator.rs
+++ b/crates/jujubelb-lab/src/soak/operator.rs
@@ -8,7 +8,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use reqwest::Client;
-use tokio::time::{Instant, sleep};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::emulator::history::{History, What};
 use crate::emulator::platform::entries::{QUEUE_HOST, Queue};
@@ -42,18 +43,27 @@
     queues
 }
 
-/// Changes the configuration and evacuates failure domains until `end`.
-pub(crate) async fn operate(emulator: Arc<Emulator>, seed: u64, end: Instant) {
+/// Changes the configuration and evacuates failure domains until `end`. Changes the configuration
+/// at once when it is woken.
+pub(crate) async fn operate(
+    emulator: Arc<Emulator>,
+    change_now: Arc<Notify>,
+    seed: u64,
+    end: Instant,
+) {
     let mut random = StdRng::seed_from_u64(seed);
     let mut version = 1;
     let mut passing = false;
+    let mut is_woken = false;
     loop {
-        let pause = Duration::from_secs_f64(random.random_range(CHANGE_S));
-        if Instant::now() + pause >= end {
-            return;
+        if !is_woken {
+            let pause = Duration::from_secs_f64(random.random_range(CHANGE_S));
+            if Instant::now() + pause >= end {
+                return;
+            }
+            is_woken = timeout(pause, change_now.notified()).await.is_ok();
         }
-        sleep(pause).await;
-        if random.random::<f64>() < 0.6 {
+        if std::mem::take(&mut is_woken) || random.random::<f64>() < 0.6 {
             version += random.random_range(1..4);
             passing = !passing;
             emulator.configure(version, &queues(passing));
@@ -62,7 +72,8 @@
         let zone = ZONES[random.random_range(0..ZONES.len())];
         emulator.evacuate(zone);
         let until = Instant::now() + Duration::from_secs_f64(random.random_range(CHANGE_S));
-        tokio::time::sleep_until(until.min(end)).await;
+        let woken = timeout_at(until.min(end), change_now.notified()).await;
+        is_woken = woken.is_ok();
         emulator.restore(zone);
     }
 }
--- a/crates/jujubelb-lab/src/soak/plan.rs
+++ b/crates/jujubelb-lab/src/soak/plan.rs
@@ -21,6 +21,16 @@
 /// Most faults of a group, and longest time between two of them in milliseconds.
 const GROUP: (u64, u64) = (4, 2_500);
 
+/// First seed whose plan has silent connections. Plans of lower seeds stay as they were when
+/// the seeds were played.
+const FIRST_SEED_WITH_SILENCE: u64 = 10_000;
+
+/// Time without other faults before a silence, in which processes start again.
+const CALM_BEFORE: Duration = Duration::from_secs(2);
+
+/// Time without other faults after a silence. Bounds hold from 4 s after it.
+const CALM_AFTER: Duration = Duration::from_secs(9);
+
 /// What a fault is done to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Target {
@@ -61,6 +71,17 @@
     BadEntry,
     /// A client sends what is no request, and bodies that can't be decoded.
     BadRequests(Target),
+    /// After a burst of requests the open connections of all hosts to these go silent for good,
+    /// without a reset, and the operator changes the configuration.
+    SilentConnections(Peers),
+}
+
+/// To whom connections go silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Peers {
+    Store,
+    Workers,
+    All,
 }
 
 /// A fault with its time.
@@ -86,6 +107,9 @@
     let mut planned = Vec::new();
     let mut at = START;
     while at < end {
+        if seed >= FIRST_SEED_WITH_SILENCE {
+            at = add_silence(&mut random, at, &mut planned);
+        }
         for _ in 0..random.random_range(1..=GROUP.0) {
             planned.push(draw_fault(&mut random, at, hosts, workers));
             at += Duration::from_millis(random.random_range(0..GROUP.1));
@@ -96,6 +120,22 @@
     planned
 }
 
+/// Adds a silence at some time or later. Half of them have no other fault beside them, so that
+/// bounds on time are checked. Returns when the next fault may begin.
+fn add_silence(random: &mut StdRng, at: Duration, planned: &mut Vec<Planned>) -> Duration {
+    let peers = [Peers::Store, Peers::Workers, Peers::All][random.random_range(0..3)];
+    let fault = Fault::SilentConnections(peers);
+    let time = Duration::ZERO;
+    if random.random() {
+        planned.push(Planned { at, fault, time });
+        return at;
+    }
+    let over = planned.iter().map(|p| p.at + p.time).max();
+    let at = at.max(over.unwrap_or_default() + CALM_BEFORE);
+    planned.push(Planned { at, fault, time });
+    at + CALM_AFTER
+}
+
 fn draw_fault(random: &mut StdRng, at: Duration, hosts: usize, workers: usize) -> Planned {
     let target = match random.random() {
         true => Target::Leader,
--- a/crates/jujubelb-lab/src/soak/run.rs
+++ b/crates/jujubelb-lab/src/soak/run.rs
@@ -10,6 +10,7 @@
 use eyre::{Result, WrapErr, eyre};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -125,12 +126,14 @@
         traffic_end,
         end: traffic_end + FINISH,
     };
+    let change_now = Arc::new(Notify::new());
     let scene = Scene {
         emulator: emulator.clone(),
         processes: processes.clone(),
         hosts,
         http: http.clone(),
         last_fault: AtomicU64::new(0),
+        change_now: change_now.clone(),
     };
     let mut tasks = JoinSet::new();
     let pause = JOB_PAUSE.mul_f64(5.0 / options.workers as f64);
@@ -142,6 +145,7 @@
     ));
     tasks.spawn(operator::operate(
         emulator.clone(),
+        change_now,
         random.random(),
         traffic_end,
     ));
