--- a/crates/jujubelb-lab/tests/soak.rs
+++ b/crates/jujubelb-lab/tests/soak.rs
@@ -82,3 +82,12 @@
     assert!(outcome.is_clean(), "{outcome}");
     assert!(outcome.done >= 20, "{outcome}");
 }
+
+/// Guards against hosts that follow the operator too late after all open connections to the store
+/// have gone silent. Earlier versions answered 404 for a queue that had been added 8 s before.
+#[test]
+fn silent_connections_break_no_rule() {
+    let outcome = soak(10_002, true, TIME);
+    assert!(outcome.is_clean(), "{outcome}");
+    assert!(outcome.done >= 20, "{outcome}");
+}
