Install the handler of the stop signal before a process starts its work

A process that got SIGTERM just after it had logged its start was ended by the signal, without a planned stop.

Cause: the entry, scheduler and stand-in processes installed the handler when they began to wait for the signal, after "the scheduler process started". Load lengthens the gap between the two. jujubelb-node installs its handler first and is not concerned.

Change: StopSignal is installed before anything starts and waited for later.

Test: a_stop_signal_before_the_wait_is_kept; the former function can't be called before the wait.

--- a/crates/jujubelb-lab/src/standin/command.rs
+++ b/crates/jujubelb-lab/src/standin/command.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use jujubelb::config::{Config, declare};
 use jujubelb::model::Span;
-use jujubelb::process::stop_signal;
+use jujubelb::process::StopSignal;
 
 use super::behaviour::Behaviours;
 use super::platform::{self, Addresses, Platform, Reality};
@@ -66,6 +66,7 @@
 
 /// Serves the stand-ins until a stop signal; fails if the printed summary holds violations.
 pub fn run(options: &Options) -> Result<()> {
+    let stop = StopSignal::install()?;
     let config = read_config(&options.paths)?;
     let behaviours = match &options.behaviour {
         Some(path) => reality::read(path)?,
@@ -88,7 +89,7 @@
         store:% = options.store, host_list:% = options.host_list, workers = config.workers.len();
         "the stand-ins are serving"
     );
-    stop_signal()?;
+    stop.wait();
     if let Some(runtime) = control {
         runtime.shutdown_background();
     }
--- a/crates/jujubelb/src/bin/jujubelb-entry.rs
+++ b/crates/jujubelb/src/bin/jujubelb-entry.rs
@@ -4,12 +4,13 @@
 
 use jujubelb::entry::EntryHandle;
 use jujubelb::peer::Role;
-use jujubelb::process::{run, stop_signal};
+use jujubelb::process::{StopSignal, run};
 
 fn main() -> ExitCode {
     run(Role::Entry, |settings| {
+        let stop = StopSignal::install()?;
         let entry = EntryHandle::start(settings)?;
-        stop_signal()?;
+        stop.wait();
         Ok(entry.stop())
     })
 }
--- a/crates/jujubelb/src/bin/jujubelb-scheduler.rs
+++ b/crates/jujubelb/src/bin/jujubelb-scheduler.rs
@@ -3,13 +3,14 @@
 use std::process::ExitCode;
 
 use jujubelb::peer::Role;
-use jujubelb::process::{run, stop_signal};
+use jujubelb::process::{StopSignal, run};
 use jujubelb::scheduler::SchedulerHandle;
 
 fn main() -> ExitCode {
     run(Role::Scheduler, |settings| {
+        let stop = StopSignal::install()?;
         let scheduler = SchedulerHandle::start(settings)?;
-        stop_signal()?;
+        stop.wait();
         Ok(scheduler.stop())
     })
 }
--- a/crates/jujubelb/src/process/mod.rs
+++ b/crates/jujubelb/src/process/mod.rs
@@ -30,7 +30,7 @@
 pub(crate) use configuration::{ConfigEvent, Configuration};
 pub use main::run;
 pub(crate) use records::{Records, records_about};
-pub use stop::stop_signal;
+pub use stop::StopSignal;
 pub(crate) use threads::{Running, Threads};
 
 /// Why a process could not start.
--- a/crates/jujubelb/src/process/tests.rs
+++ b/crates/jujubelb/src/process/tests.rs
@@ -191,3 +191,12 @@
     assert_eq!(found(None).len(), 4);
     assert!(found(Some("c")).is_empty());
 }
+
+/// Guards against a stop signal that ends the process because it arrives before the process
+/// waits for it.
+#[test]
+fn a_stop_signal_before_the_wait_is_kept() {
+    let stop = super::StopSignal::install().unwrap();
+    signal_hook::low_level::raise(signal_hook::consts::SIGTERM).unwrap();
+    stop.wait();
+}
