Keep the order of configurations that can't be decoded

Found by reading the change: an answer that arrives late could end or raise the doubt about the configuration. A configuration of an earlier version cleared it, and one of an earlier revision that can't be decoded set it, although a newer one was active.

Change: only a newer version ends the doubt, and only a later revision, or one that can't be read, raises it.

Test: a_configuration_that_a_later_one_follows_is_not_in_force has both orders.

--- a/crates/jujubelb/src/node/config_check.rs
+++ b/crates/jujubelb/src/node/config_check.rs
@@ -66,7 +66,7 @@
     match decode_config(value) {
         Ok(operator) => node.set_config(operator, item.revision),
         Err(error) => {
-            node.mark_config_superseded();
+            node.mark_config_unreadable(item.revision);
             log::error!(key = item.key, revision = item.revision.0, error:% = error; "configuration can't be decoded; the previous one stays active");
         }
     }
--- a/crates/jujubelb/src/node/known_config.rs
+++ b/crates/jujubelb/src/node/known_config.rs
@@ -68,17 +68,20 @@
     /// Activates a configuration, unless its version is not newer than the active one.
     pub(crate) fn activate(&mut self, operator: OperatorConfig, revision: Revision) {
         let known = self.active.as_ref().map(|c| c.operator.version);
-        self.superseded = false;
         if known.is_some_and(|v| v >= operator.version) {
             return;
         }
+        self.superseded = false;
         log::info!(version = operator.version, revision = revision.0, before:? = known, queues = operator.queues.len(), unreadable = operator.unreadable; "configuration activated");
         self.active = Some(Arc::new(ActiveConfig::new(operator, revision)));
     }
 
-    /// Records that the newest configuration can't be decoded.
-    pub(crate) fn mark_superseded(&mut self) {
-        self.superseded = true;
+    /// Records that the configuration of a revision can't be decoded; zero if the revision can't
+    /// be read either. Answers may arrive out of order, so it may be older than the active one.
+    pub(crate) fn mark_unreadable(&mut self, revision: Revision) {
+        let active = self.active.as_ref().map(|c| c.revision);
+        let is_unknown = revision == Revision::default();
+        self.superseded |= is_unknown || active.is_none_or(|known| known < revision);
     }
 
     /// Records that a call sent at this time has shown the newest configuration.
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -167,6 +167,7 @@
     watch_prefix(node, OPERATOR_KEYS, observer).await;
 }
 
+/// Takes the operator's keys into the state of the process.
 struct OperatorKeys(Arc<Node>);
 
 impl WatchObserver for OperatorKeys {
@@ -189,9 +190,9 @@
     if let Some(config) = items.iter().rfind(|i| i.key == CONFIG_KEY) {
         apply_config(node, config);
     }
-    if items.iter().any(|i| i.key.is_empty()) {
+    if let Some(item) = items.iter().find(|i| i.key.is_empty()) {
         // It may be a newer configuration.
-        node.mark_config_superseded();
+        node.mark_config_unreadable(item.revision);
     }
     node.change_evacuated(|domains| {
         if all {
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -165,9 +165,9 @@
         lock(&self.config).activate(operator, revision);
     }
 
-    /// Records that the newest configuration can't be decoded.
-    pub(crate) fn mark_config_superseded(&self) {
-        lock(&self.config).mark_superseded();
+    /// Records that the configuration of a revision can't be decoded.
+    pub(crate) fn mark_config_unreadable(&self, revision: Revision) {
+        lock(&self.config).mark_unreadable(revision);
     }
 
     /// Records that a call to the store sent at this time has shown the newest configuration.
--- a/crates/jujubelb/src/node/tests/config_evidence.rs
+++ b/crates/jujubelb/src/node/tests/config_evidence.rs
@@ -130,12 +130,16 @@
 fn a_configuration_that_a_later_one_follows_is_not_in_force() {
     let mut known = KnownConfig::default();
     known.activate(operator(1), Revision(4));
-    known.mark_superseded();
+    known.mark_unreadable(Revision(5));
     known.confirm(at(1_000));
     assert!(!known.is_in_force(at(1_100), BOUND));
     assert!(!known.is_overdue(at(1_100), BOUND));
+    known.activate(operator(1), Revision(4));
+    assert!(!known.is_in_force(at(1_100), BOUND));
     known.activate(operator(3), Revision(6));
     assert!(known.is_in_force(at(1_100), BOUND));
+    known.mark_unreadable(Revision(5));
+    assert!(known.is_in_force(at(1_100), BOUND));
 }
 
 /// Guards against a 404 for a queue that the newest configuration has and that can't be decoded.
--- a/crates/jujubelb/src/node/watch.rs
+++ b/crates/jujubelb/src/node/watch.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// What is told of the watched keys.
+/// Takes what a watch learns of its keys.
 pub(crate) trait WatchObserver {
     /// Takes an update.
     fn apply(&mut self, event: WatchEvent);
