Log why a ready step waits, and show the longest wait

A task that waits left no trace, and the summary counts all waiting tasks together: the hypotheses of the idle tasks could not be told apart. The check whether a worker admits a task now returns what rules it out, and one line for a step gives the counts when its oldest task has waited for 2 s, 4 s, 8 s and so on, two lines a second at most. The summary has the longest wait.

--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -53,6 +53,8 @@
     pub(crate) tasks: Vec<Task>,
     pub(crate) done: u32,
     pub(crate) waiting: u32,
+    /// Wait of its oldest task when it was last reported what the step waits for.
+    pub(crate) wait_reported: Span,
 }
 
 impl StepState {
@@ -85,6 +87,7 @@
             tasks,
             done,
             waiting,
+            wait_reported: Span::ZERO,
         }
     }
 
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod tests;
 mod tickets;
 mod voters;
+mod waits;
 mod worker;
 
 use std::sync::Arc;
@@ -244,6 +245,8 @@
     expired_jobs: IndexSet<JobKey>,
     /// Whether the durable roster differs from the workers in use.
     roster_dirty: bool,
+    /// When it was last reported why a step waits.
+    waits_reported: Time,
     /// How many more unhealthy workers may be probed in this pass.
     probe_slots: usize,
     /// Set when a worker has refused an order or a poll because of a higher token.
@@ -302,6 +305,7 @@
             withdrawn: IndexMap::new(),
             expired_jobs: IndexSet::new(),
             roster_dirty: false,
+            waits_reported: now,
             probe_slots: 0,
             deposed: false,
         };
@@ -417,6 +421,7 @@
                 .flat_map(|o| &o.steps)
                 .map(|s| s.waiting as usize)
                 .sum(),
+            longest_wait_ms: self.longest_ready_wait(self.last_pass).as_millis(),
             running: self.workers.values().map(|w| w.runs.len()).sum(),
             workers: self.workers.values().filter(|w| w.fenced).count(),
             sick: self
@@ -468,7 +473,12 @@
             return;
         };
         match task.state {
-            TaskState::Waiting => step.waiting -= 1,
+            TaskState::Waiting => {
+                step.waiting -= 1;
+                if step.waiting == 0 {
+                    step.wait_reported = Span::ZERO;
+                }
+            }
             TaskState::Done => step.done -= 1,
             TaskState::Placed(_) => {}
         }
@@ -512,6 +522,8 @@
     pub jobs: usize,
     /// Tasks that wait for a worker.
     pub waiting: usize,
+    /// Longest time for which a task of a ready step has waited for a worker, in milliseconds.
+    pub longest_wait_ms: u64,
     /// Runs assigned to workers, whether or not the worker has confirmed them.
     pub running: usize,
     /// Workers that have seen this term's token.
--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -5,6 +5,7 @@
 //! are placed where they interfere least with serving tasks and find idle processor time.
 //! Costs have no unit; only their order and their ratios matter.
 
+use derive_more::Display;
 use indexmap::IndexSet;
 
 use super::crash::Isolation;
@@ -88,39 +89,80 @@
     pub(crate) needs_ticket: bool,
 }
 
-/// Whether a task could start on a worker now. Does not consider tickets and interference.
-pub(crate) fn admits(
+/// Why a task can't start on a worker now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[display(rename_all = "kebab-case")]
+pub(crate) enum Obstacle {
+    /// Too little memory is free.
+    Memory,
+    /// It serves another service.
+    Service,
+    /// It is not listed, drains, has not answered, or has restarted and is not admitted yet.
+    NotReady,
+    /// It is considered unhealthy, and the task can't probe it now.
+    Unhealthy,
+    /// Its failure domain is evacuated.
+    Evacuated,
+    /// A task that may crash its worker has to be kept apart.
+    Isolation,
+    /// It lacks the required label, or is on another rack than the other members of the gang.
+    Label,
+    /// Too little processor time is free.
+    Processor,
+    /// It runs as many tasks of the step as may share a worker.
+    Spread,
+    /// It has no ticket of the policy service.
+    Ticket,
+    /// What the image takes from a serving image is unknown, and can't be tested beside it now.
+    UnknownInterference,
+    /// The image takes more headroom than the serving tasks can spare.
+    Headroom,
+}
+
+/// Why a task can't start on a worker now; `None` if it can. Does not consider tickets and
+/// interference.
+pub(crate) fn obstacle(
     worker: &Worker,
     request: &PlacementRequest<'_>,
     evacuated: &IndexSet<DomainName>,
     now: Time,
-) -> bool {
+) -> Option<Obstacle> {
     let step = request.step;
     // Most workers are full, so the cheapest check of what is free comes first.
     let capacity = worker.report.capacity;
-    if worker.load.reserved.memory + step.size.memory > capacity.memory
-        || worker.report.service != *request.service
-        || !worker.accepts_start(request.may_probe, now)
-        || evacuated.contains(&worker.report.domain)
-        || !worker.admits_isolation(request.isolation)
-    {
-        return false;
+    if worker.load.reserved.memory + step.size.memory > capacity.memory {
+        return Some(Obstacle::Memory);
+    }
+    if worker.report.service != *request.service {
+        return Some(Obstacle::Service);
+    }
+    if !worker.accepts_start(now) {
+        return Some(Obstacle::NotReady);
+    }
+    if !worker.accepts_health(request.may_probe, now) {
+        return Some(Obstacle::Unhealthy);
+    }
+    if evacuated.contains(&worker.report.domain) {
+        return Some(Obstacle::Evacuated);
+    }
+    if !worker.admits_isolation(request.isolation) {
+        return Some(Obstacle::Isolation);
     }
     if let Some(label) = &step.label
         && !worker.report.labels.contains(label)
     {
-        return false;
+        return Some(Obstacle::Label);
     }
     if let Some(rack) = request.rack
         && worker.report.rack.as_deref() != Some(rack)
     {
-        return false;
+        return Some(Obstacle::Label);
     }
     let mut size = step.size;
     if step.best_effort {
         size.cpu.0 = 0;
         if worker.load.cpu_demand.saturating_add(step.size.cpu.0) > capacity.cpu.0 {
-            return false;
+            return Some(Obstacle::Processor);
         }
     }
     let mut required = worker.load.reserved + size;
@@ -129,16 +171,15 @@
         required.cpu += Millicores(share.min(step.size.cpu.0));
     }
     if !required.fits(&worker.report.capacity) {
-        return false;
+        return Some(Obstacle::Processor);
     }
-    step.per_worker.is_none_or(|limit| {
-        let count = worker.runs.keys().filter(|t| t.step == request.key).count();
-        count < limit as usize
-    })
+    let limit = step.per_worker? as usize;
+    let count = worker.runs.keys().filter(|t| t.step == request.key).count();
+    (count >= limit).then_some(Obstacle::Spread)
 }
 
-/// Cost of a best-effort task's interference with a worker's serving tasks; `None` if it
-/// would take more headroom than they can spare. A worker runs at most one image of unknown
+/// Cost of a best-effort task's interference with a worker's serving tasks, or why it can't
+/// run beside them: it would take more headroom than they can spare. A worker runs at most one image of unknown
 /// interference at a time, and only beside jobs whose own headroom is known, so that the
 /// effect can be attributed.
 pub(crate) fn interference_cost(
@@ -146,9 +187,9 @@
     request: &PlacementRequest<'_>,
     slopes: &Slopes,
     headrooms: &Headrooms,
-) -> Option<f64> {
+) -> Result<f64, Obstacle> {
     if worker.load.serving_tasks == 0 {
-        return Some(NO_SERVING_TASKS_COST);
+        return Ok(NO_SERVING_TASKS_COST);
     }
     let image = request.step.image.clone().unwrap_or_default();
     let share = worker.cpu_share(request.step.size.cpu.0);
@@ -160,16 +201,16 @@
             .get(&entry.job)
             .is_some_and(HeadroomEstimate::is_known);
         if slope.is_unknown() && (other || !known) {
-            return None;
+            return Err(Obstacle::UnknownInterference);
         }
         let takes = slope.upper_estimate() * share;
         let left = entry.baseline(headrooms) - entry.headroom_taken - MIN_HEADROOM_AFTER_START;
         if takes > left {
-            return None;
+            return Err(Obstacle::Headroom);
         }
         highest = highest.max(takes / left);
     }
-    Some(highest)
+    Ok(highest)
 }
 
 /// Adds a best-effort run to the expected interference on its worker.
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -10,9 +10,9 @@
 use super::health;
 use super::job::TaskState;
 use super::job_spec::{JobRecord, Run, Step, StepKey, TaskKey};
-use super::placement::{self, PlacementRequest};
+use super::placement::{self, Obstacle, PlacementRequest};
 use super::rank::{self, StepRank};
-use super::worker::{RunPhase, TrackedRun};
+use super::worker::{RunPhase, TrackedRun, Worker};
 use super::{Dispatcher, Order, WorkerOrder};
 use crate::model::{Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime};
 
@@ -74,6 +74,7 @@
         if self.may_start(now) {
             self.start_ready(&mut orders, now);
         }
+        self.report_waits(now);
         orders
     }
 
@@ -400,7 +401,7 @@
 
     /// Whether a task may test the health of an unhealthy worker. A probe that fails must
     /// not use up the attempts of the task.
-    fn may_probe(&self, step: StepKey, index: u32, record: &JobRecord) -> bool {
+    pub(super) fn may_probe(&self, step: StepKey, index: u32, record: &JobRecord) -> bool {
         let spec = record.spec.steps.get(usize::from(step.step));
         let unlimited = spec.is_some_and(|s| s.long_running);
         let task = self
@@ -555,19 +556,30 @@
         now: Time,
     ) -> Option<Candidate> {
         let (_, worker) = self.workers.get_index(index)?;
-        if worker.arrival > self.confirmed {
-            return None;
-        }
+        let cost = self.assess(worker, request, now).ok()?;
+        Some(Candidate {
+            cost,
+            worker: index,
+        })
+    }
+
+    /// The cost of starting a task on a worker now, or why it can't start there.
+    pub(super) fn assess(
+        &self,
+        worker: &Worker,
+        request: &PlacementRequest<'_>,
+        now: Time,
+    ) -> Result<f64, Obstacle> {
         // The worker may have restarted since its last answer. The new incarnation would obey an
         // older leader, and late calls to the former one; the next answer names it.
-        if !worker.is_answering() {
-            return None;
+        if worker.arrival > self.confirmed || !worker.is_answering() {
+            return Err(Obstacle::NotReady);
         }
-        if !placement::admits(worker, request, &self.evacuated, now) {
-            return None;
+        if let Some(obstacle) = placement::obstacle(worker, request, &self.evacuated, now) {
+            return Err(obstacle);
         }
         if request.needs_ticket && self.ticket(request.key, worker, now).is_none() {
-            return None;
+            return Err(Obstacle::Ticket);
         }
         let mut cost = placement::cost(worker, request);
         if request.isolation > Isolation::None {
@@ -576,14 +588,11 @@
         if request.step.best_effort {
             cost += placement::interference_cost(worker, request, &self.slopes, &self.headrooms)?;
         }
-        Some(Candidate {
-            cost,
-            worker: index,
-        })
+        Ok(cost)
     }
 
     /// Valid ticket for running a step on a worker.
-    fn ticket(&self, step: StepKey, worker: &super::worker::Worker, now: Time) -> Option<&ArcStr> {
+    fn ticket(&self, step: StepKey, worker: &Worker, now: Time) -> Option<&ArcStr> {
         self.step_tickets.get(&step)?.ticket(worker, now)
     }
 
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -23,6 +23,7 @@
 mod tickets;
 mod unanswered_starts;
 mod unnoticed_restarts;
+mod waits;
 mod withdrawn_workers;
 
 pub(super) use simulation::{Simulation, job, long_running, step};
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -112,7 +112,7 @@
             needs_ticket: true,
         };
         let step_tickets = self.step_tickets.get(&key);
-        let usable = |w: &&Worker| placement::admits(w, &request, &self.evacuated, now);
+        let usable = |w: &&Worker| placement::obstacle(w, &request, &self.evacuated, now).is_none();
         let has_ticket = |w: &&Worker| step_tickets.is_some_and(|p| p.ticket(w, now).is_some());
         let denied = |w: &&Worker| step_tickets.is_some_and(|p| p.denied.contains(&w.report.name));
         if !step.gang && self.workers.values().filter(usable).any(|w| has_ticket(&w)) {
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -0,0 +1,149 @@
+//! Reports why ready steps wait for a worker.
+
+use indexmap::IndexMap;
+
+use super::Dispatcher;
+use super::crash::Isolation;
+use super::job::{Job, StepState, Task, TaskState};
+use super::job_spec::StepKey;
+use super::placement::{Obstacle, PlacementRequest};
+use super::rank;
+use crate::model::{Span, Time};
+
+/// Wait of a step's oldest task at which the first line is logged; each further one is due when
+/// the wait has doubled.
+const FIRST_REPORT: Span = Span::from_secs(2);
+
+/// Shortest time between two lines, which bounds the log while thousands of steps wait.
+const REPORT_INTERVAL: Span = Span::from_millis(500);
+
+/// What a ready step waits for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Hold {
+    /// The proof that the term is still the newest, since the leader learned of the job.
+    Confirmation,
+    /// Workers that may run tasks of earlier terms.
+    EarlierTerms,
+    /// The end of the pause after a failure.
+    Pause,
+    /// A worker; the number of workers by what rules them out. Without any, the step waits for
+    /// those that go before it, or for the other members of its gang.
+    Workers(IndexMap<Obstacle, usize>),
+}
+
+impl std::fmt::Display for Hold {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Confirmation => f.write_str("confirmation of the term"),
+            Self::EarlierTerms => f.write_str("earlier terms"),
+            Self::Pause => f.write_str("pause after a failure"),
+            Self::Workers(counts) if counts.is_empty() => f.write_str("its turn"),
+            Self::Workers(counts) => {
+                f.write_str("workers:")?;
+                for (obstacle, count) in counts {
+                    write!(f, " {obstacle}={count}")?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Time since the oldest waiting task of a step began to wait; `None` if no task waits.
+pub(super) fn longest_wait(step: &StepState, now: Time) -> Option<Span> {
+    let waiting = |t: &&Task| t.state == TaskState::Waiting;
+    let waits = step.tasks.iter().filter(waiting);
+    waits.map(|t| now.since(t.since)).max()
+}
+
+/// The wait at which a line is due after one at `reported`.
+fn next_report(reported: Span) -> Span {
+    reported.scale_up(2, 1).max(FIRST_REPORT)
+}
+
+impl Dispatcher {
+    /// Logs what the step waits for that has waited longest of those whose line is due.
+    pub(super) fn report_waits(&mut self, now: Time) {
+        if now.since(self.waits_reported) < REPORT_INTERVAL {
+            return;
+        }
+        self.waits_reported = now;
+        let due = self.ready.iter().filter_map(|key| {
+            let (_, state) = self.ready_step(*key)?;
+            let wait = longest_wait(state, now)?;
+            (wait >= next_report(state.wait_reported)).then_some((wait, *key))
+        });
+        let Some((wait, key)) = due.max() else {
+            return;
+        };
+        let Some((job, state)) = self.ready_step(key) else {
+            return;
+        };
+        let hold = self.hold(key, now).unwrap_or(Hold::Pause);
+        let occurrence = job.occurrence(key.occurrence);
+        let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), now));
+        let age = now.since(job.accepted);
+        log::info!(step:% = key, queue:% = job.record.queue.prefix, tasks = state.waiting, waited:% = wait, age:% = age, rank:? = rank, hold:% = hold; "step waits");
+        if let Some(state) = self
+            .jobs
+            .get_mut(&key.job)
+            .and_then(|j| j.step_mut(key.occurrence, key.step))
+        {
+            state.wait_reported = wait;
+        }
+    }
+
+    /// The longest time for which a task that could start has waited for a worker.
+    pub(super) fn longest_ready_wait(&self, now: Time) -> Span {
+        let ready = self.ready.iter().filter_map(|key| self.ready_step(*key));
+        let waits = ready.filter_map(|(_, state)| longest_wait(state, now));
+        waits.max().unwrap_or_default()
+    }
+
+    /// A step of a live job with waiting tasks and no open dependencies.
+    fn ready_step(&self, key: StepKey) -> Option<(&Job, &StepState)> {
+        let job = self.jobs.get(&key.job).filter(|j| j.outcome.is_none())?;
+        let occurrence = job.occurrence(key.occurrence)?;
+        let step = usize::from(key.step);
+        let state = occurrence.steps.get(step).filter(|s| s.waiting > 0)?;
+        job.is_step_ready(occurrence, step).then_some((job, state))
+    }
+
+    /// What a ready step waits for; `None` if no task of it waits.
+    pub(super) fn hold(&self, key: StepKey, now: Time) -> Option<Hold> {
+        let (job, state) = self.ready_step(key)?;
+        if job.arrival > self.confirmed {
+            return Some(Hold::Confirmation);
+        }
+        let mut waiting = state.tasks.iter().zip(0u32..);
+        let startable = |t: &Task| t.not_before <= now && (!t.inherited || self.inherited_resolved);
+        let first = waiting.find(|(t, _)| t.state == TaskState::Waiting && startable(t));
+        let spec = job.record.spec.steps.get(usize::from(key.step));
+        let (Some((task, index)), Some(step)) = (first, spec) else {
+            return Some(match self.inherited_resolved {
+                true => Hold::Pause,
+                false => Hold::EarlierTerms,
+            });
+        };
+        let isolation = task.isolation_at(step.long_running, now);
+        let request = PlacementRequest {
+            key,
+            step,
+            service: &job.record.queue.service,
+            rack: None,
+            keep_reserve: false,
+            may_probe: isolation == Isolation::None && self.may_probe(key, index, &job.record),
+            isolation,
+            needs_ticket: job.record.queue.ticket_lifetime.is_some(),
+        };
+        let mut counts: IndexMap<Obstacle, usize> = IndexMap::new();
+        for worker in self.workers.values() {
+            match self.assess(worker, &request, now) {
+                Ok(_) => return Some(Hold::Workers(IndexMap::new())),
+                Err(obstacle) => *counts.entry(obstacle).or_default() += 1,
+            }
+        }
+        counts.sort_unstable_by(|_, a, _, b| b.cmp(a));
+        Some(Hold::Workers(counts))
+    }
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -444,9 +444,15 @@
         self.health.is_unhealthy() && self.runs.values().any(|r| self.health.is_probe(r.since))
     }
 
-    /// Whether tasks may be started on the worker now. `may_probe` says whether the task may
-    /// test an unhealthy worker.
-    pub(crate) fn accepts_start(&self, may_probe: bool, now: Time) -> bool {
+    /// Whether the worker's health allows a start. `may_probe` says whether the task may test an
+    /// unhealthy worker.
+    pub(crate) fn accepts_health(&self, may_probe: bool, now: Time) -> bool {
+        !self.health.is_unhealthy()
+            || (may_probe && self.health.is_probe_due(now) && !self.is_probing())
+    }
+
+    /// Whether tasks may be started on the worker now, if its health allows it.
+    pub(crate) fn accepts_start(&self, now: Time) -> bool {
         self.listed
             && self.drain_deadline.is_none()
             && self.is_admitted()
@@ -456,8 +462,6 @@
             && self.is_report_current()
             && self.paused_until <= now
             && now.since(self.last_answer) < MAX_ANSWER_AGE
-            && (!self.health.is_unhealthy()
-                || (may_probe && self.health.is_probe_due(now) && !self.is_probing()))
     }
 }
 
