Place overdue steps in the order of their latest starts

Steps of which callers no longer wait were placed with the least remaining work first, so that each smaller job that became overdue later went before the large ones.

smaller_overdue_jobs_do_not_pass_a_large_one fails on the code before: 'assertion failed: sim.completed.contains_key(&large)'.

--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -4,7 +4,8 @@
 //! Steps that can still meet it are therefore placed before late ones. Within the same
 //! class the order is by priority of the queue, then by remaining work, least first,
 //! and then by latest start. This keeps urgent jobs responsive during a burst of batch
-//! jobs.
+//! jobs. Steps whose callers no longer wait are placed in the order of their latest starts:
+//! with the least work first, the largest would wait for as long as smaller ones follow.
 
 use std::cmp::Ordering;
 
@@ -16,7 +17,8 @@
 pub(crate) struct StepRank {
     class: RankClass,
     priority: u8,
-    /// Estimated processor time that the occurrence still needs, in core-milliseconds.
+    /// Estimated processor time that the occurrence still needs, in core-milliseconds; 0 in
+    /// the classes that are ordered by time alone.
     remaining_work: u64,
     /// Latest start at which the job can meet its objective.
     latest_start: Time,
@@ -71,7 +73,8 @@
     } else {
         RankClass::Overdue
     };
-    let remaining_work = if long_running {
+    let by_time = matches!(class, RankClass::LongRunning | RankClass::Overdue);
+    let remaining_work = if by_time {
         0
     } else {
         job.remaining_work(occurrence)
--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -152,3 +152,22 @@
     assert!(sim.completed.contains_key(&large));
     assert_eq!(sim.rejected_capacity, 0);
 }
+
+/// Guards against a large overdue job that waits for as long as smaller ones become overdue.
+#[test]
+fn smaller_overdue_jobs_do_not_pass_a_large_one() {
+    let mut sim = Simulation::new(1);
+    let work = |count| job(0, vec![step(count, 40, Span::from_secs(1))]);
+    sim.submit(1, work(1));
+    let large = sim.submit(2, work(3));
+    sim.run(Span::from_millis(100));
+    for id in 3..33 {
+        sim.submit(id, work(1));
+    }
+    // Newer work takes half of the time, so that the backlog lasts for a minute.
+    for id in 33..45 {
+        sim.run(Span::from_secs(2));
+        sim.submit(id, work(1));
+    }
+    assert!(sim.completed.contains_key(&large));
+}
