Start late best-effort steps in turn

A best-effort task was refused on each worker whose serving tasks could not spare the headroom that its image takes, whose processor time was taken by the declared sizes of others, slowed or not, or where another image was being tested. Nothing counted how often it was refused, so that 'not now' became 'never' while newer work came, and with the backlog at the end the workers were left half idle.

A late best-effort step of which nothing runs now starts one task after all others were tried, oldest step first, also where it may take more than is left, at most four on a worker and none beside a serving task above its target. While steps wait that can be in time, such runs are limited to 5 % of the number of workers. A run in turn is slowed to 20 % by the estimates, paused only by measured tails, and not moved while paused.

a_late_batch_runs_though_each_worker_refuses_its_image fails on the code before: the task has not started after 30 s (None).

--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -55,6 +55,8 @@
     pub(crate) waiting: u32,
     /// Wait of its oldest task when it was last reported what the step waits for.
     pub(crate) wait_reported: Span,
+    /// When it was its turn last and no worker was found.
+    pub(crate) turn_refused: Option<Time>,
 }
 
 impl StepState {
@@ -88,6 +90,7 @@
             done,
             waiting,
             wait_reported: Span::ZERO,
+            turn_refused: None,
         }
     }
 
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -25,6 +25,7 @@
 #[cfg(test)]
 mod tests;
 mod tickets;
+mod turns;
 mod voters;
 mod waits;
 mod worker;
--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -152,10 +152,11 @@
                     (false, true) => new_pace.min(tracked.pace / 2),
                     (false, false) => new_pace,
                 };
-                let new_pace = if new_pace < MIN_PACE_PERCENT {
-                    0
-                } else {
-                    new_pace
+                let new_pace = match new_pace < MIN_PACE_PERCENT {
+                    // A task that starts in turn would not run anywhere by the estimates.
+                    true if tracked.in_turn && above_target.is_none() => MIN_PACE_PERCENT,
+                    true => 0,
+                    false => new_pace,
                 };
                 let interval_over = now.since(tracked.pace_changed) >= RAISE_INTERVAL;
                 let raise = interval_over
@@ -182,7 +183,8 @@
                 };
                 let paused =
                     tracked.pace == 0 && now.since(tracked.pace_changed) > PAUSED_TASK_TIMEOUT;
-                if paused && !pause_all && has_checkpoints() == Some(true) {
+                let may_move = !pause_all && !tracked.in_turn;
+                if paused && may_move && has_checkpoints() == Some(true) {
                     log::info!(task:% = task, worker:% = name; "stopping a paused best-effort task to move it to another worker");
                     tracked.must_stop = true;
                 }
--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -11,6 +11,7 @@
 use super::crash::Isolation;
 use super::job_spec::{Step, StepKey};
 use super::pace::Headrooms;
+use super::turns::MAX_TURNS_PER_WORKER;
 use super::worker::{JobInterference, TrackedRun, Worker};
 use crate::model::{DomainName, Millicores, ServiceName, Time};
 use crate::place::headroom::{HeadroomEstimate, Slopes};
@@ -60,6 +61,10 @@
 /// of 1 means a tail latency at the target.
 const MIN_HEADROOM_AFTER_START: f64 = 1.45;
 
+/// Least headroom left by which the cost of a best-effort task is calculated. Bounds the cost on
+/// a worker without any, where a task may start in turn.
+const MIN_HEADROOM_LEFT: f64 = 0.05;
+
 /// Cost of placing a task that may crash its worker, for each full worker that would be lost.
 /// Outweighs the capacity left unused, so that little else is lost.
 const EXPOSURE_COST: f64 = 4.0;
@@ -87,6 +92,19 @@
     pub(crate) isolation: Isolation,
     /// Whether only workers with a ticket of the policy service may run the tasks.
     pub(crate) needs_ticket: bool,
+    /// Whether the tasks start in turn, also where they may take more headroom or processor time
+    /// than is left.
+    pub(crate) in_turn: bool,
+}
+
+impl PlacementRequest<'_> {
+    /// Whether a task may take more headroom or processor time from a worker than is left. It
+    /// must not where a serving task is above its target already.
+    fn may_exceed(&self, worker: &Worker) -> bool {
+        self.in_turn
+            && worker.load.turn_tasks < MAX_TURNS_PER_WORKER
+            && worker.runs.values().all(|r| r.above_target.is_none())
+    }
 }
 
 /// Why a task can't start on a worker now.
@@ -161,7 +179,8 @@
     let mut size = step.size;
     if step.best_effort {
         size.cpu.0 = 0;
-        if worker.load.cpu_demand.saturating_add(step.size.cpu.0) > capacity.cpu.0 {
+        let demand = worker.load.cpu_demand.saturating_add(step.size.cpu.0);
+        if demand > capacity.cpu.0 && !request.may_exceed(worker) {
             return Some(Obstacle::Processor);
         }
     }
@@ -200,15 +219,15 @@
         let known = headrooms
             .get(&entry.job)
             .is_some_and(HeadroomEstimate::is_known);
-        if slope.is_unknown() && (other || !known) {
+        if slope.is_unknown() && (other || !known) && !request.may_exceed(worker) {
             return Err(Obstacle::UnknownInterference);
         }
         let takes = slope.upper_estimate() * share;
         let left = entry.baseline(headrooms) - entry.headroom_taken - MIN_HEADROOM_AFTER_START;
-        if takes > left {
+        if takes > left && !request.may_exceed(worker) {
             return Err(Obstacle::Headroom);
         }
-        highest = highest.max(takes / left);
+        highest = highest.max(takes / left.max(MIN_HEADROOM_LEFT));
     }
     Ok(highest)
 }
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -269,9 +269,11 @@
         let probing = in_use.clone().filter(|w| w.is_probing()).count();
         self.probe_slots = health::probe_slots(in_use.count(), probing);
         let mut unplaced = UnplacedSizes::default();
-        for (_, key) in ranked {
-            self.start_step(key, &mut unplaced, orders, now);
+        for (_, key) in &ranked {
+            self.start_step(*key, &mut unplaced, orders, now);
         }
+        let long_running = ranked.partition_point(|(rank, _)| rank.is_long_running());
+        self.start_in_turn(&ranked[long_running..], orders, now);
     }
 
     /// Starts as many tasks of a step as the workers have capacity for.
@@ -281,6 +283,28 @@
         unplaced: &mut UnplacedSizes,
         orders: &mut Vec<WorkerOrder>,
         now: Time,
+    ) {
+        self.start_waiting(key, false, unplaced, orders, now);
+    }
+
+    /// Starts one task of a step in turn.
+    pub(super) fn start_step_in_turn(
+        &mut self,
+        key: StepKey,
+        orders: &mut Vec<WorkerOrder>,
+        now: Time,
+    ) {
+        self.start_waiting(key, true, &mut UnplacedSizes::default(), orders, now);
+    }
+
+    /// Starts waiting tasks of a step, of which only one if it is the step's turn.
+    fn start_waiting(
+        &mut self,
+        key: StepKey,
+        in_turn: bool,
+        unplaced: &mut UnplacedSizes,
+        orders: &mut Vec<WorkerOrder>,
+        now: Time,
     ) {
         let Some(record) = self.job_record(key.job) else {
             return;
@@ -301,11 +325,14 @@
                 && t.not_before <= now
                 && (!t.inherited || self.inherited_resolved)
         };
-        let waiting: Vec<u32> = (0u32..)
+        let mut waiting: Vec<u32> = (0u32..)
             .zip(&state.tasks)
             .filter(|(_, t)| startable(t))
             .map(|(i, _)| i)
             .collect();
+        if in_turn {
+            waiting.truncate(1);
+        }
         if step.gang && waiting.len() < step.count as usize {
             return;
         }
@@ -348,6 +375,7 @@
             may_probe: others.iter().all(|i| self.may_probe(key, *i, &record)),
             isolation: Isolation::None,
             needs_ticket: record.queue.ticket_lifetime.is_some(),
+            in_turn,
         };
         if !self.start_tasks(&others, &request, &record, orders, now) {
             unplaced.add(step, &record, keep_reserve);
@@ -392,6 +420,9 @@
             let task = TaskKey { step: key, index };
             let run = self.next_run(&[task]);
             self.start(&name, task, run, record, step, orders, now);
+            if request.in_turn {
+                self.mark_in_turn(&name, task);
+            }
             candidates.extend(self.candidate(best.worker, request, now).map(Reverse));
             *tasks_by_worker.entry(name).or_default() += 1;
         }
@@ -399,6 +430,16 @@
         complete
     }
 
+    fn mark_in_turn(&mut self, name: &WorkerName, task: TaskKey) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if let Some(tracked) = worker.runs.get_mut(&task) {
+            tracked.in_turn = true;
+        }
+        worker.update_load();
+    }
+
     /// Whether a task may test the health of an unhealthy worker. A probe that fails must
     /// not use up the attempts of the task.
     pub(super) fn may_probe(&self, step: StepKey, index: u32, record: &JobRecord) -> bool {
@@ -506,6 +547,7 @@
             may_probe: (0..step.count).all(|i| self.may_probe(key, i, record)),
             isolation: self.gang_isolation(key, now),
             needs_ticket: record.queue.ticket_lifetime.is_some(),
+            in_turn: false,
         };
         let mut chosen = Vec::new();
         for index in 0..step.count {
@@ -622,6 +664,7 @@
             stop_pending: false,
             stop_confirmed: None,
             must_stop: false,
+            in_turn: false,
             percent: 0,
             last_progress: now,
             usage: 0,
--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -24,6 +24,21 @@
     latest_start: Time,
 }
 
+impl StepRank {
+    pub(crate) fn is_long_running(&self) -> bool {
+        self.class == RankClass::LongRunning
+    }
+
+    /// Whether the objective of the job is missed.
+    pub(crate) fn is_late(&self) -> bool {
+        matches!(self.class, RankClass::Late | RankClass::Overdue)
+    }
+
+    pub(crate) fn latest_start(&self) -> Time {
+        self.latest_start
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum RankClass {
     /// Long-running tasks. They are few, and every second without them counts.
--- a/crates/jujubelb/src/dispatch/tests/interference.rs
+++ b/crates/jujubelb/src/dispatch/tests/interference.rs
@@ -114,3 +114,38 @@
     assert_eq!(workers(1).len(), 1);
     assert_ne!(workers(0), workers(1));
 }
+
+/// Guards against a best-effort job that never runs: its image takes more headroom than the
+/// serving tasks on each worker can spare, and newer jobs use the processor time.
+#[test]
+fn a_late_batch_runs_though_each_worker_refuses_its_image() {
+    let mut sim = Simulation::new(2);
+    let mut serving = long_running(2, 10);
+    serving.size.memory = Bytes::from_gib(100);
+    sim.submit(1, job(0, vec![serving.clone()]));
+    sim.submit(2, job(0, vec![serving]));
+    sim.run(BASELINE);
+    let image = |name: &str, count| Step {
+        image: Some(name.into()),
+        ..best_effort(count, 6, Span::from_secs(1))
+    };
+    // Both images run once, so that their interference is known.
+    for (id, name) in [(3, "light"), (4, "heavy")] {
+        sim.submit(id, job(2, vec![image(name, 2)]));
+        sim.run(Span::from_secs(4));
+    }
+    let heavy = sim.submit(5, job(2, vec![image("heavy", 2)]));
+    let submitted = sim.now;
+    for id in 6..36 {
+        sim.submit(id, job(2, vec![image("light", 16)]));
+        sim.run(Span::from_secs(1));
+    }
+    let starts = sim.starts.iter();
+    let first = starts
+        .filter(|(_, _, t, _)| t.step.job == heavy)
+        .map(|s| s.0);
+    let waited = first.min().map(|at| at.since(submitted));
+    assert!(waited.is_some_and(|w| w < Span::from_secs(5)), "{waited:?}");
+    assert!(sim.completed.contains_key(&heavy));
+    assert!(sim.longest_violation < Span::from_secs(4));
+}
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -110,6 +110,7 @@
             may_probe: false,
             isolation: Isolation::None,
             needs_ticket: true,
+            in_turn: false,
         };
         let step_tickets = self.step_tickets.get(&key);
         let usable = |w: &&Worker| placement::obstacle(w, &request, &self.evacuated, now).is_none();
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -101,7 +101,7 @@
     }
 
     /// A step of a live job with waiting tasks and no open dependencies.
-    fn ready_step(&self, key: StepKey) -> Option<(&Job, &StepState)> {
+    pub(super) fn ready_step(&self, key: StepKey) -> Option<(&Job, &StepState)> {
         let job = self.jobs.get(&key.job).filter(|j| j.outcome.is_none())?;
         let occurrence = job.occurrence(key.occurrence)?;
         let step = usize::from(key.step);
@@ -135,6 +135,7 @@
             may_probe: isolation == Isolation::None && self.may_probe(key, index, &job.record),
             isolation,
             needs_ticket: job.record.queue.ticket_lifetime.is_some(),
+            in_turn: false,
         };
         let mut counts: IndexMap<Obstacle, usize> = IndexMap::new();
         for worker in self.workers.values() {
