Keep sound tasks off workers that have just come up after a crash

What callers saw: jobs shown as `failed` though no run of them had ended `failed`.

Cause: a crash counted against each task that had just started, whatever the worker did without it. That a worker had restarted recently was only a cost, so tasks whose label leaves no other worker started on the flapping ones each time these came up, and were given up after three crashes on two addresses. Long-running tasks were given up as well, though they have to be restarted however they end. Ruled out: failed runs (none ended `failed`), and crashes that are counted twice (five crashes of each worker, three counted starts).

A task with a crash now starts only on a worker that has been up for 2 s, and a finite one with two crashes only on a worker that has been up for 20 s. A worker that crashes without the task is never up for so long, so its crashes no longer add up. Long-running tasks are never given up: after the second crash they start at most once in 1.5 s, then 3 s, then 6 s, and only the last four crashes are stored. A task with crashes goes to the worker where least is lost; the gain of gathering serving tasks drew a long-running one to the workers with most work each time.

No existing test is changed.

--- a/crates/jujubelb/src/dispatch/crash.rs
+++ b/crates/jujubelb/src/dispatch/crash.rs
@@ -3,18 +3,21 @@
 //! A crash says nothing about the cause: the task that just started, another one beside it,
 //! or the host. Each crash is therefore counted against every run that had not outlived its
 //! probation, and the next starts of these tasks are kept apart, so that the next crash
-//! concerns only one of them.
+//! concerns only one of them. They also wait for a worker that has been up for some time: a
+//! worker that crashes again and again for another reason is never up for so long, so its
+//! crashes don't add up against the tasks that need it.
 //!
 //! | crashes counted against a task | next start |
 //! |---|---|
 //! | none | anywhere |
-//! | 1 | on a worker without another such task on probation |
-//! | 2 or more | on a worker on which nothing else has just started, and nothing starts beside it during its probation |
-//! | [`MAX_CRASHES`] on several workers, or [`MAX_CRASHES_IN_ALL`] | none; the job fails |
+//! | 1 | on a worker that has been up for [`MIN_UPTIME`], without another such task on probation |
+//! | 2 or more | on a worker on which nothing else has just started, and nothing starts beside it during its probation; up for [`MIN_UPTIME`] and after a growing interval for a long-running task, up for [`STABLE_UPTIME`] for a finite one |
+//! | [`MAX_CRASHES`] on several workers, or [`MAX_CRASHES_IN_ALL`] | as above for a long-running task; none for a finite one, whose job fails |
 //!
 //! Of the workers that qualify, one with few runs that has not restarted recently is preferred.
-//! If none qualifies for some time, the task starts where the fewest such tasks are. A run that
-//! outlives [`PROBATION`] clears its task: the count starts anew.
+//! If none qualifies for some time, the task starts where the fewest such tasks are; the worker
+//! still has to have been up for as long. A run that outlives [`PROBATION`] clears its task:
+//! the count starts anew.
 //!
 //! A worker that refuses connections, or that neither answers nor is listed, is assumed to have
 //! crashed. The crash counts at once and is durable with the job; it is taken back when the
@@ -30,32 +33,57 @@
 use super::poll::PollReply;
 use super::progress::{Crash, CrashDetail, JobOutcome};
 use super::worker::{RunPhase, TrackedRun, Worker};
-use crate::model::{Span, Time, WorkerName};
+use crate::model::{Span, Time, WorkerName, WorkerTime};
 
 /// How long a worker has to list a run before its crash is not counted against the run. A
 /// task that crashes its worker does so within milliseconds of its start.
 const PROBATION: Span = Span::from_millis(500);
 
-/// Crashes on more than one worker after which a task is given up. A coincidence of three
-/// crashes, each right after a start of the same task and the last two without another
-/// suspect beside it, is unlikely.
+/// Crashes on more than one worker after which a finite task is given up. A coincidence of
+/// three crashes, each right after a start of the same task and the last two on workers that
+/// had been up for some time and without another suspect beside it, is unlikely.
 const MAX_CRASHES: usize = 3;
 
-/// Crashes after which a task is given up even if all were on the same worker, which may
-/// crash without the task.
+/// Crashes after which a finite task is given up even if all were on the same worker, which
+/// may crash without the task.
 const MAX_CRASHES_IN_ALL: usize = 4;
 
+/// How long a worker has to be up before a suspect starts on it: longer than the period of
+/// workers that go down and up by turns, 1.4 s. A long-running task has to run again within 7 s
+/// after the last worker that it may use has come back, of which up to 1 s passes until the
+/// leader notices.
+const MIN_UPTIME: Span = Span::from_secs(2);
+
+/// How long a worker has to be up before a finite task with two crashes starts on it, since
+/// the next crash may end its job. Far longer than [`MIN_UPTIME`], so that a worker that
+/// crashes each time it has been up for a while does not crash at both starts.
+const STABLE_UPTIME: Span = Span::from_secs(20);
+
+/// A worker that first answers this long after the beginning of a term is taken for one that
+/// has just come up. The others may have been up for long.
+const FIRST_ANSWER_TIME: Span = Span::from_secs(2);
+
 /// How long a task waits for a worker that qualifies. Long-running tasks have to run again
 /// within 6 s.
 const MAX_ISOLATION_WAIT: Span = Span::from_millis(2_500);
 
-/// How long a finite task waits for a worker that qualifies after two crashes. Being late
-/// costs its caller less than being given up because of another task.
-const MAX_FINITE_ISOLATION_WAIT: Span = Span::from_secs(15);
+/// How long a finite task waits for a worker that qualifies after two crashes, 15 s longer than
+/// a worker takes to be up for [`STABLE_UPTIME`]. Being late costs its caller less than being
+/// given up because of another task.
+const MAX_FINITE_ISOLATION_WAIT: Span = Span::from_secs(35);
 
-/// How long after its restart a worker is avoided by tasks on probation. A worker that
-/// crashes again and again must not make them look faulty.
-const RECENT_RESTART: Span = Span::from_secs(20);
+/// Shortest time between two starts of a long-running task, which is never given up, after its
+/// second crash; doubles with each further crash.
+const MIN_START_INTERVAL: Span = Span::from_millis(1_500);
+
+/// Upper bound for the time between two starts of a long-running task that has crashes. A sound
+/// one has to run again within 6 s after its last run.
+const MAX_START_INTERVAL: Span = Span::from_secs(6);
+
+/// Cost of placing a task that may crash its worker beside others, for each full worker that
+/// would be lost. Far higher than the gain of gathering serving tasks, which would otherwise
+/// draw the task to the workers with most of them.
+const LOSS_COST: f64 = 16.0;
 
 /// How far a task is kept apart from others because it may crash its worker.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -65,6 +93,8 @@
     None,
     /// No worker qualified in time, so the task starts where the fewest suspects are.
     Spread,
+    /// The same after two crashes of a finite task.
+    SpreadStable,
     /// Not beside another suspect on probation.
     Apart,
     /// Not beside any run that has just started.
@@ -90,6 +120,16 @@
     starts >= MAX_CRASHES_IN_ALL || (starts >= MAX_CRASHES && several)
 }
 
+/// Shortest time between two starts of a long-running task after this many crashes.
+fn start_interval(crashes: usize) -> Span {
+    match crashes {
+        0 | 1 => Span::ZERO,
+        2 => MIN_START_INTERVAL,
+        3 => MIN_START_INTERVAL.scale_up(2, 1),
+        _ => MAX_START_INTERVAL,
+    }
+}
+
 /// What shows that a worker has crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[display(rename_all = "lowercase")]
@@ -120,13 +160,29 @@
     /// How far a start of the task is kept apart from others now.
     pub(crate) fn isolation_at(&self, long_running: bool, now: Time) -> Isolation {
         let isolation = self.isolation();
-        let wait = match (isolation, long_running) {
-            (Isolation::Alone, false) => MAX_FINITE_ISOLATION_WAIT,
-            _ => MAX_ISOLATION_WAIT,
+        let (wait, fallback) = match (isolation, long_running) {
+            (Isolation::Alone, false) => (MAX_FINITE_ISOLATION_WAIT, Isolation::SpreadStable),
+            _ => (MAX_ISOLATION_WAIT, Isolation::Spread),
         };
         match now.since(self.since) <= wait {
             true => isolation,
-            false => isolation.min(Isolation::Spread),
+            false => isolation.min(fallback),
+        }
+    }
+}
+
+impl Isolation {
+    /// Whether the task starts where the fewest suspects are, since no worker qualified in time.
+    pub(crate) fn is_spread(self) -> bool {
+        matches!(self, Self::Spread | Self::SpreadStable)
+    }
+
+    /// How long a worker has to be up before a task that is kept apart this far starts on it.
+    fn min_uptime(self, long_running: bool) -> Span {
+        match (self, long_running) {
+            (Self::None, _) => Span::ZERO,
+            (Self::SpreadStable | Self::Alone, false) => STABLE_UPTIME,
+            _ => MIN_UPTIME,
         }
     }
 }
@@ -135,7 +191,9 @@
     /// Whether a task that is kept apart this far may start on the worker.
     pub(crate) fn admits_isolation(&self, isolation: Isolation) -> bool {
         match isolation {
-            Isolation::None | Isolation::Spread => self.load.lone_suspects == 0,
+            Isolation::None | Isolation::Spread | Isolation::SpreadStable => {
+                self.load.lone_suspects == 0
+            }
             Isolation::Apart => self.load.suspects == 0,
             Isolation::Alone => {
                 let mut runs = self.runs.values();
@@ -144,9 +202,15 @@
         }
     }
 
+    /// Cost of losing what runs on the worker, if a task crashes it.
+    pub(crate) fn loss_cost(&self) -> f64 {
+        let used = self.load.reserved.cpu.0.max(self.load.cpu_demand);
+        LOSS_COST * self.cpu_share(used)
+    }
+
     /// Whether the current incarnation has answered for a short time only.
     pub(crate) fn has_restarted_recently(&self, now: Time) -> bool {
-        now.since(self.answering_since) < RECENT_RESTART
+        now.since(self.answering_since) < STABLE_UPTIME
     }
 
     /// Runs of the previous incarnation that had not outlived their probation. `sent` is when
@@ -177,6 +241,22 @@
 }
 
 impl Dispatcher {
+    /// Whether a worker has been up for long enough for a task that is kept apart this far.
+    /// Its clock starts with its incarnation.
+    pub(super) fn is_up_long_enough(
+        &self,
+        worker: &Worker,
+        isolation: Isolation,
+        long_running: bool,
+        now: Time,
+    ) -> bool {
+        let required = isolation.min_uptime(long_running);
+        let is_new = worker.answering_since > self.began + FIRST_ANSWER_TIME;
+        let clock = worker.min_clock(now).unwrap_or(WorkerTime::ZERO);
+        clock >= WorkerTime::ZERO + required
+            && (!is_new || now.since(worker.answering_since) >= required)
+    }
+
     /// Counts the crash of a worker that has restarted against the runs that had just
     /// started on it.
     pub(super) fn count_crash(&mut self, name: &WorkerName, sent: Time, reply: &PollReply) {
@@ -350,11 +430,14 @@
             return;
         };
         let (address, incarnation) = (worker.report.address, worker.incarnation);
+        let tracked = worker.runs.get(&key).filter(|r| r.run == run);
+        let began = tracked.map_or(Time::ZERO, |r| r.since);
         let counted = self.counted_task(key);
         let Some(job) = self.jobs.get_mut(&key.step.job) else {
             return;
         };
         let live = job.outcome.is_none();
+        let long_running = job.is_long_running(key.step.step);
         let Some(task) = job.task_mut(counted) else {
             return;
         };
@@ -367,6 +450,17 @@
         }
         task.crashes.push(crash.clone());
         let crashes = crashed_starts(&task.crashes);
+        let mut dropped = Vec::new();
+        if long_running {
+            task.not_before = began + start_interval(crashes);
+            // Further crashes change nothing, and would make the stored state grow without end.
+            while crashed_starts(&task.crashes) > MAX_CRASHES_IN_ALL {
+                dropped.push(task.crashes.remove(0));
+            }
+        }
+        let is_dropped =
+            |d: &CrashDetail| d.task(key.step.job) == counted && dropped.contains(&d.crash);
+        job.crash_details.retain(|d| !is_dropped(d));
         let is_assumed = evidence == Evidence::Silence;
         job.crash_details.push(CrashDetail {
             occurrence: counted.step.occurrence,
@@ -385,13 +479,15 @@
         log::info!(task:% = key, run:% = run, worker:% = name, crashes = crashes, evidence:% = evidence; "worker crashed or was lost shortly after it started the task");
     }
 
-    /// Whether a task that could start now is given up instead. A task can start when the
+    /// Whether a finite task that could start now is given up instead. A task can start when the
     /// leases of the workers that it was on have ended, so that what the store says of them
     /// is newer than their crash.
     pub(super) fn is_faulty(&self, key: TaskKey) -> bool {
         let counted = self.counted_task(key);
         let job = self.jobs.get(&key.step.job);
-        let crashes = job.and_then(|j| Some((j, &j.task(counted)?.crashes)));
+        // A long-running task has to be restarted however its runs end.
+        let finite = job.filter(|j| !j.is_long_running(key.step.step));
+        let crashes = finite.and_then(|j| Some((j, &j.task(counted)?.crashes)));
         let Some((job, crashes)) = crashes.filter(|(_, c)| c.len() >= MAX_CRASHES) else {
             return false;
         };
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -238,6 +238,11 @@
         self.occurrences.iter().find(|o| o.number == number)
     }
 
+    pub(crate) fn is_long_running(&self, step: u16) -> bool {
+        let spec = self.record.spec.steps.get(usize::from(step));
+        spec.is_some_and(|s| s.long_running)
+    }
+
     pub(crate) fn step(&self, occurrence: u32, step: u16) -> Option<&StepState> {
         self.occurrence(occurrence)?.steps.get(usize::from(step))
     }
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -355,8 +355,8 @@
             request.isolation = isolation;
             // A probe of a worker should not be a task that may crash it, unless no other
             // worker qualifies.
-            request.may_probe = isolation == Isolation::Spread
-                && tasks.iter().all(|i| self.may_probe(key, *i, &record));
+            request.may_probe =
+                isolation.is_spread() && tasks.iter().all(|i| self.may_probe(key, *i, &record));
             self.start_tasks(&tasks, &request, &record, orders, now);
         }
     }
@@ -569,9 +569,13 @@
         if request.needs_ticket && self.ticket(request.key, worker, now).is_none() {
             return None;
         }
+        let long_running = request.step.long_running;
+        if !self.is_up_long_enough(worker, request.isolation, long_running, now) {
+            return None;
+        }
         let mut cost = placement::cost(worker, request);
         if request.isolation > Isolation::None {
-            cost += placement::exposure_cost(worker, now);
+            cost += placement::exposure_cost(worker, now) + worker.loss_cost();
         }
         if request.step.best_effort {
             cost += placement::interference_cost(worker, request, &self.slopes, &self.headrooms)?;
--- a/crates/jujubelb/src/dispatch/tests/crashes.rs
+++ b/crates/jujubelb/src/dispatch/tests/crashes.rs
@@ -1,12 +1,14 @@
 //! Tasks that crash the workers that start them, and crashes that have another cause.
 
+use arcstr::ArcStr;
+
 use super::simulation::{Fault, Return};
 use super::{Simulation, job, long_running, step};
 use crate::dispatch::confirmation::Arrival;
 use crate::dispatch::crash::Isolation;
 use crate::dispatch::job::Job;
 use crate::dispatch::progress::{Crash, OccurrenceProgress, Progress, StepProgress, TaskCrashes};
-use crate::dispatch::{JobKey, JobStatus, Run, TaskKey};
+use crate::dispatch::{JobKey, JobStatus, Run, Step, TaskKey};
 use crate::model::{Span, Time, WorkerName};
 
 /// The platform's rule: after three crashes under a task, it may start twice more.
@@ -199,3 +201,51 @@
     let isolation = job.task(task).map(|t| t.isolation_at(false, now));
     assert_eq!(isolation, Some(Isolation::Alone));
 }
+
+/// Guards against giving up such a task. The simulation limits its starts per minute.
+#[test]
+fn a_long_running_task_that_crashes_workers_is_started_rarely_and_alone() {
+    for back in [Return::SameName, Return::NewName] {
+        let mut sim = Simulation::new(8);
+        sim.back = back;
+        // Four workers have much to do, the others nothing.
+        let sound = sim.submit(1, job(0, vec![long_running(4, 48)]));
+        sim.run(Span::from_secs(3));
+        assert_eq!(sim.running(sound), 4);
+        let faulty = sim.submit(2, job(0, vec![long_running(1, 4)]));
+        sim.faulty.insert(first_task(faulty));
+        sim.run(Span::from_secs(120));
+        assert_eq!(sim.dispatcher.job_status(faulty), Some(JobStatus::Running));
+        assert_eq!(sim.running(sound), 4);
+        let lost: Vec<u64> = sim.lost_cores.iter().map(|(_, cores)| *cores).collect();
+        assert!(lost[1..].iter().all(|cores| *cores <= 4), "{lost:?}");
+        assert!(sim.states[&faulty].crashes[0].crashes.len() <= 4);
+        assert!(sim.states[&faulty].crash_details.len() <= 4);
+        // It runs once its fault is mended.
+        sim.faulty.clear();
+        sim.run(Span::from_secs(10));
+        assert_eq!(sim.running(faulty), 1);
+    }
+}
+
+/// Guards against a wait without end for workers that have been up for long.
+#[test]
+fn a_task_that_crashes_the_few_workers_with_its_label_is_given_up() {
+    for labelled in [1, 2, 3] {
+        let mut sim = Simulation::new(8);
+        for i in 0..labelled {
+            sim.worker(i).report.labels.push(ArcStr::from("b"));
+        }
+        sim.list_workers();
+        let label = Some(ArcStr::from("b"));
+        let step = Step {
+            label,
+            ..step(2, 4, Span::from_secs(1))
+        };
+        let faulty = sim.submit(1, job(0, vec![step]));
+        sim.faulty.insert(first_task(faulty));
+        sim.run(Span::from_secs(90));
+        assert_eq!(sim.dispatcher.job_status(faulty), Some(JobStatus::Failed));
+        assert!(starts(&sim, first_task(faulty)) <= MAX_STARTS);
+    }
+}
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod encoding;
 mod extreme_jobs;
+mod flapping_workers;
 mod gangs;
 mod health;
 mod interference;
