Let a task wait again when none of its runs is left

A task of an accepted job could stay assigned for good, with no run on any worker: its job is running, and neither waiting nor running counts the task. A long-running task could start beside a run of it.

Cause: the end of a run made its task wait again only if the number was the highest one seen of the task and the worker the one that the task was assigned to. A new leader can find two runs: a poll of the former leader is still answered after the next one has fenced the worker, and if it reports an end, the former leader starts the task on a worker that is not fenced yet. The new leader is then assigned the first run that it hears of, and the later one, found running or ended, raises the number, so the end of neither matched. With the lists in the other order, the end of the one made the task wait while the other was still listed. For a long-running task, any end reported as done did.

Ruled out: the ends that workers and calls report all pass through release; no other place sets a task to waiting. A start is planned only for waiting tasks, so a second run is tracked only by adopt.

Why this works: a task waits again exactly when no worker tracks a run of it. Only tasks of which a second run was found are looked for on all workers.

Evidence: tests/second_runs.rs.

--- a/crates/jujubelb/src/dispatch/completion.rs
+++ b/crates/jujubelb/src/dispatch/completion.rs
@@ -5,6 +5,7 @@
 use super::job_spec::{JobKey, Run, TaskKey};
 use super::poll::{RunCompletion, RunOutcome};
 use super::progress::JobOutcome;
+use super::worker::Worker;
 use crate::model::{Span, Time, WorkerName};
 
 /// Pause before a failed task starts again, so that a short fault does not use up all
@@ -52,22 +53,32 @@
             }
             RunOutcome::Failed => self.task_failed(worker, completion.task, completion.run, now),
             RunOutcome::Stopped | RunOutcome::Lapsed | RunOutcome::Broken | RunOutcome::Alone => {
-                self.release(worker, completion.task, completion.run);
+                self.release(completion.task);
             }
         }
     }
 
-    /// Returns a task to the waiting state if the run that ended is its current one.
-    pub(super) fn release(&mut self, worker: &WorkerName, key: TaskKey, run: Run) {
-        let Some(job) = self.jobs.get(&key.step.job) else {
+    /// Returns an assigned task to the waiting state, unless a worker still tracks a run of it.
+    ///
+    /// The number of the run that has ended does not matter: a new leader may find two runs of a
+    /// task, and either may be the last one to end.
+    pub(super) fn release(&mut self, key: TaskKey) {
+        let task = self.jobs.get(&key.step.job).and_then(|j| j.task(key));
+        let Some((TaskState::Placed(name), shared)) = task.map(|t| (&t.state, t.shared)) else {
             return;
         };
-        let Some(task) = job.task(key) else {
+        let tracks = |w: &Worker| w.runs.contains_key(&key);
+        if self.workers.get(name).is_some_and(tracks) {
             return;
-        };
-        if task.run == run && task.state == TaskState::Placed(worker.clone()) {
-            self.set_state(key, TaskState::Waiting);
         }
+        // Only a task of which a second run was found can have runs on other workers.
+        let mut workers = self.workers.iter();
+        let other = shared.then(|| workers.find(|(_, w)| tracks(w)));
+        let state = match other.flatten() {
+            Some((other, _)) => TaskState::Placed(other.clone()),
+            None => TaskState::Waiting,
+        };
+        self.set_state(key, state);
     }
 
     /// Records a successful run as evidence of the worker's health. `began` is when its start
@@ -89,7 +100,7 @@
         };
         if step.long_running {
             // A long-running task is restarted whatever its outcome.
-            self.set_state(key, TaskState::Waiting);
+            self.release(key);
             return;
         }
         self.set_state(key, TaskState::Done);
@@ -151,7 +162,7 @@
             task.not_before = now + RETRY_PAUSE;
         }
         self.mark_dirty(key.step.job);
-        self.release(worker, key, run);
+        self.release(key);
         if failures >= record.queue.attempts as usize && !step.long_running {
             log::info!(job:% = key.step.job, task:% = key, failures = failures; "job failed: a task has used up its attempts");
             self.finish(key.step.job, JobOutcome::Failed, now);
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -14,9 +14,9 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum TaskState {
-    /// Not assigned to a worker.
+    /// Not assigned to a worker. No worker tracks a run of it while its job has not ended.
     Waiting,
-    /// Assigned to this worker, which may or may not have started it.
+    /// Assigned to this worker, which tracks a run of it that may or may not have started.
     Placed(WorkerName),
     /// Has succeeded.
     Done,
@@ -27,6 +27,9 @@
     pub(crate) state: TaskState,
     /// Highest run number that was ordered or seen on a worker.
     pub(crate) run: Run,
+    /// Whether a run was found on a worker while the task was assigned already. Several workers
+    /// may then track runs of it, until it waits again.
+    pub(crate) shared: bool,
     /// Failed runs, without duplicates.
     pub(crate) failed: Vec<Run>,
     pub(crate) checkpoint: Option<ArcStr>,
@@ -60,6 +63,7 @@
         let task = Task {
             state: TaskState::Waiting,
             run: Run(0),
+            shared: false,
             failed: Vec::new(),
             checkpoint: None,
             crashes: Vec::new(),
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -479,6 +479,7 @@
         }
         let is_waiting = state == TaskState::Waiting;
         task.state = state;
+        task.shared &= !is_waiting;
         task.since = now;
         if is_waiting && live {
             self.ready.insert(key.step);
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -339,7 +339,7 @@
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.arrival = arrival;
         }
-        self.release(name, task, run);
+        self.release(task);
     }
 
     /// Processes a run that a worker lists as running.
@@ -420,6 +420,7 @@
                 Some(task) => {
                     let is_waiting = task.state == TaskState::Waiting;
                     must_stop |= !is_waiting;
+                    task.shared |= !is_waiting;
                     task.run = task.run.max(row.run);
                     if is_waiting && live {
                         self.set_state(row.task, TaskState::Placed(name.clone()));
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -154,7 +154,7 @@
         worker.paused_until = worker.paused_until.max(now + pause);
         worker.runs.shift_remove(&task);
         worker.update_load();
-        self.release(name, task, run);
+        self.release(task);
         if let Some(task) = self
             .jobs
             .get_mut(&task.step.job)
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -18,6 +18,7 @@
 mod overlapping_terms;
 mod paused_leaders;
 mod queueing;
+mod second_runs;
 mod stops;
 mod succession;
 mod tickets;
