Do not let a step without tickets hide other steps

A job of a queue without a policy service waited for as long as a step of the same size or a smaller one that goes first had no tickets, although all workers were free.

Cause: when a step is left unplaced, the rest of the pass skips steps of the service that are at least as large. Steps with a label or a limit per worker are excepted, because they say nothing about the room of other workers; steps that need tickets were not. A policy service that is slow, allows few workers, or does not answer holds such a step back without bound.

Ruled out: the search for a worker itself checks tickets only for queues that have them.

Why this works: only steps that any worker with room may run are remembered as unplaced.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -747,7 +747,10 @@
     }
 
     pub(super) fn add(&mut self, step: &Step, record: &JobRecord, keep_reserve: bool) {
-        let unconstrained = step.label.is_none() && step.per_worker.is_none();
+        // A step that lacks tickets says nothing about room.
+        let unconstrained = step.label.is_none()
+            && step.per_worker.is_none()
+            && record.queue.ticket_lifetime.is_none();
         if unconstrained {
             self.sizes.push(UnplacedSize {
                 size: step.size,
--- a/crates/jujubelb/src/dispatch/tests/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tests/tickets.rs
@@ -65,3 +65,16 @@
     sim.run(Span::from_secs(2));
     assert!(sim.completed.contains_key(&key));
 }
+
+/// Guards against jobs that wait for good behind a step of the same size that has no tickets.
+#[test]
+fn a_step_without_tickets_hides_none_that_needs_no_ticket() {
+    let mut sim = Simulation::new(4);
+    sim.submit(
+        1,
+        with_policy_service(job(0, vec![step(1, 8, Span::from_secs(1))])),
+    );
+    let key = sim.submit(2, job(1, vec![step(4, 8, Span::from_millis(300))]));
+    sim.run(Span::from_secs(2));
+    assert!(sim.completed.contains_key(&key));
+}
