Let a step probe workers although another one must not

Tasks with attempts left waited for good for the only worker with room, which was considered unhealthy and was sound again: nothing probed it.

Cause: a step that was left unplaced hides later steps that are at least as large from the rest of the pass. If its tasks must not probe, because an attempt is their last one, the search left out workers that are due a probe, and yet hid steps that may probe them. Within a step, one task on its last attempt kept all others from being probes.

Ruled out: the number of probes at a time, which was not reached in either case.

Why this works: what was left unplaced says whether unhealthy workers were searched, and hides probes only then. Tasks of a step that may probe are placed apart from those that must not, which go first because only healthy workers are open to them.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -326,7 +326,10 @@
         let keep_reserve = step.long_running
             && (longest_wait <= MIN_RESERVE_WAIT
                 || (longest_wait <= MAX_RESERVE_WAIT && !self.has_spare_capacity()));
-        if unplaced.covers(step, &record, keep_reserve) {
+        let may_probe = |i: &u32| self.may_probe(key, *i, &record);
+        if unplaced.covers(step, &record, keep_reserve, || {
+            waiting.iter().any(may_probe)
+        }) {
             return;
         }
         let mut suspects: IndexMap<Isolation, Vec<u32>> = IndexMap::new();
@@ -338,18 +341,22 @@
                 isolation => suspects.entry(isolation).or_default().push(index),
             }
         }
+        let (probes, others): (Vec<u32>, Vec<u32>) = others.into_iter().partition(may_probe);
         let mut request = PlacementRequest {
             key,
             step,
             service: &record.queue.service,
             rack: None,
             keep_reserve,
-            may_probe: others.iter().all(|i| self.may_probe(key, *i, &record)),
+            may_probe: false,
             isolation: Isolation::None,
             needs_ticket: record.queue.ticket_lifetime.is_some(),
         };
-        if !self.start_tasks(&others, &request, &record, orders, now) {
-            unplaced.add(step, &record, keep_reserve);
+        for (tasks, may_probe) in [(others, false), (probes, true)] {
+            request.may_probe = may_probe;
+            if !self.start_tasks(&tasks, &request, &record, orders, now) {
+                unplaced.add(step, &record, keep_reserve, may_probe);
+            }
         }
         for (isolation, tasks) in suspects {
             request.isolation = isolation;
@@ -721,6 +728,9 @@
     /// Whether the search kept the reserve for short tasks free. If so, it says nothing
     /// about tasks that may use the reserve.
     keep_reserve: bool,
+    /// Whether the search included unhealthy workers that are due a probe. If not, it says
+    /// nothing about tasks that may probe them.
+    may_probe: bool,
     best_effort: bool,
     /// Image of a best-effort task; `None` for others. Whether a worker admits a best-effort
     /// task depends on its image.
@@ -736,17 +746,30 @@
 }
 
 impl UnplacedSizes {
-    pub(super) fn covers(&self, step: &Step, record: &JobRecord, keep_reserve: bool) -> bool {
+    pub(super) fn covers(
+        &self,
+        step: &Step,
+        record: &JobRecord,
+        keep_reserve: bool,
+        may_probe: impl Fn() -> bool,
+    ) -> bool {
         self.sizes.iter().any(|known| {
             known.size.fits(&step.size)
                 && (keep_reserve || !known.keep_reserve)
+                && (known.may_probe || !may_probe())
                 && known.best_effort == step.best_effort
                 && known.image.as_ref() == step.image.as_ref().filter(|_| step.best_effort)
                 && known.service == record.queue.service
         })
     }
 
-    pub(super) fn add(&mut self, step: &Step, record: &JobRecord, keep_reserve: bool) {
+    pub(super) fn add(
+        &mut self,
+        step: &Step,
+        record: &JobRecord,
+        keep_reserve: bool,
+        may_probe: bool,
+    ) {
         // A step that lacks tickets says nothing about room.
         let unconstrained = step.label.is_none()
             && step.per_worker.is_none()
@@ -755,6 +778,7 @@
             self.sizes.push(UnplacedSize {
                 size: step.size,
                 keep_reserve,
+                may_probe,
                 best_effort: step.best_effort,
                 image: step.image.clone().filter(|_| step.best_effort),
                 service: record.queue.service.clone(),
--- a/crates/jujubelb/src/dispatch/tests/health.rs
+++ b/crates/jujubelb/src/dispatch/tests/health.rs
@@ -1,9 +1,11 @@
 //! Workers whose runs fail or make no progress, and their return.
 
+use arcstr::ArcStr;
+
 use super::simulation::Fault;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::JobStatus;
-use crate::model::Span;
+use crate::dispatch::{JobRecord, JobStatus, QueueSettings, Step};
+use crate::model::{Bytes, Resources, Span};
 
 /// A lasting task that has waited for 6 s and finds capacity has to start within 3 s, and
 /// disturbances of the last 4 s do not excuse a delay. A sound worker therefore has to be
@@ -102,3 +104,73 @@
     }
     assert_eq!(sim.dispatcher.summary().sick, 1);
 }
+
+/// A job whose tasks may fail `attempts` times.
+fn with_attempts(attempts: u32, record: JobRecord) -> JobRecord {
+    JobRecord {
+        queue: QueueSettings {
+            attempts,
+            ..record.queue
+        },
+        ..record
+    }
+}
+
+/// A step that only the worker of [`only_worker_sick`] may run.
+fn special(step: Step) -> Step {
+    Step {
+        label: Some(ArcStr::from("special")),
+        ..step
+    }
+}
+
+/// Four workers, of which the first one alone has a label and is large. The runs that were started
+/// on it have failed, and it is sound again.
+fn only_worker_sick() -> Simulation {
+    let mut sim = Simulation::new(4);
+    sim.worker(0).report.labels.push(ArcStr::from("special"));
+    for i in 1..4 {
+        sim.worker(i).report.capacity = Resources::new(16_000, Bytes::from_gib(256).0, 0);
+    }
+    sim.list_workers();
+    sim.worker(0).fault = Fault::Failing;
+    for i in 10..14 {
+        let record = job(0, vec![special(step(1, 8, Span::from_millis(300)))]);
+        sim.submit(i, with_attempts(1, record));
+        sim.run(Span::from_secs(1));
+    }
+    assert_eq!(sim.dispatcher.summary().sick, 1);
+    sim.worker(0).fault = Fault::None;
+    sim
+}
+
+/// Guards against tasks that wait for good because one task of their step has a single attempt
+/// left: none of them was a probe then.
+#[test]
+fn a_step_probes_although_one_of_its_tasks_must_not() {
+    let mut sim = only_worker_sick();
+    sim.worker(0).fault = Fault::FailingStarts;
+    let record = job(0, vec![special(step(3, 8, Span::from_secs(1)))]);
+    let key = sim.submit(100, with_attempts(2, record));
+    while sim.starts.iter().all(|(_, _, t, _)| t.step.job != key) {
+        sim.run(Span::from_millis(20));
+    }
+    sim.run(Span::from_millis(300));
+    sim.worker(0).fault = Fault::None;
+    sim.run(RETURN_BOUND);
+    assert!(sim.completed.contains_key(&key));
+}
+
+/// Guards against a step that waits for good behind one of the same size that must not probe the
+/// only worker with room.
+#[test]
+fn a_step_that_must_not_probe_hides_none_that_may() {
+    let mut sim = only_worker_sick();
+    let large = || job(0, vec![step(1, 32, Span::from_millis(300))]);
+    let first = sim.submit(100, with_attempts(1, large()));
+    let second = sim.submit(101, job(1, vec![step(1, 32, Span::from_millis(300))]));
+    // In time for a probe, and too early for one by the first job.
+    sim.run(Span::from_secs(4));
+    assert!(sim.completed.contains_key(&second));
+    assert!(sim.completed.contains_key(&first));
+}
--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -89,11 +89,22 @@
     let record = job(0, vec![long_running(1, 6)]);
     let (small, large) = (long_running(1, 6), long_running(1, 8));
     let mut unplaced = UnplacedSizes::default();
-    unplaced.add(&small, &record, true);
-    assert!(unplaced.covers(&large, &record, true));
-    assert!(!unplaced.covers(&large, &record, false));
-    unplaced.add(&small, &record, false);
-    assert!(unplaced.covers(&large, &record, false));
+    unplaced.add(&small, &record, true, true);
+    assert!(unplaced.covers(&large, &record, true, || true));
+    assert!(!unplaced.covers(&large, &record, false, || true));
+    unplaced.add(&small, &record, false, true);
+    assert!(unplaced.covers(&large, &record, false, || true));
+}
+
+/// Guards against a search without unhealthy workers that stands for tasks that may probe them.
+#[test]
+fn a_search_without_probes_does_not_cover_probes() {
+    let record = job(0, vec![step(1, 6, Span::from_secs(1))]);
+    let small = step(1, 6, Span::from_secs(1));
+    let mut unplaced = UnplacedSizes::default();
+    unplaced.add(&small, &record, false, false);
+    assert!(unplaced.covers(&small, &record, false, || false));
+    assert!(!unplaced.covers(&small, &record, false, || true));
 }
 
 /// Guards against skipping the search for a short task because the search for a smaller
