Let a last attempt probe a worker that nothing else probes

A sound task on its last attempt, also the only attempt of its queue, waited for good if only workers that were considered unhealthy had room for it or its label: its job stayed queued or running long after the fault of the worker had ended.

Cause: a worker that is considered unhealthy is used again only after a probe, and a last attempt was never one. With no other task for the worker nothing ended that state, which has no bound.

Ruled out: the limit of three quarters of the fleet, since it does not consider labels and room.

Why this works: a probe that has been due for 4 s is open to last attempts, after a search among the other workers has found none. While other tasks come, they are the probes, so a last attempt is used up by a faulty worker only if the fault lasts for 5.5 to 8 s after the last failure there and nothing else tests it. The budget of failed attempts holds as before.

--- a/crates/jujubelb/src/dispatch/health.rs
+++ b/crates/jujubelb/src/dispatch/health.rs
@@ -31,6 +31,11 @@
 /// takes up to 2.5 s.
 const MAX_PROBE_PAUSE: Span = Span::from_secs(4);
 
+/// How long the probe of a worker has to be due before a task's last attempt may be one. A probe
+/// must not use up the attempts of a task, but if no other task comes for so long, nothing else
+/// would ever show that the worker is sound again.
+pub(crate) const LAST_ATTEMPT_DELAY: Span = Span::from_secs(4);
+
 /// Largest share of the workers that are considered unhealthy at a time. If more fail, the
 /// cause is likely not a worker, and taking all of them out of use would stop everything.
 const MAX_UNHEALTHY_PERCENT: usize = 75;
--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -11,7 +11,7 @@
 use super::job_spec::{Step, StepKey};
 use super::pace::Headrooms;
 use super::worker::{JobInterference, TrackedRun, Worker};
-use crate::model::{DomainName, Millicores, ServiceName, Time};
+use crate::model::{DomainName, Millicores, ServiceName, Span, Time};
 use crate::place::headroom::{HeadroomEstimate, Slopes};
 
 /// Cost of running on another rack than the data. The capacity left unused costs at most
@@ -80,8 +80,9 @@
     pub(crate) rack: Option<&'a str>,
     /// Whether long-running tasks have to leave the reserve for short ones free.
     pub(crate) keep_reserve: bool,
-    /// Whether the tasks may test the health of an unhealthy worker.
-    pub(crate) may_probe: bool,
+    /// How long the probe of an unhealthy worker has to be due before the tasks may be one; `None`
+    /// if they must not.
+    pub(crate) probe_after: Option<Span>,
     /// How far the tasks are kept apart from others because they may crash their worker.
     pub(crate) isolation: Isolation,
     /// Whether only workers with a ticket of the policy service may run the tasks.
@@ -100,7 +101,7 @@
     let capacity = worker.report.capacity;
     if worker.load.reserved.memory + step.size.memory > capacity.memory
         || worker.report.service != *request.service
-        || !worker.accepts_start(request.may_probe, now)
+        || !worker.accepts_start(request.probe_after, now)
         || evacuated.contains(&worker.report.domain)
         || !worker.admits_isolation(request.isolation)
     {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -348,13 +348,12 @@
             service: &record.queue.service,
             rack: None,
             keep_reserve,
-            may_probe: false,
+            probe_after: None,
             isolation: Isolation::None,
             needs_ticket: record.queue.ticket_lifetime.is_some(),
         };
         for (tasks, may_probe) in [(others, false), (probes, true)] {
-            request.may_probe = may_probe;
-            if !self.start_tasks(&tasks, &request, &record, orders, now) {
+            if !self.start_or_probe(&tasks, may_probe, &mut request, &record, orders, now) {
                 unplaced.add(step, &record, keep_reserve, may_probe);
             }
         }
@@ -362,14 +361,40 @@
             request.isolation = isolation;
             // A probe of a worker should not be a task that may crash it, unless no other
             // worker qualifies.
-            request.may_probe = isolation == Isolation::Spread
-                && tasks.iter().all(|i| self.may_probe(key, *i, &record));
-            self.start_tasks(&tasks, &request, &record, orders, now);
+            if isolation == Isolation::Spread {
+                let may_probe = tasks.iter().all(|i| self.may_probe(key, *i, &record));
+                self.start_or_probe(&tasks, may_probe, &mut request, &record, orders, now);
+            } else {
+                request.probe_after = None;
+                self.start_tasks(&tasks, &request, &record, orders, now);
+            }
         }
     }
 
-    /// Starts as many of these tasks of a step as the workers have capacity for. Returns
-    /// whether all have been started.
+    /// Starts as many of these tasks of a step as the workers have capacity for, also on unhealthy
+    /// workers that are due a probe if the tasks may be one. If they must not, they are probes only
+    /// of workers for which no other task has come. Returns whether all have been started.
+    fn start_or_probe(
+        &mut self,
+        tasks: &[u32],
+        may_probe: bool,
+        request: &mut PlacementRequest<'_>,
+        record: &JobRecord,
+        orders: &mut Vec<WorkerOrder>,
+        now: Time,
+    ) -> bool {
+        request.probe_after = may_probe.then_some(Span::ZERO);
+        let started = self.start_tasks(tasks, request, record, orders, now);
+        let left = &tasks[started..];
+        if !may_probe && self.probe_slots > 0 {
+            request.probe_after = Some(health::LAST_ATTEMPT_DELAY);
+            return self.start_tasks(left, request, record, orders, now) == left.len();
+        }
+        left.is_empty()
+    }
+
+    /// Starts as many of these tasks of a step as the workers have capacity for, in their order.
+    /// Returns how many.
     fn start_tasks(
         &mut self,
         tasks: &[u32],
@@ -377,18 +402,17 @@
         record: &JobRecord,
         orders: &mut Vec<WorkerOrder>,
         now: Time,
-    ) -> bool {
+    ) -> usize {
         if tasks.is_empty() {
-            return true;
+            return 0;
         }
         let (key, step) = (request.key, request.step);
         // A start changes the cost of its own worker only, so one search serves all tasks.
         let mut candidates = self.candidates(request, now);
         let mut tasks_by_worker: IndexMap<WorkerName, u32> = IndexMap::new();
-        let mut complete = true;
+        let mut started = 0;
         for &index in tasks {
             let Some(Reverse(best)) = candidates.pop() else {
-                complete = false;
                 break;
             };
             let Some((name, _)) = self.workers.get_index(best.worker) else {
@@ -400,13 +424,14 @@
             self.start(&name, task, run, record, step, orders, now);
             candidates.extend(self.candidate(best.worker, request, now).map(Reverse));
             *tasks_by_worker.entry(name).or_default() += 1;
+            started += 1;
         }
         log_placement(key, record, &tasks_by_worker);
-        complete
+        started
     }
 
-    /// Whether a task may test the health of an unhealthy worker. A probe that fails must
-    /// not use up the attempts of the task.
+    /// Whether a task may test the health of an unhealthy worker as soon as a probe is due. A
+    /// probe that fails must not use up the attempts of the task.
     fn may_probe(&self, step: StepKey, index: u32, record: &JobRecord) -> bool {
         let spec = record.spec.steps.get(usize::from(step.step));
         let unlimited = spec.is_some_and(|s| s.long_running);
@@ -463,8 +488,17 @@
         } else {
             vec![None]
         };
-        for rack in racks {
-            let Some(chosen) = self.reserve_gang(key, record, step, rack.as_deref(), now) else {
+        let may_probe = (0..step.count).all(|i| self.may_probe(key, i, record));
+        let probes = match (may_probe, self.probe_slots) {
+            (true, _) => vec![Some(Span::ZERO)],
+            (false, 0) => vec![None],
+            (false, _) => vec![None, Some(health::LAST_ATTEMPT_DELAY)],
+        };
+        let places = probes
+            .iter()
+            .flat_map(|probe| racks.iter().map(move |rack| (*probe, rack.as_deref())));
+        for (probe_after, rack) in places {
+            let Some(chosen) = self.reserve_gang(key, record, step, probe_after, rack, now) else {
                 continue;
             };
             let tasks: Vec<TaskKey> = (0..step.count)
@@ -500,6 +534,7 @@
         key: StepKey,
         record: &JobRecord,
         step: &Step,
+        probe_after: Option<Span>,
         rack: Option<&str>,
         now: Time,
     ) -> Option<Vec<WorkerName>> {
@@ -509,7 +544,7 @@
             service: &record.queue.service,
             rack,
             keep_reserve: false,
-            may_probe: (0..step.count).all(|i| self.may_probe(key, i, record)),
+            probe_after,
             isolation: self.gang_isolation(key, now),
             needs_ticket: record.queue.ticket_lifetime.is_some(),
         };
--- a/crates/jujubelb/src/dispatch/tests/health.rs
+++ b/crates/jujubelb/src/dispatch/tests/health.rs
@@ -12,6 +12,11 @@
 /// in use again 7 s after its fault has ended.
 const RETURN_BOUND: Span = Span::from_secs(7);
 
+/// Time in which a short finite task runs on the only worker that may run it once the fault of
+/// that worker has ended: a pause of up to 4 s before the next probe, and 4 s more for tasks whose
+/// last attempt it is or that have to wait for the end of another probe.
+const FINITE_RETURN_BOUND: Span = Span::from_millis(9_500);
+
 /// Four workers with a long-running task each, of which the first one has failed the runs
 /// that were started on it and is sound again.
 fn recovered_worker() -> Simulation {
@@ -144,6 +149,30 @@
     sim
 }
 
+/// Guards against a task that waits for good because its last attempt is no probe and no other
+/// task comes to probe the only worker that may run it.
+#[test]
+fn a_last_attempt_starts_on_the_only_worker_after_its_fault() {
+    let mut sim = only_worker_sick();
+    let record = job(0, vec![special(step(2, 8, Span::from_millis(300)))]);
+    let key = sim.submit(100, with_attempts(1, record));
+    sim.run(FINITE_RETURN_BOUND);
+    assert!(sim.completed.contains_key(&key));
+}
+
+/// Guards against a gang that waits for good because its last attempt is no probe.
+#[test]
+fn the_last_attempt_of_a_gang_starts_on_the_only_worker_after_its_fault() {
+    let mut sim = only_worker_sick();
+    let gang = Step {
+        gang: true,
+        ..special(step(1, 8, Span::from_millis(300)))
+    };
+    let key = sim.submit(100, with_attempts(1, job(0, vec![gang])));
+    sim.run(FINITE_RETURN_BOUND);
+    assert!(sim.completed.contains_key(&key));
+}
+
 /// Guards against tasks that wait for good because one task of their step has a single attempt
 /// left: none of them was a probe then.
 #[test]
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -107,7 +107,7 @@
             service: &record.queue.service,
             rack: None,
             keep_reserve: false,
-            may_probe: false,
+            probe_after: None,
             isolation: Isolation::None,
             needs_ticket: true,
         };
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -444,9 +444,10 @@
         self.health.is_unhealthy() && self.runs.values().any(|r| self.health.is_probe(r.since))
     }
 
-    /// Whether tasks may be started on the worker now. `may_probe` says whether the task may
-    /// test an unhealthy worker.
-    pub(crate) fn accepts_start(&self, may_probe: bool, now: Time) -> bool {
+    /// Whether tasks may be started on the worker now. `probe_after` is how long the probe of an
+    /// unhealthy worker has to be due before the task may be one; `None` if it must not.
+    pub(crate) fn accepts_start(&self, probe_after: Option<Span>, now: Time) -> bool {
+        let is_due = |delay| self.health.is_probe_due(now - delay);
         self.listed
             && self.drain_deadline.is_none()
             && self.is_admitted()
@@ -457,7 +458,7 @@
             && self.paused_until <= now
             && now.since(self.last_answer) < MAX_ANSWER_AGE
             && (!self.health.is_unhealthy()
-                || (may_probe && self.health.is_probe_due(now) && !self.is_probing()))
+                || (probe_after.is_some_and(is_due) && !self.is_probing()))
     }
 }
 
