Let a gang probe a worker with several members

A gang waited for good if it needs the room of workers that are considered unhealthy for more members than there are such workers, although they were sound again and free.

Cause: an unhealthy worker gets one task at a time as a probe, and the place of the first member counted as that probe while places for the others were looked for. All members start or none.

Why this works: the members that start together are one probe. A gang that fails uses up one attempt, however many of its members were on the worker. A worker that runs a probe already still gets no member.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -553,7 +553,11 @@
             let Some(name) = self.choose_worker(&request, now) else {
                 break;
             };
-            let tracked = self.new_run(Run(0), step, WorkerTime::ZERO, now);
+            // Members are one probe together, so a member that has a place excludes no other.
+            let tracked = TrackedRun {
+                since: Time::ZERO,
+                ..self.new_run(Run(0), step, WorkerTime::ZERO, now)
+            };
             if let Some(worker) = self.workers.get_mut(&name) {
                 worker.runs.insert(TaskKey { step: key, index }, tracked);
                 worker.update_load();
--- a/crates/jujubelb/src/dispatch/tests/health.rs
+++ b/crates/jujubelb/src/dispatch/tests/health.rs
@@ -203,3 +203,17 @@
     assert!(sim.completed.contains_key(&second));
     assert!(sim.completed.contains_key(&first));
 }
+
+/// Guards against a gang that waits for good because several members need the room of a worker
+/// that gets one probe at a time.
+#[test]
+fn a_gang_probes_a_worker_with_several_members() {
+    let mut sim = only_worker_sick();
+    let gang = Step {
+        gang: true,
+        ..step(2, 32, Span::from_millis(300))
+    };
+    let key = sim.submit(100, job(0, vec![gang]));
+    sim.run(RETURN_BOUND);
+    assert!(sim.completed.contains_key(&key));
+}
