Do not wait for the end of a long probe

Tasks that only a worker considered unhealthy may run, or has room for, waited for as long as its probe ran, also if that takes minutes and shows no fault.

Cause: a worker whose runs failed gets one probe at a time until one succeeds. Progress is no evidence there, since runs may progress until they fail, so a sound probe of a long task held all others back for its whole duration.

Ruled out: workers whose runs stalled; there the first progress ends the state.

Why this works: after 4 s a probe no longer keeps others away, so the worker gets one more each 4 s, and the first that succeeds ends the state. Failed probes still lengthen the pause.

--- a/crates/jujubelb/src/dispatch/health.rs
+++ b/crates/jujubelb/src/dispatch/health.rs
@@ -6,10 +6,10 @@
 //! |---|---|---|
 //! | healthy | gets any task | unhealthy after failures of several jobs or several stalls without a success in between |
 //! | unhealthy | gets no task before `next_probe` | probing once a task has started on it after that |
-//! | probing | runs one task that it got as a probe | healthy if the probe succeeds; unhealthy for longer if it fails or stalls; unhealthy, and open to the next probe, if it ends in another way |
+//! | probing | runs one task that it got as a probe | healthy if the probe succeeds; unhealthy for longer if it fails or stalls; unhealthy, and open to the next probe, if it ends in another way or goes on for long |
 //!
-//! Probing is not stored: a worker is probing while a run that started after it became
-//! unhealthy is on it, so that a probe cannot be forgotten.
+//! Probing is not stored: a worker is probing while a run that has just started, after it became
+//! unhealthy, is on it, so that a probe cannot be forgotten.
 
 use super::job_spec::JobKey;
 use crate::model::{Span, Time};
@@ -31,6 +31,10 @@
 /// takes up to 2.5 s.
 const MAX_PROBE_PAUSE: Span = Span::from_secs(4);
 
+/// How long a probe keeps other tasks from its worker. One that has not failed or stalled by then
+/// may go on for any time, and the worker may get another probe beside it.
+const MAX_PROBE_DURATION: Span = Span::from_secs(4);
+
 /// How long the probe of a worker has to be due before a task's last attempt may be one. A probe
 /// must not use up the attempts of a task, but if no other task comes for so long, nothing else
 /// would ever show that the worker is sound again.
@@ -147,9 +151,10 @@
         self.ejection.is_some_and(|e| now >= e.next_probe)
     }
 
-    /// Whether a run that began at `began` is a probe of the worker.
-    pub(crate) fn is_probe(&self, began: Time) -> bool {
-        self.ejection.is_some_and(|e| began > e.last_evidence)
+    /// Whether a run that began at `began` is a probe of the worker whose end is awaited.
+    pub(crate) fn is_probe(&self, began: Time, now: Time) -> bool {
+        let is_recent = now.since(began) < MAX_PROBE_DURATION;
+        is_recent && self.ejection.is_some_and(|e| began > e.last_evidence)
     }
 
     pub(crate) fn is_unhealthy(&self) -> bool {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -265,7 +265,7 @@
         }
         ranked.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
         let in_use = self.workers.values().filter(|w| w.listed);
-        let probing = in_use.clone().filter(|w| w.is_probing()).count();
+        let probing = in_use.clone().filter(|w| w.is_probing(now)).count();
         self.probe_slots = health::probe_slots(in_use.count(), probing);
         let mut unplaced = UnplacedSizes::default();
         for (_, key) in ranked {
--- a/crates/jujubelb/src/dispatch/tests/health.rs
+++ b/crates/jujubelb/src/dispatch/tests/health.rs
@@ -217,3 +217,14 @@
     sim.run(RETURN_BOUND);
     assert!(sim.completed.contains_key(&key));
 }
+
+/// Guards against tasks that wait until a long probe has ended, although it shows no fault.
+#[test]
+fn a_long_probe_does_not_hold_back_other_tasks() {
+    let mut sim = only_worker_sick();
+    sim.submit(100, job(0, vec![special(step(1, 8, Span::from_secs(60)))]));
+    sim.run(Span::from_secs(5));
+    let key = sim.submit(101, job(0, vec![special(step(1, 8, Span::from_secs(1)))]));
+    sim.run(FINITE_RETURN_BOUND);
+    assert!(sim.completed.contains_key(&key));
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -440,8 +440,9 @@
     }
 
     /// Whether the worker runs a task that tests its health.
-    pub(crate) fn is_probing(&self) -> bool {
-        self.health.is_unhealthy() && self.runs.values().any(|r| self.health.is_probe(r.since))
+    pub(crate) fn is_probing(&self, now: Time) -> bool {
+        let is_probe = |r: &TrackedRun| self.health.is_probe(r.since, now);
+        self.health.is_unhealthy() && self.runs.values().any(is_probe)
     }
 
     /// Whether tasks may be started on the worker now. `probe_after` is how long the probe of an
@@ -458,7 +459,7 @@
             && self.paused_until <= now
             && now.since(self.last_answer) < MAX_ANSWER_AGE
             && (!self.health.is_unhealthy()
-                || (probe_after.is_some_and(is_due) && !self.is_probing()))
+                || (probe_after.is_some_and(is_due) && !self.is_probing(now)))
     }
 }
 
