Request tickets for workers that are due a probe

A job of a queue with a policy service waited for good if the only worker that the policy allows was considered unhealthy, although it was sound again and free.

Cause: tickets are requested only for workers on which a task could start at once, which left out all unhealthy ones. Without a ticket no task of the queue could be the probe that ends that state; a ticket from before has a lifetime of seconds.

Ruled out: a denial, which is final for a worker; the worker was granted tickets before.

Why this works: workers that are due a probe are asked about too, after all healthy ones.

--- a/crates/jujubelb/src/dispatch/tests/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tests/tickets.rs
@@ -1,7 +1,8 @@
 //! Steps that may run only on workers for which the queue's policy service issues tickets.
 
+use super::simulation::Fault;
 use super::{Simulation, job, step};
-use crate::dispatch::JobRecord;
+use crate::dispatch::{JobKey, JobRecord};
 use crate::model::Span;
 
 fn with_policy_service(record: JobRecord) -> JobRecord {
@@ -78,3 +79,32 @@
     sim.run(Span::from_secs(2));
     assert!(sim.completed.contains_key(&key));
 }
+
+/// Guards against a step that waits for good because no tickets are requested for unhealthy
+/// workers, and no other task comes to probe the only one that may run it.
+#[test]
+fn tickets_are_requested_for_workers_that_are_due_a_probe() {
+    let mut sim = Simulation::new(4);
+    sim.worker(0).fault = Fault::Failing;
+    for i in 10..14 {
+        let record = job(0, vec![step(1, 8, Span::from_millis(300))]);
+        sim.submit(i, with_policy_service(record));
+        for _ in 0..10 {
+            sim.grant_tickets(&[0], Span::from_secs(1));
+            sim.run(Span::from_millis(100));
+        }
+    }
+    assert_eq!(sim.dispatcher.summary().sick, 1);
+    for key in [10, 11, 12, 13] {
+        sim.cancel(JobKey(key));
+    }
+    sim.run(Span::from_secs(5));
+    sim.worker(0).fault = Fault::None;
+    let record = job(0, vec![step(1, 8, Span::from_millis(300))]);
+    let key = sim.submit(100, with_policy_service(record));
+    for _ in 0..70 {
+        sim.grant_tickets(&[0], Span::from_secs(1));
+        sim.run(Span::from_millis(100));
+    }
+    assert!(sim.completed.contains_key(&key));
+}
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -101,7 +101,7 @@
     fn ticket_request_for(&self, key: StepKey, now: Time) -> Option<TicketRequest> {
         let record = self.job_record(key.job)?;
         let step = record.spec.steps.get(usize::from(key.step))?;
-        let request = PlacementRequest {
+        let mut request = PlacementRequest {
             key,
             step,
             service: &record.queue.service,
@@ -119,13 +119,19 @@
             // Workers that have a ticket already are filled first.
             return None;
         }
+        // Unhealthy workers come last. Without tickets no task could be their probe.
+        request.probe_after = Some(Span::ZERO);
+        let usable = |w: &&Worker| placement::admits(w, &request, &self.evacuated, now);
         let mut workers: Vec<&Worker> = self
             .workers
             .values()
             .filter(|w| usable(w) && !has_ticket(w) && !denied(w))
             .collect();
-        workers
-            .sort_by(|a, b| placement::cost(a, &request).total_cmp(&placement::cost(b, &request)));
+        workers.sort_by(|a, b| {
+            let by_health = a.health.is_unhealthy().cmp(&b.health.is_unhealthy());
+            let cost = |w| placement::cost(w, &request);
+            by_health.then(cost(a).total_cmp(&cost(b)))
+        });
         let names = workers.iter().take(MAX_WORKERS_PER_REQUEST);
         let workers: Vec<_> = names.map(|w| w.report.name.clone()).collect();
         (!workers.is_empty()).then_some(TicketRequest { step: key, workers })
