Request tickets past a worker that can't spare headroom

A best-effort step of a queue with a policy service waited, for as long as its ticket was valid and longer, beside free workers that the policy allows.

Cause: no tickets are requested while a worker with room has one. Whether its serving tasks leave headroom for the step was not considered, and the start was refused for that in each pass.

Ruled out: the placement of best-effort tasks, which rightly refuses that worker.

Why this works: a request considers a worker usable if a task would start there with a ticket: the search for a worker itself decides that, and gives the order too.

Evidence: tickets_are_requested_although_the_allowed_worker_can_not_spare_headroom, before: "assertion failed: sim.completed.contains_key(&key)", 5 s after a second worker was free.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -12,7 +12,7 @@
 use super::job_spec::{JobRecord, Run, Step, StepKey, TaskKey};
 use super::placement::{self, PlacementRequest};
 use super::rank::{self, StepRank};
-use super::worker::{RunPhase, TrackedRun};
+use super::worker::{RunPhase, TrackedRun, Worker};
 use super::{Dispatcher, Order, WorkerOrder};
 use crate::model::{Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime};
 
@@ -628,8 +628,20 @@
         })
     }
 
+    /// The workers on which a task could start now, with their costs.
+    pub(super) fn usable_workers<'a>(
+        &'a self,
+        request: &PlacementRequest<'_>,
+        now: Time,
+    ) -> impl Iterator<Item = (f64, &'a Worker)> {
+        (0..self.workers.len()).filter_map(move |i| {
+            let candidate = self.candidate(i, request, now)?;
+            Some((candidate.cost, self.workers.get_index(i)?.1))
+        })
+    }
+
     /// Valid ticket for running a step on a worker.
-    fn ticket(&self, step: StepKey, worker: &super::worker::Worker, now: Time) -> Option<&ArcStr> {
+    fn ticket(&self, step: StepKey, worker: &Worker, now: Time) -> Option<&ArcStr> {
         self.step_tickets.get(&step)?.ticket(worker, now)
     }
 
--- a/crates/jujubelb/src/dispatch/tests/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tests/tickets.rs
@@ -1,8 +1,10 @@
 //! Steps that may run only on workers for which the queue's policy service issues tickets.
 
+use arcstr::ArcStr;
+
 use super::simulation::Fault;
-use super::{Simulation, job, step};
-use crate::dispatch::{JobKey, JobRecord};
+use super::{Simulation, job, long_running, step};
+use crate::dispatch::{JobKey, JobRecord, Step};
 use crate::model::Span;
 
 fn with_policy_service(record: JobRecord) -> JobRecord {
@@ -108,3 +110,33 @@
     }
     assert!(sim.completed.contains_key(&key));
 }
+
+/// Guards against a best-effort step that waits for good because the only worker with a ticket has
+/// serving tasks that it would disturb, and no tickets are requested for others.
+#[test]
+fn tickets_are_requested_although_the_allowed_worker_can_not_spare_headroom() {
+    let mut sim = Simulation::new(2);
+    let serving = Step {
+        data_rack: Some(ArcStr::from("r0")),
+        ..long_running(1, 2)
+    };
+    let serving = sim.submit(1, job(0, vec![serving]));
+    sim.run(Span::from_secs(1));
+    let other = usize::from(sim.runs_on(0) > 0);
+    assert_eq!(sim.running(serving), 1);
+    let blocker = sim.submit(2, job(0, vec![step(1, 64, Span::from_secs(3))]));
+    sim.run(Span::from_millis(300));
+    assert_eq!(sim.runs_on(other), 1);
+    let best_effort = Step {
+        best_effort: true,
+        image: Some(ArcStr::from("heavy")),
+        ..step(1, 60, Span::from_millis(300))
+    };
+    let key = sim.submit(3, with_policy_service(job(0, vec![best_effort])));
+    for _ in 0..80 {
+        sim.grant_tickets(&[0, 1], Span::from_secs(600));
+        sim.run(Span::from_millis(100));
+    }
+    assert!(sim.completed.contains_key(&blocker));
+    assert!(sim.completed.contains_key(&key));
+}
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -10,7 +10,7 @@
 use super::Dispatcher;
 use super::crash::Isolation;
 use super::job_spec::StepKey;
-use super::placement::{self, PlacementRequest};
+use super::placement::PlacementRequest;
 use super::rank;
 use super::worker::{Incarnation, Worker};
 use crate::model::{Span, Time, WorkerName};
@@ -109,31 +109,29 @@
             keep_reserve: false,
             probe_after: None,
             isolation: Isolation::None,
-            needs_ticket: true,
+            needs_ticket: false,
         };
         let step_tickets = self.step_tickets.get(&key);
-        let usable = |w: &&Worker| placement::admits(w, &request, &self.evacuated, now);
-        let has_ticket = |w: &&Worker| step_tickets.is_some_and(|p| p.ticket(w, now).is_some());
-        let denied = |w: &&Worker| step_tickets.is_some_and(|p| p.denied.contains(&w.report.name));
-        if !step.gang && self.workers.values().filter(usable).any(|w| has_ticket(&w)) {
+        let has_ticket = |w: &Worker| step_tickets.is_some_and(|p| p.ticket(w, now).is_some());
+        let denied = |w: &Worker| step_tickets.is_some_and(|p| p.denied.contains(&w.report.name));
+        let mut usable = self.usable_workers(&request, now);
+        if !step.gang && usable.any(|(_, w)| has_ticket(w)) {
             // Workers that have a ticket already are filled first.
             return None;
         }
+        drop(usable);
         // Unhealthy workers come last. Without tickets no task could be their probe.
         request.probe_after = Some(Span::ZERO);
-        let usable = |w: &&Worker| placement::admits(w, &request, &self.evacuated, now);
-        let mut workers: Vec<&Worker> = self
-            .workers
-            .values()
-            .filter(|w| usable(w) && !has_ticket(w) && !denied(w))
+        let mut workers: Vec<(f64, &Worker)> = self
+            .usable_workers(&request, now)
+            .filter(|(_, w)| !has_ticket(w) && !denied(w))
             .collect();
-        workers.sort_by(|a, b| {
+        workers.sort_by(|(cost, a), (other_cost, b)| {
             let by_health = a.health.is_unhealthy().cmp(&b.health.is_unhealthy());
-            let cost = |w| placement::cost(w, &request);
-            by_health.then(cost(a).total_cmp(&cost(b)))
+            by_health.then(cost.total_cmp(other_cost))
         });
         let names = workers.iter().take(MAX_WORKERS_PER_REQUEST);
-        let workers: Vec<_> = names.map(|w| w.report.name.clone()).collect();
+        let workers: Vec<_> = names.map(|(_, w)| w.report.name.clone()).collect();
         (!workers.is_empty()).then_some(TicketRequest { step: key, workers })
     }
 
