--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -19,6 +19,7 @@
 mod paused_leaders;
 mod queueing;
 mod second_runs;
+mod settling;
 mod stops;
 mod succession;
 mod tickets;
