Ask for other steps before a waiting gang renews its tickets

Jobs of queues with a policy service waited for as long as a gang that goes before them had no room: no tickets were requested for them.

Cause: requests are made one at a time, for the first step that lacks tickets. A gang asks about all usable workers, 30 in a request, and again when tickets expire. If a ticket expires before the gang has asked about all workers, it always lacks one, and no other step is asked for.

Ruled out: other steps; they ask about nothing more while a usable worker has a ticket.

Why this works: a gang asks about each worker once in its turn. Requests that only renew its tickets come after those of other steps, the longest unanswered first. Under lasting load of the policy service by other steps a gang keeps the tickets of its first requests only.

Evidence: a_waiting_gang_leaves_ticket_requests_to_other_steps (65 workers, tickets valid for two requests), before: "assertion failed: sim.completed.contains_key(&key)" after 3 s. Whether the platform's tickets expire that soon was not looked at.

--- a/crates/jujubelb/src/dispatch/tests/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tests/tickets.rs
@@ -140,3 +140,26 @@
     assert!(sim.completed.contains_key(&blocker));
     assert!(sim.completed.contains_key(&key));
 }
+
+/// Guards against a step that waits for good because a gang without room goes first and asks again
+/// and again, since its first tickets expire before it has asked about all workers.
+#[test]
+fn a_waiting_gang_leaves_ticket_requests_to_other_steps() {
+    let mut sim = Simulation::new(65);
+    sim.submit(1, job(0, vec![long_running(1, 1)]));
+    sim.run(Span::from_millis(200));
+    let gang = Step {
+        gang: true,
+        ..step(65, 64, Span::from_secs(1))
+    };
+    let gang = sim.submit(2, with_policy_service(job(0, vec![gang])));
+    let record = job(1, vec![step(1, 8, Span::from_millis(300))]);
+    let key = sim.submit(3, with_policy_service(record));
+    let allowed: Vec<usize> = (0..65).collect();
+    for _ in 0..30 {
+        sim.grant_tickets(&allowed, Span::from_millis(500));
+        sim.run(Span::from_millis(100));
+    }
+    assert_eq!(sim.running(gang), 0);
+    assert!(sim.completed.contains_key(&key));
+}
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -55,6 +55,8 @@
     tickets: IndexMap<WorkerName, Ticket>,
     /// Workers that must not run the step; such a decision is final.
     denied: IndexSet<WorkerName>,
+    /// When the last request that was answered was sent.
+    answered: Time,
 }
 
 impl StepTickets {
@@ -93,9 +95,33 @@
             })
             .collect();
         steps.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
-        steps
-            .into_iter()
-            .find_map(|(_, key)| self.ticket_request_for(key, now))
+        let mut renewal: Option<(Time, TicketRequest)> = None;
+        for (_, key) in steps {
+            let Some(request) = self.ticket_request_for(key, now) else {
+                continue;
+            };
+            match self.renewed_at(&request) {
+                None => return Some(request),
+                Some(at) if renewal.as_ref().is_none_or(|(first, _)| at < *first) => {
+                    renewal = Some((at, request));
+                }
+                Some(_) => {}
+            }
+        }
+        renewal.map(|(_, request)| request)
+    }
+
+    /// When a gang last got an answer, if the request only renews its tickets; `None` for other
+    /// requests. A gang waits with its tickets until all members fit, so its renewals have no end
+    /// and come after the requests of other steps.
+    fn renewed_at(&self, request: &TicketRequest) -> Option<Time> {
+        let job = self.jobs.get(&request.step.job)?;
+        let steps = &job.record.spec.steps;
+        let is_gang = steps.get(usize::from(request.step.step))?.gang;
+        let step_tickets = self.step_tickets.get(&request.step)?;
+        let mut workers = request.workers.iter();
+        let is_renewal = is_gang && workers.all(|w| step_tickets.tickets.contains_key(w));
+        is_renewal.then_some(step_tickets.answered)
     }
 
     fn ticket_request_for(&self, key: StepKey, now: Time) -> Option<TicketRequest> {
@@ -120,6 +146,10 @@
             return None;
         }
         drop(usable);
+        // A gang asks about each worker once before it renews a ticket.
+        let is_renewed = |w: &Worker| {
+            step.gang && step_tickets.is_some_and(|p| p.tickets.contains_key(&w.report.name))
+        };
         // Unhealthy workers come last. Without tickets no task could be their probe.
         request.probe_after = Some(Span::ZERO);
         let mut workers: Vec<(f64, &Worker)> = self
@@ -128,7 +158,8 @@
             .collect();
         workers.sort_by(|(cost, a), (other_cost, b)| {
             let by_health = a.health.is_unhealthy().cmp(&b.health.is_unhealthy());
-            by_health.then(cost.total_cmp(other_cost))
+            let by_renewal = is_renewed(a).cmp(&is_renewed(b));
+            by_health.then(by_renewal).then(cost.total_cmp(other_cost))
         });
         let names = workers.iter().take(MAX_WORKERS_PER_REQUEST);
         let workers: Vec<_> = names.map(|(_, w)| w.report.name.clone()).collect();
@@ -139,6 +170,7 @@
     pub fn tickets_granted(&mut self, request: &TicketRequest, grant: &TicketGrant, sent: Time) {
         log::info!(step:% = request.step, asked = request.workers.len(), granted = grant.tickets.len(), valid:% = grant.lifetime; "policy service answered");
         let step_tickets = self.step_tickets.entry(request.step).or_default();
+        step_tickets.answered = sent;
         for name in &request.workers {
             let granted = grant.tickets.iter().find(|(n, _)| n == name);
             match (granted, self.workers.get(name)) {
