--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -13,7 +13,7 @@
 use super::pace::Headrooms;
 use super::turns::MAX_TURNS_PER_WORKER;
 use super::worker::{JobInterference, TrackedRun, Worker};
-use crate::model::{DomainName, Millicores, ServiceName, Time};
+use crate::model::{DomainName, Millicores, ServiceName, Span, Time};
 use crate::place::headroom::{HeadroomEstimate, Slopes};
 
 /// Cost of running on another rack than the data. The capacity left unused costs at most
@@ -86,8 +86,9 @@
     pub(crate) rack: Option<&'a str>,
     /// Whether long-running tasks have to leave the reserve for short ones free.
     pub(crate) keep_reserve: bool,
-    /// Whether the tasks may test the health of an unhealthy worker.
-    pub(crate) may_probe: bool,
+    /// How long the probe of an unhealthy worker has to be due before the tasks may be one; `None`
+    /// if they must not.
+    pub(crate) probe_after: Option<Span>,
     /// How far the tasks are kept apart from others because they may crash their worker.
     pub(crate) isolation: Isolation,
     /// Whether only workers with a ticket of the policy service may run the tasks.
@@ -157,7 +158,7 @@
     if !worker.accepts_start(now) {
         return Some(Obstacle::NotReady);
     }
-    if !worker.accepts_health(request.may_probe, now) {
+    if !worker.accepts_health(request.probe_after, now) {
         return Some(Obstacle::Unhealthy);
     }
     if evacuated.contains(&worker.report.domain) {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -266,7 +266,7 @@
         }
         ranked.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
         let in_use = self.workers.values().filter(|w| w.listed);
-        let probing = in_use.clone().filter(|w| w.is_probing()).count();
+        let probing = in_use.clone().filter(|w| w.is_probing(now)).count();
         self.probe_slots = health::probe_slots(in_use.count(), probing);
         let mut unplaced = UnplacedSizes::default();
         for (_, key) in &ranked {
@@ -354,7 +354,10 @@
         let keep_reserve = step.long_running
             && (longest_wait <= MIN_RESERVE_WAIT
                 || (longest_wait <= MAX_RESERVE_WAIT && !self.has_spare_capacity()));
-        if unplaced.covers(step, &record, keep_reserve) {
+        let may_probe = |i: &u32| self.may_probe(key, *i, &record);
+        if unplaced.covers(step, &record, keep_reserve, || {
+            waiting.iter().any(may_probe)
+        }) {
             return;
         }
         let mut suspects: IndexMap<Isolation, Vec<u32>> = IndexMap::new();
@@ -366,32 +369,61 @@
                 isolation => suspects.entry(isolation).or_default().push(index),
             }
         }
+        let (probes, others): (Vec<u32>, Vec<u32>) = others.into_iter().partition(may_probe);
         let mut request = PlacementRequest {
             key,
             step,
             service: &record.queue.service,
             rack: None,
             keep_reserve,
-            may_probe: others.iter().all(|i| self.may_probe(key, *i, &record)),
+            probe_after: None,
             isolation: Isolation::None,
             needs_ticket: record.queue.ticket_lifetime.is_some(),
             in_turn,
         };
-        if !self.start_tasks(&others, &request, &record, orders, now) {
-            unplaced.add(step, &record, keep_reserve);
+        for (tasks, may_probe) in [(others, false), (probes, true)] {
+            if !self.start_or_probe(&tasks, may_probe, &mut request, &record, orders, now) {
+                unplaced.add(step, &record, keep_reserve, may_probe);
+            }
         }
         for (isolation, tasks) in suspects {
             request.isolation = isolation;
             // A probe of a worker should not be a task that may crash it, unless no other
             // worker qualifies.
-            request.may_probe =
-                isolation.is_spread() && tasks.iter().all(|i| self.may_probe(key, *i, &record));
-            self.start_tasks(&tasks, &request, &record, orders, now);
+            if isolation.is_spread() {
+                let may_probe = tasks.iter().all(|i| self.may_probe(key, *i, &record));
+                self.start_or_probe(&tasks, may_probe, &mut request, &record, orders, now);
+            } else {
+                request.probe_after = None;
+                self.start_tasks(&tasks, &request, &record, orders, now);
+            }
         }
     }
 
-    /// Starts as many of these tasks of a step as the workers have capacity for. Returns
-    /// whether all have been started.
+    /// Starts as many of these tasks of a step as the workers have capacity for, also on unhealthy
+    /// workers that are due a probe if the tasks may be one. If they must not, they are probes only
+    /// of workers for which no other task has come. Returns whether all have been started.
+    fn start_or_probe(
+        &mut self,
+        tasks: &[u32],
+        may_probe: bool,
+        request: &mut PlacementRequest<'_>,
+        record: &JobRecord,
+        orders: &mut Vec<WorkerOrder>,
+        now: Time,
+    ) -> bool {
+        request.probe_after = may_probe.then_some(Span::ZERO);
+        let started = self.start_tasks(tasks, request, record, orders, now);
+        let left = &tasks[started..];
+        if !may_probe && self.probe_slots > 0 {
+            request.probe_after = Some(health::LAST_ATTEMPT_DELAY);
+            return self.start_tasks(left, request, record, orders, now) == left.len();
+        }
+        left.is_empty()
+    }
+
+    /// Starts as many of these tasks of a step as the workers have capacity for, in their order.
+    /// Returns how many.
     fn start_tasks(
         &mut self,
         tasks: &[u32],
@@ -399,18 +431,17 @@
         record: &JobRecord,
         orders: &mut Vec<WorkerOrder>,
         now: Time,
-    ) -> bool {
+    ) -> usize {
         if tasks.is_empty() {
-            return true;
+            return 0;
         }
         let (key, step) = (request.key, request.step);
         // A start changes the cost of its own worker only, so one search serves all tasks.
         let mut candidates = self.candidates(request, now);
         let mut tasks_by_worker: IndexMap<WorkerName, u32> = IndexMap::new();
-        let mut complete = true;
+        let mut started = 0;
         for &index in tasks {
             let Some(Reverse(best)) = candidates.pop() else {
-                complete = false;
                 break;
             };
             let Some((name, _)) = self.workers.get_index(best.worker) else {
@@ -425,9 +456,10 @@
             }
             candidates.extend(self.candidate(best.worker, request, now).map(Reverse));
             *tasks_by_worker.entry(name).or_default() += 1;
+            started += 1;
         }
         log_placement(key, record, &tasks_by_worker);
-        complete
+        started
     }
 
     fn mark_in_turn(&mut self, name: &WorkerName, task: TaskKey) {
@@ -440,8 +472,8 @@
         worker.update_load();
     }
 
-    /// Whether a task may test the health of an unhealthy worker. A probe that fails must
-    /// not use up the attempts of the task.
+    /// Whether a task may test the health of an unhealthy worker as soon as a probe is due. A
+    /// probe that fails must not use up the attempts of the task.
     pub(super) fn may_probe(&self, step: StepKey, index: u32, record: &JobRecord) -> bool {
         let spec = record.spec.steps.get(usize::from(step.step));
         let unlimited = spec.is_some_and(|s| s.long_running);
@@ -498,8 +530,17 @@
         } else {
             vec![None]
         };
-        for rack in racks {
-            let Some(chosen) = self.reserve_gang(key, record, step, rack.as_deref(), now) else {
+        let may_probe = (0..step.count).all(|i| self.may_probe(key, i, record));
+        let probes = match (may_probe, self.probe_slots) {
+            (true, _) => vec![Some(Span::ZERO)],
+            (false, 0) => vec![None],
+            (false, _) => vec![None, Some(health::LAST_ATTEMPT_DELAY)],
+        };
+        let places = probes
+            .iter()
+            .flat_map(|probe| racks.iter().map(move |rack| (*probe, rack.as_deref())));
+        for (probe_after, rack) in places {
+            let Some(chosen) = self.reserve_gang(key, record, step, probe_after, rack, now) else {
                 continue;
             };
             let tasks: Vec<TaskKey> = (0..step.count)
@@ -535,6 +576,7 @@
         key: StepKey,
         record: &JobRecord,
         step: &Step,
+        probe_after: Option<Span>,
         rack: Option<&str>,
         now: Time,
     ) -> Option<Vec<WorkerName>> {
@@ -544,7 +586,7 @@
             service: &record.queue.service,
             rack,
             keep_reserve: false,
-            may_probe: (0..step.count).all(|i| self.may_probe(key, i, record)),
+            probe_after,
             isolation: self.gang_isolation(key, now),
             needs_ticket: record.queue.ticket_lifetime.is_some(),
             in_turn: false,
@@ -554,7 +596,11 @@
             let Some(name) = self.choose_worker(&request, now) else {
                 break;
             };
-            let tracked = self.new_run(Run(0), step, WorkerTime::ZERO, now);
+            // Members are one probe together, so a member that has a place excludes no other.
+            let tracked = TrackedRun {
+                since: Time::ZERO,
+                ..self.new_run(Run(0), step, WorkerTime::ZERO, now)
+            };
             if let Some(worker) = self.workers.get_mut(&name) {
                 worker.runs.insert(TaskKey { step: key, index }, tracked);
                 worker.update_load();
@@ -637,6 +683,16 @@
         Ok(cost)
     }
 
+    /// The workers on which a task could start now, with their costs.
+    pub(super) fn usable_workers<'a>(
+        &'a self,
+        request: &PlacementRequest<'_>,
+        now: Time,
+    ) -> impl Iterator<Item = (f64, &'a Worker)> {
+        let workers = self.workers.values();
+        workers.filter_map(move |w| Some((self.assess(w, request, now).ok()?, w)))
+    }
+
     /// Valid ticket for running a step on a worker.
     fn ticket(&self, step: StepKey, worker: &Worker, now: Time) -> Option<&ArcStr> {
         self.step_tickets.get(&step)?.ticket(worker, now)
@@ -777,6 +833,9 @@
     /// Whether the search kept the reserve for short tasks free. If so, it says nothing
     /// about tasks that may use the reserve.
     keep_reserve: bool,
+    /// Whether the search included unhealthy workers that are due a probe. If not, it says
+    /// nothing about tasks that may probe them.
+    may_probe: bool,
     best_effort: bool,
     /// Image of a best-effort task; `None` for others. Whether a worker admits a best-effort
     /// task depends on its image.
@@ -792,22 +851,39 @@
 }
 
 impl UnplacedSizes {
-    pub(super) fn covers(&self, step: &Step, record: &JobRecord, keep_reserve: bool) -> bool {
+    pub(super) fn covers(
+        &self,
+        step: &Step,
+        record: &JobRecord,
+        keep_reserve: bool,
+        may_probe: impl Fn() -> bool,
+    ) -> bool {
         self.sizes.iter().any(|known| {
             known.size.fits(&step.size)
                 && (keep_reserve || !known.keep_reserve)
+                && (known.may_probe || !may_probe())
                 && known.best_effort == step.best_effort
                 && known.image.as_ref() == step.image.as_ref().filter(|_| step.best_effort)
                 && known.service == record.queue.service
         })
     }
 
-    pub(super) fn add(&mut self, step: &Step, record: &JobRecord, keep_reserve: bool) {
-        let unconstrained = step.label.is_none() && step.per_worker.is_none();
+    pub(super) fn add(
+        &mut self,
+        step: &Step,
+        record: &JobRecord,
+        keep_reserve: bool,
+        may_probe: bool,
+    ) {
+        // A step that lacks tickets says nothing about room.
+        let unconstrained = step.label.is_none()
+            && step.per_worker.is_none()
+            && record.queue.ticket_lifetime.is_none();
         if unconstrained {
             self.sizes.push(UnplacedSize {
                 size: step.size,
                 keep_reserve,
+                may_probe,
                 best_effort: step.best_effort,
                 image: step.image.clone().filter(|_| step.best_effort),
                 service: record.queue.service.clone(),
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -10,7 +10,7 @@
 use super::Dispatcher;
 use super::crash::Isolation;
 use super::job_spec::StepKey;
-use super::placement::{self, PlacementRequest};
+use super::placement::PlacementRequest;
 use super::rank;
 use super::worker::{Incarnation, Worker};
 use crate::model::{Span, Time, WorkerName};
@@ -55,6 +55,8 @@
     tickets: IndexMap<WorkerName, Ticket>,
     /// Workers that must not run the step; such a decision is final.
     denied: IndexSet<WorkerName>,
+    /// When the last request that was answered was sent.
+    answered: Time,
 }
 
 impl StepTickets {
@@ -93,42 +95,75 @@
             })
             .collect();
         steps.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
-        steps
-            .into_iter()
-            .find_map(|(_, key)| self.ticket_request_for(key, now))
+        let mut renewal: Option<(Time, TicketRequest)> = None;
+        for (_, key) in steps {
+            let Some(request) = self.ticket_request_for(key, now) else {
+                continue;
+            };
+            match self.renewed_at(&request) {
+                None => return Some(request),
+                Some(at) if renewal.as_ref().is_none_or(|(first, _)| at < *first) => {
+                    renewal = Some((at, request));
+                }
+                Some(_) => {}
+            }
+        }
+        renewal.map(|(_, request)| request)
+    }
+
+    /// When a gang last got an answer, if the request only renews its tickets; `None` for other
+    /// requests. A gang waits with its tickets until all members fit, so its renewals have no end
+    /// and come after the requests of other steps.
+    fn renewed_at(&self, request: &TicketRequest) -> Option<Time> {
+        let job = self.jobs.get(&request.step.job)?;
+        let steps = &job.record.spec.steps;
+        let is_gang = steps.get(usize::from(request.step.step))?.gang;
+        let step_tickets = self.step_tickets.get(&request.step)?;
+        let mut workers = request.workers.iter();
+        let is_renewal = is_gang && workers.all(|w| step_tickets.tickets.contains_key(w));
+        is_renewal.then_some(step_tickets.answered)
     }
 
     fn ticket_request_for(&self, key: StepKey, now: Time) -> Option<TicketRequest> {
         let record = self.job_record(key.job)?;
         let step = record.spec.steps.get(usize::from(key.step))?;
-        let request = PlacementRequest {
+        let mut request = PlacementRequest {
             key,
             step,
             service: &record.queue.service,
             rack: None,
             keep_reserve: false,
-            may_probe: false,
+            probe_after: None,
             isolation: Isolation::None,
-            needs_ticket: true,
+            needs_ticket: false,
             in_turn: false,
         };
         let step_tickets = self.step_tickets.get(&key);
-        let usable = |w: &&Worker| placement::obstacle(w, &request, &self.evacuated, now).is_none();
-        let has_ticket = |w: &&Worker| step_tickets.is_some_and(|p| p.ticket(w, now).is_some());
-        let denied = |w: &&Worker| step_tickets.is_some_and(|p| p.denied.contains(&w.report.name));
-        if !step.gang && self.workers.values().filter(usable).any(|w| has_ticket(&w)) {
+        let has_ticket = |w: &Worker| step_tickets.is_some_and(|p| p.ticket(w, now).is_some());
+        let denied = |w: &Worker| step_tickets.is_some_and(|p| p.denied.contains(&w.report.name));
+        let mut usable = self.usable_workers(&request, now);
+        if !step.gang && usable.any(|(_, w)| has_ticket(w)) {
             // Workers that have a ticket already are filled first.
             return None;
         }
-        let mut workers: Vec<&Worker> = self
-            .workers
-            .values()
-            .filter(|w| usable(w) && !has_ticket(w) && !denied(w))
+        drop(usable);
+        // A gang asks about each worker once before it renews a ticket.
+        let is_renewed = |w: &Worker| {
+            step.gang && step_tickets.is_some_and(|p| p.tickets.contains_key(&w.report.name))
+        };
+        // Unhealthy workers come last. Without tickets no task could be their probe.
+        request.probe_after = Some(Span::ZERO);
+        let mut workers: Vec<(f64, &Worker)> = self
+            .usable_workers(&request, now)
+            .filter(|(_, w)| !has_ticket(w) && !denied(w))
             .collect();
-        workers
-            .sort_by(|a, b| placement::cost(a, &request).total_cmp(&placement::cost(b, &request)));
+        workers.sort_by(|(cost, a), (other_cost, b)| {
+            let by_health = a.health.is_unhealthy().cmp(&b.health.is_unhealthy());
+            let by_renewal = is_renewed(a).cmp(&is_renewed(b));
+            by_health.then(by_renewal).then(cost.total_cmp(other_cost))
+        });
         let names = workers.iter().take(MAX_WORKERS_PER_REQUEST);
-        let workers: Vec<_> = names.map(|w| w.report.name.clone()).collect();
+        let workers: Vec<_> = names.map(|(_, w)| w.report.name.clone()).collect();
         (!workers.is_empty()).then_some(TicketRequest { step: key, workers })
     }
 
@@ -136,6 +171,7 @@
     pub fn tickets_granted(&mut self, request: &TicketRequest, grant: &TicketGrant, sent: Time) {
         log::info!(step:% = request.step, asked = request.workers.len(), granted = grant.tickets.len(), valid:% = grant.lifetime; "policy service answered");
         let step_tickets = self.step_tickets.entry(request.step).or_default();
+        step_tickets.answered = sent;
         for name in &request.workers {
             let granted = grant.tickets.iter().find(|(n, _)| n == name);
             match (granted, self.workers.get(name)) {
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -126,13 +126,14 @@
             });
         };
         let isolation = task.isolation_at(step.long_running, now);
+        let may_probe = isolation == Isolation::None && self.may_probe(key, index, &job.record);
         let request = PlacementRequest {
             key,
             step,
             service: &job.record.queue.service,
             rack: None,
             keep_reserve: false,
-            may_probe: isolation == Isolation::None && self.may_probe(key, index, &job.record),
+            probe_after: may_probe.then_some(Span::ZERO),
             isolation,
             needs_ticket: job.record.queue.ticket_lifetime.is_some(),
             in_turn: false,
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -445,15 +445,16 @@
     }
 
     /// Whether the worker runs a task that tests its health.
-    pub(crate) fn is_probing(&self) -> bool {
-        self.health.is_unhealthy() && self.runs.values().any(|r| self.health.is_probe(r.since))
+    pub(crate) fn is_probing(&self, now: Time) -> bool {
+        let is_probe = |r: &TrackedRun| self.health.is_probe(r.since, now);
+        self.health.is_unhealthy() && self.runs.values().any(is_probe)
     }
 
-    /// Whether the worker's health allows a start. `may_probe` says whether the task may test an
-    /// unhealthy worker.
-    pub(crate) fn accepts_health(&self, may_probe: bool, now: Time) -> bool {
-        !self.health.is_unhealthy()
-            || (may_probe && self.health.is_probe_due(now) && !self.is_probing())
+    /// Whether the worker's health allows a start. `probe_after` is how long the probe of an
+    /// unhealthy worker has to be due before the task may be one; `None` if it must not.
+    pub(crate) fn accepts_health(&self, probe_after: Option<Span>, now: Time) -> bool {
+        let is_due = |delay| self.health.is_probe_due(now - delay);
+        !self.health.is_unhealthy() || (probe_after.is_some_and(is_due) && !self.is_probing(now))
     }
 
     /// Whether tasks may be started on the worker now, if its health allows it.
