Hold back starved steps while timely work comes, and let none block others

- Between two arrivals all timely steps are often placed, and one such pass lifted the limit on runs of late steps.
- Steps that no worker admits used up all tries of a pass, and were due again before younger ones.
Steps that were not refused go first, then the one that was refused longest ago; only started tasks count, and a step needs a task that may start.
- Runs that measured tails keep paused held the slots, and hid the other tasks of their step.
Paused runs no longer count, and a run with checkpoints moves after 5 s.
- No tickets were requested for a late step that each worker refuses: tickets_are_requested_for_starved_steps fails on the code before, 'assertion failed: sim.completed.contains_key(&key)' after 20 s.

The module is named after the usual term.

--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -58,8 +58,8 @@
     pub(crate) waiting: u32,
     /// Wait of its oldest task when it was last reported what the step waits for.
     pub(crate) wait_reported: Span,
-    /// When it was its turn last and no worker was found.
-    pub(crate) turn_refused: Option<Time>,
+    /// When the step was last tried as a starved one, if no worker was found.
+    pub(crate) refused: Option<Time>,
 }
 
 impl StepState {
@@ -94,7 +94,7 @@
             done,
             waiting,
             wait_reported: Span::ZERO,
-            turn_refused: None,
+            refused: None,
         }
     }
 
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -21,11 +21,11 @@
 mod progress;
 mod rank;
 mod replies;
+mod starvation;
 mod succession;
 #[cfg(test)]
 mod tests;
 mod tickets;
-mod turns;
 mod voters;
 mod waits;
 mod worker;
@@ -246,6 +246,8 @@
     expired_jobs: IndexSet<JobKey>,
     /// Whether the durable roster differs from the workers in use.
     roster_dirty: bool,
+    /// When a step that can be in time last waited after a pass.
+    timely_waited: Time,
     /// When it was last reported why a step waits.
     waits_reported: Time,
     /// How many more unhealthy workers may be probed in this pass.
@@ -306,6 +308,7 @@
             withdrawn: IndexMap::new(),
             expired_jobs: IndexSet::new(),
             roster_dirty: false,
+            timely_waited: now,
             waits_reported: now,
             probe_slots: 0,
             deposed: false,
--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -38,6 +38,9 @@
 /// about a second for the stop and the restore of a checkpoint; load peaks last longer.
 const PAUSED_TASK_TIMEOUT: Span = Span::from_millis(800);
 
+/// The same for a task of a starved step.
+const STARVED_TASK_TIMEOUT: Span = Span::from_secs(5);
+
 /// Minimum time between two adjustments on a worker without a poll in between.
 const ADJUST_INTERVAL: Span = Span::from_millis(150);
 
@@ -153,8 +156,8 @@
                     (false, false) => new_pace,
                 };
                 let new_pace = match new_pace < MIN_PACE_PERCENT {
-                    // A task that starts in turn would not run anywhere by the estimates.
-                    true if tracked.in_turn && above_target.is_none() => MIN_PACE_PERCENT,
+                    // By the estimates a task of a starved step would not run anywhere.
+                    true if tracked.starved && above_target.is_none() => MIN_PACE_PERCENT,
                     true => 0,
                     false => new_pace,
                 };
@@ -183,7 +186,9 @@
                 };
                 let paused =
                     tracked.pace == 0 && now.since(tracked.pace_changed) > PAUSED_TASK_TIMEOUT;
-                let may_move = !pause_all && !tracked.in_turn;
+                // Each worker may pause a task of a starved step, so it is moved less often.
+                let pause = now.since(tracked.pace_changed);
+                let may_move = !pause_all && (!tracked.starved || pause > STARVED_TASK_TIMEOUT);
                 if paused && may_move && has_checkpoints() == Some(true) {
                     log::info!(task:% = task, worker:% = name; "stopping a paused best-effort task to move it to another worker");
                     tracked.must_stop = true;
--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -11,7 +11,7 @@
 use super::crash::Isolation;
 use super::job_spec::{Step, StepKey};
 use super::pace::Headrooms;
-use super::turns::MAX_TURNS_PER_WORKER;
+use super::starvation::MAX_STARVED_PER_WORKER;
 use super::worker::{JobInterference, TrackedRun, Worker};
 use crate::model::{DomainName, Millicores, ServiceName, Span, Time};
 use crate::place::headroom::{HeadroomEstimate, Slopes};
@@ -62,7 +62,7 @@
 const MIN_HEADROOM_AFTER_START: f64 = 1.45;
 
 /// Least headroom left by which the cost of a best-effort task is calculated. Bounds the cost on
-/// a worker without any, where a task may start in turn.
+/// a worker without any, where a task of a starved step may start.
 const MIN_HEADROOM_LEFT: f64 = 0.05;
 
 /// Cost of placing a task that may crash its worker, for each full worker that would be lost.
@@ -93,17 +93,17 @@
     pub(crate) isolation: Isolation,
     /// Whether only workers with a ticket of the policy service may run the tasks.
     pub(crate) needs_ticket: bool,
-    /// Whether the tasks start in turn, also where they may take more headroom or processor time
-    /// than is left.
-    pub(crate) in_turn: bool,
+    /// Whether the step is starved, so that its tasks start also where they may take more headroom
+    /// or processor time than is left.
+    pub(crate) starved: bool,
 }
 
 impl PlacementRequest<'_> {
     /// Whether a task may take more headroom or processor time from a worker than is left. It
     /// must not where a serving task is above its target already.
     fn may_exceed(&self, worker: &Worker) -> bool {
-        self.in_turn
-            && worker.load.turn_tasks < MAX_TURNS_PER_WORKER
+        self.starved
+            && worker.load.starved_runs < MAX_STARVED_PER_WORKER
             && worker.runs.values().all(|r| r.above_target.is_none())
     }
 }
@@ -198,10 +198,10 @@
     (count >= limit).then_some(Obstacle::Spread)
 }
 
-/// Cost of a best-effort task's interference with a worker's serving tasks, or why it can't
-/// run beside them: it would take more headroom than they can spare. A worker runs at most one image of unknown
-/// interference at a time, and only beside jobs whose own headroom is known, so that the
-/// effect can be attributed.
+/// Cost of a best-effort task's interference with a worker's serving tasks, or why it can't run
+/// beside them: it would take more headroom than they can spare. Unless its step is starved, a
+/// worker runs at most one image of unknown interference at a time, and only beside jobs whose own
+/// headroom is known, so that the effect can be attributed.
 pub(crate) fn interference_cost(
     worker: &Worker,
     request: &PlacementRequest<'_>,
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -273,7 +273,7 @@
             self.start_step(*key, &mut unplaced, orders, now);
         }
         let long_running = ranked.partition_point(|(rank, _)| rank.is_long_running());
-        self.start_in_turn(&ranked[long_running..], orders, now);
+        self.start_starved(&ranked[long_running..], orders, now);
     }
 
     /// Starts as many tasks of a step as the workers have capacity for.
@@ -287,8 +287,8 @@
         self.start_waiting(key, false, unplaced, orders, now);
     }
 
-    /// Starts one task of a step in turn.
-    pub(super) fn start_step_in_turn(
+    /// Starts one task of a starved step.
+    pub(super) fn start_starved_step(
         &mut self,
         key: StepKey,
         orders: &mut Vec<WorkerOrder>,
@@ -297,11 +297,11 @@
         self.start_waiting(key, true, &mut UnplacedSizes::default(), orders, now);
     }
 
-    /// Starts waiting tasks of a step, of which only one if it is the step's turn.
+    /// Starts waiting tasks of a step, only one if the step is starved.
     fn start_waiting(
         &mut self,
         key: StepKey,
-        in_turn: bool,
+        starved: bool,
         unplaced: &mut UnplacedSizes,
         orders: &mut Vec<WorkerOrder>,
         now: Time,
@@ -320,17 +320,13 @@
         else {
             return;
         };
-        let startable = |t: &super::job::Task| {
-            t.state == TaskState::Waiting
-                && t.not_before <= now
-                && (!t.inherited || self.inherited_resolved)
-        };
+        let startable = |t: &super::job::Task| self.is_startable(t, now);
         let mut waiting: Vec<u32> = (0u32..)
             .zip(&state.tasks)
             .filter(|(_, t)| startable(t))
             .map(|(i, _)| i)
             .collect();
-        if in_turn {
+        if starved {
             waiting.truncate(1);
         }
         if step.gang && waiting.len() < step.count as usize {
@@ -379,7 +375,7 @@
             probe_after: None,
             isolation: Isolation::None,
             needs_ticket: record.queue.ticket_lifetime.is_some(),
-            in_turn,
+            starved,
         };
         for (tasks, may_probe) in [(others, false), (probes, true)] {
             if !self.start_or_probe(&tasks, may_probe, &mut request, &record, orders, now) {
@@ -451,8 +447,8 @@
             let task = TaskKey { step: key, index };
             let run = self.next_run(&[task]);
             self.start(&name, task, run, record, step, orders, now);
-            if request.in_turn {
-                self.mark_in_turn(&name, task);
+            if request.starved {
+                self.mark_starved(&name, task);
             }
             candidates.extend(self.candidate(best.worker, request, now).map(Reverse));
             *tasks_by_worker.entry(name).or_default() += 1;
@@ -462,12 +458,12 @@
         started
     }
 
-    fn mark_in_turn(&mut self, name: &WorkerName, task: TaskKey) {
+    fn mark_starved(&mut self, name: &WorkerName, task: TaskKey) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
         if let Some(tracked) = worker.runs.get_mut(&task) {
-            tracked.in_turn = true;
+            tracked.starved = true;
         }
         worker.update_load();
     }
@@ -589,7 +585,7 @@
             probe_after,
             isolation: self.gang_isolation(key, now),
             needs_ticket: record.queue.ticket_lifetime.is_some(),
-            in_turn: false,
+            starved: false,
         };
         let mut chosen = Vec::new();
         for index in 0..step.count {
@@ -724,7 +720,7 @@
             stop_pending: false,
             stop_confirmed: None,
             must_stop: false,
-            in_turn: false,
+            starved: false,
             percent: 0,
             last_progress: now,
             usage: 0,
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -449,7 +449,7 @@
             stop_pending: false,
             stop_confirmed: None,
             must_stop,
-            in_turn: false,
+            starved: false,
             percent: row.percent,
             last_progress: now,
             usage: row.usage,
--- a/crates/jujubelb/src/dispatch/tests/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tests/tickets.rs
@@ -163,3 +163,25 @@
     assert_eq!(sim.running(gang), 0);
     assert!(sim.completed.contains_key(&key));
 }
+
+/// Guards against a late best-effort job for which no tickets are requested, since the serving
+/// tasks on each worker can't spare the headroom that its image takes.
+#[test]
+fn tickets_are_requested_for_starved_steps() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![long_running(2, 10)]));
+    sim.run(Span::from_millis(2_500));
+    let batch = |count| Step {
+        image: Some("heavy".into()),
+        best_effort: true,
+        ..step(count, 20, Span::from_secs(1))
+    };
+    sim.submit(2, job(2, vec![batch(2)]));
+    sim.run(Span::from_secs(6));
+    let key = sim.submit(3, with_policy_service(job(2, vec![batch(2)])));
+    for _ in 0..100 {
+        sim.grant_tickets(&[0], Span::from_secs(2));
+        sim.run(Span::from_millis(200));
+    }
+    assert!(sim.completed.contains_key(&key));
+}
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -96,8 +96,9 @@
             .collect();
         steps.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
         let mut renewal: Option<(Time, TicketRequest)> = None;
-        for (_, key) in steps {
-            let Some(request) = self.ticket_request_for(key, now) else {
+        for (rank, key) in steps {
+            let starved = rank.is_late() && self.is_starved(key, now);
+            let Some(request) = self.ticket_request_for(key, starved, now) else {
                 continue;
             };
             match self.renewed_at(&request) {
@@ -124,7 +125,7 @@
         is_renewal.then_some(step_tickets.answered)
     }
 
-    fn ticket_request_for(&self, key: StepKey, now: Time) -> Option<TicketRequest> {
+    fn ticket_request_for(&self, key: StepKey, starved: bool, now: Time) -> Option<TicketRequest> {
         let record = self.job_record(key.job)?;
         let step = record.spec.steps.get(usize::from(key.step))?;
         let mut request = PlacementRequest {
@@ -136,7 +137,7 @@
             probe_after: None,
             isolation: Isolation::None,
             needs_ticket: false,
-            in_turn: false,
+            starved,
         };
         let step_tickets = self.step_tickets.get(&key);
         let has_ticket = |w: &Worker| step_tickets.is_some_and(|p| p.ticket(w, now).is_some());
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -27,7 +27,7 @@
     /// The end of the pause after a failure.
     Pause,
     /// A worker; the number of workers by what rules them out. Without any, the step waits for
-    /// those that go before it, or for the other members of its gang.
+    /// steps before it, or for the other members of its gang.
     Workers(IndexMap<Obstacle, usize>),
 }
 
@@ -37,7 +37,7 @@
             Self::Confirmation => f.write_str("confirmation of the term"),
             Self::EarlierTerms => f.write_str("earlier terms"),
             Self::Pause => f.write_str("pause after a failure"),
-            Self::Workers(counts) if counts.is_empty() => f.write_str("its turn"),
+            Self::Workers(counts) if counts.is_empty() => f.write_str("steps before it"),
             Self::Workers(counts) => {
                 f.write_str("workers:")?;
                 for (obstacle, count) in counts {
@@ -136,7 +136,7 @@
             probe_after: may_probe.then_some(Span::ZERO),
             isolation,
             needs_ticket: job.record.queue.ticket_lifetime.is_some(),
-            in_turn: false,
+            starved: false,
         };
         let mut counts: IndexMap<Obstacle, usize> = IndexMap::new();
         for worker in self.workers.values() {
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -99,8 +99,8 @@
     /// When the worker first confirmed a stop of the run in its current incarnation.
     pub(crate) stop_confirmed: Option<Time>,
     pub(crate) must_stop: bool,
-    /// Whether it started in turn, see [`turns`](super::turns).
-    pub(crate) in_turn: bool,
+    /// Whether it started because its step was starved, see [`starvation`](super::starvation).
+    pub(crate) starved: bool,
     /// Progress of the run, or readiness of a serving task, at the last poll.
     pub(crate) percent: u32,
     /// When `percent` last changed.
@@ -227,8 +227,8 @@
     pub(crate) suspects: u32,
     /// Number of runs on probation beside which nothing may start.
     pub(crate) lone_suspects: u32,
-    /// Number of runs that started in turn.
-    pub(crate) turn_tasks: u32,
+    /// Number of runs of starved steps.
+    pub(crate) starved_runs: u32,
 }
 
 /// Share of its declared processor time that a serving task is assumed to use. Workers
@@ -248,7 +248,7 @@
         self.serving_tasks += u32::from(tracked.target.is_some());
         self.suspects += u32::from(tracked.isolation > Isolation::None);
         self.lone_suspects += u32::from(tracked.isolation == Isolation::Alone);
-        self.turn_tasks += u32::from(tracked.in_turn);
+        self.starved_runs += u32::from(tracked.starved);
     }
 }
 
