--- a/crates/jujubelb/src/dispatch/tests/settling.rs
+++ b/crates/jujubelb/src/dispatch/tests/settling.rs
@@ -24,10 +24,11 @@
 /// Simulated time with faults.
 const DISTURBED: Span = Span::from_secs(10);
 
-/// Time from the end of all faults until every job is done: 16 s in which earlier leaders may act
-/// and 6.5 s for the leases that they may have extended, 15 s for a task that waits for a worker
-/// apart from others, 8 s for the probe of a worker by a last attempt, and three steps of up to
-/// 2 s, with the pauses in between.
+/// Time from the end of all faults until every job is done, besides the durations of all tasks
+/// that are open then, which a single worker may have to run one after the other: 16 s in which
+/// earlier leaders may act and 6.5 s for the leases that they may have extended, 15 s for a task
+/// that waits for a worker apart from others, 8 s for the probe of a worker by a last attempt, and
+/// 6 s for pauses in between.
 const SETTLING_BOUND: Span = Span::from_secs(52);
 
 /// Time in which the policy service answers.
@@ -287,6 +288,18 @@
         used_up || runs.values().any(|r| r.len() >= attempts) || self.crashes >= CRASHES_TO_GIVE_UP
     }
 
+    /// Duration of all tasks of the jobs that have not ended.
+    fn open_work(&self) -> Span {
+        let has_ended = |key: &JobKey| {
+            let status = self.sim.dispatcher.job_status(*key);
+            status.is_some_and(|s| !matches!(s, JobStatus::Queued | JobStatus::Running))
+        };
+        let open = self.sim.jobs.iter().filter(|(key, _)| !has_ended(key));
+        let steps = open.flat_map(|(_, record)| &record.spec.steps);
+        let duration = |s: &Step| s.estimate.scale_up(s.count.into(), 1);
+        steps.map(duration).fold(Span::ZERO, |sum, d| sum + d)
+    }
+
     /// What is not done.
     fn open(&self) -> Vec<String> {
         let mut open = Vec::new();
@@ -328,7 +341,7 @@
             self.run(pause);
         }
         self.calm();
-        let end = self.sim.now + SETTLING_BOUND;
+        let end = self.sim.now + SETTLING_BOUND + self.open_work();
         while self.sim.now < end && !self.open().is_empty() {
             self.run(Span::from_secs(1));
         }
