Play serving tasks and bursts of best-effort jobs in the soak, and check LOST and HARM for them

Cause: the soak could not see accepted best-effort jobs that wait for good. It played neither serving tasks with a target nor best-effort tasks, ignored paces, and checked at the end only that jobs are over.

Change: from seed 20000 on, five workers with serving jobs of five images get bursts of best-effort jobs of three images beside a third of the other jobs. Only odd seeds have other faults beside them. The emulator lowers the headroom of a serving task by the share that best-effort tasks use, times a slope of the pair of images; it carries out paces, does not count the processor time of best-effort tasks against the room, and reports tails and usage. The checker has the end of LOST (idle for 3 s from 14 s after the traffic, named `FINISH` in check/idle.rs, for jobs of all seeds) and HARM (4 s). A best-effort job does not have to be over 37 s after the traffic, since its pace depends on the tasks beside it; it still has to be known. `--keep` keeps the logs of clean seeds.

Seeds below 20000 draw the same values in the same order as before. Their workers now report the declared processor time as the usage of a run, where they reported 0; the product took the declared time then.

--- a/crates/jujubelb-lab/src/bin/jujubelb-soak.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-soak.rs
@@ -18,7 +18,9 @@
     after_help = "Examples:\n  jujubelb-soak --seed 7\n  jujubelb-soak --seed 100 --seeds 50 --seconds 40"
 )]
 struct Cli {
-    /// First seed of the load and of the faults.
+    /// First seed of the load and of the faults. Seeds from 10000 on have silent connections,
+    /// seeds from 20000 on serving jobs and bursts of best-effort jobs; of the latter, only odd
+    /// seeds have faults beside them.
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Number of seeds, one after the other.
@@ -42,6 +44,9 @@
     /// Plays no faults.
     #[arg(long)]
     calm: bool,
+    /// Keeps the logs and the history of seeds that have broken no rule.
+    #[arg(long)]
+    keep: bool,
 }
 
 fn main() -> ExitCode {
@@ -83,6 +88,7 @@
             node: node.clone(),
             logs: cli.logs.clone(),
             faults: !cli.calm,
+            keep: cli.keep,
         })?;
         print!("{outcome}");
         broken += usize::from(!outcome.is_clean());
--- a/crates/jujubelb-lab/src/emulator/fleet.rs
+++ b/crates/jujubelb-lab/src/emulator/fleet.rs
@@ -10,6 +10,7 @@
 
 use super::history::{History, Life, What};
 use super::http::lock;
+use super::interference::Interference;
 use super::worker::{MAX_STOP, Machine, Refusal, StartOrder, Worker};
 
 /// Interval at which ends are looked for.
@@ -39,6 +40,7 @@
 #[derive(Debug)]
 pub(crate) struct Fleet {
     history: Arc<History>,
+    interference: Interference,
     state: Mutex<State>,
     /// Notified when a run has ended.
     pub(crate) ended: Notify,
@@ -56,6 +58,7 @@
         };
         let fleet = Self {
             history,
+            interference: Interference::new(seed),
             state: Mutex::new(State {
                 places: machines.into_iter().map(place).collect(),
                 random: StdRng::seed_from_u64(seed),
@@ -88,9 +91,17 @@
             life: place_state.lives,
         };
         place_state.drains = None;
+        let machine = &place_state.machine;
+        self.history.add(What::Joined {
+            worker: life.clone(),
+            service: machine.service.clone(),
+            cpu: machine.cpu,
+            memory: machine.memory,
+        });
         place_state.worker = Some(Worker::new(
             life,
             place_state.machine.clone(),
+            self.interference,
             born.map_or(0, |d| d.as_millis() as u64),
             clock_start_ms,
             now,
--- a/crates/jujubelb-lab/src/emulator/history.rs
+++ b/crates/jujubelb-lab/src/emulator/history.rs
@@ -37,6 +37,26 @@
     pub(crate) lasts: bool,
     /// Share of runs that end as failed.
     pub(crate) failing: f64,
+    pub(crate) role: Role,
+}
+
+/// How the tasks of a step share a worker's processor with others. Tasks of the same image
+/// behave alike.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) enum Role {
+    /// It has its declared processor time to itself.
+    #[default]
+    Plain,
+    /// It serves users of its own; the tail of their response times has to stay below `target`.
+    Serving { image: ArcStr, target: Duration },
+    /// It uses processor time that the others leave; this is not counted against a worker's room.
+    BestEffort { image: ArcStr },
+}
+
+impl Role {
+    pub(crate) fn is_best_effort(&self) -> bool {
+        matches!(self, Self::BestEffort { .. })
+    }
 }
 
 /// A task's name: `ID.K.STEP.INDEX`.
@@ -169,6 +189,22 @@
     Lapsed {
         worker: Life,
     },
+    /// A worker has begun to take tasks.
+    Joined {
+        worker: Life,
+        service: ArcStr,
+        /// Capacity in millicores.
+        cpu: u64,
+        /// Capacity in mebibytes.
+        memory: u64,
+    },
+    /// A serving task has come over its target, or is no longer over it, because of best-effort
+    /// tasks that work beside it: without them it would be below.
+    Disturbed {
+        worker: Life,
+        task: TaskName,
+        disturbed: bool,
+    },
     /// A worker is gone with everything that ran on it.
     Died {
         worker: Life,
@@ -196,6 +232,8 @@
         asked: Duration,
         exists: bool,
     },
+    /// No client sends a job from now on.
+    TrafficEnded,
     /// A disturbance began.
     FaultBegan {
         id: u64,
--- a/crates/jujubelb-lab/src/emulator/mod.rs
+++ b/crates/jujubelb-lab/src/emulator/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod fleet;
 pub(crate) mod history;
 pub(crate) mod http;
+pub(crate) mod interference;
 pub(crate) mod platform;
 pub(crate) mod registry;
 pub(crate) mod store;
--- a/crates/jujubelb-lab/src/emulator/platform/jobs.rs
+++ b/crates/jujubelb-lab/src/emulator/platform/jobs.rs
@@ -3,7 +3,7 @@
 use arcstr::ArcStr;
 use serde_json::{Value, json};
 
-use crate::emulator::history::{SentJob, SentStep};
+use crate::emulator::history::{Role, SentJob, SentStep};
 
 /// Header with the time that a client waits for the response.
 pub(crate) const DEADLINE_HEADER: &str = "Deadline-Ms";
@@ -29,6 +29,17 @@
     if step.lasts {
         body["long_running"] = true.into();
     }
+    match &step.role {
+        Role::Plain => {}
+        Role::Serving { image, target } => {
+            body["image"] = image.as_str().into();
+            body["target_ms"] = (target.as_millis() as u64).into();
+        }
+        Role::BestEffort { image } => {
+            body["image"] = image.as_str().into();
+            body["fills"] = true.into();
+        }
+    }
     body
 }
 
--- a/crates/jujubelb-lab/src/emulator/platform/worker_api.rs
+++ b/crates/jujubelb-lab/src/emulator/platform/worker_api.rs
@@ -49,6 +49,8 @@
 
 #[derive(Deserialize)]
 struct PaceBody {
+    task: String,
+    run: u64,
     percent: u64,
     #[serde(default)]
     fencing_token: u64,
@@ -122,8 +124,13 @@
         let Some(body) = parse::<PaceBody>(request).filter(|b| b.percent <= 100) else {
             return Reply::empty(400);
         };
-        let token = body.fencing_token;
-        self.reply(self.fleet.with(self.place, |w, _, _| w.fence(token)))
+        let Some(task) = TaskName::parse(&body.task) else {
+            return Reply::empty(400);
+        };
+        let (percent, token) = (body.percent, body.fencing_token);
+        self.reply(self.fleet.with(self.place, |worker, _, now| {
+            worker.pace(&task, body.run, percent, token, now)
+        }))
     }
 
     async fn hold(&self, request: &Request) -> Reply {
@@ -179,7 +186,8 @@
 fn lists(worker: &Worker, now: Duration) -> Value {
     let running = worker.runs().map(|(task, run, state)| {
         let saved = state.saved.as_deref().unwrap_or_default();
-        json!([task.to_string(), run, saved, state.percent(now), 0])
+        let usage = worker.usage(task, state, now);
+        json!([task.to_string(), run, saved, state.percent(now), usage])
     });
     let finished = worker.finished().map(|end| {
         let saved = end.saved.as_deref().unwrap_or_default();
--- a/crates/jujubelb-lab/src/emulator/worker.rs
+++ b/crates/jujubelb-lab/src/emulator/worker.rs
@@ -7,7 +7,8 @@
 use arcstr::ArcStr;
 use indexmap::IndexMap;
 
-use super::history::{History, Life, RunEnd, SentJob, TaskName, What};
+use super::history::{History, Life, Role, RunEnd, SentJob, TaskName, What};
+use super::interference::{Interference, REPORT_WINDOW};
 
 /// Longest lease of what runs on a worker.
 pub(crate) const MAX_LEASE_MS: u64 = 6_000;
@@ -15,6 +16,9 @@
 /// Longest time that a stop takes.
 pub(crate) const MAX_STOP: Duration = Duration::from_millis(400);
 
+/// Time until an ordered pace takes effect.
+const PACE_DELAY: Duration = Duration::from_millis(100);
+
 /// Work after which a new checkpoint is produced.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -73,13 +77,23 @@
 /// A run that is at work.
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
-    began: Duration,
-    /// Work of earlier runs from which it was resumed.
-    resumed: Duration,
+    /// Work done until `updated`, with that of earlier runs from which it was resumed.
+    worked: Duration,
+    updated: Duration,
+    /// Speed and interference in percent.
+    pace: u64,
+    /// A pace that was ordered, and when it takes effect.
+    next_pace: Option<(u64, Duration)>,
     /// Work of the whole task; `None` if it lasts.
     work: Option<Duration>,
+    /// Declared millicores.
     cpu: u64,
     memory: u64,
+    role: Role,
+    /// Headroom of a serving task at the times of the last report window.
+    headrooms: VecDeque<(Duration, f64)>,
+    /// Whether it is over its target because of best-effort tasks.
+    disturbed: bool,
     checkpoints: bool,
     pub(crate) saved: Option<ArcStr>,
     fails: bool,
@@ -89,7 +103,30 @@
 
 impl Run {
     fn progress(&self, now: Duration) -> Duration {
-        self.resumed + now.saturating_sub(self.began)
+        let passed = now.saturating_sub(self.updated);
+        self.worked + passed.mul_f64(self.pace as f64 / 100.0)
+    }
+
+    /// Lets an ordered pace take effect if it is due.
+    fn update_pace(&mut self, now: Duration) {
+        if let Some((pace, at)) = self.next_pace.take_if(|(_, at)| *at <= now) {
+            self.worked = self.progress(at);
+            self.updated = at;
+            self.pace = pace;
+        }
+    }
+
+    /// Millicores counted against the worker's room.
+    fn reserved_cpu(&self) -> u64 {
+        match self.role.is_best_effort() {
+            true => 0,
+            false => self.cpu,
+        }
+    }
+
+    /// Millicores in use.
+    fn used_cpu(&self) -> u64 {
+        self.cpu * self.pace / 100
     }
 
     /// Progress in percent; 100 for a task that lasts.
@@ -118,6 +155,7 @@
 pub(crate) struct Worker {
     pub(crate) life: Life,
     pub(crate) machine: Machine,
+    interference: Interference,
     /// Unix time in milliseconds at which this life began.
     pub(crate) born_ms: u64,
     began: Duration,
@@ -139,6 +177,7 @@
     pub(crate) fn new(
         life: Life,
         machine: Machine,
+        interference: Interference,
         born_ms: u64,
         clock_start_ms: u64,
         now: Duration,
@@ -146,6 +185,7 @@
         Self {
             life,
             machine,
+            interference,
             born_ms,
             began: now,
             clock_start_ms,
@@ -211,15 +251,6 @@
             return Err(Refusal::Old);
         }
         let step = job.and_then(|j| j.steps.get(order.task.step));
-        let (cpu, memory) = step.map_or((0, 0), |s| (s.cpu, s.memory));
-        let used = self
-            .runs
-            .values()
-            .fold((cpu, memory), |(c, m), run| (c + run.cpu, m + run.memory));
-        let over_room = used.0 > self.machine.cpu || used.1 > self.machine.memory;
-        if over_room && self.machine.guards_room {
-            return Err(Refusal::Room);
-        }
         let resumed = order.checkpoint.as_deref().map_or(Duration::ZERO, progress);
         let work = match step {
             Some(step) if step.lasts => None,
@@ -227,16 +258,30 @@
             None => Some(CHECKPOINT_INTERVAL),
         };
         let run = Run {
-            began: now,
-            resumed,
+            worked: resumed,
+            updated: now,
+            pace: 100,
+            next_pace: None,
             work,
-            cpu,
-            memory,
+            cpu: step.map_or(0, |s| s.cpu),
+            memory: step.map_or(0, |s| s.memory),
+            role: step.map(|s| s.role.clone()).unwrap_or_default(),
+            headrooms: VecDeque::new(),
+            disturbed: false,
             checkpoints: step.is_some_and(|s| s.checkpoints),
             saved: order.checkpoint.clone(),
             fails: order.fails,
             stops_at: None,
         };
+        let used = self
+            .runs
+            .values()
+            .chain([&run])
+            .fold((0, 0), |(c, m), r| (c + r.reserved_cpu(), m + r.memory));
+        let over_room = used.0 > self.machine.cpu || used.1 > self.machine.memory;
+        if over_room && self.machine.guards_room {
+            return Err(Refusal::Room);
+        }
         history.add(What::Started {
             worker: self.life.clone(),
             zone: self.machine.zone.clone(),
@@ -298,9 +343,68 @@
         Ok(())
     }
 
-    /// Checks the token of an order that has no other effect here.
-    pub(crate) fn fence(&mut self, token: u64) -> Result<(), Refusal> {
-        self.accept_token(token)
+    /// Orders a pace in percent for a run, if it is there.
+    pub(crate) fn pace(
+        &mut self,
+        task: &TaskName,
+        run: u64,
+        percent: u64,
+        token: u64,
+        now: Duration,
+    ) -> Result<(), Refusal> {
+        self.accept_token(token)?;
+        if let Some(state) = self.runs.get_mut(&(task.clone(), run)) {
+            state.update_pace(now);
+            state.next_pace = Some((percent, now + PACE_DELAY));
+        }
+        Ok(())
+    }
+
+    /// What a worker reports of a run: the tail in milliseconds of a serving task, and the
+    /// millicores in use of any other.
+    pub(crate) fn usage(&self, task: &TaskName, run: &Run, now: Duration) -> u64 {
+        let Role::Serving { target, .. } = &run.role else {
+            return run.used_cpu();
+        };
+        if run.headrooms.is_empty() {
+            return 0;
+        }
+        let sum: f64 = run.headrooms.iter().map(|(_, headroom)| headroom).sum();
+        let mean = sum / run.headrooms.len() as f64;
+        let tail = target.as_secs_f64() / mean * self.interference.noise(task, now);
+        (tail * 1e3).round() as u64
+    }
+
+    /// Measures the headroom of the serving tasks.
+    fn measure(&mut self, now: Duration, history: &History) {
+        let capacity = self.machine.cpu.max(1) as f64;
+        let share = |run: &Run| match &run.role {
+            Role::BestEffort { image } if run.pace > 0 => {
+                Some((image.clone(), run.used_cpu() as f64 / capacity))
+            }
+            _ => None,
+        };
+        let neighbours: Vec<(ArcStr, f64)> = self.runs.values().filter_map(share).collect();
+        for ((task, _), run) in &mut self.runs {
+            let Role::Serving { image, .. } = &run.role else {
+                continue;
+            };
+            let beside = neighbours.iter().map(|(image, s)| (image.as_str(), *s));
+            let serving = (task.job.as_str(), image.as_str());
+            let headroom = self.interference.headroom(serving, beside, now);
+            run.headrooms.push_back((now, headroom));
+            run.headrooms.retain(|(at, _)| now - *at < REPORT_WINDOW);
+            let undisturbed = self.interference.undisturbed(&task.job, now);
+            let disturbed = headroom < 1.0 && undisturbed >= 1.0;
+            if disturbed != run.disturbed {
+                run.disturbed = disturbed;
+                history.add(What::Disturbed {
+                    worker: self.life.clone(),
+                    task: task.clone(),
+                    disturbed,
+                });
+            }
+        }
     }
 
     /// Ends what is due: the lease, and runs that are done or stopped. Returns whether a run
@@ -313,6 +417,7 @@
         }
         let mut ends = Vec::new();
         for ((task, number), run) in &mut self.runs {
+            run.update_pace(now);
             let progress = run.progress(now);
             let finished = run.work.is_some_and(|work| progress >= work);
             let stopped = run.stops_at.is_some_and(|at| at <= now);
@@ -337,6 +442,7 @@
             let worker = self.life.clone();
             history.add(What::Lapsed { worker });
         }
+        self.measure(now, history);
         !ends.is_empty()
     }
 
--- /dev/null
+++ b/crates/jujubelb-lab/src/soak/check/idle.rs
@@ -0,0 +1,220 @@
+//! The rule LOST at the end: a job with nothing running although one of its tasks could run.
+
+use std::time::Duration;
+
+use arcstr::ArcStr;
+use indexmap::{IndexMap, IndexSet};
+
+use super::{CONTACT, Calm, RESOLUTION, Violation};
+use crate::emulator::history::{Event, Life, Record, RunEnd, SentJob, SentStep, TaskName, What};
+use crate::emulator::platform::entries::MAX_ATTEMPTS;
+
+/// Time after the end of the traffic from which no job may be idle.
+const FINISH: Duration = Duration::from_secs(14);
+
+/// How long a job may be idle from then on.
+const IDLE: Duration = Duration::from_secs(3);
+
+/// How many times over there has to be capacity for a task that could run.
+const COPIES: u64 = 2;
+
+pub(super) fn check(record: &Record, calm: &Calm, found: &mut Vec<Violation>) {
+    let ended = |e: &&Event| e.what == What::TrafficEnded;
+    let Some(traffic_end) = record.events.iter().find(ended).map(|e| e.at) else {
+        return;
+    };
+    let start = traffic_end + FINISH;
+    let end = record.events.last().map_or(start, |e| e.at);
+    let mut seen = Seen::new(record);
+    let mut idle: IndexMap<&ArcStr, Idle> = IndexMap::new();
+    let mut close = |job: &ArcStr, idle: Idle, until| {
+        let first = idle.since + IDLE + RESOLUTION;
+        if let Some(at) = calm.first_after(IDLE + CONTACT, first, until) {
+            let (since, text) = (idle.since.as_secs_f64(), idle.text);
+            found.push(Violation {
+                rule: "LOST",
+                at,
+                subject: Some(job.clone()),
+                text: format!("{text}, and nothing of its job runs since {since:.3} s"),
+            });
+        }
+    };
+    let mut events = record.events.iter().peekable();
+    while let Some(event) = events.next() {
+        let changes = seen.apply(event);
+        // What holds when the bound is reached is the result of earlier events.
+        let counts = match event.at < start {
+            true => events.peek().is_some_and(|e| e.at >= start),
+            false => changes,
+        };
+        if !counts {
+            continue;
+        }
+        for (id, job) in &record.jobs {
+            match seen.idle_task(job) {
+                Some(text) => {
+                    let since = event.at.max(start);
+                    idle.entry(id).or_insert(Idle { since, text });
+                }
+                None => {
+                    if let Some(idle) = idle.swap_remove(id) {
+                        close(id, idle, event.at);
+                    }
+                }
+            }
+        }
+    }
+    for (id, idle) in idle {
+        close(id, idle, end);
+    }
+}
+
+/// A job with nothing running although a task could run.
+struct Idle {
+    since: Duration,
+    text: String,
+}
+
+/// A worker that is up.
+struct Place<'a> {
+    service: &'a ArcStr,
+    cpu: u64,
+    memory: u64,
+}
+
+/// State of the jobs and the workers up to an event.
+struct Seen<'a> {
+    record: &'a Record,
+    accepted: IndexSet<&'a ArcStr>,
+    cancelled: IndexSet<&'a ArcStr>,
+    done: IndexSet<&'a TaskName>,
+    failures: IndexMap<&'a TaskName, usize>,
+    /// Jobs of which a task has failed too often.
+    failed: IndexSet<&'a ArcStr>,
+    runs: Vec<(&'a Life, &'a TaskName, u64)>,
+    places: IndexMap<&'a Life, Place<'a>>,
+}
+
+impl<'a> Seen<'a> {
+    fn new(record: &'a Record) -> Self {
+        Self {
+            record,
+            accepted: IndexSet::new(),
+            cancelled: IndexSet::new(),
+            done: IndexSet::new(),
+            failures: IndexMap::new(),
+            failed: IndexSet::new(),
+            runs: Vec::new(),
+            places: IndexMap::new(),
+        }
+    }
+
+    /// Returns whether the event may change which jobs are idle.
+    fn apply(&mut self, event: &'a Event) -> bool {
+        match &event.what {
+            What::SubmitAnswered { job, answer } if answer.is_accepted() => {
+                self.accepted.insert(job);
+            }
+            What::CancelSent { job, .. } => {
+                self.cancelled.insert(job);
+            }
+            What::Started {
+                worker, task, run, ..
+            } => self.runs.push((worker, task, *run)),
+            What::Ended {
+                worker,
+                task,
+                run,
+                end,
+                ..
+            } => {
+                self.runs.retain(|r| *r != (worker, task, *run));
+                match end {
+                    RunEnd::Done => {
+                        self.done.insert(task);
+                    }
+                    RunEnd::Failed => {
+                        let failures = self.failures.entry(task).or_default();
+                        *failures += 1;
+                        if *failures >= MAX_ATTEMPTS {
+                            self.failed.insert(&task.job);
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            What::Died { worker } => {
+                self.runs.retain(|(life, ..)| *life != worker);
+                self.places.shift_remove(worker);
+            }
+            What::Joined {
+                worker,
+                service,
+                cpu,
+                memory,
+            } => {
+                let place = Place {
+                    service,
+                    cpu: *cpu,
+                    memory: *memory,
+                };
+                self.places.insert(worker, place);
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    /// Describes a task of the job that could run while nothing of the job does.
+    fn idle_task(&self, job: &SentJob) -> Option<String> {
+        let may_run = self.accepted.contains(&job.id)
+            && !self.cancelled.contains(&job.id)
+            && !self.failed.contains(&job.id)
+            // Tasks that last have a rule of their own.
+            && !job.steps.iter().any(|s| s.lasts);
+        if !may_run || self.runs.iter().any(|(_, t, _)| t.job == job.id) {
+            return None;
+        }
+        let name = |step, index| TaskName {
+            job: job.id.clone(),
+            occurrence: 0,
+            step,
+            index,
+        };
+        let waiting = |step: usize| {
+            let tasks = 0..job.steps.get(step).map_or(0, |s| s.count);
+            tasks
+                .map(|index| name(step, index))
+                .find(|t| !self.done.contains(t))
+        };
+        let is_due = |step: &SentStep| step.after.iter().all(|&s| waiting(s.into()).is_none());
+        let due = job.steps.iter().enumerate().filter(|(_, s)| is_due(s));
+        let (task, step) = due
+            .filter_map(|(index, step)| Some((waiting(index)?, step)))
+            .find(|(_, step)| self.has_capacity(&job.service, step))?;
+        Some(format!(
+            "{task} of {} millicores ({:?}) could run",
+            step.cpu, step.role
+        ))
+    }
+
+    /// Whether there is capacity for a task twice over, and less than half is in use. The
+    /// processor time of best-effort tasks counts as in use, which is less strict than the rule:
+    /// a worker does not count it.
+    fn has_capacity(&self, service: &ArcStr, step: &SentStep) -> bool {
+        let (mut copies, mut in_use, mut total) = (0, (0, 0), (0, 0));
+        for (life, place) in self.places.iter().filter(|(_, p)| p.service == service) {
+            let on_worker = self.runs.iter().filter(|(worker, ..)| worker == life);
+            let step_of = |task: &TaskName| self.record.jobs.get(&task.job)?.steps.get(task.step);
+            let used = on_worker
+                .filter_map(|(_, task, _)| step_of(task))
+                .fold((0, 0), |(c, m), s| (c + s.cpu, m + s.memory));
+            in_use = (in_use.0 + used.0, in_use.1 + used.1);
+            total = (total.0 + place.cpu, total.1 + place.memory);
+            let free = |room: u64, used, size: u64| room.saturating_sub(used) / size.max(1);
+            copies +=
+                free(place.cpu, used.0, step.cpu).min(free(place.memory, used.1, step.memory));
+        }
+        copies >= COPIES && in_use.0 * 2 < total.0 && in_use.1 * 2 < total.1
+    }
+}
--- a/crates/jujubelb-lab/src/soak/check/jobs.rs
+++ b/crates/jujubelb-lab/src/soak/check/jobs.rs
@@ -32,7 +32,7 @@
         if job.steps.iter().any(|s| s.lasts) {
             jobs.check_lasting(job, calm, end, found);
         } else {
-            jobs.check_over(id, end, found);
+            jobs.check_over(id, job, end, found);
         }
     }
 }
@@ -156,13 +156,19 @@
         }
     }
 
-    /// An accepted job that nobody cancels has to be over at the end.
-    fn check_over(&self, id: &ArcStr, end: Duration, found: &mut Vec<Violation>) {
+    /// An accepted job that nobody cancels has to be over at the end. One with best-effort tasks
+    /// only has to be known: how long they take depends on the tasks beside them.
+    fn check_over(&self, id: &ArcStr, job: &SentJob, end: Duration, found: &mut Vec<Violation>) {
         let Some(accepted) = self.accepted.get(id) else {
             return;
         };
         let shown = self.shown.get(id).copied().unwrap_or("nothing");
-        if !self.cancelled.contains_key(id) && !matches!(shown, "completed" | "failed") {
+        let allowed = match shown {
+            "completed" | "failed" => true,
+            "queued" | "running" => job.steps.iter().any(|s| s.role.is_best_effort()),
+            _ => false,
+        };
+        if !self.cancelled.contains_key(id) && !allowed {
             found.push(Violation {
                 rule: "LOST",
                 at: end,
--- a/crates/jujubelb-lab/src/soak/check/mod.rs
+++ b/crates/jujubelb-lab/src/soak/check/mod.rs
@@ -4,6 +4,8 @@
 mod acks;
 mod calm;
 mod config;
+mod harm;
+mod idle;
 mod jobs;
 mod orders;
 mod runs;
@@ -60,6 +62,8 @@
     runs::check(record, &mut found);
     orders::check(record, &calm, &mut found);
     jobs::check(record, &calm, &mut found);
+    idle::check(record, &calm, &mut found);
+    harm::check(record, &calm, &mut found);
     acks::check(record, &calm, &mut found);
     config::check(record, &calm, &mut found);
     check_processes(record, &mut found);
--- a/crates/jujubelb-lab/src/soak/check/tests.rs
+++ b/crates/jujubelb-lab/src/soak/check/tests.rs
@@ -4,7 +4,7 @@
 
 use super::{Violation, check};
 use crate::emulator::history::{
-    Answer, Event, Life, Record, RunEnd, SentJob, SentStep, TaskName, What,
+    Answer, Event, Life, Record, Role, RunEnd, SentJob, SentStep, TaskName, What,
 };
 
 const JOB: &str = "00000000000000aa";
@@ -24,6 +24,7 @@
         checkpoints: true,
         lasts,
         failing: 0.0,
+        role: Role::Plain,
     }
 }
 
@@ -410,6 +411,151 @@
         .breaks("LOST", "is not over at the end; shown: queued");
 }
 
+/// A best-effort job on two workers of which half is free; the traffic ends at 10 s.
+fn best_effort_job() -> Draft {
+    let joined = |name| What::Joined {
+        worker: life(name, 1),
+        service: "main".into(),
+        cpu: 3_000,
+        memory: 1_000,
+    };
+    let step = |after: &[u16]| SentStep {
+        role: Role::BestEffort { image: "b".into() },
+        ..step(1, after, false)
+    };
+    Draft::accepted(vec![step(&[]), step(&[0])])
+        .with(1.0, [joined("w1"), joined("w2")])
+        .with(10.0, [What::TrafficEnded])
+}
+
+fn left(worker: &str) -> What {
+    let worker = life(worker, 1);
+    What::Died { worker }
+}
+
+// Guards against best-effort jobs that wait for good beside serving tasks: they have no bound on
+// their end, so that only the time without a run shows that they are lost.
+#[test]
+fn idle_job_after_the_traffic_breaks_lost() {
+    best_effort_job()
+        .with(27.5, [shown(27.4, Some("queued"))])
+        .breaks("LOST", "nothing of its job runs since 24.000 s");
+    // A run of its first step before does not help the second one.
+    best_effort_job()
+        .with(11.0, [started("w1", 0, 1)])
+        .with(25.0, [ended("w1", 1, 0, 1, RunEnd::Done), noted("w1", 1)])
+        .with(29.0, [shown(28.9, Some("running"))])
+        .breaks("LOST", ".0.1.0 of 1000 millicores");
+}
+
+// Guards against a checker that counts the time before the bound, or a short pause after it.
+#[test]
+fn job_that_is_idle_for_a_short_time_is_allowed() {
+    best_effort_job()
+        .with(27.0, [shown(26.9, Some("queued"))])
+        .holds();
+    best_effort_job()
+        .with(26.5, [started("w1", 0, 1)])
+        .with(28.0, [ended("w1", 1, 0, 1, RunEnd::Done), noted("w1", 1)])
+        .with(30.5, [started("w1", 1, 1)])
+        .with(60.0, [shown(59.9, Some("running"))])
+        .holds();
+}
+
+// Guards against a checker that ignores disturbances at the end.
+#[test]
+fn idle_job_near_fault_is_allowed() {
+    best_effort_job()
+        .with(21.0, [fault(1), What::FaultEnded { id: 1 }])
+        .with(27.9, [shown(27.8, Some("queued"))])
+        .holds();
+    best_effort_job()
+        .with(21.0, [fault(1), What::FaultEnded { id: 1 }])
+        .with(28.1, [shown(28.0, Some("queued"))])
+        .breaks("LOST", "nothing of its job runs");
+}
+
+// Guards against a checker that asks for a start on workers that are full or gone.
+#[test]
+fn idle_job_without_capacity_is_allowed() {
+    let shown = || [shown(39.9, Some("queued"))];
+    best_effort_job()
+        .with(11.0, [left("w1"), left("w2")])
+        .with(40.0, shown())
+        .holds();
+    // More than half is in use by another job: three tasks of 1,000 on 6,000 millicores.
+    let other = |index| {
+        let mut start = started("w1", 0, 1);
+        if let What::Started { task, .. } = &mut start {
+            task.job = "00000000000000bb".into();
+            task.index = index;
+        }
+        start
+    };
+    let mut draft = best_effort_job().with(11.0, (0..3).map(other));
+    let job = SentJob {
+        id: "00000000000000bb".into(),
+        steps: vec![step(3, &[], false)],
+        ..draft.record.jobs[JOB].clone()
+    };
+    draft.record.jobs.insert(job.id.clone(), job);
+    let busy = draft.with(40.0, shown()).found();
+    assert!(!busy.iter().any(|v| v.rule == "LOST"), "{busy:#?}");
+}
+
+// Guards against a best-effort job that is forgotten although it does not have to be over.
+#[test]
+fn best_effort_job_that_is_unknown_breaks_lost() {
+    best_effort_job()
+        .with(11.0, [started("w1", 0, 1)])
+        .with(60.0, [What::TrafficEnded])
+        .breaks("LOST", "is not over at the end; shown: nothing");
+}
+
+/// A serving task that best-effort tasks keep over its target from 10 s on.
+fn disturbed_task() -> Draft {
+    Draft::accepted(vec![step(1, &[], true)])
+        .with(2.0, [started("w1", 0, 1)])
+        .with(10.0, [disturbed(true)])
+}
+
+fn disturbed(disturbed: bool) -> What {
+    What::Disturbed {
+        worker: life("w1", 1),
+        task: task(0, 0),
+        disturbed,
+    }
+}
+
+// Guards against serving tasks that stay over their target because of best-effort tasks.
+#[test]
+fn serving_task_that_is_disturbed_for_long_breaks_harm() {
+    let text = "is over its target since 10.000 s";
+    disturbed_task()
+        .with(14.5, [disturbed(false)])
+        .breaks("HARM", text);
+    disturbed_task()
+        .with(14.5, [left("w1")])
+        .breaks("HARM", text);
+    disturbed_task()
+        .with(20.0, [shown(19.9, Some("running"))])
+        .breaks("HARM", text);
+}
+
+// Guards against a checker that adds up short times over the target, or ignores faults.
+#[test]
+fn serving_task_that_is_disturbed_for_a_short_time_is_allowed() {
+    disturbed_task()
+        .with(14.0, [disturbed(false)])
+        .with(14.1, [disturbed(true)])
+        .with(18.0, [disturbed(false)])
+        .holds();
+    disturbed_task()
+        .with(11.0, [fault(1), What::FaultEnded { id: 1 }])
+        .with(18.9, [disturbed(false)])
+        .holds();
+}
+
 // Guards against a host that denies a job which another host has accepted.
 #[test]
 fn accepted_job_shown_as_missing_breaks_lost() {
--- a/crates/jujubelb-lab/src/soak/clients.rs
+++ b/crates/jujubelb-lab/src/soak/clients.rs
@@ -10,7 +10,7 @@
 use reqwest::{Client, Method, Response};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::emulator::history::{Answer, History, SentJob, SentStep, What};
+use crate::emulator::history::{Answer, History, Role, SentJob, SentStep, What};
 use crate::emulator::platform::entries::QUEUE_HOST;
 use crate::emulator::platform::jobs;
 
@@ -39,7 +39,7 @@
 const FAILING: f64 = 0.3;
 
 /// Queues to which jobs are sent, with their services and shares.
-const QUEUES: [(&str, &str, f64); 3] = [
+pub(crate) const QUEUES: [(&str, &str, f64); 3] = [
     ("/urgent/", "main", 0.35),
     ("/batch/", "main", 0.9),
     ("/side/", "side", 1.0),
@@ -66,7 +66,7 @@
 
 /// How the submission of a job has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Submission {
+pub(crate) enum Submission {
     Accepted,
     /// No attempt can have stored the job.
     Refused,
@@ -75,10 +75,10 @@
 }
 
 /// A client with the jobs that it sends.
-struct Caller {
-    ground: Ground,
+pub(crate) struct Caller {
+    pub(crate) ground: Ground,
     http: Client,
-    random: StdRng,
+    pub(crate) random: StdRng,
 }
 
 /// Sends jobs until the traffic ends, and follows each of them.
@@ -86,28 +86,18 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut following = tokio::task::JoinSet::new();
     let lasting = draw_lasting_job(&mut random);
-    following.spawn(follow_lasting(
-        Caller {
-            ground: ground.clone(),
-            http: http.clone(),
-            random: StdRng::seed_from_u64(random.random()),
-        },
-        lasting,
-    ));
+    let caller = Caller::new(&ground, &http, random.random());
+    following.spawn(follow_lasting(caller, lasting));
     while Instant::now() < ground.traffic_end {
         let job = draw_job(&mut random);
-        let caller = Caller {
-            ground: ground.clone(),
-            http: http.clone(),
-            random: StdRng::seed_from_u64(random.random()),
-        };
+        let caller = Caller::new(&ground, &http, random.random());
         following.spawn(follow(caller, job));
         sleep(pause.mul_f64(random.random_range(0.1..1.9))).await;
     }
     while following.join_next().await.is_some() {}
 }
 
-fn draw_id(random: &mut StdRng) -> ArcStr {
+pub(crate) fn draw_id(random: &mut StdRng) -> ArcStr {
     format!("{:016x}", random.random::<u64>()).into()
 }
 
@@ -136,6 +126,7 @@
         checkpoints: random.random(),
         lasts: false,
         failing: if failing { FAILING } else { 0.0 },
+        role: Role::Plain,
     }
 }
 
@@ -158,7 +149,7 @@
 }
 
 /// Submits a job, perhaps cancels it, and asks for its state until it is over.
-async fn follow(mut caller: Caller, job: SentJob) {
+pub(crate) async fn follow(mut caller: Caller, job: SentJob) {
     match caller.submit(&job).await {
         Submission::Accepted => {}
         Submission::Refused => return,
@@ -192,6 +183,14 @@
 }
 
 impl Caller {
+    pub(crate) fn new(ground: &Ground, http: &Client, seed: u64) -> Self {
+        Self {
+            ground: ground.clone(),
+            http: http.clone(),
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
     async fn pause(&mut self, range_ms: std::ops::Range<u64>) {
         let pause = self.random.random_range(range_ms);
         sleep(Duration::from_millis(pause)).await;
@@ -222,7 +221,7 @@
     }
 
     /// Submits a job until it is accepted or the client gives up.
-    async fn submit(&mut self, job: &SentJob) -> Submission {
+    pub(crate) async fn submit(&mut self, job: &SentJob) -> Submission {
         let mut result = Submission::Refused;
         self.ground.history.add_job(job.clone());
         for attempt in 0..MAX_ATTEMPTS {
@@ -261,7 +260,7 @@
     }
 
     /// Cancels a job until that is acknowledged or the attempts are used up.
-    async fn cancel(&mut self, job: &SentJob) {
+    pub(crate) async fn cancel(&mut self, job: &SentJob) {
         let history = self.ground.history.clone();
         for _ in 0..MAX_ATTEMPTS {
             let host = self.draw_host();
--- a/crates/jujubelb-lab/src/soak/mod.rs
+++ b/crates/jujubelb-lab/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! platform, with faults from outside them. It judges only from what clients, workers and
 //! the operator have seen.
 
+mod bursts;
 mod check;
 mod clients;
 mod faults;
--- a/crates/jujubelb-lab/src/soak/plan.rs
+++ b/crates/jujubelb-lab/src/soak/plan.rs
@@ -25,6 +25,14 @@
 /// the seeds were played.
 const FIRST_SEED_WITH_SILENCE: u64 = 10_000;
 
+/// First seed with serving jobs and bursts of best-effort jobs. Loads of lower seeds stay as they
+/// were when the seeds were played.
+const FIRST_SEED_WITH_BURSTS: u64 = 20_000;
+
+/// Of the seeds with bursts, one in this number has the other faults beside them. The others show
+/// whether accepted jobs are worked off when nothing else disturbs the hosts.
+const BURSTS_PER_FAULTS: u64 = 2;
+
 /// Time without other faults before a silence, in which processes start again.
 const CALM_BEFORE: Duration = Duration::from_secs(2);
 
@@ -101,6 +109,16 @@
     }
 }
 
+/// Whether a seed has serving jobs and bursts of best-effort jobs.
+pub(crate) fn has_bursts(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_BURSTS
+}
+
+/// Whether a seed has faults from outside.
+pub(crate) fn has_faults(seed: u64) -> bool {
+    !has_bursts(seed) || seed % BURSTS_PER_FAULTS == 1
+}
+
 /// Draws the faults of a seed, all of which begin before `end`.
 pub(crate) fn draw(seed: u64, hosts: usize, workers: usize, end: Duration) -> Vec<Planned> {
     let mut random = StdRng::seed_from_u64(seed);
--- a/crates/jujubelb-lab/src/soak/report.rs
+++ b/crates/jujubelb-lab/src/soak/report.rs
@@ -80,7 +80,8 @@
     }
 }
 
-/// The events near a violation: those of its job, and all that don't concern a job.
+/// The events near a violation: those of its job, and all that don't concern a job. Of the states
+/// shown to clients, which are asked for each second, only those near it.
 fn around(record: &Record, violation: &Violation) -> String {
     let from = violation.at.saturating_sub(SHOWN_AROUND);
     let near = |e: &&Event| e.at >= from && e.at <= violation.at + SHOWN_AROUND;
@@ -90,7 +91,8 @@
     };
     let own = |e: &&Event| {
         let subject = violation.subject.as_deref();
-        subject.is_some_and(|s| s.len() >= 16 && format!("{:?}", e.what).contains(s))
+        let is_state = matches!(e.what, What::StateShown { .. });
+        !is_state && subject.is_some_and(|s| s.len() >= 16 && format!("{:?}", e.what).contains(s))
     };
     let shown = record
         .events
--- a/crates/jujubelb-lab/src/soak/run.rs
+++ b/crates/jujubelb-lab/src/soak/run.rs
@@ -14,14 +14,16 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::bursts;
 use super::check;
-use super::clients::{self, Ground};
+use super::clients::{self, Ground, QUEUES};
 use super::faults::Scene;
 use super::operator;
 use super::plan::{self, Planned};
 use super::processes::Processes;
 use super::report::Outcome;
 use crate::emulator::history::{History, What};
+use crate::emulator::interference::Interference;
 use crate::emulator::worker::Machine;
 use crate::emulator::{Emulator, Layout, MAX_HOSTS, MAX_WORKERS, ZONES};
 
@@ -35,6 +37,9 @@
 /// Pause between two jobs for each five workers.
 const JOB_PAUSE: Duration = Duration::from_millis(500);
 
+/// Factor of the pause beside bursts of best-effort jobs.
+const PAUSE_BESIDE_BURSTS: f64 = 3.0;
+
 /// Every fifth worker belongs to the second service.
 const SIDE_SHARE: usize = 4;
 
@@ -65,8 +70,10 @@
     pub node: PathBuf,
     /// Folder for the logs. A seed's own folder in it stays if a rule was broken.
     pub logs: PathBuf,
-    /// Whether there are faults.
+    /// Whether there are faults, of seeds that have any.
     pub faults: bool,
+    /// Whether the logs and the history stay if no rule was broken.
+    pub keep: bool,
 }
 
 /// Runs a soak with one seed.
@@ -94,7 +101,7 @@
     let layout = Layout {
         net,
         hosts: options.hosts,
-        machines: draw_machines(&mut random, options.workers),
+        machines: draw_machines(&mut random, options),
         link_mbps: if random.random() {
             1_000.0
         } else {
@@ -111,7 +118,7 @@
     let looking = tokio::spawn(processes.clone().look_after());
     let http = Ground::connect()?;
     let start = Instant::now();
-    let planned = match options.faults {
+    let planned = match options.faults && plan::has_faults(options.seed) {
         true => plan::draw(options.seed, options.hosts, options.workers, options.time),
         false => Vec::new(),
     };
@@ -136,7 +143,10 @@
         change_now: change_now.clone(),
     };
     let mut tasks = JoinSet::new();
-    let pause = JOB_PAUSE.mul_f64(5.0 / options.workers as f64);
+    let mut pause = JOB_PAUSE.mul_f64(5.0 / options.workers as f64);
+    if plan::has_bursts(options.seed) {
+        pause = pause.mul_f64(PAUSE_BESIDE_BURSTS);
+    }
     tasks.spawn(clients::send_jobs(
         ground.clone(),
         http.clone(),
@@ -149,6 +159,21 @@
         random.random(),
         traffic_end,
     ));
+    if plan::has_bursts(options.seed) {
+        let serving = layout.machines.iter().filter(|m| m.service == QUEUES[0].1);
+        tasks.spawn(bursts::send(
+            ground.clone(),
+            http.clone(),
+            random.random(),
+            serving.count(),
+            Interference::new(options.seed),
+        ));
+    }
+    let ending = history.clone();
+    tasks.spawn(async move {
+        sleep_until(traffic_end).await;
+        ending.add(What::TrafficEnded);
+    });
     tasks.spawn(play(Arc::new(scene), planned, start));
     for (index, base) in ground.hosts.iter().enumerate() {
         let (history, base) = (history.clone(), base.clone());
@@ -173,11 +198,13 @@
     history.read(|record| {
         let violations = check::check(record);
         let mut kept = None;
-        if violations.is_empty() {
+        if violations.is_empty() && !options.keep {
             std::fs::remove_dir_all(dir)
                 .wrap_err_with(|| format!("can't remove the folder {}", dir.display()))?;
         } else {
-            let lines: String = record.events.iter().map(|e| format!("{e}\n")).collect();
+            let jobs = record.jobs.values().map(|job| format!("{job:?}\n"));
+            let events = record.events.iter().map(|e| format!("{e}\n"));
+            let lines: String = jobs.chain(events).collect();
             let path = dir.join("history.log");
             std::fs::write(&path, lines)
                 .wrap_err_with(|| format!("can't write {}", path.display()))?;
@@ -211,7 +238,12 @@
     }
 }
 
-fn draw_machines(random: &mut StdRng, count: usize) -> Vec<Machine> {
+fn draw_machines(random: &mut StdRng, options: &Options) -> Vec<Machine> {
+    let count = options.workers;
+    let (cpu, memory) = match plan::has_bursts(options.seed) {
+        true => (bursts::WORKER_CPU, bursts::WORKER_MEMORY),
+        false => (4_000, 4_096),
+    };
     let machine = |index: usize| {
         let zone = ZONES[index % ZONES.len()];
         let side = index % (SIDE_SHARE + 1) == SIDE_SHARE || (count <= SIDE_SHARE && index == 1);
@@ -219,8 +251,8 @@
             service: if side { "side" } else { "main" }.into(),
             zone: zone.into(),
             rack: format!("r-{zone}-{}", index / ZONES.len() % 2).into(),
-            cpu: 4_000,
-            memory: 4_096,
+            cpu,
+            memory,
             guards_room: random.random(),
             clock_rate: random.random_range(0.98..=1.0),
         }
--- a/crates/jujubelb-lab/tests/soak.rs
+++ b/crates/jujubelb-lab/tests/soak.rs
@@ -56,6 +56,7 @@
         node: node_program(),
         logs: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         faults,
+        keep: false,
     })
     .unwrap()
 }
