--- a/crates/jujubelb-lab/src/emulator/interference.rs
+++ b/crates/jujubelb-lab/src/emulator/interference.rs
@@ -21,8 +21,8 @@
 const SLIGHT_SLOPE: Range<f64> = 0.5..2.0;
 const STRONG_SLOPE: Range<f64> = 10.0..20.0;
 
-/// Shares of serving images that a best-effort image disturbs strongly.
-const STRONG_SHARES: [f64; 3] = [0.0, 0.4, 1.0];
+/// Shares of serving images that a best-effort image disturbs strongly, by kind of image.
+pub(crate) const STRONG_SHARES: [f64; 3] = [0.0, 0.4, 1.0];
 
 /// Mean headroom of a serving job under the load of its own users, and how far the swings of this
 /// load change it. The sum never falls below 1, so that a job alone always meets its target.
@@ -58,9 +58,15 @@
         StdRng::seed_from_u64(mixed)
     }
 
+    /// The kind of a best-effort image, an index into [`STRONG_SHARES`].
+    pub(crate) fn kind(&self, best_effort: &str) -> usize {
+        self.random(&[best_effort])
+            .random_range(0..STRONG_SHARES.len())
+    }
+
     /// Headroom that a serving image loses to a best-effort one that uses the whole worker.
     pub(crate) fn slope(&self, serving: &str, best_effort: &str) -> f64 {
-        let share = STRONG_SHARES[self.random(&[best_effort]).random_range(0..3)];
+        let share = STRONG_SHARES[self.kind(best_effort)];
         let mut pair = self.random(&[serving, best_effort]);
         match pair.random::<f64>() < share {
             true => pair.random_range(STRONG_SLOPE),
--- a/crates/jujubelb-lab/src/soak/bursts.rs
+++ b/crates/jujubelb-lab/src/soak/bursts.rs
@@ -12,7 +12,7 @@
 
 use super::clients::{Caller, Ground, QUEUES, Submission, draw_id, follow};
 use crate::emulator::history::{Role, SentJob, SentStep};
-use crate::emulator::interference::Interference;
+use crate::emulator::interference::{Interference, STRONG_SHARES};
 
 /// Millicores and mebibytes of each worker. Best-effort tasks are small against a worker, so that
 /// a single one leaves headroom to serving tasks whose interference is unknown.
@@ -29,9 +29,6 @@
 /// Seconds until a serving job is replaced by another of the same image.
 const SERVING_S: Range<f64> = 15.0..60.0;
 
-/// Images of best-effort tasks.
-const BEST_EFFORT_IMAGES: usize = 3;
-
 /// Jobs of a burst, the pause between two of them and the pause after a burst in milliseconds.
 const BURST_JOBS: Range<usize> = 4..10;
 const JOB_PAUSE_MS: Range<u64> = 20..200;
@@ -52,8 +49,14 @@
         let caller = Caller::new(&ground, &http, random.random());
         following.spawn(keep_serving(caller, serving_image(image)));
     }
-    let classes: Vec<SentStep> = (0..BEST_EFFORT_IMAGES)
-        .map(|image| draw_best_effort(&mut random, image))
+    // One image of each kind: the one that disturbs all serving images shows whether its jobs wait
+    // for good, the others whether they run beside the images that they don't disturb.
+    let classes: Vec<SentStep> = (0..STRONG_SHARES.len())
+        .filter_map(|kind| {
+            let mut names = (0..).map(|number| format!("best-effort-{number}"));
+            names.find(|image| interference.kind(image) == kind)
+        })
+        .map(|image| draw_best_effort(&mut random, image.into()))
         .collect();
     for (serving, best_effort) in (0..images).flat_map(|s| classes.iter().map(move |c| (s, c))) {
         if let Role::BestEffort { image } = &best_effort.role {
@@ -133,7 +136,7 @@
     }
 }
 
-fn draw_best_effort(random: &mut StdRng, image: usize) -> SentStep {
+fn draw_best_effort(random: &mut StdRng, image: ArcStr) -> SentStep {
     SentStep {
         count: random.random_range(3..=8),
         cpu: random.random_range(18..=35) * 100,
@@ -143,8 +146,6 @@
         checkpoints: random.random(),
         lasts: false,
         failing: 0.0,
-        role: Role::BestEffort {
-            image: format!("best-effort-{image}").into(),
-        },
+        role: Role::BestEffort { image },
     }
 }
--- a/crates/jujubelb-lab/src/soak/check/idle.rs
+++ b/crates/jujubelb-lab/src/soak/check/idle.rs
@@ -198,18 +198,22 @@
         ))
     }
 
-    /// Whether there is capacity for a task twice over, and less than half is in use. The
-    /// processor time of best-effort tasks counts as in use, which is less strict than the rule:
-    /// a worker does not count it.
+    /// Whether there is capacity for a task twice over, and less than half is in use. As on a
+    /// worker, the processor time of best-effort tasks does not count as in use. There is capacity
+    /// only where processor time is left beside them, which is less strict than the rule.
     fn has_capacity(&self, service: &ArcStr, step: &SentStep) -> bool {
         let (mut copies, mut in_use, mut total) = (0, (0, 0), (0, 0));
         for (life, place) in self.places.iter().filter(|(_, p)| p.service == service) {
             let on_worker = self.runs.iter().filter(|(worker, ..)| worker == life);
             let step_of = |task: &TaskName| self.record.jobs.get(&task.job)?.steps.get(task.step);
-            let used = on_worker
-                .filter_map(|(_, task, _)| step_of(task))
-                .fold((0, 0), |(c, m), s| (c + s.cpu, m + s.memory));
-            in_use = (in_use.0 + used.0, in_use.1 + used.1);
+            let mut used = (0, 0);
+            for step in on_worker.filter_map(|(_, task, _)| step_of(task)) {
+                used = (used.0 + step.cpu, used.1 + step.memory);
+                in_use.1 += step.memory;
+                if !step.role.is_best_effort() {
+                    in_use.0 += step.cpu;
+                }
+            }
             total = (total.0 + place.cpu, total.1 + place.memory);
             let free = |room: u64, used, size: u64| room.saturating_sub(used) / size.max(1);
             copies +=
--- a/crates/jujubelb-lab/src/soak/check/tests.rs
+++ b/crates/jujubelb-lab/src/soak/check/tests.rs
@@ -483,24 +483,55 @@
         .with(11.0, [left("w1"), left("w2")])
         .with(40.0, shown())
         .holds();
-    // More than half is in use by another job: three tasks of 1,000 on 6,000 millicores.
+    // Half is in use by another job.
+    let busy = beside_other_job(step(3, &[], false)).with(40.0, shown());
+    let found = busy.found();
+    assert!(!found.iter().any(|v| v.rule == "LOST"), "{found:#?}");
+    // Only one more task of 1,000 millicores fits beside the best-effort tasks.
+    let image = "b".into();
+    let best_effort = SentStep {
+        role: Role::BestEffort { image },
+        ..step(5, &[], false)
+    };
+    let busy = beside_other_job(best_effort).with(40.0, shown());
+    let found = busy.found();
+    assert!(!found.iter().any(|v| v.rule == "LOST"), "{found:#?}");
+}
+
+// Guards against a checker that counts the processor time of best-effort tasks as in use: a few
+// that run would excuse all that wait.
+#[test]
+fn idle_job_beside_best_effort_tasks_breaks_lost() {
+    let image = "b".into();
+    let best_effort = SentStep {
+        role: Role::BestEffort { image },
+        ..step(3, &[], false)
+    };
+    beside_other_job(best_effort)
+        .with(40.0, [shown(39.9, Some("queued"))])
+        .breaks("LOST", "nothing of its job runs");
+}
+
+/// A best-effort job beside another one, with up to three tasks on each of both workers, which
+/// have 3,000 millicores each.
+fn beside_other_job(step: SentStep) -> Draft {
     let other = |index| {
-        let mut start = started("w1", 0, 1);
+        let name = if index < 3 { "w1" } else { "w2" };
+        let mut start = started(name, 0, 1);
         if let What::Started { task, .. } = &mut start {
             task.job = "00000000000000bb".into();
             task.index = index;
         }
         start
     };
-    let mut draft = best_effort_job().with(11.0, (0..3).map(other));
+    let mut draft = best_effort_job().with(11.0, (0..step.count).map(other));
     let job = SentJob {
         id: "00000000000000bb".into(),
-        steps: vec![step(3, &[], false)],
+        steps: vec![step],
         ..draft.record.jobs[JOB].clone()
     };
     draft.record.jobs.insert(job.id.clone(), job);
-    let busy = draft.with(40.0, shown()).found();
-    assert!(!busy.iter().any(|v| v.rule == "LOST"), "{busy:#?}");
+    draft
 }
 
 // Guards against a best-effort job that is forgotten although it does not have to be over.
