Send most bursts of the soak with the image that disturbs all, and with tasks of a tenth of a worker

Change: 60 % of the bursts have this image, and best-effort tasks take 3,000 to 3,700 of 32,000 millicores.

--- a/crates/jujubelb-lab/src/soak/bursts.rs
+++ b/crates/jujubelb-lab/src/soak/bursts.rs
@@ -29,6 +29,14 @@
 /// Seconds until a serving job is replaced by another of the same image.
 const SERVING_S: Range<f64> = 15.0..60.0;
 
+/// Millicores of a best-effort task: a tenth of a worker, beside which smaller ones often left enough
+/// headroom with strong slopes too.
+const BEST_EFFORT_CPU: Range<u64> = 3_000..3_700;
+
+/// Share of bursts whose image disturbs all serving images. With a third of the bursts, their jobs
+/// were often worked off soon after the traffic.
+const DISTURBING_BURSTS: f64 = 0.6;
+
 /// Jobs of a burst, the pause between two of them and the pause after a burst in milliseconds.
 const BURST_JOBS: Range<usize> = 4..10;
 const JOB_PAUSE_MS: Range<u64> = 20..200;
@@ -66,7 +74,10 @@
         }
     }
     while Instant::now() < ground.traffic_end {
-        let class = &classes[random.random_range(0..classes.len())];
+        let class = match random.random::<f64>() < DISTURBING_BURSTS {
+            true => &classes[classes.len() - 1],
+            false => &classes[random.random_range(0..classes.len() - 1)],
+        };
         for _ in 0..random.random_range(BURST_JOBS) {
             let steps = (0..random.random_range(1..=2_u16)).map(|index| SentStep {
                 after: index.checked_sub(1).into_iter().collect(),
@@ -139,7 +150,7 @@
 fn draw_best_effort(random: &mut StdRng, image: ArcStr) -> SentStep {
     SentStep {
         count: random.random_range(3..=8),
-        cpu: random.random_range(18..=35) * 100,
+        cpu: random.random_range(BEST_EFFORT_CPU),
         memory: random.random_range(500..2_000),
         work: Duration::from_millis(random.random_range(800..2_500)),
         after: Vec::new(),
