--- a/crates/jujubelb/src/dispatch/tests/commits.rs
+++ b/crates/jujubelb/src/dispatch/tests/commits.rs
@@ -59,7 +59,7 @@
 /// Guards against jobs that are never written because others, which change all the time,
 /// are first in each batch. Their workers could not forget the ends of runs.
 #[test]
-fn every_changed_job_is_written_starved() {
+fn every_changed_job_is_written_in_turn() {
     let mut sim = busy();
     let changed: Vec<JobKey> = sim.dispatcher.dirty_jobs.iter().copied().collect();
     assert!(changed.len() > 60, "{} changed jobs", changed.len());
--- a/crates/jujubelb/src/dispatch/tests/extreme_jobs.rs
+++ b/crates/jujubelb/src/dispatch/tests/extreme_jobs.rs
@@ -48,7 +48,7 @@
 /// Guards against a schedule whose occurrences are all due at once, and that holds up the
 /// leader and takes all of its memory. The occurrences go on as earlier ones end.
 #[test]
-fn occurrences_that_are_all_due_begin_starved() {
+fn occurrences_that_are_all_due_begin_in_turn() {
     let mut sim = Simulation::new(2);
     let steps = vec![step(1, 64, Span::from_millis(20))];
     let endless = sim.submit(1, scheduled(steps, Span::ZERO, u32::MAX));
