Refuse best-effort jobs that can't have a run

Cause: nothing bounded what was accepted, in front of workers whose memory bounds the runs.

Change: the leader counts the best-effort jobs of each service and the runs that fit into the memory that other runs leave, and names the pools that are full in answers that it gives anyway (notifications, status, announcements). Hosts answer 503 with Retry-After, after one read that shows that the store does not hold the job, and before any write. Without a count of the present leader that is at most 6 s old, or if the read fails, they accept. Jobs with a task that is not best-effort and queues of priority 0 are not refused.

Ruled out: a variant of its own for the estimate, since a process of an earlier version could not decode it; a field at the end of an answer is ignored there. A bound by processor time, since paused runs hold memory only.

Evidence: a play of 600 s of arrivals at twice the capacity with three hosts.

No run was paused in this play, so its bound on paused runs shows little.

Conclusion: the backlog is bounded by memory.

--- a/crates/jujubelb/src/dispatch/completion.rs
+++ b/crates/jujubelb/src/dispatch/completion.rs
@@ -188,6 +188,8 @@
         job.outcome = Some(outcome);
         job.ended = Some(now);
         let age = now.since(job.accepted);
+        let record = &job.record;
+        self.admission.job_ended(&record.queue, &record.spec);
         log::info!(job:% = key, outcome:% = outcome, age:% = age; "job ended");
         self.ready.retain(|s| s.job != key);
         self.scheduled.shift_remove(&key);
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -57,6 +57,10 @@
         if !live {
             return false;
         }
+        if let Some(job) = self.jobs.get(&key) {
+            let record = &job.record;
+            self.admission.job_accepted(&record.queue, &record.spec);
+        }
         if scheduled {
             self.scheduled.insert(key);
         } else if let Some(job) = self.jobs.get_mut(&key) {
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! `docs/platform.md` explains how at most one run per task is guaranteed when the
 //! leader changes or messages are lost.
 
+mod admission;
 mod commit;
 mod completion;
 mod confirmation;
@@ -38,11 +39,13 @@
 
 use crate::model::{DomainName, FastMap, Span, Time, WallTime, WorkerName, WorkerTime};
 use crate::place::headroom::Slopes;
+use admission::Admission as JobAdmission;
 use job::{Job, TaskState};
 use pace::Headrooms;
 use tickets::StepTickets;
 use worker::{Admission, RunPhase, Worker};
 
+pub use admission::{FullPool, LoadEstimate, PoolLoad};
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
 pub use job_spec::{
@@ -252,6 +255,8 @@
     waits_reported: Time,
     /// How many more unhealthy workers may be probed in this pass.
     probe_slots: usize,
+    /// Bound on the best-effort jobs that are accepted.
+    admission: JobAdmission,
     /// Set when a worker has refused an order or a poll because of a higher token.
     deposed: bool,
 }
@@ -311,6 +316,7 @@
             timely_waited: now,
             waits_reported: now,
             probe_slots: 0,
+            admission: JobAdmission::default(),
             deposed: false,
         };
         for entry in &roster.workers {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -75,6 +75,7 @@
             self.start_ready(&mut orders, now);
         }
         self.report_waits(now);
+        self.count_load(now);
         orders
     }
 
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod simulation;
 
+mod admission;
 mod commits;
 mod confirmation;
 mod crash_evidence;
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -13,10 +13,11 @@
 
 use super::config_check::current_config;
 use super::job_write::{
-    WriteResult, assess_cancellation, assess_existing_job, assess_job_write, cancellation_txn,
-    job_txn, stored_job,
+    WriteResult, assess_cancellation, assess_existing_job, assess_job_write, assess_load_refusal,
+    cancellation_txn, job_txn, stored_job,
 };
 use super::keys::{self, StoredJob};
+use super::known_load::LoadRefusal;
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::state::{Node, lock, sleep};
 use crate::dispatch::{JobKey, JobOutcome, JobRecord, JobStatus, Progress};
@@ -66,10 +67,10 @@
 
 /// A response to a caller.
 #[derive(Debug)]
-struct CallerResponse {
-    status: Status,
+pub(crate) struct CallerResponse {
+    pub(crate) status: Status,
     body: String,
-    retry_after_s: Option<u32>,
+    pub(crate) retry_after_s: Option<u32>,
 }
 
 impl CallerResponse {
@@ -94,6 +95,17 @@
         }
     }
 
+    fn overloaded(refusal: &LoadRefusal) -> Self {
+        let seconds = refusal.pool.retry_after.as_millis().div_ceil(1_000);
+        Self {
+            retry_after_s: Some(u32::try_from(seconds).unwrap_or(u32::MAX)),
+            ..Self::error(
+                Status::ServiceUnavailable,
+                "the job was not accepted: more best-effort jobs wait than the workers can hold",
+            )
+        }
+    }
+
     fn into_response(self, close: bool) -> Response<'static> {
         let mut response = Response::new();
         response.set_status(self.status);
@@ -192,7 +204,7 @@
     }
 }
 
-async fn submit(
+pub(crate) async fn submit(
     node: &Arc<Node>,
     queue: &QueueConfig,
     key: JobKey,
@@ -227,7 +239,18 @@
         term_token: None,
     };
     let began = node.now();
-    let result = write_with_retries(node, CallerWrite::Job(key, &record), until).await;
+    let refusal = node.load_refusal(&record.queue, &record.spec);
+    let refused = match &refusal {
+        Some(refusal) => refuse_for_load(node, key, &record, refusal).await,
+        None => None,
+    };
+    if let (Some(WriteOutcome::Refused), Some(refusal)) = (refused, &refusal) {
+        return CallerResponse::overloaded(refusal);
+    }
+    let result = match refused {
+        Some(outcome) => outcome.into(),
+        None => write_with_retries(node, CallerWrite::Job(key, &record), until).await,
+    };
     log::info!(job:% = key, queue:% = queue.settings.prefix, verdict:% = result.outcome, token:? = result.token, took:% = node.now().since(began), store_lost = node.is_store_lost(); "submission answered");
     match result.outcome {
         WriteOutcome::Stored => {
@@ -252,6 +275,28 @@
     }
 }
 
+/// Refuses a submission for load unless the store holds the job: the caller may repeat one whose
+/// answer it has not seen. `None` if the store does not tell; the job is then accepted as without
+/// a bound, since a refusal has to be true.
+async fn refuse_for_load(
+    node: &Node,
+    key: JobKey,
+    record: &JobRecord,
+    refusal: &LoadRefusal,
+) -> Option<WriteOutcome> {
+    let outcome = match node.is_store_lost() {
+        true => None,
+        false => assess_load_refusal(key, &read(node, &keys::job(key)).await),
+    };
+    let pool = &refusal.pool;
+    log::info!(job:% = key, queue:% = record.queue.prefix, service:% = pool.service, jobs = pool.jobs, limit = pool.limit, age:% = refusal.age, retry:% = pool.retry_after, verdict:? = outcome.map(|o| o.to_string()); "submission to a full pool of workers");
+    if outcome == Some(WriteOutcome::Refused) {
+        let cause = KeyValue::new("cause", "memory");
+        node.metrics.load_refusals.add(1, &[cause]);
+    }
+    outcome
+}
+
 async fn cancel(node: &Arc<Node>, key: JobKey, until: Time) -> CallerResponse {
     let outcome = write_with_retries(node, CallerWrite::Cancellation(key), until)
         .await
@@ -418,10 +463,13 @@
     };
     let node = node.clone();
     tokio::spawn(async move {
-        if let Err(error) =
-            peers::call_peer(&node, leader.peer_address, &request, peers::MEMORY_TIMEOUT).await
-        {
-            log::debug!(leader:% = leader.host, error:% = error; "leader not notified; it will read the change from the store");
+        let sent = node.now();
+        match peers::call_peer(&node, leader.peer_address, &request, peers::MEMORY_TIMEOUT).await {
+            Ok(PeerResponse::Acknowledged(load)) => node.learn_load(load, sent),
+            Ok(_) => {}
+            Err(error) => {
+                log::debug!(leader:% = leader.host, error:% = error; "leader not notified; it will read the change from the store");
+            }
         }
     });
 }
@@ -433,6 +481,7 @@
         None => match node.remote_leader() {
             None => None,
             Some(leader) => {
+                let sent = node.now();
                 match peers::call_peer(
                     node,
                     leader.peer_address,
@@ -441,7 +490,10 @@
                 )
                 .await
                 {
-                    Ok(PeerResponse::JobStatus(status)) => status.map(JobStatus::from),
+                    Ok(PeerResponse::JobStatus(status, load)) => {
+                        node.learn_load(load, sent);
+                        status.map(JobStatus::from)
+                    }
                     Ok(_) => None,
                     Err(error) => {
                         log::debug!(error:% = error; "leader unreachable; reading the job's status from the store");
--- a/crates/jujubelb/src/node/job_write.rs
+++ b/crates/jujubelb/src/node/job_write.rs
@@ -90,6 +90,20 @@
     }
 }
 
+/// What a submission that is to be refused for load is answered, by the key of the job; `None` if
+/// the key could not be read. A job that is stored already is accepted, whatever the load.
+pub(crate) fn assess_load_refusal(
+    key: JobKey,
+    read: &Result<Option<KeyState>, CallError>,
+) -> Option<WriteOutcome> {
+    let item = read.as_ref().ok()?;
+    Some(match stored_job(key, item.as_ref()) {
+        None => WriteOutcome::Refused,
+        Some(StoredJob::Accepted(_)) => WriteOutcome::Stored,
+        Some(StoredJob::Withdrawn) => WriteOutcome::Withdrawn,
+    })
+}
+
 /// The content of a job's key; `None` if the key does not exist.
 pub(crate) fn stored_job(key: JobKey, item: Option<&KeyState>) -> Option<StoredJob> {
     let value = item?.value.as_deref()?;
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use eyre::{Result, eyre};
+use opentelemetry::KeyValue;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::callers::CallerApi;
@@ -13,7 +14,7 @@
 use super::peers::PeerApi;
 use super::relay::announce_host;
 use super::serve::serve;
-use super::state::{Node, sleep};
+use super::state::{Node, lock, sleep};
 use super::supervision::supervise;
 use super::watch::{WatchEvent, WatchObserver, WatchOptions, watch_prefix};
 use super::{HostSettings, election};
@@ -100,6 +101,23 @@
                 observe(age.as_secs_f64(), &[]);
             }
         });
+    let observed = Arc::downgrade(&node);
+    node.metrics
+        .registry
+        .observable_gauge(&telemetry::BEST_EFFORT_JOBS, move |observe| {
+            let term = observed.upgrade().and_then(|n| n.active_term());
+            let loads = term.map(|t| lock(&t.dispatcher).pool_loads());
+            for load in loads.iter().flatten() {
+                let labels = |bound| {
+                    let service = KeyValue::new("service", load.service.to_string());
+                    [service, KeyValue::new("bound", bound)]
+                };
+                observe(f64::from(load.jobs), &labels("present"));
+                if let Some(limit) = load.limit {
+                    observe(f64::from(limit), &labels("limit"));
+                }
+            }
+        });
     if let Some(port) = options.metrics_port {
         let ip: IpAddr = settings.peer_address.ip();
         let address = SocketAddr::new(ip, port);
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod job_write;
 mod keys;
 mod known_config;
+mod known_load;
 mod leader;
 mod logging;
 mod main;
--- a/crates/jujubelb/src/node/peers.rs
+++ b/crates/jujubelb/src/node/peers.rs
@@ -16,7 +16,7 @@
 use super::relay::{Carrier, HostReport, RelayBatch, RelayResults};
 use super::state::{Node, lock};
 use super::voters::Ballot;
-use crate::dispatch::{JobKey, JobRecord, JobStatus};
+use crate::dispatch::{JobKey, JobRecord, JobStatus, LoadEstimate};
 use crate::http::body;
 use crate::model::{Bytes, Span};
 use crate::platform::CallError;
@@ -63,15 +63,19 @@
     Vote(Ballot),
 }
 
-/// The response to a [`PeerRequest`].
+/// The response to a [`PeerRequest`]. The estimates come with answers that the leader gives anyway;
+/// older versions neither send nor read them, and no leader does at the beginning of its term.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerResponse {
     /// This host doesn't lead.
     NotLeader,
     /// The notification was received.
-    Acknowledged,
+    Acknowledged(#[serde(default, deserialize_with = "keys::or_default")] Option<LoadEstimate>),
     /// Status of a job; `None` if the leader doesn't know the job.
-    JobStatus(Option<PeerJobStatus>),
+    JobStatus(
+        Option<PeerJobStatus>,
+        #[serde(default, deserialize_with = "keys::or_default")] Option<LoadEstimate>,
+    ),
     /// Number of waiting jobs.
     PendingCount(u64),
     /// Outcome of a write to the store.
@@ -79,7 +83,10 @@
     /// Whether the process leads that term.
     LeadsTerm(bool),
     /// After what time the host is to announce itself again.
-    AnnounceAgain(Span),
+    AnnounceAgain(
+        Span,
+        #[serde(default, deserialize_with = "keys::or_default")] Option<LoadEstimate>,
+    ),
     /// Whether the voter agrees.
     Vote(bool),
 }
@@ -160,7 +167,7 @@
             (PeerRequest::Vote(ballot), _) => PeerResponse::Vote(node.vote(ballot)),
             (PeerRequest::RelayCalls(batch), _) => {
                 Carrier::accept(node, batch);
-                PeerResponse::Acknowledged
+                PeerResponse::Acknowledged(None)
             }
             (_, None) => PeerResponse::NotLeader,
             (request, Some(term)) => self.respond_as_leader(&term, request).await,
@@ -170,30 +177,32 @@
     /// Responds to a request that only the leader serves.
     async fn respond_as_leader(&self, term: &ActiveTerm, request: PeerRequest) -> PeerResponse {
         let node = &self.0;
+        let load = || lock(&term.dispatcher).load_estimate(node.now());
         match request {
             PeerRequest::LeadsTerm(_) | PeerRequest::RelayCalls(_) | PeerRequest::Vote(_) => {
                 PeerResponse::NotLeader
             }
             PeerRequest::AnnounceHost(report, eligibility) => {
-                PeerResponse::AnnounceAgain(term.host_announced(node, report, eligibility))
+                let pause = term.host_announced(node, report, eligibility);
+                PeerResponse::AnnounceAgain(pause, load())
             }
             PeerRequest::RelayResults(results) => {
                 term.workers.results_received(results);
-                PeerResponse::Acknowledged
+                PeerResponse::Acknowledged(None)
             }
             PeerRequest::JobStored(key, record) => {
                 term.accept(node, key, record);
-                PeerResponse::Acknowledged
+                PeerResponse::Acknowledged(load())
             }
             PeerRequest::CancellationStored(key) => {
                 term.cancel(node, key);
-                PeerResponse::Acknowledged
+                PeerResponse::Acknowledged(load())
+            }
+            PeerRequest::JobStatus(key) => {
+                let dispatcher = lock(&term.dispatcher);
+                let status = dispatcher.job_status(key).map(PeerJobStatus::from);
+                PeerResponse::JobStatus(status, dispatcher.load_estimate(node.now()))
             }
-            PeerRequest::JobStatus(key) => PeerResponse::JobStatus(
-                lock(&term.dispatcher)
-                    .job_status(key)
-                    .map(PeerJobStatus::from),
-            ),
             PeerRequest::PendingCount(host, prefix) => {
                 let pending = lock(&term.dispatcher).pending_jobs(&host, &prefix);
                 PeerResponse::PendingCount(pending as u64)
--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -143,10 +143,12 @@
                 store_reachable: !node.is_store_lost(),
             };
             let request = PeerRequest::AnnounceHost(report, eligibility);
+            let sent = node.now();
             match peers::call_peer(&node, leader.peer_address, &request, peers::MEMORY_TIMEOUT)
                 .await
             {
-                Ok(PeerResponse::AnnounceAgain(interval)) => {
+                Ok(PeerResponse::AnnounceAgain(interval, load)) => {
+                    node.learn_load(load, sent);
                     pause = interval.clamp(MIN_ANNOUNCE_INTERVAL, MAX_ANNOUNCE_INTERVAL);
                 }
                 Ok(_) => {}
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -493,7 +493,7 @@
         let request = PeerRequest::RelayCalls(batch);
         let sent = peers::call_peer(&node, link.report.peer_address, &request, BATCH_TIMEOUT).await;
         let error = match sent {
-            Ok(PeerResponse::Acknowledged) => continue,
+            Ok(PeerResponse::Acknowledged(_)) => continue,
             Ok(_) => None,
             Err(error) => Some(error),
         };
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -12,9 +12,11 @@
 use super::config_check::ConfigReads;
 use super::keys::Leader;
 use super::known_config::{ActiveConfig, KnownConfig};
+use super::known_load::{KnownLoad, LoadRefusal};
 use super::leader::ActiveTerm;
 use super::relay::Carrier;
 use super::voters::Voter;
+use crate::dispatch::{JobSpec, LoadEstimate, QueueSettings};
 use crate::model::{DomainName, Span, Time, WallTime};
 use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, Revision};
 use crate::telemetry::{self, Clock, Metrics};
@@ -68,6 +70,7 @@
     pub(crate) store_calls: Counter<u64>,
     pub(crate) store_durations: Histogram<f64>,
     pub(crate) relay_calls: Counter<u64>,
+    pub(crate) load_refusals: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -78,6 +81,7 @@
             store_calls: registry.counter(&telemetry::STORE_CALLS),
             store_durations: registry.duration_histogram(&telemetry::STORE_CALL_DURATION),
             relay_calls: registry.counter(&telemetry::RELAY_CALLS),
+            load_refusals: registry.counter(&telemetry::LOAD_REFUSALS),
             registry,
         }
     }
@@ -98,6 +102,7 @@
     /// Whether the operator's keys have been read once.
     operator_state_known: AtomicBool,
     leader: Mutex<KnownLeader>,
+    load: Mutex<KnownLoad>,
     /// Notified when the leader, the evacuated domains or the draining state change.
     pub(crate) state_changed: Notify,
     /// Calls that this process makes for the leader.
@@ -132,6 +137,7 @@
             evacuated: Mutex::new(IndexSet::new()),
             operator_state_known: AtomicBool::new(false),
             leader: Mutex::new(KnownLeader::Unknown),
+            load: Mutex::default(),
             state_changed: Notify::new(),
             carrier: Carrier::default(),
             active_term: Mutex::new(None),
@@ -251,6 +257,24 @@
         }
     }
 
+    /// Records the estimate in the leader's answer to a call that was sent at this time.
+    pub(crate) fn learn_load(&self, estimate: Option<LoadEstimate>, sent: Time) {
+        lock(&self.load).learn(estimate, sent, self.leader_revision());
+    }
+
+    /// Why a submission is to be refused for load; `None` if it is to be accepted.
+    pub(crate) fn load_refusal(
+        &self,
+        queue: &QueueSettings,
+        spec: &JobSpec,
+    ) -> Option<LoadRefusal> {
+        let now = self.now();
+        if let Some(term) = self.active_term() {
+            self.learn_load(lock(&term.dispatcher).load_estimate(now), now);
+        }
+        lock(&self.load).refuses(queue, spec, self.leader_revision(), now)
+    }
+
     /// Whether the leader key, as this host knows it, names the term of this process with a
     /// nonce.
     pub(crate) fn is_known_leader(&self, nonce: u64) -> bool {
--- a/crates/jujubelb/src/node/tests/decoding.rs
+++ b/crates/jujubelb/src/node/tests/decoding.rs
@@ -13,7 +13,8 @@
 use super::super::peers::{PeerRequest, PeerResponse};
 use super::super::relay::{HostReport, RelayBatch, RelayResults};
 use crate::dispatch::{
-    InterferenceModel, JobKey, JobRecord, JobSpec, Progress, QueueSettings, Roster, Step,
+    FullPool, InterferenceModel, JobKey, JobRecord, JobSpec, LoadEstimate, Progress, QueueSettings,
+    Roster, Step,
 };
 use crate::model::{DomainName, HostName, ServiceName, Span, WallTime};
 
@@ -111,13 +112,27 @@
         nonce: 99,
         workers: 48,
     };
+    let load = LoadEstimate {
+        age: Span::from_millis(20),
+        full: vec![FullPool {
+            service: ServiceName::new("s"),
+            jobs: 40,
+            limit: 30,
+            retry_after: Span::from_secs(2),
+        }],
+    };
     vec![
         survives(PeerRequest::JobStored(key, record())),
         survives(PeerRequest::StoreJob(key, record())),
         survives(PeerRequest::AnnounceHost(report, eligibility)),
         survives(PeerRequest::RelayCalls(batch)),
         survives(PeerRequest::RelayResults(results)),
-        survives(PeerResponse::AnnounceAgain(Span::from_secs(1))),
+        survives(PeerResponse::AnnounceAgain(Span::from_secs(1), None)),
+        survives(PeerResponse::AnnounceAgain(
+            Span::from_secs(1),
+            Some(load.clone()),
+        )),
+        survives(PeerResponse::Acknowledged(Some(load))),
         survives(record()),
         survives(Progress::default()),
         survives(Roster::default()),
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -5,6 +5,7 @@
 mod config_store;
 mod decoding;
 mod job_write;
+mod load;
 mod odd_entries;
 mod silent_connections;
 mod voters;
--- a/crates/jujubelb/src/telemetry/metrics.rs
+++ b/crates/jujubelb/src/telemetry/metrics.rs
@@ -68,6 +68,8 @@
     REQUESTS_IN_FLIGHT = "requests_in_flight", Gauge, "1", "", "Requests of callers that are not yet answered";
     ATTEMPTS = "attempts", Counter, "1", "service, end", "Attempts sent to endpoints by how they ended";
     SUBMISSIONS = "submissions", Counter, "1", "code", "Job submissions by result code";
+    LOAD_REFUSALS = "load_refusals", Counter, "1", "cause", "Submissions of best-effort jobs that were refused for load";
+    BEST_EFFORT_JOBS = "best_effort_jobs", Gauge, "1", "service, bound", "Best-effort jobs that have not ended, and the most that may be accepted; only on the leader";
     STORE_CALLS = "store_calls", Counter, "1", "kind, result", "Calls to the store";
     STORE_CALL_DURATION = "store_call_duration", Histogram, "s", "kind", "Duration of calls to the store";
     RELAY_CALLS = "relay_calls", Counter, "1", "result", "Calls to workers through relays by how they ended";
