Count what a job needs now in the bound on best-effort jobs

Cause: the limit was computed from the largest task that each job still has to run, while one run each needs the memory of a task that can start now.

Change: the smallest best-effort task of the open steps that wait for no other. Jobs are at different steps, so larger later ones are in the mean too.

--- a/crates/jujubelb/src/dispatch/admission.rs
+++ b/crates/jujubelb/src/dispatch/admission.rs
@@ -13,8 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::Dispatcher;
-use super::job::{Job, StepState};
-use super::job_spec::{JobSpec, QueueSettings, Step};
+use super::job::Job;
+use super::job_spec::{JobSpec, QueueSettings};
 use super::worker::Worker;
 use crate::model::{ServiceName, Span, Time};
 
@@ -272,17 +272,21 @@
     }
 }
 
-/// Memory in bytes of the largest best-effort task that a job still has to run; `None` if the
-/// job has no best-effort tasks.
+/// Least memory in bytes with which a job can have a run now: that of the smallest best-effort task
+/// of its open steps that wait for no other; `None` if the job has no best-effort tasks. The steps of
+/// many jobs are at different points, so later, larger ones are in the mean as well.
 fn needed_memory(job: &Job) -> Option<u64> {
     let steps = &job.record.spec.steps;
-    let best_effort = steps.iter().filter(|s| s.best_effort);
-    let largest = best_effort.map(|s| s.size.memory.0).max()?;
-    let is_open = |(spec, state): &(&Step, &StepState)| spec.best_effort && !state.is_done();
-    let open = job.occurrences.iter();
-    let open = open.flat_map(|o| steps.iter().zip(&o.steps).filter(is_open));
-    let left = open.map(|(spec, _)| spec.size.memory.0).max();
-    Some(left.unwrap_or(largest))
+    let best_effort = || steps.iter().filter(|s| s.best_effort);
+    let smallest = best_effort().map(|s| s.size.memory.0).min()?;
+    let ready = job.occurrences.iter().flat_map(|o| {
+        let states = steps.iter().zip(&o.steps).enumerate();
+        states.filter(|(i, (spec, state))| {
+            spec.best_effort && !state.is_done() && job.is_step_ready(o, *i)
+        })
+    });
+    let now = ready.map(|(_, (spec, _))| spec.size.memory.0).min();
+    Some(now.unwrap_or(smallest))
 }
 
 impl Worker {
--- a/crates/jujubelb/src/dispatch/tests/admission.rs
+++ b/crates/jujubelb/src/dispatch/tests/admission.rs
@@ -195,6 +195,25 @@
     assert_eq!(sim.dispatcher.pool_loads()[0].jobs, SLOTS as u32 / 2);
 }
 
+/// Guards against a limit by what jobs need later, which refuses jobs that could start now.
+#[test]
+fn later_steps_do_not_lower_the_limit() {
+    let mut sim = Simulation::new(WORKERS);
+    sim.run(Span::from_secs(4));
+    let mut record = best_effort_job();
+    let first = Step {
+        size: Resources::new(1_000, TASK_MEMORY.0 / 4, 0),
+        ..record.spec.steps[0].clone()
+    };
+    record.spec.steps.insert(0, first);
+    record.spec.steps[1].after = vec![0];
+    sim.submit(1, record);
+    sim.run(Span::from_millis(200));
+    // Nine tenths of four times the slots.
+    let limit = sim.dispatcher.pool_loads()[0].limit.unwrap();
+    assert_eq!(limit as usize, SLOTS * 4 * 9 / 10);
+}
+
 /// Guards against a new leader that refuses because workers have not answered it yet.
 #[test]
 fn a_new_leader_knows_no_load_before_its_workers_have_answered() {
