Show paused runs, jobs without a run and processor time by pace

The log line of the dispatcher's totals could not show why jobs wait while workers are less than half in use: a paused run counted like one at full pace, and a job without any run like one with many. The totals now have idle_jobs, paused, starved and paced, and the leader serves them as the metrics dispatch_jobs, dispatch_runs and dispatch_cores.

Summary moves from dispatch/mod.rs into a file of its own.

--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod replies;
 mod starvation;
 mod succession;
+mod summary;
 #[cfg(test)]
 mod tests;
 mod tickets;
@@ -41,7 +42,7 @@
 use job::{Job, TaskState};
 use pace::Headrooms;
 use tickets::StepTickets;
-use worker::{Admission, RunPhase, Worker};
+use worker::{Admission, Worker};
 
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
@@ -56,6 +57,7 @@
 };
 pub use replies::{Refusal, StartAnswer, StartReply, StopReply, is_start_overdue};
 pub use succession::{EarlierLeader, EarlierLeaders, LeaderTerm, MAX_EARLIER_LEADERS, Succession};
+pub use summary::Summary;
 pub use tickets::{TicketGrant, TicketRequest};
 pub use voters::{VoterRecord, VoterSet};
 pub use worker::{Incarnation, WorkerReport};
@@ -412,57 +414,6 @@
         self.jobs.values().filter(is_waiting).count()
     }
 
-    /// Current totals for the log and the state dump.
-    pub fn summary(&self) -> Summary {
-        let live = |j: &&Job| j.outcome.is_none();
-        Summary {
-            jobs: self.jobs.values().filter(live).count(),
-            waiting: self
-                .jobs
-                .values()
-                .filter(live)
-                .flat_map(|j| &j.occurrences)
-                .flat_map(|o| &o.steps)
-                .map(|s| s.waiting as usize)
-                .sum(),
-            longest_wait_ms: self.longest_ready_wait(self.last_pass).as_millis(),
-            running: self.workers.values().map(|w| w.runs.len()).sum(),
-            workers: self.workers.values().filter(|w| w.fenced).count(),
-            sick: self
-                .workers
-                .values()
-                .filter(|w| w.health.is_unhealthy())
-                .count(),
-            undurable: self.dirty_jobs.len(),
-            unacknowledged: self
-                .workers
-                .values()
-                .map(|w| w.processed - w.acknowledged)
-                .sum(),
-            unanswered: self
-                .workers
-                .values()
-                .flat_map(|w| w.runs.values())
-                .filter(|r| r.phase == RunPhase::Unsure)
-                .count(),
-            stopping: self
-                .workers
-                .values()
-                .flat_map(|w| w.runs.values())
-                .filter(|r| r.must_stop)
-                .count(),
-            room: self.total_cores(|w| w.report.capacity.cpu.0),
-            counted: self.total_cores(|w| w.load.reserved.cpu.0),
-            demand: self.total_cores(|w| w.load.cpu_demand),
-        }
-    }
-
-    /// Sum of a figure in millicores over the workers in use, in whole cores.
-    fn total_cores(&self, millicores: impl Fn(&Worker) -> u64) -> u64 {
-        let in_use = self.workers.values().filter(|w| w.fenced && w.listed);
-        in_use.map(millicores).sum::<u64>() / 1_000
-    }
-
     /// Sets a task's state and updates the counters of its step.
     fn set_state(&mut self, key: TaskKey, state: TaskState) {
         let now = self.last_pass;
@@ -520,37 +471,6 @@
     }
 }
 
-/// Totals of a dispatcher. The field names appear in the log and in the state dump.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize)]
-pub struct Summary {
-    /// Jobs that have not ended.
-    pub jobs: usize,
-    /// Tasks that wait for a worker.
-    pub waiting: usize,
-    /// Longest time for which a task of a ready step has waited for a worker, in milliseconds.
-    pub longest_wait_ms: u64,
-    /// Runs assigned to workers, whether or not the worker has confirmed them.
-    pub running: usize,
-    /// Workers that have seen this term's token.
-    pub workers: usize,
-    /// Workers that are considered unhealthy.
-    pub sick: usize,
-    /// Jobs with changes that are not durable yet.
-    pub undurable: usize,
-    /// Completions that have been processed and not yet acknowledged to their workers.
-    pub unacknowledged: u64,
-    /// Runs whose start order got no answer, and of which nothing is known yet.
-    pub unanswered: usize,
-    /// Runs that have to be stopped and have not ended.
-    pub stopping: usize,
-    /// Capacity of the workers in use, in cores.
-    pub room: u64,
-    /// Cores reserved by the declared sizes of runs.
-    pub counted: u64,
-    /// Cores that runs use or are expected to use.
-    pub demand: u64,
-}
-
 /// Converts a calendar time, past or future, to this process's clock.
 fn local_time(at: WallTime, wall: WallTime, now: Time) -> Time {
     if at >= wall {
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -9,7 +9,7 @@
 
 use super::callers::CallerApi;
 use super::config_check::apply_config;
-use super::monitoring::{MonitoringApi, Readiness};
+use super::monitoring::{MonitoringApi, Readiness, register_gauges};
 use super::peers::PeerApi;
 use super::relay::announce_host;
 use super::serve::serve;
@@ -21,7 +21,7 @@
 use crate::platform::{
     CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KvClient, OPERATOR_PREFIX, load_settings,
 };
-use crate::telemetry::{self, Metrics};
+use crate::telemetry::Metrics;
 
 /// Options from the command line.
 #[derive(Debug, Clone)]
@@ -92,14 +92,7 @@
         settings.peer_address,
         PeerApi(node.clone()).routes(),
     );
-    let observed = Arc::downgrade(&node);
-    node.metrics
-        .registry
-        .observable_gauge(&telemetry::CONFIG_EVIDENCE_AGE, move |observe| {
-            if let Some(age) = observed.upgrade().and_then(|n| n.config_age()) {
-                observe(age.as_secs_f64(), &[]);
-            }
-        });
+    register_gauges(&node);
     if let Some(port) = options.metrics_port {
         let ip: IpAddr = settings.peer_address.ip();
         let address = SocketAddr::new(ip, port);
--- a/crates/jujubelb/src/node/monitoring.rs
+++ b/crates/jujubelb/src/node/monitoring.rs
@@ -3,6 +3,7 @@
 use std::io::Cursor;
 use std::sync::Arc;
 
+use opentelemetry::KeyValue;
 use rocket::http::{ContentType, Method, Status};
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome};
@@ -10,7 +11,9 @@
 
 use super::logging;
 use super::state::{KnownLeader, Node, lock};
+use crate::dispatch::Summary;
 use crate::model::Span;
+use crate::telemetry::{self, Metric};
 
 /// Path of the readiness check.
 const READINESS_PATH: &str = "/readyz";
@@ -98,3 +101,53 @@
         Outcome::Success(response)
     }
 }
+
+/// Values of a gauge of the leader with their labels.
+type LeaderGauge<const N: usize> = fn(&Summary) -> [(&'static str, f64); N];
+
+/// Registers the gauges of the process. Those of the leader have no values on other hosts.
+pub(crate) fn register_gauges(node: &Arc<Node>) {
+    let observed = Arc::downgrade(node);
+    let registry = &node.metrics.registry;
+    registry.observable_gauge(&telemetry::CONFIG_EVIDENCE_AGE, move |observe| {
+        if let Some(age) = observed.upgrade().and_then(|n| n.config_age()) {
+            observe(age.as_secs_f64(), &[]);
+        }
+    });
+    register_leader_gauge(node, &telemetry::DISPATCH_JOBS, |s| {
+        [("all", s.jobs as f64), ("without-run", s.idle_jobs as f64)]
+    });
+    register_leader_gauge(node, &telemetry::DISPATCH_RUNS, |s| {
+        [
+            ("all", s.running as f64),
+            ("paused", s.paused as f64),
+            ("starved", s.starved as f64),
+        ]
+    });
+    register_leader_gauge(node, &telemetry::DISPATCH_CORES, |s| {
+        [
+            ("all", s.room as f64),
+            ("reserved", s.counted as f64),
+            ("demand", s.demand as f64),
+            ("paced", s.paced as f64),
+        ]
+    });
+}
+
+fn register_leader_gauge<const N: usize>(
+    node: &Arc<Node>,
+    metric: &'static Metric,
+    values: LeaderGauge<N>,
+) {
+    let observed = Arc::downgrade(node);
+    let registry = &node.metrics.registry;
+    registry.observable_gauge(metric, move |observe| {
+        let Some(term) = observed.upgrade().and_then(|n| n.active_term()) else {
+            return;
+        };
+        let summary = lock(&term.dispatcher).summary();
+        for (label, value) in values(&summary) {
+            observe(value, &[KeyValue::new(metric.labels, label)]);
+        }
+    });
+}
--- a/crates/jujubelb/src/telemetry/metrics.rs
+++ b/crates/jujubelb/src/telemetry/metrics.rs
@@ -85,6 +85,9 @@
     CONFIG_EVIDENCE_AGE = "config_evidence_age", Gauge, "s", "", "Age of the evidence that the configuration is in force; absent without evidence";
     QUEUE_LENGTH = "queue_length", Gauge, "1", "queue", "Entries in a bounded queue between threads";
     QUEUE_DROPPED = "queue_dropped", Counter, "1", "queue", "Entries refused because a queue was full";
+    DISPATCH_JOBS = "dispatch_jobs", Gauge, "1", "state", "Jobs of the leader that have not ended: all, and those without a run";
+    DISPATCH_RUNS = "dispatch_runs", Gauge, "1", "state", "Runs of the leader: all, paused ones, and those of starved steps";
+    DISPATCH_CORES = "dispatch_cores", Gauge, "1", "kind", "Cores of the leader's workers: all, reserved, in demand at full pace, and in demand at the present paces";
     OPERATOR_CALLS = "operator_calls", Counter, "1", "code", "Calls of operators by result code";
 }
 
