Give each starved step a run, and limit those that go on by their turn

Cause: a worker took at most four runs of starved steps, paused ones included, so that 48 workers had 192 for a backlog of 700 jobs. A step whose runs were paused counted as starved again and took a further slot with each of its tasks.

A starved step now gets one run. A paused run of it is sustained instead of starting another. Memory is the only limit on their number; on each worker the four oldest go on at the lowest pace, and the others wait there for their turn, without being moved before. At most 12 steps are refused in a pass as before, and at most 60 get a run.

Ruled out: the order of steps, which decides who waits and not how many; steps with a paused run last, which was tried before and kept the limit.

--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -140,6 +140,7 @@
                 above_target.is_some_and(|since| now.since(since) > ABOVE_TARGET_TIMEOUT);
             let paces = paces(worker, &self.slopes, &self.headrooms);
             let most_interfering = paces.len().saturating_sub(1);
+            let sustained = worker.sustained_runs();
             for (rank, (i, new_pace)) in paces.into_iter().enumerate() {
                 let Some((task, tracked)) = worker.runs.get_index_mut(i) else {
                     continue;
@@ -155,9 +156,10 @@
                     (false, true) => new_pace.min(tracked.pace / 2),
                     (false, false) => new_pace,
                 };
+                let is_sustained = sustained.contains(task);
                 let new_pace = match new_pace < MIN_PACE_PERCENT {
                     // By the estimates a task of a starved step would not run anywhere.
-                    true if tracked.starved && above_target.is_none() => MIN_PACE_PERCENT,
+                    true if is_sustained && above_target.is_none() => MIN_PACE_PERCENT,
                     true => 0,
                     false => new_pace,
                 };
@@ -186,9 +188,11 @@
                 };
                 let paused =
                     tracked.pace == 0 && now.since(tracked.pace_changed) > PAUSED_TASK_TIMEOUT;
-                // Each worker may pause a task of a starved step, so it is moved less often.
+                // Each worker may pause a task of a starved step, so it is moved less often, and
+                // not at all before its turn.
                 let pause = now.since(tracked.pace_changed);
-                let may_move = !pause_all && (!tracked.starved || pause > STARVED_TASK_TIMEOUT);
+                let is_due = is_sustained && pause > STARVED_TASK_TIMEOUT;
+                let may_move = !pause_all && (!tracked.starved || is_due);
                 if paused && may_move && has_checkpoints() == Some(true) {
                     log::info!(task:% = task, worker:% = name; "stopping a paused best-effort task to move it to another worker");
                     tracked.must_stop = true;
--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -11,7 +11,6 @@
 use super::crash::Isolation;
 use super::job_spec::{Step, StepKey};
 use super::pace::Headrooms;
-use super::starvation::MAX_STARVED_PER_WORKER;
 use super::worker::{JobInterference, TrackedRun, Worker};
 use crate::model::{DomainName, Millicores, ServiceName, Span, Time};
 use crate::place::headroom::{HeadroomEstimate, Slopes};
@@ -73,6 +72,10 @@
 /// worker may crash again without the task, which would then be blamed.
 const RECENT_RESTART_COST: f64 = 4.0;
 
+/// Cost of placing a task of a starved step beside others like it, for each of them. Outweighs the
+/// other costs, so that the steps of all workers have their turn equally soon.
+const STARVED_RUN_COST: f64 = 10.0;
+
 /// Cost of placing a task beside a run on probation, for each such run.
 const PROBATION_COST: f64 = 2.0;
 
@@ -102,9 +105,7 @@
     /// Whether a task may take more headroom or processor time from a worker than is left. It
     /// must not where a serving task is above its target already.
     fn may_exceed(&self, worker: &Worker) -> bool {
-        self.starved
-            && worker.load.starved_runs < MAX_STARVED_PER_WORKER
-            && worker.runs.values().all(|r| r.above_target.is_none())
+        self.starved && worker.runs.values().all(|r| r.above_target.is_none())
     }
 }
 
@@ -311,6 +312,9 @@
         };
     }
     cost += PROBATION_COST * f64::from(load.suspects);
+    if request.starved {
+        cost += STARVED_RUN_COST * f64::from(load.starved_runs);
+    }
     if let Some(data_rack) = &step.data_rack
         && worker.report.rack.as_ref() != Some(data_rack)
     {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -458,7 +458,7 @@
         started
     }
 
-    fn mark_starved(&mut self, name: &WorkerName, task: TaskKey) {
+    pub(super) fn mark_starved(&mut self, name: &WorkerName, task: TaskKey) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -2,25 +2,29 @@
 //!
 //! Best-effort tasks start only where they leave serving tasks enough headroom, and steps that can
 //! still be in time go first. Neither rule ends the wait of a step that is refused again and
-//! again. A starved step therefore starts one task, the oldest step first, also where the task
-//! may take more than is left. It runs at the lowest pace there if need be, and is paused only
-//! while the tail latency of a serving task is above its target.
+//! again. A starved step therefore gets one run, the oldest step first, also where the task
+//! may take more than is left. If a run of it is paused, that run is sustained instead.
+//!
+//! On each worker the oldest such runs go on at the lowest pace if need be, and are paused only
+//! while the tail latency of a serving task is above its target. The others wait there for their
+//! turn. Only memory limits how many they are, so that each step has a run as long as the
+//! workers together have memory for it.
 //!
 //! How long a step starves depends on the number of starved steps, since few such runs are
 //! allowed while other work is in time. Once no such work waits, the idle capacity is theirs.
 
 use super::Dispatcher;
 use super::WorkerOrder;
-use super::job::{Task, TaskState};
+use super::job::{StepState, Task, TaskState};
 use super::job_spec::{StepKey, TaskKey};
 use super::rank::StepRank;
-use super::worker::Worker;
-use crate::model::{Span, Time};
+use super::worker::{TrackedRun, Worker};
+use crate::model::{Span, Time, WorkerName};
 
-/// Most runs of starved steps on a worker. Four at the lowest pace use four fifths of the time of
-/// one task; with two, days of bursts ended with workers less than half in use beside work that
-/// waited.
-pub(super) const MAX_STARVED_PER_WORKER: u32 = 4;
+/// Most runs of starved steps on a worker that go on where the estimates leave them nothing. Four
+/// at the lowest pace use four fifths of the time of one task; with two, days of bursts ended
+/// with workers less than half in use beside work that waited.
+pub(super) const MAX_SUSTAINED_PER_WORKER: usize = 4;
 
 /// Runs of starved steps, in percent of the number of workers, while steps wait that can be in
 /// time. With one on each worker, a fifth fewer jobs were in time.
@@ -33,8 +37,12 @@
 /// starved steps. In overload there are moments without any such step between two arrivals.
 const TIMELY_GAP: Span = Span::from_secs(2);
 
-/// Most starved steps that are tried in one pass, which bounds its time.
-const MAX_TRIES_PER_PASS: usize = 12;
+/// Most starved steps that get a run in one pass, which bounds its time.
+const MAX_STARTS_PER_PASS: usize = 60;
+
+/// Most starved steps for which no worker is found in one pass. Each costs a search of all
+/// workers.
+const MAX_REFUSALS_PER_PASS: usize = 12;
 
 /// Pause before a starved step for which no worker was found is tried again.
 const REFUSED_PAUSE: Span = Span::from_secs(1);
@@ -52,7 +60,7 @@
         if ranked.iter().any(is_timely) {
             self.timely_waited = now;
         }
-        let mut slots = self.starved_slots(now);
+        let slots = self.starved_slots(now).min(MAX_STARTS_PER_PASS);
         if slots == 0 {
             return;
         }
@@ -66,34 +74,73 @@
             })
             .collect();
         starved.sort_unstable();
-        for (_, _, key) in starved.into_iter().take(MAX_TRIES_PER_PASS) {
-            let waiting = self.waiting_tasks(key);
-            self.start_starved_step(key, orders, now);
-            let is_refused = self.waiting_tasks(key) == waiting;
+        let (mut served, mut refusals) = (0, 0);
+        for (_, _, key) in starved {
+            if served == slots || refusals == MAX_REFUSALS_PER_PASS {
+                return;
+            }
+            let is_served = self.serve_starved(key, orders, now);
             if let Some(job) = self.jobs.get_mut(&key.job)
                 && let Some(step) = job.step_mut(key.occurrence, key.step)
             {
-                step.refused = is_refused.then_some(now);
-            }
-            slots -= usize::from(!is_refused);
-            if slots == 0 {
-                return;
+                step.refused = (!is_served).then_some(now);
             }
+            served += usize::from(is_served);
+            refusals += usize::from(!is_served);
         }
     }
 
-    /// Whether a best-effort step has a task that could start, and nothing of it makes progress.
+    /// Sustains a paused run of a starved step, or starts a task of it. Returns whether the step
+    /// has a run now.
+    fn serve_starved(&mut self, key: StepKey, orders: &mut Vec<WorkerOrder>, now: Time) -> bool {
+        if let Some((name, task)) = self.paused_run(key) {
+            log::info!(task:% = task, worker:% = name; "sustaining a paused run of a starved step");
+            self.mark_starved(&name, task);
+            return true;
+        }
+        let waiting = self.waiting_tasks(key);
+        self.start_starved_step(key, orders, now);
+        self.waiting_tasks(key) != waiting
+    }
+
+    /// Whether a best-effort step has a task that could start, and no run that makes progress or
+    /// will in its turn.
     pub(super) fn is_starved(&self, key: StepKey, now: Time) -> bool {
         let Some((job, state)) = self.ready_step(key) else {
             return false;
         };
         let spec = job.record.spec.steps.get(usize::from(key.step));
-        let tasks = || state.tasks.iter();
         spec.is_some_and(|s| s.best_effort && !s.gang)
-            && tasks().any(|t| self.is_startable(t, now))
-            && !(0u32..)
-                .zip(tasks())
-                .any(|(index, t)| self.makes_progress(TaskKey { step: key, index }, t))
+            && state.tasks.iter().any(|t| self.is_startable(t, now))
+            && self
+                .runs_of(key, state)
+                .all(|(_, _, run)| run.is_some_and(|r| r.pace == 0 && !r.starved))
+    }
+
+    /// The tasks of a step that are assigned to workers, with their workers and runs.
+    fn runs_of<'a>(
+        &'a self,
+        key: StepKey,
+        state: &'a StepState,
+    ) -> impl Iterator<Item = (TaskKey, &'a WorkerName, Option<&'a TrackedRun>)> {
+        let tasks = (0u32..).zip(&state.tasks);
+        tasks.filter_map(move |(index, task)| {
+            let TaskState::Placed(name) = &task.state else {
+                return None;
+            };
+            let task = TaskKey { step: key, index };
+            let run = self.workers.get(name).and_then(|w| w.runs.get(&task));
+            Some((task, name, run))
+        })
+    }
+
+    /// A run of a step that is paused and not about to be stopped, with its worker.
+    fn paused_run(&self, key: StepKey) -> Option<(WorkerName, TaskKey)> {
+        let (_, state) = self.ready_step(key)?;
+        let mut runs = self.runs_of(key, state);
+        let is_paused = |run: &TrackedRun| run.pace == 0 && !run.must_stop;
+        runs.find(|(_, _, run)| run.is_some_and(is_paused))
+            .map(|(task, name, _)| (name.clone(), task))
     }
 
     /// Whether a task may start as far as the task itself is concerned.
@@ -103,31 +150,20 @@
             && (!task.inherited || self.inherited_resolved)
     }
 
-    /// Whether a task is assigned to a worker and not paused there.
-    fn makes_progress(&self, key: TaskKey, task: &Task) -> bool {
-        let TaskState::Placed(name) = &task.state else {
-            return false;
-        };
-        let worker = self.workers.get(name);
-        let run = worker.and_then(|w| w.runs.get(&key));
-        run.is_none_or(|r| r.pace > 0)
-    }
-
     fn waiting_tasks(&self, key: StepKey) -> u32 {
         self.ready_step(key).map_or(0, |(_, state)| state.waiting)
     }
 
-    /// How many more runs of starved steps may start. Paused runs don't count, since they may stay
+    /// How many more starved steps may get a run. Paused runs don't count, since they may stay
     /// paused for as long as the load of the serving tasks is high.
     fn starved_slots(&self, now: Time) -> usize {
+        if now.since(self.timely_waited) >= TIMELY_GAP {
+            return usize::MAX;
+        }
         let in_use = || self.workers.values().filter(|w| w.fenced && w.listed);
-        let workers = in_use().count();
-        let limit = match now.since(self.timely_waited) < TIMELY_GAP {
-            true => (workers * MAX_STARVED_BESIDE_TIMELY_PERCENT / 100).max(MIN_STARVED_RUNS),
-            false => workers * MAX_STARVED_PER_WORKER as usize,
-        };
+        let limit = in_use().count() * MAX_STARVED_BESIDE_TIMELY_PERCENT / 100;
         let running: usize = in_use().map(Worker::active_starved_runs).sum();
-        limit.saturating_sub(running)
+        limit.max(MIN_STARVED_RUNS).saturating_sub(running)
     }
 }
 
@@ -140,4 +176,18 @@
         let runs = self.runs.values();
         runs.filter(|r| r.starved && r.pace > 0).count()
     }
+
+    /// The runs of starved steps that go on where the estimates leave them nothing: the oldest
+    /// ones that are not about to be stopped.
+    pub(super) fn sustained_runs(&self) -> Vec<TaskKey> {
+        if self.load.starved_runs == 0 {
+            return Vec::new();
+        }
+        let runs = self.runs.iter();
+        let starved = runs.filter(|(_, r)| r.starved && !r.must_stop);
+        let mut starved: Vec<(Time, TaskKey)> = starved.map(|(t, r)| (r.since, *t)).collect();
+        starved.sort_unstable();
+        starved.truncate(MAX_SUSTAINED_PER_WORKER);
+        starved.into_iter().map(|(_, task)| task).collect()
+    }
 }
