Start starved steps also beside serving tasks above their target

Callers saw late best-effort jobs without a run while each worker had a serving task above its target: such a worker was no candidate for a starved step, whatever the reason. With a load that keeps the serving tasks of all workers there, the refusal has no end.

A serving task above its target is now a cost and not an obstacle: the worker is chosen last. A task that starts there is paused like all best-effort tasks after 2 s above the target, so that serving tasks lose nothing beyond that, and goes on in its turn once they are below it.

Evidence: a play of four jobs on one worker had one of them refused for 40 s, each second by a serving task above its target; the estimates did not change, since reports of a saturated worker teach nothing.

--- a/crates/jujubelb/src/dispatch/placement.rs
+++ b/crates/jujubelb/src/dispatch/placement.rs
@@ -76,6 +76,10 @@
 /// other costs, so that the steps of all workers have their turn equally soon.
 const STARVED_RUN_COST: f64 = 10.0;
 
+/// Cost of placing a task of a starved step beside a serving task above its target, where it is
+/// soon paused. No obstacle, since each worker may have such a task at all times.
+const ABOVE_TARGET_COST: f64 = 1_000.0;
+
 /// Cost of placing a task beside a run on probation, for each such run.
 const PROBATION_COST: f64 = 2.0;
 
@@ -101,14 +105,6 @@
     pub(crate) starved: bool,
 }
 
-impl PlacementRequest<'_> {
-    /// Whether a task may take more headroom or processor time from a worker than is left. It
-    /// must not where a serving task is above its target already.
-    fn may_exceed(&self, worker: &Worker) -> bool {
-        self.starved && worker.runs.values().all(|r| r.above_target.is_none())
-    }
-}
-
 /// Why a task can't start on a worker now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 #[display(rename_all = "kebab-case")]
@@ -182,7 +178,7 @@
     if step.best_effort {
         size.cpu.0 = 0;
         let demand = worker.load.cpu_demand.saturating_add(step.size.cpu.0);
-        if demand > capacity.cpu.0 && !request.may_exceed(worker) {
+        if demand > capacity.cpu.0 && !request.starved {
             return Some(Obstacle::Processor);
         }
     }
@@ -221,12 +217,12 @@
         let known = headrooms
             .get(&entry.job)
             .is_some_and(HeadroomEstimate::is_known);
-        if slope.is_unknown() && (other || !known) && !request.may_exceed(worker) {
+        if slope.is_unknown() && (other || !known) && !request.starved {
             return Err(Obstacle::UnknownInterference);
         }
         let takes = slope.upper_estimate() * share;
         let left = entry.baseline(headrooms) - entry.headroom_taken - MIN_HEADROOM_AFTER_START;
-        if takes > left && !request.may_exceed(worker) {
+        if takes > left && !request.starved {
             return Err(Obstacle::Headroom);
         }
         highest = highest.max(takes / left.max(MIN_HEADROOM_LEFT));
@@ -314,6 +310,9 @@
     cost += PROBATION_COST * f64::from(load.suspects);
     if request.starved {
         cost += STARVED_RUN_COST * f64::from(load.starved_runs);
+        if worker.runs.values().any(|r| r.above_target.is_some()) {
+            cost += ABOVE_TARGET_COST;
+        }
     }
     if let Some(data_rack) = &step.data_rack
         && worker.report.rack.as_ref() != Some(data_rack)
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -148,6 +148,8 @@
     has_completions: bool,
     /// Interference of best-effort tasks in each of the last steps, in percent of the worker.
     interference: VecDeque<u32>,
+    /// Tail latency of its serving tasks without best-effort tasks, in percent of the target.
+    pub(crate) own_tail: u64,
 }
 
 impl FakeWorker {
@@ -212,7 +214,7 @@
     fn tail_latency(&self, target: Span) -> u64 {
         let sum: u32 = self.interference.iter().sum();
         let mean = sum / (self.interference.len() as u32).max(1);
-        target.as_millis() * 30 / u64::from(100 - mean)
+        target.as_millis() * self.own_tail / u64::from(100 - mean)
     }
 }
 
@@ -384,6 +386,7 @@
             last_poll: Time::ZERO,
             has_completions: false,
             interference: VecDeque::new(),
+            own_tail: 30,
         };
         self.workers.insert(name, worker);
     }
