Start steps that are refused while they can be in time

Callers saw best-effort jobs without a run for as long as their objective lasted, which may be minutes: only late steps counted as starved. One such step that no worker admits also kept the limit for starved steps, two runs or 5 % of the workers, so that late jobs behind it had no run either, although nothing else used the idle capacity.

A step of which nothing runs now counts as starved once a task of it has waited for 2 s, and does not count any more as timely work for which others are held back.

Tests: a_refused_step_that_can_be_in_time_starts fails before with a job that is idle for 40 s; late_jobs_start_beside_a_timely_step_that_finds_no_worker fails before with more than the 9 s that the test allows. 155 tests of the dispatcher passed.

--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -1,4 +1,5 @@
-//! Starts tasks of starved steps: late best-effort steps of which nothing runs.
+//! Starts tasks of starved steps: best-effort steps of which nothing runs, and which are late or
+//! have been refused for some time.
 //!
 //! Best-effort tasks start only where they leave serving tasks enough headroom, and steps that can
 //! still be in time go first. Neither rule ends the wait of a step that is refused again and
@@ -18,6 +19,7 @@
 use super::job::{StepState, Task, TaskState};
 use super::job_spec::{StepKey, TaskKey};
 use super::rank::StepRank;
+use super::waits::longest_wait;
 use super::worker::{TrackedRun, Worker};
 use crate::model::{Span, Time, WorkerName};
 
@@ -37,6 +39,10 @@
 /// starved steps. In overload there are moments without any such step between two arrivals.
 const TIMELY_GAP: Span = Span::from_secs(2);
 
+/// Wait after which a step that can be in time counts as refused by all workers. Its objective may
+/// last for minutes, and nothing else would end its wait or that of others behind it.
+const REFUSED_WAIT: Span = Span::from_secs(2);
+
 /// Most starved steps that get a run in one pass, which bounds its time.
 const MAX_STARTS_PER_PASS: usize = 60;
 
@@ -55,8 +61,9 @@
         orders: &mut Vec<WorkerOrder>,
         now: Time,
     ) {
-        let is_timely =
-            |(rank, key): &(StepRank, StepKey)| !rank.is_late() && self.waiting_tasks(*key) > 0;
+        let is_timely = |(rank, key): &(StepRank, StepKey)| {
+            !rank.is_late() && self.waiting_tasks(*key) > 0 && !self.is_refused(*key, now)
+        };
         if ranked.iter().any(is_timely) {
             self.timely_waited = now;
         }
@@ -66,7 +73,8 @@
         }
         let mut starved: Vec<(Option<Time>, Time, StepKey)> = ranked
             .iter()
-            .filter(|(rank, key)| rank.is_late() && self.is_starved(*key, now))
+            .filter(|(rank, key)| rank.is_late() || self.is_refused(*key, now))
+            .filter(|(_, key)| self.is_starved(*key, now))
             .filter_map(|(rank, key)| {
                 let refused = self.ready_step(*key)?.1.refused;
                 let is_due = refused.is_none_or(|at| now.since(at) >= REFUSED_PAUSE);
@@ -117,6 +125,14 @@
                 .all(|(_, _, run)| run.is_some_and(|r| r.pace == 0 && !r.starved))
     }
 
+    /// Whether a task of a ready step has waited for so long that all workers refuse it.
+    fn is_refused(&self, key: StepKey, now: Time) -> bool {
+        let wait = self
+            .ready_step(key)
+            .and_then(|(_, state)| longest_wait(state, now));
+        wait.is_some_and(|w| w >= REFUSED_WAIT)
+    }
+
     /// The tasks of a step that are assigned to workers, with their workers and runs.
     fn runs_of<'a>(
         &'a self,
--- a/crates/jujubelb/src/dispatch/tests/starvation.rs
+++ b/crates/jujubelb/src/dispatch/tests/starvation.rs
@@ -1,7 +1,7 @@
 //! Late best-effort steps that each worker refuses.
 
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::Step;
+use crate::dispatch::{JobKey, Step};
 use crate::model::Span;
 
 /// Time in which the headroom of serving tasks without neighbours becomes known.
@@ -36,3 +36,67 @@
     assert!(late.iter().all(|k| sim.completed.contains_key(k)));
     assert!(sim.longest_violation < Span::from_secs(4));
 }
+
+/// Longest time during a span for which one of these jobs had no run and was not completed.
+fn longest_idle(sim: &mut Simulation, keys: &[JobKey], span: Span) -> Span {
+    let interval = Span::from_millis(100);
+    let end = sim.now + span;
+    let mut active = vec![sim.now; keys.len()];
+    let mut longest = Span::ZERO;
+    while sim.now < end {
+        sim.run(interval);
+        for (key, active) in keys.iter().zip(&mut active) {
+            if sim.completed.contains_key(key) || sim.running(*key) > 0 {
+                *active = sim.now;
+            }
+            longest = longest.max(sim.now.since(*active));
+        }
+    }
+    longest
+}
+
+/// Guards against a late job without a run while each worker has a serving task above its target.
+#[test]
+fn a_late_job_has_a_run_though_serving_tasks_are_above_their_target() {
+    let mut sim = Simulation::new(1);
+    sim.worker(0).own_tail = 120;
+    sim.submit(1, job(0, vec![long_running(2, 10)]));
+    sim.run(BASELINE);
+    let late = sim.submit(2, job(2, vec![harmful(1, Span::from_secs(1))]));
+    sim.run(Span::from_secs(10));
+    assert!(sim.running(late) > 0);
+    sim.worker(0).own_tail = 30;
+    sim.run(Span::from_secs(20));
+    assert!(sim.completed.contains_key(&late));
+}
+
+/// Guards against a step without a run for as long as its objective lasts.
+#[test]
+fn a_refused_step_that_can_be_in_time_starts() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![long_running(2, 10)]));
+    sim.run(BASELINE);
+    let step = harmful(2, Span::from_secs(60));
+    let timely: Vec<_> = (2..6)
+        .map(|id| sim.submit(id, job(2, vec![step.clone()])))
+        .collect();
+    let idle = longest_idle(&mut sim, &timely, Span::from_secs(40));
+    assert!(idle < Span::from_secs(6), "{idle}");
+}
+
+/// Guards against late jobs without a run because a step that can be in time finds no worker.
+#[test]
+fn late_jobs_start_beside_a_timely_step_that_finds_no_worker() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![long_running(2, 10)]));
+    sim.run(BASELINE);
+    let mut timely = harmful(1, Span::from_secs(120));
+    timely.label = Some("none".into());
+    sim.submit(2, job(2, vec![timely]));
+    let late: Vec<_> = (3..9)
+        .map(|id| sim.submit(id, job(2, vec![harmful(1, Span::from_secs(4))])))
+        .collect();
+    // Their objective ends after 8.5 s.
+    let idle = longest_idle(&mut sim, &late, Span::from_secs(30));
+    assert!(idle < Span::from_secs(9), "{idle}");
+}
