Leave the idle connections of a peer after a timeout

Cause: open connections may go silent for good, without a reset, while new ones work. Calls to workers and between hosts took one idle connection to the peer after the other, each until its timeout. Only the store had a pool that is replaced.

The pool of the HTTP client keeps idle connections by host name. After a timeout the peer is called by a new name for the same address, one for each generation of its connections, so that its idle ones are not used any more. They are closed after their minute. Connections to other peers stay.

Weighed and left: - One client a peer, or one client for all suspect peers: memory for each, and the second one closes connections to sound peers at the next timeout. - Replacing the only client, as for the store: one lost answer of one worker opens new connections to all of them, and these are priced. - A shorter idle time: new connections in calm times, and still one timeout for each that is idle for less. - TCP keep-alive: needs probes on all connections, and says nothing before several of them are lost.

Bounds: a peer gets a new generation every 10 s at most, and only by a call on its present one, so that a worker that hangs or is cut off costs what it cost before, one connection a call. Peers are remembered for 10 minutes.

Evidence, without the change (the decision to begin a generation left out):

calls_skip_the_idle_connections_of_a_peer_that_went_silent left: [false, false, false, false] right: [false, true, true, true] a_peer_that_hangs_gets_at_most_one_connection_a_call assertion failed: call.await.unwrap()

Both pass with it: the first call times out, the next ones are answered on one new connection, and no connection to the other peer is opened.

--- a/crates/jujubelb/src/node/tests/config_store.rs
+++ b/crates/jujubelb/src/node/tests/config_store.rs
@@ -67,6 +67,11 @@
         lock(&self.state).answered_from = usize::MAX;
     }
 
+    /// Number of connections so far.
+    pub(super) fn connections(&self) -> usize {
+        lock(&self.state).accepted
+    }
+
     /// Whether a watch waits for a change.
     pub(super) fn is_watched(&self) -> bool {
         self.version.receiver_count() > 0
@@ -103,7 +108,7 @@
             }
             let head = String::from_utf8_lossy(&request).into_owned();
             let path = head.split(' ').nth(1).unwrap_or_default();
-            if self.is_silent(connection) {
+            if self.is_silent(connection) || path == "/hang" {
                 lock(&self.state).unanswered.push(path.to_owned());
                 std::future::pending().await
             }
--- a/crates/jujubelb/src/node/tests/silent_connections.rs
+++ b/crates/jujubelb/src/node/tests/silent_connections.rs
@@ -1,5 +1,6 @@
-//! Connections to the store that go silent for good, without a reset, while new ones work.
+//! Connections that go silent for good, without a reset, while new ones work.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tokio::time::{Duration, sleep, timeout};
@@ -8,6 +9,8 @@
 use super::super::state::Node;
 use super::config_store::{ConfigStore, JOINT_KEY, JOINT_READS};
 use super::node_with_store;
+use crate::model::Span;
+use crate::platform::HttpClient;
 
 /// How long a process may take until it has followed a change. Only ends a test that hangs.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -45,3 +48,63 @@
     watch.abort();
     assert_eq!(store.unanswered(), Vec::<String>::new());
 }
+
+/// Timeout of a call to a peer that answers at once.
+const CALL_TIMEOUT: Span = Span::from_millis(200);
+
+/// Whether a call to a peer is answered.
+async fn is_answered(client: &HttpClient, peer: SocketAddr, path: &str) -> bool {
+    let call = client.post_bytes(peer, path, Vec::new(), CALL_TIMEOUT);
+    call.await.is_ok()
+}
+
+/// Leaves as many idle connections to a peer as there are calls that wait for each other.
+async fn open_connections(client: &HttpClient, peer: SocketAddr) {
+    let path = format!("/kv-key?key={JOINT_KEY}");
+    let calls = (0..JOINT_READS).map(|_| {
+        let (client, path) = (client.clone(), path.clone());
+        tokio::spawn(async move { is_answered(&client, peer, &path).await })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        assert!(call.await.unwrap());
+    }
+}
+
+/// Guards against calls to a worker or a host that try one silent connection after the other, and
+/// against new connections to all peers because of one.
+#[tokio::test]
+async fn calls_skip_the_idle_connections_of_a_peer_that_went_silent() {
+    let client = HttpClient::new().unwrap();
+    let (silent, at_silent) = ConfigStore::start().await;
+    let (sound, at_sound) = ConfigStore::start().await;
+    open_connections(&client, at_silent).await;
+    open_connections(&client, at_sound).await;
+    silent.silence();
+    let mut answers = Vec::new();
+    for _ in 0..JOINT_READS {
+        answers.push(is_answered(&client, at_silent, "/hold").await);
+        assert!(is_answered(&client, at_sound, "/hold").await);
+    }
+    assert_eq!(answers, [false, true, true, true]);
+    assert_eq!(silent.connections(), JOINT_READS + 1);
+    assert_eq!(sound.connections(), JOINT_READS);
+}
+
+/// Guards against a worker that answers only now and then and gets a new set of connections after
+/// each call without an answer.
+#[tokio::test]
+async fn a_peer_that_hangs_gets_at_most_one_connection_a_call() {
+    let client = HttpClient::new().unwrap();
+    let (peer, address) = ConfigStore::start().await;
+    open_connections(&client, address).await;
+    peer.silence();
+    assert!(!is_answered(&client, address, "/hold").await);
+    open_connections(&client, address).await;
+    let before = peer.connections();
+    for _ in 0..3 {
+        assert!(!is_answered(&client, address, "/hang").await);
+        assert!(is_answered(&client, address, "/hold").await);
+    }
+    assert_eq!(before, 2 * JOINT_READS);
+    assert_eq!(peer.connections(), before);
+}
--- a/crates/jujubelb/src/platform/client.rs
+++ b/crates/jujubelb/src/platform/client.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use reqwest::{Method, StatusCode};
+use reqwest::header::HOST;
+use reqwest::{Method, RequestBuilder, StatusCode};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::generations::{GenerationResolver, PeerGenerations, host_name};
 use crate::model::Span;
+use crate::telemetry::Clock;
 
 /// Timeout for opening a connection. A lost SYN packet is sent again only after a
 /// second, so that a new attempt is faster.
@@ -73,10 +76,13 @@
     }
 }
 
-/// HTTP client with a pool of connections.
+/// HTTP client with a pool of connections to each peer. After a call to a peer has timed out, its
+/// idle connections are not used any more, those to other peers are.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     http: reqwest::Client,
+    clock: Clock,
+    peers: Arc<Mutex<PeerGenerations>>,
 }
 
 /// HTTP client whose idle connections are all closed after a call has timed out on one. Open
@@ -164,8 +170,13 @@
             .tcp_nodelay(true)
             .http1_only()
             .no_proxy()
+            .dns_resolver(Arc::new(GenerationResolver))
             .build()?;
-        Ok(Self { http })
+        Ok(Self {
+            http,
+            clock: Clock::start(),
+            peers: Arc::default(),
+        })
     }
 
     /// Sends a request with a JSON body, if any, and reads the response.
@@ -173,29 +184,23 @@
         &self,
         call: HttpRequest<'_, B>,
     ) -> Result<HttpResponse, CallError> {
-        let peer = call.peer;
-        let url = format!("http://{peer}{}", call.path);
-        let mut request = self
-            .http
-            .request(call.method, url)
-            .timeout(call.timeout.to_std());
-        if !call.query.is_empty() {
-            request = request.query(call.query);
-        }
-        for (name, value) in call.headers {
-            request = request.header(*name, *value);
-        }
-        if let Some(body) = call.body {
-            request = request.json(body);
-        }
-        let response = request.send().await.map_err(|e| failure(peer, &e))?;
-        let status = response.status();
-        let body = response.bytes().await.map_err(|e| failure(peer, &e))?;
-        Ok(HttpResponse {
-            status,
-            body: body.to_vec(),
-            peer,
-        })
+        let build = |url: String| {
+            let mut request = self
+                .http
+                .request(call.method, url)
+                .timeout(call.timeout.to_std());
+            if !call.query.is_empty() {
+                request = request.query(call.query);
+            }
+            for (name, value) in call.headers {
+                request = request.header(*name, *value);
+            }
+            match call.body {
+                Some(body) => request.json(body),
+                None => request,
+            }
+        };
+        self.send(call.peer, call.path, build).await
     }
 
     /// Sends bytes to another host of the system and reads the response.
@@ -206,19 +211,55 @@
         body: Vec<u8>,
         timeout: Span,
     ) -> Result<HttpResponse, CallError> {
-        let url = format!("http://{peer}{path}");
-        let request = self.http.post(url).timeout(timeout.to_std()).body(body);
-        let response = request.send().await.map_err(|e| failure(peer, &e))?;
-        let status = response.status();
-        let body = response.bytes().await.map_err(|e| failure(peer, &e))?;
-        Ok(HttpResponse {
-            status,
-            body: body.to_vec(),
-            peer,
-        })
+        let build = |url: String| self.http.post(url).timeout(timeout.to_std()).body(body);
+        self.send(peer, path, build).await
+    }
+
+    /// Sends the request that `build` makes for a URL, on a connection of the peer's present
+    /// generation.
+    async fn send(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        build: impl FnOnce(String) -> RequestBuilder,
+    ) -> Result<HttpResponse, CallError> {
+        let generation = self.lock_peers().current(peer);
+        let request = match generation {
+            None => build(format!("http://{peer}{path}")),
+            Some(number) => {
+                let name = host_name(peer.ip(), number);
+                let url = format!("http://{name}:{}{path}", peer.port());
+                build(url).header(HOST, peer.to_string())
+            }
+        };
+        let result = exchange(peer, request).await;
+        if let Err(CallError::TimedOut(..)) = result
+            && let Some(number) = self
+                .lock_peers()
+                .timed_out(peer, generation, self.clock.now())
+        {
+            log::info!(peer:% = peer, generation = number; "a call has timed out; its idle connections are not used any more");
+        }
+        result
+    }
+
+    fn lock_peers(&self) -> MutexGuard<'_, PeerGenerations> {
+        // No holder can leave the data inconsistent.
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+async fn exchange(peer: SocketAddr, request: RequestBuilder) -> Result<HttpResponse, CallError> {
+    let response = request.send().await.map_err(|e| failure(peer, &e))?;
+    let status = response.status();
+    let body = response.bytes().await.map_err(|e| failure(peer, &e))?;
+    Ok(HttpResponse {
+        status,
+        body: body.to_vec(),
+        peer,
+    })
+}
+
 /// What an error of a call says of the effect of its request.
 fn failure(peer: SocketAddr, error: &reqwest::Error) -> CallError {
     let text = describe(error);
--- a/crates/jujubelb/src/platform/mod.rs
+++ b/crates/jujubelb/src/platform/mod.rs
@@ -6,6 +6,7 @@
 //! never become zeros.
 
 mod client;
+mod generations;
 mod jobs;
 mod kv;
 mod numbers;
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod damage;
 mod fuzzing;
+mod generations;
 
 use super::kv::decode_page;
 use super::store_entries::{decode_config, decode_worker};
