Start nothing on old evidence for evacuations and draining workers

Cause: the leader's knowledge of evacuated domains and of draining workers comes from watches, and nobody looked at its age. With a watch that has no answer, tasks could start for longer than the bounds (evacuation_ms, drain_ms) in an evacuated domain or on a worker that drains. A planned start that had waited for others for up to 2.5 s was not checked again either.

The dispatcher now knows when the calls were sent whose answers have shown all evacuated domains and all entries of workers. While either is older than its bound, less 150 ms, nothing starts, and the watch is asked at once: a call that does not wait, and after a failure a read of everything, since the store answers no watch in a gap of its history. All that waits shares that call. A start that is sent late is checked again: the evidence, the domain, the worker.

While the store does not answer the leader (two calls in a row), starts go on. DRAIN and EVAC bind only hosts in touch, that is with a stable store in reach, and a stop of all starts would cost every caller.

Ruled out: the time of the answer as the age, since a watch may wait for a second; reading the keys beside the watch, since an older event could then overwrite a newer read; stopping starts only on workers with old entries, since one answer shows all of them.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -184,6 +184,8 @@
         max_stop: Span::from_millis(200),
         max_early_start: Span::from_millis(250),
         remote_factor: 1.5,
+        evacuation: Span::from_secs(5),
+        drain: Span::from_millis(2_500),
     };
     let dispatcher = Dispatcher::new(
         term,
@@ -240,6 +242,8 @@
             self.row.commit_time += began.elapsed();
             let began = Instant::now();
             self.dispatcher.set_authority(self.now);
+            self.dispatcher.confirm_evacuations(self.now);
+            self.dispatcher.confirm_entries(self.now);
             let orders = self.dispatcher.plan(wall(self.now), self.now);
             self.row.pass_time += began.elapsed();
             self.row.passes += 1;
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod completion;
 mod confirmation;
 mod crash;
+mod evidence;
 mod health;
 mod intake;
 mod job;
@@ -38,6 +39,7 @@
 
 use crate::model::{DomainName, FastMap, Span, Time, WallTime, WorkerName, WorkerTime};
 use crate::place::headroom::Slopes;
+use evidence::StartEvidence;
 use job::{Job, TaskState};
 use pace::Headrooms;
 use tickets::StepTickets;
@@ -45,6 +47,7 @@
 
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
+pub use evidence::MissingEvidence;
 pub use job_spec::{
     JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_JOB,
     MAX_TASKS_PER_STEP, QueueSettings, Run, Schedule, Step, StepKey, TaskKey,
@@ -71,6 +74,10 @@
     pub max_early_start: Span,
     /// Factor by which a task takes longer away from its data.
     pub remote_factor: f64,
+    /// Time after its acknowledgement from which nothing may start in an evacuated domain.
+    pub evacuation: Span,
+    /// Time after its acknowledgement from which nothing may start on a draining worker.
+    pub drain: Span,
 }
 
 /// A leader's term.
@@ -233,6 +240,8 @@
     step_tickets: IndexMap<StepKey, StepTickets>,
     /// Failure domains in which no task may start.
     evacuated: IndexSet<DomainName>,
+    /// How old the knowledge of evacuated domains and draining workers is.
+    evidence: StartEvidence,
     /// Number of changes in this term that had to become durable.
     change_count: u64,
     /// Jobs with changes that are not durable yet, in the order in which they were last
@@ -303,6 +312,7 @@
             last_decay: now,
             step_tickets: IndexMap::new(),
             evacuated: IndexSet::new(),
+            evidence: StartEvidence::default(),
             change_count: 0,
             dirty_jobs: IndexSet::new(),
             withdrawn: IndexMap::new(),
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -71,7 +71,7 @@
         self.decay_slopes(now);
         self.stop_unwanted(&mut orders, now);
         self.adjust_paces(&mut orders, now);
-        if self.may_start(now) {
+        if self.may_start(now) && self.check_evidence(now) {
             self.start_ready(&mut orders, now);
         }
         self.report_waits(now);
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -21,6 +21,7 @@
 mod queueing;
 mod second_runs;
 mod settling;
+mod start_evidence;
 mod stops;
 mod succession;
 mod tickets;
--- a/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
+++ b/crates/jujubelb/src/dispatch/tests/overlapping_terms.rs
@@ -505,6 +505,7 @@
             }
         }
         if !self.leaders[i].ended && self.rng.random_bool(0.8) {
+            self.sim.confirm_evidence();
             let orders = self.sim.dispatcher.plan(self.sim.wall(), now);
             for order in &orders {
                 self.send(order);
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -39,6 +39,8 @@
     max_stop: Span::from_millis(400),
     max_early_start: Span::from_millis(250),
     remote_factor: 2.0,
+    evacuation: Span::from_secs(5),
+    drain: Span::from_millis(2_500),
 };
 
 /// Fault of a simulated worker.
@@ -239,6 +241,8 @@
     pub(crate) completed: IndexMap<JobKey, Time>,
     /// Whether the store accepts writes.
     pub(crate) store_available: bool,
+    /// Whether the evacuated domains and the entries of workers are read all the time.
+    pub(crate) watches_answered: bool,
     /// Issued tickets by their text, each with its step, its worker and its expiry.
     pub(crate) tickets: IndexMap<ArcStr, (StepKey, WorkerName, Time)>,
     /// Number of starts that were refused because of the ticket.
@@ -338,6 +342,7 @@
             starts: Vec::new(),
             completed: IndexMap::new(),
             store_available: true,
+            watches_answered: true,
             tickets: IndexMap::new(),
             rejected_tickets: 0,
             cancelled: IndexSet::new(),
@@ -401,6 +406,13 @@
             .collect();
         self.dispatcher.workers_listed(listed, self.now);
         self.dispatcher.entries_read(self.now);
+        self.confirm_evidence();
+    }
+
+    /// Records that the evacuated domains and the entries of workers have been read now.
+    pub(crate) fn confirm_evidence(&mut self) {
+        self.dispatcher.confirm_evacuations(self.now);
+        self.dispatcher.confirm_entries(self.now);
     }
 
     pub(crate) fn worker(&mut self, i: usize) -> &mut FakeWorker {
@@ -492,8 +504,12 @@
             let arrived = self.dispatcher.last_arrival();
             self.dispatcher.term_confirmed(arrived);
             self.dispatcher.set_authority(self.now);
+            self.dispatcher.set_store_lost(!self.store_available);
             if self.store_available {
                 self.dispatcher.entries_read(self.now);
+                if self.watches_answered {
+                    self.confirm_evidence();
+                }
             }
             let orders = self.dispatcher.plan(self.wall(), self.now);
             for order in orders {
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -16,7 +16,7 @@
 use super::state::{KnownLeader, Node, lock, sleep};
 use super::supervision::PollTasks;
 use super::voters::{self, maintain_voters};
-use super::watch::{WatchEvent, WatchOptions, watch_prefix};
+use super::watch::{EvidenceDemand, WatchEvent, WatchObserver, WatchOptions, watch_prefix};
 use crate::dispatch::{
     Arrival, Commit, Dispatcher, EarlierLeader, InterferenceModel, JobKey, JobRecord, LEADER_GRACE,
     LeaderTerm, Order, Progress, Roster, Succession, VoterRecord, WorkerOrder, is_start_overdue,
@@ -132,6 +132,8 @@
     commit_needed: Notify,
     /// Notified after each successful write.
     committed: Notify,
+    /// What this term asks of the watch of the workers' keys.
+    entries_demand: EvidenceDemand,
     /// Limits the concurrent starts and paces sent to each worker.
     order_slots: Mutex<IndexMap<WorkerName, Arc<Semaphore>>>,
     /// Hosts that are able to succeed this leader.
@@ -515,6 +517,7 @@
         })
         .collect();
     let intake = read_all_with_retries(node, keys::INTAKE_PREFIX).await;
+    let workers_read = node.now();
     let workers = read_all_with_retries(node, WORKER_PREFIX).await;
     let (now, wall_time) = (node.now(), node.wall_time());
     let mut dispatcher = Dispatcher::new(
@@ -550,6 +553,7 @@
         .iter()
         .filter_map(|i| decode_worker(&i.key, i.value.as_deref()?));
     dispatcher.workers_listed(listed.collect(), now);
+    dispatcher.confirm_entries(workers_read);
     dispatcher.set_evacuated(node.evacuated());
     Some(ActiveTerm {
         dispatcher: Mutex::new(dispatcher),
@@ -563,6 +567,7 @@
         confirmation_needed: Notify::new(),
         commit_needed: Notify::new(),
         committed: Notify::new(),
+        entries_demand: EvidenceDemand::default(),
         order_slots: Mutex::new(IndexMap::new()),
         successors: Mutex::default(),
         hands_over: AtomicBool::new(false),
@@ -674,10 +679,23 @@
 
 /// Passes changes of the workers' keys to the dispatcher.
 pub(super) async fn watch_workers(node: Arc<Node>, term: Arc<ActiveTerm>) {
-    let observer = node.clone();
-    watch_prefix(node, WORKER_KEYS, move |event| {
-        let now = observer.now();
-        let mut dispatcher = lock(&term.dispatcher);
+    let observer = WorkerEntries {
+        node: node.clone(),
+        term,
+    };
+    watch_prefix(node, WORKER_KEYS, observer).await;
+}
+
+/// Takes the workers' keys into the state of a term.
+struct WorkerEntries {
+    node: Arc<Node>,
+    term: Arc<ActiveTerm>,
+}
+
+impl WatchObserver for WorkerEntries {
+    fn apply(&mut self, event: WatchEvent) {
+        let now = self.node.now();
+        let mut dispatcher = lock(&self.term.dispatcher);
         dispatcher.entries_read(now);
         match event {
             WatchEvent::Snapshot(items) => {
@@ -703,10 +721,17 @@
                 }
             }
         }
-        term.plan_needed.notify_one();
-        term.commit_needed.notify_one();
-    })
-    .await;
+        self.term.plan_needed.notify_one();
+        self.term.commit_needed.notify_one();
+    }
+
+    fn answered(&mut self, sent: Time) {
+        lock(&self.term.dispatcher).confirm_entries(sent);
+    }
+
+    fn demand(&self) -> Option<&EvidenceDemand> {
+        Some(&self.term.entries_demand)
+    }
 }
 
 /// Passes new jobs and cancellations to the dispatcher.
@@ -841,9 +866,15 @@
     let start_poll = |worker| poll_worker(node.clone(), term.clone(), worker);
     loop {
         let planned = node.now();
-        let (orders, workers, deposed) = {
+        // Read before the domains, which may then only be newer.
+        let evacuations_proven = node.evacuations_proven();
+        let (orders, missing, workers, deposed) = {
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
+            if let Some(sent) = evacuations_proven {
+                dispatcher.confirm_evacuations(sent);
+            }
+            dispatcher.set_store_lost(node.is_store_lost());
             dispatcher.set_authority(term.authority());
             let orders = dispatcher.plan(node.wall_time(), planned);
             let unconfirmed = dispatcher.last_arrival();
@@ -855,6 +886,7 @@
             let workers = (polled_membership != Some(current)).then(|| dispatcher.workers());
             (
                 orders,
+                dispatcher.missing_evidence(planned),
                 workers.map(|w| (current, w)),
                 dispatcher.is_deposed(),
             )
@@ -862,6 +894,12 @@
         if deposed {
             return;
         }
+        if let Some(oldest) = missing.evacuations {
+            node.operator_demand.ask(oldest);
+        }
+        if let Some(oldest) = missing.entries {
+            term.entries_demand.ask(oldest);
+        }
         let now = node.now();
         if now.since(last_load_log) > LOAD_LOG_INTERVAL {
             last_load_log = now;
@@ -899,8 +937,11 @@
     match &order.order {
         Order::Start { task, run, .. } => {
             let may_send = || {
-                !is_start_overdue(planned, node.now())
-                    && lock(&term.dispatcher).may_send_start(worker, *task, *run)
+                let now = node.now();
+                let dispatcher = lock(&term.dispatcher);
+                !is_start_overdue(planned, now)
+                    && dispatcher.is_start_permitted(worker, now)
+                    && dispatcher.may_send_start(worker, *task, *run)
             };
             let answer = term.workers.start(&order, may_send).await;
             lock(&term.dispatcher).start_answered(worker, *task, *run, answer, node.now());
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -15,7 +15,7 @@
 use super::serve::serve;
 use super::state::{Node, sleep};
 use super::supervision::supervise;
-use super::watch::{WatchEvent, WatchObserver, WatchOptions, watch_prefix};
+use super::watch::{EvidenceDemand, WatchEvent, WatchObserver, WatchOptions, watch_prefix};
 use super::{HostSettings, election};
 use crate::model::{DomainName, Span, Time};
 use crate::platform::{
@@ -177,6 +177,11 @@
 
     fn answered(&mut self, sent: Time) {
         self.0.confirm_config(sent);
+        self.0.confirm_evacuated(sent);
+    }
+
+    fn demand(&self) -> Option<&EvidenceDemand> {
+        Some(&self.0.operator_demand)
     }
 }
 
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -15,6 +15,7 @@
 use super::leader::ActiveTerm;
 use super::relay::Carrier;
 use super::voters::Voter;
+use super::watch::EvidenceDemand;
 use crate::model::{DomainName, Span, Time, WallTime};
 use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, Revision};
 use crate::telemetry::{self, Clock, Metrics};
@@ -95,6 +96,10 @@
     /// Reads of the configuration by requests, one at a time.
     pub(crate) config_reads: tokio::sync::Mutex<ConfigReads>,
     evacuated: Mutex<IndexSet<DomainName>>,
+    /// When the last call was sent whose answer has shown all evacuated domains.
+    evacuations_proven: Mutex<Option<Time>>,
+    /// What the leader of this process asks of the watch of the operator's keys.
+    pub(crate) operator_demand: EvidenceDemand,
     /// Whether the operator's keys have been read once.
     operator_state_known: AtomicBool,
     leader: Mutex<KnownLeader>,
@@ -130,6 +135,8 @@
             config: Mutex::default(),
             config_reads: tokio::sync::Mutex::default(),
             evacuated: Mutex::new(IndexSet::new()),
+            evacuations_proven: Mutex::new(None),
+            operator_demand: EvidenceDemand::default(),
             operator_state_known: AtomicBool::new(false),
             leader: Mutex::new(KnownLeader::Unknown),
             state_changed: Notify::new(),
@@ -200,6 +207,17 @@
         lock(&self.evacuated).clone()
     }
 
+    /// Records that a call to the store sent at this time has shown all evacuated domains.
+    pub(crate) fn confirm_evacuated(&self, sent: Time) {
+        let mut proven = lock(&self.evacuations_proven);
+        *proven = (*proven).max(Some(sent));
+    }
+
+    /// When the last call was sent whose answer has shown all evacuated domains.
+    pub(crate) fn evacuations_proven(&self) -> Option<Time> {
+        *lock(&self.evacuations_proven)
+    }
+
     pub(crate) fn change_evacuated(&self, change: impl FnOnce(&mut IndexSet<DomainName>)) {
         change(&mut lock(&self.evacuated));
         self.state_changed.notify_waiters();
--- a/crates/jujubelb/src/node/tests/config_store.rs
+++ b/crates/jujubelb/src/node/tests/config_store.rs
@@ -36,6 +36,7 @@
     answered: Vec<String>,
     /// Calls that arrived on silent connections.
     unanswered: Vec<String>,
+    is_without_watches: bool,
 }
 
 impl ConfigStore {
@@ -67,6 +68,11 @@
         lock(&self.state).answered_from = usize::MAX;
     }
 
+    /// Leaves watches without an answer, as in a gap of the history.
+    pub(super) fn leave_watches_unanswered(&self) {
+        lock(&self.state).is_without_watches = true;
+    }
+
     /// Number of connections so far.
     pub(super) fn connections(&self) -> usize {
         lock(&self.state).accepted
@@ -113,7 +119,8 @@
                 std::future::pending().await
             }
             let body = self.answer(path).await;
-            if self.is_silent(connection) {
+            let is_watch = path.starts_with("/kv-watch");
+            if self.is_silent(connection) || is_watch && lock(&self.state).is_without_watches {
                 std::future::pending().await
             }
             lock(&self.state).answered.push(path.to_owned());
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -7,6 +7,7 @@
 mod job_write;
 mod odd_entries;
 mod silent_connections;
+mod start_evidence;
 mod voters;
 mod withdrawn;
 
@@ -47,6 +48,8 @@
             max_stop: Span::from_millis(400),
             max_early_start: Span::ZERO,
             remote_factor: 1.0,
+            evacuation: Span::from_secs(5),
+            drain: Span::from_millis(2_500),
         },
     };
     Node::new(
--- a/crates/jujubelb/src/node/watch.rs
+++ b/crates/jujubelb/src/node/watch.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use tokio::sync::watch::Sender;
+
 use super::state::{Node, sleep};
 use crate::model::{Span, Time};
 use crate::platform::{CallError, KeyState, ReadResult, Revision, WatchError};
@@ -30,6 +32,9 @@
 /// Pause after a failed call, which limits the load on the store during an outage.
 const RETRY_PAUSE: Span = Span::from_millis(250);
 
+/// Wait of a call whose answer is needed at once.
+const SHORTEST_WAIT: Span = Span::from_millis(1);
+
 /// Position of a watch in the history of the store.
 #[derive(Debug, Default)]
 pub(crate) struct WatchPosition {
@@ -72,6 +77,11 @@
 
     /// All changes made before `sent` have been applied.
     fn answered(&mut self, _sent: Time) {}
+
+    /// What others ask of the watch; `None` if nobody does.
+    fn demand(&self) -> Option<&EvidenceDemand> {
+        None
+    }
 }
 
 impl<F: FnMut(WatchEvent)> WatchObserver for F {
@@ -80,6 +90,44 @@
     }
 }
 
+/// Asks a watch for evidence of what the watched keys hold. All who wait for it share one call.
+#[derive(Debug)]
+pub(crate) struct EvidenceDemand {
+    /// When the call has to be sent, or later, whose answer suffices.
+    oldest: Sender<Time>,
+}
+
+impl Default for EvidenceDemand {
+    fn default() -> Self {
+        let oldest = Sender::new(Time::ZERO);
+        Self { oldest }
+    }
+}
+
+impl EvidenceDemand {
+    /// Asks for the answer to a call sent at this time or later. A watch that has none makes a call
+    /// at once, however long the present one may wait.
+    pub(crate) fn ask(&self, oldest: Time) {
+        self.oldest.send_if_modified(|asked| {
+            let is_later = oldest > *asked;
+            *asked = (*asked).max(oldest);
+            is_later
+        });
+    }
+
+    /// Whether the answer to a call sent at `proven` does not suffice.
+    fn is_unmet(&self, proven: Time) -> bool {
+        *self.oldest.borrow() > proven
+    }
+
+    /// Waits until the answer to a call sent at `proven` does not suffice.
+    async fn unmet(&self, proven: Time) {
+        let mut asked = self.oldest.subscribe();
+        // An error would mean that the sender is gone, which is borrowed here.
+        let _ = asked.wait_for(|oldest| *oldest > proven).await;
+    }
+}
+
 /// The failures of a watch since its last answer.
 #[derive(Debug, Clone, Copy)]
 struct WatchOutage {
@@ -96,16 +144,38 @@
 ) {
     let mut position = WatchPosition::default();
     let mut outage: Option<WatchOutage> = None;
+    let mut proven = Time::ZERO;
     loop {
         let sent = node.now();
+        let is_unmet = observer.demand().is_some_and(|d| d.is_unmet(proven));
         let result = match position.watched() {
-            None => read_all(&node, options)
+            // While the store has a gap in its history it answers reads and no watch. A lost store is
+            // not asked for everything, since its watch shows soon enough when it is back.
+            Some(after) if !is_unmet || outage.is_none() || node.is_store_lost() => {
+                let wait = match is_unmet {
+                    true => SHORTEST_WAIT,
+                    false => options.wait,
+                };
+                let interrupted = async {
+                    match observer.demand() {
+                        Some(demand) if !is_unmet => demand.unmet(proven).await,
+                        _ => std::future::pending().await,
+                    }
+                };
+                tokio::select! {
+                    read = watch_changes(&node, options.prefix, after, wait) => {
+                        read.map(|read| position.changes_read(read))
+                    }
+                    () = interrupted => continue,
+                }
+            }
+            _ => read_all(&node, options)
                 .await
                 .map(|read| Some(position.keys_read(read))),
-            Some(after) => watch_changes(&node, options, after)
-                .await
-                .map(|read| position.changes_read(read)),
         };
+        if is_unmet && result.is_ok() {
+            log::info!(prefix = options.prefix, age:% = sent.since(proven), took:% = node.now().since(sent); "evidence read because tasks wait for it");
+        }
         if result.is_ok()
             && let Some(ended) = outage.take()
         {
@@ -120,6 +190,7 @@
                 if !idle {
                     observer.apply(event);
                 }
+                proven = sent;
                 observer.answered(sent);
                 if !idle {
                     sleep(options.pause).await;
@@ -155,11 +226,12 @@
 /// Returns `None` if the store has discarded the history since `after`.
 async fn watch_changes(
     node: &Node,
-    options: WatchOptions,
+    prefix: &str,
     after: Revision,
+    wait: Span,
 ) -> Result<Option<ReadResult<Vec<KeyState>>>, CallError> {
     let sent = node.now();
-    let result = match node.kv.watch(options.prefix, after, options.wait).await {
+    let result = match node.kv.watch(prefix, after, wait).await {
         Ok(read) => Ok(Some(read)),
         Err(WatchError::HistoryGone) => Ok(None),
         Err(WatchError::Call(error)) => Err(error),
--- a/crates/jujubelb/src/platform/settings.rs
+++ b/crates/jujubelb/src/platform/settings.rs
@@ -68,6 +68,12 @@
     /// Time after its acknowledgement from which a configuration has to be in force.
     #[serde(default = "default_config_bound")]
     config_ms: Millis,
+    /// Time after its acknowledgement from which nothing may start in an evacuated domain.
+    #[serde(default = "default_evacuation_bound")]
+    evacuation_ms: Millis,
+    /// Time after its acknowledgement from which nothing may start on a draining worker.
+    #[serde(default = "default_drain_bound")]
+    drain_ms: Millis,
     /// How early an occurrence may start.
     #[serde(default)]
     early_ms: Millis,
@@ -81,6 +87,16 @@
     Millis(Span::from_millis(2_500))
 }
 
+/// Bound of deployments whose settings name none.
+fn default_evacuation_bound() -> Millis {
+    Millis(Span::from_secs(5))
+}
+
+/// Bound of deployments whose settings name none.
+fn default_drain_bound() -> Millis {
+    Millis(Span::from_millis(2_500))
+}
+
 fn no_factor() -> Ratio {
     Ratio(1.0)
 }
@@ -136,6 +152,8 @@
             max_stop: wire.bounds.stop_ms.0,
             max_early_start: wire.bounds.early_ms.0,
             remote_factor: wire.bounds.remote_factor.0,
+            evacuation: wire.bounds.evacuation_ms.0,
+            drain: wire.bounds.drain_ms.0,
         },
     })
 }
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -12,6 +12,7 @@
 };
 use crate::dispatch::JobStatus;
 use crate::model::{Bytes, Resources, Span};
+use crate::node::HostSettings;
 
 /// Guards against fields of a step that are dropped or decoded as zero.
 #[test]
@@ -222,6 +223,8 @@
 hold_max_ms = 6000
 stop_ms = 400
 config_ms = 4000
+evacuation_ms = 7000
+drain_ms = 3000
 [platform]
 address = "10.200.1.7:8169"
 "#;
@@ -238,6 +241,13 @@
     assert_eq!(read.config_bound, Span::from_secs(4));
     let unbounded = settings::decode(&SETTINGS.replace("config_ms = 4000", "")).unwrap();
     assert_eq!(unbounded.config_bound, Span::from_millis(2_500));
+    let start_bounds = |s: &HostSettings| (s.bounds.evacuation, s.bounds.drain);
+    let expected = (Span::from_secs(7), Span::from_secs(3));
+    assert_eq!(start_bounds(&read), expected);
+    let text = SETTINGS.replace("evacuation_ms = 7000\ndrain_ms = 3000\n", "");
+    let unbounded = settings::decode(&text).unwrap();
+    let expected = (Span::from_secs(5), Span::from_millis(2_500));
+    assert_eq!(start_bounds(&unbounded), expected);
 }
 
 /// Guards against settings with missing or invalid fields being used.
