--- a/crates/jujubelb/src/node/tests/config_store.rs
+++ b/crates/jujubelb/src/node/tests/config_store.rs
@@ -36,6 +36,7 @@
     answered: Vec<String>,
     /// Calls that arrived on silent connections.
     unanswered: Vec<String>,
+    is_without_watches: bool,
 }
 
 impl ConfigStore {
@@ -67,6 +68,16 @@
         lock(&self.state).answered_from = usize::MAX;
     }
 
+    /// Leaves watches without an answer, as in a gap of the history.
+    pub(super) fn leave_watches_unanswered(&self) {
+        lock(&self.state).is_without_watches = true;
+    }
+
+    /// Number of connections so far.
+    pub(super) fn connections(&self) -> usize {
+        lock(&self.state).accepted
+    }
+
     /// Whether a watch waits for a change.
     pub(super) fn is_watched(&self) -> bool {
         self.version.receiver_count() > 0
@@ -103,12 +114,13 @@
             }
             let head = String::from_utf8_lossy(&request).into_owned();
             let path = head.split(' ').nth(1).unwrap_or_default();
-            if self.is_silent(connection) {
+            if self.is_silent(connection) || path == "/hang" {
                 lock(&self.state).unanswered.push(path.to_owned());
                 std::future::pending().await
             }
             let body = self.answer(path).await;
-            if self.is_silent(connection) {
+            let is_watch = path.starts_with("/kv-watch");
+            if self.is_silent(connection) || is_watch && lock(&self.state).is_without_watches {
                 std::future::pending().await
             }
             lock(&self.state).answered.push(path.to_owned());
