Order the pace of an adopted run that may be paused on its worker

What callers saw: after a change of the leader a best-effort task could stand still for 2.5 s, was then stopped as one that makes no progress, and started anew without its unsaved work. The stall counted against a sound worker.

Cause: a new leader takes an adopted run to be at full pace. Paces are ordered only where they change, so a run that the earlier leader had paused got no order as long as the estimates allow full pace. The list of runs of a worker doesn't name paces, so that the leader can't learn it from there.

A run now has the pace that its worker is known to have, which is unknown for an adopted run, and a pace is ordered wherever the two differ.

an_adopted_run_that_is_paused_goes_on fails before: 'assertion failed: sim.completed.contains_key(&key)' at paces.rs:29, 4 s after the change of the leader, for tasks of 3 s of which 1 s was done. The simulation now reports the real share of a run that is done; it had reported a figure that changed with almost each poll, so that no simulated run could look stalled by its pace. The other tests of the dispatcher pass with either.

--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -169,13 +169,17 @@
                     tracked.previous_pace = tracked.pace;
                     tracked.pace = new_pace;
                     tracked.pace_changed = now;
+                    tracked.worker_pace = None;
+                }
+                if tracked.worker_pace != Some(tracked.pace) {
+                    tracked.worker_pace = Some(tracked.pace);
                     orders.push(WorkerOrder {
                         worker: name.clone(),
                         address: worker.report.address,
                         order: Order::Pace {
                             task: *task,
                             run: tracked.run,
-                            percent: new_pace,
+                            percent: tracked.pace,
                         },
                     });
                 }
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -727,6 +727,7 @@
             pace: 100,
             previous_pace: 100,
             pace_changed: Time::ZERO,
+            worker_pace: Some(100),
             above_target: None,
         }
     }
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -456,6 +456,7 @@
             pace: 100,
             previous_pace: 100,
             pace_changed: Time::ZERO,
+            worker_pace: None,
             above_target: None,
         };
         if let Some(worker) = self.workers.get_mut(name) {
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -17,6 +17,7 @@
 mod leases;
 mod odd_workers;
 mod overlapping_terms;
+mod paces;
 mod paused_leaders;
 mod queueing;
 mod second_runs;
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -89,12 +89,25 @@
     image: ArcStr,
     target: Option<Span>,
     pace: u32,
+    /// Duration at full pace.
+    duration: Span,
     /// Remaining duration at full pace; `None` for long-running tasks.
     remaining: Option<Span>,
     stopping: Option<Time>,
     fails: bool,
 }
 
+impl FakeRun {
+    /// Progress in percent; 100 for a long-running task, which is ready.
+    fn percent(&self) -> u32 {
+        let Some(remaining) = self.remaining else {
+            return 100;
+        };
+        let total = self.duration.as_micros().max(1);
+        (total.saturating_sub(remaining.as_micros()) * 100 / total) as u32
+    }
+}
+
 /// A start order that has not arrived at its worker yet.
 #[derive(Debug, Clone, Copy)]
 struct DelayedStart {
@@ -539,6 +552,13 @@
         self.workers[i].completions.len()
     }
 
+    /// Sets the pace of all best-effort runs on a worker, without an order of the leader.
+    pub(crate) fn set_pace(&mut self, i: usize, percent: u32) {
+        let runs = self.worker(i).runs.values_mut();
+        runs.filter(|r| r.best_effort)
+            .for_each(|r| r.pace = percent);
+    }
+
     /// Number of runs on a worker.
     pub(crate) fn runs_on(&self, i: usize) -> usize {
         self.workers[i].runs.len()
@@ -663,9 +683,7 @@
                         task: *task,
                         run: run.run,
                         checkpoint: None,
-                        percent: run
-                            .remaining
-                            .map_or(100, |remaining| (remaining.as_millis() % 101) as u32),
+                        percent: run.percent(),
                         usage: run
                             .target
                             .map_or(run.size.cpu.0, |t| worker.tail_latency(t)),
@@ -904,6 +922,7 @@
                 image: step.image.unwrap_or_default(),
                 target: step.target,
                 pace: 100,
+                duration: step.estimate,
                 remaining: (!step.long_running).then_some(step.estimate),
                 stopping: None,
                 fails,
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -114,6 +114,9 @@
     pub(crate) previous_pace: u32,
     /// When `pace` last changed.
     pub(crate) pace_changed: Time,
+    /// Pace at which the worker lets the run work as far as is known; `None` if another pace than
+    /// `pace` may be in force, so that it has to be ordered.
+    pub(crate) worker_pace: Option<u32>,
     /// Since when the tail latency of a serving task has been above its target.
     pub(crate) above_target: Option<Time>,
 }
