Repeat a pace order that has no answer

What callers saw: a lost pace order left its run as it was until the estimates asked for another pace. A run that was to be slowed went on disturbing serving tasks, and one that was to go on stood still until it counted as stalled.

Cause: the answer to a pace order was ignored, on the way through another host as well, since the next order would correct it. Where the pace doesn't change there is no next order.

The dispatcher now learns how each pace order has ended. One that failed leaves the worker's pace unknown, so that the next adjustment orders it again, once the worker answers its polls. If an earlier order was answered after the present one, the present one is repeated too. Relays tell a failed order from an accepted one by a new message at the end of the list; those of an older version still report each order as accepted.

Not covered: an order that was given up and takes effect seconds later, behind the one that repeats it. Workers don't list paces, so that nothing shows it.

--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -135,6 +135,8 @@
                 continue;
             }
             worker.pace_adjusted = now;
+            // Orders to a worker that does not answer would only wait behind one another.
+            let is_answering = worker.is_answering();
             let above_target = worker.runs.values().filter_map(|r| r.above_target).min();
             let pause_all =
                 above_target.is_some_and(|since| now.since(since) > ABOVE_TARGET_TIMEOUT);
@@ -171,7 +173,8 @@
                     tracked.pace_changed = now;
                     tracked.worker_pace = None;
                 }
-                if tracked.worker_pace != Some(tracked.pace) {
+                let is_changed = tracked.pace_changed == now;
+                if tracked.worker_pace != Some(tracked.pace) && (is_changed || is_answering) {
                     tracked.worker_pace = Some(tracked.pace);
                     orders.push(WorkerOrder {
                         worker: name.clone(),
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -203,6 +203,23 @@
         }
     }
 
+    /// Processes the answer to a pace order. One without an answer, or that the worker has not
+    /// accepted, is repeated, as is the present one if an earlier one was answered after it.
+    pub fn pace_answered(
+        &mut self,
+        name: &WorkerName,
+        task: TaskKey,
+        run: Run,
+        percent: u32,
+        accepted: bool,
+    ) {
+        let worker = self.workers.get_mut(name);
+        let tracked = worker.and_then(|w| w.runs.get_mut(&task));
+        if let Some(tracked) = tracked.filter(|r| r.run == run) {
+            tracked.worker_pace = accepted.then_some(percent);
+        }
+    }
+
     /// Whether a start order that has waited may still be sent: nothing shows that its worker
     /// has restarted since the order was planned, neither a call without an answer nor the entry
     /// in the store. A new incarnation may have other labels and capacity, and the deadline of the
--- a/crates/jujubelb/src/dispatch/tests/paces.rs
+++ b/crates/jujubelb/src/dispatch/tests/paces.rs
@@ -1,6 +1,7 @@
 //! Paces of best-effort runs on their workers, and what the leader knows of them.
 
-use super::{Simulation, job, step};
+use super::simulation::Fault;
+use super::{Simulation, job, long_running, step};
 use crate::dispatch::{Step, TaskKey};
 use crate::model::Span;
 
@@ -31,3 +32,19 @@
     assert!(sim.completed.contains_key(&key));
     assert_eq!(starts(&sim, |t| t.step.job == key), 2);
 }
+
+/// Guards against a run that disturbs serving tasks for good because the order that slows it was lost.
+#[test]
+fn a_lost_pace_order_is_repeated() {
+    let mut sim = Simulation::new(1);
+    let key = sim.submit(1, job(2, vec![best_effort(2, Span::from_secs(30))]));
+    sim.run(Span::from_millis(500));
+    sim.worker(0).fault = Fault::LostPaces;
+    sim.submit(2, job(0, vec![long_running(2, 10)]));
+    sim.run(Span::from_secs(3));
+    sim.worker(0).fault = Fault::None;
+    sim.run(Span::from_secs(10));
+    assert!(starts(&sim, |t| t.step.job == key) >= 2);
+    let violation = sim.longest_violation;
+    assert!(violation < Span::from_secs(5), "{violation:?}");
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -61,6 +61,8 @@
     Stalled,
     /// Every start is refused for lack of capacity.
     NoCapacity,
+    /// Pace orders do not arrive.
+    LostPaces,
 }
 
 /// How a worker comes back after a faulty task has crashed it.
@@ -839,11 +841,18 @@
                     .stop_answered(name, *task, *run, reply, now, now);
             }
             Order::Pace { task, run, percent } => {
-                if let Some(tracked) = self.workers[name].runs.get_mut(task)
-                    && tracked.run == *run
-                {
+                let is_lost = matches!(
+                    fault,
+                    Fault::LostPaces | Fault::Partitioned | Fault::Crashed
+                );
+                let listed = self.workers[name].runs.get_mut(task);
+                let tracked = listed.filter(|r| r.run == *run && !is_lost);
+                let accepted = tracked.is_some();
+                if let Some(tracked) = tracked {
                     tracked.pace = *percent;
                 }
+                self.dispatcher
+                    .pace_answered(name, *task, *run, *percent, accepted);
             }
         }
     }
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -909,8 +909,9 @@
             let reply = term.workers.stop(&order, *task, *run).await;
             lock(&term.dispatcher).stop_answered(worker, *task, *run, reply, planned, node.now());
         }
-        Order::Pace { .. } => {
-            term.workers.pace(&order).await;
+        Order::Pace { task, run, percent } => {
+            let accepted = term.workers.pace(&order, *task, *run, *percent).await;
+            lock(&term.dispatcher).pace_answered(worker, *task, *run, *percent, accepted);
             return;
         }
     }
--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -94,8 +94,10 @@
             Order::Start { .. } => CallResult::StartAnswered(client.start(order).await),
             Order::Stop { task, run } => CallResult::Stopped(client.stop(order, *task, *run).await),
             Order::Pace { task, run, percent } => {
-                client.pace(order, *task, *run, *percent).await;
-                CallResult::Paced
+                match client.pace(order, *task, *run, *percent).await {
+                    true => CallResult::Paced,
+                    false => CallResult::PaceFailed,
+                }
             }
         },
     }
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -336,19 +336,18 @@
         }
     }
 
-    /// Sets the pace of a run. A failed order is corrected by the next one.
-    pub(crate) async fn pace(&self, order: &WorkerOrder) {
-        let Order::Pace { task, run, percent } = order.order else {
-            return;
-        };
+    /// Sets the pace of a run. Returns whether the worker accepted it.
+    pub(crate) async fn pace(
+        &self,
+        order: &WorkerOrder,
+        task: TaskKey,
+        run: Run,
+        percent: u32,
+    ) -> bool {
         match self.way(&order.worker) {
-            Way::Relay(link) => {
-                self.order(&link, order).await;
-            }
-            Way::Direct => {
-                self.direct().pace(order, task, run, percent).await;
-            }
-            Way::Closed => {}
+            Way::Relay(link) => matches!(self.order(&link, order).await, Some(CallResult::Paced)),
+            Way::Direct => self.direct().pace(order, task, run, percent).await,
+            Way::Closed => false,
         }
     }
 
--- a/crates/jujubelb/src/node/relay/message.rs
+++ b/crates/jujubelb/src/node/relay/message.rs
@@ -63,7 +63,8 @@
     /// Result of a start order, from a relay of an older version.
     Started(StartReply),
     Stopped(StopReply),
-    /// A pace order has been sent, whether or not it was successful.
+    /// The worker has accepted a pace order. Relays of an older version say so whether or not it
+    /// has.
     Paced,
     /// The call was not made and will not be made.
     NotSent,
@@ -71,6 +72,8 @@
     StartAnswered(StartAnswer),
     /// A poll was answered by another worker at the same address.
     PollReplaced,
+    /// The worker has not accepted a pace order, or has not answered it.
+    PaceFailed,
 }
 
 /// Results of a relay's calls.
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -225,7 +225,7 @@
     }
 
     /// Sets the pace of a run, in percent of its full speed. Returns whether the worker
-    /// accepted it; a failed order is corrected by the next one.
+    /// accepted it.
     pub async fn pace(&self, order: &WorkerOrder, task: TaskKey, run: Run, percent: u32) -> bool {
         let body = WirePace {
             task: task.to_string(),
