Allow a slowed run more time before it counts as stalled

What callers saw: a best-effort task of a minute's duration that was slowed to 20 % could be stopped as one without progress, and its sound worker came closer to being considered unhealthy.

Cause: workers report progress in whole percents, and a run had 2.5 s for the next one at any pace. At 20 % of full speed a task of a minute takes 3 s for it.

The time is now that of a run at full pace divided by its pace: 12.5 s at 20 %. A run that really stalls at a low pace is noticed later by as much.

a_slowed_run_of_a_long_task_does_not_look_stalled fails before: 'left: 2, right: 1' starts at paces.rs:64, with a task of 80 s, since the simulation polls each 0.5 s and so doesn't see the case of 60 s.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -37,8 +37,9 @@
 /// long-running one.
 const SHORT_TASK_POOL_PERCENT: u64 = 8;
 
-/// Time without progress after which a run is stopped. A task of a few seconds' duration
-/// that runs at a tenth of its speed still reports progress several times within it.
+/// Time without progress after which a run at full pace is stopped, longer in proportion at a
+/// lower pace. Progress is reported in whole percents, so a task of four minutes reports it at
+/// full pace within this time.
 const STALL_TIMEOUT: Span = Span::from_millis(2_500);
 
 /// Allowance for the network delay of an earlier leader's last poll.
@@ -195,7 +196,7 @@
                     && worker
                         .last_answer
                         .since(tracked.last_progress.max(tracked.pace_changed))
-                        > STALL_TIMEOUT
+                        > STALL_TIMEOUT.scale_up(100, tracked.pace.into())
                 {
                     log::warn!(task:% = task, worker:% = worker.report.name, percent = tracked.percent, age:% = now.since(tracked.since); "stopping a run that makes no progress");
                     tracked.must_stop = true;
--- a/crates/jujubelb/src/dispatch/tests/paces.rs
+++ b/crates/jujubelb/src/dispatch/tests/paces.rs
@@ -48,3 +48,21 @@
     let violation = sim.longest_violation;
     assert!(violation < Span::from_secs(5), "{violation:?}");
 }
+
+/// Guards against stopping a slowed run of a long task because its progress takes longer to show.
+#[test]
+fn a_slowed_run_of_a_long_task_does_not_look_stalled() {
+    let mut sim = Simulation::new(1);
+    let key = sim.submit(1, job(2, vec![best_effort(1, Span::from_secs(80))]));
+    sim.run(Span::from_secs(1));
+    sim.set_pace(0, 20);
+    let now = sim.now;
+    let worker = &mut sim.dispatcher.workers[0];
+    // The leader changes no pace before then.
+    worker.pace_adjusted = now + Span::from_secs(60);
+    for run in worker.runs.values_mut() {
+        run.pace = 20;
+    }
+    sim.run(Span::from_secs(20));
+    assert_eq!(starts(&sim, |t| t.step.job == key), 1);
+}
