Say in the log what refuses a starved step

The line "step waits" assessed the workers as for a step that is not starved, so that it could not tell a refusal by a serving task above its target from one by the number of starved runs, and it said nothing of the job's own runs. It now has for a starved step how many workers admit its task, what rules out the others, whether these have a serving task above its target with or without a best-effort run at work beside it, and how many starved runs are at pace 0. It is repeated each 2 s for such steps, still at most twice a second for all, and also after a task of the step has run and waits again, which the doubled interval hid.

No decision is changed.

--- a/crates/jujubelb/src/dispatch/tests/waits.rs
+++ b/crates/jujubelb/src/dispatch/tests/waits.rs
@@ -50,3 +50,30 @@
     sim.run(Span::from_secs(2));
     assert_eq!(hold(&sim, key).unwrap(), "earlier terms");
 }
+
+/// Guards against a starved step that waits without a trace of what refuses it.
+#[test]
+fn a_starved_step_names_serving_tasks_above_their_target() {
+    let mut sim = Simulation::new(2);
+    sim.submit(1, job(0, vec![long_running(2, 40)]));
+    sim.run(Span::from_millis(500));
+    for worker in sim.dispatcher.workers.values_mut() {
+        for run in worker.runs.values_mut() {
+            run.above_target = Some(sim.now);
+        }
+    }
+    let untested = Step {
+        best_effort: true,
+        ..step(1, 7, Span::from_secs(1))
+    };
+    let job = sim.submit(2, job(2, vec![untested]));
+    let step = StepKey {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    let refusals = sim.dispatcher.starved_refusals(step, sim.now).unwrap();
+    let expected =
+        "admits=0 unknown-interference=2; above=0 above-alone=2 others=0; runs=0 paused=0";
+    assert_eq!(refusals.to_string(), expected);
+}
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -5,15 +5,20 @@
 use super::Dispatcher;
 use super::crash::Isolation;
 use super::job::{Job, StepState, Task, TaskState};
-use super::job_spec::StepKey;
+use super::job_spec::{Step, StepKey};
 use super::placement::{Obstacle, PlacementRequest};
 use super::rank;
+use super::worker::Worker;
 use crate::model::{Span, Time};
 
 /// Wait of a step's oldest task at which the first line is logged; each further one is due when
 /// the wait has doubled.
 const FIRST_REPORT: Span = Span::from_secs(2);
 
+/// Time between two lines on a starved step. Its wait is bounded by nothing but the tails of serving
+/// tasks, and what they were near its end can't be told from a line at half of it.
+const STARVED_INTERVAL: Span = Span::from_secs(2);
+
 /// Shortest time between two lines, which bounds the log while thousands of steps wait.
 const REPORT_INTERVAL: Span = Span::from_millis(500);
 
@@ -49,6 +54,59 @@
     }
 }
 
+/// Why the task of a starved step does not start.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(super) struct StarvedRefusals {
+    /// Number of workers that admit the task, which then waits for its turn.
+    admits: usize,
+    /// Number of the others by what rules them out.
+    obstacles: IndexMap<Obstacle, usize>,
+    /// Workers that must not exceed their headroom or processor time because a serving task is
+    /// above its target, with a best-effort run beside it that is not paused.
+    above: usize,
+    /// The same without such a run.
+    above_alone: usize,
+    /// Workers without a serving task above its target that refuse for headroom or processor time.
+    others: usize,
+    /// Runs of starved steps on all workers, and those of them at pace 0.
+    runs: usize,
+    paused: usize,
+}
+
+impl std::fmt::Display for StarvedRefusals {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "admits={}", self.admits)?;
+        for (obstacle, count) in &self.obstacles {
+            write!(f, " {obstacle}={count}")?;
+        }
+        let (above, alone, others) = (self.above, self.above_alone, self.others);
+        write!(f, "; above={above} above-alone={alone} others={others}")?;
+        write!(f, "; runs={} paused={}", self.runs, self.paused)
+    }
+}
+
+impl StarvedRefusals {
+    fn add(&mut self, worker: &Worker, obstacle: Obstacle) {
+        *self.obstacles.entry(obstacle).or_default() += 1;
+        let by_load = [
+            Obstacle::Headroom,
+            Obstacle::UnknownInterference,
+            Obstacle::Processor,
+        ];
+        if !by_load.contains(&obstacle) {
+            return;
+        }
+        let mut runs = worker.runs.values();
+        let is_above = runs.clone().any(|r| r.above_target.is_some());
+        let is_alone = !runs.any(|r| r.best_effort && r.pace > 0);
+        match (is_above, is_alone) {
+            (true, false) => self.above += 1,
+            (true, true) => self.above_alone += 1,
+            (false, _) => self.others += 1,
+        }
+    }
+}
+
 /// Time since the oldest waiting task of a step began to wait; `None` if no task waits.
 pub(super) fn longest_wait(step: &StepState, now: Time) -> Option<Span> {
     let waiting = |t: &&Task| t.state == TaskState::Waiting;
@@ -71,7 +129,14 @@
         let due = self.ready.iter().filter_map(|key| {
             let (_, state) = self.ready_step(*key)?;
             let wait = longest_wait(state, now)?;
-            (wait >= next_report(state.wait_reported)).then_some((wait, *key))
+            // The longest wait is shorter than the reported one after its task has started.
+            let reported = Some(state.wait_reported).filter(|r| *r <= wait);
+            let reported = reported.unwrap_or_default();
+            let mut next = next_report(reported);
+            if self.is_starved(*key, now) {
+                next = next.min(reported + STARVED_INTERVAL);
+            }
+            (wait >= next).then_some((wait, *key))
         });
         let Some((wait, key)) = due.max() else {
             return;
@@ -83,7 +148,12 @@
         let occurrence = job.occurrence(key.occurrence);
         let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), now));
         let age = now.since(job.accepted);
-        log::info!(step:% = key, queue:% = job.record.queue.prefix, tasks = state.waiting, waited:% = wait, age:% = age, rank:? = rank, hold:% = hold; "step waits");
+        let is_late = rank.is_some_and(|r| r.is_late());
+        let starved = self.starved_refusals(key, now).filter(|_| is_late);
+        let starved = starved.map_or_else(|| "no".to_owned(), |s| s.to_string());
+        let (placed, paused) = self.placed_runs(key);
+        let timely_age = now.since(self.timely_waited);
+        log::info!(step:% = key, queue:% = job.record.queue.prefix, tasks = state.waiting, placed = placed, paused = paused, waited:% = wait, age:% = age, rank:? = rank, hold:% = hold, starved:% = starved, timely_age:% = timely_age; "step waits");
         if let Some(state) = self
             .jobs
             .get_mut(&key.job)
@@ -116,8 +186,7 @@
             return Some(Hold::Confirmation);
         }
         let mut waiting = state.tasks.iter().zip(0u32..);
-        let startable = |t: &Task| t.not_before <= now && (!t.inherited || self.inherited_resolved);
-        let first = waiting.find(|(t, _)| t.state == TaskState::Waiting && startable(t));
+        let first = waiting.find(|(t, _)| self.is_startable(t, now));
         let spec = job.record.spec.steps.get(usize::from(key.step));
         let (Some((task, index)), Some(step)) = (first, spec) else {
             return Some(match self.inherited_resolved {
@@ -125,9 +194,30 @@
                 false => Hold::EarlierTerms,
             });
         };
+        let request = self.wait_request(job, key, (task, index), step, now);
+        let mut counts: IndexMap<Obstacle, usize> = IndexMap::new();
+        for worker in self.workers.values() {
+            match self.assess(worker, &request, now) {
+                Ok(_) => return Some(Hold::Workers(IndexMap::new())),
+                Err(obstacle) => *counts.entry(obstacle).or_default() += 1,
+            }
+        }
+        counts.sort_unstable_by(|_, a, _, b| b.cmp(a));
+        Some(Hold::Workers(counts))
+    }
+
+    /// The request for the first waiting task of a step.
+    fn wait_request<'a>(
+        &self,
+        job: &'a Job,
+        key: StepKey,
+        (task, index): (&Task, u32),
+        step: &'a Step,
+        now: Time,
+    ) -> PlacementRequest<'a> {
         let isolation = task.isolation_at(step.long_running, now);
         let may_probe = isolation == Isolation::None && self.may_probe(key, index, &job.record);
-        let request = PlacementRequest {
+        PlacementRequest {
             key,
             step,
             service: &job.record.queue.service,
@@ -137,15 +227,41 @@
             isolation,
             needs_ticket: job.record.queue.ticket_lifetime.is_some(),
             starved: false,
+        }
+    }
+
+    /// Why a task of a step of which nothing runs would not start as one of a starved step; `None`
+    /// if something of it runs.
+    pub(super) fn starved_refusals(&self, key: StepKey, now: Time) -> Option<StarvedRefusals> {
+        let (job, state) = self.ready_step(key).filter(|_| self.is_starved(key, now))?;
+        let step = job.record.spec.steps.get(usize::from(key.step))?;
+        let mut tasks = state.tasks.iter().zip(0u32..);
+        let first = tasks.find(|(t, _)| self.is_startable(t, now))?;
+        let request = PlacementRequest {
+            starved: true,
+            ..self.wait_request(job, key, first, step, now)
         };
-        let mut counts: IndexMap<Obstacle, usize> = IndexMap::new();
+        let mut refusals = StarvedRefusals::default();
         for worker in self.workers.values() {
             match self.assess(worker, &request, now) {
-                Ok(_) => return Some(Hold::Workers(IndexMap::new())),
-                Err(obstacle) => *counts.entry(obstacle).or_default() += 1,
+                Ok(_) => refusals.admits += 1,
+                Err(obstacle) => refusals.add(worker, obstacle),
             }
+            let starved = worker.runs.values().filter(|r| r.starved);
+            refusals.runs += starved.clone().count();
+            refusals.paused += starved.filter(|r| r.pace == 0).count();
         }
-        counts.sort_unstable_by(|_, a, _, b| b.cmp(a));
-        Some(Hold::Workers(counts))
+        Some(refusals)
+    }
+
+    /// How many tasks of the step's job are assigned to workers, and how many of these are at pace
+    /// 0 there.
+    fn placed_runs(&self, key: StepKey) -> (usize, usize) {
+        let workers = self.workers.values();
+        let runs = workers.flat_map(|w| w.runs.iter());
+        let own = runs.filter(|(task, _)| task.step.job == key.job);
+        own.fold((0, 0), |(placed, paused), (_, run)| {
+            (placed + 1, paused + usize::from(run.pace == 0))
+        })
     }
 }
