Count the jobs that stand still at the end of a soak

The soak's check of LOST takes a run at pace 0 for one that works, since it has begun and has not ended. The published rule speaks of nothing running and doesn't mention paces, so that a scheduler which pauses all runs of a job passes the check. The check stays as it is. The report has a further figure, which is not judged: jobs of which all runs have been at pace 0 for more than 10 s at the end.

--- a/crates/jujubelb-lab/src/emulator/history.rs
+++ b/crates/jujubelb-lab/src/emulator/history.rs
@@ -205,6 +205,13 @@
         task: TaskName,
         disturbed: bool,
     },
+    /// A run has come to pace 0, or is no longer at pace 0.
+    Paused {
+        worker: Life,
+        task: TaskName,
+        run: u64,
+        paused: bool,
+    },
     /// A worker is gone with everything that ran on it.
     Died {
         worker: Life,
--- a/crates/jujubelb-lab/src/emulator/worker.rs
+++ b/crates/jujubelb-lab/src/emulator/worker.rs
@@ -94,6 +94,8 @@
     headrooms: VecDeque<(Duration, f64)>,
     /// Whether it is over its target because of best-effort tasks.
     disturbed: bool,
+    /// Whether it was last recorded to be at pace 0.
+    paused: bool,
     checkpoints: bool,
     pub(crate) saved: Option<ArcStr>,
     fails: bool,
@@ -268,6 +270,7 @@
             role: step.map(|s| s.role.clone()).unwrap_or_default(),
             headrooms: VecDeque::new(),
             disturbed: false,
+            paused: false,
             checkpoints: step.is_some_and(|s| s.checkpoints),
             saved: order.checkpoint.clone(),
             fails: order.fails,
@@ -418,6 +421,16 @@
         let mut ends = Vec::new();
         for ((task, number), run) in &mut self.runs {
             run.update_pace(now);
+            let paused = run.pace == 0;
+            if paused != run.paused {
+                run.paused = paused;
+                history.add(What::Paused {
+                    worker: self.life.clone(),
+                    task: task.clone(),
+                    run: *number,
+                    paused,
+                });
+            }
             let progress = run.progress(now);
             let finished = run.work.is_some_and(|work| progress >= work);
             let stopped = run.stops_at.is_some_and(|at| at <= now);
--- a/crates/jujubelb-lab/src/soak/mod.rs
+++ b/crates/jujubelb-lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod faults;
 mod operator;
+mod paused;
 mod plan;
 mod processes;
 mod report;
--- a/crates/jujubelb-lab/src/soak/report.rs
+++ b/crates/jujubelb-lab/src/soak/report.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::check::Violation;
+use super::paused::standing_jobs;
 use crate::emulator::history::{Answer, Event, Record, RunEnd, What};
 
 /// Events that are shown before and after a violation.
@@ -31,6 +32,8 @@
     pub done: usize,
     /// Faults that were done.
     pub faults: usize,
+    /// Jobs of which all runs had been at pace 0 for more than 10 s at the end.
+    pub standing: usize,
     violations: Vec<Violation>,
     /// Events around each violation that is shown in detail.
     details: Vec<String>,
@@ -69,6 +72,7 @@
                 )
             }),
             faults: count(|w| matches!(w, What::FaultBegan { .. })),
+            standing: standing_jobs(record),
             details: details.map(|v| around(record, v)).collect(),
             violations,
         }
@@ -113,8 +117,8 @@
         let verdict = if self.is_clean() { "clean" } else { "BROKEN" };
         writeln!(
             out,
-            "seed {}: {verdict}; accepted {}, started {}, done {}, faults {}",
-            self.seed, self.accepted, self.started, self.done, self.faults
+            "seed {}: {verdict}; accepted {}, started {}, done {}, faults {}, standing jobs {}",
+            self.seed, self.accepted, self.started, self.done, self.faults, self.standing
         )?;
         for (index, violation) in self.violations.iter().enumerate() {
             writeln!(out, "  {violation}")?;
