Play series of silent connections in the soak, also between hosts

The soak let connections go silent once in a group of faults and never between hosts, since a host announces the address that it listens on and no proxy can stand between. Seeds from 30000 on play three to six silences in a row beside bursts, each 0.2 to 1.8 s after the one before, so that each new pool is hit: of the store, between hosts, of both, or of the workers too; after a burst of requests or at the moment at which a run ends; in half of the series the leader is killed at the moment of one. Plans and loads of lower seeds stay as they are, and so do the checks.

Between hosts, a socket filter that drops each segment is attached to the open sockets of the processes that the soak has started.

--- a/crates/jujubelb-lab/src/emulator/platform/settings.rs
+++ b/crates/jujubelb-lab/src/emulator/platform/settings.rs
@@ -1,12 +1,16 @@
 //! The settings file of a host.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use toml::toml;
 
 /// Environment variable with the path of the file.
 pub(crate) const PATH_VARIABLE: &str = "JUJUBELB_BOOT";
 
+/// Ports of the calls between hosts, as the settings tell them.
+pub(crate) const INTERNAL_PORTS: RangeInclusive<u16> = 7720..=7735;
+
 /// What the settings of the hosts of one deployment differ in.
 #[derive(Debug, Clone)]
 pub(crate) struct HostPlace {
@@ -32,7 +36,6 @@
             machine_class = "edge"
             serves = ["edge"]
             region = "home"
-            internal_ports = [7720, 7735]
             bootstrap = true
             discovery = "platform"
             heartbeat_ms = 1500
@@ -68,6 +71,15 @@
                 table.insert(key.to_owned(), value);
             }
         };
+        let ports = [*INTERNAL_PORTS.start(), *INTERNAL_PORTS.end()];
+        set(
+            None,
+            "internal_ports",
+            ports
+                .map(|p| toml::Value::from(i64::from(p)))
+                .to_vec()
+                .into(),
+        );
         set(None, "node_name", self.name.clone().into());
         set(None, "zone", self.zone.clone().into());
         set(None, "ip", self.clients.ip().to_string().into());
--- a/crates/jujubelb-lab/src/soak/faults.rs
+++ b/crates/jujubelb-lab/src/soak/faults.rs
@@ -10,12 +10,12 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::plan::{Fault, Peers, Planned, Target};
 use super::processes::{METRICS_PORT, Processes};
 use crate::emulator::Emulator;
-use crate::emulator::history::What;
+use crate::emulator::history::{Record, What};
 use crate::emulator::http::{Link, Treatment};
 use crate::emulator::platform::entries::{QUEUE_HOST, worker_key};
 use crate::emulator::platform::settings::HostPlace;
@@ -36,6 +36,12 @@
 /// How long a burst may take.
 const BURST_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long the next end of a run is awaited. Some end each second beside bursts.
+const MAX_END_WAIT: Duration = Duration::from_secs(1);
+
+/// Interval of looking for an end. Its worker is polled and it is stored some milliseconds later.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(3);
+
 /// What clients may send by mistake.
 const BAD_BYTES: [&[u8]; 4] = [
     b"\x16\x03\x01\x02\x00\x01\x00\xff\xfe",
@@ -203,7 +209,14 @@
                 store.with(|s, now| s.delete(&key, now));
             }
             Fault::BadRequests(_) => self.send_bad_requests(host).await,
-            Fault::SilentConnections(peers) => self.silence_connections(peers).await,
+            Fault::SilentConnections(peers) => {
+                self.open_connections().await;
+                self.silence_connections(peers);
+            }
+            Fault::SilentAtEnd(peers) => {
+                self.await_end().await;
+                self.silence_connections(peers);
+            }
         }
     }
 
@@ -237,7 +250,8 @@
         links.iter().for_each(|l| l.set(Treatment::Pass, 0.0));
     }
 
-    async fn silence_connections(&self, peers: Peers) {
+    /// Sends a burst of requests, so that the hosts open connections.
+    async fn open_connections(&self) {
         let mut burst = JoinSet::new();
         for host in &self.hosts {
             for job in 0..BURST_REQUESTS {
@@ -248,14 +262,34 @@
         }
         // The requests only open connections; what they are answered doesn't matter.
         while burst.join_next().await.is_some() {}
+    }
+
+    /// Waits until a run ends, but not for long.
+    async fn await_end(&self) {
+        let history = &self.emulator.history;
+        let known = history.read(|record| record.events.len());
+        let ended = |record: &Record| {
+            let new = record.events.iter().skip(known);
+            new.rev().any(|e| matches!(e.what, What::Ended { .. }))
+        };
+        let until = Instant::now() + MAX_END_WAIT;
+        while Instant::now() < until && !history.read(ended) {
+            sleep(END_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn silence_connections(&self, peers: Peers) {
         let emulator = &self.emulator;
-        if peers != Peers::Workers {
+        if peers.include_hosts() {
+            self.processes.silence_peers();
+        }
+        if peers.include_store() {
             emulator
                 .store_links
                 .iter()
                 .for_each(|l| l.silence_connections());
         }
-        if peers != Peers::Store {
+        if peers.include_workers() {
             emulator
                 .worker_links
                 .iter()
--- a/crates/jujubelb-lab/src/soak/mod.rs
+++ b/crates/jujubelb-lab/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod processes;
 mod report;
 mod run;
+mod silence;
 
 pub use report::Outcome;
 pub use run::{Options, run};
--- a/crates/jujubelb-lab/src/soak/plan.rs
+++ b/crates/jujubelb-lab/src/soak/plan.rs
@@ -29,6 +29,21 @@
 /// were when the seeds were played.
 const FIRST_SEED_WITH_BURSTS: u64 = 20_000;
 
+/// First seed with series of silences, beside bursts and without other faults than kills of the
+/// leader.
+const FIRST_SEED_WITH_SERIES: u64 = 30_000;
+
+/// Silences of a series, and milliseconds between two of them: each hits the connections that were
+/// opened after the one before, also while requests on those still wait for their timeout.
+const SERIES: (u64, u64) = (3, 7);
+const SERIES_GAP_MS: (u64, u64) = (200, 1_800);
+
+/// Share of series in which the leader is killed at the moment of a silence.
+const KILL_SHARE: f64 = 0.5;
+
+/// Time without a silence after a short pause between two series; [`CALM_AFTER`] after half of them.
+const SHORT_CALM: Duration = Duration::from_secs(3);
+
 /// Of the seeds with bursts, one in this number has the other faults beside them. The others show
 /// whether accepted jobs are worked off when nothing else disturbs the hosts.
 const BURSTS_PER_FAULTS: u64 = 2;
@@ -82,6 +97,9 @@
     /// After a burst of requests the open connections of all hosts to these go silent for good,
     /// without a reset, and the operator changes the configuration.
     SilentConnections(Peers),
+    /// The same without a burst, at the moment at which the next run ends, which the leader then
+    /// stores.
+    SilentAtEnd(Peers),
 }
 
 /// To whom connections go silent.
@@ -89,7 +107,26 @@
 pub(crate) enum Peers {
     Store,
     Workers,
+    /// The store and the workers.
     All,
+    /// Other hosts.
+    Hosts,
+    StoreAndHosts,
+    Everyone,
+}
+
+impl Peers {
+    pub(crate) fn include_store(self) -> bool {
+        !matches!(self, Self::Workers | Self::Hosts)
+    }
+
+    pub(crate) fn include_workers(self) -> bool {
+        matches!(self, Self::Workers | Self::All | Self::Everyone)
+    }
+
+    pub(crate) fn include_hosts(self) -> bool {
+        matches!(self, Self::Hosts | Self::StoreAndHosts | Self::Everyone)
+    }
 }
 
 /// A fault with its time.
@@ -116,7 +153,11 @@
 
 /// Whether a seed has faults from outside.
 pub(crate) fn has_faults(seed: u64) -> bool {
-    !has_bursts(seed) || seed % BURSTS_PER_FAULTS == 1
+    !has_bursts(seed) || has_series(seed) || seed % BURSTS_PER_FAULTS == 1
+}
+
+fn has_series(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_SERIES
 }
 
 /// Draws the faults of a seed, all of which begin before `end`.
@@ -124,6 +165,9 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut planned = Vec::new();
     let mut at = START;
+    while has_series(seed) && at < end {
+        at = add_series(&mut random, at, &mut planned);
+    }
     while at < end {
         if seed >= FIRST_SEED_WITH_SILENCE {
             at = add_silence(&mut random, at, &mut planned);
@@ -154,6 +198,42 @@
     at + CALM_AFTER
 }
 
+/// Adds a series of silences from some time on. Returns when the next one may begin.
+fn add_series(random: &mut StdRng, mut at: Duration, planned: &mut Vec<Planned>) -> Duration {
+    let peers = [
+        Peers::Store,
+        Peers::Hosts,
+        Peers::StoreAndHosts,
+        Peers::Everyone,
+    ];
+    let count = random.random_range(SERIES.0..SERIES.1);
+    let kill = random
+        .random_bool(KILL_SHARE)
+        .then(|| random.random_range(0..count));
+    for index in 0..count {
+        let peers = peers[random.random_range(0..peers.len())];
+        let fault = match random.random() {
+            true => Fault::SilentConnections(peers),
+            false => Fault::SilentAtEnd(peers),
+        };
+        let time = Duration::ZERO;
+        planned.push(Planned { at, fault, time });
+        if kill == Some(index) {
+            planned.push(Planned {
+                at,
+                fault: Fault::Kill(Target::Leader),
+                time: Duration::from_millis(random.random_range(100..4_000)),
+            });
+        }
+        at += Duration::from_millis(random.random_range(SERIES_GAP_MS.0..SERIES_GAP_MS.1));
+    }
+    at + if random.random() {
+        CALM_AFTER
+    } else {
+        SHORT_CALM
+    }
+}
+
 fn draw_fault(random: &mut StdRng, at: Duration, hosts: usize, workers: usize) -> Planned {
     let target = match random.random() {
         true => Target::Leader,
@@ -198,3 +278,6 @@
         _ => Treatment::Delay(delay),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/jujubelb-lab/src/soak/processes.rs
+++ b/crates/jujubelb-lab/src/soak/processes.rs
@@ -9,9 +9,10 @@
 use eyre::{Result, WrapErr};
 use rustix::process::{Pid, Signal, kill_process};
 
+use super::silence::silence;
 use crate::emulator::history::{History, What};
 use crate::emulator::http::lock;
-use crate::emulator::platform::settings::{HostPlace, PATH_VARIABLE};
+use crate::emulator::platform::settings::{HostPlace, INTERNAL_PORTS, PATH_VARIABLE};
 
 /// Time from SIGTERM until a process is killed, as the settings tell it.
 const GRACE: Duration = Duration::from_secs(6);
@@ -38,14 +39,15 @@
 }
 
 impl Host {
+    /// Id of the process. It was not waited for, so the id is still its own.
+    fn pid(&self) -> Option<Pid> {
+        Pid::from_raw(self.child.as_ref()?.id().cast_signed())
+    }
+
     fn signal(&self, signal: Signal) {
-        let Some(child) = &self.child else {
-            return;
-        };
-        let Some(pid) = Pid::from_raw(child.id().cast_signed()) else {
+        let Some(pid) = self.pid() else {
             return;
         };
-        // The child was not waited for, so its id is still its own.
         if let Err(error) = kill_process(pid, signal) {
             log::warn!("{signal:?} not sent to {pid:?}: {error}");
         }
@@ -122,6 +124,19 @@
         lock(&self.hosts)[host].signal(signal);
     }
 
+    /// Makes the open connections between the hosts silent for good, without a reset.
+    pub(crate) fn silence_peers(&self) {
+        for host in lock(&self.hosts).iter() {
+            let Some(pid) = host.pid() else {
+                continue;
+            };
+            match silence(pid, INTERNAL_PORTS) {
+                Ok(count) => log::info!(host = host.place.name, count; "connections silenced"),
+                Err(error) => log::warn!("connections of {pid:?} not silenced: {error}"),
+            }
+        }
+    }
+
     /// Tells a process to end, and starts it again `down_for` after it has ended.
     pub(crate) fn stop(&self, host: usize, signal: Signal, down_for: Duration) {
         let kill_at = self.history.now() + GRACE;
