Count the workers where a starved step would be paused in its log line

Serving tasks above their target and the number of starved runs no longer refuse a starved step, so the figures that told these two apart are always 0. The line now counts the workers that admit the task, and those of them with a serving task above its target.

--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -8,7 +8,6 @@
 use super::job_spec::{Step, StepKey};
 use super::placement::{Obstacle, PlacementRequest};
 use super::rank;
-use super::worker::Worker;
 use crate::model::{Span, Time};
 
 /// Wait of a step's oldest task at which the first line is logged; each further one is due when
@@ -59,15 +58,11 @@
 pub(super) struct StarvedRefusals {
     /// Number of workers that admit the task, which then waits for its turn.
     admits: usize,
-    /// Number of the others by what rules them out.
+    /// Number of workers by what rules them out.
     obstacles: IndexMap<Obstacle, usize>,
-    /// Workers that must not exceed their headroom or processor time because a serving task is
-    /// above its target, with a best-effort run beside it that is not paused.
+    /// Workers that admit the task and have a serving task above its target, so that it is soon
+    /// paused there.
     above: usize,
-    /// The same without such a run.
-    above_alone: usize,
-    /// Workers without a serving task above its target that refuse for headroom or processor time.
-    others: usize,
     /// Runs of starved steps on all workers, and those of them at pace 0.
     runs: usize,
     paused: usize,
@@ -75,38 +70,14 @@
 
 impl std::fmt::Display for StarvedRefusals {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "admits={}", self.admits)?;
+        write!(f, "admits={} above={}", self.admits, self.above)?;
         for (obstacle, count) in &self.obstacles {
             write!(f, " {obstacle}={count}")?;
         }
-        let (above, alone, others) = (self.above, self.above_alone, self.others);
-        write!(f, "; above={above} above-alone={alone} others={others}")?;
         write!(f, "; runs={} paused={}", self.runs, self.paused)
     }
 }
 
-impl StarvedRefusals {
-    fn add(&mut self, worker: &Worker, obstacle: Obstacle) {
-        *self.obstacles.entry(obstacle).or_default() += 1;
-        let by_load = [
-            Obstacle::Headroom,
-            Obstacle::UnknownInterference,
-            Obstacle::Processor,
-        ];
-        if !by_load.contains(&obstacle) {
-            return;
-        }
-        let mut runs = worker.runs.values();
-        let is_above = runs.clone().any(|r| r.above_target.is_some());
-        let is_alone = !runs.any(|r| r.best_effort && r.pace > 0);
-        match (is_above, is_alone) {
-            (true, false) => self.above += 1,
-            (true, true) => self.above_alone += 1,
-            (false, _) => self.others += 1,
-        }
-    }
-}
-
 /// Time since the oldest waiting task of a step began to wait; `None` if no task waits.
 pub(super) fn longest_wait(step: &StepState, now: Time) -> Option<Span> {
     let waiting = |t: &&Task| t.state == TaskState::Waiting;
@@ -148,8 +119,7 @@
         let occurrence = job.occurrence(key.occurrence);
         let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), now));
         let age = now.since(job.accepted);
-        let is_late = rank.is_some_and(|r| r.is_late());
-        let starved = self.starved_refusals(key, now).filter(|_| is_late);
+        let starved = self.starved_refusals(key, now);
         let starved = starved.map_or_else(|| "no".to_owned(), |s| s.to_string());
         let (placed, paused) = self.placed_runs(key);
         let timely_age = now.since(self.timely_waited);
@@ -244,8 +214,12 @@
         let mut refusals = StarvedRefusals::default();
         for worker in self.workers.values() {
             match self.assess(worker, &request, now) {
-                Ok(_) => refusals.admits += 1,
-                Err(obstacle) => refusals.add(worker, obstacle),
+                Ok(_) => {
+                    refusals.admits += 1;
+                    let is_above = worker.runs.values().any(|r| r.above_target.is_some());
+                    refusals.above += usize::from(is_above);
+                }
+                Err(obstacle) => *refusals.obstacles.entry(obstacle).or_default() += 1,
             }
             let starved = worker.runs.values().filter(|r| r.starved);
             refusals.runs += starved.clone().count();
