--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! `docs/platform.md` explains how at most one run per task is guaranteed when the
 //! leader changes or messages are lost.
 
+mod admission;
 mod commit;
 mod completion;
 mod confirmation;
@@ -40,12 +41,14 @@
 
 use crate::model::{DomainName, FastMap, Span, Time, WallTime, WorkerName, WorkerTime};
 use crate::place::headroom::Slopes;
+use admission::Admission as JobAdmission;
 use evidence::StartEvidence;
 use job::{Job, TaskState};
 use pace::Headrooms;
 use tickets::StepTickets;
 use worker::{Admission, Worker};
 
+pub use admission::{FullPool, LoadEstimate, PoolLoad};
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
 pub use evidence::MissingEvidence;
@@ -263,6 +266,8 @@
     waits_reported: Time,
     /// How many more unhealthy workers may be probed in this pass.
     probe_slots: usize,
+    /// Bound on the best-effort jobs that are accepted.
+    admission: JobAdmission,
     /// Set when a worker has refused an order or a poll because of a higher token.
     deposed: bool,
 }
@@ -323,6 +328,7 @@
             timely_waited: now,
             waits_reported: now,
             probe_slots: 0,
+            admission: JobAdmission::default(),
             deposed: false,
         };
         for entry in &roster.workers {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -76,6 +76,7 @@
             self.start_ready(&mut orders, now);
         }
         self.report_waits(now);
+        self.count_load(now);
         orders
     }
 
--- a/crates/jujubelb/src/node/monitoring.rs
+++ b/crates/jujubelb/src/node/monitoring.rs
@@ -114,6 +114,7 @@
             observe(age.as_secs_f64(), &[]);
         }
     });
+    register_pool_gauge(node);
     register_leader_gauge(node, &telemetry::DISPATCH_JOBS, |s| {
         [("all", s.jobs as f64), ("without-run", s.idle_jobs as f64)]
     });
@@ -134,6 +135,26 @@
     });
 }
 
+/// Registers the number of best-effort jobs of each pool of workers, and its limit.
+fn register_pool_gauge(node: &Arc<Node>) {
+    let observed = Arc::downgrade(node);
+    let registry = &node.metrics.registry;
+    registry.observable_gauge(&telemetry::BEST_EFFORT_JOBS, move |observe| {
+        let term = observed.upgrade().and_then(|n| n.active_term());
+        let loads = term.map(|t| lock(&t.dispatcher).pool_loads());
+        for load in loads.iter().flatten() {
+            let labels = |bound| {
+                let service = KeyValue::new("service", load.service.to_string());
+                [service, KeyValue::new("bound", bound)]
+            };
+            observe(f64::from(load.jobs), &labels("present"));
+            if let Some(limit) = load.limit {
+                observe(f64::from(limit), &labels("limit"));
+            }
+        }
+    });
+}
+
 fn register_leader_gauge<const N: usize>(
     node: &Arc<Node>,
     metric: &'static Metric,
