Let a full pool accept jobs that have a chance of being done in time

A full pool now refuses only jobs at least as large as the jobs of the same priority that have missed their objective before any task of them started, less the smallest quarter of these. It refuses nothing while no job is left behind like that.

--- a/crates/jujubelb/src/dispatch/admission.rs
+++ b/crates/jujubelb/src/dispatch/admission.rs
@@ -2,8 +2,10 @@
 //!
 //! Best-effort jobs use what other work leaves idle, so without a bound they pile up for as long as
 //! more arrive than the workers can do, and the wait of the oldest grows with the overload. A run
-//! takes memory even while it is paused, so memory bounds how many jobs can have a run each. Jobs
-//! beyond that number could only wait, and are refused before they are stored.
+//! takes memory even while it is paused, so memory bounds how many jobs can have a run each. Beyond
+//! that number a job is accepted only if it has a chance of being done in time: small jobs go
+//! before large ones, so one that is larger than jobs that are late already, and of which nothing
+//! has started, can only wait. It is refused before it is stored.
 //!
 //! The leader keeps the numbers and sends the pools that are full with its answers to other hosts,
 //! which take submissions without it. Jobs that are on their way between a host and the leader are
@@ -15,6 +17,7 @@
 use super::Dispatcher;
 use super::job::{Job, StepState};
 use super::job_spec::{JobSpec, QueueSettings, Step};
+use super::rank;
 use super::worker::Worker;
 use crate::model::{ServiceName, Span, Time};
 
@@ -51,6 +54,10 @@
 const MIN_RETRY: Span = Span::from_secs(1);
 const MAX_RETRY: Span = Span::from_secs(10);
 
+/// Part of the late jobs without a start that are smaller than those refused by a full pool, in
+/// percent. The smallest ones of all may have waited for another reason than their size.
+const SMALLER_LATE_PERCENT: usize = 25;
+
 /// Priority of queues whose jobs are never refused for load.
 const URGENT_PRIORITY: u8 = 0;
 
@@ -63,6 +70,8 @@
     limit: Option<u32>,
     /// Whether new jobs are refused.
     full: bool,
+    /// What a full pool refuses, by priority.
+    cuts: Vec<WorkCut>,
     /// Jobs that ended in the present window.
     ended: u32,
     /// Jobs that ended in the last whole window; `None` before the first.
@@ -135,7 +144,16 @@
     }
 }
 
-/// A pool of workers that accepts no best-effort jobs.
+/// Size from which jobs of a priority have no chance of being done in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkCut {
+    /// Priority of the queues whose jobs were compared.
+    pub priority: u8,
+    /// Estimated processor time of an occurrence in core-milliseconds.
+    pub work: u64,
+}
+
+/// A pool of workers with as many best-effort jobs as can have a run each.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FullPool {
     /// Service whose workers form the pool.
@@ -144,6 +162,8 @@
     pub jobs: u32,
     /// Most best-effort jobs that may be accepted at a time.
     pub limit: u32,
+    /// What is refused; jobs of other priorities and smaller ones are accepted.
+    pub cuts: Vec<WorkCut>,
     /// Time after which a refused caller is asked to come back.
     pub retry_after: Span,
 }
@@ -153,7 +173,7 @@
 pub struct LoadEstimate {
     /// Time since the jobs were counted.
     pub age: Span,
-    /// The pools that accept no best-effort jobs; all others do.
+    /// The pools that refuse best-effort jobs; all others accept them.
     pub full: Vec<FullPool>,
 }
 
@@ -171,7 +191,9 @@
         if !is_bounded || self.age + held > MAX_ESTIMATE_AGE {
             return None;
         }
-        self.full.iter().find(|p| p.service == queue.service)
+        let pool = self.full.iter().find(|p| p.service == queue.service)?;
+        let cut = pool.cuts.iter().find(|c| c.priority == queue.priority)?;
+        (work(&spec.steps) >= cut.work).then_some(pool)
     }
 }
 
@@ -195,6 +217,7 @@
             service: service.clone(),
             jobs: pool.jobs,
             limit: pool.limit.unwrap_or_default(),
+            cuts: pool.cuts.clone(),
             retry_after: pool.retry_after(),
         });
         Some(LoadEstimate {
@@ -225,14 +248,20 @@
         for job in self.jobs.values().filter(|j| j.outcome.is_none()) {
             if let Some(memory) = needed_memory(job) {
                 let service = job.record.queue.service.clone();
-                demands.entry(service).or_default().add(memory);
+                let demand = demands.entry(service).or_default();
+                demand.add(memory);
+                if is_left_behind(job, now) {
+                    let priority = job.record.queue.priority;
+                    let left_behind = demand.left_behind.entry(priority).or_default();
+                    left_behind.push(work(&job.record.spec.steps));
+                }
             }
         }
         for service in demands.keys() {
             self.admission.pools.entry(service.clone()).or_default();
         }
         for (service, pool) in &mut self.admission.pools {
-            let demand = demands.get(service).copied().unwrap_or_default();
+            let demand = demands.shift_remove(service).unwrap_or_default();
             pool.jobs = demand.jobs;
             pool.limit = demand.mean().map(|task| {
                 let in_use = self.workers.values().filter(|w| {
@@ -244,6 +273,7 @@
                 let limit = runs * (100 - MARGIN_PERCENT) / 100;
                 u32::try_from(limit).unwrap_or(u32::MAX).max(MIN_LIMIT)
             });
+            pool.cuts = demand.cuts();
             let was_full = pool.full;
             pool.update();
             if pool.full != was_full {
@@ -254,10 +284,12 @@
 }
 
 /// Best-effort jobs of a pool and the memory that one run of each needs.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Default)]
 struct Demand {
     jobs: u32,
     memory: u64,
+    /// Work of the jobs that are left behind, by priority.
+    left_behind: IndexMap<u8, Vec<u64>>,
 }
 
 impl Demand {
@@ -267,9 +299,33 @@
     }
 
     /// Mean memory of a run; `None` without jobs.
-    fn mean(self) -> Option<u64> {
+    fn mean(&self) -> Option<u64> {
         (self.jobs > 0).then(|| (self.memory / u64::from(self.jobs)).max(1))
     }
+
+    /// Sizes from which jobs have no chance, by the sizes of those that are left behind.
+    fn cuts(self) -> Vec<WorkCut> {
+        let cut = |(priority, mut works): (u8, Vec<u64>)| {
+            works.sort_unstable();
+            let work = *works.get(works.len() * SMALLER_LATE_PERCENT / 100)?;
+            Some(WorkCut { priority, work })
+        };
+        self.left_behind.into_iter().filter_map(cut).collect()
+    }
+}
+
+/// Whether a job has missed its objective before any task of it has started.
+fn is_left_behind(job: &Job, now: Time) -> bool {
+    !job.started && now.since(job.accepted) > rank::objective(job)
+}
+
+/// Estimated processor time of an occurrence, in core-milliseconds.
+fn work(steps: &[Step]) -> u64 {
+    let work = |s: &Step| {
+        let cores = u64::from(s.count).saturating_mul(s.size.cpu.0);
+        cores.saturating_mul(s.estimate.as_millis()) / 1_000
+    };
+    steps.iter().map(work).fold(0, u64::saturating_add)
 }
 
 /// Memory in bytes of the largest best-effort task that a job still has to run; `None` if the
--- a/crates/jujubelb/src/dispatch/tests/admission.rs
+++ b/crates/jujubelb/src/dispatch/tests/admission.rs
@@ -4,7 +4,7 @@
 
 use super::simulation::TIME_STEP;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::{FullPool, JobKey, JobRecord, JobStatus, LoadEstimate, Step};
+use crate::dispatch::{FullPool, JobKey, JobRecord, JobStatus, LoadEstimate, Step, WorkCut};
 use crate::model::{Bytes, Resources, ServiceName, Span, Time};
 
 const WORKERS: usize = 4;
@@ -243,6 +243,10 @@
             service: ServiceName::new("desk"),
             jobs: 40,
             limit: 30,
+            cuts: vec![WorkCut {
+                priority: 2,
+                work: 0,
+            }],
             retry_after: Span::from_secs(2),
         }],
     }
@@ -285,3 +289,27 @@
     assert!(refuses(Span::from_millis(5_900)));
     assert!(!refuses(Span::from_secs(6)));
 }
+
+/// Guards against refusals of jobs that would be done in time because larger ones wait.
+#[test]
+fn a_full_pool_accepts_jobs_smaller_than_those_left_behind() {
+    let mut sim = Simulation::new(1);
+    sim.run(Span::from_secs(4));
+    for id in 0..30 {
+        sim.submit(id + 1, best_effort_job());
+    }
+    sim.run(Span::from_secs(25));
+    let estimate = sim.dispatcher.load_estimate(sim.now).unwrap();
+    let refuses = |record: &JobRecord| {
+        let pool = estimate.refuses(&record.queue, &record.spec, Span::ZERO);
+        pool.is_some()
+    };
+    let large = best_effort_job();
+    assert!(refuses(&large));
+    let mut small = large.clone();
+    small.spec.steps[0].count = 1;
+    assert!(!refuses(&small));
+    let mut other = large;
+    other.queue.priority = 3;
+    assert!(!refuses(&other));
+}
--- a/crates/jujubelb/src/node/tests/decoding.rs
+++ b/crates/jujubelb/src/node/tests/decoding.rs
@@ -14,7 +14,7 @@
 use super::super::relay::{HostReport, RelayBatch, RelayResults};
 use crate::dispatch::{
     FullPool, InterferenceModel, JobKey, JobRecord, JobSpec, LoadEstimate, Progress, QueueSettings,
-    Roster, Step,
+    Roster, Step, WorkCut,
 };
 use crate::model::{DomainName, HostName, ServiceName, Span, WallTime};
 
@@ -118,6 +118,10 @@
             service: ServiceName::new("s"),
             jobs: 40,
             limit: 30,
+            cuts: vec![WorkCut {
+                priority: 2,
+                work: 0,
+            }],
             retry_after: Span::from_secs(2),
         }],
     };
--- a/crates/jujubelb/src/node/tests/load.rs
+++ b/crates/jujubelb/src/node/tests/load.rs
@@ -14,7 +14,7 @@
 use super::super::peers::{PeerJobStatus, PeerResponse};
 use super::super::state::{KnownLeader, Node, lock};
 use super::node_with_store;
-use crate::dispatch::{FullPool, JobKey, JobSpec, LoadEstimate, QueueSettings, Step};
+use crate::dispatch::{FullPool, JobKey, JobSpec, LoadEstimate, QueueSettings, Step, WorkCut};
 use crate::model::{HostName, ServiceName, Span, Time};
 use crate::platform::{QueueConfig, Revision};
 
@@ -126,6 +126,10 @@
             service: ServiceName::new("s"),
             jobs: 40,
             limit: 30,
+            cuts: vec![WorkCut {
+                priority: 2,
+                work: 0,
+            }],
             retry_after: Span::from_millis(2_500),
         }],
     }
