Count jobs that stand still at any time in which LOST is judged

The figure of jobs whose runs all stand looked at the last moment only, 37 s after the traffic. It now counts each such stretch from 14 s after the traffic, when LOST is judged. The check stays as it is.

--- a/crates/jujubelb-lab/src/soak/check/idle.rs
+++ b/crates/jujubelb-lab/src/soak/check/idle.rs
@@ -10,7 +10,7 @@
 use crate::emulator::platform::entries::MAX_ATTEMPTS;
 
 /// Time after the end of the traffic from which no job may be idle.
-const FINISH: Duration = Duration::from_secs(14);
+pub(crate) const FINISH: Duration = Duration::from_secs(14);
 
 /// How long a job may be idle from then on.
 const IDLE: Duration = Duration::from_secs(3);
--- a/crates/jujubelb-lab/src/soak/check/mod.rs
+++ b/crates/jujubelb-lab/src/soak/check/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::emulator::history::{Record, What};
 use calm::Calm;
+pub(crate) use idle::FINISH as JUDGED_AFTER;
 
 /// Time after a disturbance in which no bound on time holds.
 const CONTACT: Duration = Duration::from_secs(4);
--- a/crates/jujubelb-lab/src/soak/paused.rs
+++ b/crates/jujubelb-lab/src/soak/paused.rs
@@ -1,26 +1,40 @@
-//! Jobs whose runs all stand still at the end of a soak.
+//! Jobs whose runs all stand still after the traffic.
 
 use std::time::Duration;
 
 use arcstr::ArcStr;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use crate::emulator::history::{Record, What};
+use super::check::JUDGED_AFTER;
+use crate::emulator::history::{Event, Record, What};
 
-/// How long each run of a job has to have been at pace 0.
+/// How long all runs of a job have to be at pace 0 at a stretch.
 const STANDSTILL: Duration = Duration::from_secs(10);
 
-/// Number of jobs of which at least one run is at work on a worker at the end, and each of these has
-/// been at pace 0 for more than 10 s. The rule LOST takes such a run for one that works.
+/// Number of jobs that have runs on workers of which all are at pace 0 for more than 10 s at a
+/// stretch, in the time in which LOST is judged. LOST takes such a run for one that works.
 pub(crate) fn standing_jobs(record: &Record) -> usize {
-    let end = record.events.last().map_or(Duration::ZERO, |e| e.at);
+    let ended = |e: &&Event| e.what == What::TrafficEnded;
+    let Some(start) = record
+        .events
+        .iter()
+        .find(ended)
+        .map(|e| e.at + JUDGED_AFTER)
+    else {
+        return 0;
+    };
     let mut runs = IndexMap::new();
+    let mut since: IndexMap<&ArcStr, Duration> = IndexMap::new();
+    let mut standing = IndexSet::new();
     for event in &record.events {
+        // What holds until this event is the result of earlier ones.
+        let stands = |at: Duration| event.at.saturating_sub(at.max(start)) > STANDSTILL;
+        standing.extend(since.iter().filter(|(_, at)| stands(**at)).map(|(j, _)| *j));
         match &event.what {
             What::Started {
                 worker, task, run, ..
             } => {
-                runs.insert((worker, task, *run), None);
+                runs.insert((worker, task, *run), false);
             }
             What::Paused {
                 worker,
@@ -28,8 +42,8 @@
                 run,
                 paused,
             } => {
-                if let Some(since) = runs.get_mut(&(worker, task, *run)) {
-                    *since = paused.then_some(event.at);
+                if let Some(state) = runs.get_mut(&(worker, task, *run)) {
+                    *state = *paused;
                 }
             }
             What::Ended {
@@ -38,15 +52,18 @@
                 runs.shift_remove(&(worker, task, *run));
             }
             What::Died { worker } => runs.retain(|(life, ..), _| *life != worker),
-            _ => {}
+            _ => continue,
+        }
+        let mut jobs: IndexMap<&ArcStr, bool> = IndexMap::new();
+        for ((_, task, _), paused) in &runs {
+            *jobs.entry(&task.job).or_insert(true) &= paused;
+        }
+        since.retain(|job, _| jobs.get(job).is_some_and(|stands| *stands));
+        for (job, _) in jobs.into_iter().filter(|(_, stands)| *stands) {
+            since.entry(job).or_insert(event.at);
         }
     }
-    let mut jobs: IndexMap<&ArcStr, bool> = IndexMap::new();
-    for ((_, task, _), since) in &runs {
-        let stands = since.is_some_and(|at| end.saturating_sub(at) > STANDSTILL);
-        *jobs.entry(&task.job).or_insert(true) &= stands;
-    }
-    jobs.values().filter(|stands| **stands).count()
+    standing.len()
 }
 
 #[cfg(test)]
--- a/crates/jujubelb-lab/src/soak/paused/tests.rs
+++ b/crates/jujubelb-lab/src/soak/paused/tests.rs
@@ -58,15 +58,18 @@
 fn only_jobs_whose_runs_all_stand_are_counted() {
     let still = vec![(1, started("a", 0)), (2, paused("a", 0, true))];
     let works = vec![(2, started("a", 1))];
-    let resumed = vec![(3, paused("a", 0, false)), (9, paused("a", 0, true))];
-    let gone = vec![(9, What::Died { worker: life() })];
-    let count = |parts: &[&Vec<(u64, What)>]| {
+    let resumed = vec![(20, paused("a", 0, false)), (21, paused("a", 0, true))];
+    let gone = vec![(20, What::Died { worker: life() })];
+    let count = |parts: &[&Vec<(u64, What)>], end| {
         let mut events: Vec<_> = parts.iter().flat_map(|p| p.iter().cloned()).collect();
-        events.push((13, What::TrafficEnded));
+        events.insert(0, (1, What::TrafficEnded));
+        events.push((end, What::FaultEnded { id: 1 }));
         standing_jobs(&record(events))
     };
-    assert_eq!(count(&[&still]), 1);
-    assert_eq!(count(&[&still, &works]), 0);
-    assert_eq!(count(&[&still, &resumed]), 0);
-    assert_eq!(count(&[&still, &gone]), 0);
+    assert_eq!(count(&[&still], 26), 1);
+    assert_eq!(count(&[&still], 25), 0);
+    assert_eq!(count(&[&still, &works], 26), 0);
+    assert_eq!(count(&[&still, &resumed], 30), 0);
+    assert_eq!(count(&[&still, &resumed], 32), 1);
+    assert_eq!(count(&[&still, &gone], 40), 0);
 }
--- a/crates/jujubelb-lab/src/soak/report.rs
+++ b/crates/jujubelb-lab/src/soak/report.rs
@@ -32,7 +32,7 @@
     pub done: usize,
     /// Faults that were done.
     pub faults: usize,
-    /// Jobs of which all runs had been at pace 0 for more than 10 s at the end.
+    /// Jobs of which all runs were at pace 0 for more than 10 s at a stretch, while LOST is judged.
     pub standing: usize,
     violations: Vec<Violation>,
     /// Events around each violation that is shown in detail.
