Slow a run at work when a serving task is above its target

Serving tasks stayed above their target for up to 2 s although a best-effort run at work could be slowed: the run that interferes most by the estimates counts as the cause, also if it is paused already, so that nothing was slowed until all runs of the worker are paused.

The cause is now the most interfering run that is at work.

Test: a_run_at_work_is_slowed_although_a_paused_one_interferes_more fails before, the run at work gets no order (assertion failed: paces.max().is_some_and(|p| p <= 20)).

--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -141,13 +141,18 @@
             let pause_all =
                 above_target.is_some_and(|since| now.since(since) > ABOVE_TARGET_TIMEOUT);
             let paces = paces(worker, &self.slopes, &self.headrooms);
-            let most_interfering = paces.len().saturating_sub(1);
+            // A paused run has no effect, whatever it would take at work.
+            let is_working = |(i, _): &(usize, u32)| {
+                let run = worker.runs.get_index(*i).map(|(_, r)| r);
+                run.is_some_and(|r| r.pace > 0 && r.phase == RunPhase::Running)
+            };
+            let most_interfering = paces.iter().rposition(is_working);
             let sustained = worker.sustained_runs();
             for (rank, (i, new_pace)) in paces.into_iter().enumerate() {
                 let Some((task, tracked)) = worker.runs.get_index_mut(i) else {
                     continue;
                 };
-                let likely_cause = above_target.is_some() && rank == most_interfering;
+                let likely_cause = above_target.is_some() && Some(rank) == most_interfering;
                 if tracked.phase != RunPhase::Running || tracked.must_stop {
                     continue;
                 }
--- a/crates/jujubelb/src/dispatch/tests/paces.rs
+++ b/crates/jujubelb/src/dispatch/tests/paces.rs
@@ -2,8 +2,8 @@
 
 use super::simulation::Fault;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::{Step, TaskKey};
-use crate::model::Span;
+use crate::dispatch::{Order, Step, TaskKey};
+use crate::model::{Span, Time};
 
 fn best_effort(count: u32, estimate: Span) -> Step {
     Step {
@@ -66,3 +66,34 @@
     sim.run(Span::from_secs(20));
     assert_eq!(starts(&sim, |t| t.step.job == key), 1);
 }
+
+/// Guards against a serving task that stays above its target because a paused run counts as the cause.
+#[test]
+fn a_run_at_work_is_slowed_although_a_paused_one_interferes_more() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![long_running(2, 10)]));
+    sim.submit(2, job(2, vec![best_effort(1, Span::from_secs(60))]));
+    sim.submit(3, job(2, vec![best_effort(1, Span::from_secs(60))]));
+    sim.run(Span::from_secs(4));
+    let now = sim.now;
+    let worker = &mut sim.dispatcher.workers[0];
+    assert_eq!(worker.load.best_effort_tasks, 2);
+    let mut last = true;
+    for run in worker.runs.values_mut().rev() {
+        if run.best_effort {
+            run.pace = if last { 0 } else { 40 };
+            run.worker_pace = Some(run.pace);
+            last = false;
+        } else {
+            run.above_target = Some(now);
+        }
+    }
+    worker.pace_adjusted = Time::ZERO;
+    let mut orders = Vec::new();
+    sim.dispatcher.adjust_paces(&mut orders, now);
+    let paces = orders.iter().filter_map(|o| match o.order {
+        Order::Pace { percent, .. } => Some(percent),
+        _ => None,
+    });
+    assert!(paces.max().is_some_and(|p| p <= 20));
+}
