Sustain a paused run that can't be moved

Callers saw a best-effort job whose last task stood still for as long as its worker lacked headroom: a run without checkpoints is not moved, and a step of which no task waits can't starve, so that nothing ended the pause.

Test: a_paused_run_without_checkpoints_goes_on_in_its_turn fails before, the job is not completed 60 s later.

--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -200,6 +200,11 @@
                 };
                 let paused =
                     tracked.pace == 0 && now.since(tracked.pace_changed) > PAUSED_TASK_TIMEOUT;
+                if paused && !tracked.starved && has_checkpoints() == Some(false) {
+                    log::info!(task:% = task, worker:% = name; "sustaining a paused run without checkpoints");
+                    tracked.starved = true;
+                    worker.load.starved_runs += 1;
+                }
                 // Each worker may pause a task of a starved step, so it is moved less often, and
                 // not at all before its turn.
                 let pause = now.since(tracked.pace_changed);
--- a/crates/jujubelb/src/dispatch/tests/paces.rs
+++ b/crates/jujubelb/src/dispatch/tests/paces.rs
@@ -97,3 +97,15 @@
     });
     assert!(paces.max().is_some_and(|p| p <= 20));
 }
+/// Guards against a run that can't be moved and is paused for as long as its worker lacks headroom.
+#[test]
+fn a_paused_run_without_checkpoints_goes_on_in_its_turn() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![long_running(2, 10)]));
+    sim.run(Span::from_millis(2_500));
+    let key = sim.submit(2, job(2, vec![best_effort(1, Span::from_secs(8))]));
+    sim.run(Span::from_millis(200));
+    sim.worker(0).own_tail = 80;
+    sim.run(Span::from_secs(60));
+    assert!(sim.completed.contains_key(&key));
+}
