--- a/crates/jujubelb-lab/src/soak/mod.rs
+++ b/crates/jujubelb-lab/src/soak/mod.rs
@@ -7,10 +7,12 @@
 mod clients;
 mod faults;
 mod operator;
+mod paused;
 mod plan;
 mod processes;
 mod report;
 mod run;
+mod silence;
 
 pub use report::Outcome;
 pub use run::{Options, run};
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -39,6 +39,8 @@
     max_stop: Span::from_millis(400),
     max_early_start: Span::from_millis(250),
     remote_factor: 2.0,
+    evacuation: Span::from_secs(5),
+    drain: Span::from_millis(2_500),
 };
 
 /// Fault of a simulated worker.
@@ -61,6 +63,8 @@
     Stalled,
     /// Every start is refused for lack of capacity.
     NoCapacity,
+    /// Pace orders do not arrive.
+    LostPaces,
 }
 
 /// How a worker comes back after a faulty task has crashed it.
@@ -89,12 +93,25 @@
     image: ArcStr,
     target: Option<Span>,
     pace: u32,
+    /// Duration at full pace.
+    duration: Span,
     /// Remaining duration at full pace; `None` for long-running tasks.
     remaining: Option<Span>,
     stopping: Option<Time>,
     fails: bool,
 }
 
+impl FakeRun {
+    /// Progress in percent; 100 for a long-running task, which is ready.
+    fn percent(&self) -> u32 {
+        let Some(remaining) = self.remaining else {
+            return 100;
+        };
+        let total = self.duration.as_micros().max(1);
+        (total.saturating_sub(remaining.as_micros()) * 100 / total) as u32
+    }
+}
+
 /// A start order that has not arrived at its worker yet.
 #[derive(Debug, Clone, Copy)]
 struct DelayedStart {
@@ -148,6 +165,8 @@
     has_completions: bool,
     /// Interference of best-effort tasks in each of the last steps, in percent of the worker.
     interference: VecDeque<u32>,
+    /// Tail latency of its serving tasks without best-effort tasks, in percent of the target.
+    pub(crate) own_tail: u64,
 }
 
 impl FakeWorker {
@@ -212,7 +231,7 @@
     fn tail_latency(&self, target: Span) -> u64 {
         let sum: u32 = self.interference.iter().sum();
         let mean = sum / (self.interference.len() as u32).max(1);
-        target.as_millis() * 30 / u64::from(100 - mean)
+        target.as_millis() * self.own_tail / u64::from(100 - mean)
     }
 }
 
@@ -239,6 +258,8 @@
     pub(crate) completed: IndexMap<JobKey, Time>,
     /// Whether the store accepts writes.
     pub(crate) store_available: bool,
+    /// Whether the evacuated domains and the entries of workers are read all the time.
+    pub(crate) watches_answered: bool,
     /// Issued tickets by their text, each with its step, its worker and its expiry.
     pub(crate) tickets: IndexMap<ArcStr, (StepKey, WorkerName, Time)>,
     /// Number of starts that were refused because of the ticket.
@@ -338,6 +359,7 @@
             starts: Vec::new(),
             completed: IndexMap::new(),
             store_available: true,
+            watches_answered: true,
             tickets: IndexMap::new(),
             rejected_tickets: 0,
             cancelled: IndexSet::new(),
@@ -384,6 +406,7 @@
             last_poll: Time::ZERO,
             has_completions: false,
             interference: VecDeque::new(),
+            own_tail: 30,
         };
         self.workers.insert(name, worker);
     }
@@ -401,6 +424,13 @@
             .collect();
         self.dispatcher.workers_listed(listed, self.now);
         self.dispatcher.entries_read(self.now);
+        self.confirm_evidence();
+    }
+
+    /// Records that the evacuated domains and the entries of workers have been read now.
+    pub(crate) fn confirm_evidence(&mut self) {
+        self.dispatcher.confirm_evacuations(self.now);
+        self.dispatcher.confirm_entries(self.now);
     }
 
     pub(crate) fn worker(&mut self, i: usize) -> &mut FakeWorker {
@@ -492,8 +522,12 @@
             let arrived = self.dispatcher.last_arrival();
             self.dispatcher.term_confirmed(arrived);
             self.dispatcher.set_authority(self.now);
+            self.dispatcher.set_store_lost(!self.store_available);
             if self.store_available {
                 self.dispatcher.entries_read(self.now);
+                if self.watches_answered {
+                    self.confirm_evidence();
+                }
             }
             let orders = self.dispatcher.plan(self.wall(), self.now);
             for order in orders {
@@ -539,6 +573,13 @@
         self.workers[i].completions.len()
     }
 
+    /// Sets the pace of all best-effort runs on a worker, without an order of the leader.
+    pub(crate) fn set_pace(&mut self, i: usize, percent: u32) {
+        let runs = self.worker(i).runs.values_mut();
+        runs.filter(|r| r.best_effort)
+            .for_each(|r| r.pace = percent);
+    }
+
     /// Number of runs on a worker.
     pub(crate) fn runs_on(&self, i: usize) -> usize {
         self.workers[i].runs.len()
@@ -663,9 +704,7 @@
                         task: *task,
                         run: run.run,
                         checkpoint: None,
-                        percent: run
-                            .remaining
-                            .map_or(100, |remaining| (remaining.as_millis() % 101) as u32),
+                        percent: run.percent(),
                         usage: run
                             .target
                             .map_or(run.size.cpu.0, |t| worker.tail_latency(t)),
@@ -821,11 +860,18 @@
                     .stop_answered(name, *task, *run, reply, now, now);
             }
             Order::Pace { task, run, percent } => {
-                if let Some(tracked) = self.workers[name].runs.get_mut(task)
-                    && tracked.run == *run
-                {
+                let is_lost = matches!(
+                    fault,
+                    Fault::LostPaces | Fault::Partitioned | Fault::Crashed
+                );
+                let listed = self.workers[name].runs.get_mut(task);
+                let tracked = listed.filter(|r| r.run == *run && !is_lost);
+                let accepted = tracked.is_some();
+                if let Some(tracked) = tracked {
                     tracked.pace = *percent;
                 }
+                self.dispatcher
+                    .pace_answered(name, *task, *run, *percent, accepted);
             }
         }
     }
@@ -904,6 +950,7 @@
                 image: step.image.unwrap_or_default(),
                 target: step.target,
                 pace: 100,
+                duration: step.estimate,
                 remaining: (!step.long_running).then_some(step.estimate),
                 stopping: None,
                 fails,
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -5,24 +5,23 @@
 use std::sync::Arc;
 
 use eyre::{Result, eyre};
-use opentelemetry::KeyValue;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::callers::CallerApi;
 use super::config_check::apply_config;
-use super::monitoring::{MonitoringApi, Readiness};
+use super::monitoring::{MonitoringApi, Readiness, register_gauges};
 use super::peers::PeerApi;
 use super::relay::announce_host;
 use super::serve::serve;
-use super::state::{Node, lock, sleep};
+use super::state::{Node, sleep};
 use super::supervision::supervise;
-use super::watch::{WatchEvent, WatchObserver, WatchOptions, watch_prefix};
+use super::watch::{EvidenceDemand, WatchEvent, WatchObserver, WatchOptions, watch_prefix};
 use super::{HostSettings, election};
 use crate::model::{DomainName, Span, Time};
 use crate::platform::{
     CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KvClient, OPERATOR_PREFIX, load_settings,
 };
-use crate::telemetry::{self, Metrics};
+use crate::telemetry::Metrics;
 
 /// Options from the command line.
 #[derive(Debug, Clone)]
@@ -93,31 +92,7 @@
         settings.peer_address,
         PeerApi(node.clone()).routes(),
     );
-    let observed = Arc::downgrade(&node);
-    node.metrics
-        .registry
-        .observable_gauge(&telemetry::CONFIG_EVIDENCE_AGE, move |observe| {
-            if let Some(age) = observed.upgrade().and_then(|n| n.config_age()) {
-                observe(age.as_secs_f64(), &[]);
-            }
-        });
-    let observed = Arc::downgrade(&node);
-    node.metrics
-        .registry
-        .observable_gauge(&telemetry::BEST_EFFORT_JOBS, move |observe| {
-            let term = observed.upgrade().and_then(|n| n.active_term());
-            let loads = term.map(|t| lock(&t.dispatcher).pool_loads());
-            for load in loads.iter().flatten() {
-                let labels = |bound| {
-                    let service = KeyValue::new("service", load.service.to_string());
-                    [service, KeyValue::new("bound", bound)]
-                };
-                observe(f64::from(load.jobs), &labels("present"));
-                if let Some(limit) = load.limit {
-                    observe(f64::from(limit), &labels("limit"));
-                }
-            }
-        });
+    register_gauges(&node);
     if let Some(port) = options.metrics_port {
         let ip: IpAddr = settings.peer_address.ip();
         let address = SocketAddr::new(ip, port);
@@ -195,6 +170,11 @@
 
     fn answered(&mut self, sent: Time) {
         self.0.confirm_config(sent);
+        self.0.confirm_evacuated(sent);
+    }
+
+    fn demand(&self) -> Option<&EvidenceDemand> {
+        Some(&self.0.operator_demand)
     }
 }
 
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -8,6 +8,7 @@
 mod load;
 mod odd_entries;
 mod silent_connections;
+mod start_evidence;
 mod voters;
 mod withdrawn;
 
@@ -48,6 +49,8 @@
             max_stop: Span::from_millis(400),
             max_early_start: Span::ZERO,
             remote_factor: 1.0,
+            evacuation: Span::from_secs(5),
+            drain: Span::from_millis(2_500),
         },
     };
     Node::new(
