--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -72,10 +72,11 @@
         self.decay_slopes(now);
         self.stop_unwanted(&mut orders, now);
         self.adjust_paces(&mut orders, now);
-        if self.may_start(now) {
+        if self.may_start(now) && self.check_evidence(now) {
             self.start_ready(&mut orders, now);
         }
         self.report_waits(now);
+        self.count_load(now);
         orders
     }
 
@@ -459,7 +460,7 @@
         started
     }
 
-    fn mark_starved(&mut self, name: &WorkerName, task: TaskKey) {
+    pub(super) fn mark_starved(&mut self, name: &WorkerName, task: TaskKey) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod simulation;
 
+mod admission;
 mod commits;
 mod confirmation;
 mod crash_evidence;
@@ -22,6 +23,8 @@
 mod queueing;
 mod second_runs;
 mod settling;
+mod start_evidence;
+mod starvation;
 mod stops;
 mod succession;
 mod tickets;
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -5,8 +5,10 @@
 mod config_store;
 mod decoding;
 mod job_write;
+mod load;
 mod odd_entries;
 mod silent_connections;
+mod start_evidence;
 mod voters;
 mod withdrawn;
 
@@ -47,6 +49,8 @@
             max_stop: Span::from_millis(400),
             max_early_start: Span::ZERO,
             remote_factor: 1.0,
+            evacuation: Span::from_secs(5),
+            drain: Span::from_millis(2_500),
         },
     };
     Node::new(
--- a/crates/jujubelb/src/telemetry/metrics.rs
+++ b/crates/jujubelb/src/telemetry/metrics.rs
@@ -68,6 +68,8 @@
     REQUESTS_IN_FLIGHT = "requests_in_flight", Gauge, "1", "", "Requests of callers that are not yet answered";
     ATTEMPTS = "attempts", Counter, "1", "service, end", "Attempts sent to endpoints by how they ended";
     SUBMISSIONS = "submissions", Counter, "1", "code", "Job submissions by result code";
+    LOAD_REFUSALS = "load_refusals", Counter, "1", "cause", "Submissions of best-effort jobs that were refused for load";
+    BEST_EFFORT_JOBS = "best_effort_jobs", Gauge, "1", "service, bound", "Best-effort jobs that have not ended, and the most that may be accepted; only on the leader";
     STORE_CALLS = "store_calls", Counter, "1", "kind, result", "Calls to the store";
     STORE_CALL_DURATION = "store_call_duration", Histogram, "s", "kind", "Duration of calls to the store";
     RELAY_CALLS = "relay_calls", Counter, "1", "result", "Calls to workers through relays by how they ended";
@@ -85,6 +87,9 @@
     CONFIG_EVIDENCE_AGE = "config_evidence_age", Gauge, "s", "", "Age of the evidence that the configuration is in force; absent without evidence";
     QUEUE_LENGTH = "queue_length", Gauge, "1", "queue", "Entries in a bounded queue between threads";
     QUEUE_DROPPED = "queue_dropped", Counter, "1", "queue", "Entries refused because a queue was full";
+    DISPATCH_JOBS = "dispatch_jobs", Gauge, "1", "state", "Jobs of the leader that have not ended: all, and those without a run";
+    DISPATCH_RUNS = "dispatch_runs", Gauge, "1", "state", "Runs of the leader: all, paused ones, and those of starved steps";
+    DISPATCH_CORES = "dispatch_cores", Gauge, "1", "kind", "Cores of the leader's workers: all, reserved, in demand at full pace, and in demand at the present paces";
     OPERATOR_CALLS = "operator_calls", Counter, "1", "code", "Calls of operators by result code";
 }
 
