--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -6,10 +6,12 @@
 //! `docs/platform.md` explains how at most one run per task is guaranteed when the
 //! leader changes or messages are lost.
 
+mod admission;
 mod commit;
 mod completion;
 mod confirmation;
 mod crash;
+mod evidence;
 mod health;
 mod intake;
 mod job;
@@ -39,13 +41,17 @@
 
 use crate::model::{DomainName, FastMap, Span, Time, WallTime, WorkerName, WorkerTime};
 use crate::place::headroom::Slopes;
+use admission::Admission as JobAdmission;
+use evidence::StartEvidence;
 use job::{Job, TaskState};
 use pace::Headrooms;
 use tickets::StepTickets;
 use worker::{Admission, Worker};
 
+pub use admission::{FullPool, LoadEstimate, PoolLoad, WorkCut};
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
+pub use evidence::MissingEvidence;
 pub use job_spec::{
     JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_JOB,
     MAX_TASKS_PER_STEP, QueueSettings, Run, Schedule, Step, StepKey, TaskKey,
@@ -73,6 +79,10 @@
     pub max_early_start: Span,
     /// Factor by which a task takes longer away from its data.
     pub remote_factor: f64,
+    /// Time after its acknowledgement from which nothing may start in an evacuated domain.
+    pub evacuation: Span,
+    /// Time after its acknowledgement from which nothing may start on a draining worker.
+    pub drain: Span,
 }
 
 /// A leader's term.
@@ -235,6 +245,8 @@
     step_tickets: IndexMap<StepKey, StepTickets>,
     /// Failure domains in which no task may start.
     evacuated: IndexSet<DomainName>,
+    /// How old the knowledge of evacuated domains and draining workers is.
+    evidence: StartEvidence,
     /// Number of changes in this term that had to become durable.
     change_count: u64,
     /// Jobs with changes that are not durable yet, in the order in which they were last
@@ -254,6 +266,8 @@
     waits_reported: Time,
     /// How many more unhealthy workers may be probed in this pass.
     probe_slots: usize,
+    /// Bound on the best-effort jobs that are accepted.
+    admission: JobAdmission,
     /// Set when a worker has refused an order or a poll because of a higher token.
     deposed: bool,
 }
@@ -305,6 +319,7 @@
             last_decay: now,
             step_tickets: IndexMap::new(),
             evacuated: IndexSet::new(),
+            evidence: StartEvidence::default(),
             change_count: 0,
             dirty_jobs: IndexSet::new(),
             withdrawn: IndexMap::new(),
@@ -313,6 +328,7 @@
             timely_waited: now,
             waits_reported: now,
             probe_slots: 0,
+            admission: JobAdmission::default(),
             deposed: false,
         };
         for entry in &roster.workers {
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod simulation;
 
+mod admission;
 mod commits;
 mod confirmation;
 mod crash_evidence;
@@ -17,10 +18,12 @@
 mod leases;
 mod odd_workers;
 mod overlapping_terms;
+mod paces;
 mod paused_leaders;
 mod queueing;
 mod second_runs;
 mod settling;
+mod start_evidence;
 mod starvation;
 mod stops;
 mod succession;
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -12,9 +12,12 @@
 use super::config_check::ConfigReads;
 use super::keys::Leader;
 use super::known_config::{ActiveConfig, KnownConfig};
+use super::known_load::{KnownLoad, LoadRefusal};
 use super::leader::ActiveTerm;
 use super::relay::Carrier;
 use super::voters::Voter;
+use super::watch::EvidenceDemand;
+use crate::dispatch::{JobSpec, LoadEstimate, QueueSettings};
 use crate::model::{DomainName, Span, Time, WallTime};
 use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, Revision};
 use crate::telemetry::{self, Clock, Metrics};
@@ -68,6 +71,7 @@
     pub(crate) store_calls: Counter<u64>,
     pub(crate) store_durations: Histogram<f64>,
     pub(crate) relay_calls: Counter<u64>,
+    pub(crate) load_refusals: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -78,6 +82,7 @@
             store_calls: registry.counter(&telemetry::STORE_CALLS),
             store_durations: registry.duration_histogram(&telemetry::STORE_CALL_DURATION),
             relay_calls: registry.counter(&telemetry::RELAY_CALLS),
+            load_refusals: registry.counter(&telemetry::LOAD_REFUSALS),
             registry,
         }
     }
@@ -95,9 +100,14 @@
     /// Reads of the configuration by requests, one at a time.
     pub(crate) config_reads: tokio::sync::Mutex<ConfigReads>,
     evacuated: Mutex<IndexSet<DomainName>>,
+    /// When the last call was sent whose answer has shown all evacuated domains.
+    evacuations_proven: Mutex<Option<Time>>,
+    /// What the leader of this process asks of the watch of the operator's keys.
+    pub(crate) operator_demand: EvidenceDemand,
     /// Whether the operator's keys have been read once.
     operator_state_known: AtomicBool,
     leader: Mutex<KnownLeader>,
+    load: Mutex<KnownLoad>,
     /// Notified when the leader, the evacuated domains or the draining state change.
     pub(crate) state_changed: Notify,
     /// Calls that this process makes for the leader.
@@ -130,8 +140,11 @@
             config: Mutex::default(),
             config_reads: tokio::sync::Mutex::default(),
             evacuated: Mutex::new(IndexSet::new()),
+            evacuations_proven: Mutex::new(None),
+            operator_demand: EvidenceDemand::default(),
             operator_state_known: AtomicBool::new(false),
             leader: Mutex::new(KnownLeader::Unknown),
+            load: Mutex::default(),
             state_changed: Notify::new(),
             carrier: Carrier::default(),
             active_term: Mutex::new(None),
@@ -200,6 +213,17 @@
         lock(&self.evacuated).clone()
     }
 
+    /// Records that a call to the store sent at this time has shown all evacuated domains.
+    pub(crate) fn confirm_evacuated(&self, sent: Time) {
+        let mut proven = lock(&self.evacuations_proven);
+        *proven = (*proven).max(Some(sent));
+    }
+
+    /// When the last call was sent whose answer has shown all evacuated domains.
+    pub(crate) fn evacuations_proven(&self) -> Option<Time> {
+        *lock(&self.evacuations_proven)
+    }
+
     pub(crate) fn change_evacuated(&self, change: impl FnOnce(&mut IndexSet<DomainName>)) {
         change(&mut lock(&self.evacuated));
         self.state_changed.notify_waiters();
@@ -251,6 +275,24 @@
         }
     }
 
+    /// Records the estimate in the leader's answer to a call that was sent at this time.
+    pub(crate) fn learn_load(&self, estimate: Option<LoadEstimate>, sent: Time) {
+        lock(&self.load).learn(estimate, sent, self.leader_revision());
+    }
+
+    /// Why a submission is to be refused for load; `None` if it is to be accepted.
+    pub(crate) fn load_refusal(
+        &self,
+        queue: &QueueSettings,
+        spec: &JobSpec,
+    ) -> Option<LoadRefusal> {
+        let now = self.now();
+        if let Some(term) = self.active_term() {
+            self.learn_load(lock(&term.dispatcher).load_estimate(now), now);
+        }
+        lock(&self.load).refuses(queue, spec, self.leader_revision(), now)
+    }
+
     /// Whether the leader key, as this host knows it, names the term of this process with a
     /// nonce.
     pub(crate) fn is_known_leader(&self, nonce: u64) -> bool {
