--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -141,13 +141,18 @@
             let pause_all =
                 above_target.is_some_and(|since| now.since(since) > ABOVE_TARGET_TIMEOUT);
             let paces = paces(worker, &self.slopes, &self.headrooms);
-            let most_interfering = paces.len().saturating_sub(1);
+            // A paused run has no effect, whatever it would take at work.
+            let is_working = |(i, _): &(usize, u32)| {
+                let run = worker.runs.get_index(*i).map(|(_, r)| r);
+                run.is_some_and(|r| r.pace > 0 && r.phase == RunPhase::Running)
+            };
+            let most_interfering = paces.iter().rposition(is_working);
             let sustained = worker.sustained_runs();
             for (rank, (i, new_pace)) in paces.into_iter().enumerate() {
                 let Some((task, tracked)) = worker.runs.get_index_mut(i) else {
                     continue;
                 };
-                let likely_cause = above_target.is_some() && rank == most_interfering;
+                let likely_cause = above_target.is_some() && Some(rank) == most_interfering;
                 if tracked.phase != RunPhase::Running || tracked.must_stop {
                     continue;
                 }
@@ -195,6 +200,11 @@
                 };
                 let paused =
                     tracked.pace == 0 && now.since(tracked.pace_changed) > PAUSED_TASK_TIMEOUT;
+                if paused && !tracked.starved && has_checkpoints() == Some(false) {
+                    log::info!(task:% = task, worker:% = name; "sustaining a paused run without checkpoints");
+                    tracked.starved = true;
+                    worker.load.starved_runs += 1;
+                }
                 // Each worker may pause a task of a starved step, so it is moved less often, and
                 // not at all before its turn.
                 let pause = now.since(tracked.pace_changed);
