Move paused runs off a worker that stays above its target

Callers saw an accepted job with a run that never worked while another worker had headroom: as long as all best-effort runs of a worker are paused because of a serving task above its target, none was moved. If that task is there by its own load, the pause has no end, and its step is not starved since it has a run.

Such runs are moved after a pause of 5 s, if they have checkpoints, as starved ones are anyway.

Test: a_paused_run_leaves_a_worker_that_stays_above_its_target fails before, the job is not completed 150 s later.

--- a/crates/jujubelb/src/dispatch/pace.rs
+++ b/crates/jujubelb/src/dispatch/pace.rs
@@ -38,7 +38,7 @@
 /// about a second for the stop and the restore of a checkpoint; load peaks last longer.
 const PAUSED_TASK_TIMEOUT: Span = Span::from_millis(800);
 
-/// The same for a task of a starved step.
+/// The same for a task of a starved step, and while all best-effort tasks of a worker are paused.
 const STARVED_TASK_TIMEOUT: Span = Span::from_secs(5);
 
 /// Minimum time between two adjustments on a worker without a poll in between.
@@ -205,11 +205,16 @@
                     tracked.starved = true;
                     worker.load.starved_runs += 1;
                 }
-                // Each worker may pause a task of a starved step, so it is moved less often, and
-                // not at all before its turn.
+                // Other workers may pause a task of a starved step as well, as may all while their
+                // serving tasks are above their targets, so these are moved less often. A task
+                // of a starved step is not moved before its turn.
                 let pause = now.since(tracked.pace_changed);
-                let is_due = is_sustained && pause > STARVED_TASK_TIMEOUT;
-                let may_move = !pause_all && (!tracked.starved || is_due);
+                let is_due = pause > STARVED_TASK_TIMEOUT;
+                let may_move = match (tracked.starved, pause_all) {
+                    (true, _) => is_sustained && is_due,
+                    (false, true) => is_due,
+                    (false, false) => true,
+                };
                 if paused && may_move && has_checkpoints() == Some(true) {
                     log::info!(task:% = task, worker:% = name; "stopping a paused best-effort task to move it to another worker");
                     tracked.must_stop = true;
--- a/crates/jujubelb/src/dispatch/tests/starvation.rs
+++ b/crates/jujubelb/src/dispatch/tests/starvation.rs
@@ -100,3 +100,26 @@
     let idle = longest_idle(&mut sim, &late, Span::from_secs(30));
     assert!(idle < Span::from_secs(9), "{idle}");
 }
+
+/// Guards against a run that stays paused on a worker whose serving tasks are above their target by
+/// their own load, while another worker has headroom.
+#[test]
+fn a_paused_run_leaves_a_worker_that_stays_above_its_target() {
+    let mut sim = Simulation::new(2);
+    sim.worker(0).own_tail = 85;
+    sim.worker(1).own_tail = 85;
+    sim.submit(1, job(0, vec![long_running(2, 40)]));
+    sim.run(BASELINE);
+    let late = sim.submit(2, job(2, vec![harmful(1, Span::from_secs(30))]));
+    sim.run(Span::from_secs(15));
+    let runs_there = |sim: &Simulation, i: usize| {
+        let mut runs = sim.dispatcher.workers[i].runs.values();
+        runs.any(|r| r.starved)
+    };
+    let place = usize::from(!runs_there(&sim, 0));
+    assert!(runs_there(&sim, place));
+    sim.worker(place).own_tail = 120;
+    sim.worker(1 - place).own_tail = 30;
+    sim.run(Span::from_secs(150));
+    assert!(sim.completed.contains_key(&late));
+}
