Let one run of each starved step go on before a second one

Callers of a job with one run waited behind several runs of one step of another job: since paused runs that can't be moved are sustained, a step may have several such runs, and the four of a worker that go on were the oldest of all.

The oldest run of each step now comes before a second one of any.

Test: one_run_of_each_step_goes_on_before_a_second_one fails before, all four are of one job. Found by a review.

--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -14,6 +14,8 @@
 //! How long a step starves depends on the number of starved steps, since few such runs are
 //! allowed while other work is in time. Once no such work waits, the idle capacity is theirs.
 
+use indexmap::IndexSet;
+
 use super::Dispatcher;
 use super::WorkerOrder;
 use super::job::{StepState, Task, TaskState};
@@ -213,7 +215,7 @@
     }
 
     /// The runs of starved steps that go on where the estimates leave them nothing: the oldest
-    /// ones that are not about to be stopped.
+    /// ones that are not about to be stopped, one of each step before a second one.
     pub(super) fn sustained_runs(&self) -> Vec<TaskKey> {
         if self.load.starved_runs == 0 {
             return Vec::new();
@@ -222,6 +224,8 @@
         let starved = runs.filter(|(_, r)| r.starved && !r.must_stop);
         let mut starved: Vec<(Time, TaskKey)> = starved.map(|(t, r)| (r.since, *t)).collect();
         starved.sort_unstable();
+        let mut steps = IndexSet::new();
+        starved.sort_by_cached_key(|(_, task)| !steps.insert(task.step));
         starved.truncate(MAX_SUSTAINED_PER_WORKER);
         starved.into_iter().map(|(_, task)| task).collect()
     }
--- a/crates/jujubelb/src/dispatch/tests/starvation.rs
+++ b/crates/jujubelb/src/dispatch/tests/starvation.rs
@@ -140,3 +140,18 @@
         assert!(longest < Span::from_secs(4), "{own_tail} %: {longest}");
     }
 }
+
+/// Guards against jobs whose only run never has its turn behind several runs of one step.
+#[test]
+fn one_run_of_each_step_goes_on_before_a_second_one() {
+    let mut sim = Simulation::new(1);
+    let wide = sim.submit(1, job(2, vec![harmful(6, Span::from_secs(60))]));
+    sim.run(Span::from_millis(300));
+    let single = sim.submit(2, job(2, vec![harmful(1, Span::from_secs(60))]));
+    sim.run(Span::from_secs(1));
+    let worker = &mut sim.dispatcher.workers[0];
+    worker.runs.values_mut().for_each(|r| r.starved = true);
+    worker.update_load();
+    let jobs: Vec<_> = worker.sustained_runs().iter().map(|t| t.step.job).collect();
+    assert!(jobs.contains(&single) && jobs.contains(&wide), "{jobs:?}");
+}
