Request tickets for refused steps that can be in time

Callers of queues with a policy service saw a job without a run for as long as its objective lasted: tickets of starved steps were requested for late ones only, although a refused step now starts earlier.

Both use the same condition now.

Test: tickets_are_requested_for_refused_steps_that_can_be_in_time fails before, nothing starts in 30 s.

--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -87,10 +87,8 @@
             .iter()
             .filter_map(|(rank, key)| {
                 let refused = self.ready_step(*key)?.1.refused;
-                let may_starve = is_due(refused)
-                    && (rank.is_late() || self.is_refused(*key, now))
-                    && self.is_starved(*key, now);
-                may_starve.then_some((refused, rank.latest_start(), *key))
+                let needs_run = is_due(refused) && self.needs_run(rank, *key, now);
+                needs_run.then_some((refused, rank.latest_start(), *key))
             })
             .collect();
         starved.sort_unstable();
@@ -123,6 +121,11 @@
         self.waiting_tasks(key) != waiting
     }
 
+    /// Whether a step is starved and has waited for long enough to get a run beyond the estimates.
+    pub(super) fn needs_run(&self, rank: &StepRank, key: StepKey, now: Time) -> bool {
+        (rank.is_late() || self.is_refused(key, now)) && self.is_starved(key, now)
+    }
+
     /// Whether a best-effort step has a task that could start, and no run that makes progress or
     /// will in its turn.
     pub(super) fn is_starved(&self, key: StepKey, now: Time) -> bool {
--- a/crates/jujubelb/src/dispatch/tests/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tests/tickets.rs
@@ -185,3 +185,23 @@
     }
     assert!(sim.completed.contains_key(&key));
 }
+
+/// Guards against a refused job that has no ticket for as long as it can be in time.
+#[test]
+fn tickets_are_requested_for_refused_steps_that_can_be_in_time() {
+    let mut sim = Simulation::new(1);
+    sim.worker(0).own_tail = 85;
+    sim.submit(1, job(0, vec![long_running(2, 10)]));
+    sim.run(Span::from_millis(2_500));
+    let batch = Step {
+        image: Some("heavy".into()),
+        best_effort: true,
+        ..step(1, 6, Span::from_secs(120))
+    };
+    let key = sim.submit(2, with_policy_service(job(2, vec![batch])));
+    for _ in 0..150 {
+        sim.grant_tickets(&[0], Span::from_secs(2));
+        sim.run(Span::from_millis(200));
+    }
+    assert!(sim.starts.iter().any(|(_, _, t, _)| t.step.job == key));
+}
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -97,7 +97,7 @@
         steps.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
         let mut renewal: Option<(Time, TicketRequest)> = None;
         for (rank, key) in steps {
-            let starved = rank.is_late() && self.is_starved(key, now);
+            let starved = self.needs_run(&rank, key, now);
             let Some(request) = self.ticket_request_for(key, starved, now) else {
                 continue;
             };
