Count jobs with a schedule once an occurrence is due

Callers of best-effort jobs were refused while all workers were idle: jobs with a schedule whose first occurrence is not due counted as jobs that need a run, and as left behind once they were older than their objective.

A job counts from the beginning of its first occurrence, and its objective with it.

Test: jobs_that_are_not_due_take_no_part_of_the_limit fails before, 40 jobs that are due in an hour fill a pool with a limit of 28. Found by a review.

--- a/crates/jujubelb/src/dispatch/admission.rs
+++ b/crates/jujubelb/src/dispatch/admission.rs
@@ -116,7 +116,8 @@
 impl Admission {
     /// Counts a job that has just been accepted.
     pub(super) fn job_accepted(&mut self, queue: &QueueSettings, spec: &JobSpec) {
-        if spec.steps.iter().any(|s| s.best_effort) {
+        // A job with a schedule is counted once an occurrence is due.
+        if spec.schedule.is_none() && spec.steps.iter().any(|s| s.best_effort) {
             let pool = self.pools.entry(queue.service.clone()).or_default();
             pool.jobs += 1;
             pool.update();
@@ -317,7 +318,8 @@
 
 /// Whether a job has missed its objective before any task of it has started.
 fn is_left_behind(job: &Job, now: Time) -> bool {
-    !job.started && now.since(job.accepted) > rank::objective(job)
+    let due = job.occurrences.iter().map(|o| o.since).min();
+    !job.started && due.is_some_and(|due| now.since(due) > rank::objective(job))
 }
 
 /// Estimated processor time of an occurrence, in core-milliseconds.
@@ -330,9 +332,13 @@
 }
 
 /// Least memory in bytes with which a job can have a run now: that of the smallest best-effort task
-/// of its open steps that wait for no other; `None` if the job has no best-effort tasks. The steps of
+/// of its open steps that wait for no other; `None` if the job has no best-effort tasks, or no
+/// occurrence is due. The steps of
 /// many jobs are at different points, so later, larger ones are in the mean as well.
 fn needed_memory(job: &Job) -> Option<u64> {
+    if job.occurrences.is_empty() {
+        return None;
+    }
     let steps = &job.record.spec.steps;
     let best_effort = || steps.iter().filter(|s| s.best_effort);
     let smallest = best_effort().map(|s| s.size.memory.0).min()?;
--- a/crates/jujubelb/src/dispatch/tests/admission.rs
+++ b/crates/jujubelb/src/dispatch/tests/admission.rs
@@ -4,7 +4,9 @@
 
 use super::simulation::TIME_STEP;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::{FullPool, JobKey, JobRecord, JobStatus, LoadEstimate, Step, WorkCut};
+use crate::dispatch::{
+    FullPool, JobKey, JobRecord, JobStatus, LoadEstimate, Schedule, Step, WorkCut,
+};
 use crate::model::{Bytes, Resources, ServiceName, Span, Time};
 
 const WORKERS: usize = 4;
@@ -332,3 +334,22 @@
     other.queue.priority = 3;
     assert!(!refuses(&other));
 }
+
+/// Guards against refusals while the workers are idle, because of jobs that are not due yet.
+#[test]
+fn jobs_that_are_not_due_take_no_part_of_the_limit() {
+    let mut sim = Simulation::new(WORKERS);
+    sim.run(Span::from_secs(4));
+    for id in 0..40 {
+        let mut record = best_effort_job();
+        record.spec.schedule = Some(Schedule {
+            first: sim.wall() + Span::from_secs(3_600),
+            interval: Span::from_secs(60),
+            count: 3,
+        });
+        sim.submit(id + 1, record);
+    }
+    sim.run(Span::from_secs(60));
+    let estimate = sim.dispatcher.load_estimate(sim.now).unwrap();
+    assert_eq!(estimate.full, []);
+}
