Let starts go on if newer evidence does not come

Callers would wait for as long as the store is slow: starts wait for newer evidence on evacuations and draining workers while the store answers other calls, and a store that needs 0.8 s for each page may answer these and never the read in time.

Starts wait for 2 s at most. The bounds on evacuations and draining workers don't hold while the store is disturbed, and a disturbance is what such an outage of the watch shows.

Test: starts_go_on_when_newer_evidence_does_not_come fails before, nothing has started after 12 s. Found by a review.

--- a/crates/jujubelb/src/dispatch/evidence.rs
+++ b/crates/jujubelb/src/dispatch/evidence.rs
@@ -16,6 +16,10 @@
 /// is answered after a second at the latest, so that evidence is at most about 2 s old.
 const START_MARGIN: Span = Span::from_millis(150);
 
+/// Longest time for which starts wait for newer evidence. A store that answers neither the watch nor
+/// a read for so long is disturbed, and the bounds don't hold then; callers wait all the same.
+const MAX_HOLD: Span = Span::from_secs(2);
+
 /// What is known of the store, and since when.
 #[derive(Debug, Default)]
 pub(super) struct StartEvidence {
@@ -85,6 +89,7 @@
         let missing = self.missing_evidence(now);
         let age = |known: Option<Time>| known.map(|sent| now.since(sent));
         let is_sufficient = missing == MissingEvidence::default();
+        let is_over = self.is_hold_over(now);
         match (is_sufficient, self.evidence.held_since) {
             (false, None) => {
                 self.evidence.held_since = Some(now);
@@ -96,7 +101,13 @@
             }
             _ => {}
         }
-        is_sufficient
+        is_sufficient || is_over
+    }
+
+    /// Whether starts have waited for newer evidence for so long that they go on without it.
+    fn is_hold_over(&self, now: Time) -> bool {
+        let held = self.evidence.held_since.map(|since| now.since(since));
+        held.is_some_and(|held| held >= MAX_HOLD)
     }
 
     /// Whether a start order that has waited may still be sent as far as evacuations and draining
@@ -105,6 +116,7 @@
         let is_open = self.workers.get(name).is_some_and(|worker| {
             worker.drain_deadline.is_none() && !self.evacuated.contains(&worker.report.domain)
         });
-        is_open && self.missing_with(WAY_MARGIN, now) == MissingEvidence::default()
+        let missing = self.missing_with(WAY_MARGIN, now);
+        is_open && (missing == MissingEvidence::default() || self.is_hold_over(now))
     }
 }
--- a/crates/jujubelb/src/dispatch/tests/start_evidence.rs
+++ b/crates/jujubelb/src/dispatch/tests/start_evidence.rs
@@ -102,3 +102,13 @@
     sim.list_workers();
     assert!(!is_permitted(&sim, sim.now));
 }
+
+/// Guards against starts that stop for as long as the store answers other calls only.
+#[test]
+fn starts_go_on_when_newer_evidence_does_not_come() {
+    let mut sim = Simulation::new(2);
+    run_unanswered(&mut sim, Span::from_secs(6));
+    assert_eq!(starts_after_submission(&mut sim, 1), 0);
+    run_unanswered(&mut sim, Span::from_secs(6));
+    assert_eq!(sim.starts.len(), 1);
+}
