Use plain names for late jobs without a start, and shorten test comments

is_left_behind becomes is_late_unstarted, WorkCut SizeLimit, and the soak's standing jobs are paused jobs, which is what they are. No behaviour changes.

--- a/crates/jujubelb-lab/src/soak/paused.rs
+++ b/crates/jujubelb-lab/src/soak/paused.rs
@@ -13,7 +13,7 @@
 
 /// Number of jobs that have runs on workers of which all are at pace 0 for more than 10 s at a
 /// stretch, in the time in which LOST is judged. LOST takes such a run for one that works.
-pub(crate) fn standing_jobs(record: &Record) -> usize {
+pub(crate) fn paused_jobs(record: &Record) -> usize {
     let ended = |e: &&Event| e.what == What::TrafficEnded;
     let Some(start) = record
         .events
@@ -25,11 +25,11 @@
     };
     let mut runs = IndexMap::new();
     let mut since: IndexMap<&ArcStr, Duration> = IndexMap::new();
-    let mut standing = IndexSet::new();
+    let mut found = IndexSet::new();
     for event in &record.events {
         // What holds until this event is the result of earlier ones.
         let stands = |at: Duration| event.at.saturating_sub(at.max(start)) > STANDSTILL;
-        standing.extend(since.iter().filter(|(_, at)| stands(**at)).map(|(j, _)| *j));
+        found.extend(since.iter().filter(|(_, at)| stands(**at)).map(|(j, _)| *j));
         match &event.what {
             What::Started {
                 worker, task, run, ..
@@ -63,7 +63,7 @@
             since.entry(job).or_insert(event.at);
         }
     }
-    standing.len()
+    found.len()
 }
 
 #[cfg(test)]
--- a/crates/jujubelb-lab/src/soak/paused/tests.rs
+++ b/crates/jujubelb-lab/src/soak/paused/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::standing_jobs;
+use super::paused_jobs;
 use crate::emulator::history::{Event, Life, Record, TaskName, What};
 
 fn record(events: Vec<(u64, What)>) -> Record {
@@ -53,7 +53,7 @@
     }
 }
 
-/// Guards against a figure that takes runs at work, or ones paused for a moment, for standing ones.
+/// Guards against a figure that takes runs at work, or ones paused for a moment, for jobs that stand still.
 #[test]
 fn only_jobs_whose_runs_all_stand_are_counted() {
     let still = vec![(1, started("a", 0)), (2, paused("a", 0, true))];
@@ -64,7 +64,7 @@
         let mut events: Vec<_> = parts.iter().flat_map(|p| p.iter().cloned()).collect();
         events.insert(0, (1, What::TrafficEnded));
         events.push((end, What::FaultEnded { id: 1 }));
-        standing_jobs(&record(events))
+        paused_jobs(&record(events))
     };
     assert_eq!(count(&[&still], 26), 1);
     assert_eq!(count(&[&still], 25), 0);
--- a/crates/jujubelb-lab/src/soak/report.rs
+++ b/crates/jujubelb-lab/src/soak/report.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::check::Violation;
-use super::paused::standing_jobs;
+use super::paused::paused_jobs;
 use crate::emulator::history::{Answer, Event, Record, RunEnd, What};
 
 /// Events that are shown before and after a violation.
@@ -33,7 +33,7 @@
     /// Faults that were done.
     pub faults: usize,
     /// Jobs of which all runs were at pace 0 for more than 10 s at a stretch, while LOST is judged.
-    pub standing: usize,
+    pub paused: usize,
     violations: Vec<Violation>,
     /// Events around each violation that is shown in detail.
     details: Vec<String>,
@@ -72,7 +72,7 @@
                 )
             }),
             faults: count(|w| matches!(w, What::FaultBegan { .. })),
-            standing: standing_jobs(record),
+            paused: paused_jobs(record),
             details: details.map(|v| around(record, v)).collect(),
             violations,
         }
@@ -117,8 +117,8 @@
         let verdict = if self.is_clean() { "clean" } else { "BROKEN" };
         writeln!(
             out,
-            "seed {}: {verdict}; accepted {}, started {}, done {}, faults {}, standing jobs {}",
-            self.seed, self.accepted, self.started, self.done, self.faults, self.standing
+            "seed {}: {verdict}; accepted {}, started {}, done {}, faults {}, paused jobs {}",
+            self.seed, self.accepted, self.started, self.done, self.faults, self.paused
         )?;
         for (index, violation) in self.violations.iter().enumerate() {
             writeln!(out, "  {violation}")?;
--- a/crates/jujubelb/src/dispatch/admission.rs
+++ b/crates/jujubelb/src/dispatch/admission.rs
@@ -72,7 +72,7 @@
     /// Whether new jobs are refused.
     full: bool,
     /// What a full pool refuses, by priority.
-    cuts: Vec<WorkCut>,
+    size_limits: Vec<SizeLimit>,
     /// Jobs that ended in the present window.
     ended: u32,
     /// Jobs that ended in the last whole window; `None` before the first.
@@ -148,7 +148,7 @@
 
 /// Size from which jobs of a priority have no chance of being done in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WorkCut {
+pub struct SizeLimit {
     /// Priority of the queues whose jobs were compared.
     pub priority: u8,
     /// Estimated processor time of an occurrence in core-milliseconds.
@@ -165,7 +165,7 @@
     /// Most best-effort jobs that may be accepted at a time.
     pub limit: u32,
     /// What is refused; jobs of other priorities and smaller ones are accepted.
-    pub cuts: Vec<WorkCut>,
+    pub size_limits: Vec<SizeLimit>,
     /// Time after which a refused caller is asked to come back.
     pub retry_after: Span,
 }
@@ -194,8 +194,11 @@
             return None;
         }
         let pool = self.full.iter().find(|p| p.service == queue.service)?;
-        let cut = pool.cuts.iter().find(|c| c.priority == queue.priority)?;
-        (work(&spec.steps) >= cut.work).then_some(pool)
+        let limit = pool
+            .size_limits
+            .iter()
+            .find(|c| c.priority == queue.priority)?;
+        (work(&spec.steps) >= limit.work).then_some(pool)
     }
 }
 
@@ -219,7 +222,7 @@
             service: service.clone(),
             jobs: pool.jobs,
             limit: pool.limit.unwrap_or_default(),
-            cuts: pool.cuts.clone(),
+            size_limits: pool.size_limits.clone(),
             retry_after: pool.retry_after(),
         });
         Some(LoadEstimate {
@@ -252,10 +255,10 @@
                 let service = job.record.queue.service.clone();
                 let demand = demands.entry(service).or_default();
                 demand.add(memory);
-                if is_left_behind(job, now) {
+                if is_late_unstarted(job, now) {
                     let priority = job.record.queue.priority;
-                    let left_behind = demand.left_behind.entry(priority).or_default();
-                    left_behind.push(work(&job.record.spec.steps));
+                    let late_works = demand.late_works.entry(priority).or_default();
+                    late_works.push(work(&job.record.spec.steps));
                 }
             }
         }
@@ -275,7 +278,7 @@
                 let limit = runs * (100 - MARGIN_PERCENT) / 100;
                 u32::try_from(limit).unwrap_or(u32::MAX).max(MIN_LIMIT)
             });
-            pool.cuts = demand.cuts();
+            pool.size_limits = demand.size_limits();
             let was_full = pool.full;
             pool.update();
             if pool.full != was_full {
@@ -291,7 +294,7 @@
     jobs: u32,
     memory: u64,
     /// Work of the jobs that are left behind, by priority.
-    left_behind: IndexMap<u8, Vec<u64>>,
+    late_works: IndexMap<u8, Vec<u64>>,
 }
 
 impl Demand {
@@ -306,18 +309,18 @@
     }
 
     /// Sizes from which jobs have no chance, by the sizes of those that are left behind.
-    fn cuts(self) -> Vec<WorkCut> {
-        let cut = |(priority, mut works): (u8, Vec<u64>)| {
+    fn size_limits(self) -> Vec<SizeLimit> {
+        let limit = |(priority, mut works): (u8, Vec<u64>)| {
             works.sort_unstable();
             let work = *works.get(works.len() * SMALLER_LATE_PERCENT / 100)?;
-            Some(WorkCut { priority, work })
+            Some(SizeLimit { priority, work })
         };
-        self.left_behind.into_iter().filter_map(cut).collect()
+        self.late_works.into_iter().filter_map(limit).collect()
     }
 }
 
 /// Whether a job has missed its objective before any task of it has started.
-fn is_left_behind(job: &Job, now: Time) -> bool {
+fn is_late_unstarted(job: &Job, now: Time) -> bool {
     let due = job.occurrences.iter().map(|o| o.since).min();
     !job.started && due.is_some_and(|due| now.since(due) > rank::objective(job))
 }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -48,7 +48,7 @@
 use tickets::StepTickets;
 use worker::{Admission, Worker};
 
-pub use admission::{FullPool, LoadEstimate, PoolLoad, WorkCut};
+pub use admission::{FullPool, LoadEstimate, PoolLoad, SizeLimit};
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
 pub use evidence::MissingEvidence;
--- a/crates/jujubelb/src/dispatch/tests/admission.rs
+++ b/crates/jujubelb/src/dispatch/tests/admission.rs
@@ -5,7 +5,7 @@
 use super::simulation::TIME_STEP;
 use super::{Simulation, job, long_running, step};
 use crate::dispatch::{
-    FullPool, JobKey, JobRecord, JobStatus, LoadEstimate, Schedule, Step, WorkCut,
+    FullPool, JobKey, JobRecord, JobStatus, LoadEstimate, Schedule, SizeLimit, Step,
 };
 use crate::model::{Bytes, Resources, ServiceName, Span, Time};
 
@@ -264,7 +264,7 @@
             service: ServiceName::new("desk"),
             jobs: 40,
             limit: 30,
-            cuts: vec![WorkCut {
+            size_limits: vec![SizeLimit {
                 priority: 2,
                 work: 0,
             }],
@@ -313,7 +313,7 @@
 
 /// Guards against refusals of jobs that would be done in time because larger ones wait.
 #[test]
-fn a_full_pool_accepts_jobs_smaller_than_those_left_behind() {
+fn a_full_pool_accepts_jobs_smaller_than_late_ones() {
     let mut sim = Simulation::new(1);
     sim.run(Span::from_secs(4));
     for id in 0..30 {
--- a/crates/jujubelb/src/dispatch/tests/start_evidence.rs
+++ b/crates/jujubelb/src/dispatch/tests/start_evidence.rs
@@ -22,8 +22,7 @@
     sim.starts.len()
 }
 
-/// Guards against a start on a worker that has been draining for longer than the bound, by a leader
-/// whose watch has no answer while the store has one for others.
+/// Guards against a start on a draining worker by a leader whose watch alone has no answer.
 #[test]
 fn nothing_starts_on_old_entries_while_the_store_answers() {
     let mut sim = Simulation::new(2);
@@ -80,8 +79,7 @@
     assert_eq!(missing(&sim).entries, Some(oldest));
 }
 
-/// Guards against a start that has waited for others, and whose worker drains or whose domain is
-/// evacuated by now, or of which that is not known any more.
+/// Guards against a start that has waited and is sent to a worker that drains or is evacuated by now.
 #[test]
 fn a_start_that_has_waited_is_checked_again() {
     let mut sim = Simulation::new(1);
--- a/crates/jujubelb/src/dispatch/tests/starvation.rs
+++ b/crates/jujubelb/src/dispatch/tests/starvation.rs
@@ -101,8 +101,7 @@
     assert!(idle < Span::from_secs(9), "{idle}");
 }
 
-/// Guards against a run that stays paused on a worker whose serving tasks are above their target by
-/// their own load, while another worker has headroom.
+/// Guards against a run that stays paused beside a loaded serving task while another worker has room.
 #[test]
 fn a_paused_run_leaves_a_worker_that_stays_above_its_target() {
     let mut sim = Simulation::new(2);
--- a/crates/jujubelb/src/node/tests/decoding.rs
+++ b/crates/jujubelb/src/node/tests/decoding.rs
@@ -14,7 +14,7 @@
 use super::super::relay::{HostReport, RelayBatch, RelayResults};
 use crate::dispatch::{
     FullPool, InterferenceModel, JobKey, JobRecord, JobSpec, LoadEstimate, Progress, QueueSettings,
-    Roster, Step, WorkCut,
+    Roster, SizeLimit, Step,
 };
 use crate::model::{DomainName, HostName, ServiceName, Span, WallTime};
 
@@ -118,7 +118,7 @@
             service: ServiceName::new("s"),
             jobs: 40,
             limit: 30,
-            cuts: vec![WorkCut {
+            size_limits: vec![SizeLimit {
                 priority: 2,
                 work: 0,
             }],
--- a/crates/jujubelb/src/node/tests/load.rs
+++ b/crates/jujubelb/src/node/tests/load.rs
@@ -14,7 +14,7 @@
 use super::super::peers::{PeerJobStatus, PeerResponse};
 use super::super::state::{KnownLeader, Node, lock};
 use super::node_with_store;
-use crate::dispatch::{FullPool, JobKey, JobSpec, LoadEstimate, QueueSettings, Step, WorkCut};
+use crate::dispatch::{FullPool, JobKey, JobSpec, LoadEstimate, QueueSettings, SizeLimit, Step};
 use crate::model::{HostName, ServiceName, Span, Time};
 use crate::platform::{QueueConfig, Revision};
 
@@ -126,7 +126,7 @@
             service: ServiceName::new("s"),
             jobs: 40,
             limit: 30,
-            cuts: vec![WorkCut {
+            size_limits: vec![SizeLimit {
                 priority: 2,
                 work: 0,
             }],
@@ -169,8 +169,7 @@
     );
 }
 
-/// Guards against "not accepted" for a job that is stored and runs, since its caller has not seen
-/// the first answer.
+/// Guards against "not accepted" for a repeated submission whose job is stored and runs.
 #[tokio::test]
 async fn a_job_that_is_stored_is_accepted_by_a_host_with_a_full_pool() {
     let (node, store) = host(Found::Job).await;
@@ -265,8 +264,7 @@
     Vote(bool),
 }
 
-/// Guards against hosts of two versions that can't decode each other's answers during a restart of
-/// one after the other.
+/// Guards against hosts of two versions that can't decode each other's answers.
 #[test]
 fn hosts_of_two_versions_decode_each_others_answers() {
     let load = Some(full_pool(Span::from_millis(20)));
--- a/crates/jujubelb/src/node/tests/silent_connections.rs
+++ b/crates/jujubelb/src/node/tests/silent_connections.rs
@@ -70,8 +70,7 @@
     }
 }
 
-/// Guards against calls to a worker or a host that try one silent connection after the other, and
-/// against new connections to all peers because of one.
+/// Guards against calls to a peer that try one silent connection after the other.
 #[tokio::test]
 async fn calls_skip_the_idle_connections_of_a_peer_that_went_silent() {
     let client = HttpClient::new().unwrap();
@@ -90,8 +89,7 @@
     assert_eq!(sound.connections(), JOINT_READS);
 }
 
-/// Guards against a worker that answers only now and then and gets a new set of connections after
-/// each call without an answer.
+/// Guards against a new set of connections after each call that a hanging worker does not answer.
 #[tokio::test]
 async fn a_peer_that_hangs_gets_at_most_one_connection_a_call() {
     let client = HttpClient::new().unwrap();
--- a/crates/jujubelb/src/node/tests/start_evidence.rs
+++ b/crates/jujubelb/src/node/tests/start_evidence.rs
@@ -33,8 +33,7 @@
     (node, store, watch)
 }
 
-/// Guards against tasks that wait until a watch is answered that may wait for a second, and against
-/// one call to the store for each of them.
+/// Guards against tasks that wait for a watch, or cost one call to the store each.
 #[tokio::test]
 async fn evidence_that_tasks_wait_for_is_read_once_and_at_once() {
     let (node, store, watch) = watching_node().await;
@@ -49,8 +48,7 @@
     assert_eq!(store.answered("/kv-range"), 1);
 }
 
-/// Guards against tasks that wait until the watch has found a connection that is answered, or for
-/// the end of a gap in the store's history, in which it answers no watch.
+/// Guards against tasks that wait while the store answers reads and no watch.
 #[tokio::test]
 async fn evidence_that_a_watch_does_not_bring_is_read() {
     let (node, store, watch) = watching_node().await;
--- a/crates/jujubelb/src/platform/tests/generations.rs
+++ b/crates/jujubelb/src/platform/tests/generations.rs
@@ -37,8 +37,7 @@
     assert_eq!(present, [Some(1), Some(2), None]);
 }
 
-/// Guards against a record that grows with each worker that was ever lost, and against a number
-/// that is used again, under which idle connections may still be open.
+/// Guards against a record that grows with each lost worker, and against numbers that are reused.
 #[test]
 fn old_generations_are_forgotten_and_their_numbers_not_used_again() {
     let mut peers = PeerGenerations::default();
