--- a/crates/jujubelb/src/dispatch/admission.rs
+++ b/crates/jujubelb/src/dispatch/admission.rs
@@ -293,7 +293,7 @@
 struct Demand {
     jobs: u32,
     memory: u64,
-    /// Work of the jobs that are left behind, by priority.
+    /// Work of the late jobs without a start, by priority.
     late_works: IndexMap<u8, Vec<u64>>,
 }
 
@@ -308,7 +308,7 @@
         (self.jobs > 0).then(|| (self.memory / u64::from(self.jobs)).max(1))
     }
 
-    /// Sizes from which jobs have no chance, by the sizes of those that are left behind.
+    /// Sizes from which jobs have no chance, by the sizes of late ones without a start.
     fn size_limits(self) -> Vec<SizeLimit> {
         let limit = |(priority, mut works): (u8, Vec<u64>)| {
             works.sort_unstable();
