--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -3,8 +3,9 @@
 //!
 //! Best-effort tasks start only where they leave serving tasks enough headroom, and steps that can
 //! still be in time go first. Neither rule ends the wait of a step that is refused again and
-//! again. A starved step therefore gets one run, the oldest step first, also where the task
-//! may take more than is left. If a run of it is paused, that run is sustained instead.
+//! again. A starved step therefore gets one run, also where the task may take more than is left: the
+//! oldest step first, those that no worker took a moment ago after the others. If a run of the step
+//! is paused, that run is sustained instead.
 //!
 //! On each worker the oldest such runs go on at the lowest pace if need be, and are paused only
 //! while the tail latency of a serving task is above its target. The others wait there for their
