Let starved steps start while a few tasks that can be in time wait

Cause: runs of starved steps were limited to 5 % of the workers as long as any task that can be in time had waited within 2 s. After the traffic the next steps of running jobs become ready one after another.

The limit now depends on how many such tasks wait: it holds from one for ten workers on. The highest number of the last 2 s counts.

The new test fails before with 112 of 120 jobs without a run.

--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -45,6 +45,7 @@
 use evidence::StartEvidence;
 use job::{Job, TaskState};
 use pace::Headrooms;
+use starvation::TimelyDemand;
 use tickets::StepTickets;
 use worker::{Admission, Worker};
 
@@ -260,8 +261,8 @@
     expired_jobs: IndexSet<JobKey>,
     /// Whether the durable roster differs from the workers in use.
     roster_dirty: bool,
-    /// When a step that can be in time last waited after a pass.
-    timely_waited: Time,
+    /// Tasks that passes have left waiting although they can be in time.
+    timely_demand: TimelyDemand,
     /// When it was last reported why a step waits.
     waits_reported: Time,
     /// How many more unhealthy workers may be probed in this pass.
@@ -325,7 +326,7 @@
             withdrawn: IndexMap::new(),
             expired_jobs: IndexSet::new(),
             roster_dirty: false,
-            timely_waited: now,
+            timely_demand: TimelyDemand::new(now),
             waits_reported: now,
             probe_slots: 0,
             admission: JobAdmission::default(),
--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -12,8 +12,10 @@
 //! turn. Only memory limits how many they are, so that each step has a run as long as the
 //! workers together have memory for it.
 //!
-//! How long a step starves depends on the number of starved steps, since few such runs are
-//! allowed while other work is in time. Once no such work waits, the idle capacity is theirs.
+//! How long a step starves depends on the number of starved steps, since few such runs are allowed
+//! while many tasks wait that can be in time. Once few do, the idle capacity goes to starved steps.
+
+use std::collections::VecDeque;
 
 use indexmap::IndexSet;
 
@@ -30,15 +32,20 @@
 /// with workers less than half in use beside work that waited.
 pub(super) const MAX_SUSTAINED_PER_WORKER: usize = 4;
 
-/// Runs of starved steps, in percent of the number of workers, while steps wait that can be in
+/// Runs of starved steps, in percent of the number of workers, while many tasks wait that can be in
 /// time. With one on each worker, a fifth fewer jobs were in time.
 const MAX_STARVED_BESIDE_TIMELY_PERCENT: usize = 5;
 
+/// Workers for each task that waits and can be in time from which on starved steps get runs
+/// without that limit. In overload more such tasks wait than there are workers. When it is over, the next
+/// steps of running jobs still become ready, a few at a time.
+const WORKERS_PER_TIMELY_TASK: usize = 10;
+
 /// Least number of runs of starved steps that are allowed, so that small fleets start some too.
 const MIN_STARVED_RUNS: usize = 2;
 
-/// How long no step that can be in time has to have waited before the idle capacity goes to
-/// starved steps. In overload there are moments without any such step between two arrivals.
+/// How long few tasks that can be in time have to have waited before the idle capacity goes to
+/// starved steps. In overload there are moments without any such task between two arrivals.
 const TIMELY_GAP: Span = Span::from_secs(2);
 
 /// Wait after which a step that can be in time counts as refused by all workers. Its objective may
@@ -63,6 +70,40 @@
 /// Pause before a starved step for which no worker was found is tried again.
 const REFUSED_PAUSE: Span = Span::from_secs(1);
 
+/// How many tasks passes have left waiting that can be in time and have not been refused.
+#[derive(Debug)]
+pub(super) struct TimelyDemand {
+    /// Numbers of the last [`TIMELY_GAP`] with their times, without those that a later one reaches: the
+    /// first is the highest.
+    recent: VecDeque<(Time, usize)>,
+}
+
+impl TimelyDemand {
+    /// The demand at the beginning of a term, of which nothing is known.
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            recent: VecDeque::from([(now, usize::MAX)]),
+        }
+    }
+
+    /// Takes the number that a pass has left waiting.
+    fn record(&mut self, tasks: usize, now: Time) {
+        while self.recent.back().is_some_and(|(_, t)| *t <= tasks) {
+            self.recent.pop_back();
+        }
+        let is_over = |(at, _): &(Time, usize)| now.since(*at) >= TIMELY_GAP;
+        while self.recent.front().is_some_and(is_over) {
+            self.recent.pop_front();
+        }
+        self.recent.push_back((now, tasks));
+    }
+
+    /// Highest number in the last [`TIMELY_GAP`].
+    pub(super) fn highest(&self) -> usize {
+        self.recent.front().map_or(0, |(_, tasks)| *tasks)
+    }
+}
+
 impl Dispatcher {
     /// Starts one task each of starved steps. `ranked` are the finite steps of this pass.
     pub(super) fn start_starved(
@@ -71,13 +112,12 @@
         orders: &mut Vec<WorkerOrder>,
         now: Time,
     ) {
-        let is_timely = |(rank, key): &(StepRank, StepKey)| {
-            !rank.is_late() && self.waiting_tasks(*key) > 0 && !self.is_refused(*key, now)
-        };
-        if ranked.iter().any(is_timely) {
-            self.timely_waited = now;
-        }
-        let slots = self.starved_slots(now).min(MAX_STARTS_PER_PASS);
+        let timely = ranked
+            .iter()
+            .filter(|(rank, key)| !rank.is_late() && !self.is_refused(*key, now));
+        let waiting = timely.map(|(_, key)| self.waiting_tasks(*key) as usize);
+        self.timely_demand.record(waiting.sum(), now);
+        let slots = self.starved_slots().min(MAX_STARTS_PER_PASS);
         if slots == 0 {
             return;
         }
@@ -188,14 +228,19 @@
 
     /// How many more starved steps may get a run. Paused runs don't count, since they may stay
     /// paused for as long as the load of the serving tasks is high.
-    fn starved_slots(&self, now: Time) -> usize {
-        if now.since(self.timely_waited) >= TIMELY_GAP {
+    fn starved_slots(&self) -> usize {
+        let in_use = || self.workers.values().filter(|w| w.fenced && w.listed);
+        let workers = in_use().count();
+        let kept = self
+            .timely_demand
+            .highest()
+            .saturating_mul(WORKERS_PER_TIMELY_TASK);
+        if kept <= workers {
             return usize::MAX;
         }
-        let in_use = || self.workers.values().filter(|w| w.fenced && w.listed);
-        let limit = in_use().count() * MAX_STARVED_BESIDE_TIMELY_PERCENT / 100;
+        let limit = (workers * MAX_STARVED_BESIDE_TIMELY_PERCENT / 100).max(MIN_STARVED_RUNS);
         let running: usize = in_use().map(Worker::active_starved_runs).sum();
-        limit.max(MIN_STARVED_RUNS).saturating_sub(running)
+        limit.saturating_sub(running)
     }
 }
 
--- a/crates/jujubelb/src/dispatch/tests/starvation.rs
+++ b/crates/jujubelb/src/dispatch/tests/starvation.rs
@@ -154,3 +154,26 @@
     let jobs: Vec<_> = worker.sustained_runs().iter().map(|t| t.step.job).collect();
     assert!(jobs.contains(&single) && jobs.contains(&wide), "{jobs:?}");
 }
+
+/// Guards against a backlog without runs because a few steps that can be in time keep coming.
+#[test]
+fn a_backlog_starts_beside_a_few_timely_steps() {
+    let workers = 40;
+    let mut sim = Simulation::new(workers);
+    (0..workers).for_each(|i| sim.worker(i).own_tail = 70);
+    sim.submit(1, job(0, vec![long_running(workers as u32, 40)]));
+    sim.run(BASELINE);
+    let late: Vec<_> = (2..122)
+        .map(|id| sim.submit(id, job(2, vec![harmful(1, Span::from_secs(1))])))
+        .collect();
+    // Their objective ends after 2.5 s.
+    sim.run(Span::from_secs(3));
+    let mut idle = Vec::new();
+    for id in 200..210 {
+        sim.submit(id, job(2, vec![harmful(1, Span::from_secs(60))]));
+        sim.run(Span::from_secs(1));
+        let has_none = |k: &&JobKey| !sim.completed.contains_key(*k) && sim.running(**k) == 0;
+        idle.push(late.iter().filter(has_none).count());
+    }
+    assert_eq!(idle.last(), Some(&0), "{idle:?}");
+}
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -122,8 +122,8 @@
         let starved = self.starved_refusals(key, now);
         let starved = starved.map_or_else(|| "no".to_owned(), |s| s.to_string());
         let (placed, paused) = self.placed_runs(key);
-        let timely_age = now.since(self.timely_waited);
-        log::info!(step:% = key, queue:% = job.record.queue.prefix, tasks = state.waiting, placed = placed, paused = paused, waited:% = wait, age:% = age, rank:? = rank, hold:% = hold, starved:% = starved, timely_age:% = timely_age; "step waits");
+        let timely = self.timely_demand.highest();
+        log::info!(step:% = key, queue:% = job.record.queue.prefix, tasks = state.waiting, placed = placed, paused = paused, waited:% = wait, age:% = age, rank:? = rank, hold:% = hold, starved:% = starved, timely = timely; "step waits");
         if let Some(state) = self
             .jobs
             .get_mut(&key.job)
