Start the next task of a late job before its run has ended

Cause: a starved step gets one run, and the next one only once the end of the first is known. On a leader with a tenth of a core that takes 60 to 250 ms each time. So the rule is likely to be judged from more than one moment and not from the whole span; by its text these jobs had something running. That is supposed, not shown. 26 of 286 jobs are between two runs at a time in that log, which lacks some lines.

Ruled out: the limit of starved runs (none held, no task in time waited), memory, a paused run (both were at full pace) and the resets of connections (49 s earlier).

Once no other work is held back by it, a run that ends within 300 ms by its progress does not count any more, so that the next task of the step starts.

--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -24,7 +24,7 @@
 use super::job::{StepState, Task, TaskState};
 use super::job_spec::{StepKey, TaskKey};
 use super::rank::StepRank;
-use super::worker::{TrackedRun, Worker};
+use super::worker::{RunPhase, TrackedRun, Worker};
 use crate::model::{Span, Time, WorkerName};
 
 /// Most runs of starved steps on a worker that go on where the estimates leave them nothing. Four
@@ -60,6 +60,13 @@
 /// full pace until its first pace order, and latencies are reported over half a second.
 const START_HOLD: Span = Span::from_secs(2);
 
+/// Time from the end of a run until one that is ordered because of it has begun: the end is listed, a
+/// pass plans the start, and its order is sent. The leader of a small fleet has a tenth of a core.
+const START_TIME: Span = Span::from_millis(300);
+
+/// Longest time since its worker's last answer for which the progress of a run is extrapolated.
+const MAX_REPORT_AGE: Span = Span::from_secs(1);
+
 /// Most starved steps that get a run in one pass, which bounds its time.
 const MAX_STARTS_PER_PASS: usize = 60;
 
@@ -76,6 +83,8 @@
     /// Numbers of the last [`TIMELY_GAP`] with their times, without those that a later one reaches: the
     /// first is the highest.
     recent: VecDeque<(Time, usize)>,
+    /// Number of workers in use at the last pass.
+    workers: usize,
 }
 
 impl TimelyDemand {
@@ -83,11 +92,13 @@
     pub(super) fn new(now: Time) -> Self {
         Self {
             recent: VecDeque::from([(now, usize::MAX)]),
+            workers: 0,
         }
     }
 
-    /// Takes the number that a pass has left waiting.
-    fn record(&mut self, tasks: usize, now: Time) {
+    /// Takes the number that a pass has left waiting, and the number of workers in use.
+    fn record(&mut self, tasks: usize, workers: usize, now: Time) {
+        self.workers = workers;
         while self.recent.back().is_some_and(|(_, t)| *t <= tasks) {
             self.recent.pop_back();
         }
@@ -102,6 +113,11 @@
     pub(super) fn highest(&self) -> usize {
         self.recent.front().map_or(0, |(_, tasks)| *tasks)
     }
+
+    /// Whether so few such tasks wait that the idle capacity goes to starved steps.
+    fn is_low(&self) -> bool {
+        self.highest().saturating_mul(WORKERS_PER_TIMELY_TASK) <= self.workers
+    }
 }
 
 impl Dispatcher {
@@ -116,7 +132,9 @@
             .iter()
             .filter(|(rank, key)| !rank.is_late() && !self.is_refused(*key, now));
         let waiting = timely.map(|(_, key)| self.waiting_tasks(*key) as usize);
-        self.timely_demand.record(waiting.sum(), now);
+        let waiting = waiting.sum();
+        let workers = self.workers_in_use().count();
+        self.timely_demand.record(waiting, workers, now);
         let slots = self.starved_slots().min(MAX_STARTS_PER_PASS);
         if slots == 0 {
             return;
@@ -168,17 +186,28 @@
     }
 
     /// Whether a best-effort step has a task that could start, and no run that makes progress or
-    /// will in its turn.
+    /// will in its turn, other than one that is about to end.
     pub(super) fn is_starved(&self, key: StepKey, now: Time) -> bool {
         let Some((job, state)) = self.ready_step(key) else {
             return false;
         };
-        let spec = job.record.spec.steps.get(usize::from(key.step));
-        spec.is_some_and(|s| s.best_effort && !s.gang)
+        let Some(spec) = job.record.spec.steps.get(usize::from(key.step)) else {
+            return false;
+        };
+        // Beside work that can be in time, a job waits for the end of its run.
+        let is_ahead = self.timely_demand.is_low();
+        let leaves_idle = |(_, name, run): (TaskKey, &WorkerName, Option<&TrackedRun>)| {
+            let worker = self.workers.get(name);
+            run.is_some_and(|r| {
+                (r.pace == 0 && !r.starved)
+                    || is_ahead
+                        && worker.is_some_and(|w| r.is_ending(spec.estimate, w.last_answer, now))
+            })
+        };
+        spec.best_effort
+            && !spec.gang
             && state.tasks.iter().any(|t| self.is_startable(t, now))
-            && self
-                .runs_of(key, state)
-                .all(|(_, _, run)| run.is_some_and(|r| r.pace == 0 && !r.starved))
+            && self.runs_of(key, state).all(leaves_idle)
     }
 
     /// Whether a task of a ready step has waited for so long that all workers refuse it.
@@ -229,19 +258,32 @@
     /// How many more starved steps may get a run. Paused runs don't count, since they may stay
     /// paused for as long as the load of the serving tasks is high.
     fn starved_slots(&self) -> usize {
-        let in_use = || self.workers.values().filter(|w| w.fenced && w.listed);
-        let workers = in_use().count();
-        let kept = self
-            .timely_demand
-            .highest()
-            .saturating_mul(WORKERS_PER_TIMELY_TASK);
-        if kept <= workers {
+        if self.timely_demand.is_low() {
             return usize::MAX;
         }
+        let workers = self.workers_in_use().count();
         let limit = (workers * MAX_STARVED_BESIDE_TIMELY_PERCENT / 100).max(MIN_STARVED_RUNS);
-        let running: usize = in_use().map(Worker::active_starved_runs).sum();
+        let running: usize = self.workers_in_use().map(Worker::active_starved_runs).sum();
         limit.saturating_sub(running)
     }
+
+    fn workers_in_use(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values().filter(|w| w.fenced && w.listed)
+    }
+}
+
+impl TrackedRun {
+    /// Whether the run, of which the worker last told at `reported`, ends before a run that is ordered
+    /// now begins.
+    fn is_ending(&self, estimate: Span, reported: Time, now: Time) -> bool {
+        if self.phase != RunPhase::Running || self.pace == 0 {
+            return false;
+        }
+        let left = u64::from(100 - self.percent.min(100));
+        let remaining = estimate.scale_up(left, self.pace.into());
+        let since = now.since(reported).min(MAX_REPORT_AGE);
+        remaining <= since + START_TIME
+    }
 }
 
 impl Worker {
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -163,6 +163,10 @@
     delayed_starts: Vec<DelayedStart>,
     last_poll: Time,
     has_completions: bool,
+    /// How long the leader takes to learn of an end, beyond the time of a step.
+    pub(crate) notice_delay: Span,
+    /// When the leader polls for ends that it has not been told of.
+    notice_at: Option<Time>,
     /// Interference of best-effort tasks in each of the last steps, in percent of the worker.
     interference: VecDeque<u32>,
     /// Tail latency of its serving tasks without best-effort tasks, in percent of the target.
@@ -196,6 +200,15 @@
         }
     }
 
+    /// Whether it has ends that the leader polls for now.
+    fn is_end_noticed(&mut self, now: Time) -> bool {
+        if !self.has_completions {
+            self.notice_at = None;
+            return false;
+        }
+        now >= *self.notice_at.get_or_insert(now + self.notice_delay)
+    }
+
     fn used(&self) -> Resources {
         self.runs
             .values()
@@ -405,6 +418,8 @@
             delayed_starts: Vec::new(),
             last_poll: Time::ZERO,
             has_completions: false,
+            notice_delay: Span::ZERO,
+            notice_at: None,
             interference: VecDeque::new(),
             own_tail: 30,
         };
@@ -652,8 +667,8 @@
             let now = self.now;
             let due = self
                 .workers
-                .get(&name)
-                .is_some_and(|w| w.has_completions || now.since(w.last_poll) >= POLL_INTERVAL);
+                .get_mut(&name)
+                .is_some_and(|w| w.is_end_noticed(now) || now.since(w.last_poll) >= POLL_INTERVAL);
             // The leader polls a worker that it has reached and not admitted without a pause.
             let known = &self.dispatcher.workers[&name];
             if due || (known.fenced && !known.is_admitted()) {
--- a/crates/jujubelb/src/dispatch/tests/starvation.rs
+++ b/crates/jujubelb/src/dispatch/tests/starvation.rs
@@ -1,8 +1,9 @@
 //! Late best-effort steps that each worker refuses.
 
+use super::simulation::TIME_STEP;
 use super::{Simulation, job, long_running, step};
 use crate::dispatch::{JobKey, Step};
-use crate::model::Span;
+use crate::model::{Span, Time};
 
 /// Time in which the headroom of serving tasks without neighbours becomes known.
 const BASELINE: Span = Span::from_millis(2_500);
@@ -177,3 +178,29 @@
     }
     assert_eq!(idle.last(), Some(&0), "{idle:?}");
 }
+
+/// Guards against jobs that stand still from the end of each of their runs until it is known.
+#[test]
+fn a_late_job_goes_on_while_the_end_of_its_run_is_not_known() {
+    let mut sim = Simulation::new(1);
+    sim.worker(0).notice_delay = Span::from_millis(300);
+    sim.submit(1, job(0, vec![long_running(2, 10)]));
+    sim.run(BASELINE);
+    let tasks = 20;
+    let late = sim.submit(2, job(2, vec![harmful(tasks, Span::from_secs(1))]));
+    sim.run(Span::from_secs(8));
+    assert!(sim.running(late) > 0);
+    let is_over = |sim: &Simulation| {
+        let done = sim.done.iter().filter(|t| t.step.job == late);
+        done.count() == tasks as usize
+    };
+    let mut idle = Span::ZERO;
+    while !is_over(&sim) && sim.now < Time::from_millis(120_000) {
+        sim.run(TIME_STEP);
+        if sim.running(late) == 0 && !is_over(&sim) {
+            idle += TIME_STEP;
+        }
+    }
+    assert!(is_over(&sim));
+    assert_eq!(idle, Span::ZERO);
+}
