Hold starved steps back for four seconds after many tasks in time have waited

Callers lost timely results between bursts: with the limit of starved runs lifted 2 s after many tasks in time have waited, the next burst finds the workers taken.

--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -45,8 +45,9 @@
 const MIN_STARVED_RUNS: usize = 2;
 
 /// How long few tasks that can be in time have to have waited before the idle capacity goes to
-/// starved steps. In overload there are moments without any such task between two arrivals.
-const TIMELY_GAP: Span = Span::from_secs(2);
+/// starved steps. Bursts follow one another after some seconds, and each finds the workers taken
+/// that starved steps got between them.
+const TIMELY_GAP: Span = Span::from_secs(4);
 
 /// Wait after which a step that can be in time counts as refused by all workers. Its objective may
 /// last for minutes, and nothing else would end its wait or that of others behind it.
