Bound the starts of starved steps by their answers, and search fewer workers for them

Cause: a start of a starved step cost a search of all workers, and the number of starts in a pass did not depend on whether the leader and its links keep up.

A worker is now chosen among 48, other ones with each search; a step whose data has a rack, and one that none of the 48 admits, searches all. Steps get runs while fewer than 240 starts have no answer, at most 60 in a pass as before.

--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -263,6 +263,8 @@
     roster_dirty: bool,
     /// Tasks that passes have left waiting although they can be in time.
     timely_demand: TimelyDemand,
+    /// Index of the first worker of the next search that does not visit all.
+    search_start: usize,
     /// When it was last reported why a step waits.
     waits_reported: Time,
     /// How many more unhealthy workers may be probed in this pass.
@@ -327,6 +329,7 @@
             expired_jobs: IndexSet::new(),
             roster_dirty: false,
             timely_demand: TimelyDemand::new(now),
+            search_start: 0,
             waits_reported: now,
             probe_slots: 0,
             admission: JobAdmission::default(),
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -12,6 +12,7 @@
 use super::job_spec::{JobRecord, Run, Step, StepKey, TaskKey};
 use super::placement::{self, Obstacle, PlacementRequest};
 use super::rank::{self, StepRank};
+use super::starvation::SEARCHED_WORKERS;
 use super::worker::{RunPhase, TrackedRun, Worker};
 use super::{Dispatcher, Order, WorkerOrder};
 use crate::model::{Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime};
@@ -435,7 +436,10 @@
         }
         let (key, step) = (request.key, request.step);
         // A start changes the cost of its own worker only, so one search serves all tasks.
-        let mut candidates = self.candidates(request, now);
+        let mut candidates = match request.starved && step.data_rack.is_none() {
+            true => self.some_candidates(request, now),
+            false => self.candidates(request, now),
+        };
         let mut tasks_by_worker: IndexMap<WorkerName, u32> = IndexMap::new();
         let mut started = 0;
         for &index in tasks {
@@ -634,6 +638,29 @@
             .collect()
     }
 
+    /// The same among [`SEARCHED_WORKERS`], other ones with each search; among all if none of
+    /// these qualifies.
+    fn some_candidates(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        now: Time,
+    ) -> BinaryHeap<Reverse<Candidate>> {
+        let count = self.workers.len();
+        if count <= SEARCHED_WORKERS {
+            return self.candidates(request, now);
+        }
+        let first = self.search_start % count;
+        self.search_start = first + SEARCHED_WORKERS;
+        let found: BinaryHeap<_> = (first..first + SEARCHED_WORKERS)
+            .filter_map(|i| self.candidate(i % count, request, now))
+            .map(Reverse)
+            .collect();
+        match found.is_empty() {
+            true => self.candidates(request, now),
+            false => found,
+        }
+    }
+
     /// The worker with an index, with its cost, if a task could start on it now.
     fn candidate(
         &self,
--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -71,6 +71,14 @@
 /// Most starved steps that get a run in one pass, which bounds its time.
 const MAX_STARTS_PER_PASS: usize = 60;
 
+/// Most starts without an answer beside which starved steps get runs. A leader or a link that is full
+/// answers later and gets fewer, since its polls have to keep the leases of all runs.
+const MAX_STARTS_IN_FLIGHT: usize = 240;
+
+/// Workers among which the one for a task of a starved step is chosen. Most workers admit such a task,
+/// so that a search of a whole large fleet would cost more and find little better.
+pub(super) const SEARCHED_WORKERS: usize = 48;
+
 /// Most starved steps for which no worker is found in one pass. Each costs a search of all
 /// workers.
 const MAX_REFUSALS_PER_PASS: usize = 12;
@@ -136,7 +144,11 @@
         let waiting = waiting.sum();
         let workers = self.workers_in_use().count();
         self.timely_demand.record(waiting, workers, now);
-        let slots = self.starved_slots().min(MAX_STARTS_PER_PASS);
+        let unanswered = MAX_STARTS_IN_FLIGHT.saturating_sub(self.starts_in_flight());
+        let slots = self
+            .starved_slots()
+            .min(MAX_STARTS_PER_PASS)
+            .min(unanswered);
         if slots == 0 {
             return;
         }
@@ -268,6 +280,12 @@
         limit.saturating_sub(running)
     }
 
+    /// Number of start orders that have no answer yet.
+    fn starts_in_flight(&self) -> usize {
+        let runs = self.workers_in_use().flat_map(|w| w.runs.values());
+        runs.filter(|r| r.phase == RunPhase::Starting).count()
+    }
+
     fn workers_in_use(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values().filter(|w| w.fenced && w.listed)
     }
--- a/crates/jujubelb/src/dispatch/tests/starvation.rs
+++ b/crates/jujubelb/src/dispatch/tests/starvation.rs
@@ -2,7 +2,7 @@
 
 use super::simulation::TIME_STEP;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::{JobKey, Step};
+use crate::dispatch::{JobKey, Order, Step, WorkerOrder};
 use crate::model::{Span, Time};
 
 /// Time in which the headroom of serving tasks without neighbours becomes known.
@@ -204,3 +204,26 @@
     assert!(is_over(&sim));
     assert_eq!(idle, Span::ZERO);
 }
+
+/// Guards against a full leader that starts so many late jobs that leases lapse.
+#[test]
+fn late_jobs_wait_while_many_starts_have_no_answer() {
+    let workers = 100;
+    let mut sim = Simulation::new(workers);
+    (0..workers).for_each(|i| sim.worker(i).own_tail = 70);
+    sim.submit(1, job(0, vec![long_running(workers as u32, 40)]));
+    sim.run(BASELINE);
+    for id in 2..802 {
+        sim.submit(id, job(2, vec![harmful(2, Span::from_secs(20))]));
+    }
+    // They count as refused after 2 s, and are held back for 4 s after they counted as in time.
+    sim.run(Span::from_millis(5_900));
+    let mut starts = 0;
+    for _ in 0..20 {
+        sim.now = sim.now + TIME_STEP;
+        let orders = sim.dispatcher.plan(sim.wall(), sim.now);
+        let is_start = |o: &&WorkerOrder| matches!(o.order, Order::Start { .. });
+        starts += orders.iter().filter(is_start).count();
+    }
+    assert!((1..=240).contains(&starts), "{starts}");
+}
