Reword comments on the limits of starved runs, and name a condition

A reader has to untangle one nested condition and two sentences. No decision changes: the tests of starved steps pass as before.

--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -36,9 +36,9 @@
 /// time. With one on each worker, a fifth fewer jobs were in time.
 const MAX_STARVED_BESIDE_TIMELY_PERCENT: usize = 5;
 
-/// Workers for each task that waits and can be in time from which on starved steps get runs
-/// without that limit. In overload more such tasks wait than there are workers. When it is over, the next
-/// steps of running jobs still become ready, a few at a time.
+/// Number of workers for each waiting task that can be in time from which on starved steps get runs
+/// without that limit. In overload more such tasks wait than there are workers. After it the next steps of
+/// running jobs become ready, a few at a time.
 const WORKERS_PER_TIMELY_TASK: usize = 10;
 
 /// Least number of runs of starved steps that are allowed, so that small fleets start some too.
@@ -71,8 +71,8 @@
 /// Most starved steps that get a run in one pass, which bounds its time.
 const MAX_STARTS_PER_PASS: usize = 60;
 
-/// Most starts without an answer beside which starved steps get runs. A leader or a link that is full
-/// answers later and gets fewer, since its polls have to keep the leases of all runs.
+/// Most starts without an answer beside which starved steps get runs: those of four passes. If the leader
+/// or its link is full, answers come later and fewer runs start, since its polls have to keep the leases.
 const MAX_STARTS_IN_FLIGHT: usize = 240;
 
 /// Workers among which the one for a task of a starved step is chosen. Most workers admit such a task,
@@ -144,11 +144,8 @@
         let waiting = waiting.sum();
         let workers = self.workers_in_use().count();
         self.timely_demand.record(waiting, workers, now);
-        let unanswered = MAX_STARTS_IN_FLIGHT.saturating_sub(self.starts_in_flight());
-        let slots = self
-            .starved_slots()
-            .min(MAX_STARTS_PER_PASS)
-            .min(unanswered);
+        let free = MAX_STARTS_IN_FLIGHT.saturating_sub(self.starts_in_flight());
+        let slots = self.starved_slots().min(MAX_STARTS_PER_PASS).min(free);
         if slots == 0 {
             return;
         }
@@ -209,13 +206,12 @@
         };
         // Beside work that can be in time, a job waits for the end of its run.
         let is_ahead = self.timely_demand.is_low();
-        let leaves_idle = |(_, name, run): (TaskKey, &WorkerName, Option<&TrackedRun>)| {
+        let is_ending = |name: &WorkerName, run: &TrackedRun| {
             let worker = self.workers.get(name);
-            run.is_some_and(|r| {
-                (r.pace == 0 && !r.starved)
-                    || is_ahead
-                        && worker.is_some_and(|w| r.is_ending(spec.estimate, w.last_answer, now))
-            })
+            worker.is_some_and(|w| run.is_ending(spec.estimate, w.last_answer, now))
+        };
+        let leaves_idle = |(_, name, run): (TaskKey, &WorkerName, Option<&TrackedRun>)| {
+            run.is_some_and(|r| (r.pace == 0 && !r.starved) || (is_ahead && is_ending(name, r)))
         };
         spec.best_effort
             && !spec.gang
