--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -18,6 +18,7 @@
         "listing" => listing(dir, trouble),
         "outage" => outage(dir, trouble),
         "backfill-outage" => backfill_outage(dir, trouble),
+        "cancel" => cancel(dir, trouble),
         "mix" => mix(dir, trouble, seed),
         other => Err(format!("there is no case {other}")),
     }
@@ -69,6 +70,37 @@
     Ok(breaks)
 }
 
+/// A large batch is cancelled.
+fn cancel(dir: &Path, trouble: bool) -> Result<Vec<String>, String> {
+    let world = World::start(dir, 4, 6, 64, None)?;
+    let step = |count, estimate_ms| Step {
+        count,
+        cpu: 100,
+        mem_mb: 128,
+        estimate_ms,
+        spread: (0.9, 1.1),
+        ..Step::default()
+    };
+    let id = "0badcafe00000001";
+    sleep(ms(2_000));
+    if !world.submit("batch", id, job("batch", vec![step(3_800, 20_000)])) {
+        return Err("the job was not accepted".to_owned());
+    }
+    sleep(ms(6_000));
+    if trouble {
+        match world.ask("DELETE", &format!("/batch/{id}"), "", 4) {
+            Some((200..=299, _)) => world.record.cancelled(id),
+            other => return Err(format!("the cancelling was answered {other:?}")),
+        }
+        sleep(ms(30_000));
+    } else {
+        world.await_end("batch", id, ms(60_000));
+    }
+    let breaks = world.record.judge(&world.jobs);
+    world.end();
+    Ok(breaks)
+}
+
 /// The same job while the store is down and its leases run out.
 fn backfill_outage(dir: &Path, trouble: bool) -> Result<Vec<String>, String> {
     use crate::store::Link;
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -2,6 +2,8 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -132,17 +134,31 @@
     }
 }
 
-/// Serves an address until the process ends.
+/// Serves an address until the process ends. No more than `most` connections are open at a time;
+/// further ones are closed at once. With EXCESS=wait in the environment they are not accepted
+/// before one of the others closes.
 pub fn serve(
     address: SocketAddr,
+    most: usize,
     handle: impl Fn(&Request) -> Reply + Send + Sync + Clone + 'static,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(address)?;
+    let open = Arc::new(AtomicUsize::new(0));
+    let waits = std::env::var("EXCESS").is_ok_and(|e| e == "wait");
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let handle = handle.clone();
+        loop {
+            while waits && open.load(SeqCst) >= most {
+                thread::sleep(Duration::from_millis(1));
+            }
+            let Ok((stream, _)) = listener.accept() else { continue };
+            if open.load(SeqCst) >= most {
+                continue;
+            }
+            open.fetch_add(1, SeqCst);
+            let (handle, open) = (handle.clone(), open.clone());
             let serve = move || {
                 serve_connection(stream, &handle);
+                open.fetch_sub(1, SeqCst);
             };
             let _ = thread::Builder::new().stack_size(256 << 10).spawn(serve);
         }
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -62,8 +62,14 @@
     /// What clients were shown: job, state, time.
     shown: Vec<(String, String, f64)>,
     breaks: Vec<String>,
+    /// When the cancelling of a job was acknowledged.
+    cancelled: HashMap<String, f64>,
 }
 
+/// Bounds that the settings name.
+const CANCEL_MS: f64 = 3_000.0;
+const STOP_MS: f64 = 400.0;
+
 pub struct Record {
     began: Instant,
     file: Mutex<BufWriter<File>>,
@@ -170,6 +176,11 @@
         lock(&self.content).shown.push((job.to_owned(), state.to_owned(), at));
     }
 
+    pub fn cancelled(&self, job: &str) {
+        let at = self.now();
+        lock(&self.content).cancelled.insert(job.to_owned(), at);
+    }
+
     pub fn broke(&self, text: String) {
         lock(&self.content).breaks.push(text);
     }
@@ -214,6 +225,22 @@
                 order(task, k, step, r, job, &tasks, &mut out);
             }
         }
+        let now = self.now();
+        for (id, at) in &c.cancelled {
+            let of = |r: &&RunLog| r.task.starts_with(id.as_str());
+            let left = |r: &&RunLog| r.end.map_or(now, |(t, _)| t) > at + CANCEL_MS + STOP_MS;
+            let long: Vec<&RunLog> = c.runs.iter().filter(of).filter(left).collect();
+            let started = c.runs.iter().filter(of).filter(|r| r.began > at + CANCEL_MS).count();
+            if !long.is_empty() || started > 0 {
+                let last = long.iter().map(|r| r.end.map_or(now, |(t, _)| t)).fold(0.0, f64::max);
+                let lapsed = long.iter().filter(|r| matches!(r.end, Some((_, End::Lapsed)))).count();
+                out.push(format!(
+                    "UNASKED: {id}: its cancelling was acknowledged at {at:.0} ms; {} runs go on {:.0} ms later, the last one until {last:.0} ms, {lapsed} of them until a lease lapses; {started} start later than {CANCEL_MS:.0} ms after it",
+                    long.len(),
+                    CANCEL_MS + STOP_MS
+                ));
+            }
+        }
         for (id, state, at) in &c.shown {
             let Some(job) = jobs.get(id).filter(|_| state == "completed") else { continue };
             let missing = missing(id, job, &tasks, *at);
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -23,6 +23,12 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Connections that a runner accepts, as the sheet says.
+const RUNNER_CONNECTIONS: usize = 64;
+
+/// No bound on connections.
+const MANY: usize = 100_000;
+
 const ZONES: [&str; 3] = ["za", "zb", "zc"];
 const CLIENT_PORT: u16 = 8161;
 
@@ -144,16 +150,16 @@
         for host in 0..self.hosts {
             let store = self.store.clone();
             let place = address(self.net, 60, host, 8169);
-            http::serve(place, move |r| store.serve(host, r))?;
+            http::serve(place, MANY, move |r| store.serve(host, r))?;
         }
         for runner in &self.runners {
             let runner = runner.clone();
-            http::serve(runner.address, move |r| runner.receive(r, "a host"))?;
+            http::serve(runner.address, RUNNER_CONNECTIONS, move |r| runner.receive(r, "a host"))?;
         }
         if advice {
             let world = Arc::downgrade(self);
             let turn = Arc::new(Mutex::new(()));
-            http::serve(address(self.net, 250, 0, 8169), move |r| {
+            http::serve(address(self.net, 250, 0, 8169), MANY, move |r| {
                 let Some(world) = world.upgrade() else { return Reply::Close };
                 let _turn = lock(&turn);
                 world.advise(&r.body)
