--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -19,6 +19,8 @@
         "outage" => outage(dir, trouble),
         "backfill-outage" => backfill_outage(dir, trouble),
         "cancel" => cancel(dir, trouble),
+        "idle" => idle(dir, trouble),
+        "gangs" => gangs(dir, seed),
         "mix" => mix(dir, trouble, seed),
         other => Err(format!("there is no case {other}")),
     }
@@ -101,6 +103,58 @@
     Ok(breaks)
 }
 
+/// A batch is cancelled, and then the store turns away the host that leads.
+fn idle(dir: &Path, trouble: bool) -> Result<Vec<String>, String> {
+    use crate::store::Link;
+    let world = World::start(dir, 4, 6, 64, None)?;
+    sleep(ms(2_000));
+    let watch = Step {
+        count: 12,
+        cpu: 4_000,
+        mem_mb: 1_000,
+        estimate_ms: 300,
+        long_running: true,
+        max_per_server: 2,
+        ..Step::default()
+    };
+    let watchers = "0badcafe00000001";
+    if !world.submit("urgent", watchers, job("watchers", vec![watch])) {
+        return Err("the job that lasts was not accepted".to_owned());
+    }
+    sleep(ms(2_000));
+    let batch = Step {
+        count: 420,
+        cpu: 800,
+        mem_mb: 256,
+        estimate_ms: 30_000,
+        spread: (0.9, 1.1),
+        ..Step::default()
+    };
+    let id = "0badcafe00000002";
+    if !world.submit("batch", id, job("batch", vec![batch])) {
+        return Err("the batch was not accepted".to_owned());
+    }
+    sleep(ms(4_000));
+    match world.ask("DELETE", &format!("/batch/{id}"), "", 4) {
+        Some((200..=299, _)) => world.record.cancelled(id),
+        other => return Err(format!("the cancelling was answered {other:?}")),
+    }
+    sleep(ms(5_000));
+    if trouble && let Some(host) = world.store.leader() {
+        world.record.say(&format!("the store leaves host {host} without answers"));
+        world.store.set_link(host, Link::Silent);
+        sleep(ms(7_000));
+        world.store.set_link(host, Link::Fine);
+        world.record.say(&format!("the store answers host {host} again"));
+    }
+    let calm = world.record.now();
+    sleep(ms(30_000));
+    let mut breaks = world.record.judge(&world.jobs);
+    breaks.extend(world.record.absent(watchers, 12, calm));
+    world.end();
+    Ok(breaks)
+}
+
 /// The same job while the store is down and its leases run out.
 fn backfill_outage(dir: &Path, trouble: bool) -> Result<Vec<String>, String> {
     use crate::store::Link;
@@ -142,18 +196,18 @@
 fn listing(dir: &Path, trouble: bool) -> Result<Vec<String>, String> {
     let world = World::start(dir, 4, 4, 96, None)?;
     let step = Step {
-        count: 9_000,
+        count: 10_000,
         cpu: 100,
         mem_mb: 128,
-        estimate_ms: 1_500,
-        spread: (0.6, 1.0),
+        estimate_ms: 2_500,
+        spread: (0.6, 0.9),
         ..Step::default()
     };
     let id = "0badcafe00000001";
     if !world.submit("batch", id, job("batch", vec![step])) {
         return Err("the job was not accepted".to_owned());
     }
-    sleep(ms(2_500));
+    sleep(ms(4_500));
     if trouble {
         world.kill_leader(ms(3_500));
     }
@@ -389,3 +443,61 @@
     world.end();
     Ok(breaks)
 }
+
+/// Gangs, cancellations and new runners, and no disruption; to look for gangs that wait in vain.
+fn gangs(dir: &Path, seed: u64) -> Result<Vec<String>, String> {
+    let world = World::start(dir, 4, 24, 32, Some((40, 2)))?;
+    let over = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for c in 0..6u64 {
+        let (world, over) = (world.clone(), over.clone());
+        let mut d = Draw(seed * 31 + c + 7);
+        clients.push(std::thread::spawn(move || {
+            let mut n = 0;
+            while !over.load(std::sync::atomic::Ordering::SeqCst) {
+                n += 1;
+                let queue = ["urgent", "batch", "policy"][d.below(3) as usize];
+                let step = Step {
+                    count: 2 + d.below(35) as u32,
+                    cpu: 500 + 500 * d.below(4),
+                    mem_mb: 500,
+                    estimate_ms: 300 + d.below(2_000),
+                    gang: d.is(0.8),
+                    spread: (0.5, 1.5),
+                    ..Step::default()
+                };
+                let mut j = job("gang", vec![step]);
+                j.advice = queue == "policy";
+                let id = format!("{:08x}{:08x}", seed as u32, (c * 10_000 + n) as u32);
+                if world.submit(queue, &id, j) && d.is(0.25) {
+                    sleep(ms(d.below(1_000)));
+                    world.ask("DELETE", &format!("/{queue}/{id}"), "", 4);
+                    world.record.cancelled(&id);
+                }
+                sleep(ms(100 + d.below(500)));
+            }
+        }));
+    }
+    let mut d = Draw(seed);
+    for i in 0..12 {
+        sleep(ms(2_000 + d.below(2_000)));
+        world.configure(true);
+        if i == 0 {
+            world.record.say("configuration changed");
+        }
+    }
+    over.store(true, std::sync::atomic::Ordering::SeqCst);
+    for c in clients {
+        let _ = c.join();
+    }
+    sleep(ms(20_000));
+    let mut breaks = world.record.judge(&world.jobs);
+    let runs = world.record.runs();
+    let alone = runs.iter().filter(|r| matches!(r.end, Some((_, crate::record::End::Alone))));
+    for r in alone.take(5) {
+        breaks.push(format!("GANG: {} run {} on {} ended alone", r.task, r.run, r.runner));
+    }
+    println!("{} runs", runs.len());
+    world.end();
+    Ok(breaks)
+}
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -194,6 +194,30 @@
         c.runs.iter().filter(|r| matches!(r.end, Some((_, End::Done)))).count()
     }
 
+    /// Tasks that last and are away for longer than the rule LOST allows, if all has been calm
+    /// since a time: 6 s after the last run, and 4 s and 3 s of calm.
+    pub fn absent(&self, job: &str, count: u32, calm: f64) -> Vec<String> {
+        let now = self.now();
+        let runs = self.runs();
+        let mut out = Vec::new();
+        for i in 0..count {
+            let task = format!("{job}.0.0.{i}");
+            let mut runs: Vec<&RunLog> = runs.iter().filter(|r| r.task == task).collect();
+            runs.sort_by(|a, b| a.began.total_cmp(&b.began));
+            for (k, r) in runs.iter().enumerate() {
+                let Some((end, how)) = r.end else { continue };
+                let next = runs.get(k + 1).map_or(now, |n| n.began);
+                if next > (end + 6_000.0).max(calm + 4_000.0) + 3_000.0 {
+                    out.push(format!(
+                        "LOST: {task} is to last, ended {} at {end:.0} ms and doesn't run until {next:.0} ms; calm since {calm:.0} ms",
+                        how.word()
+                    ));
+                }
+            }
+        }
+        out
+    }
+
     /// Judges the rules. Returns one line for each that was broken.
     pub fn judge(&self, jobs: &Jobs) -> Vec<String> {
         let c = lock(&self.content);
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -354,6 +354,9 @@
 
     /// Takes a call over the link as it is now.
     pub fn receive(self: &Arc<Runner>, request: &Request, caller: &str) -> Reply {
+        if let Ok(way) = std::env::var("WAY_MS") {
+            std::thread::sleep(Duration::from_millis(way.parse().unwrap_or(0)));
+        }
         let link = *lock(&self.link);
         let draw = chance(&format!("{:?}{}", Instant::now(), request.path));
         match link {
