--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Deref;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
@@ -50,10 +51,10 @@
 
 /// A net of loopback addresses on which the ports are free.
 fn free_net() -> Option<(u8, u8)> {
-    let mut n = std::process::id() as usize + crate::wall_ms() as usize % 9_973;
-    for _ in 0..200 {
-        n = n.wrapping_mul(1_103_515_245).wrapping_add(12_345);
-        let net = (10 + (n >> 8) as u8 % 200, (n >> 20) as u8);
+    // Scripts that run beside each other have other process ids, and so begin with other nets.
+    let first = std::process::id() as usize;
+    for n in (first..).step_by(7_919).take(200) {
+        let net = (10 + (n % 200) as u8, (n / 200) as u8);
         let all = [(10, CLIENT_PORT, 8), (60, 8169, 8), (110, 9_000, 30)];
         let mut places = all
             .iter()
@@ -73,7 +74,7 @@
         hosts: usize,
         runners: usize,
         cores: u64,
-    ) -> Result<Arc<World>, String> {
+    ) -> Result<Deployment, String> {
         let net = free_net().ok_or("no free addresses")?;
         let record = Record::new(&dir.join("record.txt")).map_err(|e| e.to_string())?;
         let temp = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
@@ -96,7 +97,7 @@
             )
         };
         let runners: Vec<Arc<Runner>> = (0..runners).map(make).collect();
-        let world = Arc::new(World {
+        let world = Deployment(Arc::new(World {
             store,
             runners,
             jobs,
@@ -107,13 +108,13 @@
             dir: temp,
             next: AtomicUsize::new(0),
             over: AtomicBool::new(false),
-        });
+        }));
         world.serve().map_err(|e| e.to_string())?;
         world.configure();
         for runner in &world.runners {
             runner.start(&world.store);
         }
-        let ticking = world.clone();
+        let ticking = world.0.clone();
         thread::spawn(move || {
             while !ticking.over.load(SeqCst) {
                 tick_all(&ticking.runners);
@@ -132,7 +133,6 @@
         let until = Instant::now() + Duration::from_secs(15);
         while world.store.leader().is_none() || !world.all_ready() {
             if Instant::now() > until {
-                world.end();
                 return Err("there is no leader after 15 s".to_owned());
             }
             thread::sleep(Duration::from_millis(20));
@@ -353,7 +353,9 @@
 
     /// Ends all processes that were started.
     pub fn end(&self) {
-        self.over.store(true, SeqCst);
+        if self.over.swap(true, SeqCst) {
+            return;
+        }
         for child in lock(&self.processes).iter_mut().flatten() {
             let _ = child.kill();
             let _ = child.wait();
@@ -367,9 +369,20 @@
     }
 }
 
-impl Drop for World {
+/// A deployment whose processes end with it, however a case ends.
+pub struct Deployment(Arc<World>);
+
+impl Deref for Deployment {
+    type Target = Arc<World>;
+
+    fn deref(&self) -> &Arc<World> {
+        &self.0
+    }
+}
+
+impl Drop for Deployment {
     fn drop(&mut self) {
-        self.end();
+        self.0.end();
     }
 }
 
