--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -34,6 +34,25 @@
     }
 }
 
+/// Three small jobs that run to their end, so that one job of four is cancelled at most.
+fn run_small_jobs(world: &World) -> Result<(), String> {
+    let step = Step {
+        count: 4,
+        cpu: 500,
+        mem_mb: 256,
+        estimate_ms: 300,
+        spread: (0.9, 1.1),
+        ..Step::default()
+    };
+    for id in ["00000000000000a1", "00000000000000a2", "00000000000000a3"] {
+        if !world.submit("batch", id, job("small", vec![step.clone()])) {
+            return Err("a small job was not accepted".to_owned());
+        }
+        world.await_end("batch", id, ms(5_000));
+    }
+    Ok(())
+}
+
 /// A job whose occurrences of the past ten days are due at once; the leader is killed while they
 /// run, three times at most.
 fn backfill(dir: &Path, trouble: bool) -> Result<Vec<String>, String> {
@@ -82,6 +101,7 @@
     };
     let id = "0badcafe00000001";
     sleep(ms(2_000));
+    run_small_jobs(&world)?;
     if !world.submit("batch", id, job("batch", vec![step(3_800, 20_000)])) {
         return Err("the job was not accepted".to_owned());
     }
@@ -105,6 +125,7 @@
     use crate::store::Link;
     let world = World::start(dir, HOSTS, 6, 64)?;
     sleep(ms(2_000));
+    run_small_jobs(&world)?;
     let watch = Step {
         count: 12,
         cpu: 4_000,
