Close connections that are not used again, at the end of a term and after a timeout

Cause: a worker accepts 64 connections from all hosts together. The HTTP client kept each idle one for 60 s, and had no way to close it earlier: the client belongs to the process and not to the term, so a former leader kept all connections of a burst of stops; and the idle connections of a peer on which a call had timed out were left open under a name that is not called any more, one set for each silence.

Ruled out: a fence or a lease that holds the new leader back.

Change: calls to the platform and to other hosts use a pool of our own over the connections of hyper, the library below the former client, which has neither a call to close idle connections nor a count of open ones. The connections of a peer are closed when a call has timed out, those to workers when the term ends, and idle ones to workers after 10 s. The metric `connections` shows open and idle ones for each kind of peer. The names that stood for generations of connections, and the second client that was replaced as a whole, are not needed any more.

--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -566,7 +566,7 @@
         dispatcher: Mutex::new(dispatcher),
         intake_read: intake.revision,
         workers: Arc::new(WorkerGateway::new(
-            node.client.clone(),
+            node.workers.clone(),
             win.nonce,
             win.term.token,
             node.metrics.relay_calls.clone(),
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -20,9 +20,7 @@
 };
 use super::{HostSettings, election};
 use crate::model::{DomainName, Span, Time};
-use crate::platform::{
-    CONFIG_KEY, EVACUATION_PREFIX, HttpClient, KvClient, OPERATOR_PREFIX, load_settings,
-};
+use crate::platform::{CONFIG_KEY, EVACUATION_PREFIX, KvClient, OPERATOR_PREFIX, load_settings};
 use crate::telemetry::Metrics;
 
 /// Options from the command line.
@@ -52,6 +50,9 @@
 /// Kept back from the grace period, so that the process ends before it is killed.
 const STOP_MARGIN: Span = Span::from_millis(700);
 
+/// Interval of closing the connections that have been idle for too long.
+const IDLE_CHECK_INTERVAL: Span = Span::from_secs(2);
+
 /// Interval of checking whether requests are still in flight.
 const DRAIN_CHECK_INTERVAL: Span = Span::from_millis(50);
 
@@ -70,15 +71,15 @@
 async fn run_host(settings: HostSettings, options: &NodeOptions) -> Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let client = HttpClient::new()?;
-    let kv = KvClient::new(settings.store_address)?;
-    let node = Arc::new(Node::new(settings, client, kv, Metrics::new()?));
+    let kv = KvClient::new(settings.store_address);
+    let node = Arc::new(Node::new(settings, kv, Metrics::new()?));
     let settings = &node.settings;
     log::info!(host:% = settings.host, domain:% = settings.domain, callers:% = settings.caller_address, peers:% = settings.peer_address, store:% = settings.store_address, version = env!("CARGO_PKG_VERSION"); "process started");
     start_loop(&node, "watch of the operator's keys", watch_operator_keys);
     start_loop(&node, "watch of the leader", election::watch_leader);
     start_loop(&node, "election", election::run_elections);
     start_loop(&node, "announcement to the leader", announce_host);
+    start_loop(&node, "closing of idle connections", close_idle_connections);
     let callers = serve(
         "callers",
         settings.caller_address,
@@ -119,6 +120,16 @@
     tokio::spawn(async move { supervise(name, || run(node.clone())).await });
 }
 
+/// Closes connections that have been idle for too long. Never returns.
+async fn close_idle_connections(node: Arc<Node>) {
+    loop {
+        sleep(IDLE_CHECK_INTERVAL).await;
+        node.client.close_unused();
+        node.workers.close_unused();
+        node.kv.close_unused();
+    }
+}
+
 /// Waits for the stop signal, then drains: returns when the load balancer has taken
 /// the host out of rotation, no request is in flight and the term has ended, or at
 /// the end of the grace period.
--- a/crates/jujubelb/src/node/monitoring.rs
+++ b/crates/jujubelb/src/node/monitoring.rs
@@ -115,6 +115,7 @@
         }
     });
     register_pool_gauge(node);
+    register_connection_gauge(node);
     register_leader_gauge(node, &telemetry::DISPATCH_JOBS, |s| {
         [("all", s.jobs as f64), ("without-run", s.idle_jobs as f64)]
     });
@@ -155,6 +156,28 @@
     });
 }
 
+/// Registers the numbers of open connections to each kind of peer.
+fn register_connection_gauge(node: &Arc<Node>) {
+    let observed = Arc::downgrade(node);
+    let registry = &node.metrics.registry;
+    registry.observable_gauge(&telemetry::CONNECTIONS, move |observe| {
+        let Some(node) = observed.upgrade() else {
+            return;
+        };
+        let peers = [
+            ("hosts", node.client.connection_counts()),
+            ("store", node.kv.connection_counts()),
+            ("workers", node.workers.connection_counts()),
+        ];
+        for (kind, counts) in peers {
+            for (state, count) in [("open", counts.open), ("idle", counts.idle)] {
+                let labels = [KeyValue::new("peers", kind), KeyValue::new("state", state)];
+                observe(count as f64, &labels);
+            }
+        }
+    });
+}
+
 fn register_leader_gauge<const N: usize>(
     node: &Arc<Node>,
     metric: &'static Metric,
--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -42,7 +42,7 @@
 impl Carrier {
     /// Starts to make the calls of a batch.
     pub(crate) fn accept(node: &Arc<Node>, batch: RelayBatch) {
-        let client = WorkerClient::new(node.client.clone(), batch.token);
+        let client = WorkerClient::new(node.workers.clone(), batch.token);
         for mut call in batch.calls {
             let restored = restore_payload(&mut call.action, &batch.payloads);
             let (node, client) = (node.clone(), client.clone());
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -22,8 +22,8 @@
 };
 use crate::model::{DomainName, HostName, Span, Time, WorkerName};
 use crate::platform::{
-    CallError, HttpClient, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT,
-    WorkerClient,
+    CallError, ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT, WorkerClient,
+    WorkerConnections,
 };
 
 /// Added to the timeout of a call for the way through the relay and back.
@@ -75,7 +75,7 @@
 /// Makes the calls of one term to workers.
 #[derive(Debug)]
 pub(crate) struct WorkerGateway {
-    client: HttpClient,
+    connections: WorkerConnections,
     nonce: u64,
     /// Fencing token of the calls that are sent now. Only grows.
     token: AtomicU64,
@@ -113,9 +113,14 @@
 }
 
 impl WorkerGateway {
-    pub(crate) fn new(client: HttpClient, nonce: u64, token: u64, calls: Counter<u64>) -> Self {
+    pub(crate) fn new(
+        connections: WorkerConnections,
+        nonce: u64,
+        token: u64,
+        calls: Counter<u64>,
+    ) -> Self {
         Self {
-            client,
+            connections,
             nonce,
             token: AtomicU64::new(token),
             hosts: Mutex::default(),
@@ -148,7 +153,7 @@
     }
 
     fn direct(&self) -> WorkerClient {
-        WorkerClient::new(self.client.clone(), self.token())
+        WorkerClient::new(self.connections.clone(), self.token())
     }
 
     /// Whether the token was raised after `token` was read for a call. If the call was refused
@@ -202,9 +207,11 @@
     }
 
     /// Ends the use of the gateway. Calls that have not been sent are given up, and links
-    /// are dropped.
+    /// are dropped. Connections to workers are closed, since the next leader needs the places that
+    /// they take there.
     fn close(&self) {
         self.closed.store(true, Relaxed);
+        self.connections.close_all();
         for (_, link) in lock(&self.links).drain(..) {
             link.failed.store(true, Relaxed);
         }
--- a/crates/jujubelb/src/node/relay/tests.rs
+++ b/crates/jujubelb/src/node/relay/tests.rs
@@ -11,7 +11,7 @@
     JobKey, Order, PollRequest, Refusal, Run, StartReply, StepKey, TaskKey, WorkerOrder,
 };
 use crate::model::{DomainName, HostName, Span, Time, WorkerName, WorkerTime};
-use crate::platform::HttpClient;
+use crate::platform::WorkerConnections;
 use crate::telemetry::{self, Metrics};
 
 /// Link speed that does not limit the number of relays.
@@ -296,9 +296,9 @@
 const NONCE: u64 = 7;
 
 fn gateway() -> WorkerGateway {
-    let client = HttpClient::new().unwrap();
+    let connections = WorkerConnections::default();
     let calls = Metrics::new().unwrap().counter(&telemetry::RELAY_CALLS);
-    WorkerGateway::new(client, NONCE, 1, calls)
+    WorkerGateway::new(connections, NONCE, 1, calls)
 }
 
 /// Makes a call through a relay that has sent `results` when the call waits for them.
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -19,7 +19,9 @@
 use super::watch::EvidenceDemand;
 use crate::dispatch::{JobSpec, LoadEstimate, QueueSettings};
 use crate::model::{DomainName, Span, Time, WallTime};
-use crate::platform::{CallError, HttpClient, KvClient, OperatorConfig, Revision};
+use crate::platform::{
+    CallError, HttpClient, KvClient, OperatorConfig, Revision, WorkerConnections,
+};
 use crate::telemetry::{self, Clock, Metrics};
 
 /// Locks a mutex, ignoring poisoning: no holder can leave the data inconsistent.
@@ -93,7 +95,10 @@
 pub(crate) struct Node {
     pub(crate) settings: HostSettings,
     pub(crate) clock: Clock,
+    /// Client for other hosts and the policy service.
     pub(crate) client: HttpClient,
+    /// Connections to workers, of this process as the leader and as a relay.
+    pub(crate) workers: WorkerConnections,
     pub(crate) kv: KvClient,
     pub(crate) metrics: NodeMetrics,
     config: Mutex<KnownConfig>,
@@ -125,16 +130,12 @@
 }
 
 impl Node {
-    pub(crate) fn new(
-        settings: HostSettings,
-        client: HttpClient,
-        kv: KvClient,
-        registry: Metrics,
-    ) -> Self {
+    pub(crate) fn new(settings: HostSettings, kv: KvClient, registry: Metrics) -> Self {
         Self {
             settings,
             clock: Clock::start(),
-            client,
+            client: HttpClient::default(),
+            workers: WorkerConnections::default(),
             kv,
             metrics: NodeMetrics::new(registry),
             config: Mutex::default(),
--- /dev/null
+++ b/crates/jujubelb/src/node/tests/limited_worker.rs
@@ -0,0 +1,115 @@
+//! A worker that accepts a limited number of connections, of which open ones can go silent.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Duration, sleep};
+
+use super::super::state::lock;
+
+/// Time that the worker takes to answer a call.
+const ANSWER_TIME: Duration = Duration::from_millis(5);
+
+/// A worker that closes connections beyond its limit at once, and that notices when a client has
+/// closed one. It never closes a silent connection by itself.
+pub(super) struct LimitedWorker {
+    limit: usize,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Number of connections so far, without those that were refused.
+    accepted: usize,
+    open: usize,
+    refused: usize,
+    /// Connections before this one are silent.
+    answered_from: usize,
+}
+
+impl LimitedWorker {
+    pub(super) async fn start(limit: usize) -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Mutex::default();
+        let worker = Arc::new(Self { limit, state });
+        let accepting = worker.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let Some(connection) = accepting.admit() else {
+                    continue;
+                };
+                let worker = accepting.clone();
+                tokio::spawn(async move {
+                    worker.serve_connection(stream, connection).await;
+                    lock(&worker.state).open -= 1;
+                });
+            }
+        });
+        (worker, address)
+    }
+
+    fn admit(&self) -> Option<usize> {
+        let mut state = lock(&self.state);
+        if state.open >= self.limit {
+            state.refused += 1;
+            return None;
+        }
+        state.open += 1;
+        state.accepted += 1;
+        Some(state.accepted - 1)
+    }
+
+    /// Makes all open connections silent; new ones are answered.
+    pub(super) fn silence(&self) {
+        let mut state = lock(&self.state);
+        state.answered_from = state.accepted;
+    }
+
+    pub(super) fn open(&self) -> usize {
+        lock(&self.state).open
+    }
+
+    /// Number of connections that were closed because of the limit.
+    pub(super) fn refused(&self) -> usize {
+        lock(&self.state).refused
+    }
+
+    async fn serve_connection(&self, mut stream: TcpStream, connection: usize) {
+        let mut request = Vec::new();
+        let mut bytes = [0; 4096];
+        loop {
+            match stream.read(&mut bytes).await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => request.extend_from_slice(&bytes[..count]),
+            }
+            if !is_complete(&request) {
+                continue;
+            }
+            request.clear();
+            sleep(ANSWER_TIME).await;
+            if connection < lock(&self.state).answered_from {
+                continue;
+            }
+            let body = r#"{"clock_ms":1,"running":[],"finished":[]}"#;
+            let length = body.len();
+            let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+            if stream.write_all(reply.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Whether no part of a request is missing.
+fn is_complete(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let mut lines = head.lines();
+    let length = lines.find_map(|l| l.strip_prefix("content-length: "));
+    body.len() >= length.map_or(0, |l| l.parse().unwrap())
+}
--- /dev/null
+++ b/crates/jujubelb/src/node/tests/worker_connections.rs
@@ -0,0 +1,102 @@
+//! Connections to workers, which accept a limited number from all hosts together.
+
+use std::sync::Arc;
+
+use tokio::time::{Duration, sleep, timeout};
+
+use super::super::relay::{OpenGateway, WorkerGateway};
+use super::limited_worker::LimitedWorker;
+use crate::dispatch::{JobKey, Order, Run, StepKey, StopReply, TaskKey, WorkerOrder};
+use crate::model::WorkerName;
+use crate::platform::WorkerConnections;
+use crate::telemetry::{self, Metrics};
+
+/// Connections that a worker accepts.
+const WORKER_LIMIT: usize = 64;
+
+/// How long a test waits for what has to happen. Only ends a test that hangs.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Gateway of a term of a process with these connections.
+fn gateway(connections: &WorkerConnections) -> Arc<WorkerGateway> {
+    let calls = Metrics::new().unwrap().counter(&telemetry::RELAY_CALLS);
+    Arc::new(WorkerGateway::new(connections.clone(), 1, 1, calls))
+}
+
+fn task(index: u32) -> TaskKey {
+    let (job, occurrence, step) = (JobKey(1), 0, 0);
+    TaskKey {
+        step: StepKey {
+            job,
+            occurrence,
+            step,
+        },
+        index,
+    }
+}
+
+/// Sends stops of as many runs at the same time.
+async fn stop_runs(
+    gateway: &Arc<WorkerGateway>,
+    address: std::net::SocketAddr,
+    count: u32,
+) -> Vec<StopReply> {
+    let stops = (0..count).map(|index| {
+        let (gateway, task, run) = (gateway.clone(), task(index), Run(1));
+        tokio::spawn(async move {
+            let order = WorkerOrder {
+                worker: WorkerName::new("w"),
+                address,
+                order: Order::Stop { task, run },
+            };
+            gateway.stop(&order, task, run).await
+        })
+    });
+    let mut replies = Vec::new();
+    for stop in stops.collect::<Vec<_>>() {
+        replies.push(stop.await.unwrap());
+    }
+    replies
+}
+
+async fn await_open(worker: &LimitedWorker, count: usize) {
+    let reached = async {
+        while worker.open() != count {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let reached = timeout(LIMIT, reached).await;
+    assert!(reached.is_ok(), "{} connections are open", worker.open());
+}
+
+/// Guards against connections of an earlier call that keep their places at a worker after they went
+/// silent, until it accepts no new ones.
+#[tokio::test]
+async fn connections_that_went_silent_give_their_places_back() {
+    const CALLS: u32 = 4;
+    let (worker, address) = LimitedWorker::start(2 * CALLS as usize).await;
+    let connections = WorkerConnections::default();
+    let gateway = gateway(&connections);
+    for _ in 0..6 {
+        let replies = stop_runs(&gateway, address, CALLS).await;
+        assert_eq!(replies, [StopReply::Stopped; CALLS as usize]);
+        worker.silence();
+        let replies = stop_runs(&gateway, address, 1).await;
+        assert_eq!(replies, [StopReply::NoAnswer]);
+        await_open(&worker, 0).await;
+    }
+    assert_eq!(worker.refused(), 0);
+}
+
+/// Guards against a former leader that keeps the places which its successor needs at a worker.
+#[tokio::test]
+async fn the_connections_to_workers_are_closed_at_the_end_of_a_term() {
+    let (worker, address) = LimitedWorker::start(WORKER_LIMIT).await;
+    let connections = WorkerConnections::default();
+    let gateway = gateway(&connections);
+    let replies = stop_runs(&gateway, address, 6).await;
+    assert_eq!(replies, [StopReply::Stopped; 6]);
+    assert!(worker.open() > 0);
+    drop(OpenGateway(gateway));
+    await_open(&worker, 0).await;
+}
--- a/crates/jujubelb/src/platform/client.rs
+++ b/crates/jujubelb/src/platform/client.rs
@@ -1,14 +1,18 @@
 //! HTTP client for all calls to the platform and between the hosts of the system.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
-use reqwest::header::HOST;
-use reqwest::{Method, RequestBuilder, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request, StatusCode};
+use reqwest::Url;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use tokio::time::Instant;
 
-use super::generations::{GenerationResolver, PeerGenerations, host_name};
+use super::connections::{Connection, ConnectionCounts, Connections};
 use crate::model::Span;
 use crate::telemetry::Clock;
 
@@ -16,8 +20,8 @@
 /// second, so that a new attempt is faster.
 const CONNECT_TIMEOUT: Span = Span::from_millis(500);
 
-/// How long an idle connection is kept. New connections to workers have a cost, while
-/// an idle one takes only a file descriptor.
+/// How long an idle connection to a host or to the store is kept. A new one takes a round trip,
+/// while an idle one takes only a file descriptor.
 const IDLE_TIMEOUT: Span = Span::from_secs(60);
 
 /// Why a call has no usable response.
@@ -60,7 +64,7 @@
 #[derive(Debug)]
 pub(crate) struct HttpResponse {
     pub(crate) status: StatusCode,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Bytes,
     peer: SocketAddr,
 }
 
@@ -76,76 +80,15 @@
     }
 }
 
-/// HTTP client with a pool of connections to each peer. After a call to a peer has timed out, its
-/// idle connections are not used any more, those to other peers are.
+/// HTTP client that keeps idle connections to each peer.
+///
+/// Open connections may go silent together, without a reset. After a call has timed out, all idle
+/// connections to its peer are therefore closed: a client that tries them one by one waits for as
+/// many timeouts. Those to other peers stay in use.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    http: reqwest::Client,
     clock: Clock,
-    peers: Arc<Mutex<PeerGenerations>>,
-}
-
-/// HTTP client whose idle connections are all closed after a call has timed out on one. Open
-/// connections may go silent together, and a client that tries them one by one waits for as
-/// many timeouts.
-#[derive(Debug, Clone)]
-pub(crate) struct RenewingClient {
-    current: Arc<Mutex<Generation>>,
-}
-
-/// Connections that were opened since the last timeout.
-#[derive(Debug, Clone)]
-struct Generation {
-    client: HttpClient,
-    number: u64,
-}
-
-impl RenewingClient {
-    /// A client without open connections.
-    pub(crate) fn new() -> Result<Self, reqwest::Error> {
-        let client = HttpClient::new()?;
-        let first = Generation { client, number: 0 };
-        Ok(Self {
-            current: Arc::new(Mutex::new(first)),
-        })
-    }
-
-    /// Sends a request with a JSON body, if any, and reads the response.
-    pub(crate) async fn call<B: Serialize>(
-        &self,
-        call: HttpRequest<'_, B>,
-    ) -> Result<HttpResponse, CallError> {
-        let used = self.lock().clone();
-        let result = used.client.call(call).await;
-        if let Err(CallError::TimedOut(peer, _)) = result {
-            self.replace(peer, used.number);
-        }
-        result
-    }
-
-    /// Lets later calls open new connections. Calls that are on their way go on.
-    fn replace(&self, peer: SocketAddr, suspected: u64) {
-        let mut current = self.lock();
-        // Of many calls that time out together the first one is enough.
-        if current.number != suspected {
-            return;
-        }
-        match HttpClient::new() {
-            Ok(client) => {
-                let number = suspected + 1;
-                *current = Generation { client, number };
-                log::info!(peer:% = peer, generation = number; "a call has timed out; its idle connections are closed");
-            }
-            Err(error) => {
-                log::error!(peer:% = peer, error:% = error; "idle connections can't be replaced");
-            }
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Generation> {
-        // No holder can leave the data inconsistent.
-        self.current.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+    connections: Arc<Connections>,
 }
 
 /// One HTTP request.
@@ -161,22 +104,19 @@
     pub(crate) timeout: Span,
 }
 
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new(IDLE_TIMEOUT)
+    }
+}
+
 impl HttpClient {
-    /// A client without open connections.
-    pub fn new() -> Result<Self, reqwest::Error> {
-        let http = reqwest::Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT.to_std())
-            .pool_idle_timeout(IDLE_TIMEOUT.to_std())
-            .tcp_nodelay(true)
-            .http1_only()
-            .no_proxy()
-            .dns_resolver(Arc::new(GenerationResolver))
-            .build()?;
-        Ok(Self {
-            http,
+    /// A client without open connections, which keeps idle ones for `idle_timeout`.
+    pub(crate) fn new(idle_timeout: Span) -> Self {
+        Self {
             clock: Clock::start(),
-            peers: Arc::default(),
-        })
+            connections: Arc::new(Connections::new(idle_timeout)),
+        }
     }
 
     /// Sends a request with a JSON body, if any, and reads the response.
@@ -184,23 +124,8 @@
         &self,
         call: HttpRequest<'_, B>,
     ) -> Result<HttpResponse, CallError> {
-        let build = |url: String| {
-            let mut request = self
-                .http
-                .request(call.method, url)
-                .timeout(call.timeout.to_std());
-            if !call.query.is_empty() {
-                request = request.query(call.query);
-            }
-            for (name, value) in call.headers {
-                request = request.header(*name, *value);
-            }
-            match call.body {
-                Some(body) => request.json(body),
-                None => request,
-            }
-        };
-        self.send(call.peer, call.path, build).await
+        let request = encode(&call).map_err(|e| CallError::NotSent(call.peer, e))?;
+        self.send(call.peer, request, call.timeout).await
     }
 
     /// Sends bytes to another host of the system and reads the response.
@@ -211,70 +136,123 @@
         body: Vec<u8>,
         timeout: Span,
     ) -> Result<HttpResponse, CallError> {
-        let build = |url: String| self.http.post(url).timeout(timeout.to_std()).body(body);
-        self.send(peer, path, build).await
+        let request = Request::post(path)
+            .header(HOST, peer.to_string())
+            .body(Full::from(body))
+            .map_err(|e| CallError::NotSent(peer, e.to_string()))?;
+        self.send(peer, request, timeout).await
+    }
+
+    /// Closes all idle connections, and those in use when their call ends.
+    pub(crate) fn close_all(&self) {
+        let closed = self.connections.give_up_all();
+        log::info!(closed = closed; "idle connections closed");
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub(crate) fn close_unused(&self) {
+        self.connections.close_unused(self.clock.now());
+    }
+
+    /// Numbers of connections.
+    pub(crate) fn connection_counts(&self) -> ConnectionCounts {
+        self.connections.counts()
     }
 
-    /// Sends the request that `build` makes for a URL, on a connection of the peer's present
-    /// generation.
     async fn send(
         &self,
         peer: SocketAddr,
-        path: &str,
-        build: impl FnOnce(String) -> RequestBuilder,
+        request: Request<Full<Bytes>>,
+        timeout: Span,
     ) -> Result<HttpResponse, CallError> {
-        let generation = self.lock_peers().current(peer);
-        let request = match generation {
-            None => build(format!("http://{peer}{path}")),
-            Some(number) => {
-                let name = host_name(peer.ip(), number);
-                let url = format!("http://{name}:{}{path}", peer.port());
-                build(url).header(HOST, peer.to_string())
+        let deadline = Instant::now() + timeout.to_std();
+        loop {
+            let idle = self.connections.take(peer, self.clock.now());
+            let was_idle = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.connect(peer, deadline).await?,
+            };
+            let exchanged = exchange(&mut connection, request.clone());
+            match tokio::time::timeout_at(deadline, exchanged).await {
+                Ok(Ok((status, body))) => {
+                    self.connections.put(connection, self.clock.now());
+                    return Ok(HttpResponse { status, body, peer });
+                }
+                // The peer has closed the connection while it was idle, before the request
+                // was written to it.
+                Ok(Err(error)) if was_idle && error.is_canceled() => connection.close().await,
+                Ok(Err(error)) => {
+                    connection.close().await;
+                    return Err(CallError::NoResponse(peer, describe(&error)));
+                }
+                Err(_) => {
+                    self.give_up(&connection, peer);
+                    connection.close().await;
+                    let reason = format!("timeout of {timeout}");
+                    return Err(CallError::TimedOut(peer, reason));
+                }
             }
-        };
-        let result = exchange(peer, request).await;
-        if let Err(CallError::TimedOut(..)) = result
-            && let Some(number) = self
-                .lock_peers()
-                .timed_out(peer, generation, self.clock.now())
-        {
-            log::info!(peer:% = peer, generation = number; "a call has timed out; its idle connections are not used any more");
         }
-        result
     }
 
-    fn lock_peers(&self) -> MutexGuard<'_, PeerGenerations> {
-        // No holder can leave the data inconsistent.
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    async fn connect(&self, peer: SocketAddr, deadline: Instant) -> Result<Connection, CallError> {
+        let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT.to_std());
+        match tokio::time::timeout_at(limit, self.connections.open(peer)).await {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(error)) => Err(CallError::NotSent(peer, describe(&error))),
+            Err(_) => Err(CallError::NotSent(peer, "timeout".to_owned())),
+        }
     }
-}
 
-async fn exchange(peer: SocketAddr, request: RequestBuilder) -> Result<HttpResponse, CallError> {
-    let response = request.send().await.map_err(|e| failure(peer, &e))?;
-    let status = response.status();
-    let body = response.bytes().await.map_err(|e| failure(peer, &e))?;
-    Ok(HttpResponse {
-        status,
-        body: body.to_vec(),
-        peer,
-    })
+    /// Closes the idle connections that may be silent like this one.
+    fn give_up(&self, silent: &Connection, peer: SocketAddr) {
+        // Of many calls that time out together the first one is enough.
+        if let Some(closed) = self.connections.give_up(peer, silent.generation()) {
+            log::info!(peer:% = peer, closed = closed; "a call has timed out; its idle connections are closed");
+        }
+    }
 }
 
-/// What an error of a call says of the effect of its request.
-fn failure(peer: SocketAddr, error: &reqwest::Error) -> CallError {
-    let text = describe(error);
-    if error.is_connect() || error.is_builder() {
-        CallError::NotSent(peer, text)
-    } else if error.is_timeout() {
-        CallError::TimedOut(peer, text)
-    } else {
-        CallError::NoResponse(peer, text)
+/// Encodes a request with a JSON body, if any.
+fn encode<B: Serialize>(call: &HttpRequest<'_, B>) -> Result<Request<Full<Bytes>>, String> {
+    let mut target = call.path.to_owned();
+    if !call.query.is_empty() {
+        let url = format!("http://{}{}", call.peer, call.path);
+        let url = Url::parse_with_params(&url, call.query).map_err(|e| e.to_string())?;
+        target = format!("{}?{}", url.path(), url.query().unwrap_or_default());
+    }
+    let mut request = Request::builder()
+        .method(&call.method)
+        .uri(target)
+        .header(HOST, call.peer.to_string());
+    for (name, value) in call.headers {
+        request = request.header(*name, *value);
     }
+    let body = match call.body {
+        Some(body) => {
+            request = request.header(CONTENT_TYPE, "application/json");
+            serde_json::to_vec(body).map_err(|e| e.to_string())?
+        }
+        None => Vec::new(),
+    };
+    request.body(Full::from(body)).map_err(|e| e.to_string())
+}
+
+/// Sends a request on a connection and reads the whole response.
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), hyper::Error> {
+    connection.sender.ready().await?;
+    let response = connection.sender.send_request(request).await?;
+    let status = response.status();
+    let body = response.into_body().collect().await?.to_bytes();
+    Ok((status, body))
 }
 
 /// The error with the causes that its own text leaves out.
-fn describe(error: &reqwest::Error) -> String {
-    use std::error::Error;
+fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
--- a/crates/jujubelb/src/platform/kv.rs
+++ b/crates/jujubelb/src/platform/kv.rs
@@ -10,8 +10,8 @@
 use serde_json::value::RawValue;
 use thiserror::Error;
 
-use super::client::{CallError, HttpRequest, HttpResponse, RenewingClient};
-use super::{OPERATOR_PREFIX, WORKER_PREFIX};
+use super::client::{CallError, HttpClient, HttpRequest, HttpResponse};
+use super::{ConnectionCounts, OPERATOR_PREFIX, WORKER_PREFIX};
 use crate::model::Span;
 
 /// Timeout of a call that is answered at once. The store answers in 4 ms, and takes
@@ -243,7 +243,7 @@
 /// Client of the store.
 #[derive(Debug, Clone)]
 pub struct KvClient {
-    client: RenewingClient,
+    client: HttpClient,
     address: SocketAddr,
 }
 
@@ -251,9 +251,19 @@
 
 impl KvClient {
     /// Creates a client of the store at an address, with connections of its own.
-    pub fn new(address: SocketAddr) -> Result<Self, reqwest::Error> {
-        let client = RenewingClient::new()?;
-        Ok(Self { client, address })
+    pub fn new(address: SocketAddr) -> Self {
+        let client = HttpClient::default();
+        Self { client, address }
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub(crate) fn close_unused(&self) {
+        self.client.close_unused();
+    }
+
+    /// Numbers of connections to the store.
+    pub(crate) fn connection_counts(&self) -> ConnectionCounts {
+        self.client.connection_counts()
     }
 
     /// Reads a key.
--- a/crates/jujubelb/src/platform/mod.rs
+++ b/crates/jujubelb/src/platform/mod.rs
@@ -6,19 +6,21 @@
 //! never become zeros.
 
 mod client;
-mod generations;
+mod connections;
 mod jobs;
 mod kv;
 mod numbers;
 mod policy_service;
 mod settings;
 mod store_entries;
+mod worker_connections;
 mod workers;
 
 #[cfg(test)]
 mod tests;
 
 pub use client::{CallError, HttpClient};
+pub(crate) use connections::ConnectionCounts;
 pub use jobs::{decode_submission, encode_job_status, encode_pending_count};
 pub use kv::{KeyState, KvClient, LeaseId, ReadResult, Revision, Txn, TxnError, WatchError};
 pub use policy_service::PolicyClient;
@@ -27,4 +29,6 @@
     CONFIG_KEY, EVACUATION_PREFIX, OPERATOR_PREFIX, OperatorConfig, QueueConfig, WORKER_PREFIX,
     decode_config, decode_worker,
 };
-pub use workers::{ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT, WorkerClient};
+pub(crate) use worker_connections::WorkerConnections;
+pub(crate) use workers::WorkerClient;
+pub use workers::{ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT};
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -5,8 +5,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use super::client::{CallError, HttpClient, HttpRequest, HttpResponse};
+use super::client::{CallError, HttpRequest, HttpResponse};
 use super::numbers::Millis;
+use super::worker_connections::WorkerConnections;
 use crate::dispatch::{
     Incarnation, Order, PollReply, PollRequest, Refusal, Run, RunCompletion, RunOutcome, RunStatus,
     StartAnswer, StartReply, StopReply, TaskKey, WorkerOrder,
@@ -112,16 +113,16 @@
 
 /// Client of the workers for calls with one fencing token.
 #[derive(Debug, Clone)]
-pub struct WorkerClient {
-    client: HttpClient,
+pub(crate) struct WorkerClient {
+    connections: WorkerConnections,
     /// Fencing token, sent with every order.
     token: u64,
 }
 
 impl WorkerClient {
     /// Creates a client that sends orders with a fencing token.
-    pub fn new(client: HttpClient, token: u64) -> Self {
-        Self { client, token }
+    pub(crate) fn new(connections: WorkerConnections, token: u64) -> Self {
+        Self { connections, token }
     }
 
     async fn post<B: Serialize>(
@@ -132,17 +133,16 @@
         body: &B,
         timeout: Span,
     ) -> Result<HttpResponse, CallError> {
-        self.client
-            .call(HttpRequest {
-                peer,
-                method: Method::POST,
-                path,
-                query: &[],
-                headers: &[(EXPECTED_INSTANCE_HEADER, worker.as_str())],
-                body: Some(body),
-                timeout,
-            })
-            .await
+        let request = HttpRequest {
+            peer,
+            method: Method::POST,
+            path,
+            query: &[],
+            headers: &[(EXPECTED_INSTANCE_HEADER, worker.as_str())],
+            body: Some(body),
+            timeout,
+        };
+        self.connections.call(request).await
     }
 
     /// Starts a run. Returns `NotSent` for an order that is not a start.
--- a/crates/jujubelb/src/telemetry/metrics.rs
+++ b/crates/jujubelb/src/telemetry/metrics.rs
@@ -73,6 +73,7 @@
     STORE_CALLS = "store_calls", Counter, "1", "kind, result", "Calls to the store";
     STORE_CALL_DURATION = "store_call_duration", Histogram, "s", "kind", "Duration of calls to the store";
     RELAY_CALLS = "relay_calls", Counter, "1", "result", "Calls to workers through relays by how they ended";
+    CONNECTIONS = "connections", Gauge, "1", "peers, state", "Connections that this process has opened to hosts, the store and workers: all open ones, and those that no call uses";
     SYNCS = "worker_exchanges", Counter, "1", "result", "Exchanges with workers";
     SHARDS = "shards_owned", Gauge, "1", "", "Shards that this process owns";
     TASKS = "tasks", Gauge, "1", "shard, state", "Tasks of the owned shards by state";
