Bound the connections of a process to each worker, and the stops on their way

Cause: starts took one of four slots a worker, stops none, and each call had a connection of its own. The stops of 630 runs on a worker were sent at once, while it accepts 64 connections from all hosts together. Refused stops were repeated all at once a second later, and the polls that extend the lease found no connection either.

Change: a process has at most 8 connections to a worker, counted in one place that all calls to workers go through, of a leader and of a relay: two for polls, which nothing else takes, and six for orders. Eight processes may hold that many. A call without a connection in time is not made, which the log says apart from a missing answer. The leader sends six stops a worker at a time, and the dispatcher has 48 outstanding, those first that were not sent yet, so that a worker which answers none doesn't collect repetitions.

Why this number: 630 stops with a round trip of 25 ms, that between two regions, are sent within 2.6 s, so that they end within the 3.4 s that a cancelled job may go on.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -16,6 +16,7 @@
 use super::worker::{RunPhase, TrackedRun, Worker};
 use super::{Dispatcher, Order, WorkerOrder};
 use crate::model::{Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime};
+use crate::platform::ORDER_PLACES;
 
 /// Time added to [`Bounds::max_stop`](super::Bounds::max_stop) before a stop order whose run
 /// has not completed is sent again.
@@ -25,6 +26,10 @@
 /// awaited before the order is repeated. Calls through another host end well before.
 const MAX_STOP_ANSWER: Span = Span::from_secs(4);
 
+/// Stops of one worker that may be outstanding. [`ORDER_PLACES`] are sent at a time, so that a
+/// worker which answers none of them has let all time out within 3.2 s, before [`MAX_STOP_ANSWER`].
+const MAX_OUTSTANDING_STOPS: usize = 8 * ORDER_PLACES;
+
 /// How long a long-running task waits before it may use the reserve for short tasks, if the
 /// workers together have spare capacity.
 const MIN_RESERVE_WAIT: Span = Span::from_millis(1_500);
@@ -214,9 +219,13 @@
         }
     }
 
+    /// Orders stops of runs that are not wanted, on each worker as many as may be outstanding. Those
+    /// that were not stopped yet go first, so that lost stops don't hold up the others.
     fn stop_unwanted(&mut self, orders: &mut Vec<WorkerOrder>, now: Time) {
         let retry = self.bounds.max_stop + STOP_RETRY_MARGIN;
         for (name, worker) in &mut self.workers {
+            let mut outstanding = 0;
+            let mut due: Vec<(&TaskKey, &mut TrackedRun)> = Vec::new();
             for (task, tracked) in &mut worker.runs {
                 let keep = !tracked.must_stop && tracked.phase != RunPhase::Unsure;
                 if keep || tracked.phase == RunPhase::Starting {
@@ -226,9 +235,15 @@
                     true => MAX_STOP_ANSWER,
                     false => retry,
                 };
-                if tracked.stop_sent.is_some_and(|at| now.since(at) < pause) {
-                    continue;
+                if tracked.stop_sent.is_none_or(|at| now.since(at) >= pause) {
+                    due.push((task, tracked));
+                } else {
+                    outstanding += usize::from(tracked.stop_pending);
                 }
+            }
+            due.sort_by_key(|(_, tracked)| tracked.stop_sent);
+            due.truncate(MAX_OUTSTANDING_STOPS.saturating_sub(outstanding));
+            for (task, tracked) in due {
                 tracked.stop_sent = Some(now);
                 tracked.stop_pending = true;
                 orders.push(WorkerOrder {
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -82,6 +82,21 @@
     pub(crate) previous_deadline: WorkerTime,
 }
 
+#[cfg(test)]
+impl PollRequest {
+    /// A poll that acknowledges nothing.
+    pub(crate) fn new(address: SocketAddr, lease: Option<WorkerTime>, wait: Span) -> Self {
+        Self {
+            address,
+            lease_deadline: lease,
+            acknowledged: 0,
+            wait,
+            pending_ack: false,
+            previous_deadline: WorkerTime::ZERO,
+        }
+    }
+}
+
 /// Answer to a poll.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PollReply {
--- a/crates/jujubelb/src/dispatch/tests/stops.rs
+++ b/crates/jujubelb/src/dispatch/tests/stops.rs
@@ -1,11 +1,13 @@
 //! Stop orders to workers that are slow to answer.
 
+use indexmap::IndexSet;
+
 use super::simulation::BOUNDS;
 use super::{Simulation, job, long_running};
-use crate::dispatch::{JobKey, Order, StopReply, WorkerOrder};
-use crate::model::Span;
+use crate::dispatch::{JobKey, Order, Step, StopReply, WorkerOrder};
+use crate::model::{Resources, Span};
 use crate::node::RELAY_MARGIN;
-use crate::platform::STOP_TIMEOUT;
+use crate::platform::{ORDER_PLACES, STOP_TIMEOUT};
 
 /// Makes scheduling passes for a span without executing their orders.
 fn plan_for(sim: &mut Simulation, span: Span) -> Vec<WorkerOrder> {
@@ -71,6 +73,41 @@
     assert!(gone + Span::from_millis(250) <= CANCEL_LIMIT, "{sent:?}");
 }
 
+/// Guards against the stops of a large job that are all sent at once, and against some that wait
+/// behind others which the worker does not answer.
+#[test]
+fn a_worker_has_a_limited_number_of_outstanding_stops() {
+    const RUNS: usize = 240;
+    let mut sim = Simulation::new(1);
+    let tiny = Step {
+        size: Resources::new(10, 0, 0),
+        ..long_running(RUNS as u32, 1)
+    };
+    let key = sim.submit(1, job(0, vec![tiny]));
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.running(key), RUNS);
+    sim.cancel(key);
+    let mut stopped = IndexSet::new();
+    let mut unanswered: Vec<WorkerOrder> = Vec::new();
+    while stopped.len() < RUNS {
+        unanswered.extend(plan_for(&mut sim, Span::from_millis(20)));
+        assert!(!unanswered.is_empty(), "{} of {RUNS} stops", stopped.len());
+        assert!(unanswered.len() <= 8 * ORDER_PLACES);
+        for order in unanswered.drain(..ORDER_PLACES.min(unanswered.len())) {
+            let Order::Stop { task, run } = order.order else {
+                panic!("{order:?}");
+            };
+            assert!(
+                stopped.insert(task),
+                "{task} is stopped again before others"
+            );
+            let reply = StopReply::NoAnswer;
+            sim.dispatcher
+                .stop_answered(&order.worker, task, run, reply, sim.now, sim.now);
+        }
+    }
+}
+
 /// Guards against starting a job whose cancellation has reached the leader before the job.
 #[test]
 fn a_job_that_is_cancelled_before_it_arrives_does_not_start() {
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -25,8 +25,8 @@
 };
 use crate::model::{Span, Time, WorkerName};
 use crate::platform::{
-    CallError, KeyState, PolicyClient, PollResult, ReadResult, Revision, Txn, TxnError,
-    WORKER_PREFIX, decode_worker,
+    CallError, KeyState, ORDER_PLACES, PolicyClient, PollResult, ReadResult, Revision, Txn,
+    TxnError, WORKER_PREFIX, decode_worker,
 };
 
 /// Interval of renewing the leader's lease, which lasts 2 s.
@@ -81,7 +81,8 @@
 /// wait would loop.
 const MAX_ACKNOWLEDGE_WAIT: Span = Span::from_millis(300);
 
-/// Concurrent starts and paces sent to one worker.
+/// Concurrent starts and paces sent to one worker. Fewer than [`ORDER_PLACES`], since stops, which
+/// take the rest, have to end a cancelled job in time.
 const MAX_ORDERS_PER_WORKER: usize = 4;
 
 /// Options for watching the workers' keys. The pause limits the calls to the store,
@@ -138,8 +139,8 @@
     committed: Notify,
     /// What this term asks of the watch of the workers' keys.
     entries_demand: EvidenceDemand,
-    /// Limits the concurrent starts and paces sent to each worker.
-    order_slots: Mutex<IndexMap<WorkerName, Arc<Semaphore>>>,
+    /// Limits the concurrent orders sent to each worker.
+    order_slots: Mutex<IndexMap<WorkerName, Arc<OrderSlots>>>,
     /// Hosts that are able to succeed this leader.
     pub(crate) successors: Mutex<Successors>,
     /// Set when the leader makes room for a stronger host. The writer then returns as soon
@@ -153,6 +154,31 @@
     confirmed: Mutex<Time>,
 }
 
+/// Limits the concurrent orders sent to one worker. Those that a relay sends for this leader keep
+/// their slot until the result is there, so that neither waits for the other's connections.
+#[derive(Debug)]
+struct OrderSlots {
+    /// Starts and paces.
+    starts: Semaphore,
+    stops: Semaphore,
+}
+
+impl OrderSlots {
+    fn new() -> Self {
+        Self {
+            starts: Semaphore::new(MAX_ORDERS_PER_WORKER),
+            stops: Semaphore::new(ORDER_PLACES),
+        }
+    }
+
+    fn of(&self, order: &Order) -> &Semaphore {
+        match order {
+            Order::Stop { .. } => &self.stops,
+            Order::Start { .. } | Order::Pace { .. } => &self.starts,
+        }
+    }
+}
+
 impl ActiveTerm {
     /// Adds a job that is in the store to the dispatcher.
     pub(crate) fn accept(&self, node: &Node, key: JobKey, record: JobRecord) {
@@ -247,9 +273,9 @@
         self.plan_needed.notify_one();
     }
 
-    fn order_slots(&self, worker: &WorkerName) -> Arc<Semaphore> {
+    fn order_slots(&self, worker: &WorkerName) -> Arc<OrderSlots> {
         let mut slots = lock(&self.order_slots);
-        let new_slots = || Arc::new(Semaphore::new(MAX_ORDERS_PER_WORKER));
+        let new_slots = || Arc::new(OrderSlots::new());
         slots
             .entry(worker.clone())
             .or_insert_with(new_slots)
@@ -937,12 +963,8 @@
 async fn send_order(node: Arc<Node>, term: Arc<ActiveTerm>, order: WorkerOrder, planned: Time) {
     let slots = term.order_slots(&order.worker);
     // Stops do not wait behind starts. At most one for each run is outstanding.
-    let _permit = match &order.order {
-        Order::Stop { .. } => None,
-        Order::Start { .. } | Order::Pace { .. } => match slots.acquire().await {
-            Ok(permit) => Some(permit),
-            Err(_) => return,
-        },
+    let Ok(_permit) = slots.of(&order.order).acquire().await else {
+        return;
     };
     let worker = &order.worker;
     match &order.order {
--- a/crates/jujubelb/src/node/tests/limited_worker.rs
+++ b/crates/jujubelb/src/node/tests/limited_worker.rs
@@ -24,6 +24,7 @@
     /// Number of connections so far, without those that were refused.
     accepted: usize,
     open: usize,
+    most_open: usize,
     refused: usize,
     /// Connections before this one are silent.
     answered_from: usize,
@@ -58,6 +59,7 @@
             return None;
         }
         state.open += 1;
+        state.most_open = state.most_open.max(state.open);
         state.accepted += 1;
         Some(state.accepted - 1)
     }
@@ -72,6 +74,11 @@
         lock(&self.state).open
     }
 
+    /// Largest number of connections that were open at the same time.
+    pub(super) fn most_open(&self) -> usize {
+        lock(&self.state).most_open
+    }
+
     /// Number of connections that were closed because of the limit.
     pub(super) fn refused(&self) -> usize {
         lock(&self.state).refused
--- a/crates/jujubelb/src/node/tests/worker_connections.rs
+++ b/crates/jujubelb/src/node/tests/worker_connections.rs
@@ -6,9 +6,9 @@
 
 use super::super::relay::{OpenGateway, WorkerGateway};
 use super::limited_worker::LimitedWorker;
-use crate::dispatch::{JobKey, Order, Run, StepKey, StopReply, TaskKey, WorkerOrder};
-use crate::model::WorkerName;
-use crate::platform::WorkerConnections;
+use crate::dispatch::{JobKey, Order, PollRequest, Run, StepKey, StopReply, TaskKey, WorkerOrder};
+use crate::model::{Span, WorkerName, WorkerTime};
+use crate::platform::{PLACES, WorkerConnections};
 use crate::telemetry::{self, Metrics};
 
 /// Connections that a worker accepts.
@@ -100,3 +100,57 @@
     drop(OpenGateway(gateway));
     await_open(&worker, 0).await;
 }
+
+/// Polls a worker again and again, and returns how often it answered.
+async fn poll_repeatedly(
+    gateway: &WorkerGateway,
+    address: std::net::SocketAddr,
+    polls: usize,
+) -> usize {
+    let request = PollRequest::new(
+        address,
+        Some(WorkerTime::from_micros(6_000_000)),
+        Span::ZERO,
+    );
+    let mut answered = 0;
+    for _ in 0..polls {
+        let answer = gateway.poll(&WorkerName::new("w"), &request).await;
+        answered += usize::from(answer.is_ok());
+    }
+    answered
+}
+
+/// Guards against stops of a large job that take all connections of a worker, so that neither they
+/// nor the polls that extend its lease get through.
+#[tokio::test]
+async fn polls_get_through_beside_bursts_of_stops() {
+    const POLLS: usize = 20;
+    let (worker, address) = LimitedWorker::start(WORKER_LIMIT).await;
+    let connections = WorkerConnections::default();
+    let gateway = gateway(&connections);
+    let stops = stop_runs(&gateway, address, 300);
+    let polls = poll_repeatedly(&gateway, address, POLLS);
+    let (replies, answered) = tokio::join!(stops, polls);
+    assert_eq!(answered, POLLS);
+    let stopped = replies.iter().filter(|r| **r == StopReply::Stopped);
+    assert!(stopped.count() > 200);
+    assert!(worker.most_open() <= PLACES, "{}", worker.most_open());
+    assert_eq!(worker.refused(), 0);
+}
+
+/// Guards against a worker that can't be polled any more after silences and bursts of stops in
+/// turn.
+#[tokio::test]
+async fn polls_get_through_after_silences_and_bursts_of_stops() {
+    let (worker, address) = LimitedWorker::start(WORKER_LIMIT).await;
+    let connections = WorkerConnections::default();
+    let gateway = gateway(&connections);
+    for _ in 0..4 {
+        stop_runs(&gateway, address, 40).await;
+        worker.silence();
+        stop_runs(&gateway, address, 40).await;
+        assert_eq!(poll_repeatedly(&gateway, address, 2).await, 2);
+    }
+    assert!(worker.most_open() <= PLACES, "{}", worker.most_open());
+    assert_eq!(worker.refused(), 0);
+}
--- a/crates/jujubelb/src/platform/mod.rs
+++ b/crates/jujubelb/src/platform/mod.rs
@@ -29,6 +29,8 @@
     CONFIG_KEY, EVACUATION_PREFIX, OPERATOR_PREFIX, OperatorConfig, QueueConfig, WORKER_PREFIX,
     decode_config, decode_worker,
 };
-pub(crate) use worker_connections::WorkerConnections;
+#[cfg(test)]
+pub(crate) use worker_connections::PLACES;
+pub(crate) use worker_connections::{ORDER_PLACES, WorkerConnections};
 pub(crate) use workers::WorkerClient;
 pub use workers::{ORDER_TIMEOUT, POLL_TIMEOUT_MARGIN, PollResult, STOP_TIMEOUT};
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -7,7 +7,7 @@
 
 use super::client::{CallError, HttpRequest, HttpResponse};
 use super::numbers::Millis;
-use super::worker_connections::WorkerConnections;
+use super::worker_connections::{CallKind, WorkerConnections};
 use crate::dispatch::{
     Incarnation, Order, PollReply, PollRequest, Refusal, Run, RunCompletion, RunOutcome, RunStatus,
     StartAnswer, StartReply, StopReply, TaskKey, WorkerOrder,
@@ -127,6 +127,7 @@
 
     async fn post<B: Serialize>(
         &self,
+        kind: CallKind,
         peer: std::net::SocketAddr,
         worker: &WorkerName,
         path: &str,
@@ -142,7 +143,7 @@
             body: Some(body),
             timeout,
         };
-        self.connections.call(request).await
+        self.connections.call(kind, request).await
     }
 
     /// Starts a run. Returns `NotSent` for an order that is not a start.
@@ -169,6 +170,7 @@
         };
         let response = self
             .post(
+                CallKind::Order,
                 order.address,
                 &order.worker,
                 "/run-start",
@@ -205,6 +207,7 @@
         };
         let response = self
             .post(
+                CallKind::Order,
                 order.address,
                 &order.worker,
                 "/run-stop",
@@ -234,7 +237,14 @@
             fencing_token: self.token,
         };
         let response = self
-            .post(order.address, &order.worker, "/pace", &body, ORDER_TIMEOUT)
+            .post(
+                CallKind::Order,
+                order.address,
+                &order.worker,
+                "/pace",
+                &body,
+                ORDER_TIMEOUT,
+            )
             .await;
         match response {
             Ok(response) if response.status == StatusCode::OK => true,
@@ -263,7 +273,14 @@
         };
         let timeout = request.wait + POLL_TIMEOUT_MARGIN;
         let response = self
-            .post(request.address, worker, "/hold", &body, timeout)
+            .post(
+                CallKind::Poll,
+                request.address,
+                worker,
+                "/hold",
+                &body,
+                timeout,
+            )
             .await?;
         match response.status {
             StatusCode::OK => decode_poll_reply(worker, response.json()?)
