Begin the occurrences that workers report and the stored state does not have

Cause: 1,000 occurrences of a job may be open, and a leader begins the next ones as soon as others have ended, before the store has those ends. The next leader reads the older state and has begun fewer. It dropped the end of an occurrence that it had not begun, and acknowledged it all the same; and a run that it adopted set the number of those begun behind its own, so that all between were never run.

Change: an occurrence begins by the report of a run or of an end as well. The number of those begun only advances over numbers that have all begun; those ahead are kept apart. The tasks of such an occurrence that wait are queued at once: until now a later event of the job had to queue them, so that the last occurrence of a job could wait for good.

Bound: after a change of the leader a job may have up to 2,000 open occurrences, the 1,000 of the stored state and the 1,000 of the former leader, until enough of them have ended.

--- a/crates/jujubelb/src/dispatch/completion.rs
+++ b/crates/jujubelb/src/dispatch/completion.rs
@@ -31,6 +31,7 @@
             w.record_ended_run(&tracked, now);
         }
         log::info!(task:% = completion.task, run:% = completion.run, worker:% = worker, how:% = completion.outcome; "run completed");
+        self.begin_reported(completion.task.step, now);
         let Some(job) = self.jobs.get_mut(&completion.task.step.job) else {
             return;
         };
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -133,21 +133,31 @@
         }
     }
 
-    /// Adds the job's steps with waiting tasks and no open dependencies to `ready`.
-    pub(super) fn queue_ready_steps(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.get(&key) else {
+    /// Begins the occurrence of a run that a worker reports, unless it has begun: an earlier leader
+    /// has begun it, and the store does not have its state.
+    pub(super) fn begin_reported(&mut self, run: StepKey, now: Time) {
+        let Some(job) = self.jobs.get_mut(&run.job) else {
             return;
         };
-        for occurrence in &job.occurrences {
-            for (i, step) in occurrence.steps.iter().enumerate() {
-                if step.waiting > 0 && job.is_step_ready(occurrence, i) {
-                    self.ready.insert(StepKey {
-                        job: key,
-                        occurrence: occurrence.number,
-                        step: i as u16,
-                    });
-                }
-            }
+        let spec = &job.record.spec;
+        let is_possible = spec.schedule.is_some() && run.occurrence < spec.occurrences();
+        if job.outcome.is_some() || !is_possible || !job.begin(run.occurrence, now, None) {
+            return;
+        }
+        log::info!(job:% = run.job, occurrence = run.occurrence; "occurrence begun by an earlier leader");
+        if let Some(job) = self.jobs.get(&run.job)
+            && let Some(occurrence) = job.occurrence(run.occurrence)
+        {
+            self.ready.extend(job.ready_steps(run.job, occurrence));
+        }
+    }
+
+    /// Adds the job's steps with waiting tasks and no open dependencies to `ready`.
+    pub(super) fn queue_ready_steps(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get(&key) {
+            let occurrences = job.occurrences.iter();
+            self.ready
+                .extend(occurrences.flat_map(|o| job.ready_steps(key, o)));
         }
     }
 
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -1,11 +1,12 @@
 //! A job in the leader's memory.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use arcstr::ArcStr;
 
 use super::confirmation::Arrival;
-use super::job_spec::{JobRecord, MAX_TASKS_PER_JOB, Run, Step, TaskKey};
+use super::job_spec::{JobKey, JobRecord, MAX_TASKS_PER_JOB, Run, Step, StepKey, TaskKey};
 use super::progress::{
     Crash, CrashDetail, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes,
     TaskProgress,
@@ -152,8 +153,11 @@
     /// When the job was accepted, on this process's clock.
     pub(crate) accepted: Time,
     pub(crate) occurrences: Vec<Occurrence>,
-    /// Number of occurrences that have begun.
+    /// The first occurrence that has not begun. All before it have.
     pub(crate) begun: u32,
+    /// Occurrences after `begun` that have begun: an earlier leader began those between as well,
+    /// but their state was not stored.
+    begun_ahead: BTreeSet<u32>,
     /// Whether any task has ever started.
     pub(crate) started: bool,
     pub(crate) outcome: Option<JobOutcome>,
@@ -191,6 +195,7 @@
             accepted,
             occurrences: Vec::new(),
             begun: 0,
+            begun_ahead: BTreeSet::new(),
             started: progress.is_some(),
             outcome: progress.and_then(|p| p.outcome),
             durable_outcome: progress.and_then(|p| p.outcome),
@@ -216,15 +221,19 @@
         job
     }
 
-    /// Begins an occurrence unless it has begun already. `progress` is its durable state.
+    /// Begins an occurrence unless it has begun already. `progress` is its durable state. Returns
+    /// whether it has begun now.
     pub(crate) fn begin(
         &mut self,
         number: u32,
         since: Time,
         progress: Option<&OccurrenceProgress>,
-    ) {
-        if self.occurrences.iter().any(|o| o.number == number) {
-            return;
+    ) -> bool {
+        if number < self.begun || !self.begun_ahead.insert(number) {
+            return false;
+        }
+        while self.begun_ahead.remove(&self.begun) {
+            self.begun = self.begun.saturating_add(1);
         }
         let steps = match progress {
             Some(known) if known.steps.is_empty() => Vec::new(),
@@ -236,12 +245,12 @@
                 })
                 .collect(),
         };
-        self.begun = self.begun.max(number.saturating_add(1));
         self.occurrences.push(Occurrence {
             number,
             since,
             steps,
         });
+        true
     }
 
     pub(crate) fn occurrence(&self, number: u32) -> Option<&Occurrence> {
@@ -316,6 +325,23 @@
         })
     }
 
+    /// Steps of an occurrence with waiting tasks and no open dependencies. `key` is that of the job.
+    pub(crate) fn ready_steps(
+        &self,
+        key: JobKey,
+        occurrence: &Occurrence,
+    ) -> impl Iterator<Item = StepKey> {
+        let steps = (0u16..).zip(&occurrence.steps);
+        let ready = steps.filter(|(i, step)| {
+            step.waiting > 0 && self.is_step_ready(occurrence, usize::from(*i))
+        });
+        ready.map(move |(step, _)| StepKey {
+            job: key,
+            occurrence: occurrence.number,
+            step,
+        })
+    }
+
     /// Whether one more occurrence may begin beside those that have not ended.
     pub(crate) fn has_room_for_occurrence(&self) -> bool {
         let open = self.occurrences.iter();
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -415,22 +415,16 @@
 
     /// Starts to track a run that an earlier term has started.
     fn adopt(&mut self, name: &WorkerName, row: &RunStatus, now: Time) {
+        self.begin_reported(row.task.step, now);
         let job = self.jobs.get_mut(&row.task.step.job);
         let live = job.as_ref().is_none_or(|j| j.outcome.is_none());
         let record = job.as_ref().map(|j| j.record.clone());
         let step = record
             .as_ref()
             .and_then(|r| r.spec.steps.get(usize::from(row.task.step.step)));
-        let begun = record.as_ref().is_some_and(|r| {
-            r.spec.schedule.is_some() && row.task.step.occurrence < r.spec.occurrences()
-        });
         let mut must_stop = !live;
         if let Some(job) = job {
             job.started = true;
-            if begun {
-                // An earlier leader has begun the occurrence; this one may not have yet.
-                job.begin(row.task.step.occurrence, now, None);
-            }
             match job.task_mut(row.task) {
                 Some(task) => {
                     let is_waiting = task.state == TaskState::Waiting;
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/tests/inherited_state.rs
@@ -0,0 +1,67 @@
+//! Leaders whose stored state is older than what workers report.
+
+use super::{Simulation, job, step};
+use crate::dispatch::{JobRecord, Schedule, Step, TaskKey};
+use crate::model::{Resources, Span, WallTime};
+
+/// Time between two occurrences of a job.
+const INTERVAL: Span = Span::from_secs(60);
+
+/// A job of which as many occurrences are due before `now`, each with these steps.
+fn overdue_job(steps: Vec<Step>, count: u32, now: WallTime) -> JobRecord {
+    let mut record = job(1, steps);
+    let age = INTERVAL.scale_up(u64::from(count), 1);
+    record.spec.schedule = Some(Schedule {
+        first: WallTime::from_micros(now.as_micros() - age.as_micros()),
+        interval: INTERVAL,
+        count,
+    });
+    record
+}
+
+/// A step of tasks that are so small that a worker runs hundreds.
+fn small_tasks(count: u32, estimate: Span) -> Step {
+    Step {
+        size: Resources::new(100, 0, 0),
+        ..step(count, 1, estimate)
+    }
+}
+
+/// Guards against ends of occurrences that a new leader has not begun: their tasks would start
+/// again, or the occurrences between would never run.
+#[test]
+fn occurrences_that_only_the_former_leader_has_begun_run_once() {
+    const COUNT: u32 = 3_000;
+    let mut sim = Simulation::new(4);
+    let steps = vec![small_tasks(2, Span::from_millis(400))];
+    let key = sim.submit(1, overdue_job(steps, COUNT, sim.wall()));
+    for _ in 0..3 {
+        sim.run(Span::from_millis(500));
+        sim.store_available = false;
+        sim.run(Span::from_millis(900));
+        sim.store_available = true;
+        sim.change_leader();
+    }
+    sim.run(Span::from_secs(30));
+    assert!(sim.completed.contains_key(&key));
+    let tasks = sim.done.iter().filter(|t| t.step.job == key);
+    assert_eq!(tasks.count(), 2 * COUNT as usize);
+}
+
+/// Guards against the other tasks of such an occurrence, which no event would start.
+#[test]
+fn the_other_tasks_of_an_adopted_occurrence_start() {
+    let mut sim = Simulation::new(1);
+    let steps = vec![step(2, 60, Span::from_millis(300))];
+    let record = overdue_job(steps, 1, sim.wall());
+    sim.store_available = false;
+    let key = sim.submit(1, record);
+    sim.run(Span::from_millis(100));
+    let started: Vec<TaskKey> = sim.starts.iter().map(|(_, _, task, _)| *task).collect();
+    assert_eq!(started.len(), 1);
+    sim.change_leader();
+    sim.poll_worker(0);
+    sim.store_available = true;
+    sim.run(Span::from_secs(3));
+    assert!(sim.completed.contains_key(&key));
+}
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -12,6 +12,7 @@
 mod flapping_workers;
 mod gangs;
 mod health;
+mod inherited_state;
 mod interference;
 mod late_calls;
 mod leader_changes;
