Wait for all ends of a worker before inherited tasks start

Cause: the same class as the occurrences of a former leader: a new leader takes a list that ends early for a whole one. A worker lists 500 ends at a time, and its first answer counted as all that there is to know. Tasks whose ends were behind it were started again.

Change: a worker counts as known when an answer had less than 500 ends. A worker that answers and has more is waited for, also when the leases of earlier leaders are over, since it is alive; one that doesn't answer is waited for as before. A worker that is no longer listed is not forgotten before that either.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -125,20 +125,22 @@
         }
     }
 
-    /// Allows inherited tasks to start once every roster worker has answered this leader, or
-    /// the leases that earlier leaders may have extended have expired.
+    /// Allows inherited tasks to start once every roster worker has listed all its runs and ends to
+    /// this leader, or can't be reached and the leases that earlier leaders may have extended have
+    /// expired.
     fn resolve_inherited(&mut self, now: Time) {
         if self.inherited_resolved {
             return;
         }
         let lease = longest_duration(self.bounds.max_lease);
-        let unreachable = self
+        let unknown = self
             .workers
             .values()
-            .filter(|w| w.roster_address.is_some() && !w.fenced && !w.replaced)
-            .count();
+            .filter(|w| w.roster_address.is_some() && !w.fully_listed && !w.replaced);
+        let unreachable = unknown.clone().filter(|w| !w.reachable).count();
+        let partly_listed = unknown.count() - unreachable;
         let leases_expired = self.earlier.quiet_for(now).is_some_and(|t| t > lease);
-        if unreachable == 0 || leases_expired {
+        if partly_listed == 0 && (unreachable == 0 || leases_expired) {
             self.earlier.clear();
             log::info!(waited:% = now.since(self.began), suspects = unreachable; "tasks inherited from earlier terms may start");
             self.inherited_resolved = true;
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -112,7 +112,7 @@
 
 /// Maximum number of completions in an answer. If an answer has that many, later
 /// completions may be missing from it.
-const MAX_COMPLETIONS_PER_ANSWER: usize = 500;
+pub(super) const MAX_COMPLETIONS_PER_ANSWER: usize = 500;
 
 /// Wait time of an ordinary poll. A completion is answered immediately, so this bounds only
 /// the age of the status of running tasks.
@@ -253,12 +253,14 @@
         for row in &reply.running {
             self.run_listed(name, row, now);
         }
-        if reply.finished.len() < MAX_COMPLETIONS_PER_ANSWER {
+        let is_complete = reply.finished.len() < MAX_COMPLETIONS_PER_ANSWER;
+        if is_complete {
             self.drop_missing(name, sent, reply, now);
         }
         let clean = self.dirty_jobs.is_empty();
         let changes = self.change_count;
         if let Some(worker) = self.workers.get_mut(name) {
+            worker.fully_listed |= is_complete;
             worker.record_processed(last, changes);
             if clean {
                 worker.acknowledge(changes);
@@ -515,6 +517,6 @@
         !self.listed
             && self.runs.is_empty()
             && !(self.reachable && self.keeps_completions)
-            && (self.fenced || self.replaced || inherited_resolved)
+            && (self.fully_listed || self.replaced || inherited_resolved)
     }
 }
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -149,6 +149,9 @@
     pub(crate) drain_deadline: Option<Time>,
     /// Whether its current incarnation has seen this leader's fencing token.
     pub(crate) fenced: bool,
+    /// Whether all runs that earlier leaders have started on it are known: an answer under this
+    /// leader's token has listed its runs, and all ends that it keeps were read.
+    pub(crate) fully_listed: bool,
     /// Whether late calls to an earlier incarnation are ruled out. Nothing is started before.
     pub(crate) admission: Admission,
     /// When this term learned of the current incarnation, in the order of arrivals. Nothing
@@ -295,6 +298,7 @@
             listed: true,
             drain_deadline: None,
             fenced: false,
+            fully_listed: false,
             admission: Admission::AwaitsToken,
             arrival: Arrival::default(),
             roster_address: None,
