Keep few idle connections to a worker after a call to it has timed out

Cause: a worker does not learn that a silent connection was closed, so that the connection keeps one of its 64 places. Each silence takes as many places as there are connections, idle ones included, and from some silence on the worker refuses new ones.

Ruled out: that it is enough to close what has gone silent.

Change: after a timeout, and for two minutes, one idle connection for polls and one for orders is kept, besides those that calls wait for, so that a burst of stops needs no new connection for each. A timeout of a poll speaks of the connections for orders, and the other way round. Surplus connections are closed before their place is free again.

--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -85,6 +85,10 @@
 /// take the rest, have to end a cancelled job in time.
 const MAX_ORDERS_PER_WORKER: usize = 4;
 
+/// Concurrent stops sent to one worker. As many as are sent at a time wait for a connection, which
+/// shows that the open ones are needed.
+const MAX_STOPS_PER_WORKER: usize = 2 * ORDER_PLACES;
+
 /// Options for watching the workers' keys. The pause limits the calls to the store,
 /// since each worker writes its key with every heartbeat.
 const WORKER_KEYS: WatchOptions = WatchOptions {
@@ -167,7 +171,7 @@
     fn new() -> Self {
         Self {
             starts: Semaphore::new(MAX_ORDERS_PER_WORKER),
-            stops: Semaphore::new(ORDER_PLACES),
+            stops: Semaphore::new(MAX_STOPS_PER_WORKER),
         }
     }
 
--- a/crates/jujubelb/src/node/tests/limited_worker.rs
+++ b/crates/jujubelb/src/node/tests/limited_worker.rs
@@ -12,10 +12,15 @@
 /// Time that the worker takes to answer a call.
 const ANSWER_TIME: Duration = Duration::from_millis(5);
 
+/// Time until the worker has noticed that a connection was closed.
+const NOTICE_TIME: Duration = Duration::from_millis(1);
+
 /// A worker that closes connections beyond its limit at once, and that notices when a client has
 /// closed one. It never closes a silent connection by itself.
 pub(super) struct LimitedWorker {
     limit: usize,
+    /// Whether a silent connection keeps its place although its client has closed it.
+    keeps_silent: bool,
     state: Mutex<State>,
 }
 
@@ -32,20 +37,34 @@
 
 impl LimitedWorker {
     pub(super) async fn start(limit: usize) -> (Arc<Self>, SocketAddr) {
+        Self::start_with(limit, false).await
+    }
+
+    /// Starts a worker that never learns that a silent connection was closed.
+    pub(super) async fn start_unaware(limit: usize) -> (Arc<Self>, SocketAddr) {
+        Self::start_with(limit, true).await
+    }
+
+    async fn start_with(limit: usize, keeps_silent: bool) -> (Arc<Self>, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let state = Mutex::default();
-        let worker = Arc::new(Self { limit, state });
+        let worker = Arc::new(Self {
+            limit,
+            keeps_silent,
+            state: Mutex::default(),
+        });
         let accepting = worker.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                // Connections that were closed before are noticed first.
+                sleep(NOTICE_TIME).await;
                 let Some(connection) = accepting.admit() else {
                     continue;
                 };
                 let worker = accepting.clone();
                 tokio::spawn(async move {
                     worker.serve_connection(stream, connection).await;
-                    lock(&worker.state).open -= 1;
+                    worker.closed(connection);
                 });
             }
         });
@@ -64,6 +83,14 @@
         Some(state.accepted - 1)
     }
 
+    fn closed(&self, connection: usize) {
+        let mut state = lock(&self.state);
+        let is_silent = connection < state.answered_from;
+        if !(is_silent && self.keeps_silent) {
+            state.open -= 1;
+        }
+    }
+
     /// Makes all open connections silent; new ones are answered.
     pub(super) fn silence(&self) {
         let mut state = lock(&self.state);
--- a/crates/jujubelb/src/node/tests/worker_connections.rs
+++ b/crates/jujubelb/src/node/tests/worker_connections.rs
@@ -154,3 +154,24 @@
     assert!(worker.most_open() <= PLACES, "{}", worker.most_open());
     assert_eq!(worker.refused(), 0);
 }
+
+/// Guards against silences in a row that take all places of a worker which does not learn that
+/// silent connections were closed.
+#[tokio::test]
+async fn polls_get_through_after_many_silences_that_the_worker_does_not_notice() {
+    const SILENCES: usize = 14;
+    const CALLS: u32 = 6;
+    let (worker, address) = LimitedWorker::start_unaware(WORKER_LIMIT).await;
+    let connections = WorkerConnections::default();
+    let gateway = gateway(&connections);
+    for silence in 1..=SILENCES {
+        stop_runs(&gateway, address, CALLS).await;
+        assert_eq!(poll_repeatedly(&gateway, address, 1).await, 1);
+        worker.silence();
+        let stops = stop_runs(&gateway, address, CALLS);
+        let polls = poll_repeatedly(&gateway, address, 1);
+        tokio::join!(stops, polls);
+        assert_eq!(worker.refused(), 0, "after {silence} silences");
+    }
+    assert_eq!(poll_repeatedly(&gateway, address, 2).await, 2);
+}
--- a/crates/jujubelb/src/platform/client.rs
+++ b/crates/jujubelb/src/platform/client.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-use super::connections::{Connection, ConnectionCounts, Connections};
+use super::connections::{Connection, ConnectionCounts, Connections, IdleLimits};
 use crate::model::Span;
 use crate::telemetry::Clock;
 
@@ -20,9 +20,13 @@
 /// second, so that a new attempt is faster.
 const CONNECT_TIMEOUT: Span = Span::from_millis(500);
 
-/// How long an idle connection to a host or to the store is kept. A new one takes a round trip,
-/// while an idle one takes only a file descriptor.
-const IDLE_TIMEOUT: Span = Span::from_secs(60);
+/// Idle connections to a host or to the store. A new one takes a round trip, while an idle one takes
+/// only a file descriptor.
+const IDLE_LIMITS: IdleLimits = IdleLimits {
+    count: usize::MAX,
+    after_timeout: usize::MAX,
+    timeout: Span::from_secs(60),
+};
 
 /// Why a call has no usable response.
 #[derive(Debug, Clone, Error)]
@@ -106,16 +110,16 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
-        Self::new(IDLE_TIMEOUT)
+        Self::new(IDLE_LIMITS)
     }
 }
 
 impl HttpClient {
-    /// A client without open connections, which keeps idle ones for `idle_timeout`.
-    pub(crate) fn new(idle_timeout: Span) -> Self {
+    /// A client without open connections.
+    pub(super) fn new(limits: IdleLimits) -> Self {
         Self {
             clock: Clock::start(),
-            connections: Arc::new(Connections::new(idle_timeout)),
+            connections: Arc::new(Connections::new(limits)),
         }
     }
 
@@ -123,9 +127,18 @@
     pub(crate) async fn call<B: Serialize>(
         &self,
         call: HttpRequest<'_, B>,
+    ) -> Result<HttpResponse, CallError> {
+        self.call_before(call, || 0).await
+    }
+
+    /// Like [`HttpClient::call`]. `waiting` tells how many calls wait for a connection to the peer.
+    pub(super) async fn call_before<B: Serialize>(
+        &self,
+        call: HttpRequest<'_, B>,
+        waiting: impl Fn() -> usize,
     ) -> Result<HttpResponse, CallError> {
         let request = encode(&call).map_err(|e| CallError::NotSent(call.peer, e))?;
-        self.send(call.peer, request, call.timeout).await
+        self.send(call.peer, request, call.timeout, waiting).await
     }
 
     /// Sends bytes to another host of the system and reads the response.
@@ -140,7 +153,7 @@
             .header(HOST, peer.to_string())
             .body(Full::from(body))
             .map_err(|e| CallError::NotSent(peer, e.to_string()))?;
-        self.send(peer, request, timeout).await
+        self.send(peer, request, timeout, || 0).await
     }
 
     /// Closes all idle connections, and those in use when their call ends.
@@ -149,6 +162,11 @@
         log::info!(closed = closed; "idle connections closed");
     }
 
+    /// Closes all connections to a peer after a call of another client to it has timed out.
+    pub(super) fn suspect(&self, peer: SocketAddr) {
+        self.connections.suspect(peer, self.clock.now());
+    }
+
     /// Closes the connections that have been idle for too long.
     pub(crate) fn close_unused(&self) {
         self.connections.close_unused(self.clock.now());
@@ -164,6 +182,7 @@
         peer: SocketAddr,
         request: Request<Full<Bytes>>,
         timeout: Span,
+        waiting: impl Fn() -> usize,
     ) -> Result<HttpResponse, CallError> {
         let deadline = Instant::now() + timeout.to_std();
         loop {
@@ -176,7 +195,10 @@
             let exchanged = exchange(&mut connection, request.clone());
             match tokio::time::timeout_at(deadline, exchanged).await {
                 Ok(Ok((status, body))) => {
-                    self.connections.put(connection, self.clock.now());
+                    let now = self.clock.now();
+                    if let Some(surplus) = self.connections.put(connection, waiting(), now) {
+                        surplus.close().await;
+                    }
                     return Ok(HttpResponse { status, body, peer });
                 }
                 // The peer has closed the connection while it was idle, before the request
@@ -208,7 +230,8 @@
     /// Closes the idle connections that may be silent like this one.
     fn give_up(&self, silent: &Connection, peer: SocketAddr) {
         // Of many calls that time out together the first one is enough.
-        if let Some(closed) = self.connections.give_up(peer, silent.generation()) {
+        let now = self.clock.now();
+        if let Some(closed) = self.connections.timed_out(peer, silent.generation(), now) {
             log::info!(peer:% = peer, closed = closed; "a call has timed out; its idle connections are closed");
         }
     }
--- a/crates/jujubelb/src/platform/connections.rs
+++ b/crates/jujubelb/src/platform/connections.rs
@@ -36,10 +36,27 @@
     pub(crate) idle: usize,
 }
 
+/// Which idle connections are kept.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct IdleLimits {
+    /// Largest number to one peer.
+    pub(super) count: usize,
+    /// Largest number to a peer of which a call has timed out within [`SILENCE_MEMORY`], besides
+    /// those that calls wait for.
+    pub(super) after_timeout: usize,
+    /// How long each is kept.
+    pub(super) timeout: Span,
+}
+
+/// How long a timeout limits the idle connections to its peer. Silences come in series, and the peer
+/// does not learn that a silent connection was closed: it keeps the place until it notices itself,
+/// which takes minutes.
+pub(super) const SILENCE_MEMORY: Span = Span::from_secs(120);
+
 /// Idle connections to each peer, and the number of all open ones.
 #[derive(Debug)]
 pub(super) struct Connections {
-    idle_timeout: Span,
+    limits: IdleLimits,
     peers: Mutex<Peers>,
     open: Arc<AtomicUsize>,
 }
@@ -57,6 +74,8 @@
     generation: u64,
     /// The most recently used one is the last.
     idle: Vec<IdleConnection>,
+    /// When a call to it timed out last; `None` if none has within [`SILENCE_MEMORY`].
+    timed_out: Option<Time>,
 }
 
 #[derive(Debug)]
@@ -112,10 +131,9 @@
 }
 
 impl Connections {
-    /// Keeps idle connections for `idle_timeout`.
-    pub(super) fn new(idle_timeout: Span) -> Self {
+    pub(super) fn new(limits: IdleLimits) -> Self {
         Self {
-            idle_timeout,
+            limits,
             peers: Mutex::default(),
             open: Arc::default(),
         }
@@ -145,34 +163,54 @@
     pub(super) fn take(&self, peer: SocketAddr, now: Time) -> Option<Connection> {
         let mut peers = self.lock();
         let idle = &mut peers.peers.get_mut(&peer)?.idle;
-        let usable = |c: &IdleConnection| c.is_usable(self.idle_timeout, now);
+        let usable = |c: &IdleConnection| c.is_usable(self.limits.timeout, now);
         std::iter::from_fn(|| idle.pop())
             .find(usable)
             .map(|c| c.connection)
     }
 
-    /// Keeps a connection on which a call was answered for the next call, unless the connections of
-    /// its generation were given up.
-    pub(super) fn put(&self, connection: Connection, now: Time) {
+    /// Keeps a connection on which a call was answered for the next call. Returns it if there are
+    /// enough for the calls that wait, or those of its generation were given up.
+    pub(super) fn put(
+        &self,
+        connection: Connection,
+        waiting: usize,
+        now: Time,
+    ) -> Option<Connection> {
         let mut peers = self.lock();
         let peer = peers.peer(connection.peer);
-        if peer.generation == connection.generation {
-            let since = now;
-            peer.idle.push(IdleConnection { connection, since });
+        let mut room = self.limits.count;
+        if peer.timed_out.is_some() {
+            room = room.min(self.limits.after_timeout.saturating_add(waiting));
+        }
+        if peer.generation != connection.generation || peer.idle.len() >= room {
+            return Some(connection);
         }
+        let since = now;
+        peer.idle.push(IdleConnection { connection, since });
+        None
     }
 
-    /// Gives up all connections of a generation to a peer: idle ones are closed, those in use when
-    /// their call ends. Returns the number of idle ones, or `None` if the generation was given up
-    /// before.
-    pub(super) fn give_up(&self, peer: SocketAddr, generation: u64) -> Option<usize> {
+    /// Records that a call to a peer has timed out on a connection of a generation, and gives up all
+    /// connections of that generation: idle ones are closed, those in use when their call ends.
+    /// Returns the number of idle ones, or `None` if the generation was given up before.
+    pub(super) fn timed_out(&self, peer: SocketAddr, generation: u64, now: Time) -> Option<usize> {
         let mut peers = self.lock();
+        peers.peer(peer).timed_out = Some(now);
         if peers.generation(peer) != generation {
             return None;
         }
         Some(peers.begin_generation(peer).len())
     }
 
+    /// Records that a call to a peer has timed out on a connection of another client, and gives up
+    /// all connections to it.
+    pub(super) fn suspect(&self, peer: SocketAddr, now: Time) {
+        let mut peers = self.lock();
+        peers.peer(peer).timed_out = Some(now);
+        peers.begin_generation(peer);
+    }
+
     /// Gives up all connections. Returns the number of idle ones.
     pub(super) fn give_up_all(&self) -> usize {
         let mut peers = self.lock();
@@ -181,11 +219,13 @@
         closed.sum()
     }
 
-    /// Closes idle connections whose time is over, and forgets peers without any.
+    /// Closes idle connections whose time is over, and forgets peers of which nothing is known.
     pub(super) fn close_unused(&self, now: Time) {
         self.lock().peers.retain(|_, peer| {
-            peer.idle.retain(|c| c.is_usable(self.idle_timeout, now));
-            !peer.idle.is_empty()
+            let is_recent = |at: &Time| now.since(*at) < SILENCE_MEMORY;
+            peer.timed_out = peer.timed_out.filter(is_recent);
+            peer.idle.retain(|c| c.is_usable(self.limits.timeout, now));
+            !peer.idle.is_empty() || peer.timed_out.is_some()
         });
     }
 
@@ -213,6 +253,7 @@
         self.peers.entry(peer).or_insert_with(|| Peer {
             generation,
             idle: Vec::new(),
+            timed_out: None,
         })
     }
 
--- a/crates/jujubelb/src/platform/worker_connections.rs
+++ b/crates/jujubelb/src/platform/worker_connections.rs
@@ -7,14 +7,15 @@
 //! connections to workers, and one that stops relaying lets them become idle.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use indexmap::IndexMap;
 use serde::Serialize;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use super::client::{CallError, HttpClient, HttpRequest, HttpResponse};
-use super::connections::ConnectionCounts;
+use super::connections::{ConnectionCounts, IdleLimits};
 use crate::model::Span;
 
 /// Largest number of connections of one process to one worker.
@@ -28,9 +29,17 @@
 /// 2.6 s with all of them, which is in time for a cancelled job.
 pub(crate) const ORDER_PLACES: usize = PLACES - POLL_PLACES;
 
-/// How long an idle connection is kept. A process that calls a worker does so more often, since a
-/// poll lasts 2 s at most.
-const IDLE_TIMEOUT: Span = Span::from_secs(10);
+/// Idle connections to a worker for each kind of call.
+///
+/// The timeout gives back the places of a process that does not call the worker any more; one that
+/// does calls it more often, since a poll lasts 2 s at most. Connections that go silent for good may
+/// keep their places at the worker although this process closes them, so that few are left idle
+/// when more silences have to be expected.
+const IDLE_LIMITS: IdleLimits = IdleLimits {
+    count: ORDER_PLACES,
+    after_timeout: 1,
+    timeout: Span::from_secs(10),
+};
 
 /// What a call needs a place for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,23 +51,66 @@
 /// Connections of this process to workers, of its terms as the leader and as a relay.
 #[derive(Debug, Clone)]
 pub(crate) struct WorkerConnections {
-    /// Opens a connection only for a call that finds no idle one, so that there are never more
-    /// connections to a worker than calls that have had a place at the same time.
-    client: HttpClient,
+    /// Clients for each kind of call. They open a connection only for a call that finds no idle
+    /// one, so that there are never more connections to a worker than calls that have had a place
+    /// at the same time.
+    polls: HttpClient,
+    orders: HttpClient,
     places: Arc<Mutex<IndexMap<SocketAddr, Arc<Places>>>>,
 }
 
-/// Free places at one worker.
+/// Places at one worker.
 #[derive(Debug)]
 struct Places {
-    polls: Semaphore,
-    orders: Semaphore,
+    polls: PlacesOfKind,
+    orders: PlacesOfKind,
+}
+
+/// Places for one kind of call.
+#[derive(Debug)]
+struct PlacesOfKind {
+    free: Semaphore,
+    /// Number of calls that wait for one.
+    waiting: AtomicUsize,
+}
+
+impl PlacesOfKind {
+    fn new(count: usize) -> Self {
+        Self {
+            free: Semaphore::new(count),
+            waiting: AtomicUsize::new(0),
+        }
+    }
+
+    /// Takes a place; `None` if there is none within `limit`.
+    async fn take(&self, limit: Span) -> Option<SemaphorePermit<'_>> {
+        let _waiting = Waiting::new(&self.waiting);
+        let place = tokio::time::timeout(limit.to_std(), self.free.acquire()).await;
+        place.ok()?.ok()
+    }
+}
+
+/// Counts a call as waiting until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
 }
 
 impl Default for WorkerConnections {
     fn default() -> Self {
         Self {
-            client: HttpClient::new(IDLE_TIMEOUT),
+            polls: HttpClient::new(IDLE_LIMITS),
+            orders: HttpClient::new(IDLE_LIMITS),
             places: Arc::default(),
         }
     }
@@ -75,41 +127,54 @@
     ) -> Result<HttpResponse, CallError> {
         let (peer, timeout) = (call.peer, call.timeout);
         let places = self.places(peer);
-        let places = match kind {
-            CallKind::Poll => &places.polls,
-            CallKind::Order => &places.orders,
+        let (client, other, places) = match kind {
+            CallKind::Poll => (&self.polls, &self.orders, &places.polls),
+            CallKind::Order => (&self.orders, &self.polls, &places.orders),
         };
-        let place = tokio::time::timeout(timeout.to_std(), places.acquire()).await;
-        let Ok(Ok(_place)) = place else {
+        let Some(_place) = places.take(timeout).await else {
             log::info!(address:% = peer, call = call.path, waited:% = timeout; "call to a worker not made: all connections to it are in use");
             let reason = format!("all connections are in use for {timeout}");
             return Err(CallError::NotSent(peer, reason));
         };
-        self.client.call(call).await
+        let waiting = || places.waiting.load(Relaxed);
+        let result = client.call_before(call, waiting).await;
+        if let Err(CallError::TimedOut(..)) = result {
+            other.suspect(peer);
+        }
+        result
     }
 
     /// Closes all connections, those in use when their call ends.
     pub(crate) fn close_all(&self) {
-        self.client.close_all();
+        self.polls.close_all();
+        self.orders.close_all();
     }
 
     /// Closes the connections that have been idle for too long.
     pub(crate) fn close_unused(&self) {
-        self.client.close_unused();
+        self.polls.close_unused();
+        self.orders.close_unused();
         // Clones belong to calls.
         self.lock().retain(|_, p| Arc::strong_count(p) > 1);
     }
 
     /// Numbers of connections to all workers.
     pub(crate) fn connection_counts(&self) -> ConnectionCounts {
-        self.client.connection_counts()
+        let (polls, orders) = (
+            self.polls.connection_counts(),
+            self.orders.connection_counts(),
+        );
+        ConnectionCounts {
+            open: polls.open + orders.open,
+            idle: polls.idle + orders.idle,
+        }
     }
 
     fn places(&self, worker: SocketAddr) -> Arc<Places> {
         let new_places = || {
             Arc::new(Places {
-                polls: Semaphore::new(POLL_PLACES),
-                orders: Semaphore::new(ORDER_PLACES),
+                polls: PlacesOfKind::new(POLL_PLACES),
+                orders: PlacesOfKind::new(ORDER_PLACES),
             })
         };
         let mut places = self.lock();
