Make a call again if its connection was closed while it was idle

The pool tells a closed idle connection in most cases before a call takes it. If the close arrives in between, the library refuses the request as "closed" or "canceled", in both cases before a byte of it was written; only the latter was made again on a new connection. `a_connection_that_was_closed_while_it_was_idle_is_replaced` covers a peer that closes each connection after its answer; whether it hits the moment in between depends on timing.

--- a/crates/jujubelb/src/node/tests/silent_connections.rs
+++ b/crates/jujubelb/src/node/tests/silent_connections.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::time::{Duration, sleep, timeout};
 
 use super::super::main::watch_operator_keys;
@@ -108,3 +110,23 @@
     }
     assert_eq!(before, 2 * JOINT_READS);
 }
+
+/// Guards against a call that fails because its peer has closed an idle connection.
+#[tokio::test]
+async fn a_connection_that_was_closed_while_it_was_idle_is_replaced() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 1024];
+            assert!(stream.read(&mut request).await.unwrap() > 0);
+            let reply = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            stream.write_all(reply).await.unwrap();
+        }
+    });
+    let client = HttpClient::default();
+    for pause in [0, 0, 0, 5, 5, 5] {
+        assert!(is_answered(&client, peer, "/hold").await);
+        sleep(Duration::from_millis(pause)).await;
+    }
+}
--- a/crates/jujubelb/src/platform/client.rs
+++ b/crates/jujubelb/src/platform/client.rs
@@ -203,7 +203,9 @@
                 }
                 // The peer has closed the connection while it was idle, before the request
                 // was written to it.
-                Ok(Err(error)) if was_idle && error.is_canceled() => connection.close().await,
+                Ok(Err(error)) if was_idle && (error.is_canceled() || error.is_closed()) => {
+                    connection.close().await;
+                }
                 Ok(Err(error)) => {
                     connection.close().await;
                     return Err(CallError::NoResponse(peer, describe(&error)));
