Wait without a limit only for workers that have answered a new leader

A worker counts as reachable until its first poll has failed, so that one which has never answered could hold inherited tasks back beyond the leases of earlier leaders, until its poll had timed out. Only a worker that has answered and has more ends to list is waited for without regard to leases.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -137,8 +137,10 @@
             .workers
             .values()
             .filter(|w| w.roster_address.is_some() && !w.fully_listed && !w.replaced);
-        let unreachable = unknown.clone().filter(|w| !w.reachable).count();
-        let partly_listed = unknown.count() - unreachable;
+        // A worker that answers will list the rest.
+        let is_answering = |w: &&Worker| w.fenced && w.reachable;
+        let partly_listed = unknown.clone().filter(is_answering).count();
+        let unreachable = unknown.count() - partly_listed;
         let leases_expired = self.earlier.quiet_for(now).is_some_and(|t| t > lease);
         if partly_listed == 0 && (unreachable == 0 || leases_expired) {
             self.earlier.clear();
