Check a start again when it has waited for a connection

The bound on connections lets a start wait for up to 0.7 s for those that stops of a silent worker use. Its worker may restart in that time, and a start that was checked before would reach the new incarnation. The check that the dispatcher makes before a start is sent is made when it has its connection.

Test: `a_start_that_has_waited_for_a_connection_is_checked_before_it_is_sent`.

--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -91,7 +91,7 @@
             Err(error) => CallResult::PollFailed(error.had_no_effect()),
         },
         Action::Order(order, _) => match &order.order {
-            Order::Start { .. } => CallResult::StartAnswered(client.start(order).await),
+            Order::Start { .. } => CallResult::StartAnswered(client.start(order, || true).await),
             Order::Stop { task, run } => CallResult::Stopped(client.stop(order, *task, *run).await),
             Order::Pace { task, run, percent } => {
                 match client.pace(order, *task, *run, *percent).await {
--- a/crates/jujubelb/src/node/relay/gateway.rs
+++ b/crates/jujubelb/src/node/relay/gateway.rs
@@ -286,7 +286,8 @@
         self.call(link, action, timeout).await
     }
 
-    /// Starts a run. `may_send` is asked each time before the order is sent.
+    /// Starts a run. `may_send` is asked each time before the order is sent, and again when it has
+    /// waited for a connection.
     pub(crate) async fn start(
         &self,
         order: &WorkerOrder,
@@ -297,7 +298,7 @@
             if !may_send() {
                 return StartReply::NotSent.into();
             }
-            let answer = self.send_start(order).await;
+            let answer = self.send_start(order, &may_send).await;
             // A refused order has had no effect, so it is sent again under the raised token.
             let is_fenced = answer.reply == StartReply::Refused(Refusal::Fence);
             if !is_fenced || !self.is_outdated(token) {
@@ -306,9 +307,9 @@
         }
     }
 
-    async fn send_start(&self, order: &WorkerOrder) -> StartAnswer {
+    async fn send_start(&self, order: &WorkerOrder, may_send: impl Fn() -> bool) -> StartAnswer {
         let link = match self.way(&order.worker) {
-            Way::Direct => return self.direct().start(order).await,
+            Way::Direct => return self.direct().start(order, may_send).await,
             Way::Closed => return StartReply::NotSent.into(),
             Way::Relay(link) => link,
         };
--- a/crates/jujubelb/src/node/tests/limited_worker.rs
+++ b/crates/jujubelb/src/node/tests/limited_worker.rs
@@ -31,6 +31,8 @@
     open: usize,
     most_open: usize,
     refused: usize,
+    /// Paths of all calls that have arrived.
+    received: Vec<String>,
     /// Connections before this one are silent.
     answered_from: usize,
 }
@@ -111,6 +113,12 @@
         lock(&self.state).refused
     }
 
+    /// Number of calls to a path that have arrived.
+    pub(super) fn received(&self, path: &str) -> usize {
+        let received = &lock(&self.state).received;
+        received.iter().filter(|p| *p == path).count()
+    }
+
     async fn serve_connection(&self, mut stream: TcpStream, connection: usize) {
         let mut request = Vec::new();
         let mut bytes = [0; 4096];
@@ -119,9 +127,10 @@
                 Ok(0) | Err(_) => return,
                 Ok(count) => request.extend_from_slice(&bytes[..count]),
             }
-            if !is_complete(&request) {
+            let Some(path) = complete_request(&request) else {
                 continue;
-            }
+            };
+            lock(&self.state).received.push(path);
             request.clear();
             sleep(ANSWER_TIME).await;
             if connection < lock(&self.state).answered_from {
@@ -137,13 +146,13 @@
     }
 }
 
-/// Whether no part of a request is missing.
-fn is_complete(bytes: &[u8]) -> bool {
+/// Path of a request; `None` while a part of it is missing.
+fn complete_request(bytes: &[u8]) -> Option<String> {
     let text = String::from_utf8_lossy(bytes).to_lowercase();
-    let Some((head, body)) = text.split_once("\r\n\r\n") else {
-        return false;
-    };
+    let (head, body) = text.split_once("\r\n\r\n")?;
     let mut lines = head.lines();
     let length = lines.find_map(|l| l.strip_prefix("content-length: "));
-    body.len() >= length.map_or(0, |l| l.parse().unwrap())
+    let length = length.map_or(0, |l| l.parse().unwrap());
+    let path = head.split(' ').nth(1)?.to_owned();
+    (body.len() >= length).then_some(path)
 }
--- a/crates/jujubelb/src/node/tests/worker_connections.rs
+++ b/crates/jujubelb/src/node/tests/worker_connections.rs
@@ -1,14 +1,17 @@
 //! Connections to workers, which accept a limited number from all hosts together.
 
+use std::cell::Cell;
 use std::sync::Arc;
 
 use tokio::time::{Duration, sleep, timeout};
 
 use super::super::relay::{OpenGateway, WorkerGateway};
 use super::limited_worker::LimitedWorker;
-use crate::dispatch::{JobKey, Order, PollRequest, Run, StepKey, StopReply, TaskKey, WorkerOrder};
+use crate::dispatch::{
+    JobKey, Order, PollRequest, Run, StartReply, StepKey, StopReply, TaskKey, WorkerOrder,
+};
 use crate::model::{Span, WorkerName, WorkerTime};
-use crate::platform::{PLACES, WorkerConnections};
+use crate::platform::{ORDER_PLACES, PLACES, WorkerConnections};
 use crate::telemetry::{self, Metrics};
 
 /// Connections that a worker accepts.
@@ -35,6 +38,15 @@
     }
 }
 
+fn order(address: std::net::SocketAddr, order: Order) -> WorkerOrder {
+    let worker = WorkerName::new("w");
+    WorkerOrder {
+        worker,
+        address,
+        order,
+    }
+}
+
 /// Sends stops of as many runs at the same time.
 async fn stop_runs(
     gateway: &Arc<WorkerGateway>,
@@ -44,11 +56,7 @@
     let stops = (0..count).map(|index| {
         let (gateway, task, run) = (gateway.clone(), task(index), Run(1));
         tokio::spawn(async move {
-            let order = WorkerOrder {
-                worker: WorkerName::new("w"),
-                address,
-                order: Order::Stop { task, run },
-            };
+            let order = order(address, Order::Stop { task, run });
             gateway.stop(&order, task, run).await
         })
     });
@@ -175,3 +183,38 @@
     }
     assert_eq!(poll_repeatedly(&gateway, address, 2).await, 2);
 }
+
+/// Guards against a start that waits for a connection while its worker restarts, and is sent all
+/// the same.
+#[tokio::test]
+async fn a_start_that_has_waited_for_a_connection_is_checked_before_it_is_sent() {
+    let (worker, address) = LimitedWorker::start(WORKER_LIMIT).await;
+    let connections = WorkerConnections::default();
+    let gateway = gateway(&connections);
+    stop_runs(&gateway, address, ORDER_PLACES as u32).await;
+    worker.silence();
+    let start = order(
+        address,
+        Order::Start {
+            task: task(0),
+            run: Run(1),
+            payload: "payload".into(),
+            deadline: WorkerTime::from_micros(6_000_000),
+            checkpoint: None,
+            ticket: None,
+        },
+    );
+    let permitted = Cell::new(true);
+    let starting = async {
+        sleep(Duration::from_millis(20)).await;
+        gateway.start(&start, || permitted.get()).await.reply
+    };
+    let restarting = async {
+        sleep(Duration::from_millis(40)).await;
+        permitted.set(false);
+    };
+    let stops = stop_runs(&gateway, address, ORDER_PLACES as u32);
+    let (_, reply, ()) = tokio::join!(stops, starting, restarting);
+    assert_eq!(reply, StartReply::NotSent);
+    assert_eq!(worker.received("/run-start"), 0);
+}
--- a/crates/jujubelb/src/platform/worker_connections.rs
+++ b/crates/jujubelb/src/platform/worker_connections.rs
@@ -119,11 +119,12 @@
 impl WorkerConnections {
     /// Makes a call when there is a place for it. Calls of the same kind get places in their order.
     /// A call that gets none within its timeout is not made; one that does has its timeout from
-    /// then on.
+    /// then on. Nor is it made if `may_send` says no when it has its place.
     pub(super) async fn call<B: Serialize>(
         &self,
         kind: CallKind,
         call: HttpRequest<'_, B>,
+        may_send: impl Fn() -> bool,
     ) -> Result<HttpResponse, CallError> {
         let (peer, timeout) = (call.peer, call.timeout);
         let places = self.places(peer);
@@ -136,6 +137,10 @@
             let reason = format!("all connections are in use for {timeout}");
             return Err(CallError::NotSent(peer, reason));
         };
+        if !may_send() {
+            let reason = "the call must not be made any more".to_owned();
+            return Err(CallError::NotSent(peer, reason));
+        }
         let waiting = || places.waiting.load(Relaxed);
         let result = client.call_before(call, waiting).await;
         if let Err(CallError::TimedOut(..)) = result {
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -1,5 +1,7 @@
 //! Client of the workers: starts, stops, paces and polls.
 
+use std::net::SocketAddr;
+
 use arcstr::ArcStr;
 use reqwest::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -111,6 +113,22 @@
     Replaced,
 }
 
+/// The worker that a call is meant for.
+#[derive(Debug, Clone, Copy)]
+struct Target<'a> {
+    address: SocketAddr,
+    worker: &'a WorkerName,
+}
+
+impl<'a> Target<'a> {
+    fn of(order: &'a WorkerOrder) -> Self {
+        Self {
+            address: order.address,
+            worker: &order.worker,
+        }
+    }
+}
+
 /// Client of the workers for calls with one fencing token.
 #[derive(Debug, Clone)]
 pub(crate) struct WorkerClient {
@@ -128,26 +146,31 @@
     async fn post<B: Serialize>(
         &self,
         kind: CallKind,
-        peer: std::net::SocketAddr,
-        worker: &WorkerName,
+        target: Target<'_>,
         path: &str,
         body: &B,
         timeout: Span,
+        may_send: impl Fn() -> bool,
     ) -> Result<HttpResponse, CallError> {
         let request = HttpRequest {
-            peer,
+            peer: target.address,
             method: Method::POST,
             path,
             query: &[],
-            headers: &[(EXPECTED_INSTANCE_HEADER, worker.as_str())],
+            headers: &[(EXPECTED_INSTANCE_HEADER, target.worker.as_str())],
             body: Some(body),
             timeout,
         };
-        self.connections.call(kind, request).await
+        self.connections.call(kind, request, may_send).await
     }
 
-    /// Starts a run. Returns `NotSent` for an order that is not a start.
-    pub async fn start(&self, order: &WorkerOrder) -> StartAnswer {
+    /// Starts a run. `may_send` is asked when there is a connection for the order. Returns `NotSent`
+    /// for an order that is not a start.
+    pub(crate) async fn start(
+        &self,
+        order: &WorkerOrder,
+        may_send: impl Fn() -> bool,
+    ) -> StartAnswer {
         let Order::Start {
             task,
             run,
@@ -171,11 +194,11 @@
         let response = self
             .post(
                 CallKind::Order,
-                order.address,
-                &order.worker,
+                Target::of(order),
                 "/run-start",
                 &body,
                 ORDER_TIMEOUT,
+                may_send,
             )
             .await;
         let response = match response {
@@ -208,11 +231,11 @@
         let response = self
             .post(
                 CallKind::Order,
-                order.address,
-                &order.worker,
+                Target::of(order),
                 "/run-stop",
                 &body,
                 STOP_TIMEOUT,
+                || true,
             )
             .await;
         match response {
@@ -239,11 +262,11 @@
         let response = self
             .post(
                 CallKind::Order,
-                order.address,
-                &order.worker,
+                Target::of(order),
                 "/pace",
                 &body,
                 ORDER_TIMEOUT,
+                || true,
             )
             .await;
         match response {
@@ -275,11 +298,14 @@
         let response = self
             .post(
                 CallKind::Poll,
-                request.address,
-                worker,
+                Target {
+                    address: request.address,
+                    worker,
+                },
                 "/hold",
                 &body,
                 timeout,
+                || true,
             )
             .await?;
         match response.status {
