Keep the bound on outstanding stops in the deciding code, and reword names

The dispatcher took the number of connections from the platform's client, which takes its types from the dispatcher. It has its own number now, and `all_outstanding_stops_time_out_before_they_are_repeated` checks how the two fit. The end of a term writes one line on closed connections in place of two. No behaviour changes.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -16,7 +16,6 @@
 use super::worker::{RunPhase, TrackedRun, Worker};
 use super::{Dispatcher, Order, WorkerOrder};
 use crate::model::{Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime};
-use crate::platform::ORDER_PLACES;
 
 /// Time added to [`Bounds::max_stop`](super::Bounds::max_stop) before a stop order whose run
 /// has not completed is sent again.
@@ -24,11 +23,11 @@
 
 /// Longest time for which the answer to a stop order, or the note that there is none, is
 /// awaited before the order is repeated. Calls through another host end well before.
-const MAX_STOP_ANSWER: Span = Span::from_secs(4);
+pub(super) const MAX_STOP_ANSWER: Span = Span::from_secs(4);
 
-/// Stops of one worker that may be outstanding. [`ORDER_PLACES`] are sent at a time, so that a
-/// worker which answers none of them has let all time out within 3.2 s, before [`MAX_STOP_ANSWER`].
-const MAX_OUTSTANDING_STOPS: usize = 8 * ORDER_PLACES;
+/// Stops of one worker that may be outstanding. Six are sent at a time and time out after 0.4 s, so
+/// that all have an end within 3.2 s, before [`MAX_STOP_ANSWER`], also on a worker that answers none.
+pub(super) const MAX_OUTSTANDING_STOPS: usize = 48;
 
 /// How long a long-running task waits before it may use the reserve for short tasks, if the
 /// workers together have spare capacity.
--- a/crates/jujubelb/src/dispatch/tests/stops.rs
+++ b/crates/jujubelb/src/dispatch/tests/stops.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexSet;
 
+use super::super::plan::{MAX_OUTSTANDING_STOPS, MAX_STOP_ANSWER};
 use super::simulation::BOUNDS;
 use super::{Simulation, job, long_running};
 use crate::dispatch::{JobKey, Order, Step, StopReply, WorkerOrder};
@@ -92,7 +93,7 @@
     while stopped.len() < RUNS {
         unanswered.extend(plan_for(&mut sim, Span::from_millis(20)));
         assert!(!unanswered.is_empty(), "{} of {RUNS} stops", stopped.len());
-        assert!(unanswered.len() <= 8 * ORDER_PLACES);
+        assert!(unanswered.len() <= MAX_OUTSTANDING_STOPS);
         for order in unanswered.drain(..ORDER_PLACES.min(unanswered.len())) {
             let Order::Stop { task, run } = order.order else {
                 panic!("{order:?}");
@@ -108,6 +109,13 @@
     }
 }
 
+/// Guards against a stop that is ordered again while it still waits for a connection.
+#[test]
+fn all_outstanding_stops_time_out_before_they_are_repeated() {
+    let rounds = MAX_OUTSTANDING_STOPS.div_ceil(ORDER_PLACES) as u64;
+    assert!(STOP_TIMEOUT.scale_up(rounds, 1) < MAX_STOP_ANSWER);
+}
+
 /// Guards against starting a job whose cancellation has reached the leader before the job.
 #[test]
 fn a_job_that_is_cancelled_before_it_arrives_does_not_start() {
--- a/crates/jujubelb/src/platform/client.rs
+++ b/crates/jujubelb/src/platform/client.rs
@@ -128,11 +128,12 @@
         &self,
         call: HttpRequest<'_, B>,
     ) -> Result<HttpResponse, CallError> {
-        self.call_before(call, || 0).await
+        self.call_with_waiting(call, || 0).await
     }
 
-    /// Like [`HttpClient::call`]. `waiting` tells how many calls wait for a connection to the peer.
-    pub(super) async fn call_before<B: Serialize>(
+    /// Like [`HttpClient::call`]. `waiting` tells how many calls wait for a connection to the peer
+    /// when this one has ended.
+    pub(super) async fn call_with_waiting<B: Serialize>(
         &self,
         call: HttpRequest<'_, B>,
         waiting: impl Fn() -> usize,
@@ -156,10 +157,10 @@
         self.send(peer, request, timeout, || 0).await
     }
 
-    /// Closes all idle connections, and those in use when their call ends.
-    pub(crate) fn close_all(&self) {
-        let closed = self.connections.give_up_all();
-        log::info!(closed = closed; "idle connections closed");
+    /// Closes all idle connections, and those in use when their call ends. Returns the number of
+    /// idle ones.
+    pub(super) fn close_all(&self) -> usize {
+        self.connections.give_up_all()
     }
 
     /// Closes all connections to a peer after a call of another client to it has timed out.
@@ -231,8 +232,8 @@
 
     /// Closes the idle connections that may be silent like this one.
     fn give_up(&self, silent: &Connection, peer: SocketAddr) {
-        // Of many calls that time out together the first one is enough.
         let now = self.clock.now();
+        // Of many calls that time out together the first one is enough.
         if let Some(closed) = self.connections.timed_out(peer, silent.generation(), now) {
             log::info!(peer:% = peer, closed = closed; "a call has timed out; its idle connections are closed");
         }
--- a/crates/jujubelb/src/platform/worker_connections.rs
+++ b/crates/jujubelb/src/platform/worker_connections.rs
@@ -142,7 +142,7 @@
             return Err(CallError::NotSent(peer, reason));
         }
         let waiting = || places.waiting.load(Relaxed);
-        let result = client.call_before(call, waiting).await;
+        let result = client.call_with_waiting(call, waiting).await;
         if let Err(CallError::TimedOut(..)) = result {
             other.suspect(peer);
         }
@@ -151,8 +151,8 @@
 
     /// Closes all connections, those in use when their call ends.
     pub(crate) fn close_all(&self) {
-        self.polls.close_all();
-        self.orders.close_all();
+        let closed = self.polls.close_all() + self.orders.close_all();
+        log::info!(closed = closed; "idle connections to workers closed");
     }
 
     /// Closes the connections that have been idle for too long.
@@ -165,10 +165,8 @@
 
     /// Numbers of connections to all workers.
     pub(crate) fn connection_counts(&self) -> ConnectionCounts {
-        let (polls, orders) = (
-            self.polls.connection_counts(),
-            self.orders.connection_counts(),
-        );
+        let polls = self.polls.connection_counts();
+        let orders = self.orders.connection_counts();
         ConnectionCounts {
             open: polls.open + orders.open,
             idle: polls.idle + orders.idle,
