Log when a worker is admitted after a restart, and which lease is counted

The log could not tell two of the hypotheses on a task that ran twice apart: the time between the poll that shows a restart and the one that rules out calls to the former incarnation, and the lease that is counted for a worker at its first poll. 'worker fenced' and 'worker has restarted' now show the worker's clock and the lease, 'worker admitted' is new, 'tasks inherited from earlier terms may start' shows the lease that was waited for, and 'the lease of a worker has expired' names the worker whose runs are given up. One line a worker and event.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -100,7 +100,11 @@
                     }
                 };
                 let expired = worker.runs.iter().filter(|(_, r)| has_ended(r));
+                let known = lost.len();
                 lost.extend(expired.map(|(t, r)| (name.clone(), *t, r.run)));
+                if lost.len() > known {
+                    log::warn!(worker:% = name, runs = lost.len() - known, last_answer:% = now.since(worker.last_answer), lease:% = worker.longest_lease_left(); "the lease of a worker has expired");
+                }
             }
         }
         for (name, task, run) in lost {
@@ -143,7 +147,7 @@
         let leases_expired = self.earlier.quiet_for(now).is_some_and(|t| t > lease);
         if partly_listed == 0 && (unreachable == 0 || leases_expired) {
             self.earlier.clear();
-            log::info!(waited:% = now.since(self.began), suspects = unreachable; "tasks inherited from earlier terms may start");
+            log::info!(waited:% = now.since(self.began), lease:% = lease, suspects = unreachable; "tasks inherited from earlier terms may start");
             self.inherited_resolved = true;
             for job in self.jobs.values_mut() {
                 job.inherited = false;
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -201,7 +201,6 @@
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
         let first = !worker.fenced;
         if first {
-            log::info!(worker:% = name, runs = reply.running.len(), token = self.token; "worker fenced");
             worker.fenced = true;
             self.raise_needed |= worker.admission == Admission::AwaitsToken;
             self.roster_dirty |= worker.roster_address != Some(worker.report.address);
@@ -215,6 +214,7 @@
                 let latest = latest_grant + self.lease_cap;
                 worker.lease_deadline = worker.lease_deadline.max(latest);
             }
+            log::info!(worker:% = name, runs = reply.running.len(), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker fenced");
         }
         // Compared with the last answer and not with the report, which may already be that
         // of the new incarnation.
@@ -226,6 +226,7 @@
             && sent > raised
         {
             worker.admission = Admission::Admitted;
+            log::info!(worker:% = name, age:% = now.since(worker.answering_since), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker admitted: calls to its former incarnation are ruled out");
         }
         if reply.incarnation.is_some() {
             worker.incarnation = reply.incarnation;
@@ -307,7 +308,6 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        log::warn!(worker:% = name, runs = worker.runs.len(); "worker has restarted");
         worker.admission = Admission::AwaitsToken;
         self.raise_needed = true;
         worker.acknowledged = 0;
@@ -315,6 +315,7 @@
         worker.unacknowledged.clear();
         // An order to the former incarnation may have granted the longest lease of all.
         worker.lease_deadline = clock + self.lease_cap;
+        log::warn!(worker:% = name, runs = worker.runs.len(), clock:? = clock, lease:% = worker.longest_lease_left(); "worker has restarted");
         worker.answering_since = now;
         worker.health = Default::default();
         let lost: Vec<(TaskKey, Run)> = worker
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -393,6 +393,14 @@
         ))
     }
 
+    /// Longest time by the worker's clock for which its lease may have lasted from its last answer.
+    pub(crate) fn longest_lease_left(&self) -> Span {
+        let read = self
+            .clock_reading
+            .map_or(WorkerTime::ZERO, |(clock, _)| clock);
+        self.lease_deadline.since(read)
+    }
+
     /// Whether the worker's lease has certainly expired, so that all its runs have ended.
     pub(crate) fn is_lease_expired(&self, now: Time) -> bool {
         self.min_clock(now)
