Wait for the longest lease of workers that a new leader does not reach

Cause: a call to the former incarnation of the worker, on its way while the worker was down, is executed by the next one. Its deadline is a time on another clock, so it grants the longest lease of the worker (hold_max_ms, 10 s on these deployments). The lease covers what starts there later. The leader that was killed counted 10 s; the next one waited for the 6 s that leaders ask for.

The new test fails before with a task that runs twice.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -129,13 +129,13 @@
     }
 
     /// Allows inherited tasks to start once every roster worker has listed all its runs and ends to
-    /// this leader, or can't be reached and the leases that earlier leaders may have extended have
-    /// expired.
+    /// this leader, or can't be reached and its lease has expired, whoever has granted it.
     fn resolve_inherited(&mut self, now: Time) {
         if self.inherited_resolved {
             return;
         }
-        let lease = longest_duration(self.bounds.max_lease);
+        // A call to a worker's former incarnation may have granted more than leaders ask for.
+        let lease = longest_duration(self.lease_cap);
         let unknown = self
             .workers
             .values()
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -18,6 +18,7 @@
 mod leader_changes;
 mod leases;
 mod odd_workers;
+mod outdated_grants;
 mod overlapping_terms;
 mod paces;
 mod paused_leaders;
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -44,6 +44,9 @@
     drain: Span::from_millis(2_500),
 };
 
+/// Reading of the clocks of the first incarnations when they start.
+const FIRST_CLOCK: WorkerTime = WorkerTime::from_micros(300_000_000);
+
 /// Fault of a simulated worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -154,6 +157,8 @@
     pub(crate) report: WorkerReport,
     pub(crate) fault: Fault,
     pub(crate) incarnation: u64,
+    /// Reading of its clock when the incarnation started. Unrelated to that of the one before.
+    initial_clock: WorkerTime,
     token: u64,
     deadline: WorkerTime,
     runs: IndexMap<TaskKey, FakeRun>,
@@ -175,15 +180,9 @@
 }
 
 impl FakeWorker {
-    /// Clock of the worker, which starts with its incarnation. The first one has been up for
-    /// some time.
+    /// Reading of the worker's clock.
     pub(crate) fn clock(&self, now: Time) -> WorkerTime {
-        let earlier = match self.incarnation {
-            1 => Span::from_secs(300),
-            _ => Span::ZERO,
-        };
-        let up = now.since(Time::from_millis(self.incarnation)) + earlier;
-        WorkerTime::from_micros(up.as_micros())
+        self.initial_clock + now.since(Time::from_millis(self.incarnation))
     }
 
     fn complete(&mut self, task: TaskKey, outcome: RunOutcome) {
@@ -251,6 +250,8 @@
 
 pub(crate) struct Simulation {
     pub(crate) now: Time,
+    /// Limits that the workers and the leaders go by.
+    bounds: Bounds,
     pub(crate) dispatcher: Dispatcher,
     /// Number of writes; there are fewer than [`REVISIONS_PER_TERM`].
     commits: u64,
@@ -345,6 +346,15 @@
     /// Creates a simulation of workers with 64 cores in racks of four, all known to the
     /// first leader.
     pub(crate) fn new(workers: usize) -> Self {
+        Self::with_max_lease(workers, BOUNDS.max_lease)
+    }
+
+    /// Creates a simulation whose workers grant leases of up to `max_lease`.
+    pub(crate) fn with_max_lease(workers: usize, max_lease: Span) -> Self {
+        let bounds = Bounds {
+            max_lease,
+            ..BOUNDS
+        };
         let now = Time::from_millis(1_000);
         let term = Term {
             token: REVISIONS_PER_TERM,
@@ -352,10 +362,11 @@
         };
         let mut sim = Self {
             now,
+            bounds,
             commits: 0,
             dispatcher: Dispatcher::new(
                 term,
-                BOUNDS,
+                bounds,
                 EarlierLeaders::new(&Succession::empty(0), now),
                 &Roster::default(),
                 InterferenceModel::default(),
@@ -410,6 +421,7 @@
             report,
             fault: Fault::None,
             incarnation: 1,
+            initial_clock: FIRST_CLOCK,
             token: 0,
             deadline: WorkerTime::ZERO,
             runs: IndexMap::new(),
@@ -496,7 +508,7 @@
         self.succession_written = self.now;
         self.dispatcher = Dispatcher::new(
             term,
-            BOUNDS,
+            self.bounds,
             EarlierLeaders::new(&self.succession, self.now),
             &self.roster,
             self.model.clone(),
@@ -751,7 +763,7 @@
         }
         worker.token = token;
         if let Some(deadline) = request.lease_deadline {
-            let latest_deadline = worker.clock(now) + BOUNDS.max_lease;
+            let latest_deadline = worker.clock(now) + self.bounds.max_lease;
             worker.deadline = worker.deadline.max(deadline.min(latest_deadline));
         }
         let known = worker.completions.iter();
@@ -960,7 +972,7 @@
         }
         let worker = &mut self.workers[name];
         worker.token = worker.token.max(token);
-        let latest_deadline = worker.clock(now) + BOUNDS.max_lease;
+        let latest_deadline = worker.clock(now) + self.bounds.max_lease;
         worker.deadline = worker.deadline.max(deadline.min(latest_deadline));
         let fails = worker.fault == Fault::FailingStarts;
         worker.runs.insert(
@@ -1017,12 +1029,18 @@
         worker.delayed_starts.clear();
     }
 
-    /// Starts a new incarnation of a crashed worker.
+    /// Starts a new incarnation of a crashed worker, whose clock starts at zero.
     pub(crate) fn restart_worker(&mut self, i: usize) {
+        self.restart_with_clock(i, WorkerTime::ZERO);
+    }
+
+    /// Starts a new incarnation of a crashed worker with this reading of its clock.
+    pub(crate) fn restart_with_clock(&mut self, i: usize, clock: WorkerTime) {
         let incarnation = self.now.as_micros() / 1_000;
         let worker = self.worker(i);
         worker.fault = Fault::None;
         worker.incarnation = incarnation;
+        worker.initial_clock = clock;
         worker.token = 0;
         worker.deadline = WorkerTime::ZERO;
         worker.completion_count = 0;
