Count the lease of a restarted worker from its admission

A leader counted the longest lease from the poll that shows a restart. Calls to the former incarnation are executed until the worker has seen the raised token, so one that comes between these polls extends the lease beyond what is counted. The lease now also counts from the poll that admits the worker.

The new test, with a write of 1.5 s, fails before with a task that runs twice.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -226,6 +226,7 @@
             && sent > raised
         {
             worker.admission = Admission::Admitted;
+            worker.count_outdated_calls(reply.clock, self.lease_cap);
             log::info!(worker:% = name, age:% = now.since(worker.answering_since), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker admitted: calls to its former incarnation are ruled out");
         }
         if reply.incarnation.is_some() {
@@ -313,8 +314,8 @@
         worker.acknowledged = 0;
         worker.processed = 0;
         worker.unacknowledged.clear();
-        // An order to the former incarnation may have granted the longest lease of all.
-        worker.lease_deadline = clock + self.lease_cap;
+        worker.lease_deadline = clock;
+        worker.count_outdated_calls(clock, self.lease_cap);
         log::warn!(worker:% = name, runs = worker.runs.len(), clock:? = clock, lease:% = worker.longest_lease_left(); "worker has restarted");
         worker.answering_since = now;
         worker.health = Default::default();
--- a/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
+++ b/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
@@ -64,3 +64,19 @@
     sim.replace_leader(true);
     expect_restart_after_cut(&mut sim, key);
 }
+
+/// Guards against a lease that is counted from the poll that shows a restart, although calls to
+/// the former incarnation take effect until the worker has seen the raised token.
+#[test]
+fn a_lease_counts_from_the_poll_that_rules_out_calls_to_the_former_incarnation() {
+    let (mut sim, poll) = restarted_with_poll_under_way();
+    sim.list_workers();
+    sim.poll_worker(0);
+    // The token is raised by a write.
+    sim.store_available = false;
+    sim.run(Span::from_millis(1_500));
+    sim.execute_late(&poll);
+    sim.store_available = true;
+    let key = start_on_first(&mut sim);
+    expect_restart_after_cut(&mut sim, key);
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -401,6 +401,13 @@
         self.lease_deadline.since(read)
     }
 
+    /// Counts calls to a former incarnation that may have been executed up to this reading of the
+    /// clock. Their deadlines are times on another clock, so each may have granted the longest
+    /// lease of all.
+    pub(crate) fn count_outdated_calls(&mut self, until: WorkerTime, longest_lease: Span) {
+        self.lease_deadline = self.lease_deadline.max(until + longest_lease);
+    }
+
     /// Whether the worker's lease has certainly expired, so that all its runs have ended.
     pub(crate) fn is_lease_expired(&self, now: Time) -> bool {
         self.min_clock(now)
