Count the longest lease at the first poll of a term, with or without runs

A new leader counted the longest lease of a worker only if its first answer listed runs, and only up to 22 s on the worker's clock, as if the clock told how long the worker has been up. So the condition never held where it mattered.

The two new tests fail before with a task that runs twice.

--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -10,7 +10,7 @@
 use super::Dispatcher;
 use super::job::TaskState;
 use super::job_spec::{Run, TaskKey};
-use super::worker::{Admission, Incarnation, MAX_CALL_DELAY, RunPhase, TrackedRun, Worker};
+use super::worker::{Admission, Incarnation, RunPhase, TrackedRun, Worker};
 use crate::model::{Resources, Span, Time, WorkerName, WorkerTime};
 
 /// How a run ended, as its worker reports it.
@@ -205,15 +205,8 @@
             self.raise_needed |= worker.admission == Admission::AwaitsToken;
             self.roster_dirty |= worker.roster_address != Some(worker.report.address);
             worker.answering_since = now;
-            // An earlier term may have granted the longest lease just before.
-            worker.lease_deadline = reply.clock + self.bounds.max_lease;
-            if !reply.running.is_empty() {
-                // An order to the former incarnation may have granted the longest lease of all,
-                // if this one was young enough to be taken for that.
-                let latest_grant = reply.clock.min(WorkerTime::ZERO + MAX_CALL_DELAY);
-                let latest = latest_grant + self.lease_cap;
-                worker.lease_deadline = worker.lease_deadline.max(latest);
-            }
+            // Leases of earlier terms are no longer than that.
+            worker.count_outdated_calls(reply.clock, self.lease_cap);
             log::info!(worker:% = name, runs = reply.running.len(), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker fenced");
         }
         // Compared with the last answer and not with the report, which may already be that
--- a/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
+++ b/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
@@ -5,7 +5,7 @@
 use super::simulation::{Fault, LatePoll, TIME_STEP};
 use super::{Simulation, job, long_running};
 use crate::dispatch::JobKey;
-use crate::model::Span;
+use crate::model::{Span, WorkerTime};
 
 /// Longest lease of the workers, longer than the leases that leaders ask for.
 const LONGEST_LEASE: Span = Span::from_secs(10);
@@ -80,3 +80,31 @@
     let key = start_on_first(&mut sim);
     expect_restart_after_cut(&mut sim, key);
 }
+
+/// Guards against a new leader that takes a worker without runs for one without a lease.
+#[test]
+fn a_lease_without_runs_counts_at_the_first_poll_of_a_term() {
+    let (mut sim, poll) = restarted_with_poll_under_way();
+    sim.execute_late(&poll);
+    sim.replace_leader(true);
+    let key = start_on_first(&mut sim);
+    expect_restart_after_cut(&mut sim, key);
+}
+
+/// Guards against a new leader that takes a worker for an old one, on which an outdated call can't
+/// have granted a lease, because its clock shows a late time.
+#[test]
+fn the_clock_of_a_worker_does_not_tell_how_long_it_has_been_up() {
+    let mut sim = Simulation::with_max_lease(WORKERS, LONGEST_LEASE);
+    sim.run(Span::from_secs(1));
+    let poll = sim.poll_late(0);
+    sim.crash_worker(0);
+    sim.now = sim.now + DOWNTIME;
+    sim.restart_with_clock(0, WorkerTime::ZERO + Span::from_secs(100));
+    sim.execute_late(&poll);
+    sim.list_workers();
+    let key = start_on_first(&mut sim);
+    sim.replace_leader(true);
+    sim.poll_worker(0);
+    expect_restart_after_cut(&mut sim, key);
+}
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -123,7 +123,7 @@
 
 /// Longest time after which a worker executes a call that it has not answered. The platform
 /// names seconds; up to 12 s were seen.
-pub(crate) const MAX_CALL_DELAY: Span = Span::from_secs(12);
+const MAX_CALL_DELAY: Span = Span::from_secs(12);
 
 /// Time in which a worker that has started writes its entry to the store. Workers write one
 /// with each heartbeat, every 1.5 s.
