Play restarts, cuts and changes of leader while calls are under way

Simulated workers restart on clocks that are unrelated to the former ones, and their next incarnations execute polls and starts of the former ones. Until now their clocks started at zero, late starts were dropped with the worker that crashed, and the longest lease was the one that leaders ask for, so no test could show a lease that an outdated call has granted.

--- a/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
+++ b/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
@@ -2,10 +2,13 @@
 //! such a call is a time on another clock, so the worker may grant the longest lease of all,
 //! which is longer than the leases that leaders ask for.
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
 use super::simulation::{Fault, LatePoll, TIME_STEP};
-use super::{Simulation, job, long_running};
+use super::{Simulation, job, long_running, step};
 use crate::dispatch::JobKey;
-use crate::model::{Span, WorkerTime};
+use crate::model::{Span, Time, WorkerTime};
 
 /// Longest lease of the workers, longer than the leases that leaders ask for.
 const LONGEST_LEASE: Span = Span::from_secs(10);
@@ -18,6 +21,9 @@
 /// Tasks of the job of which the first worker gets all.
 const TASKS: usize = 2;
 
+/// Seeds of the random plays; `JUJUBELB_GRANT_SEEDS` sets another number.
+const DEFAULT_SEEDS: u64 = 300;
+
 /// Workers with a poll that the first one has not executed before it crashed. Its next
 /// incarnation has just started, and is not known to the leader.
 fn restarted_with_poll_under_way() -> (Simulation, LatePoll) {
@@ -108,3 +114,137 @@
     sim.poll_worker(0);
     expect_restart_after_cut(&mut sim, key);
 }
+
+/// Workers that crash and are cut off soon after, while calls to them are under way and
+/// leaders change.
+struct Play {
+    rng: StdRng,
+    sim: Simulation,
+    polls: Vec<(Time, LatePoll)>,
+    /// Whether starts are executed behind a cut as well, on incarnations that no leader has reached.
+    starts_behind_cuts: bool,
+}
+
+impl Play {
+    fn new(seed: u64, starts_behind_cuts: bool) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let longest = [Span::from_secs(6), LONGEST_LEASE][rng.random_range(0..2)];
+        Self {
+            rng,
+            sim: Simulation::with_max_lease(WORKERS, longest),
+            polls: Vec::new(),
+            starts_behind_cuts,
+        }
+    }
+
+    fn span(&mut self, least: u64, most: u64) -> Span {
+        Span::from_millis(self.rng.random_range(least..=most))
+    }
+
+    /// Runs for a time, and executes the polls that are due.
+    fn run(&mut self, span: Span) {
+        let end = self.sim.now + span;
+        while self.sim.now < end {
+            self.sim.run(TIME_STEP);
+            let now = self.sim.now;
+            let (due, later) = std::mem::take(&mut self.polls)
+                .into_iter()
+                .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+            self.polls = later;
+            for (_, poll) in due {
+                self.sim.execute_late(&poll);
+            }
+        }
+    }
+
+    /// Crashes a worker while calls to it are under way. The next incarnation has a clock of
+    /// its own, ahead of the former one or behind it.
+    fn restart(&mut self, i: usize) {
+        if self.rng.random_bool(0.5) {
+            let at = self.sim.now + self.span(100, 4_000);
+            let poll = self.sim.poll_late(i);
+            self.polls.push((at, poll));
+        } else {
+            let unanswered = Fault::DelayedStarts(self.span(300, 2_500));
+            self.sim.worker(i).fault = unanswered;
+            self.sim.run(TIME_STEP);
+        }
+        self.sim.crash_before_delayed_starts(i);
+        let down = self.span(100, 900);
+        self.run(down);
+        let clock = WorkerTime::ZERO + self.span(0, 600_000);
+        self.sim.restart_with_clock(i, clock);
+        if self.rng.random_bool(0.7) {
+            self.sim.list_workers();
+        }
+    }
+
+    /// Plays a crash and a cut of the first workers, with a change of leader before, between
+    /// or after them.
+    fn round(&mut self) {
+        let affected = self.rng.random_range(1..WORKERS);
+        let slow_store = self.rng.random_bool(0.3);
+        let change = self.rng.random_range(0..4);
+        let resigned = self.rng.random_bool(0.5);
+        (0..affected).for_each(|i| self.restart(i));
+        self.sim.store_available = !slow_store;
+        let pause = self.span(20, 1_800);
+        self.run(pause);
+        self.sim.store_available = true;
+        if change == 1 {
+            self.sim.replace_leader(resigned);
+        }
+        let pause = self.span(20, 1_500);
+        self.run(pause);
+        while !self.starts_behind_cuts && (0..affected).any(|i| self.sim.has_delayed_starts(i)) {
+            self.run(TIME_STEP);
+        }
+        self.sim.list_workers();
+        if change == 2 {
+            self.sim.replace_leader(resigned);
+            self.sim.run(TIME_STEP);
+        }
+        for i in 0..affected {
+            self.sim.worker(i).fault = Fault::Partitioned;
+        }
+        if change == 3 {
+            let pause = self.span(0, 300);
+            self.run(pause);
+            self.sim.replace_leader(resigned);
+        }
+        self.run(Span::from_secs(14));
+        for i in 0..affected {
+            self.sim.worker(i).fault = Fault::None;
+        }
+        self.sim.list_workers();
+        self.run(Span::from_secs(2));
+    }
+
+    /// Plays two rounds beside long-running, long and short tasks.
+    fn play(&mut self) {
+        self.sim.run(Span::from_secs(1));
+        self.sim.submit(1, job(0, vec![long_running(6, 8)]));
+        let long = step(6, 4, Span::from_secs(20));
+        self.sim.submit(2, job(0, vec![long]));
+        self.round();
+        let short = step(6, 4, Span::from_millis(400));
+        self.sim.submit(3, job(0, vec![short]));
+        self.round();
+    }
+}
+
+/// Guards against second runs of tasks, in random orders of crashes, cuts, changes of leader and
+/// calls that the next incarnation of their worker executes. [`Simulation`] checks each start.
+///
+/// `JUJUBELB_GRANTS_BEHIND_CUTS` adds starts that are executed behind a cut, see KNOWN-RED.txt.
+#[test]
+fn no_task_runs_twice_while_calls_reach_the_next_incarnation() {
+    let seeds = std::env::var("JUJUBELB_GRANT_SEEDS").map_or(DEFAULT_SEEDS, |s| s.parse().unwrap());
+    let starts_behind_cuts = std::env::var("JUJUBELB_GRANTS_BEHIND_CUTS").is_ok();
+    let is_broken = |&seed: &u64| {
+        let play = || Play::new(seed, starts_behind_cuts).play();
+        std::panic::catch_unwind(play).is_err()
+    };
+    let failed: Vec<u64> = (0..seeds).filter(is_broken).collect();
+    assert!(failed.is_empty(), "{} seeds fail: {failed:?}", failed.len());
+}
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -661,6 +661,7 @@
         let due: Vec<(WorkerName, DelayedStart)> = self
             .workers
             .iter_mut()
+            .filter(|(_, w)| w.fault != Fault::Crashed)
             .flat_map(|(name, w)| {
                 let (ready, rest) = std::mem::take(&mut w.delayed_starts)
                     .into_iter()
@@ -1029,6 +1030,19 @@
         worker.delayed_starts.clear();
     }
 
+    /// Ends the worker's process while delayed starts are under way, which its next incarnation
+    /// executes.
+    pub(crate) fn crash_before_delayed_starts(&mut self, i: usize) {
+        let starts = std::mem::take(&mut self.worker(i).delayed_starts);
+        self.crash_worker(i);
+        self.worker(i).delayed_starts = starts;
+    }
+
+    /// Whether starts are under way to a worker.
+    pub(crate) fn has_delayed_starts(&self, i: usize) -> bool {
+        !self.workers[i].delayed_starts.is_empty()
+    }
+
     /// Starts a new incarnation of a crashed worker, whose clock starts at zero.
     pub(crate) fn restart_worker(&mut self, i: usize) {
         self.restart_with_clock(i, WorkerTime::ZERO);
