Keep the lease that a start has granted when a poll was not sent

A poll that certainly was not sent takes back the lease that was counted for it. A start that was ordered after the poll was made has granted a lease as well, and that was taken back with it: after an answer to a poll without a lease, the run was given up 0.3 s later, while the worker ran it for up to 2.5 s.

The new test fails before with a task that runs twice.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -814,6 +814,7 @@
             self.probe_slots = self.probe_slots.saturating_sub(1);
         }
         worker.lease_deadline = worker.lease_deadline.max(deadline);
+        worker.start_deadline = worker.start_deadline.max(deadline);
         worker.load.add(&tracked);
         if step.best_effort {
             placement::add_interference(worker, &tracked, &self.slopes);
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -179,7 +179,7 @@
             worker.unanswered = now;
         }
         if unsent && request.lease_deadline == Some(worker.lease_deadline) {
-            worker.lease_deadline = request.previous_deadline;
+            worker.lease_deadline = request.previous_deadline.max(worker.start_deadline);
         }
         // The first poll after a crash fails with the connection, the next one is refused.
         if (unsent && repeated) || !worker.listed {
@@ -308,6 +308,7 @@
         worker.processed = 0;
         worker.unacknowledged.clear();
         worker.lease_deadline = clock;
+        worker.start_deadline = WorkerTime::ZERO;
         worker.count_outdated_calls(clock, self.lease_cap);
         log::warn!(worker:% = name, runs = worker.runs.len(), clock:? = clock, lease:% = worker.longest_lease_left(); "worker has restarted");
         worker.answering_since = now;
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -40,6 +40,33 @@
     assert!(sim.starts.len() > 4);
 }
 
+/// Guards against giving up a run whose lease its start has granted, because a poll that was made
+/// before the start turns out not to have been sent.
+#[test]
+fn a_poll_that_was_not_sent_does_not_end_the_lease_of_a_start() {
+    let mut sim = Simulation::new(2);
+    sim.worker(0).fault = Fault::Partitioned;
+    sim.run(Span::from_secs(10));
+    sim.worker(0).fault = Fault::None;
+    sim.worker(1).fault = Fault::NoCapacity;
+    // The first poll after one without an answer carries no lease.
+    sim.poll_worker(0);
+    let name = sim.workers.keys()[0].clone();
+    let unsent = sim.dispatcher.poll(&name, sim.now).unwrap();
+    let key = sim.submit(1, job(0, vec![long_running(1, 16)]));
+    let arrived = sim.dispatcher.last_arrival();
+    sim.dispatcher.term_confirmed(arrived);
+    for order in sim.dispatcher.plan(sim.wall(), sim.now) {
+        sim.execute(&order);
+    }
+    assert_eq!(sim.runs_on(0), 1);
+    sim.dispatcher.poll_failed(&name, &unsent, true, sim.now);
+    sim.worker(0).fault = Fault::Partitioned;
+    sim.worker(1).fault = Fault::None;
+    sim.run(Span::from_secs(8));
+    assert_eq!((sim.runs_on(0), sim.running(key)), (0, 1));
+}
+
 /// Guards against waiting for the lease of a worker that has restarted.
 #[test]
 fn a_new_incarnation_frees_tasks_immediately() {
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -167,6 +167,9 @@
     pub(crate) clock_reading: Option<(WorkerTime, Time)>,
     /// Latest lease deadline that the worker may have received.
     pub(crate) lease_deadline: WorkerTime,
+    /// Latest deadline of a start on the current incarnation. A lease that it has granted lasts as
+    /// long, whatever becomes of the polls.
+    pub(crate) start_deadline: WorkerTime,
     /// Whether the last poll was answered. A poll without an answer may still arrive and
     /// extend the lease, so the following polls carry no lease until one is answered.
     pub(crate) reachable: bool,
@@ -305,6 +308,7 @@
             incarnation: None,
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
+            start_deadline: WorkerTime::ZERO,
             reachable: true,
             replaced: false,
             restart_suspected: None,
