Do not give up a run on a worker that is not admitted with its first lease

A poll that shows a restart may list a run that an outdated start has begun there. If the worker is lost before it has seen the raised token, outdated polls still extend its lease, and the run was given up with the lease as counted at that poll. It now counts for as long as any call may be executed late and its lease may last, as a start without an answer does.

Found by reading; no play shows it. The new test fails before with a task that runs twice.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -94,8 +94,9 @@
             if !worker.runs.is_empty() && worker.is_lease_expired(now) {
                 let has_ended = |r: &TrackedRun| match r.phase {
                     RunPhase::Starting => false,
-                    RunPhase::Running => true,
-                    RunPhase::Unsure => {
+                    RunPhase::Running if worker.is_admitted() => true,
+                    // Outdated calls may still extend its lease.
+                    RunPhase::Running | RunPhase::Unsure => {
                         worker.is_start_ruled_out(r, self.listed_until, longest_lease, now)
                     }
                 };
--- a/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
+++ b/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
@@ -115,6 +115,34 @@
     expect_restart_after_cut(&mut sim, key);
 }
 
+/// Guards against giving up a run that an outdated start has begun with the first lease of its
+/// worker, although calls to the former incarnation may still extend that lease.
+#[test]
+fn a_run_counts_while_outdated_calls_may_extend_its_lease() {
+    let mut sim = Simulation::with_max_lease(WORKERS, LONGEST_LEASE);
+    sim.run(Span::from_secs(1));
+    let (name, now) = (sim.workers.keys()[0].clone(), sim.now);
+    let poll = LatePoll::sent(&mut sim.dispatcher, &name, now).unwrap();
+    let key = sim.submit(1, job(0, vec![long_running(TASKS as u32, 16)]));
+    let unanswered = Fault::DelayedStarts(DOWNTIME);
+    (1..WORKERS).for_each(|i| sim.worker(i).fault = Fault::NoCapacity);
+    sim.worker(0).fault = unanswered;
+    sim.run(TIME_STEP);
+    sim.crash_before_delayed_starts(0);
+    (1..WORKERS).for_each(|i| sim.worker(i).fault = Fault::None);
+    sim.run(DOWNTIME);
+    sim.restart_worker(0);
+    sim.advance_workers();
+    assert_eq!(sim.runs_on(0), TASKS);
+    sim.list_workers();
+    sim.poll_worker(0);
+    sim.worker(0).fault = Fault::Partitioned;
+    sim.run(Span::from_secs(6));
+    sim.execute_late(&poll);
+    sim.run(Span::from_secs(24));
+    assert_eq!((sim.runs_on(0), sim.running(key)), (0, TASKS));
+}
+
 /// Workers that crash and are cut off soon after, while calls to them are under way and
 /// leaders change.
 struct Play {
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -141,9 +141,19 @@
         dispatcher: &mut Dispatcher,
         worker: &WorkerName,
         now: Time,
+    ) -> Option<Self> {
+        let poll = Self::sent(dispatcher, worker, now)?;
+        dispatcher.poll_failed(worker, &poll.request, false, now);
+        Some(poll)
+    }
+
+    /// A poll that a leader sends now, and of which nothing has become known yet.
+    pub(crate) fn sent(
+        dispatcher: &mut Dispatcher,
+        worker: &WorkerName,
+        now: Time,
     ) -> Option<Self> {
         let request = dispatcher.poll(worker, now)?;
-        dispatcher.poll_failed(worker, &request, false, now);
         Some(Self {
             worker: worker.clone(),
             request,
