Play later calls and longer cuts in the random test of outdated calls, and reword

The polls are executed up to 12 s late, the cuts outlast the wait for a leader that is not known to have stopped, and the test fails if no lease is longer than leaders ask for or no task starts in a later term. Comments and pages no longer say that the clock of a new incarnation starts anew.

--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -198,17 +198,16 @@
     raise_needed: bool,
     bounds: Bounds,
     /// Longest lease that a worker grants, however late the deadline of a call is on its clock.
-    /// Calls of this system ask for at most [`Bounds::max_lease`] of `bounds`, on the clock of the
-    /// incarnation that they are meant for. On another one they may grant the longest lease, until
-    /// it has seen a token that is higher than theirs.
+    /// Calls ask for at most `bounds.max_lease`, on the clock of the incarnation that they are
+    /// meant for. On another one they may grant this lease, until it has seen a higher token.
     lease_cap: Span,
     /// When this term began to act.
     began: Time,
     /// Earlier leaders that may still extend leases.
     earlier: EarlierLeaders,
-    /// When the term was last known to be the newest one. A lease that is granted by a call to the
-    /// present incarnation ends at most [`Bounds::max_lease`] after it, however late the call is
-    /// sent, since the next leader counts on that for workers that it can't reach.
+    /// When the term was last known to be the newest one. The deadline of a call is at most
+    /// `bounds.max_lease` after it, however late the call is sent, since the next leader counts on
+    /// that for workers that it can't reach.
     authority: Time,
     /// Whether all workers on which earlier terms may have started tasks have answered,
     /// or their leases have expired. Until then inherited tasks are not started.
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -104,7 +104,7 @@
                 let known = lost.len();
                 lost.extend(expired.map(|(t, r)| (name.clone(), *t, r.run)));
                 if lost.len() > known {
-                    log::warn!(worker:% = name, runs = lost.len() - known, last_answer:% = now.since(worker.last_answer), lease:% = worker.longest_lease_left(); "the lease of a worker has expired");
+                    log::warn!(worker:% = name, runs = lost.len() - known, age:% = now.since(worker.last_answer), lease:% = worker.longest_lease_left(); "the lease of a worker has expired");
                 }
             }
         }
@@ -130,7 +130,8 @@
     }
 
     /// Allows inherited tasks to start once every roster worker has listed all its runs and ends to
-    /// this leader, or can't be reached and its lease has expired, whoever has granted it.
+    /// this leader, or can't be reached and the longest lease that it may have been granted until
+    /// the earlier leaders stopped has expired.
     fn resolve_inherited(&mut self, now: Time) {
         if self.inherited_resolved {
             return;
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -205,7 +205,7 @@
             self.raise_needed |= worker.admission == Admission::AwaitsToken;
             self.roster_dirty |= worker.roster_address != Some(worker.report.address);
             worker.answering_since = now;
-            // Leases of earlier terms are no longer than that.
+            // What earlier terms have granted on the right clock is no longer.
             worker.count_outdated_calls(reply.clock, self.lease_cap);
             log::info!(worker:% = name, runs = reply.running.len(), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker fenced");
         }
@@ -220,7 +220,7 @@
         {
             worker.admission = Admission::Admitted;
             worker.count_outdated_calls(reply.clock, self.lease_cap);
-            log::info!(worker:% = name, age:% = now.since(worker.answering_since), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker admitted: calls to its former incarnation are ruled out");
+            log::info!(worker:% = name, age:% = now.since(worker.answering_since), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker admitted: earlier calls are ruled out");
         }
         if reply.incarnation.is_some() {
             worker.incarnation = reply.incarnation;
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -94,7 +94,7 @@
             // The run has completed or was given up before this answer arrived.
             return;
         };
-        // The clock of a new incarnation starts anew.
+        // The clock of a new incarnation is unrelated to the former one.
         let is_other = clock.is_some_and(|c| c + CLOCK_MARGIN < tracked.order_clock);
         if is_other {
             log::warn!(task:% = task, run:% = run, worker:% = name, reply:? = reply, clock:? = clock, expected:? = tracked.order_clock; "worker has restarted: its clock is behind");
@@ -244,8 +244,8 @@
 
 /// Whether a start order that was planned at `planned` must not be sent any more, since the
 /// process was paused or the worker was busy for too long. The deadline in the order has the
-/// same effect, except on a worker that has restarted in the meantime: its clock starts anew
-/// and it has seen no token.
+/// same effect, except on a worker that has restarted in the meantime: its clock is
+/// another one and it has seen no token.
 pub fn is_start_overdue(planned: Time, now: Time) -> bool {
     now.since(planned) > START_VALIDITY
 }
--- a/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
+++ b/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
@@ -149,6 +149,8 @@
     rng: StdRng,
     sim: Simulation,
     polls: Vec<(Time, LatePoll)>,
+    /// Leases longer than those that leaders ask for.
+    long_leases: usize,
     /// Whether starts are executed behind a cut as well, on incarnations that no leader has reached.
     starts_behind_cuts: bool,
 }
@@ -161,6 +163,7 @@
             rng,
             sim: Simulation::with_max_lease(WORKERS, longest),
             polls: Vec::new(),
+            long_leases: 0,
             starts_behind_cuts,
         }
     }
@@ -182,6 +185,8 @@
             for (_, poll) in due {
                 self.sim.execute_late(&poll);
             }
+            let is_long = |i: &usize| self.sim.lease_left(*i) > Span::from_secs(7);
+            self.long_leases += (0..WORKERS).filter(is_long).count();
         }
     }
 
@@ -189,7 +194,7 @@
     /// its own, ahead of the former one or behind it.
     fn restart(&mut self, i: usize) {
         if self.rng.random_bool(0.5) {
-            let at = self.sim.now + self.span(100, 4_000);
+            let at = self.sim.now + self.span(100, 12_000);
             let poll = self.sim.poll_late(i);
             self.polls.push((at, poll));
         } else {
@@ -240,7 +245,12 @@
             self.run(pause);
             self.sim.replace_leader(resigned);
         }
-        self.run(Span::from_secs(14));
+        // Longer than the wait for a leader that is not known to have stopped, and for leases.
+        self.run(Span::from_secs(if resigned || change == 0 {
+            14
+        } else {
+            30
+        }));
         for i in 0..affected {
             self.sim.worker(i).fault = Fault::None;
         }
@@ -269,10 +279,22 @@
 fn no_task_runs_twice_while_calls_reach_the_next_incarnation() {
     let seeds = std::env::var("JUJUBELB_GRANT_SEEDS").map_or(DEFAULT_SEEDS, |s| s.parse().unwrap());
     let starts_behind_cuts = std::env::var("JUJUBELB_GRANTS_BEHIND_CUTS").is_ok();
-    let is_broken = |&seed: &u64| {
-        let play = || Play::new(seed, starts_behind_cuts).play();
-        std::panic::catch_unwind(play).is_err()
-    };
-    let failed: Vec<u64> = (0..seeds).filter(is_broken).collect();
+    let (mut failed, mut long_leases, mut later_starts) = (Vec::new(), 0, 0);
+    for seed in 0..seeds {
+        let result = std::panic::catch_unwind(|| {
+            let mut play = Play::new(seed, starts_behind_cuts);
+            play.play();
+            play
+        });
+        match result {
+            Ok(play) => {
+                let starts = play.sim.starts.iter();
+                later_starts += starts.filter(|(_, _, _, run)| run.0 > 10_000).count();
+                long_leases += play.long_leases;
+            }
+            Err(_) => failed.push(seed),
+        }
+    }
     assert!(failed.is_empty(), "{} seeds fail: {failed:?}", failed.len());
+    assert!(long_leases > 0 && later_starts > 0);
 }
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -1048,6 +1048,13 @@
         self.worker(i).delayed_starts = starts;
     }
 
+    /// Time by a worker's clock until its lease ends.
+    pub(crate) fn lease_left(&self, i: usize) -> Span {
+        self.workers[i]
+            .deadline
+            .since(self.workers[i].clock(self.now))
+    }
+
     /// Whether starts are under way to a worker.
     pub(crate) fn has_delayed_starts(&self, i: usize) -> bool {
         !self.workers[i].delayed_starts.is_empty()
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -405,9 +405,9 @@
         self.lease_deadline.since(read)
     }
 
-    /// Counts calls to a former incarnation that may have been executed up to this reading of the
-    /// clock. Their deadlines are times on another clock, so each may have granted the longest
-    /// lease of all.
+    /// Counts calls that are not known to be meant for this incarnation and may have been executed
+    /// up to this reading of the clock. Their deadlines may be times on another clock, so each
+    /// may have granted the longest lease of all.
     pub(crate) fn count_outdated_calls(&mut self, until: WorkerTime, longest_lease: Span) {
         self.lease_deadline = self.lease_deadline.max(until + longest_lease);
     }
