Play restarts of workers whose next life carries out calls of the former one

A deadline in such a call is a time on the clock of the former life. The soak did not play this: calls to a worker that was down were reset or answered 421, and the longest lease was always 6 s.

Each life of a worker already had a clock with a reading of its own, drawn from 0 to 1,000 s. A poll that waits at a life that has ended stays without an answer; it was answered 421, which a crashed process can't.

--- a/crates/jujubelb-lab/src/emulator/mod.rs
+++ b/crates/jujubelb-lab/src/emulator/mod.rs
@@ -29,7 +29,7 @@
 use platform::worker_api::WorkerApi;
 use registry::Registry;
 use store::Store;
-use worker::Machine;
+use worker::{MAX_LEASE, Machine};
 
 /// Port of the store on each of its addresses.
 const STORE_PORT: u16 = 8169;
@@ -70,6 +70,11 @@
         SocketAddr::from((ip, port))
     }
 
+    fn max_lease(&self) -> Duration {
+        let leases = self.machines.iter().map(|m| m.max_lease);
+        leases.max().unwrap_or(MAX_LEASE)
+    }
+
     pub(crate) fn host(&self, index: usize) -> HostPlace {
         HostPlace {
             name: format!("h{index}"),
@@ -77,6 +82,7 @@
             clients: self.address(0, index, CLIENT_PORT),
             store: self.address(1, index, STORE_PORT),
             link_mbps: self.link_mbps,
+            max_lease: self.max_lease(),
         }
     }
 }
--- a/crates/jujubelb-lab/src/emulator/platform/settings.rs
+++ b/crates/jujubelb-lab/src/emulator/platform/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::time::Duration;
 
 use toml::toml;
 
@@ -22,6 +23,8 @@
     pub(crate) store: SocketAddr,
     /// Speed of the host's link.
     pub(crate) link_mbps: f64,
+    /// Longest lease of what runs on a worker.
+    pub(crate) max_lease: Duration,
 }
 
 impl HostPlace {
@@ -49,7 +52,6 @@
             [bounds]
             contact_ms = 4000
             grace_s = 6
-            hold_max_ms = 6000
             stop_ms = 400
             cancel_ms = 3000
             early_ms = 250
@@ -88,6 +90,8 @@
         set(addresses, "readiness", self.readiness().to_string().into());
         set(Some("platform"), "address", self.store.to_string().into());
         set(Some("limits"), "link_mbps", self.link_mbps.into());
+        let max_lease = self.max_lease.as_millis() as i64;
+        set(Some("bounds"), "hold_max_ms", max_lease.into());
         file.to_string()
     }
 }
--- a/crates/jujubelb-lab/src/emulator/platform/worker_api.rs
+++ b/crates/jujubelb-lab/src/emulator/platform/worker_api.rs
@@ -139,21 +139,25 @@
         };
         let held = self.fleet.with(self.place, |worker, _, now| {
             let (token, number) = (body.fencing_token, body.acknowledged);
-            worker.hold(token, body.deadline_ms, number, now, &self.history)
+            let held = worker.hold(token, body.deadline_ms, number, now, &self.history);
+            held.map(|()| worker.life.clone())
         });
-        if held != Some(Ok(())) {
-            return self.reply(held);
-        }
+        let life = match held {
+            Some(Ok(life)) => life,
+            refused => return self.reply(refused.map(|r| r.map(|_| ()))),
+        };
         let wait = Duration::from_millis(body.wait_ms).min(MAX_WAIT);
         let until = tokio::time::Instant::now() + wait;
         loop {
             let ended = self.fleet.ended.notified();
             let over = tokio::time::Instant::now() >= until;
             let lists = self.fleet.with(self.place, |worker, _, now| {
-                (worker.finished().next().is_some() || over).then(|| lists(worker, now))
+                let due = worker.finished().next().is_some() || over;
+                (worker.life == life).then(|| due.then(|| lists(worker, now)))
             });
-            match lists {
-                None => return Reply::empty(421),
+            match lists.flatten() {
+                // A life that has ended answers nothing; the link may end the call.
+                None => std::future::pending().await,
                 Some(Some(lists)) => return Reply::new(200, &lists),
                 // Both outcomes lead to another look.
                 Some(None) => drop(tokio::time::timeout_at(until, ended).await),
--- a/crates/jujubelb-lab/src/emulator/tests.rs
+++ b/crates/jujubelb-lab/src/emulator/tests.rs
@@ -5,8 +5,10 @@
 
 use super::fleet::Fleet;
 use super::history::{History, Life, Record, Role, RunEnd, SentJob, SentStep, TaskName, What};
+use super::http::{self, Link, Reply, Request, Service, Treatment};
 use super::interference::Interference;
-use super::worker::{Machine, Refusal, StartOrder, Worker};
+use super::platform::worker_api::WorkerApi;
+use super::worker::{LONGER_MAX_LEASE, Machine, Refusal, StartOrder, Worker};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -19,6 +21,7 @@
         memory: 10_000,
         guards_room: true,
         clock_rate: 1.0,
+        max_lease: LONGER_MAX_LEASE,
     }
 }
 
@@ -196,3 +199,121 @@
     assert!(before.is_some());
     assert_eq!(life(&fleet), before);
 }
+
+/// A call to the worker `w0` that is carried out late.
+async fn call_late(api: &WorkerApi, path: &str, body: serde_json::Value) -> Reply {
+    let request = Request {
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+        query: Default::default(),
+        headers: [("expect-instance".to_owned(), "w0".to_owned())].into(),
+        body: body.to_string().into_bytes(),
+        late: true,
+    };
+    api.serve(request).await
+}
+
+/// Guards against restarts that show nothing of calls to the former life: its clock has to be
+/// unrelated to that of the next one, which carries these calls out until it has seen a newer
+/// token. A deadline of a clock that was ahead grants the longest lease.
+#[tokio::test]
+async fn a_restarted_worker_carries_out_late_calls_on_another_clock() {
+    let (mut ahead, mut behind) = (0, 0);
+    for seed in 0..20 {
+        let history = Arc::new(History::new());
+        let fleet = Arc::new(Fleet::new(vec![machine()], history.clone(), seed));
+        let api = WorkerApi {
+            fleet: fleet.clone(),
+            place: 0,
+            history,
+        };
+        let clock = || fleet.with(0, |w, _, now| w.clock_ms(now)).unwrap();
+        let former = clock();
+        fleet.kill(0);
+        fleet.revive(0, true);
+        let next = clock();
+        if former.abs_diff(next) < 60_000 {
+            continue;
+        }
+        let deadline_ms = former + 6_000;
+        let start = |task: &str, token: u64| {
+            serde_json::json!({"task": task, "run": 1, "spec": "", "deadline_ms": deadline_ms,
+                "fencing_token": token})
+        };
+        let reply = call_late(&api, "/run-start", start("a.0.0.0", 3)).await;
+        if next > former {
+            ahead += 1;
+            assert_eq!(reply.status, 409);
+            assert!(reply.body.contains("late"), "{}", reply.body);
+        } else {
+            behind += 1;
+            assert_eq!(reply.status, 200);
+            let hold = serde_json::json!({"deadline_ms": deadline_ms, "fencing_token": 3});
+            assert_eq!(call_late(&api, "/hold", hold).await.status, 200);
+        }
+        let newer = serde_json::json!({"fencing_token": 4});
+        assert_eq!(call_late(&api, "/hold", newer).await.status, 200);
+        let reply = call_late(&api, "/run-start", start("b.0.0.0", 3)).await;
+        assert_eq!(reply.status, 409);
+        assert!(reply.body.contains("fence"), "{}", reply.body);
+    }
+    assert!(ahead >= 3 && behind >= 3, "{ahead} ahead, {behind} behind");
+}
+
+/// Guards against leases that a deadline on another clock makes longer than the longest one, or
+/// not as long, so that the soak would not show starts before a lease has run out.
+#[test]
+fn deadline_on_a_clock_that_was_ahead_grants_the_longest_lease() {
+    let history = History::new();
+    let mut worker = worker(Interference::new(1));
+    start(&mut worker, &serving("a"), &history).unwrap();
+    let former = Some(2_816_000);
+    let held = worker.hold(0, former, 0, SECOND, &history);
+    assert_eq!(held, Ok(()));
+    // A later deadline on its own clock does not shorten the lease.
+    let held = worker.hold(0, Some(8_000), 0, 2 * SECOND, &history);
+    assert_eq!(held, Ok(()));
+    assert!(!worker.advance(Duration::from_millis(10_990), &history));
+    assert!(worker.advance(Duration::from_millis(11_010), &history));
+    let ends: Vec<RunEnd> = worker.finished().map(|e| e.end).collect();
+    assert_eq!(ends, [RunEnd::Lapsed]);
+}
+
+/// Guards against calls in the network that are lost while a worker is down: the next life has to
+/// carry them out, with the token of the former one.
+#[tokio::test]
+async fn calls_that_arrive_while_a_worker_is_down_reach_its_next_life() {
+    let history = Arc::new(History::new());
+    let fleet = Arc::new(Fleet::new(vec![machine()], history.clone(), 1));
+    let api = WorkerApi {
+        fleet: fleet.clone(),
+        place: 0,
+        history: history.clone(),
+    };
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = free.local_addr().unwrap();
+    drop(free);
+    let link = Arc::new(Link::new(1));
+    http::listen(address, link.clone(), Arc::new(api))
+        .await
+        .unwrap();
+    fleet.kill(0);
+    link.set(Treatment::Late(SECOND / 2), 1.0);
+    let call = reqwest::Client::builder()
+        .no_proxy()
+        .timeout(SECOND / 5)
+        .build()
+        .unwrap();
+    let call = call.post(format!("http://{address}/hold"));
+    let call = call.header("Expect-Instance", "w0");
+    let answer = call.body(r#"{"fencing_token": 3}"#).send().await;
+    assert!(answer.is_err(), "{answer:?}");
+    fleet.revive(0, true);
+    let hold = || fleet.with(0, |w, _, now| w.hold(0, None, 0, now, &history));
+    assert_eq!(hold(), Some(Ok(())));
+    let until = tokio::time::Instant::now() + 10 * SECOND;
+    while hold() != Some(Err(Refusal::Fence)) {
+        assert!(tokio::time::Instant::now() < until, "the call is lost");
+        tokio::time::sleep(SECOND / 100).await;
+    }
+}
--- a/crates/jujubelb-lab/src/emulator/worker.rs
+++ b/crates/jujubelb-lab/src/emulator/worker.rs
@@ -10,8 +10,10 @@
 use super::history::{History, Life, Role, RunEnd, SentJob, TaskName, What};
 use super::interference::{Interference, REPORT_WINDOW};
 
-/// Longest lease of what runs on a worker.
-pub(crate) const MAX_LEASE_MS: u64 = 6_000;
+/// Longest lease of what runs on a worker, on most deployments and on some. Leaders ask for no
+/// more than the first; only a deadline that is a time on another clock brings the second.
+pub(crate) const MAX_LEASE: Duration = Duration::from_secs(6);
+pub(crate) const LONGER_MAX_LEASE: Duration = Duration::from_secs(10);
 
 /// Longest time that a stop takes.
 pub(crate) const MAX_STOP: Duration = Duration::from_millis(400);
@@ -42,6 +44,8 @@
     pub(crate) guards_room: bool,
     /// Rate of its clock; workers' clocks may be up to 2 % slow.
     pub(crate) clock_rate: f64,
+    /// Longest lease of what runs there; the same on all machines of a deployment.
+    pub(crate) max_lease: Duration,
 }
 
 /// Why a worker refuses an order.
@@ -227,7 +231,7 @@
     }
 
     fn extend_lease(&mut self, deadline_ms: u64, now: Duration) {
-        let longest = self.clock_ms(now) + MAX_LEASE_MS;
+        let longest = self.clock_ms(now) + self.machine.max_lease.as_millis() as u64;
         let wanted = deadline_ms.min(longest);
         self.lease_ms = Some(self.lease_ms.map_or(wanted, |lease| lease.max(wanted)));
     }
--- a/crates/jujubelb-lab/src/soak/faults.rs
+++ b/crates/jujubelb-lab/src/soak/faults.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
-use super::plan::{Fault, Peers, Planned, Target};
+use super::plan::{Fault, LATE_BEFORE_CRASH, Peers, Planned, Target};
 use super::processes::{METRICS_PORT, Processes};
 use crate::emulator::Emulator;
 use crate::emulator::history::{Record, What};
@@ -23,6 +23,9 @@
 /// Time after a worker's report until it leaves.
 const DRAIN: Duration = Duration::from_millis(4_000);
 
+/// Share of the calls shortly before a crash that the next life of a worker carries out.
+const LATE_SHARE: f64 = 0.5;
+
 /// Interval of checking whether a process is back.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -187,6 +190,14 @@
                 self.emulator.fleet.kill(worker);
                 self.come_back(worker, same_name, time).await;
             }
+            Fault::WorkerRestart(worker, late) => {
+                let link = &self.emulator.worker_links[worker];
+                let until_back = Treatment::Late(LATE_BEFORE_CRASH + late);
+                disturb(link, until_back, LATE_SHARE, LATE_BEFORE_CRASH).await;
+                self.emulator.fleet.kill(worker);
+                disturb(link, Treatment::Late(late), 1.0, time).await;
+                self.emulator.fleet.revive(worker, true);
+            }
             Fault::WorkerDrain(worker) => {
                 if let Some(life) = self.emulator.fleet.kill(worker) {
                     let store = &self.emulator.store;
--- a/crates/jujubelb-lab/src/soak/plan.rs
+++ b/crates/jujubelb-lab/src/soak/plan.rs
@@ -6,7 +6,9 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::emulator::ZONES;
 use crate::emulator::http::Treatment;
+use crate::emulator::worker::{LONGER_MAX_LEASE, MAX_LEASE};
 
 /// Time without faults at the start, in which the hosts find a leader.
 const START: Duration = Duration::from_secs(5);
@@ -33,12 +35,43 @@
 /// leader.
 const FIRST_SEED_WITH_SERIES: u64 = 30_000;
 
+/// First seed with restarts of the workers of a failure domain, beside bursts and without other
+/// faults than kills of the leader. A late call tells the next life of a worker a deadline on
+/// another clock, which may grant it the longest lease.
+const FIRST_SEED_WITH_RESTARTS: u64 = 40_000;
+
+/// Of the seeds with restarts, one in this number has the longer leases.
+const RESTARTS_PER_LONGER_LEASE: u64 = 2;
+
+/// Rounds of restarts, and milliseconds from the end of one to the next.
+const ROUNDS: (u64, u64) = (2, 4);
+const ROUND_GAP_MS: (u64, u64) = (1_000, 4_000);
+
+/// How long the workers of a round are down.
+const RESTART_TIME: Duration = Duration::from_millis(600);
+
+/// Time before the crash in which a share of the calls to a worker is late.
+pub(crate) const LATE_BEFORE_CRASH: Duration = Duration::from_millis(600);
+
+/// Delay of calls to a worker that is down, in milliseconds: the first are carried out soon after
+/// it is back, before hosts have found out that it has restarted.
+const RESTART_LATE_MS: (u64, u64) = (610, 1_200);
+
+/// Milliseconds from the crash of the workers to the kill of the leader.
+const RESTART_KILL_MS: (u64, u64) = (1_400, 2_000);
+
+/// Time from that until the workers are cut off from the hosts, and how long they stay so: leases
+/// of both lengths end meanwhile, or shortly after.
+const CUT_AFTER_KILL: Duration = Duration::from_millis(600);
+const CUT_TIME: Duration = Duration::from_secs(9);
+
 /// Silences of a series, and milliseconds between two of them: each hits the connections that were
 /// opened after the one before, also while requests on those still wait for their timeout.
 const SERIES: (u64, u64) = (3, 7);
 const SERIES_GAP_MS: (u64, u64) = (200, 1_800);
 
-/// Share of series in which the leader is killed at the moment of a silence.
+/// Share of series in which the leader is killed at the moment of a silence, and of rounds of
+/// restarts in which it is killed.
 const KILL_SHARE: f64 = 0.5;
 
 /// Time without a silence after a short pause between two series; [`CALM_AFTER`] after half of them.
@@ -86,6 +119,10 @@
     WorkerLink(usize, Treatment, f64),
     /// A worker crashes and comes back after `time`, under its name or a new one.
     WorkerCrash(usize, bool),
+    /// A worker crashes without closing its connections, and comes back under its name after
+    /// `time`. Calls to its former life that arrive while it is down are carried out this much
+    /// later by the next life, and a share of those that arrive shortly before.
+    WorkerRestart(usize, Duration),
     /// A worker drains, leaves, and comes back `time` later under a new name.
     WorkerDrain(usize),
     /// A worker can't reach the store.
@@ -153,11 +190,23 @@
 
 /// Whether a seed has faults from outside.
 pub(crate) fn has_faults(seed: u64) -> bool {
-    !has_bursts(seed) || has_series(seed) || seed % BURSTS_PER_FAULTS == 1
+    !has_bursts(seed) || has_series(seed) || has_restarts(seed) || seed % BURSTS_PER_FAULTS == 1
 }
 
 fn has_series(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_SERIES
+    (FIRST_SEED_WITH_SERIES..FIRST_SEED_WITH_RESTARTS).contains(&seed)
+}
+
+fn has_restarts(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_RESTARTS
+}
+
+/// Longest lease of what runs on the workers of a seed.
+pub(crate) fn max_lease(seed: u64) -> Duration {
+    match has_restarts(seed) && seed % RESTARTS_PER_LONGER_LEASE == 1 {
+        true => LONGER_MAX_LEASE,
+        false => MAX_LEASE,
+    }
 }
 
 /// Draws the faults of a seed, all of which begin before `end`.
@@ -168,6 +217,12 @@
     while has_series(seed) && at < end {
         at = add_series(&mut random, at, &mut planned);
     }
+    if has_restarts(seed) {
+        for _ in 0..random.random_range(ROUNDS.0..ROUNDS.1) {
+            at = add_restarts(&mut random, at, workers, &mut planned);
+        }
+        at = end;
+    }
     while at < end {
         if seed >= FIRST_SEED_WITH_SILENCE {
             at = add_silence(&mut random, at, &mut planned);
@@ -234,6 +289,41 @@
     }
 }
 
+/// Adds a round of restarts of the workers of a failure domain from some time on. Returns when the
+/// next one may begin.
+fn add_restarts(
+    random: &mut StdRng,
+    at: Duration,
+    workers: usize,
+    planned: &mut Vec<Planned>,
+) -> Duration {
+    let zone = random.random_range(0..ZONES.len());
+    let workers = (zone..workers).step_by(ZONES.len());
+    let crash = at + LATE_BEFORE_CRASH;
+    for worker in workers.clone() {
+        let late = random.random_range(RESTART_LATE_MS.0..RESTART_LATE_MS.1);
+        let fault = Fault::WorkerRestart(worker, Duration::from_millis(late));
+        let time = RESTART_TIME;
+        planned.push(Planned { at, fault, time });
+    }
+    let kill =
+        crash + Duration::from_millis(random.random_range(RESTART_KILL_MS.0..RESTART_KILL_MS.1));
+    if random.random_bool(KILL_SHARE) {
+        planned.push(Planned {
+            at: kill,
+            fault: Fault::Kill(Target::Leader),
+            time: Duration::from_millis(random.random_range(100..4_000)),
+        });
+    }
+    let cut = kill + CUT_AFTER_KILL;
+    planned.extend(workers.map(|worker| Planned {
+        at: cut,
+        fault: Fault::WorkerLink(worker, Treatment::Silence, 1.0),
+        time: CUT_TIME,
+    }));
+    cut + CUT_TIME + Duration::from_millis(random.random_range(ROUND_GAP_MS.0..ROUND_GAP_MS.1))
+}
+
 fn draw_fault(random: &mut StdRng, at: Duration, hosts: usize, workers: usize) -> Planned {
     let target = match random.random() {
         true => Target::Leader,
--- a/crates/jujubelb-lab/src/soak/plan/tests.rs
+++ b/crates/jujubelb-lab/src/soak/plan/tests.rs
@@ -1,6 +1,11 @@
 use std::time::Duration;
 
-use super::{Fault, Peers, Planned, Target, draw, has_bursts, has_faults};
+use super::{
+    CUT_TIME, Fault, LATE_BEFORE_CRASH, Peers, Planned, Target, draw, has_bursts, has_faults,
+    max_lease,
+};
+use crate::emulator::http::Treatment;
+use crate::emulator::worker::{LONGER_MAX_LEASE, MAX_LEASE};
 
 const END: Duration = Duration::from_secs(30);
 
@@ -34,3 +39,43 @@
     };
     assert!(plans.iter().any(at_kill));
 }
+
+/// Guards against rounds that play no late call to a restarted worker, or in which the worker does
+/// not keep what runs there after a change of the leader; and against changes of other seeds.
+#[test]
+fn workers_restart_before_the_leader_is_killed_and_they_are_cut_off() {
+    let end = Duration::from_secs(60);
+    let mut kills = 0;
+    for seed in 40_000..40_020 {
+        let plan = draw(seed, 3, 6, end);
+        let restart = |p: &Planned| match p.fault {
+            Fault::WorkerRestart(worker, late) => Some((worker, late, p.at, p.time)),
+            _ => None,
+        };
+        let restarts: Vec<_> = plan.iter().filter_map(restart).collect();
+        assert!((4..=6).contains(&restarts.len()), "{plan:?}");
+        for (worker, late, at, down) in restarts {
+            assert!(late > down, "{plan:?}");
+            let crash = at + LATE_BEFORE_CRASH;
+            let since = |p: &Planned| p.at.checked_sub(crash).map(|d| d.as_millis());
+            let cut = Fault::WorkerLink(worker, Treatment::Silence, 1.0);
+            let cut_off = |p: &&Planned| {
+                p.fault == cut && p.time == CUT_TIME && since(p).is_some_and(|t| t < 2_600)
+            };
+            assert!(plan.iter().any(|p| cut_off(&p)), "{plan:?}");
+        }
+        kills += plan
+            .iter()
+            .filter(|p| p.fault == Fault::Kill(Target::Leader))
+            .count();
+    }
+    assert!((10..40).contains(&kills), "{kills} kills");
+    assert!((40_000..40_020).all(|s| has_bursts(s) && has_faults(s)));
+    let longer = (40_000..40_020).filter(|&s| max_lease(s) == LONGER_MAX_LEASE);
+    assert_eq!(longer.count(), 10);
+    for seed in [1, 10_001, 20_001, 30_001, 39_999] {
+        let plan = draw(seed, 3, 6, end);
+        let restarts = |p: &Planned| matches!(p.fault, Fault::WorkerRestart(..));
+        assert!(!plan.iter().any(restarts) && max_lease(seed) == MAX_LEASE);
+    }
+}
--- a/crates/jujubelb-lab/src/soak/run.rs
+++ b/crates/jujubelb-lab/src/soak/run.rs
@@ -255,6 +255,7 @@
             memory,
             guards_room: random.random(),
             clock_rate: random.random_range(0.98..=1.0),
+            max_lease: plan::max_lease(options.seed),
         }
     };
     (0..count).map(machine).collect()
