Send stops over the polls' connection when a worker accepts no other

Cause: workers whose 64 places are taken reset the connection of each stop, while the poll keeps one that was opened before and extends the lease of the run.

A stop whose connection the worker refuses or resets now waits for the end of the poll and uses its connection. Polls that begin meanwhile wait, so that no further connection is opened. Polls without a lease were not chosen: they would end all other runs of the worker. A call for which no connection was opened for another reason than a timeout has its own error, and the log names the error of a stop.

Test: stops_get_through_to_a_worker_that_accepts_no_further_connection, which failed before.

--- a/crates/jujubelb/src/node/tests/worker_connections.rs
+++ b/crates/jujubelb/src/node/tests/worker_connections.rs
@@ -184,6 +184,25 @@
     assert_eq!(poll_repeatedly(&gateway, address, 2).await, 2);
 }
 
+/// Guards against a cancelled task that runs on because its worker accepts no connection for the
+/// stop, while the polls have one and extend its lease.
+#[tokio::test]
+async fn stops_get_through_to_a_worker_that_accepts_no_further_connection() {
+    const POLLS: usize = 20;
+    const STOPS: u32 = 6;
+    let (worker, address) = LimitedWorker::start(1).await;
+    let connections = WorkerConnections::default();
+    let gateway = gateway(&connections);
+    assert_eq!(poll_repeatedly(&gateway, address, 1).await, 1);
+    let stops = stop_runs(&gateway, address, STOPS);
+    let polls = poll_repeatedly(&gateway, address, POLLS);
+    let (replies, answered) = tokio::join!(stops, polls);
+    assert!(worker.refused() > 0);
+    assert_eq!(replies, [StopReply::Stopped; STOPS as usize]);
+    assert_eq!(worker.received("/run-stop"), STOPS as usize);
+    assert_eq!(answered, POLLS);
+}
+
 /// Guards against a start that waits for a connection while its worker restarts, and is sent all
 /// the same.
 #[tokio::test]
--- a/crates/jujubelb/src/platform/client.rs
+++ b/crates/jujubelb/src/platform/client.rs
@@ -34,6 +34,10 @@
     /// The request was not sent, so that it had no effect.
     #[error("can't connect to {0}: {1}")]
     NotSent(SocketAddr, String),
+    /// No connection was opened, for another reason than a timeout: the peer has refused or reset it.
+    /// As with [`CallError::NotSent`], the call had no effect.
+    #[error("can't connect to {0}: {1}")]
+    Refused(SocketAddr, String),
     /// The request was sent and no complete response came in time. It may have had an
     /// effect, or have one later.
     #[error("no response from {0}: {1}")]
@@ -55,7 +59,7 @@
     /// Whether the call certainly had no effect.
     pub fn had_no_effect(&self) -> bool {
         match self {
-            Self::NotSent(..) => true,
+            Self::NotSent(..) | Self::Refused(..) => true,
             // Too many requests, or service unavailable: the platform guarantees that
             // such a request had no effect.
             Self::UnexpectedStatus(_, status) => matches!(status, 429 | 503),
@@ -128,17 +132,17 @@
         &self,
         call: HttpRequest<'_, B>,
     ) -> Result<HttpResponse, CallError> {
-        self.call_with_waiting(call, || 0).await
+        self.call_with_waiting(&call, || 0).await
     }
 
     /// Like [`HttpClient::call`]. `waiting` tells how many calls wait for a connection to the peer
     /// when this one has ended.
     pub(super) async fn call_with_waiting<B: Serialize>(
         &self,
-        call: HttpRequest<'_, B>,
+        call: &HttpRequest<'_, B>,
         waiting: impl Fn() -> usize,
     ) -> Result<HttpResponse, CallError> {
-        let request = encode(&call).map_err(|e| CallError::NotSent(call.peer, e))?;
+        let request = encode(call).map_err(|e| CallError::NotSent(call.peer, e))?;
         self.send(call.peer, request, call.timeout, waiting).await
     }
 
@@ -168,6 +172,11 @@
         self.connections.suspect(peer, self.clock.now());
     }
 
+    /// Whether there is an idle connection to a peer.
+    pub(super) fn has_idle(&self, peer: SocketAddr) -> bool {
+        self.connections.has_idle(peer, self.clock.now())
+    }
+
     /// Closes the connections that have been idle for too long.
     pub(crate) fn close_unused(&self) {
         self.connections.close_unused(self.clock.now());
@@ -225,7 +234,7 @@
         let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT.to_std());
         match tokio::time::timeout_at(limit, self.connections.open(peer)).await {
             Ok(Ok(connection)) => Ok(connection),
-            Ok(Err(error)) => Err(CallError::NotSent(peer, describe(&error))),
+            Ok(Err(error)) => Err(CallError::Refused(peer, describe(&error))),
             Err(_) => Err(CallError::NotSent(peer, "timeout".to_owned())),
         }
     }
--- a/crates/jujubelb/src/platform/connections.rs
+++ b/crates/jujubelb/src/platform/connections.rs
@@ -159,6 +159,13 @@
         })
     }
 
+    /// Whether there is an idle connection to a peer.
+    pub(super) fn has_idle(&self, peer: SocketAddr, now: Time) -> bool {
+        let peers = self.lock();
+        let idle = peers.peers.get(&peer).map(|p| &p.idle);
+        idle.is_some_and(|idle| idle.iter().any(|c| c.is_usable(self.limits.timeout, now)))
+    }
+
     /// Takes the idle connection to a peer that was used last.
     pub(super) fn take(&self, peer: SocketAddr, now: Time) -> Option<Connection> {
         let mut peers = self.lock();
--- a/crates/jujubelb/src/platform/worker_connections.rs
+++ b/crates/jujubelb/src/platform/worker_connections.rs
@@ -41,11 +41,19 @@
     timeout: Span::from_secs(10),
 };
 
+/// How long a stop waits for the connection of the polls, which is free when a poll is answered. A
+/// worker waits for 1.5 s at most before it answers one.
+const POLL_END_LIMIT: Span = Span::from_secs(2);
+
 /// What a call needs a place for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CallKind {
     Poll,
+    /// A start or a pace.
     Order,
+    /// An order that uses the connection of the polls if the worker accepts no further one. Without
+    /// it, the polls would extend the lease of a run that can't be stopped.
+    Stop,
 }
 
 /// Connections of this process to workers, of its terms as the leader and as a relay.
@@ -88,6 +96,16 @@
         let place = tokio::time::timeout(limit.to_std(), self.free.acquire()).await;
         place.ok()?.ok()
     }
+
+    /// Takes `count` places, which have to be all, before calls that begin to wait later; `None`
+    /// if they are not free within `limit`.
+    async fn take_all(&self, count: usize, limit: Span) -> Option<SemaphorePermit<'_>> {
+        let places = self.free.acquire_many(u32::try_from(count).ok()?);
+        tokio::time::timeout(limit.to_std(), places)
+            .await
+            .ok()?
+            .ok()
+    }
 }
 
 /// Counts a call as waiting until it is dropped.
@@ -128,11 +146,11 @@
     ) -> Result<HttpResponse, CallError> {
         let (peer, timeout) = (call.peer, call.timeout);
         let places = self.places(peer);
-        let (client, other, places) = match kind {
+        let (client, other, of_kind) = match kind {
             CallKind::Poll => (&self.polls, &self.orders, &places.polls),
-            CallKind::Order => (&self.orders, &self.polls, &places.orders),
+            CallKind::Order | CallKind::Stop => (&self.orders, &self.polls, &places.orders),
         };
-        let Some(_place) = places.take(timeout).await else {
+        let Some(place) = of_kind.take(timeout).await else {
             log::info!(address:% = peer, call = call.path, waited:% = timeout; "call to a worker not made: all connections to it are in use");
             let reason = format!("all connections are in use for {timeout}");
             return Err(CallError::NotSent(peer, reason));
@@ -141,14 +159,39 @@
             let reason = "the call must not be made any more".to_owned();
             return Err(CallError::NotSent(peer, reason));
         }
-        let waiting = || places.waiting.load(Relaxed);
-        let result = client.call_with_waiting(call, waiting).await;
-        if let Err(CallError::TimedOut(..)) = result {
-            other.suspect(peer);
+        let waiting = || of_kind.waiting.load(Relaxed);
+        let result = client.call_with_waiting(&call, waiting).await;
+        drop(place);
+        match result {
+            Err(CallError::TimedOut(..)) => other.suspect(peer),
+            Err(CallError::Refused(..) | CallError::NoResponse(..)) if kind == CallKind::Stop => {
+                let between_polls = self.call_between_polls(&call, &places.polls).await;
+                return between_polls.unwrap_or(result);
+            }
+            _ => {}
         }
         result
     }
 
+    /// Makes a call on an idle connection of the polls, when no poll uses one. Polls that begin
+    /// meanwhile wait for it. `None` if there is no such connection within [`POLL_END_LIMIT`].
+    async fn call_between_polls<B: Serialize>(
+        &self,
+        call: &HttpRequest<'_, B>,
+        polls: &PlacesOfKind,
+    ) -> Option<Result<HttpResponse, CallError>> {
+        let _places = polls.take_all(POLL_PLACES, POLL_END_LIMIT).await?;
+        if !self.polls.has_idle(call.peer) {
+            return None;
+        }
+        log::info!(address:% = call.peer, call = call.path; "worker accepts no further connection; the call uses that of the polls");
+        let result = self.polls.call_with_waiting(call, || 0).await;
+        if let Err(CallError::TimedOut(..)) = result {
+            self.orders.suspect(call.peer);
+        }
+        Some(result)
+    }
+
     /// Closes all connections, those in use when their call ends.
     pub(crate) fn close_all(&self) {
         let closed = self.polls.close_all() + self.orders.close_all();
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -202,7 +202,9 @@
             )
             .await;
         let response = match response {
-            Err(CallError::NotSent(..)) => return StartReply::NotSent.into(),
+            Err(CallError::NotSent(..) | CallError::Refused(..)) => {
+                return StartReply::NotSent.into();
+            }
             Err(error) => {
                 log::debug!(error:% = error; "start order failed");
                 return StartReply::NoAnswer.into();
@@ -230,7 +232,7 @@
         };
         let response = self
             .post(
-                CallKind::Order,
+                CallKind::Stop,
                 Target::of(order),
                 "/run-stop",
                 &body,
@@ -246,7 +248,11 @@
             {
                 StopReply::Fenced
             }
-            _ => StopReply::NoAnswer,
+            Ok(_) => StopReply::NoAnswer,
+            Err(error) => {
+                log::info!(task:% = task, run:% = run, worker:% = order.worker, error:% = error; "stop order failed");
+                StopReply::NoAnswer
+            }
         }
     }
 
