--- a/crates/jujubelb-lab/tests/soak.rs
+++ b/crates/jujubelb-lab/tests/soak.rs
@@ -92,3 +92,12 @@
     assert!(outcome.is_clean(), "{outcome}");
     assert!(outcome.done >= 20, "{outcome}");
 }
+
+/// Guards against a lease that a call to a worker's former incarnation has granted, and that the
+/// next leader counts as shorter: tasks of workers that are cut off started again before it ended.
+#[test]
+fn restarted_workers_break_no_rule() {
+    let outcome = soak(40_009, true, Duration::from_secs(12));
+    assert!(outcome.is_clean(), "{outcome}");
+    assert!(outcome.done >= 20, "{outcome}");
+}
