--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -94,13 +94,18 @@
             if !worker.runs.is_empty() && worker.is_lease_expired(now) {
                 let has_ended = |r: &TrackedRun| match r.phase {
                     RunPhase::Starting => false,
-                    RunPhase::Running => true,
-                    RunPhase::Unsure => {
+                    RunPhase::Running if worker.is_admitted() => true,
+                    // Outdated calls may still extend its lease.
+                    RunPhase::Running | RunPhase::Unsure => {
                         worker.is_start_ruled_out(r, self.listed_until, longest_lease, now)
                     }
                 };
                 let expired = worker.runs.iter().filter(|(_, r)| has_ended(r));
+                let known = lost.len();
                 lost.extend(expired.map(|(t, r)| (name.clone(), *t, r.run)));
+                if lost.len() > known {
+                    log::warn!(worker:% = name, runs = lost.len() - known, age:% = now.since(worker.last_answer), lease:% = worker.longest_lease_left(); "the lease of a worker has expired");
+                }
             }
         }
         for (name, task, run) in lost {
@@ -125,13 +130,14 @@
     }
 
     /// Allows inherited tasks to start once every roster worker has listed all its runs and ends to
-    /// this leader, or can't be reached and the leases that earlier leaders may have extended have
-    /// expired.
+    /// this leader, or can't be reached and the longest lease that it may have been granted until
+    /// the earlier leaders stopped has expired.
     fn resolve_inherited(&mut self, now: Time) {
         if self.inherited_resolved {
             return;
         }
-        let lease = longest_duration(self.bounds.max_lease);
+        // A call to a worker's former incarnation may have granted more than leaders ask for.
+        let lease = longest_duration(self.lease_cap);
         let unknown = self
             .workers
             .values()
@@ -143,7 +149,7 @@
         let leases_expired = self.earlier.quiet_for(now).is_some_and(|t| t > lease);
         if partly_listed == 0 && (unreachable == 0 || leases_expired) {
             self.earlier.clear();
-            log::info!(waited:% = now.since(self.began), suspects = unreachable; "tasks inherited from earlier terms may start");
+            log::info!(waited:% = now.since(self.began), lease:% = lease, suspects = unreachable; "tasks inherited from earlier terms may start");
             self.inherited_resolved = true;
             for job in self.jobs.values_mut() {
                 job.inherited = false;
@@ -810,6 +816,7 @@
             self.probe_slots = self.probe_slots.saturating_sub(1);
         }
         worker.lease_deadline = worker.lease_deadline.max(deadline);
+        worker.start_deadline = worker.start_deadline.max(deadline);
         worker.load.add(&tracked);
         if step.best_effort {
             placement::add_interference(worker, &tracked, &self.slopes);
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -10,7 +10,7 @@
 use super::Dispatcher;
 use super::job::TaskState;
 use super::job_spec::{Run, TaskKey};
-use super::worker::{Admission, Incarnation, MAX_CALL_DELAY, RunPhase, TrackedRun, Worker};
+use super::worker::{Admission, Incarnation, RunPhase, TrackedRun, Worker};
 use crate::model::{Resources, Span, Time, WorkerName, WorkerTime};
 
 /// How a run ended, as its worker reports it.
@@ -179,7 +179,7 @@
             worker.unanswered = now;
         }
         if unsent && request.lease_deadline == Some(worker.lease_deadline) {
-            worker.lease_deadline = request.previous_deadline;
+            worker.lease_deadline = request.previous_deadline.max(worker.start_deadline);
         }
         // The first poll after a crash fails with the connection, the next one is refused.
         if (unsent && repeated) || !worker.listed {
@@ -201,20 +201,13 @@
         worker.lease_deadline = worker.lease_deadline.max(reply.clock);
         let first = !worker.fenced;
         if first {
-            log::info!(worker:% = name, runs = reply.running.len(), token = self.token; "worker fenced");
             worker.fenced = true;
             self.raise_needed |= worker.admission == Admission::AwaitsToken;
             self.roster_dirty |= worker.roster_address != Some(worker.report.address);
             worker.answering_since = now;
-            // An earlier term may have granted the longest lease just before.
-            worker.lease_deadline = reply.clock + self.bounds.max_lease;
-            if !reply.running.is_empty() {
-                // An order to the former incarnation may have granted the longest lease of all,
-                // if this one was young enough to be taken for that.
-                let latest_grant = reply.clock.min(WorkerTime::ZERO + MAX_CALL_DELAY);
-                let latest = latest_grant + self.lease_cap;
-                worker.lease_deadline = worker.lease_deadline.max(latest);
-            }
+            // What earlier terms have granted on the right clock is no longer.
+            worker.count_outdated_calls(reply.clock, self.lease_cap);
+            log::info!(worker:% = name, runs = reply.running.len(), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker fenced");
         }
         // Compared with the last answer and not with the report, which may already be that
         // of the new incarnation.
@@ -226,6 +219,8 @@
             && sent > raised
         {
             worker.admission = Admission::Admitted;
+            worker.count_outdated_calls(reply.clock, self.lease_cap);
+            log::info!(worker:% = name, age:% = now.since(worker.answering_since), token = self.token, clock:? = reply.clock, lease:% = worker.longest_lease_left(); "worker admitted: earlier calls are ruled out");
         }
         if reply.incarnation.is_some() {
             worker.incarnation = reply.incarnation;
@@ -307,14 +302,15 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        log::warn!(worker:% = name, runs = worker.runs.len(); "worker has restarted");
         worker.admission = Admission::AwaitsToken;
         self.raise_needed = true;
         worker.acknowledged = 0;
         worker.processed = 0;
         worker.unacknowledged.clear();
-        // An order to the former incarnation may have granted the longest lease of all.
-        worker.lease_deadline = clock + self.lease_cap;
+        worker.lease_deadline = clock;
+        worker.start_deadline = WorkerTime::ZERO;
+        worker.count_outdated_calls(clock, self.lease_cap);
+        log::warn!(worker:% = name, runs = worker.runs.len(), clock:? = clock, lease:% = worker.longest_lease_left(); "worker has restarted");
         worker.answering_since = now;
         worker.health = Default::default();
         let lost: Vec<(TaskKey, Run)> = worker
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -123,7 +123,7 @@
 
 /// Longest time after which a worker executes a call that it has not answered. The platform
 /// names seconds; up to 12 s were seen.
-pub(crate) const MAX_CALL_DELAY: Span = Span::from_secs(12);
+const MAX_CALL_DELAY: Span = Span::from_secs(12);
 
 /// Time in which a worker that has started writes its entry to the store. Workers write one
 /// with each heartbeat, every 1.5 s.
@@ -167,6 +167,9 @@
     pub(crate) clock_reading: Option<(WorkerTime, Time)>,
     /// Latest lease deadline that the worker may have received.
     pub(crate) lease_deadline: WorkerTime,
+    /// Latest deadline of a start on the current incarnation. A lease that it has granted lasts as
+    /// long, whatever becomes of the polls.
+    pub(crate) start_deadline: WorkerTime,
     /// Whether the last poll was answered. A poll without an answer may still arrive and
     /// extend the lease, so the following polls carry no lease until one is answered.
     pub(crate) reachable: bool,
@@ -305,6 +308,7 @@
             incarnation: None,
             clock_reading: None,
             lease_deadline: WorkerTime::ZERO,
+            start_deadline: WorkerTime::ZERO,
             reachable: true,
             replaced: false,
             restart_suspected: None,
@@ -393,6 +397,21 @@
         ))
     }
 
+    /// Longest time by the worker's clock for which its lease may have lasted from its last answer.
+    pub(crate) fn longest_lease_left(&self) -> Span {
+        let read = self
+            .clock_reading
+            .map_or(WorkerTime::ZERO, |(clock, _)| clock);
+        self.lease_deadline.since(read)
+    }
+
+    /// Counts calls that are not known to be meant for this incarnation and may have been executed
+    /// up to this reading of the clock. Their deadlines may be times on another clock, so each
+    /// may have granted the longest lease of all.
+    pub(crate) fn count_outdated_calls(&mut self, until: WorkerTime, longest_lease: Span) {
+        self.lease_deadline = self.lease_deadline.max(until + longest_lease);
+    }
+
     /// Whether the worker's lease has certainly expired, so that all its runs have ended.
     pub(crate) fn is_lease_expired(&self, now: Time) -> bool {
         self.min_clock(now)
