--- a/crates/jujubelb-lab/tests/soak.rs
+++ b/crates/jujubelb-lab/tests/soak.rs
@@ -93,8 +93,7 @@
     assert!(outcome.done >= 20, "{outcome}");
 }
 
-/// Guards against a lease that a call to a worker's former incarnation has granted, and that the
-/// next leader counts as shorter: tasks of workers that are cut off started again before it ended.
+/// Guards against leases by calls to former incarnations that the next leader counts as shorter.
 #[test]
 fn restarted_workers_break_no_rule() {
     let outcome = soak(40_009, true, Duration::from_secs(12));
--- a/crates/jujubelb/src/dispatch/tests/leases.rs
+++ b/crates/jujubelb/src/dispatch/tests/leases.rs
@@ -40,8 +40,7 @@
     assert!(sim.starts.len() > 4);
 }
 
-/// Guards against giving up a run whose lease its start has granted, because a poll that was made
-/// before the start turns out not to have been sent.
+/// Guards against a poll that was not sent and takes back the lease of a start made after it.
 #[test]
 fn a_poll_that_was_not_sent_does_not_end_the_lease_of_a_start() {
     let mut sim = Simulation::new(2);
--- a/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
+++ b/crates/jujubelb/src/dispatch/tests/outdated_grants.rs
@@ -58,8 +58,7 @@
     assert_eq!((sim.runs_on(0), sim.running(key)), (0, TASKS));
 }
 
-/// Guards against a new leader that counts a shorter lease for a worker which it never reaches
-/// than a call to the worker's former incarnation has granted.
+/// Guards against a wait for a shorter lease than an outdated call may have granted.
 #[test]
 fn a_new_leader_outlasts_the_longest_lease_of_workers_it_does_not_reach() {
     let (mut sim, poll) = restarted_with_poll_under_way();
@@ -71,8 +70,7 @@
     expect_restart_after_cut(&mut sim, key);
 }
 
-/// Guards against a lease that is counted from the poll that shows a restart, although calls to
-/// the former incarnation take effect until the worker has seen the raised token.
+/// Guards against a lease that is counted from a time at which outdated calls may still come.
 #[test]
 fn a_lease_counts_from_the_poll_that_rules_out_calls_to_the_former_incarnation() {
     let (mut sim, poll) = restarted_with_poll_under_way();
@@ -97,8 +95,7 @@
     expect_restart_after_cut(&mut sim, key);
 }
 
-/// Guards against a new leader that takes a worker for an old one, on which an outdated call can't
-/// have granted a lease, because its clock shows a late time.
+/// Guards against a lease that is counted as a short one because the clock shows a late time.
 #[test]
 fn the_clock_of_a_worker_does_not_tell_how_long_it_has_been_up() {
     let mut sim = Simulation::with_max_lease(WORKERS, LONGEST_LEASE);
@@ -115,8 +112,7 @@
     expect_restart_after_cut(&mut sim, key);
 }
 
-/// Guards against giving up a run that an outdated start has begun with the first lease of its
-/// worker, although calls to the former incarnation may still extend that lease.
+/// Guards against giving up a run with a lease that outdated calls may still extend.
 #[test]
 fn a_run_counts_while_outdated_calls_may_extend_its_lease() {
     let mut sim = Simulation::with_max_lease(WORKERS, LONGEST_LEASE);
@@ -152,6 +148,7 @@
     /// Leases longer than those that leaders ask for.
     long_leases: usize,
     /// Whether starts are executed behind a cut as well, on incarnations that no leader has reached.
+    /// `JUJUBELB_GRANTS_BEHIND_CUTS` sets it, see KNOWN-RED.txt.
     starts_behind_cuts: bool,
 }
 
@@ -271,10 +268,7 @@
     }
 }
 
-/// Guards against second runs of tasks, in random orders of crashes, cuts, changes of leader and
-/// calls that the next incarnation of their worker executes. [`Simulation`] checks each start.
-///
-/// `JUJUBELB_GRANTS_BEHIND_CUTS` adds starts that are executed behind a cut, see KNOWN-RED.txt.
+/// Guards against second runs of tasks, in random orders of crashes, cuts and changes of leader.
 #[test]
 fn no_task_runs_twice_while_calls_reach_the_next_incarnation() {
     let seeds = std::env::var("JUJUBELB_GRANT_SEEDS").map_or(DEFAULT_SEEDS, |s| s.parse().unwrap());
