Do not let relays wait for the end of a poll to make a stop

A stop whose connection is reset may now take 2.8 s, while the leader waits 1.3 s for the result of a stop through a relay and takes a relay that misses several results in a row for a failed one.

--- a/crates/jujubelb/src/node/relay/carrier.rs
+++ b/crates/jujubelb/src/node/relay/carrier.rs
@@ -92,7 +92,9 @@
         },
         Action::Order(order, _) => match &order.order {
             Order::Start { .. } => CallResult::StartAnswered(client.start(order, || true).await),
-            Order::Stop { task, run } => CallResult::Stopped(client.stop(order, *task, *run).await),
+            Order::Stop { task, run } => {
+                CallResult::Stopped(client.stop_promptly(order, *task, *run).await)
+            }
             Order::Pace { task, run, percent } => {
                 match client.pace(order, *task, *run, *percent).await {
                     true => CallResult::Paced,
--- a/crates/jujubelb/src/platform/workers.rs
+++ b/crates/jujubelb/src/platform/workers.rs
@@ -223,8 +223,29 @@
         }
     }
 
-    /// Stops a run.
+    /// Stops a run. May wait for the end of a poll, if the worker accepts no further connection.
     pub async fn stop(&self, order: &WorkerOrder, task: TaskKey, run: Run) -> StopReply {
+        self.make_stop(CallKind::Stop, order, task, run).await
+    }
+
+    /// Stops a run without a wait for the end of a poll. For relays: the leader waits for the
+    /// result of a stop for less time, and takes a relay without results for a failed one.
+    pub(crate) async fn stop_promptly(
+        &self,
+        order: &WorkerOrder,
+        task: TaskKey,
+        run: Run,
+    ) -> StopReply {
+        self.make_stop(CallKind::Order, order, task, run).await
+    }
+
+    async fn make_stop(
+        &self,
+        kind: CallKind,
+        order: &WorkerOrder,
+        task: TaskKey,
+        run: Run,
+    ) -> StopReply {
         let body = WireStop {
             task: task.to_string(),
             run: run.0,
@@ -232,7 +253,7 @@
         };
         let response = self
             .post(
-                CallKind::Stop,
+                kind,
                 Target::of(order),
                 "/run-stop",
                 &body,
