Name the customer of a job, and the points at which its terms apply

A job's record can name the customer whose key the submission carried, and the operator's configuration can hold the weight and limit of each customer. The dispatcher asks two questions that are answered as before by now: whether a customer uses more than its share, which goes into the rank of a step, and how many tasks may start within its limit. Nothing sets a customer yet, so no decision changes. The record's new field comes last and has a default, so versions without it read the rest.

--- a/crates/jujubelb-lab/src/bench/dispatch.rs
+++ b/crates/jujubelb-lab/src/bench/dispatch.rs
@@ -320,6 +320,7 @@
             },
             accepted: wall(self.now),
             term_token: None,
+            customer: None,
         };
         self.jobs.insert(key, record.clone());
         self.dispatcher
--- a/crates/jujubelb/src/dispatch/job_spec.rs
+++ b/crates/jujubelb/src/dispatch/job_spec.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::progress::default_if_missing;
-use crate::model::{Resources, ServiceName, Span, WallTime};
+use crate::model::{CustomerName, Resources, ServiceName, Span, WallTime};
 
 /// Identifier of a job, chosen by the caller; written as 16 lower-case hexadecimal digits.
 #[derive(
@@ -283,4 +283,8 @@
     /// term reads the job when its own term begins.
     #[serde(default, deserialize_with = "default_if_missing")]
     pub term_token: Option<u64>,
+    /// Customer whose key the submission carried; `None` if its queue needs no key. The limits of
+    /// the customer apply to the tasks of the job.
+    #[serde(default, deserialize_with = "default_if_missing")]
+    pub customer: Option<CustomerName>,
 }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod completion;
 mod confirmation;
 mod crash;
+mod customers;
 mod evidence;
 mod health;
 mod intake;
@@ -39,7 +40,9 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::model::{DomainName, FastMap, Span, Time, WallTime, WorkerName, WorkerTime};
+use crate::model::{
+    CustomerName, DomainName, FastMap, Span, Time, WallTime, WorkerName, WorkerTime,
+};
 use crate::place::headroom::Slopes;
 use admission::Admission as JobAdmission;
 use evidence::StartEvidence;
@@ -52,6 +55,7 @@
 pub use admission::{FullPool, LoadEstimate, PoolLoad, SizeLimit};
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
+pub use customers::CustomerTerms;
 pub use evidence::MissingEvidence;
 pub use job_spec::{
     JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_JOB,
@@ -247,6 +251,8 @@
     step_tickets: IndexMap<StepKey, StepTickets>,
     /// Failure domains in which no task may start.
     evacuated: IndexSet<DomainName>,
+    /// Weights and limits of the customers of the configuration in force.
+    customers: IndexMap<CustomerName, CustomerTerms>,
     /// How old the knowledge of evacuated domains and draining workers is.
     evidence: StartEvidence,
     /// Number of changes in this term that had to become durable.
@@ -323,6 +329,7 @@
             last_decay: now,
             step_tickets: IndexMap::new(),
             evacuated: IndexSet::new(),
+            customers: IndexMap::new(),
             evidence: StartEvidence::default(),
             change_count: 0,
             dirty_jobs: IndexSet::new(),
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -284,7 +284,11 @@
                 o.steps.get(step).is_some_and(|s| s.waiting > 0) && job.is_step_ready(o, step)
             });
             match startable {
-                Some(occurrence) => ranked.push((rank::rank(job, occurrence, step, now), *key)),
+                Some(occurrence) => {
+                    let beyond_share = self.is_beyond_share(&job.record);
+                    let rank = rank::rank(job, occurrence, step, beyond_share, now);
+                    ranked.push((rank, *key));
+                }
                 None => not_ready.push(*key),
             }
         }
@@ -459,6 +463,11 @@
             return 0;
         }
         let (key, step) = (request.key, request.step);
+        let allowed = self.allowed_starts(record, step, tasks.len());
+        let tasks = &tasks[..allowed.min(tasks.len())];
+        if tasks.is_empty() {
+            return 0;
+        }
         // A start changes the cost of its own worker only, so one search serves all tasks.
         let mut candidates = match request.starved && step.data_rack.is_none() {
             true => self.some_candidates(request, now),
@@ -606,6 +615,10 @@
         rack: Option<&str>,
         now: Time,
     ) -> Option<Vec<WorkerName>> {
+        let members = step.count as usize;
+        if self.allowed_starts(record, step, members) < members {
+            return None;
+        }
         let request = PlacementRequest {
             key,
             step,
--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -15,6 +15,8 @@
 /// Rank of a step; steps are placed in ascending order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct StepRank {
+    /// Whether the customer uses more than its share. Never set for long-running tasks.
+    beyond_share: bool,
     class: RankClass,
     priority: u8,
     /// Estimated processor time that the occurrence still needs, in core-milliseconds; 0 in
@@ -66,8 +68,15 @@
     Span::from_micros(scaled as u64) + queue.target_duration
 }
 
-/// Ranks a step of an occurrence.
-pub(crate) fn rank(job: &Job, occurrence: &Occurrence, step: usize, now: Time) -> StepRank {
+/// Ranks a step of an occurrence. `beyond_share` says that the customer of the job uses more than
+/// its share.
+pub(crate) fn rank(
+    job: &Job,
+    occurrence: &Occurrence,
+    step: usize,
+    beyond_share: bool,
+    now: Time,
+) -> StepRank {
     let long_running = job
         .record
         .spec
@@ -95,6 +104,7 @@
         job.remaining_work(occurrence)
     };
     StepRank {
+        beyond_share: beyond_share && !long_running,
         class,
         priority: job.record.queue.priority,
         remaining_work,
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -349,6 +349,7 @@
         },
         accepted: WallTime::from_micros(0),
         term_token: None,
+        customer: None,
     }
 }
 
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -91,7 +91,10 @@
                 let step = usize::from(key.step);
                 let open =
                     occurrence.steps.get(step)?.waiting > 0 && job.is_step_ready(occurrence, step);
-                open.then(|| (rank::rank(job, occurrence, step, now), *key))
+                open.then(|| {
+                    let beyond_share = self.is_beyond_share(&job.record);
+                    (rank::rank(job, occurrence, step, beyond_share, now), *key)
+                })
             })
             .collect();
         steps.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -117,7 +117,8 @@
         };
         let hold = self.hold(key, now).unwrap_or(Hold::Pause);
         let occurrence = job.occurrence(key.occurrence);
-        let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), now));
+        let beyond_share = self.is_beyond_share(&job.record);
+        let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), beyond_share, now));
         let age = now.since(job.accepted);
         let starved = self.starved_refusals(key, now);
         let starved = starved.map_or_else(|| "no".to_owned(), |s| s.to_string());
--- a/crates/jujubelb/src/model/mod.rs
+++ b/crates/jujubelb/src/model/mod.rs
@@ -10,8 +10,8 @@
 pub use code::{Code, MayHaveRun};
 pub(crate) use fast_map::FastMap;
 pub use name::{
-    ClassName, DomainName, EndpointName, HostName, JobName, NodeName, RackName, RegionName,
-    ServiceName, ShardName, TeamName, WorkerName,
+    ClassName, CustomerName, DomainName, EndpointName, HostName, JobName, NodeName, RackName,
+    RegionName, ServiceName, ShardName, TeamName, WorkerName,
 };
 pub use record::{Action, Cause, Fact, Record, RecordId, Subject, Unit};
 pub use task::{
--- a/crates/jujubelb/src/model/name.rs
+++ b/crates/jujubelb/src/model/name.rs
@@ -60,6 +60,8 @@
     EndpointName;
     /// Name of a team, which has a quota.
     TeamName;
+    /// Name of a customer: who submits jobs to a node under its keys, within limits.
+    CustomerName;
     /// Name of a batch job or a watcher; unique in the deployment.
     JobName;
     /// Name of a class of tasks that are expected to behave alike.
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -237,6 +237,7 @@
         spec,
         accepted: node.wall_time(),
         term_token: None,
+        customer: None,
     };
     let began = node.now();
     let refusal = node.load_refusal(&record.queue, &record.spec);
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -912,6 +912,9 @@
         let (orders, missing, workers, deposed) = {
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
+            if let Some(config) = node.config() {
+                dispatcher.set_customers(config.operator.customers.clone());
+            }
             if let Some(sent) = evacuations_proven {
                 dispatcher.confirm_evacuations(sent);
             }
--- a/crates/jujubelb/src/node/tests/decoding.rs
+++ b/crates/jujubelb/src/node/tests/decoding.rs
@@ -41,6 +41,7 @@
         },
         accepted: WallTime::from_micros(5),
         term_token: Some(70_001),
+        customer: Some("desk".into()),
     }
 }
 
--- a/crates/jujubelb/src/node/tests/job_write.rs
+++ b/crates/jujubelb/src/node/tests/job_write.rs
@@ -34,6 +34,7 @@
         },
         accepted: WallTime::from_micros(7),
         term_token: None,
+        customer: None,
     }
 }
 
--- a/crates/jujubelb/src/platform/store_entries.rs
+++ b/crates/jujubelb/src/platform/store_entries.rs
@@ -3,12 +3,13 @@
 use std::net::{IpAddr, SocketAddr};
 
 use arcstr::ArcStr;
+use indexmap::IndexMap;
 use serde::Deserialize;
 use serde_json::Value;
 
 use super::numbers::{Cpu, Mebibytes, Millis, Ratio, RemainingMillis};
-use crate::dispatch::{Incarnation, QueueSettings, WorkerReport};
-use crate::model::{Bytes, DomainName, Resources, ServiceName, Span, WorkerName};
+use crate::dispatch::{CustomerTerms, Incarnation, QueueSettings, WorkerReport};
+use crate::model::{Bytes, CustomerName, DomainName, Resources, ServiceName, Span, WorkerName};
 
 /// Prefix of the operator's keys.
 pub const OPERATOR_PREFIX: &str = "op/";
@@ -38,6 +39,8 @@
     pub version: u64,
     /// Queues that could be decoded.
     pub queues: Vec<QueueConfig>,
+    /// Weights and limits of the customers; empty in a deployment without customers.
+    pub customers: IndexMap<CustomerName, CustomerTerms>,
     /// Number of queues that could not be decoded.
     pub unreadable: usize,
     /// Largest body of a caller's request.
@@ -108,6 +111,7 @@
         .collect();
     Ok(OperatorConfig {
         version: config.version,
+        customers: IndexMap::new(),
         unreadable: listed - queues.len(),
         queues,
         body_limit: config
