Decode the customers of a configuration, and their keys

The configuration of a deployment with customers lists for each one its keys, a weight and a limit, and marks queues that need no key. All of it was ignored.

The adapter now decodes weights and limits, and replaces each key by its digest, whose Debug form is fixed text. A customer that can't be decoded is logged by name and field and left out; the count of these tells that an unknown key may exist. The error of the decoder is not logged, since it shows the value, which may be a key. A limit given as a list is refused: an empty one was decoded as no limit at all. A configuration without the list asks for no key, and one whose list is null or of another type asks for keys.

--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -33,6 +33,15 @@
 #[cfg(test)]
 pub(crate) use relay::RELAY_MARGIN;
 
+/// How a deployment with customers serves calls while the withdrawal of their key may be unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Revocation {
+    /// Whether such calls are refused. Otherwise they are refused only if they write.
+    pub strict: bool,
+    /// Time after its acknowledgement from which the withdrawal of a key has to be in force.
+    pub bound: Span,
+}
+
 /// Settings of one host, read from the platform's settings file.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HostSettings {
@@ -61,6 +70,8 @@
     pub stop_grace: Span,
     /// Time after its acknowledgement from which a configuration has to be in force.
     pub config_bound: Span,
+    /// How calls are served while the withdrawal of their key may be unknown.
+    pub revocation: Revocation,
     /// Time bounds and slowdown factor of the deployment.
     pub bounds: Bounds,
 }
--- a/crates/jujubelb/src/node/tests/load.rs
+++ b/crates/jujubelb/src/node/tests/load.rs
@@ -116,6 +116,7 @@
             ticket_lifetime: None,
         },
         timeout: Span::from_secs(3),
+        needs_key: false,
     }
 }
 
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -20,13 +20,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 
-use super::HostSettings;
 use super::election::election_txn;
 use super::keys::{self, ChainMark, Leader, TermRecord};
 use super::known_config::ActiveConfig;
 use super::peers::{PeerRequest, PeerResponse};
 use super::state::Node;
 use super::supervision::{PollTasks, supervise};
+use super::{HostSettings, Revocation};
 use crate::dispatch::{Bounds, JobKey, Succession};
 use crate::model::{DomainName, HostName, Span, WorkerName};
 use crate::platform::{KvClient, LeaseId, Revision, Txn, decode_config};
@@ -48,6 +48,10 @@
         link_mbps: 100.0,
         stop_grace: Span::from_secs(6),
         config_bound: Span::from_secs(60),
+        revocation: Revocation {
+            strict: false,
+            bound: Span::from_secs(60),
+        },
         bounds: Bounds {
             max_lease: Span::from_secs(6),
             max_stop: Span::from_millis(400),
--- a/crates/jujubelb/src/platform/mod.rs
+++ b/crates/jujubelb/src/platform/mod.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod connections;
+mod customers;
 mod jobs;
 mod kv;
 mod numbers;
@@ -21,6 +22,7 @@
 
 pub use client::{CallError, HttpClient};
 pub(crate) use connections::ConnectionCounts;
+pub use customers::{CustomerKeys, KEY_HEADER, KEY_SCHEME, KeyDigest, decode_key};
 pub use jobs::{decode_submission, encode_job_status, encode_pending_count};
 pub use kv::{KeyState, KvClient, LeaseId, ReadResult, Revision, Txn, TxnError, WatchError};
 pub use policy_service::PolicyClient;
--- a/crates/jujubelb/src/platform/settings.rs
+++ b/crates/jujubelb/src/platform/settings.rs
@@ -9,7 +9,7 @@
 use super::numbers::{Millis, Ratio, Seconds};
 use crate::dispatch::Bounds;
 use crate::model::{DomainName, HostName, Span};
-use crate::node::HostSettings;
+use crate::node::{HostSettings, Revocation};
 
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_PATH_VARIABLE: &str = "JUJUBELB_BOOT";
@@ -68,6 +68,11 @@
     /// Time after its acknowledgement from which a configuration has to be in force.
     #[serde(default = "default_config_bound")]
     config_ms: Millis,
+    /// Whether no call is served whose key may have been withdrawn.
+    #[serde(default)]
+    revoke_strict: bool,
+    /// Time after its acknowledgement from which the withdrawal of a key has to be in force.
+    revoke_ms: Option<Millis>,
     /// Time after its acknowledgement from which nothing may start in an evacuated domain.
     #[serde(default = "default_evacuation_bound")]
     evacuation_ms: Millis,
@@ -147,6 +152,10 @@
         link_mbps: wire.limits.link_mbps.0,
         stop_grace: wire.bounds.grace_s.0,
         config_bound: wire.bounds.config_ms.0,
+        revocation: Revocation {
+            strict: wire.bounds.revoke_strict,
+            bound: wire.bounds.revoke_ms.unwrap_or(wire.bounds.config_ms).0,
+        },
         bounds: Bounds {
             max_lease: wire.bounds.hold_max_ms.0,
             max_stop: wire.bounds.stop_ms.0,
--- a/crates/jujubelb/src/platform/store_entries.rs
+++ b/crates/jujubelb/src/platform/store_entries.rs
@@ -4,9 +4,10 @@
 
 use arcstr::ArcStr;
 use indexmap::IndexMap;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::Value;
 
+use super::customers::{CustomerKeys, decode_customers};
 use super::numbers::{Cpu, Mebibytes, Millis, Ratio, RemainingMillis};
 use crate::dispatch::{CustomerTerms, Incarnation, QueueSettings, WorkerReport};
 use crate::model::{Bytes, CustomerName, DomainName, Resources, ServiceName, Span, WorkerName};
@@ -24,12 +25,15 @@
 pub const WORKER_PREFIX: &str = "servers/";
 
 /// Configuration of a queue that accepts jobs.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueueConfig {
     /// Settings that apply to the jobs of the queue.
     pub settings: QueueSettings,
     /// Longest time for the response to a caller.
     pub timeout: Span,
+    /// Whether callers have to present the key of a customer. Never set in a deployment without
+    /// customers.
+    pub needs_key: bool,
 }
 
 /// The operator's configuration.
@@ -41,6 +45,8 @@
     pub queues: Vec<QueueConfig>,
     /// Weights and limits of the customers; empty in a deployment without customers.
     pub customers: IndexMap<CustomerName, CustomerTerms>,
+    /// Keys of the customers; `None` in a deployment without customers, where no key is asked for.
+    pub keys: Option<CustomerKeys>,
     /// Number of queues that could not be decoded.
     pub unreadable: usize,
     /// Largest body of a caller's request.
@@ -54,6 +60,14 @@
     routes: Vec<Value>,
     #[serde(default)]
     limits: WireLimits,
+    /// Customers. An empty list says that no key is valid, and no list that none is needed.
+    #[serde(default, deserialize_with = "present")]
+    tenants: Option<Value>,
+}
+
+/// Keeps a field that is null apart from one that is absent.
+fn present<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Value>, D::Error> {
+    Value::deserialize(deserializer).map(Some)
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -77,6 +91,9 @@
     slack_factor: Option<Ratio>,
     /// Present if the queue has a policy service.
     advice: Option<WireAdvice>,
+    /// Whether callers need no key.
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -98,20 +115,29 @@
 pub fn decode_config(bytes: &[u8]) -> Result<OperatorConfig, serde_json::Error> {
     let config: WireConfig = serde_json::from_slice(bytes)?;
     let listed = config.routes.len();
+    let has_customers = config.tenants.is_some();
     let queues: Vec<QueueConfig> = config
         .routes
         .into_iter()
         .filter_map(|route| match serde_json::from_value::<WireRoute>(route) {
-            Ok(route) => Some(decode_queue(route)),
+            Ok(route) => Some(decode_queue(route, has_customers)),
             Err(error) => {
                 log::warn!(version = config.version, error:% = error; "queue in the configuration can't be decoded");
                 None
             }
         })
         .collect();
+    let (customers, keys) = match config.tenants {
+        Some(list) => {
+            let customers = decode_customers(config.version, &list);
+            (customers.terms, Some(customers.keys))
+        }
+        None => (IndexMap::new(), None),
+    };
     Ok(OperatorConfig {
         version: config.version,
-        customers: IndexMap::new(),
+        customers,
+        keys,
         unreadable: listed - queues.len(),
         queues,
         body_limit: config
@@ -121,8 +147,9 @@
     })
 }
 
-fn decode_queue(route: WireRoute) -> QueueConfig {
+fn decode_queue(route: WireRoute, has_customers: bool) -> QueueConfig {
     QueueConfig {
+        needs_key: has_customers && !route.public,
         timeout: route.timeout_ms.map_or(DEFAULT_TIMEOUT, |t| t.0),
         settings: QueueSettings {
             host: route.host,
@@ -139,7 +166,7 @@
 
 /// Length in bytes of the longest name or label of a worker. The store has no longer keys. Names
 /// are stored in the roster, which a long one could make too large to be written.
-const MAX_NAME_BYTES: usize = 200;
+pub(super) const MAX_NAME_BYTES: usize = 200;
 
 /// Largest number of labels of a worker, which are searched for each placement.
 const MAX_LABELS: usize = 64;
@@ -193,16 +220,16 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct WireCapacity {
+pub(super) struct WireCapacity {
     /// In millicores.
     #[serde(default)]
-    cpu: Cpu,
+    pub(super) cpu: Cpu,
     /// In mebibytes.
     #[serde(default)]
-    mem_mb: Mebibytes,
+    pub(super) mem_mb: Mebibytes,
     /// Number of accelerators.
     #[serde(default)]
-    gpu: u32,
+    pub(super) gpu: u32,
 }
 
 /// Decodes the entry of a worker. Returns `None` for a key without the prefix, and for
--- a/crates/jujubelb/src/platform/tests/fuzzing.rs
+++ b/crates/jujubelb/src/platform/tests/fuzzing.rs
@@ -25,7 +25,8 @@
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r","host":"a.example","prefix":"/q/",
     "timeout_ms":3000,"target_duration_ms":400,"priority":2,"service":"s","max_attempts":2,
     "slack_factor":1.5,"advice":{"decide_ms":5,"each_ms":1,"valid_ms":900}}],
-    "services":[],"limits":{"max_body_bytes":1000}}"#;
+    "services":[],"limits":{"max_body_bytes":1000},"tenants":[{"name":"c","api_keys":["k1","k2"],
+    "weight":3,"max_count":{"cpu":2000,"mem_mb":1024,"gpu":1}}]}"#;
 
 const WORKER: &str = r#"{"service":"s","address":"10.1.0.9:80","zone":"z","version":"v1",
     "state":"draining","drain_remaining_ms":1200,"room":{"cpu":16000,"mem_mb":32,"gpu":0},
@@ -63,6 +64,13 @@
         assert!(queue.timeout <= MAX_TIME && settings.target_duration <= MAX_TIME);
         assert!((0.0..=1e9).contains(&settings.slack_factor) && settings.attempts > 0);
     }
+    for terms in operator.customers.values() {
+        assert!(
+            terms.weight > 0 && terms.limit.cpu.0 <= 1 << 40 && terms.limit.memory.0 <= 1 << 60
+        );
+    }
+    let needs_key = operator.keys.is_some();
+    assert!(operator.queues.iter().all(|q| q.needs_key == needs_key));
     // The error of a queue is only logged.
     match operator.queues.len() {
         1 => Ok(()),
--- a/crates/jujubelb/src/platform/tests/mod.rs
+++ b/crates/jujubelb/src/platform/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the encoding and decoding of the platform's formats.
 
 mod connections;
+mod customers;
 mod damage;
 mod fuzzing;
 
@@ -241,6 +242,10 @@
     assert_eq!(read.config_bound, Span::from_secs(4));
     let unbounded = settings::decode(&SETTINGS.replace("config_ms = 4000", "")).unwrap();
     assert_eq!(unbounded.config_bound, Span::from_millis(2_500));
+    assert!(!read.revocation.strict && read.revocation.bound == read.config_bound);
+    let text = SETTINGS.replace("stop_ms", "revoke_strict = true\nrevoke_ms = 2000\nstop_ms");
+    let strict = settings::decode(&text).unwrap().revocation;
+    assert!(strict.strict && strict.bound == Span::from_secs(2));
     let start_bounds = |s: &HostSettings| (s.bounds.evacuation, s.bounds.drain);
     let expected = (Span::from_secs(7), Span::from_secs(3));
     assert_eq!(start_bounds(&read), expected);
