Check the keys of callers at each host, and withdraw them without the store

Calls to queues of customers were served with any key and with none. A host that the store does not answer would also have had no way to learn that a key was withdrawn.

Each host now decides by the configuration that it knows (node::access): 401 for a missing or unknown key if the configuration is certainly in force, 503 with Retry-After if a newer one may allow the call, and 503 for a known key that may have been withdrawn if the call writes, or if the deployment is strict. The evidence is the one that decides between 404 and 503 for queues. The name of the customer goes into the job's record.

If neither the watch nor a read of the key gives evidence, the host asks another one: the leader or, as the leader, the hosts that have announced themselves. The answer holds version, revision and age of the evidence, and the configuration with digests if it is newer. Evidence counts from before the question was sent, and only for a version that both hosts have. A deployment without customers asks none.

--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -11,21 +11,23 @@
 use rocket::{Data, Request, Route};
 use serde::{Deserialize, Serialize};
 
+use super::access::{Access, AccessCause, CallKind, decide};
 use super::config_check::current_config;
 use super::job_write::{
     WriteResult, assess_cancellation, assess_existing_job, assess_job_write, assess_load_refusal,
     cancellation_txn, job_txn, stored_job,
 };
 use super::keys::{self, StoredJob};
+use super::known_config::{ActiveConfig, ConfigEvidence};
 use super::known_load::LoadRefusal;
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::state::{Node, lock, sleep};
 use crate::dispatch::{JobKey, JobOutcome, JobRecord, JobStatus, Progress};
 use crate::http::body;
-use crate::model::{Span, Time};
+use crate::model::{CustomerName, Span, Time};
 use crate::platform::{
-    CallError, KeyState, QueueConfig, Revision, Txn, TxnError, decode_submission,
-    encode_job_status, encode_pending_count,
+    CallError, KEY_HEADER, KEY_SCHEME, KeyState, QueueConfig, Revision, Txn, TxnError, decode_key,
+    decode_submission, encode_job_status, encode_pending_count,
 };
 
 /// Header with the time in milliseconds that the caller waits for the response.
@@ -106,6 +108,19 @@
         }
     }
 
+    fn access_refused(cause: AccessCause) -> Self {
+        match cause {
+            AccessCause::Missing => Self::error(Status::Unauthorized, "the queue needs a key"),
+            AccessCause::Unknown => Self::error(Status::Unauthorized, "the key is not known"),
+            AccessCause::Unconfirmed => {
+                Self::unavailable("the key is not known, and there may be a newer configuration")
+            }
+            AccessCause::NoEvidence => Self::unavailable(
+                "it is not known whether the key is still valid: neither the store nor another host has told",
+            ),
+        }
+    }
+
     fn into_response(self, close: bool) -> Response<'static> {
         let mut response = Response::new();
         response.set_status(self.status);
@@ -113,6 +128,9 @@
         if let Some(seconds) = self.retry_after_s {
             response.set_header(Header::new("Retry-After", seconds.to_string()));
         }
+        if self.status == Status::Unauthorized {
+            response.set_header(Header::new("WWW-Authenticate", KEY_SCHEME));
+        }
         if close {
             response.set_header(Header::new("Connection", "close"));
         }
@@ -156,21 +174,25 @@
     data: Data<'_>,
     began: Time,
 ) -> CallerResponse {
-    let Some((config, is_in_force)) = current_config(node).await else {
+    let Some((config, evidence)) = current_config(node).await else {
         return CallerResponse::unavailable("this host has not read its configuration yet");
     };
     let host = request.headers().get_one("Host").unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
     let path = request.uri().path().as_str();
     let Some(queue) = config.queue(host, path) else {
-        log::info!(host = host, path = path, version = config.operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), in_force = is_in_force; "no such queue");
-        return match is_in_force {
+        log::info!(host = host, path = path, version = config.operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), in_force = evidence.in_force; "no such queue");
+        return match evidence.in_force {
             true => CallerResponse::error(Status::NotFound, "no such queue"),
             false => CallerResponse::unavailable(
                 "no such queue is known, and there may be a newer configuration",
             ),
         };
     };
+    let customer = match admit(node, request, &config, queue, evidence) {
+        Ok(customer) => customer,
+        Err(refused) => return refused,
+    };
     let job_id = path.get(queue.settings.prefix.len()..).unwrap_or_default();
     if job_id.is_empty() {
         return match request.method() {
@@ -194,7 +216,7 @@
     let until = began + wait.saturating_sub(RESPONSE_MARGIN);
     match request.method() {
         Method::Post => match body::read(data, config.operator.body_limit).await {
-            Ok(bytes) => submit(node, queue, key, &bytes, until).await,
+            Ok(bytes) => submit(node, queue, key, customer.cloned(), &bytes, until).await,
             Err(_) => {
                 CallerResponse::error(Status::BadRequest, "the body is incomplete or too large")
             }
@@ -204,10 +226,41 @@
     }
 }
 
+/// The customer of a call, or none if its queue needs no key. Fails with the answer to a call that
+/// is refused for its key.
+fn admit<'a>(
+    node: &Node,
+    request: &Request<'_>,
+    config: &'a ActiveConfig,
+    queue: &QueueConfig,
+    evidence: ConfigEvidence,
+) -> Result<Option<&'a CustomerName>, CallerResponse> {
+    let operator = &config.operator;
+    let key = match queue.needs_key {
+        true => decode_key(request.headers().get_one(KEY_HEADER)),
+        false => None,
+    };
+    let kind = match request.method() {
+        Method::Get => CallKind::Read,
+        _ => CallKind::Write,
+    };
+    let strict = node.settings.revocation.strict;
+    let (cause, customer) = match decide(operator, queue, key.as_ref(), kind, evidence, strict) {
+        Access::Public => return Ok(None),
+        Access::Customer(customer) => return Ok(Some(customer)),
+        Access::Refused(cause, customer) => (cause, customer),
+    };
+    log::info!(queue:% = queue.settings.prefix, method:% = request.method(), cause:% = cause, customer:? = customer.map(CustomerName::as_str), version = operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), store_lost = node.is_store_lost(); "call refused for its key");
+    let label = KeyValue::new("cause", cause.to_string());
+    node.metrics.access_refusals.add(1, &[label]);
+    Err(CallerResponse::access_refused(cause))
+}
+
 pub(crate) async fn submit(
     node: &Arc<Node>,
     queue: &QueueConfig,
     key: JobKey,
+    customer: Option<CustomerName>,
     bytes: &[u8],
     until: Time,
 ) -> CallerResponse {
@@ -237,7 +290,7 @@
         spec,
         accepted: node.wall_time(),
         term_token: None,
-        customer: None,
+        customer,
     };
     let began = node.now();
     let refusal = node.load_refusal(&record.queue, &record.spec);
--- a/crates/jujubelb/src/node/config_check.rs
+++ b/crates/jujubelb/src/node/config_check.rs
@@ -1,8 +1,10 @@
-//! Asks the store for the configuration before an answer that its age does not allow.
+//! Asks the store, and then another host, for the configuration before an answer that its age does
+//! not allow.
 
 use std::sync::Arc;
 
-use super::known_config::ActiveConfig;
+use super::config_exchange::ask_other_host;
+use super::known_config::{ActiveConfig, ConfigEvidence};
 use super::state::Node;
 use crate::model::{Span, Time};
 use crate::platform::{CONFIG_KEY, CallError, KeyState, decode_config};
@@ -16,14 +18,18 @@
     last_failure: Option<Time>,
 }
 
-/// The active configuration, and whether a queue that it does not hold does not exist; `None`
-/// until one was read. Reads it from the store if the watch has not shown for too long which one
-/// is the newest. Known queues are served without that if the store can't be reached.
-pub(crate) async fn current_config(node: &Node) -> Option<(Arc<ActiveConfig>, bool)> {
+/// The active configuration, and what shows that it is the newest; `None` until one was read.
+/// Reads it from the store if the watch has not shown for too long which one is the newest, and,
+/// in a deployment with customers, asks another host if the store does not answer. Known queues
+/// are served without that.
+pub(crate) async fn current_config(node: &Node) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
     if node.is_config_overdue() && !node.is_store_lost() && node.config().is_some() {
         read_config(node).await;
     }
-    node.config_in_force()
+    if node.has_customers() && node.is_config_overdue() {
+        ask_other_host(node).await;
+    }
+    node.config_with_evidence()
 }
 
 /// Reads the configuration, once for all requests that wait for it.
--- a/crates/jujubelb/src/node/known_config.rs
+++ b/crates/jujubelb/src/node/known_config.rs
@@ -5,6 +5,7 @@
 use arcstr::ArcStr;
 use indexmap::IndexMap;
 
+use super::config_exchange::{ConfigCopy, ConfigReport};
 use crate::model::{Span, Time};
 use crate::platform::{OperatorConfig, QueueConfig, Revision};
 
@@ -46,6 +47,18 @@
     }
 }
 
+/// What shows that the active configuration is the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ConfigEvidence {
+    /// Whether the configuration has certainly been the newest within the bound, and all its
+    /// queues were decoded, so that one that it does not hold does not exist.
+    pub(crate) in_force: bool,
+    /// Whether a change can't be unknown for longer than the bound.
+    pub(crate) is_recent: bool,
+    /// Whether a configuration follows that can't be decoded.
+    pub(crate) superseded: bool,
+}
+
 /// The active configuration and the evidence that it is the newest. Whoever answers by what it
 /// does not hold needs that evidence.
 #[derive(Debug, Default)]
@@ -89,6 +102,22 @@
         self.proven = self.proven.max(Some(sent));
     }
 
+    /// Records that another host has answered a call sent at this time, and that its evidence for
+    /// `version` was `age` old by then. The evidence is of no use for another version.
+    pub(crate) fn confirm_by_peer(&mut self, version: u64, age: Span, sent: Time) {
+        let active = self.active.as_ref().map(|c| c.operator.version);
+        let since_start = sent.since(Time::ZERO);
+        if active == Some(version) && age <= since_start {
+            self.confirm(Time::ZERO + since_start.saturating_sub(age));
+        }
+    }
+
+    /// Whether callers may have to present the key of a customer.
+    pub(crate) fn has_customers(&self) -> bool {
+        let active = self.active.as_ref();
+        active.is_some_and(|c| c.operator.keys.is_some())
+    }
+
     /// Age of the evidence of which configuration is the newest; `None` without any.
     pub(crate) fn evidence_age(&self, now: Time) -> Option<Span> {
         self.proven.map(|sent| now.since(sent))
@@ -100,12 +129,29 @@
         self.evidence_age(now).is_none_or(|age| age > bound)
     }
 
-    /// Whether the active configuration has certainly been the newest within `bound` and is read
-    /// in full, so that a queue that it does not hold does not exist.
-    pub(crate) fn is_in_force(&self, now: Time, bound: Span) -> bool {
+    /// What shows that the active configuration is the newest.
+    pub(crate) fn evidence(&self, now: Time, bound: Span) -> ConfigEvidence {
         let is_complete = |c: &Arc<ActiveConfig>| c.operator.unreadable == 0;
-        self.active.as_ref().is_some_and(is_complete)
-            && !self.superseded
-            && !self.is_overdue(now, bound)
+        let is_recent = !self.is_overdue(now, bound);
+        ConfigEvidence {
+            in_force: self.active.as_ref().is_some_and(is_complete)
+                && !self.superseded
+                && is_recent,
+            is_recent,
+            superseded: self.superseded,
+        }
+    }
+
+    /// What this host can tell others of the configuration, of which they know version `known`;
+    /// `None` until one was read.
+    pub(crate) fn report(&self, known: u64, now: Time) -> Option<ConfigReport> {
+        let active = self.active.as_ref()?;
+        let operator = &active.operator;
+        Some(ConfigReport {
+            version: operator.version,
+            revision: active.revision,
+            age: self.evidence_age(now).filter(|_| !self.superseded),
+            newer: (operator.version > known).then(|| Box::new(ConfigCopy::new(operator))),
+        })
     }
 }
--- a/crates/jujubelb/src/node/mod.rs
+++ b/crates/jujubelb/src/node/mod.rs
@@ -1,9 +1,11 @@
 //! The process of one entry host on the platform. It serves callers' requests and,
 //! while it holds the leader key in the store, dispatches the tasks of all jobs.
 
+mod access;
 mod callers;
 mod candidacy;
 mod config_check;
+mod config_exchange;
 mod election;
 mod job_write;
 mod keys;
@@ -75,3 +77,14 @@
     /// Time bounds and slowdown factor of the deployment.
     pub bounds: Bounds,
 }
+
+impl HostSettings {
+    /// Age from which evidence of the newest configuration does not suffice. Where keys are asked
+    /// for and withdrawals are strict, it also keeps to their bound.
+    fn evidence_bound(&self, has_customers: bool) -> Span {
+        match has_customers && self.revocation.strict {
+            true => self.config_bound.min(self.revocation.bound),
+            false => self.config_bound,
+        }
+    }
+}
--- a/crates/jujubelb/src/node/peers.rs
+++ b/crates/jujubelb/src/node/peers.rs
@@ -11,6 +11,7 @@
 
 use super::callers::{self, WriteOutcome};
 use super::candidacy::Eligibility;
+use super::config_exchange::{ConfigReport, ask_other_host};
 use super::keys;
 use super::leader::ActiveTerm;
 use super::relay::{Carrier, HostReport, RelayBatch, RelayResults};
@@ -61,6 +62,8 @@
     RelayResults(RelayResults),
     /// Asks the receiver to vote on a term.
     Vote(Ballot),
+    /// Asks what the receiver knows of the configuration; holds the version that the sender has.
+    KnownConfig(u64),
 }
 
 /// The response to a [`PeerRequest`]. The estimates come with answers that the leader gives anyway;
@@ -89,6 +92,8 @@
     ),
     /// Whether the voter agrees.
     Vote(bool),
+    /// What the host knows of the configuration; `None` if it has read none.
+    KnownConfig(Option<ConfigReport>),
 }
 
 /// A job's status ([`JobStatus`]) as sent between hosts.
@@ -169,6 +174,15 @@
                 Carrier::accept(node, batch);
                 PeerResponse::Acknowledged(None)
             }
+            (PeerRequest::KnownConfig(known), term) => {
+                // Answered from memory. Only a leader asks others in turn, so that questions make
+                // no circle.
+                if term.is_some() && node.has_customers() && node.is_config_overdue() {
+                    let node = node.clone();
+                    tokio::spawn(async move { ask_other_host(&node).await });
+                }
+                PeerResponse::KnownConfig(node.config_report(known))
+            }
             (_, None) => PeerResponse::NotLeader,
             (request, Some(term)) => self.respond_as_leader(&term, request).await,
         }
@@ -179,9 +193,10 @@
         let node = &self.0;
         let load = || lock(&term.dispatcher).load_estimate(node.now());
         match request {
-            PeerRequest::LeadsTerm(_) | PeerRequest::RelayCalls(_) | PeerRequest::Vote(_) => {
-                PeerResponse::NotLeader
-            }
+            PeerRequest::LeadsTerm(_)
+            | PeerRequest::RelayCalls(_)
+            | PeerRequest::Vote(_)
+            | PeerRequest::KnownConfig(_) => PeerResponse::NotLeader,
             PeerRequest::AnnounceHost(report, eligibility) => {
                 let pause = term.host_announced(node, report, eligibility);
                 PeerResponse::AnnounceAgain(pause, load())
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -10,8 +10,9 @@
 
 use super::HostSettings;
 use super::config_check::ConfigReads;
+use super::config_exchange::{ConfigQuestions, ConfigReport};
 use super::keys::Leader;
-use super::known_config::{ActiveConfig, KnownConfig};
+use super::known_config::{ActiveConfig, ConfigEvidence, KnownConfig};
 use super::known_load::{KnownLoad, LoadRefusal};
 use super::leader::ActiveTerm;
 use super::relay::Carrier;
@@ -74,6 +75,7 @@
     pub(crate) store_durations: Histogram<f64>,
     pub(crate) relay_calls: Counter<u64>,
     pub(crate) load_refusals: Counter<u64>,
+    pub(crate) access_refusals: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -85,6 +87,7 @@
             store_durations: registry.duration_histogram(&telemetry::STORE_CALL_DURATION),
             relay_calls: registry.counter(&telemetry::RELAY_CALLS),
             load_refusals: registry.counter(&telemetry::LOAD_REFUSALS),
+            access_refusals: registry.counter(&telemetry::ACCESS_REFUSALS),
             registry,
         }
     }
@@ -104,6 +107,8 @@
     config: Mutex<KnownConfig>,
     /// Reads of the configuration by requests, one at a time.
     pub(crate) config_reads: tokio::sync::Mutex<ConfigReads>,
+    /// Questions for the configuration to other hosts, one at a time.
+    pub(crate) config_questions: tokio::sync::Mutex<ConfigQuestions>,
     evacuated: Mutex<IndexSet<DomainName>>,
     /// When the last call was sent whose answer has shown all evacuated domains.
     evacuations_proven: Mutex<Option<Time>>,
@@ -140,6 +145,7 @@
             metrics: NodeMetrics::new(registry),
             config: Mutex::default(),
             config_reads: tokio::sync::Mutex::default(),
+            config_questions: tokio::sync::Mutex::default(),
             evacuated: Mutex::new(IndexSet::new()),
             evacuations_proven: Mutex::new(None),
             operator_demand: EvidenceDemand::default(),
@@ -189,6 +195,33 @@
         lock(&self.config).confirm(sent);
     }
 
+    /// Takes what another host has said of the configuration, in answer to a call sent at this time.
+    pub(crate) fn learn_config(&self, report: ConfigReport, sent: Time) {
+        let mut config = lock(&self.config);
+        if let Some(copy) = report.newer {
+            config.activate((*copy).into(), report.revision);
+        }
+        if let Some(age) = report.age {
+            config.confirm_by_peer(report.version, age, sent);
+        }
+    }
+
+    /// What this host can tell others of the configuration, of which they know version `known`.
+    pub(crate) fn config_report(&self, known: u64) -> Option<ConfigReport> {
+        let now = self.now();
+        lock(&self.config).report(known, now)
+    }
+
+    /// Whether callers may have to present the key of a customer.
+    pub(crate) fn has_customers(&self) -> bool {
+        lock(&self.config).has_customers()
+    }
+
+    /// Age from which the evidence of which configuration is the newest does not suffice.
+    fn evidence_bound(&self, config: &KnownConfig) -> Span {
+        self.settings.evidence_bound(config.has_customers())
+    }
+
     /// Age of the evidence of which configuration is the newest; `None` without any.
     pub(crate) fn config_age(&self) -> Option<Span> {
         let now = self.now();
@@ -198,16 +231,18 @@
     /// Whether the store has to be asked which configuration is the newest.
     pub(crate) fn is_config_overdue(&self) -> bool {
         let now = self.now();
-        lock(&self.config).is_overdue(now, self.settings.config_bound)
+        let config = lock(&self.config);
+        config.is_overdue(now, self.evidence_bound(&config))
     }
 
-    /// The active configuration, and whether a queue that it does not hold does not exist;
-    /// `None` until one was read.
-    pub(crate) fn config_in_force(&self) -> Option<(Arc<ActiveConfig>, bool)> {
+    /// The active configuration, and what shows that it is the newest; `None` until one was
+    /// read.
+    pub(crate) fn config_with_evidence(&self) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
         let now = self.now();
         let config = lock(&self.config);
         let active = config.active()?.clone();
-        Some((active, config.is_in_force(now, self.settings.config_bound)))
+        let evidence = config.evidence(now, self.evidence_bound(&config));
+        Some((active, evidence))
     }
 
     pub(crate) fn evacuated(&self) -> IndexSet<DomainName> {
--- a/crates/jujubelb/src/node/tests/config_evidence.rs
+++ b/crates/jujubelb/src/node/tests/config_evidence.rs
@@ -114,14 +114,14 @@
 #[test]
 fn evidence_counts_from_the_time_at_which_its_call_was_sent() {
     let mut known = KnownConfig::default();
-    assert!(known.is_overdue(at(0), BOUND) && !known.is_in_force(at(0), BOUND));
+    assert!(known.is_overdue(at(0), BOUND) && !known.evidence(at(0), BOUND).in_force);
     known.activate(operator(1), Revision(4));
-    assert!(!known.is_in_force(at(0), BOUND));
+    assert!(!known.evidence(at(0), BOUND).in_force);
     known.confirm(at(1_000));
     known.confirm(at(400));
     assert_eq!(known.evidence_age(at(3_000)), Some(Span::from_secs(2)));
-    assert!(known.is_in_force(at(3_500), BOUND) && !known.is_overdue(at(3_500), BOUND));
-    assert!(!known.is_in_force(at(3_501), BOUND) && known.is_overdue(at(3_501), BOUND));
+    assert!(known.evidence(at(3_500), BOUND).in_force && !known.is_overdue(at(3_500), BOUND));
+    assert!(!known.evidence(at(3_501), BOUND).in_force && known.is_overdue(at(3_501), BOUND));
 }
 
 /// Guards against a 404 by the last configuration that could be decoded, while a later one has
@@ -132,14 +132,14 @@
     known.activate(operator(1), Revision(4));
     known.mark_unreadable(Revision(5));
     known.confirm(at(1_000));
-    assert!(!known.is_in_force(at(1_100), BOUND));
+    assert!(!known.evidence(at(1_100), BOUND).in_force);
     assert!(!known.is_overdue(at(1_100), BOUND));
     known.activate(operator(1), Revision(4));
-    assert!(!known.is_in_force(at(1_100), BOUND));
+    assert!(!known.evidence(at(1_100), BOUND).in_force);
     known.activate(operator(3), Revision(6));
-    assert!(known.is_in_force(at(1_100), BOUND));
+    assert!(known.evidence(at(1_100), BOUND).in_force);
     known.mark_unreadable(Revision(5));
-    assert!(known.is_in_force(at(1_100), BOUND));
+    assert!(known.evidence(at(1_100), BOUND).in_force);
 }
 
 /// Guards against a 404 for a queue that the newest configuration has and that can't be decoded.
@@ -154,9 +154,9 @@
     known.confirm(at(1_000));
     let config = known.active().unwrap();
     assert!(config.queue(HOST, "/q1/").is_some() && config.queue(HOST, "/q2/").is_none());
-    assert!(!known.is_in_force(at(1_100), BOUND));
+    assert!(!known.evidence(at(1_100), BOUND).in_force);
     known.activate(operator(3), Revision(6));
-    assert!(known.is_in_force(at(1_100), BOUND));
+    assert!(known.evidence(at(1_100), BOUND).in_force);
 }
 
 /// Guards against a 404 by the configuration before an item that can't be decoded, which may be
@@ -167,7 +167,7 @@
         let node = node_with_store(([127, 0, 0, 1], 1).into());
         node.set_config(operator(1), Revision(1));
         node.confirm_config(node.now());
-        let is_in_force = || node.config_in_force().unwrap().1;
+        let is_in_force = || node.config_with_evidence().unwrap().1.in_force;
         assert!(is_in_force());
         let item = KeyState {
             key: key.to_owned(),
--- a/crates/jujubelb/src/node/tests/config_store.rs
+++ b/crates/jujubelb/src/node/tests/config_store.rs
@@ -22,6 +22,8 @@
 /// A store that holds a configuration, whose version is also its revision. Version `n` has the
 /// queues `/q1/` to `/qn/`.
 pub(super) struct ConfigStore {
+    /// Further fields of a version, each after a comma.
+    fields: fn(u64) -> String,
     pub(super) version: watch::Sender<u64>,
     joint_reads: Barrier,
     state: Mutex<Calls>,
@@ -41,9 +43,15 @@
 
 impl ConfigStore {
     pub(super) async fn start() -> (Arc<Self>, SocketAddr) {
+        Self::start_with(|_| String::new()).await
+    }
+
+    /// Starts a store whose versions have further fields, each after a comma.
+    pub(super) async fn start_with(fields: fn(u64) -> String) -> (Arc<Self>, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let store = Arc::new(Self {
+            fields,
             version: watch::Sender::new(1),
             joint_reads: Barrier::new(JOINT_READS),
             state: Mutex::default(),
@@ -151,7 +159,7 @@
             let _ = timeout(wait, version.wait_for(|v| *v > after)).await;
         }
         let version = *self.version.borrow();
-        let item = config_item(version);
+        let item = config_item(version, &(self.fields)(version));
         match call {
             "/kv-watch" if number("after") < Some(version) => {
                 format!(r#"{{"events":[{item}],"store_revision":{version}}}"#)
@@ -165,11 +173,14 @@
     }
 }
 
-fn config_item(version: u64) -> String {
+fn config_item(version: u64, fields: &str) -> String {
     use base64::Engine;
     let route = |n| format!(r#"{{"host":"{HOST}","prefix":"/q{n}/","service":"s"}}"#);
     let routes: Vec<String> = (1..=version).map(route).collect();
-    let config = format!(r#"{{"version":{version},"routes":[{}]}}"#, routes.join(","));
+    let config = format!(
+        r#"{{"version":{version},"routes":[{}]{fields}}}"#,
+        routes.join(",")
+    );
     let value = base64::prelude::BASE64_STANDARD.encode(config);
     format!(r#"{{"key":"op/config","value":"{value}","revision":{version}}}"#)
 }
--- a/crates/jujubelb/src/node/tests/load.rs
+++ b/crates/jujubelb/src/node/tests/load.rs
@@ -14,7 +14,9 @@
 use super::super::peers::{PeerJobStatus, PeerResponse};
 use super::super::state::{KnownLeader, Node, lock};
 use super::node_with_store;
-use crate::dispatch::{FullPool, JobKey, JobSpec, LoadEstimate, QueueSettings, SizeLimit, Step};
+use crate::dispatch::{
+    FullPool, JobKey, JobRecord, JobSpec, LoadEstimate, QueueSettings, SizeLimit, Step,
+};
 use crate::model::{HostName, ServiceName, Span, Time};
 use crate::platform::{QueueConfig, Revision};
 
@@ -26,7 +28,7 @@
 
 /// What a read of the job's key finds.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum Found {
+pub(super) enum Found {
     Nothing,
     Job,
     /// A job that was cancelled before it was stored.
@@ -36,17 +38,22 @@
 }
 
 /// A store that makes every write and answers reads of the job's key.
-struct Store {
+pub(super) struct Store {
     found: Found,
     calls: Mutex<Vec<String>>,
+    /// Body of the last write.
+    written: Mutex<Vec<u8>>,
 }
 
 impl Store {
-    async fn start(found: Found) -> (Arc<Self>, SocketAddr) {
+    pub(super) async fn start(found: Found) -> (Arc<Self>, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let calls = Mutex::default();
-        let store = Arc::new(Self { found, calls });
+        let store = Arc::new(Self {
+            found,
+            calls: Mutex::default(),
+            written: Mutex::default(),
+        });
         let accepting = store.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -68,10 +75,14 @@
             let head = String::from_utf8_lossy(&head).to_lowercase();
             let length = head.lines().find_map(|l| l.strip_prefix("content-length:"));
             let length = length.map_or(0, |l| l.trim().parse().unwrap());
-            stream.read_exact(&mut vec![0; length]).await.unwrap();
+            let mut written = vec![0; length];
+            stream.read_exact(&mut written).await.unwrap();
             let path = head.split(' ').nth(1).unwrap_or_default();
             let call = path.split('?').next().unwrap_or_default();
             lock(&self.calls).push(call.to_owned());
+            if length > 0 {
+                *lock(&self.written) = written;
+            }
             let (status, body) = self.answer(call);
             let length = body.len();
             let reply = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
@@ -98,6 +109,13 @@
         }
     }
 
+    /// The job that was written last.
+    pub(super) fn written_job(&self) -> JobRecord {
+        let txn: serde_json::Value = serde_json::from_slice(&lock(&self.written)).unwrap();
+        let value = txn["puts"][0]["value"].as_str().unwrap();
+        keys::decode("job", &BASE64_STANDARD.decode(value).unwrap()).unwrap()
+    }
+
     fn calls(&self) -> Vec<String> {
         lock(&self.calls).clone()
     }
@@ -151,7 +169,7 @@
 
 async fn answer(node: &Arc<Node>) -> CallerResponse {
     let until = node.now() + Span::from_secs(3);
-    submit(node, &queue(), KEY, BODY, until).await
+    submit(node, &queue(), KEY, None, BODY, until).await
 }
 
 /// Guards against a refusal that costs a write, or that does not say when to come back.
--- a/crates/jujubelb/src/node/tests/mod.rs
+++ b/crates/jujubelb/src/node/tests/mod.rs
@@ -1,8 +1,10 @@
 //! Tests of the parts of the process that need no network.
 
+mod access;
 mod candidacy;
 mod config_evidence;
 mod config_store;
+mod customer_keys;
 mod decoding;
 mod job_write;
 mod limited_worker;
--- a/crates/jujubelb/src/telemetry/metrics.rs
+++ b/crates/jujubelb/src/telemetry/metrics.rs
@@ -69,6 +69,7 @@
     ATTEMPTS = "attempts", Counter, "1", "service, end", "Attempts sent to endpoints by how they ended";
     SUBMISSIONS = "submissions", Counter, "1", "code", "Job submissions by result code";
     LOAD_REFUSALS = "load_refusals", Counter, "1", "cause", "Submissions of best-effort jobs that were refused for load";
+    ACCESS_REFUSALS = "access_refusals", Counter, "1", "cause", "Calls of callers that were refused for their key";
     BEST_EFFORT_JOBS = "best_effort_jobs", Gauge, "1", "service, bound", "Best-effort jobs that have not ended, and the most that may be accepted; only on the leader";
     STORE_CALLS = "store_calls", Counter, "1", "kind, result", "Calls to the store";
     STORE_CALL_DURATION = "store_call_duration", Histogram, "s", "kind", "Duration of calls to the store";
