Keep what a customer has running within its limit on all workers

Nothing bounded what the tasks of one customer occupy on all workers together, and a customer that sent many times its usual load took the room of all others.

Each scheduling pass now sums the declared sizes of all tracked runs by customer, in any phase and on any worker, and a start is planned only if the task fits into what is left of the limit. Tasks that an earlier leader may have started on workers that have not listed all their runs count by a bound. Nothing is kept across passes. A step that waits for a limit is left out before workers are searched: it is not recorded as a size without room, as demand that can be in time or as starved, and asks for no tickets. While the workers are full, finite steps of a customer beyond its weighted dominant share go after those of others.

The dominant share and the number of tasks that fit into a quota move from place/fair_queue and place/quota to place/share, which the shard's policy uses unchanged. The terms of the customers are copied only when the version of the configuration is newer.

--- /dev/null
+++ b/crates/jujubelb/src/dispatch/customers/usage.rs
@@ -0,0 +1,241 @@
+//! What each customer uses, counted anew in each scheduling pass.
+
+use super::super::Dispatcher;
+use super::super::job::{Job, TaskState};
+use super::super::job_spec::{Step, StepKey, TaskKey};
+use super::super::worker::Worker;
+use super::{Customer, CustomerIndex};
+use crate::model::{Resources, Time};
+use crate::place::share;
+
+/// Part of the processor time or the memory of all workers in percent, reserved or in demand, from
+/// which on they count as full. The reserve for short tasks and what is left between tasks of several cores
+/// are not free for all, so more is often not reached although tasks wait.
+const FULL_PERCENT: u64 = 80;
+
+/// What counts for a customer in one pass.
+#[derive(Debug, Default)]
+pub(super) struct Usage {
+    /// Declared sizes of all tracked runs, with the starts of this pass.
+    pub(super) tracked: Resources,
+    /// Bound on what earlier leaders have started on workers that have not listed all their runs.
+    pub(super) unlisted: Resources,
+    /// Number of runs in both.
+    pub(super) runs: u64,
+    /// Whether it has tasks of ready steps that wait.
+    pub(super) has_waiting: bool,
+    /// Waiting tasks that its limit held back.
+    pub(super) held: usize,
+}
+
+impl Usage {
+    fn add(&mut self, size: Resources) {
+        self.tracked += size;
+        self.runs += 1;
+    }
+
+    pub(super) fn counted(&self) -> Resources {
+        self.tracked + self.unlisted
+    }
+
+    /// How many of these tasks of a step may start within a limit. One task more may if nothing else
+    /// counts, so that tasks larger than the limit are not lost.
+    pub(super) fn allowed(&self, limit: &Resources, step: &Step, tasks: usize) -> usize {
+        let fitting = share::tasks_within(limit, &self.counted(), &step.size)
+            .map_or(tasks, |n| usize::try_from(n).unwrap_or(tasks));
+        let exempt = match step.gang {
+            true => fitting.saturating_add(1),
+            false => 1,
+        };
+        match self.runs {
+            0 => fitting.max(exempt).min(tasks),
+            _ => fitting.min(tasks),
+        }
+    }
+}
+
+/// Waiting tasks of one kind that earlier leaders may have started.
+#[derive(Debug, Default, Clone, Copy)]
+struct InheritedTasks {
+    count: u64,
+    total: Resources,
+    largest: Resources,
+    /// Memory of the smallest task in bytes.
+    smallest: u64,
+}
+
+impl InheritedTasks {
+    fn add(&mut self, size: &Resources, count: u64) {
+        self.smallest = match self.count {
+            0 => size.memory.0,
+            _ => self.smallest.min(size.memory.0),
+        };
+        self.count += count;
+        self.largest = self.largest.max(size);
+        self.total += times(size, count);
+    }
+
+    /// The most of them that workers may run, with their sizes.
+    fn bound(&self, workers: &[Resources]) -> (u64, Resources) {
+        let fitting = |w: &Resources| w.memory.0.checked_div(self.smallest).unwrap_or(u64::MAX);
+        let fitting = workers.iter().map(fitting).fold(0, u64::saturating_add);
+        let count = self.count.min(fitting);
+        let size = component_min(&self.total, &times(&self.largest, count));
+        (count, size)
+    }
+}
+
+fn times(size: &Resources, count: u64) -> Resources {
+    let accelerators = u64::from(size.accelerators).saturating_mul(count);
+    Resources::new(
+        size.cpu.0.saturating_mul(count),
+        size.memory.0.saturating_mul(count),
+        u32::try_from(accelerators).unwrap_or(u32::MAX),
+    )
+}
+
+fn component_min(a: &Resources, b: &Resources) -> Resources {
+    crate::place::component_min(a, b)
+}
+
+/// The size of each worker that may hold runs which it has not listed to this leader. A roster worker
+/// without an entry in the store counts as large as the largest.
+fn unlisted_room<'a>(workers: impl Iterator<Item = &'a Worker> + Clone) -> Vec<Resources> {
+    let capacities = workers.clone().map(|w| w.report.capacity);
+    let largest = capacities.fold(Resources::ZERO, |a, b| a.max(&b));
+    let largest = match largest {
+        Resources::ZERO => Resources::new(u64::MAX, u64::MAX, u32::MAX),
+        known => known,
+    };
+    workers
+        .filter(|w| w.roster_address.is_some() && !w.fully_listed && !w.replaced)
+        .map(|w| match w.report.capacity {
+            Resources::ZERO => largest,
+            known => known,
+        })
+        .collect()
+}
+
+impl Dispatcher {
+    /// Counts what each customer uses, and which use more than their share.
+    pub(in super::super) fn count_customers(&mut self) {
+        if self.customers.entries.is_empty() {
+            return;
+        }
+        for customer in self.customers.entries.values_mut() {
+            customer.usage = Usage::default();
+        }
+        let entries = &mut self.customers.entries;
+        for task in self.workers.values().flat_map(|w| w.runs.keys()) {
+            // The size that the worker reports is 0 for a run that was listed before its job was read.
+            let job = self.jobs.get(&task.step.job);
+            if let Some((customer, step)) = job.and_then(|j| owner(j, task.step)) {
+                entries[customer.0].usage.add(step.size);
+            }
+        }
+        for key in &self.ready {
+            let job = self.jobs.get(&key.job).filter(|j| j.outcome.is_none());
+            if let Some(customer) = job.and_then(|j| j.customer) {
+                entries[customer.0].usage.has_waiting = true;
+            }
+        }
+        if !self.inherited_resolved {
+            self.count_unlisted();
+        }
+        self.compare_shares();
+    }
+
+    /// Counts the tasks that earlier leaders may have started on workers that have not listed all
+    /// their runs. These leaders can only start tasks of inherited jobs.
+    fn count_unlisted(&mut self) {
+        let room = unlisted_room(self.workers.values());
+        let all: Resources = room.iter().copied().sum();
+        let mut inherited = vec![[InheritedTasks::default(); 2]; self.customers.entries.len()];
+        let live = self
+            .jobs
+            .values()
+            .filter(|j| j.inherited && j.outcome.is_none());
+        for (job, customer) in live.filter_map(|j| Some((j, j.customer?))) {
+            for occurrence in &job.occurrences {
+                let steps = job.record.spec.steps.iter().zip(&occurrence.steps);
+                for (spec, state) in steps.filter(|(_, state)| state.waiting > 0) {
+                    let unknown = state.tasks.iter();
+                    let unknown = unknown
+                        .filter(|t| t.inherited && t.state == TaskState::Waiting)
+                        .count();
+                    let kind = usize::from(spec.best_effort);
+                    inherited[customer.0][kind].add(&spec.size, unknown as u64);
+                }
+            }
+        }
+        for (customer, [others, best_effort]) in self.customers.entries.values_mut().zip(inherited)
+        {
+            let (count, size) = others.bound(&room);
+            // Best-effort tasks reserve no processor time, so only memory bounds their number.
+            let (more, added) = best_effort.bound(&room);
+            let size = component_min(&size, &all) + added;
+            customer.usage.runs = customer
+                .usage
+                .runs
+                .saturating_add(count.saturating_add(more));
+            customer.usage.unlisted = size;
+        }
+    }
+
+    /// Notes which customers use more than their share while the workers are full.
+    fn compare_shares(&mut self) {
+        let in_use = self.workers.values().filter(|w| w.fenced && w.listed);
+        let mut capacity = Resources::ZERO;
+        let (mut cpu, mut memory) = (0u64, 0u64);
+        for worker in in_use {
+            capacity += worker.report.capacity;
+            let demand = worker.load.cpu_demand.max(worker.load.reserved.cpu.0);
+            cpu = cpu.saturating_add(demand.min(worker.report.capacity.cpu.0));
+            memory = memory.saturating_add(worker.load.reserved.memory.0);
+        }
+        let is_near = |used: u64, all: u64| {
+            u128::from(used) * 100 >= u128::from(all.max(1)) * u128::from(FULL_PERCENT)
+        };
+        let is_full = is_near(cpu, capacity.cpu.0) || is_near(memory, capacity.memory.0);
+        let entries = &mut self.customers.entries;
+        let is_active = |c: &Customer| c.usage.runs > 0 || c.usage.has_waiting;
+        let weights = entries
+            .values()
+            .filter(|c| is_active(c))
+            .map(Customer::weight);
+        let all: u64 = weights.map(u64::from).sum();
+        let part = share::WHOLE / all.max(1);
+        for customer in entries.values_mut() {
+            let used = share::weighted(&customer.usage.tracked, &capacity, customer.weight());
+            customer.beyond_share = is_full && used > part;
+        }
+    }
+
+    /// Adds a start of the present pass to what the customer uses.
+    pub(in super::super) fn count_start(&mut self, task: TaskKey) {
+        let job = self.jobs.get(&task.step.job);
+        if let Some((customer, step)) = job.and_then(|j| owner(j, task.step)) {
+            self.customers.entries[customer.0].usage.add(step.size);
+        }
+    }
+
+    /// Records that the limit of its customer has held back tasks of a step.
+    pub(in super::super) fn hold_limited(&mut self, key: StepKey, tasks: usize, now: Time) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let customer = job.customer;
+        if let Some(state) = job.step_mut(key.occurrence, key.step) {
+            state.limited = Some(now);
+        }
+        if let Some(customer) = customer {
+            self.customers.entries[customer.0].usage.held += tasks;
+        }
+    }
+}
+
+/// The customer and the declaration of a step.
+fn owner(job: &Job, key: StepKey) -> Option<(CustomerIndex, &Step)> {
+    let step = job.record.spec.steps.get(usize::from(key.step))?;
+    Some((job.customer?, step))
+}
--- a/crates/jujubelb/src/dispatch/intake.rs
+++ b/crates/jujubelb/src/dispatch/intake.rs
@@ -43,7 +43,8 @@
         let arrival = self.job_arrival(&record);
         let confirmed = arrival <= self.confirmed;
         log::info!(job:% = key, queue:% = record.queue.prefix, tasks = tasks, age:% = age, inherited = inherited, confirmed = confirmed; "job accepted from the store");
-        let job = Job::new(
+        let customer = record.customer.as_ref().map(|c| self.customers.index(c));
+        let mut job = Job::new(
             Arc::new(record),
             now - age,
             progress,
@@ -51,6 +52,7 @@
             arrival,
             now,
         );
+        job.customer = customer;
         let live = job.outcome.is_none();
         self.index_assumed(key, &job.crash_details);
         self.jobs.insert(key, job);
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -6,6 +6,7 @@
 use arcstr::ArcStr;
 
 use super::confirmation::Arrival;
+use super::customers::CustomerIndex;
 use super::job_spec::{JobKey, JobRecord, MAX_TASKS_PER_JOB, Run, Step, StepKey, TaskKey};
 use super::progress::{
     Crash, CrashDetail, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes,
@@ -61,6 +62,9 @@
     pub(crate) wait_reported: Span,
     /// When the step was last tried as a starved one, if no worker was found.
     pub(crate) refused: Option<Time>,
+    /// When the limit of its customer last held back a task of it. Only the time since then says
+    /// anything about the workers.
+    pub(crate) limited: Option<Time>,
 }
 
 impl StepState {
@@ -96,6 +100,7 @@
             waiting,
             wait_reported: Span::ZERO,
             refused: None,
+            limited: None,
         }
     }
 
@@ -150,6 +155,8 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) record: Arc<JobRecord>,
+    /// Index of the customer in `record`; saves a search by name for each run in each pass.
+    pub(crate) customer: Option<CustomerIndex>,
     /// When the job was accepted, on this process's clock.
     pub(crate) accepted: Time,
     pub(crate) occurrences: Vec<Occurrence>,
@@ -192,6 +199,7 @@
         let mut job = Self {
             critical_paths: critical_paths(&record.spec.steps),
             record,
+            customer: None,
             accepted,
             occurrences: Vec::new(),
             begun: 0,
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -40,11 +40,10 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::model::{
-    CustomerName, DomainName, FastMap, Span, Time, WallTime, WorkerName, WorkerTime,
-};
+use crate::model::{DomainName, FastMap, Span, Time, WallTime, WorkerName, WorkerTime};
 use crate::place::headroom::Slopes;
 use admission::Admission as JobAdmission;
+use customers::Customers;
 use evidence::StartEvidence;
 use job::{Job, TaskState};
 use pace::Headrooms;
@@ -55,7 +54,7 @@
 pub use admission::{FullPool, LoadEstimate, PoolLoad, SizeLimit};
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
-pub use customers::CustomerTerms;
+pub use customers::{CustomerLoad, CustomerTerms};
 pub use evidence::MissingEvidence;
 pub use job_spec::{
     JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_JOB,
@@ -251,8 +250,8 @@
     step_tickets: IndexMap<StepKey, StepTickets>,
     /// Failure domains in which no task may start.
     evacuated: IndexSet<DomainName>,
-    /// Weights and limits of the customers of the configuration in force.
-    customers: IndexMap<CustomerName, CustomerTerms>,
+    /// Terms of the customers, and what they use as of the last pass.
+    customers: Customers,
     /// How old the knowledge of evacuated domains and draining workers is.
     evidence: StartEvidence,
     /// Number of changes in this term that had to become durable.
@@ -329,7 +328,7 @@
             last_decay: now,
             step_tickets: IndexMap::new(),
             evacuated: IndexSet::new(),
-            customers: IndexMap::new(),
+            customers: Customers::new(now),
             evidence: StartEvidence::default(),
             change_count: 0,
             dirty_jobs: IndexSet::new(),
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -77,10 +77,12 @@
         self.decay_slopes(now);
         self.stop_unwanted(&mut orders, now);
         self.adjust_paces(&mut orders, now);
+        self.count_customers();
         if self.may_start(now) && self.check_evidence(now) {
             self.start_ready(&mut orders, now);
         }
         self.report_waits(now);
+        self.report_customers(now);
         self.count_load(now);
         orders
     }
@@ -371,10 +373,17 @@
             self.give_up(faulty, now);
             return;
         }
+        let allowed = self.allowed_starts(&record, step, waiting.len());
+        let held = waiting.len() - allowed;
+        if !waiting.is_empty() && (allowed == 0 || (step.gang && held > 0)) {
+            self.hold_limited(key, waiting.len(), now);
+            return;
+        }
         if step.gang {
             self.start_gang(key, &record, step, orders, now);
             return;
         }
+        waiting.truncate(allowed);
         let wait_time = |t: &super::job::Task| now.since(t.since);
         let longest_wait = state.tasks.iter().filter(|t| startable(t)).map(wait_time);
         let longest_wait = longest_wait.max().unwrap_or_default();
@@ -397,6 +406,9 @@
             }
         }
         let (probes, others): (Vec<u32>, Vec<u32>) = others.into_iter().partition(may_probe);
+        if held > 0 {
+            self.hold_limited(key, held, now);
+        }
         let mut request = PlacementRequest {
             key,
             step,
@@ -839,6 +851,7 @@
             placement::update_interference(worker, &self.slopes);
         }
         let address = worker.report.address;
+        self.count_start(task);
         let ticket = self
             .workers
             .get(name)
--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -140,7 +140,7 @@
         let timely = ranked
             .iter()
             .filter(|(rank, key)| !rank.is_late() && !self.is_refused(*key, now));
-        let waiting = timely.map(|(_, key)| self.waiting_tasks(*key) as usize);
+        let waiting = timely.map(|(_, key)| self.unlimited_tasks(*key));
         let waiting = waiting.sum();
         let workers = self.workers_in_use().count();
         self.timely_demand.record(waiting, workers, now);
@@ -217,14 +217,19 @@
             && !spec.gang
             && state.tasks.iter().any(|t| self.is_startable(t, now))
             && self.runs_of(key, state).all(leaves_idle)
+            && !self.is_limited(&job.record, spec)
     }
 
     /// Whether a task of a ready step has waited for so long that all workers refuse it.
     fn is_refused(&self, key: StepKey, now: Time) -> bool {
-        let has_waited =
-            |t: &Task| t.state == TaskState::Waiting && now.since(t.since) >= REFUSED_WAIT;
-        let step = self.ready_step(key);
-        step.is_some_and(|(_, state)| state.tasks.iter().any(has_waited))
+        let Some((_, state)) = self.ready_step(key) else {
+            return false;
+        };
+        let limited = state.limited.unwrap_or_default();
+        let has_waited = |t: &Task| {
+            t.state == TaskState::Waiting && now.since(t.since.max(limited)) >= REFUSED_WAIT
+        };
+        state.tasks.iter().any(has_waited)
     }
 
     /// The tasks of a step that are assigned to workers, with their workers and runs.
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -91,6 +91,7 @@
                 let step = usize::from(key.step);
                 let open =
                     occurrence.steps.get(step)?.waiting > 0 && job.is_step_ready(occurrence, step);
+                let open = open && !self.is_step_limited(*key);
                 open.then(|| {
                     let beyond_share = self.is_beyond_share(&job.record);
                     (rank::rank(job, occurrence, step, beyond_share, now), *key)
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -30,6 +30,10 @@
     EarlierTerms,
     /// The end of the pause after a failure.
     Pause,
+    /// The first configuration that the leader reads, which has the limit of the customer.
+    Configuration,
+    /// The limit of the customer.
+    CustomerLimit,
     /// A worker; the number of workers by what rules them out. Without any, the step waits for
     /// steps before it, or for the other members of its gang.
     Workers(IndexMap<Obstacle, usize>),
@@ -41,6 +45,8 @@
             Self::Confirmation => f.write_str("confirmation of the term"),
             Self::EarlierTerms => f.write_str("earlier terms"),
             Self::Pause => f.write_str("pause after a failure"),
+            Self::Configuration => f.write_str("configuration"),
+            Self::CustomerLimit => f.write_str("customer limit"),
             Self::Workers(counts) if counts.is_empty() => f.write_str("steps before it"),
             Self::Workers(counts) => {
                 f.write_str("workers:")?;
@@ -107,9 +113,10 @@
             if self.is_starved(*key, now) {
                 next = next.min(reported + STARVED_INTERVAL);
             }
-            (wait >= next).then_some((wait, *key))
+            // Steps that wait for a limit must not crowd out those that wait for workers.
+            (wait >= next).then(|| (!self.is_step_limited(*key), wait, *key))
         });
-        let Some((wait, key)) = due.max() else {
+        let Some((_, wait, key)) = due.max() else {
             return;
         };
         let Some((job, state)) = self.ready_step(key) else {
@@ -136,7 +143,8 @@
 
     /// The longest time for which a task that could start has waited for a worker.
     pub(super) fn longest_ready_wait(&self, now: Time) -> Span {
-        let ready = self.ready.iter().filter_map(|key| self.ready_step(*key));
+        let ready = self.ready.iter().filter(|k| !self.is_step_limited(**k));
+        let ready = ready.filter_map(|key| self.ready_step(*key));
         let waits = ready.filter_map(|(_, state)| longest_wait(state, now));
         waits.max().unwrap_or_default()
     }
@@ -165,6 +173,12 @@
                 false => Hold::EarlierTerms,
             });
         };
+        if self.is_limited(&job.record, step) {
+            return Some(match self.knows_customers() {
+                true => Hold::CustomerLimit,
+                false => Hold::Configuration,
+            });
+        }
         let request = self.wait_request(job, key, (task, index), step, now);
         let mut counts: IndexMap<Obstacle, usize> = IndexMap::new();
         for worker in self.workers.values() {
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -913,7 +913,7 @@
             let mut dispatcher = lock(&term.dispatcher);
             dispatcher.set_evacuated(node.evacuated());
             if let Some(config) = node.config() {
-                dispatcher.set_customers(config.operator.customers.clone());
+                dispatcher.set_customers(config.operator.version, &config.operator.customers);
             }
             if let Some(sent) = evacuations_proven {
                 dispatcher.confirm_evacuations(sent);
--- a/crates/jujubelb/src/place/fair_queue/queues.rs
+++ b/crates/jujubelb/src/place/fair_queue/queues.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::model::{JobName, Priority, Resources, TeamName, Time};
+use crate::place::share;
 
 /// Rank of a team among the teams with ready jobs; the lowest comes first.
 pub(super) type Rank = (u64, Time);
@@ -104,25 +105,10 @@
     /// depend on the current time, so they need no updates while tasks wait.
     pub(super) fn rank(&self, priority_index: usize, capacity: &Resources) -> Option<Rank> {
         let (since, _) = self.ready[priority_index].first()?;
-        let share = self.share(capacity) * 1_000 / u64::from(self.weight);
+        let share = share::weighted(&self.used, capacity, self.weight);
         Some(match priority_index {
             0 => (since.as_micros().saturating_add(share / 1_000), *since),
             _ => (share, *since),
         })
     }
-
-    /// Dominant share of `capacity`, the largest over all resources, in millionths.
-    fn share(&self, capacity: &Resources) -> u64 {
-        let part = |used: u64, all: u64| {
-            let share = u128::from(used) * 1_000_000 / u128::from(all.max(1));
-            u64::try_from(share).unwrap_or(u64::MAX).min(1_000_000)
-        };
-        let accelerators = part(
-            u64::from(self.used.accelerators),
-            u64::from(capacity.accelerators),
-        );
-        part(self.used.cpu.0, capacity.cpu.0)
-            .max(part(self.used.memory.0, capacity.memory.0))
-            .max(accelerators)
-    }
 }
--- a/crates/jujubelb/src/place/mod.rs
+++ b/crates/jujubelb/src/place/mod.rs
@@ -14,9 +14,11 @@
 mod policy;
 mod quota;
 mod selection;
+pub(crate) mod share;
 mod slow_start;
 
 pub use policy::PlacementPolicy;
+pub(crate) use quota::component_min;
 
 /// Latency of a service's endpoints on one worker in one reporting interval.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/jujubelb/src/place/quota/mod.rs
+++ b/crates/jujubelb/src/place/quota/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::config::Config;
 use crate::model::{Resources, ShardName};
+use crate::place::share;
 
 #[cfg(test)]
 mod tests;
@@ -18,19 +19,7 @@
 /// At least 1. If there are several chunks, each has at least `largest` of every
 /// resource of which the team has a quota.
 pub(crate) fn chunk_count(quota: &Resources, largest: &Resources) -> u64 {
-    let pairs = [
-        (quota.cpu.0, largest.cpu.0),
-        (quota.memory.0, largest.memory.0),
-        (
-            u64::from(quota.accelerators),
-            u64::from(largest.accelerators),
-        ),
-    ];
-    pairs
-        .into_iter()
-        .filter(|(have, task)| *have > 0 && *task > 0)
-        .map(|(have, task)| have / task)
-        .min()
+    share::tasks_within(quota, &Resources::ZERO, largest)
         .unwrap_or(1)
         .clamp(1, MAX_CHUNKS)
 }
--- /dev/null
+++ b/crates/jujubelb/src/place/share.rs
@@ -0,0 +1,41 @@
+//! Limits and weighted shares of those who use common resources, be they teams of a shard or
+//! customers of a deployment.
+
+use crate::model::Resources;
+
+/// Weighted share of a user of weight 1 who occupies all there is.
+pub(crate) const WHOLE: u64 = 1_000_000_000;
+
+/// Weight-adjusted dominant share: the largest part over all resources of what a user occupies of
+/// `capacity`, divided by its weight. [`WHOLE`] is all there is at weight 1.
+pub(crate) fn weighted(used: &Resources, capacity: &Resources, weight: u32) -> u64 {
+    dominant(used, capacity) * 1_000 / u64::from(weight.max(1))
+}
+
+/// Dominant share of `capacity`, the largest over all resources, in millionths.
+pub(crate) fn dominant(used: &Resources, capacity: &Resources) -> u64 {
+    let part = |used: u64, all: u64| {
+        let share = u128::from(used) * 1_000_000 / u128::from(all.max(1));
+        u64::try_from(share).unwrap_or(u64::MAX).min(1_000_000)
+    };
+    amounts(used)
+        .into_iter()
+        .zip(amounts(capacity))
+        .map(|(used, all)| part(used, all))
+        .fold(0, u64::max)
+}
+
+/// How many tasks of a size fit into what `used` leaves of a limit. A resource at 0 has no limit;
+/// `None` if the tasks need no resource that has one.
+pub(crate) fn tasks_within(limit: &Resources, used: &Resources, size: &Resources) -> Option<u64> {
+    let limited = amounts(limit).into_iter().zip(amounts(used));
+    limited
+        .zip(amounts(size))
+        .filter(|((limit, _), size)| *limit > 0 && *size > 0)
+        .map(|((limit, used), size)| limit.saturating_sub(used) / size)
+        .min()
+}
+
+fn amounts(of: &Resources) -> [u64; 3] {
+    [of.cpu.0, of.memory.0, u64::from(of.accelerators)]
+}
