Check each simulated start against the limit of its customer, and show use to operators

The simulation checks each start against the limit over all workers, with the runs that no leader knows of.

Two gauges, four log lines of bounded rate and the reason `customer limit` of a wait show operators what a customer uses.

--- a/crates/jujubelb/src/dispatch/customers/report.rs
+++ b/crates/jujubelb/src/dispatch/customers/report.rs
@@ -23,8 +23,8 @@
     beyond_share: bool,
 }
 
-/// What a customer uses, for the metrics and the state dump.
-#[derive(Debug, Clone, PartialEq, serde::Serialize)]
+/// What a customer uses, for the metrics.
+#[derive(Debug, Clone, PartialEq)]
 pub struct CustomerLoad {
     /// Name of the customer.
     pub name: CustomerName,
@@ -42,7 +42,7 @@
     /// Logs that a customer has reached its limit, uses more than its share, or no longer does: the one
     /// whose last line is oldest.
     pub(in super::super) fn report_customers(&mut self, now: Time) {
-        if now.since(self.customers.reported) < REPORT_INTERVAL {
+        if !self.knows_customers() || now.since(self.customers.reported) < REPORT_INTERVAL {
             return;
         }
         let changed = |c: &Customer| {
--- a/crates/jujubelb/src/dispatch/customers/usage.rs
+++ b/crates/jujubelb/src/dispatch/customers/usage.rs
@@ -3,6 +3,7 @@
 use super::super::Dispatcher;
 use super::super::job::{Job, TaskState};
 use super::super::job_spec::{Step, StepKey, TaskKey};
+use super::super::progress::JobOutcome;
 use super::super::worker::Worker;
 use super::{Customer, CustomerIndex};
 use crate::model::{Resources, Time};
@@ -66,6 +67,9 @@
 
 impl InheritedTasks {
     fn add(&mut self, size: &Resources, count: u64) {
+        if count == 0 {
+            return;
+        }
         self.smallest = match self.count {
             0 => size.memory.0,
             _ => self.smallest.min(size.memory.0),
@@ -151,20 +155,25 @@
         let room = unlisted_room(self.workers.values());
         let all: Resources = room.iter().copied().sum();
         let mut inherited = vec![[InheritedTasks::default(); 2]; self.customers.entries.len()];
-        let live = self
-            .jobs
-            .values()
-            .filter(|j| j.inherited && j.outcome.is_none());
-        for (job, customer) in live.filter_map(|j| Some((j, j.customer?))) {
+        // Runs of cancelled and failed jobs go on until they are stopped.
+        let may_run = |j: &&Job| j.inherited && j.outcome != Some(JobOutcome::Completed);
+        for job in self.jobs.values().filter(may_run) {
+            let Some(customer) = job.customer else {
+                continue;
+            };
+            let kinds = &mut inherited[customer.0];
+            let mut add = |step: &Step, tasks: usize| {
+                kinds[usize::from(step.best_effort)].add(&step.size, tasks as u64);
+            };
+            let steps = &job.record.spec.steps;
+            if job.outcome.is_some() && job.occurrences.is_empty() {
+                steps.iter().for_each(|s| add(s, s.count as usize));
+            }
             for occurrence in &job.occurrences {
-                let steps = job.record.spec.steps.iter().zip(&occurrence.steps);
-                for (spec, state) in steps.filter(|(_, state)| state.waiting > 0) {
+                for (step, state) in steps.iter().zip(&occurrence.steps) {
                     let unknown = state.tasks.iter();
-                    let unknown = unknown
-                        .filter(|t| t.inherited && t.state == TaskState::Waiting)
-                        .count();
-                    let kind = usize::from(spec.best_effort);
-                    inherited[customer.0][kind].add(&spec.size, unknown as u64);
+                    let unknown = unknown.filter(|t| t.inherited && t.state == TaskState::Waiting);
+                    add(step, unknown.count());
                 }
             }
         }
--- a/crates/jujubelb/src/dispatch/tests/paused_leaders.rs
+++ b/crates/jujubelb/src/dispatch/tests/paused_leaders.rs
@@ -16,7 +16,7 @@
 ];
 
 /// A leader that has planned orders and is paused before it sends them.
-struct PausedLeader {
+pub(super) struct PausedLeader {
     dispatcher: Dispatcher,
     orders: Vec<WorkerOrder>,
     planned: Time,
@@ -24,7 +24,7 @@
 
 impl PausedLeader {
     /// Lets the present leader make one scheduling pass, and pauses it.
-    fn pause(sim: &mut Simulation) -> Self {
+    pub(super) fn pause(sim: &mut Simulation) -> Self {
         let orders = plan(sim);
         let term = sim.dispatcher.term();
         let stand_in = Dispatcher::new(
@@ -67,7 +67,7 @@
 
     /// Sends the planned orders, although they may be overdue: the process may be paused once
     /// more between the check and the call.
-    fn send(&mut self, sim: &mut Simulation) {
+    pub(super) fn send(&mut self, sim: &mut Simulation) {
         let orders = std::mem::take(&mut self.orders);
         self.act(sim, |sim| orders.iter().for_each(|o| sim.execute(o)));
     }
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -4,7 +4,8 @@
 //! leader process drives it. Every start is checked: a task has one run at a time, does
 //! not start after it has succeeded, and a worker's capacity is not exceeded. A success no
 //! longer counts if the worker's lease has expired before it was acknowledged, but no task
-//! starts after a success of it was acknowledged.
+//! starts after a success of it was acknowledged. Each start is also checked against the limit of
+//! its customer, over all workers and with the runs that no leader knows of.
 
 use std::collections::VecDeque;
 
@@ -13,13 +14,14 @@
 
 use crate::dispatch::poll::MAX_COMPLETIONS_PER_ANSWER;
 use crate::dispatch::{
-    Bounds, Commit, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel, JobKey, JobRecord,
-    JobSpec, LeaderTerm, Order, PollReply, PollRequest, Progress, QueueSettings, Refusal, Roster,
-    Run, RunCompletion, RunOutcome, RunStatus, StartAnswer, StartReply, Step, StepKey, StopReply,
-    Succession, TaskKey, Term, TicketGrant, WorkerOrder, WorkerReport,
+    Bounds, Commit, CustomerTerms, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel,
+    JobKey, JobRecord, JobSpec, LeaderTerm, Order, PollReply, PollRequest, Progress, QueueSettings,
+    Refusal, Roster, Run, RunCompletion, RunOutcome, RunStatus, StartAnswer, StartReply, Step,
+    StepKey, StopReply, Succession, TaskKey, Term, TicketGrant, WorkerOrder, WorkerReport,
 };
 use crate::model::{
-    Bytes, DomainName, Resources, ServiceName, Span, Time, WallTime, WorkerName, WorkerTime,
+    Bytes, CustomerName, DomainName, Resources, ServiceName, Span, Time, WallTime, WorkerName,
+    WorkerTime,
 };
 
 /// Simulated time per step.
@@ -35,6 +37,10 @@
 /// Time between two polls of a worker without new completions.
 const POLL_INTERVAL: Span = Span::from_millis(500);
 
+/// Time in which starts that were ordered under an earlier limit may still be carried out: they are
+/// valid for 2.5 s.
+const LIMIT_CHANGE: Span = Span::from_secs(4);
+
 pub(crate) const BOUNDS: Bounds = Bounds {
     max_lease: Span::from_secs(6),
     max_stop: Span::from_millis(400),
@@ -303,6 +309,9 @@
     crashed: Vec<(Time, WorkerName)>,
     /// Number of starts that were refused for lack of capacity.
     pub(crate) rejected_capacity: usize,
+    /// Terms of the customers by version of the configuration, with the time at which each came
+    /// into force.
+    pub(crate) terms: Vec<(Time, IndexMap<CustomerName, CustomerTerms>)>,
 }
 
 /// The term with a number, which is its nonce as well.
@@ -406,6 +415,7 @@
             back: Return::SameName,
             crashed: Vec::new(),
             rejected_capacity: 0,
+            terms: Vec::new(),
         };
         for i in 0..workers {
             sim.add_worker(i);
@@ -450,6 +460,83 @@
         self.workers.insert(name, worker);
     }
 
+    /// Changes the terms of the customers.
+    pub(crate) fn set_customers(&mut self, terms: &[(&str, CustomerTerms)]) {
+        let named = |(name, terms): &(&str, CustomerTerms)| (CustomerName::from(*name), *terms);
+        self.terms
+            .push((self.now, terms.iter().map(named).collect()));
+        self.read_configuration();
+    }
+
+    /// Passes the present configuration to the dispatcher.
+    pub(crate) fn read_configuration(&mut self) {
+        if let Some((_, terms)) = self.terms.last() {
+            self.dispatcher
+                .set_customers(self.terms.len() as u64, terms);
+        }
+    }
+
+    /// The runs of a customer on all workers, known or not.
+    fn runs_of(&self, customer: &str) -> impl Iterator<Item = (&TaskKey, &FakeRun)> + Clone {
+        let up = self.workers.values().filter(|w| w.fault != Fault::Crashed);
+        up.flat_map(|w| w.runs.iter()).filter(move |(task, _)| {
+            let owner = self.jobs[&task.step.job].customer.as_ref();
+            owner.is_some_and(|c| c.as_str() == customer)
+        })
+    }
+
+    /// Cores that a customer has running on all workers, known or not.
+    pub(crate) fn cores_of(&self, customer: &str) -> u64 {
+        let runs = self.runs_of(customer);
+        runs.map(|(_, run)| run.size.cpu.0).sum::<u64>() / 1_000
+    }
+
+    /// Checks that the customer of a task that has just started is within its limit. While a change
+    /// reaches the leader the higher limit counts. A task alone, or one member of a gang alone, may
+    /// exceed it.
+    fn check_limit(&self, task: TaskKey) {
+        let record = &self.jobs[&task.step.job];
+        let Some(customer) = &record.customer else {
+            return;
+        };
+        let step = &record.spec.steps[usize::from(task.step.step)];
+        let last = self.terms.len().saturating_sub(1);
+        let in_force = self.terms.iter().enumerate().filter(|(i, _)| {
+            let next = self.terms.get(i + 1);
+            *i == last || next.is_some_and(|(at, _)| self.now.since(*at) < LIMIT_CHANGE)
+        });
+        let mut limits = in_force.filter_map(|(_, (_, t))| Some(t.get(customer)?.limit));
+        let runs = self.runs_of(customer.as_str());
+        let alone = runs.clone().all(|(t, _)| match step.gang {
+            true => t.step == task.step,
+            false => *t == task,
+        });
+        let used: Resources = runs.map(|(_, r)| r.size).sum();
+        let counted = match alone {
+            true => used.saturating_sub(&step.size),
+            false => used,
+        };
+        let is_within = |limit: Resources| {
+            let parts = [
+                (limit.cpu.0, counted.cpu.0),
+                (limit.memory.0, counted.memory.0),
+                (limit.accelerators.into(), counted.accelerators.into()),
+            ];
+            parts
+                .iter()
+                .all(|(limit, used)| *limit == 0 || used <= limit)
+        };
+        let known = self
+            .terms
+            .last()
+            .is_some_and(|(_, t)| t.contains_key(customer));
+        assert!(
+            !known || limits.any(is_within),
+            "{customer} has {used:?} running at {:?}",
+            self.now
+        );
+    }
+
     /// Passes a full list of the workers that are up to the dispatcher.
     pub(crate) fn list_workers(&mut self) {
         let listed = self
@@ -534,6 +621,7 @@
         for key in &self.cancelled {
             self.dispatcher.cancel(*key, self.now);
         }
+        self.read_configuration();
         self.list_workers();
     }
 
@@ -1003,6 +1091,7 @@
             },
         );
         self.starts.push((now, name.clone(), task, run));
+        self.check_limit(task);
         if self.faulty.contains(&task) {
             let i = self.workers.get_index_of(name).unwrap();
             self.crash_worker(i);
--- a/crates/jujubelb/src/node/monitoring.rs
+++ b/crates/jujubelb/src/node/monitoring.rs
@@ -115,6 +115,7 @@
         }
     });
     register_pool_gauge(node);
+    register_customer_gauges(node);
     register_connection_gauge(node);
     register_leader_gauge(node, &telemetry::DISPATCH_JOBS, |s| {
         [("all", s.jobs as f64), ("without-run", s.idle_jobs as f64)]
@@ -156,6 +157,36 @@
     });
 }
 
+/// Registers what the customers use that use most, and how many are at a limit.
+fn register_customer_gauges(node: &Arc<Node>) {
+    let registry = &node.metrics.registry;
+    let observed = Arc::downgrade(node);
+    registry.observable_gauge(&telemetry::CUSTOMERS, move |observe| {
+        let term = observed.upgrade().and_then(|n| n.active_term());
+        if let Some((limited, beyond_share)) = term.map(|t| lock(&t.dispatcher).limited_customers())
+        {
+            for (state, count) in [("limited", limited), ("beyond-share", beyond_share)] {
+                observe(count as f64, &[KeyValue::new("state", state)]);
+            }
+        }
+    });
+    let observed = Arc::downgrade(node);
+    registry.observable_gauge(&telemetry::CUSTOMER_CORES, move |observe| {
+        let term = observed.upgrade().and_then(|n| n.active_term());
+        let loads = term.map(|t| lock(&t.dispatcher).customer_loads());
+        for load in loads.iter().flatten() {
+            let labels = |kind| {
+                let customer = KeyValue::new("customer", load.name.to_string());
+                [customer, KeyValue::new("kind", kind)]
+            };
+            observe(load.cores, &labels("used"));
+            if load.core_limit > 0.0 {
+                observe(load.core_limit, &labels("limit"));
+            }
+        }
+    });
+}
+
 /// Registers the numbers of open connections to each kind of peer.
 fn register_connection_gauge(node: &Arc<Node>) {
     let observed = Arc::downgrade(node);
--- a/crates/jujubelb/src/telemetry/metrics.rs
+++ b/crates/jujubelb/src/telemetry/metrics.rs
@@ -91,6 +91,8 @@
     DISPATCH_JOBS = "dispatch_jobs", Gauge, "1", "state", "Jobs of the leader that have not ended: all, and those without a run";
     DISPATCH_RUNS = "dispatch_runs", Gauge, "1", "state", "Runs of the leader: all, paused ones, and those of starved steps";
     DISPATCH_CORES = "dispatch_cores", Gauge, "1", "kind", "Cores of the leader's workers: all, reserved, in demand at full pace, and in demand at the present paces";
+    CUSTOMERS = "customers", Gauge, "1", "state", "Customers of the leader whose limit holds back tasks, and those that use more than their share while the workers are full";
+    CUSTOMER_CORES = "customer_cores", Gauge, "1", "customer, kind", "Cores that count against a customer's limit, and the limit if there is one; of the 16 customers that use most";
     OPERATOR_CALLS = "operator_calls", Counter, "1", "code", "Calls of operators by result code";
 }
 
