--- a/crates/jujubelb/src/dispatch/tests/customers.rs
+++ b/crates/jujubelb/src/dispatch/tests/customers.rs
@@ -199,6 +199,34 @@
     assert!(sim.completed.contains_key(&limited));
 }
 
+/// Guards against runs of a cancelled job that a new leader does not count because it has not seen
+/// them: they go on until their worker is reached.
+#[test]
+fn unseen_runs_of_a_cancelled_job_count() {
+    for cancelled_before in [false, true] {
+        let mut sim = Simulation::new(3);
+        sim.set_customers(&[("limited", cores(40))]);
+        let first = sim.submit(1, of("limited", vec![step(10, 4, Span::from_secs(30))]));
+        sim.run(Span::from_millis(400));
+        for i in 0..3 {
+            if sim.runs_on(i) > 0 {
+                sim.worker(i).fault = Fault::Partitioned;
+            }
+        }
+        if cancelled_before {
+            sim.cancel(first);
+            sim.run(Span::from_millis(200));
+        }
+        sim.change_leader();
+        sim.cancel(first);
+        let next = sim.submit(2, of("limited", vec![step(10, 4, Span::from_secs(1))]));
+        sim.run(Span::from_secs(1));
+        assert_eq!((sim.cores_of("limited"), sim.running(next)), (40, 0));
+        sim.run(Span::from_secs(40));
+        assert!(sim.completed.contains_key(&next));
+    }
+}
+
 /// Guards against a backlog that stops its customer for as long as one worker is out of reach.
 #[test]
 fn a_worker_out_of_reach_takes_its_own_room_of_a_limit_and_not_the_backlog() {
