--- a/crates/jujubelb/src/dispatch/tests/customers.rs
+++ b/crates/jujubelb/src/dispatch/tests/customers.rs
@@ -315,8 +315,17 @@
     };
     let mut record = of("limited", vec![tasks]);
     record.queue.target_duration = Span::from_secs(600);
-    let key = sim.submit(1, record);
+    let key = sim.submit(1, record.clone());
+    record.queue.target_duration = Span::ZERO;
+    record.spec.steps[0].estimate = Span::from_millis(100);
+    let late = sim.submit(2, record);
     sim.run(Span::from_secs(8));
+    let late = StepKey {
+        job: late,
+        occurrence: 0,
+        step: 0,
+    };
+    assert!(!sim.dispatcher.is_starved(late, sim.now));
     assert_eq!(sim.running(key), 1);
     assert_eq!(sim.dispatcher.timely_demand.highest(), 0);
     assert_eq!(sim.dispatcher.summary().starved, 0);
