Split the scheduling pass into modules with one question each

plan.rs had over 950 lines and answered which leases have lapsed, which runs stop, in which order steps go, on which worker a task starts and how its start is ordered. It keeps the sequence of a pass. leases.rs, stops.rs, search.rs (which workers admit a task), launch.rs (one start), gangs.rs, unplaced.rs and starts.rs (the tasks of one step) take the rest, with arrows one way: plan to starts, starts to gangs, search, unplaced and launch, gangs to search and launch. is_startable and SEARCHED_WORKERS move from starvation.rs to starts.rs and search.rs, which otherwise would point back.

Code and tests are moved, not changed, but for paths and visibility.

--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -75,10 +75,6 @@
 /// or its link is full, answers come later and fewer runs start, since its polls have to keep the leases.
 const MAX_STARTS_IN_FLIGHT: usize = 240;
 
-/// Workers among which the one for a task of a starved step is chosen. Most workers admit such a task,
-/// so that a search of a whole large fleet would cost more and find little better.
-pub(super) const SEARCHED_WORKERS: usize = 48;
-
 /// Most starved steps for which no worker is found in one pass. Each costs a search of all
 /// workers.
 const MAX_REFUSALS_PER_PASS: usize = 12;
@@ -253,13 +249,6 @@
             .map(|(task, name, _)| (name.clone(), task))
     }
 
-    /// Whether a task may start as far as the task itself is concerned.
-    pub(super) fn is_startable(&self, task: &Task, now: Time) -> bool {
-        task.state == TaskState::Waiting
-            && task.not_before <= now
-            && (!task.inherited || self.inherited_resolved)
-    }
-
     fn waiting_tasks(&self, key: StepKey) -> u32 {
         self.ready_step(key).map_or(0, |(_, state)| state.waiting)
     }
--- a/crates/jujubelb/src/dispatch/tests/queueing.rs
+++ b/crates/jujubelb/src/dispatch/tests/queueing.rs
@@ -2,7 +2,7 @@
 
 use super::simulation::Fault;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::plan::UnplacedSizes;
+use crate::dispatch::unplaced::UnplacedSizes;
 use crate::model::Span;
 
 /// Guards against urgent checks that queue behind a burst of batch jobs.
--- a/crates/jujubelb/src/dispatch/tests/stops.rs
+++ b/crates/jujubelb/src/dispatch/tests/stops.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexSet;
 
-use super::super::plan::{MAX_OUTSTANDING_STOPS, MAX_STOP_ANSWER};
+use super::super::stops::{MAX_OUTSTANDING_STOPS, MAX_STOP_ANSWER};
 use super::simulation::BOUNDS;
 use super::{Simulation, job, long_running};
 use crate::dispatch::{JobKey, Order, Step, StopReply, WorkerOrder};
