Order waiting steps by the cost of their delay

A late urgent job went behind all jobs that could be in time, of any priority and size, and behind all long-running tasks, so that some waited for tens of seconds. dispatch/delay_cost.rs says what a delay costs per core-second of room, from priority, lateness and remaining work; rank.rs orders by it. Long-running tasks count with a minute of work and go first once they have waited for 3 s. Overdue jobs keep their order by time. Ranks that are equal go by key, so that leaders with the same records decide alike.

--- /dev/null
+++ b/crates/jujubelb/src/dispatch/delay_cost.rs
@@ -0,0 +1,115 @@
+//! What a delay of a step costs its caller, for each core-second of room that it needs.
+//!
+//! Depends only on what callers and operators declare, so that every leader decides alike;
+//! `docs/design/delay-cost.md` says what was weighed.
+
+use std::cmp::Ordering;
+
+use crate::model::Span;
+
+/// Factor between the values of results of two neighbouring priorities. With it a late urgent job
+/// of mean size precedes a batch of two priorities below that can be in time.
+const PRIORITY_FACTOR: f64 = 4.0;
+
+/// Value of a late result relative to one in time. With a larger value, late jobs precede
+/// much larger ones that can be in time, and the largest jobs are served least already.
+const LATE_VALUE: f64 = 1.0 / 32.0;
+
+/// Time for which long-running tasks count as work. It is longer than most finite tasks, because
+/// a long-running task keeps its room until it is cancelled.
+const LONG_RUNNING_TIME: Span = Span::from_secs(60);
+
+/// Least work that is assumed, in core-milliseconds, so that the cost of steps without a declared
+/// size is finite.
+const MIN_WORK: u64 = 1;
+
+/// What can still be had for a result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Timeliness {
+    /// It can be there within the objective.
+    OnTime,
+    /// It misses the objective, but callers still wait for it.
+    Late,
+    /// Callers no longer wait for it.
+    Overdue,
+}
+
+/// Cost of a delay per core-second, relative to that of others; not negative.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct DelayCost(f64);
+
+impl Eq for DelayCost {}
+
+impl PartialOrd for DelayCost {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for DelayCost {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl DelayCost {
+    pub(super) const NONE: Self = Self(0.0);
+
+    /// The cost for a result of a priority, 0 being the highest, that needs `work`
+    /// core-milliseconds.
+    pub(super) fn new(priority: u8, timeliness: Timeliness, work: u64) -> Self {
+        let value = match timeliness {
+            Timeliness::OnTime => 1.0,
+            Timeliness::Late => LATE_VALUE,
+            Timeliness::Overdue => 0.0,
+        };
+        let core_secs = work.max(MIN_WORK) as f64 / 1_000.0;
+        Self(value / PRIORITY_FACTOR.powi(priority.into()) / core_secs)
+    }
+}
+
+/// Work that counts for long-running tasks on so many cores together, in core-milliseconds.
+pub(super) fn long_running_work(millicores: u64) -> u64 {
+    millicores.saturating_mul(LONG_RUNNING_TIME.as_millis()) / 1_000
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const URGENT: u64 = 80_000;
+    const BATCH: u64 = 500_000;
+
+    /// Guards against late urgent jobs that wait behind batches of several times their work.
+    #[test]
+    fn a_late_urgent_job_precedes_a_batch_that_can_be_in_time() {
+        let urgent = DelayCost::new(0, Timeliness::Late, URGENT);
+        assert!(urgent > DelayCost::new(2, Timeliness::OnTime, BATCH));
+    }
+
+    /// Guards against late jobs that take the room of large ones of their priority that can
+    /// be in time.
+    #[test]
+    fn a_large_job_in_time_precedes_a_late_one_of_mean_size() {
+        let large = DelayCost::new(0, Timeliness::OnTime, 10 * URGENT);
+        assert!(large > DelayCost::new(0, Timeliness::Late, URGENT));
+    }
+
+    /// Guards against long-running tasks that keep the room of finite urgent work.
+    #[test]
+    fn late_urgent_work_precedes_long_running_tasks() {
+        let work = long_running_work(14 * 13_000);
+        let lasting = DelayCost::new(0, Timeliness::OnTime, work);
+        assert!(lasting < DelayCost::new(0, Timeliness::Late, URGENT));
+        assert!(lasting > DelayCost::new(2, Timeliness::Late, BATCH));
+    }
+
+    /// Guards against an infinite cost, or none, at the ends of what can be declared.
+    #[test]
+    fn the_cost_is_finite_and_ordered_at_extremes() {
+        let none = DelayCost::new(0, Timeliness::OnTime, 0);
+        assert!(none.0.is_finite());
+        assert!(DelayCost::new(u8::MAX, Timeliness::Late, u64::MAX).0 > 0.0);
+        assert_eq!(DelayCost::new(0, Timeliness::Overdue, 1).0, 0.0);
+    }
+}
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -99,6 +99,13 @@
         }
     }
 
+    /// Time since the oldest waiting task began to wait; `None` if no task waits.
+    pub(crate) fn longest_wait(&self, now: Time) -> Option<Span> {
+        let waiting = |t: &&Task| t.state == TaskState::Waiting;
+        let waits = self.tasks.iter().filter(waiting);
+        waits.map(|t| now.since(t.since)).max()
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod confirmation;
 mod crash;
 mod customers;
+mod delay_cost;
 mod evidence;
 mod gangs;
 mod health;
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -61,7 +61,7 @@
         for key in not_ready {
             self.ready.shift_remove(&key);
         }
-        ranked.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
+        ranked.sort_unstable_by(rank::compare);
         let in_use = self.workers.values().filter(|w| w.listed);
         let probing = in_use.clone().filter(|w| w.is_probing(now)).count();
         self.probe_slots = health::probe_slots(in_use.count(), probing);
@@ -69,7 +69,7 @@
         for (_, key) in &ranked {
             self.start_step(*key, &mut unplaced, orders, now);
         }
-        let long_running = ranked.partition_point(|(rank, _)| rank.is_long_running());
-        self.start_starved(&ranked[long_running..], orders, now);
+        ranked.retain(|(rank, _)| !rank.is_long_running());
+        self.start_starved(&ranked, orders, now);
     }
 }
--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -1,39 +1,47 @@
 //! Order in which ready steps are placed.
 //!
-//! Results are of value to callers if they arrive within the objective of the job.
-//! Steps that can still meet it are therefore placed before late ones. Within the same
-//! class the order is by priority of the queue, then by remaining work, least first,
-//! and then by latest start. This keeps urgent jobs responsive during a burst of batch
-//! jobs. Steps whose callers no longer wait are placed in the order of their latest starts:
-//! with the least work first, the largest would wait for as long as smaller ones follow.
+//! Steps go in the order of what a delay costs their callers for each core-second of room, see
+//! [`delay_cost`](super::delay_cost). Two limits bound the waits that this order leaves open:
+//! long-running tasks go first once they have waited for [`MAX_LONG_RUNNING_WAIT`], and steps
+//! whose callers no longer wait are placed in the order of their latest starts: with the least
+//! work first, the largest would wait for as long as smaller ones follow.
 
-use std::cmp::Ordering;
+use std::cmp::{Ordering, Reverse};
 
+use super::delay_cost::{self, DelayCost, Timeliness};
 use super::job::{Job, Occurrence};
+use super::job_spec::{Step, StepKey};
 use crate::model::{Span, Time};
 
+/// Wait after which a long-running task goes before all others. It has to run again within 6 s of
+/// the end of its last run, and the rest is for its start.
+const MAX_LONG_RUNNING_WAIT: Span = Span::from_secs(3);
+
 /// Rank of a step; steps are placed in ascending order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct StepRank {
     /// Whether the customer uses more than its share. Never set for long-running tasks.
     beyond_share: bool,
-    class: RankClass,
+    turn: Turn,
+    /// The lowest for all in the turns that are ordered by time alone.
+    cost: Reverse<DelayCost>,
+    /// The highest for all in the turn that is ordered by cost, which covers it.
     priority: u8,
-    /// Estimated processor time that the occurrence still needs, in core-milliseconds; 0 in
-    /// the classes that are ordered by time alone.
-    remaining_work: u64,
     /// Latest start at which the job can meet its objective.
     latest_start: Time,
+    long_running: bool,
+    /// Whether the objective of a finite job is missed.
+    late: bool,
 }
 
 impl StepRank {
     pub(crate) fn is_long_running(&self) -> bool {
-        self.class == RankClass::LongRunning
+        self.long_running
     }
 
     /// Whether the objective of the job is missed.
     pub(crate) fn is_late(&self) -> bool {
-        matches!(self.class, RankClass::Late | RankClass::Overdue)
+        self.late
     }
 
     pub(crate) fn latest_start(&self) -> Time {
@@ -42,13 +50,11 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum RankClass {
-    /// Long-running tasks. They are few, and every second without them counts.
-    LongRunning,
-    /// The objective can be met.
-    OnTime,
-    /// The objective is missed, but callers still wait for the result.
-    Late,
+enum Turn {
+    /// Long-running tasks that have waited for as long as they may.
+    Due,
+    /// Steps that are compared by the cost of their delay.
+    ByCost,
     /// Callers no longer wait for the result, but the job still has to finish.
     Overdue,
 }
@@ -77,42 +83,63 @@
     beyond_share: bool,
     now: Time,
 ) -> StepRank {
-    let long_running = job
-        .record
-        .spec
-        .steps
-        .get(step)
-        .is_some_and(|s| s.long_running);
+    let spec = job.record.spec.steps.get(step);
+    let long_running = spec.is_some_and(|s| s.long_running);
     let objective = objective(job);
     let remaining = job.critical_path_from(step);
     let latest_start =
         occurrence.since + objective - remaining.scale_up(100 + ESTIMATE_MARGIN_PERCENT, 100);
     let useful_until = occurrence.since + objective.scale_up(OVERDUE_FACTOR, 1) - remaining;
-    let class = if long_running {
-        RankClass::LongRunning
-    } else if now <= latest_start {
-        RankClass::OnTime
+    let timeliness = if long_running || now <= latest_start {
+        Timeliness::OnTime
     } else if now <= useful_until {
-        RankClass::Late
+        Timeliness::Late
     } else {
-        RankClass::Overdue
+        Timeliness::Overdue
     };
-    let by_time = matches!(class, RankClass::LongRunning | RankClass::Overdue);
-    let remaining_work = if by_time {
-        0
-    } else {
-        job.remaining_work(occurrence)
+    let is_due = || {
+        let wait = occurrence.steps.get(step).and_then(|s| s.longest_wait(now));
+        wait.is_some_and(|w| w >= MAX_LONG_RUNNING_WAIT)
+    };
+    let turn = match timeliness {
+        Timeliness::Overdue => Turn::Overdue,
+        _ if long_running && is_due() => Turn::Due,
+        _ => Turn::ByCost,
+    };
+    let priority = job.record.queue.priority;
+    let (cost, priority) = match turn {
+        Turn::Due | Turn::Overdue => (DelayCost::NONE, priority),
+        Turn::ByCost => {
+            let work = match spec.filter(|s| s.long_running) {
+                Some(spec) => long_running_work(spec),
+                None => job.remaining_work(occurrence),
+            };
+            (DelayCost::new(priority, timeliness, work), 0)
+        }
     };
     StepRank {
         beyond_share: beyond_share && !long_running,
-        class,
-        priority: job.record.queue.priority,
-        remaining_work,
+        turn,
+        cost: Reverse(cost),
+        priority,
         latest_start,
+        long_running,
+        late: timeliness != Timeliness::OnTime,
     }
 }
 
-/// Compares two ranks, for sorting.
-pub(crate) fn compare(a: &StepRank, b: &StepRank) -> Ordering {
-    a.cmp(b)
+/// Work that counts for all tasks of a long-running step, also those that run: what a task is worth
+/// does not depend on how many others wait.
+fn long_running_work(step: &Step) -> u64 {
+    let millicores = u64::from(step.count).saturating_mul(step.size.cpu.0);
+    delay_cost::long_running_work(millicores)
+}
+
+/// Compares two steps by their ranks and, if these are equal, by their keys, so that the
+/// order does not depend on the order in which a leader learned of them.
+pub(crate) fn compare(
+    (a, a_key): &(StepRank, StepKey),
+    (b, b_key): &(StepRank, StepKey),
+) -> Ordering {
+    a.cmp(b).then_with(|| a_key.cmp(b_key))
 }
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -97,7 +97,7 @@
                 })
             })
             .collect();
-        steps.sort_unstable_by(|(a, _), (b, _)| rank::compare(a, b));
+        steps.sort_unstable_by(rank::compare);
         let mut renewal: Option<(Time, TicketRequest)> = None;
         for (rank, key) in steps {
             let starved = self.needs_run(&rank, key, now);
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -4,7 +4,7 @@
 
 use super::Dispatcher;
 use super::crash::Isolation;
-use super::job::{Job, StepState, Task, TaskState};
+use super::job::{Job, StepState, Task};
 use super::job_spec::{Step, StepKey};
 use super::placement::{Obstacle, PlacementRequest};
 use super::rank;
@@ -78,13 +78,6 @@
     }
 }
 
-/// Time since the oldest waiting task of a step began to wait; `None` if no task waits.
-pub(super) fn longest_wait(step: &StepState, now: Time) -> Option<Span> {
-    let waiting = |t: &&Task| t.state == TaskState::Waiting;
-    let waits = step.tasks.iter().filter(waiting);
-    waits.map(|t| now.since(t.since)).max()
-}
-
 /// The wait at which a line is due after one at `reported`.
 fn next_report(reported: Span) -> Span {
     reported.scale_up(2, 1).max(FIRST_REPORT)
@@ -99,7 +92,7 @@
         self.waits_reported = now;
         let due = self.ready.iter().filter_map(|key| {
             let (_, state) = self.ready_step(*key)?;
-            let wait = longest_wait(state, now)?;
+            let wait = state.longest_wait(now)?;
             // The longest wait is shorter than the reported one after its task has started.
             let reported = Some(state.wait_reported).filter(|r| *r <= wait);
             let reported = reported.unwrap_or_default();
@@ -137,7 +130,7 @@
     /// The longest time for which a task that could start has waited for a worker.
     pub(super) fn longest_ready_wait(&self, now: Time) -> Span {
         let ready = self.ready.iter().filter_map(|key| self.ready_step(*key));
-        let waits = ready.filter_map(|(_, state)| longest_wait(state, now));
+        let waits = ready.filter_map(|(_, state)| state.longest_wait(now));
         waits.max().unwrap_or_default()
     }
 
