Let long-running tasks go first after 3 s only if there is capacity for them

The rule that they run again within 6 s asks for capacity. Without it their cost now doubles every 6 s without a run, which bounds their wait behind any finite work.

Tests play what callers get: a late urgent job beside a stream of batches, small late jobs beside a large one, long-running tasks beside urgent work for three quarters and all of the room, overdue jobs beside urgent work, and two leaders with the same records.

--- a/crates/jujubelb/src/dispatch/delay_cost.rs
+++ b/crates/jujubelb/src/dispatch/delay_cost.rs
@@ -19,6 +19,10 @@
 /// a long-running task keeps its room until it is cancelled.
 const LONG_RUNNING_TIME: Span = Span::from_secs(60);
 
+/// Time without a run in which the cost of a long-running task doubles. A wait behind any finite work
+/// ends, and bursts of a few seconds pass first.
+const PAUSE_DOUBLING: Span = Span::from_secs(6);
+
 /// Least work that is assumed, in core-milliseconds, so that the cost of steps without a declared
 /// size is finite.
 const MIN_WORK: u64 = 1;
@@ -66,6 +70,12 @@
         let core_secs = work.max(MIN_WORK) as f64 / 1_000.0;
         Self(value / PRIORITY_FACTOR.powi(priority.into()) / core_secs)
     }
+
+    /// The cost for long-running tasks after a time without a run.
+    pub(super) fn after_pause(self, pause: Span) -> Self {
+        let doublings = pause.as_secs_f64() / PAUSE_DOUBLING.as_secs_f64();
+        Self(self.0 * doublings.exp2())
+    }
 }
 
 /// Work that counts for long-running tasks on so many cores together, in core-milliseconds.
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -3,7 +3,7 @@
 
 use super::health;
 use super::job_spec::StepKey;
-use super::rank::{self, StepRank};
+use super::rank::{self, RankContext, StepRank};
 use super::unplaced::UnplacedSizes;
 use super::{Dispatcher, WorkerOrder};
 use crate::model::{Time, WallTime};
@@ -33,9 +33,12 @@
         orders
     }
 
-    fn start_ready(&mut self, orders: &mut Vec<WorkerOrder>, now: Time) {
+    /// Steps with tasks that could start, in the order in which they are placed. Drops the others
+    /// from those that are ready.
+    pub(super) fn ranked_steps(&mut self, now: Time) -> Vec<(StepRank, StepKey)> {
         let mut ranked: Vec<(StepRank, StepKey)> = Vec::with_capacity(self.ready.len());
         let mut not_ready = Vec::new();
+        let spare_capacity = self.has_spare_capacity();
         for key in &self.ready {
             let Some(job) = self.jobs.get(&key.job).filter(|j| j.outcome.is_none()) else {
                 not_ready.push(*key);
@@ -51,8 +54,11 @@
             });
             match startable {
                 Some(occurrence) => {
-                    let beyond_share = self.is_beyond_share(&job.record);
-                    let rank = rank::rank(job, occurrence, step, beyond_share, now);
+                    let context = RankContext {
+                        beyond_share: self.is_beyond_share(&job.record),
+                        spare_capacity,
+                    };
+                    let rank = rank::rank(job, occurrence, step, context, now);
                     ranked.push((rank, *key));
                 }
                 None => not_ready.push(*key),
@@ -62,6 +68,11 @@
             self.ready.shift_remove(&key);
         }
         ranked.sort_unstable_by(rank::compare);
+        ranked
+    }
+
+    fn start_ready(&mut self, orders: &mut Vec<WorkerOrder>, now: Time) {
+        let mut ranked = self.ranked_steps(now);
         let in_use = self.workers.values().filter(|w| w.listed);
         let probing = in_use.clone().filter(|w| w.is_probing(now)).count();
         self.probe_slots = health::probe_slots(in_use.count(), probing);
--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -2,7 +2,8 @@
 //!
 //! Steps go in the order of what a delay costs their callers for each core-second of room, see
 //! [`delay_cost`](super::delay_cost). Two limits bound the waits that this order leaves open:
-//! long-running tasks go first once they have waited for [`MAX_LONG_RUNNING_WAIT`], and steps
+//! long-running tasks rise while they wait, and go first after [`MAX_LONG_RUNNING_WAIT`] if there is
+//! capacity for them, and steps
 //! whose callers no longer wait are placed in the order of their latest starts: with the least
 //! work first, the largest would wait for as long as smaller ones follow.
 
@@ -13,10 +14,19 @@
 use super::job_spec::{Step, StepKey};
 use crate::model::{Span, Time};
 
-/// Wait after which a long-running task goes before all others. It has to run again within 6 s of
-/// the end of its last run, and the rest is for its start.
+/// Wait after which a long-running task goes before all others if the workers have capacity for it. It
+/// then has to run again within 6 s of the end of its last run, and the rest is for its start.
 const MAX_LONG_RUNNING_WAIT: Span = Span::from_secs(3);
 
+/// What a rank depends on besides the job itself.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RankContext {
+    /// Whether the customer of the job uses more than its share.
+    pub(crate) beyond_share: bool,
+    /// Whether the workers together have more free capacity than short tasks need.
+    pub(crate) spare_capacity: bool,
+}
+
 /// Rank of a step; steps are placed in ascending order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct StepRank {
@@ -74,13 +84,12 @@
     Span::from_micros(scaled as u64) + queue.target_duration
 }
 
-/// Ranks a step of an occurrence. `beyond_share` says that the customer of the job uses more than
-/// its share.
+/// Ranks a step of an occurrence.
 pub(crate) fn rank(
     job: &Job,
     occurrence: &Occurrence,
     step: usize,
-    beyond_share: bool,
+    context: RankContext,
     now: Time,
 ) -> StepRank {
     let spec = job.record.spec.steps.get(step);
@@ -97,13 +106,11 @@
     } else {
         Timeliness::Overdue
     };
-    let is_due = || {
-        let wait = occurrence.steps.get(step).and_then(|s| s.longest_wait(now));
-        wait.is_some_and(|w| w >= MAX_LONG_RUNNING_WAIT)
-    };
+    let state = occurrence.steps.get(step).filter(|_| long_running);
+    let wait = state.and_then(|s| s.longest_wait(now)).unwrap_or_default();
     let turn = match timeliness {
         Timeliness::Overdue => Turn::Overdue,
-        _ if long_running && is_due() => Turn::Due,
+        _ if wait >= MAX_LONG_RUNNING_WAIT && context.spare_capacity => Turn::Due,
         _ => Turn::ByCost,
     };
     let priority = job.record.queue.priority;
@@ -114,11 +121,12 @@
                 Some(spec) => long_running_work(spec),
                 None => job.remaining_work(occurrence),
             };
-            (DelayCost::new(priority, timeliness, work), 0)
+            let cost = DelayCost::new(priority, timeliness, work);
+            (cost.after_pause(wait), 0)
         }
     };
     StepRank {
-        beyond_share: beyond_share && !long_running,
+        beyond_share: context.beyond_share && !long_running,
         turn,
         cost: Reverse(cost),
         priority,
--- a/crates/jujubelb/src/dispatch/starts.rs
+++ b/crates/jujubelb/src/dispatch/starts.rs
@@ -238,7 +238,7 @@
     /// Whether the workers in use together have more free capacity than short tasks need.
     /// Waiting long-running tasks may then use the reserve of a single worker, because
     /// short tasks find capacity on another one.
-    fn has_spare_capacity(&self) -> bool {
+    pub(super) fn has_spare_capacity(&self) -> bool {
         let in_use = self.workers.values().filter(|w| w.fenced && w.listed);
         let (capacity, reserved) = in_use.fold((0, 0), |(capacity, reserved), w| {
             (
--- /dev/null
+++ b/crates/jujubelb/src/dispatch/tests/delay_costs.rs
@@ -0,0 +1,174 @@
+//! Who waits when there is too little room: what callers of each kind of work get.
+
+use super::{Simulation, job, long_running, step};
+use crate::dispatch::job_spec::{JobKey, JobRecord, Step};
+use crate::model::Span;
+
+/// Longest time that a long-running task may be without a run while a worker has room for it.
+const MAX_LONG_RUNNING_PAUSE: Span = Span::from_secs(6);
+
+/// An urgent job of so many tasks of 8 cores and half a second.
+fn urgent(tasks: u32) -> JobRecord {
+    job(0, vec![step(tasks, 8, Span::from_millis(500))])
+}
+
+fn batch(tasks: u32) -> JobRecord {
+    job(2, vec![step(tasks, 8, Span::from_secs(2))])
+}
+
+fn is_done(sim: &Simulation, key: JobKey) -> bool {
+    sim.completed.contains_key(&key)
+}
+
+/// Guards against a late urgent job that waits for as long as batches arrive that can be in time.
+/// Load: a worker of 8 places gets 16 places of batches every 2 s, each with an objective of 4.5 s.
+#[test]
+fn a_late_urgent_job_does_not_wait_for_a_stream_of_batches() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![step(8, 8, Span::from_secs(4))]));
+    sim.run(Span::from_millis(200));
+    let late = sim.submit(2, urgent(4));
+    for id in 10..16 {
+        sim.submit(2 * id, batch(8));
+        sim.submit(2 * id + 1, batch(8));
+        sim.run(Span::from_secs(1));
+        if id >= 14 {
+            // The worker is free after 4 s, and a run of the job takes 0.5 s.
+            assert!(is_done(&sim, late));
+        }
+    }
+}
+
+/// Guards against a large urgent job that smaller late ones of its priority pass for ever.
+/// Load: a worker of 8 places with work for 16 in each second, half of it late at once.
+#[test]
+fn small_late_jobs_do_not_pass_a_large_one_that_can_be_in_time() {
+    let mut sim = Simulation::new(1);
+    let occupied = sim.submit(1, job(0, vec![step(8, 8, Span::from_millis(1_500))]));
+    sim.run(Span::from_millis(100));
+    let small: Vec<_> = (2..18).map(|id| sim.submit(id, urgent(1))).collect();
+    sim.run(Span::from_millis(1_000));
+    let large = sim.submit(20, urgent(8));
+    sim.run(Span::from_millis(1_300));
+    assert!(is_done(&sim, occupied) && is_done(&sim, large));
+    sim.run(Span::from_secs(2));
+    assert!(small.iter().all(|k| is_done(&sim, *k)));
+}
+
+/// Longest wait of a long-running task under two workers of 8 places each to which urgent jobs of 4
+/// places and half a second come, so many in each half second, for a minute.
+fn long_running_wait(urgent_jobs: u64) -> Span {
+    let mut sim = Simulation::new(2);
+    let mut lasting = None;
+    let mut waited = Span::ZERO;
+    for tick in 0..600 {
+        let at = sim.now;
+        if tick % 5 == 0 {
+            for i in 0..urgent_jobs {
+                sim.submit(1_000 + 10 * tick + i, urgent(4));
+            }
+        }
+        if tick == 50 {
+            lasting = Some(sim.submit(1, job(0, vec![long_running(2, 8)])));
+        }
+        sim.run(Span::from_millis(100));
+        if lasting.is_some_and(|key| sim.running(key) < 2) {
+            waited += sim.now.since(at);
+        }
+    }
+    waited
+}
+
+/// Guards against long-running tasks that wait for longer than they may while there is capacity for
+/// them, and without a bound under full load. Loads: urgent work for three quarters of the room, and for
+/// all of it.
+#[test]
+fn long_running_tasks_start_within_their_bound_beside_urgent_work() {
+    let [partial, full] = [3, 4].map(long_running_wait);
+    assert!(partial <= MAX_LONG_RUNNING_PAUSE, "{partial}");
+    assert!(full <= Span::from_secs(40), "{full}");
+}
+
+/// Guards against overdue jobs without an end. Load: a worker with 80 % of its room taken by
+/// urgent work, and batches that are overdue from the beginning.
+#[test]
+fn overdue_jobs_end_beside_urgent_work() {
+    let mut sim = Simulation::new(1);
+    let overdue: Vec<_> = (1..7).map(|id| sim.submit(id, batch(16))).collect();
+    for id in 10..80 {
+        sim.submit(id, urgent(6));
+        sim.run(Span::from_millis(500));
+    }
+    sim.run(Span::from_secs(20));
+    assert!(overdue.iter().all(|k| is_done(&sim, *k)));
+}
+
+/// Guards against urgent jobs that find no room because long-running tasks, which keep theirs,
+/// start first. Load: long-running tasks for twice the room beside late urgent jobs.
+#[test]
+fn late_urgent_jobs_start_before_long_running_tasks() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![step(8, 8, Span::from_secs(3))]));
+    sim.run(Span::from_millis(800));
+    let late = sim.submit(2, urgent(8));
+    sim.run(Span::from_millis(1_000));
+    let lasting = sim.submit(3, job(0, vec![long_running(16, 8)]));
+    sim.run(Span::from_millis(2_400));
+    assert!(is_done(&sim, late));
+    sim.run(MAX_LONG_RUNNING_PAUSE);
+    assert!(sim.running(lasting) > 0);
+}
+
+/// Guards against an order of equal steps that depends on how the leader learned of them: a
+/// new leader reads the records in another order, and jobs would change places with each term.
+#[test]
+fn leaders_rank_equal_jobs_alike() {
+    let places = |ids: [u64; 6]| {
+        let mut sim = Simulation::new(1);
+        sim.run(Span::from_millis(500));
+        for id in ids {
+            sim.submit(id, urgent(8));
+        }
+        sim.run(Span::from_secs(5));
+        let mut order: Vec<u64> = sim.starts.iter().map(|(_, _, t, _)| t.step.job.0).collect();
+        order.dedup();
+        order
+    };
+    assert_eq!(places([1, 2, 3, 4, 5, 6]), places([6, 2, 5, 1, 4, 3]));
+}
+
+/// Guards against a cost that differs with what the leader has learned in its term. Load: urgent,
+/// batch and long-running work for three times the room, taken over by a second leader.
+#[test]
+fn a_new_leader_ranks_as_the_one_before() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![step(8, 8, Span::from_secs(60))]));
+    sim.run(Span::from_millis(500));
+    for id in 10..16 {
+        sim.submit(id, urgent(1 + id as u32 % 3));
+        sim.submit(id + 10, batch(2 + id as u32 % 4));
+    }
+    let two_steps = |first: Step, second: Step| {
+        let after = vec![0];
+        vec![first, Step { after, ..second }]
+    };
+    let chain = two_steps(
+        step(3, 8, Span::from_secs(1)),
+        step(1, 8, Span::from_secs(1)),
+    );
+    sim.submit(40, job(1, chain));
+    sim.run(Span::from_millis(1_500));
+    let before = sim.dispatcher.ranked_steps(sim.now);
+    sim.replace_leader(true);
+    let arrived = sim.dispatcher.last_arrival();
+    sim.dispatcher.term_confirmed(arrived);
+    let after = sim.dispatcher.ranked_steps(sim.now);
+    let keys = |ranked: Vec<(_, _)>| ranked.into_iter().map(|(_, k)| k).collect::<Vec<_>>();
+    // The first job runs, which the second leader does not know yet.
+    let after: Vec<_> = keys(after)
+        .into_iter()
+        .filter(|k| k.job != JobKey(1))
+        .collect();
+    assert_eq!(keys(before), after);
+    assert_eq!(after.len(), 13);
+}
--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -7,6 +7,7 @@
 mod confirmation;
 mod crash_evidence;
 mod crashes;
+mod delay_costs;
 mod encoding;
 mod extreme_jobs;
 mod flapping_workers;
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -11,7 +11,7 @@
 use super::crash::Isolation;
 use super::job_spec::StepKey;
 use super::placement::PlacementRequest;
-use super::rank;
+use super::rank::{self, RankContext};
 use super::worker::{Incarnation, Worker};
 use crate::model::{Span, Time, WorkerName};
 
@@ -81,6 +81,7 @@
             let job = self.jobs.get(&key.job);
             job.is_some_and(|j| j.record.queue.ticket_lifetime.is_some() && j.outcome.is_none())
         };
+        let spare_capacity = self.has_spare_capacity();
         let mut steps: Vec<_> = self
             .ready
             .iter()
@@ -92,8 +93,11 @@
                 let open =
                     occurrence.steps.get(step)?.waiting > 0 && job.is_step_ready(occurrence, step);
                 open.then(|| {
-                    let beyond_share = self.is_beyond_share(&job.record);
-                    (rank::rank(job, occurrence, step, beyond_share, now), *key)
+                    let context = RankContext {
+                        beyond_share: self.is_beyond_share(&job.record),
+                        spare_capacity,
+                    };
+                    (rank::rank(job, occurrence, step, context, now), *key)
                 })
             })
             .collect();
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -7,7 +7,7 @@
 use super::job::{Job, StepState, Task};
 use super::job_spec::{Step, StepKey};
 use super::placement::{Obstacle, PlacementRequest};
-use super::rank;
+use super::rank::{self, RankContext};
 use crate::model::{Span, Time};
 
 /// Wait of a step's oldest task at which the first line is logged; each further one is due when
@@ -110,8 +110,11 @@
         };
         let hold = self.hold(key, now).unwrap_or(Hold::Pause);
         let occurrence = job.occurrence(key.occurrence);
-        let beyond_share = self.is_beyond_share(&job.record);
-        let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), beyond_share, now));
+        let context = RankContext {
+            beyond_share: self.is_beyond_share(&job.record),
+            spare_capacity: self.has_spare_capacity(),
+        };
+        let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), context, now));
         let age = now.since(job.accepted);
         let starved = self.starved_refusals(key, now);
         let starved = starved.map_or_else(|| "no".to_owned(), |s| s.to_string());
