--- a/crates/jujubelb/src/dispatch/tests/mod.rs
+++ b/crates/jujubelb/src/dispatch/tests/mod.rs
@@ -8,6 +8,7 @@
 mod crash_evidence;
 mod crashes;
 mod customers;
+mod delay_costs;
 mod encoding;
 mod extreme_jobs;
 mod flapping_workers;
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -4,10 +4,10 @@
 
 use super::Dispatcher;
 use super::crash::Isolation;
-use super::job::{Job, StepState, Task, TaskState};
+use super::job::{Job, StepState, Task};
 use super::job_spec::{Step, StepKey};
 use super::placement::{Obstacle, PlacementRequest};
-use super::rank;
+use super::rank::{self, RankContext};
 use crate::model::{Span, Time};
 
 /// Wait of a step's oldest task at which the first line is logged; each further one is due when
@@ -84,13 +84,6 @@
     }
 }
 
-/// Time since the oldest waiting task of a step began to wait; `None` if no task waits.
-pub(super) fn longest_wait(step: &StepState, now: Time) -> Option<Span> {
-    let waiting = |t: &&Task| t.state == TaskState::Waiting;
-    let waits = step.tasks.iter().filter(waiting);
-    waits.map(|t| now.since(t.since)).max()
-}
-
 /// The wait at which a line is due after one at `reported`.
 fn next_report(reported: Span) -> Span {
     reported.scale_up(2, 1).max(FIRST_REPORT)
@@ -105,7 +98,7 @@
         self.waits_reported = now;
         let due = self.ready.iter().filter_map(|key| {
             let (_, state) = self.ready_step(*key)?;
-            let wait = longest_wait(state, now)?;
+            let wait = state.longest_wait(now)?;
             // The longest wait is shorter than the reported one after its task has started.
             let reported = Some(state.wait_reported).filter(|r| *r <= wait);
             let reported = reported.unwrap_or_default();
@@ -124,8 +117,11 @@
         };
         let hold = self.hold(key, now).unwrap_or(Hold::Pause);
         let occurrence = job.occurrence(key.occurrence);
-        let beyond_share = self.is_beyond_share(&job.record);
-        let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), beyond_share, now));
+        let context = RankContext {
+            beyond_share: self.is_beyond_share(&job.record),
+            spare_capacity: self.has_spare_capacity(),
+        };
+        let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), context, now));
         let age = now.since(job.accepted);
         let starved = self.starved_refusals(key, now);
         let starved = starved.map_or_else(|| "no".to_owned(), |s| s.to_string());
@@ -145,7 +141,7 @@
     pub(super) fn longest_ready_wait(&self, now: Time) -> Span {
         let ready = self.ready.iter().filter(|k| !self.is_step_limited(**k));
         let ready = ready.filter_map(|key| self.ready_step(*key));
-        let waits = ready.filter_map(|(_, state)| longest_wait(state, now));
+        let waits = ready.filter_map(|(_, state)| state.longest_wait(now));
         waits.max().unwrap_or_default()
     }
 
