--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -109,18 +109,26 @@
             return;
         };
         let hold = self.hold(key, now).unwrap_or(Hold::Pause);
-        let occurrence = job.occurrence(key.occurrence);
-        let context = RankContext {
-            beyond_share: self.is_beyond_share(&job.record),
-            spare_capacity: self.has_spare_capacity(),
+        let spare_capacity = self.has_spare_capacity();
+        let rank_of = |key: &StepKey| {
+            let (job, _) = self.ready_step(*key)?;
+            let occurrence = job.occurrence(key.occurrence)?;
+            let context = RankContext {
+                beyond_share: self.is_beyond_share(&job.record),
+                spare_capacity,
+            };
+            let step = usize::from(key.step);
+            Some(rank::rank(job, occurrence, step, context, now))
         };
-        let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), context, now));
+        let rank = rank_of(&key);
+        let ranks = self.ready.iter().filter_map(rank_of);
+        let before = ranks.filter(|r| rank.is_some_and(|own| *r < own)).count();
         let age = now.since(job.accepted);
         let starved = self.starved_refusals(key, now);
         let starved = starved.map_or_else(|| "no".to_owned(), |s| s.to_string());
         let (placed, paused) = self.placed_runs(key);
         let timely = self.timely_demand.highest();
-        log::info!(step:% = key, queue:% = job.record.queue.prefix, tasks = state.waiting, placed = placed, paused = paused, waited:% = wait, age:% = age, rank:? = rank, hold:% = hold, starved:% = starved, timely = timely; "step waits");
+        log::info!(step:% = key, queue:% = job.record.queue.prefix, tasks = state.waiting, placed = placed, paused = paused, waited:% = wait, age:% = age, rank:? = rank, before = before, hold:% = hold, starved:% = starved, timely = timely; "step waits");
         if let Some(state) = self
             .jobs
             .get_mut(&key.job)
