Ask another host for the configuration only for calls that depend on it

Each call of a deployment with customers waited for the question before its queue was looked up, also at public queues. While the last known leader took connections and did not answer, calls waited for up to 1 s in each 1.25 s. Now only calls to queues that need a key or are not known ask. After all hosts that can be asked have given no answer, none is asked for 1.5 s, and calls that arrive during a question after a failed one use the present evidence. While announced hosts are asked by turns, one without an answer does not delay the question to the next.

Both new tests fail on: the public queue asked, and the question was repeated within 400 ms. In a trial without the mark of a failed question, the second test fails, since the other calls wait.

--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -174,12 +174,13 @@
     data: Data<'_>,
     began: Time,
 ) -> CallerResponse {
-    let Some((config, evidence)) = current_config(node).await else {
-        return CallerResponse::unavailable("this host has not read its configuration yet");
-    };
     let host = request.headers().get_one("Host").unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
     let path = request.uri().path().as_str();
+    let needs_evidence = |c: &ActiveConfig| c.queue(host, path).is_none_or(|q| q.needs_key);
+    let Some((config, evidence)) = current_config(node, needs_evidence).await else {
+        return CallerResponse::unavailable("this host has not read its configuration yet");
+    };
     let Some(queue) = config.queue(host, path) else {
         log::info!(host = host, path = path, version = config.operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), in_force = evidence.in_force; "no such queue");
         return match evidence.in_force {
--- a/crates/jujubelb/src/node/config_check.rs
+++ b/crates/jujubelb/src/node/config_check.rs
@@ -19,14 +19,20 @@
 }
 
 /// The active configuration, and what shows that it is the newest; `None` until one was read.
-/// Reads it from the store if the watch has not shown for too long which one is the newest, and,
-/// in a deployment with customers, asks another host if the store does not answer. Known queues
-/// are served without that.
-pub(crate) async fn current_config(node: &Node) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
+/// Reads it from the store if the watch has not shown for too long which one is the newest. In a
+/// deployment with customers, asks another host if the store does not answer and `needs_evidence`
+/// says that the answer to the caller depends on it, since that can take seconds.
+pub(crate) async fn current_config(
+    node: &Node,
+    needs_evidence: impl FnOnce(&ActiveConfig) -> bool,
+) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
     if node.is_config_overdue() && !node.is_store_lost() && node.config().is_some() {
         read_config(node).await;
     }
-    if node.has_customers() && node.is_config_overdue() {
+    if node.has_customers()
+        && node.is_config_overdue()
+        && node.config().is_some_and(|c| needs_evidence(&c))
+    {
         ask_other_host(node).await;
     }
     node.config_with_evidence()
--- a/crates/jujubelb/src/node/config_exchange.rs
+++ b/crates/jujubelb/src/node/config_exchange.rs
@@ -2,6 +2,7 @@
 //! withdrawn key stops working here too.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +15,10 @@
 /// Time after a question in which none is asked, which limits the load on the host that is asked.
 const QUESTION_PAUSE: Span = Span::from_millis(250);
 
+/// Time in which none is asked after all hosts that can be asked have given no answer. Longer than
+/// a question's timeout, so that calls are delayed for less than half of the time.
+const NO_ANSWER_PAUSE: Span = Span::from_millis(1_500);
+
 /// Timeout of a question. The largest configuration has 1 MiB, which takes 0.9 s on a link of
 /// 10 Mbit/s.
 const QUESTION_TIMEOUT: Span = Span::from_millis(1_000);
@@ -82,11 +87,24 @@
     }
 }
 
-/// The questions of this host to others.
+/// The questions of this host to others, one at a time.
 #[derive(Debug, Default)]
 pub(crate) struct ConfigQuestions {
+    turns: tokio::sync::Mutex<QuestionTurns>,
+    /// Whether the last question had no answer. Outside of the lock, which the task that asks
+    /// holds until the answer.
+    has_failed: AtomicBool,
+}
+
+/// Which host is asked next, and when.
+#[derive(Debug, Default)]
+struct QuestionTurns {
     /// When the last question ended.
     last_end: Option<Time>,
+    /// Consecutive questions without an answer.
+    failures: usize,
+    /// Number of hosts of which the last one asked was chosen.
+    hosts: usize,
     /// Hosts that announced themselves when this host led. Of use after its term, while the store
     /// does not name another leader.
     announced: Vec<SocketAddr>,
@@ -94,7 +112,17 @@
     count: usize,
 }
 
-impl ConfigQuestions {
+impl QuestionTurns {
+    /// Whether none is to be asked yet, because the last question has just ended.
+    fn is_paused(&self, now: Time) -> bool {
+        // A host that does not answer does not delay the question to the next one.
+        let pause = match self.failures > 0 && self.failures >= self.hosts {
+            true => NO_ANSWER_PAUSE,
+            false => QUESTION_PAUSE,
+        };
+        self.last_end.is_some_and(|ended| now.since(ended) < pause)
+    }
+
     /// The host to ask next: the leader or, by the leader and without another one, those that have
     /// announced themselves, by turns.
     fn next_host(&mut self, node: &Node) -> Option<SocketAddr> {
@@ -103,30 +131,43 @@
             let others = hosts.filter(|h| h.host != node.settings.host);
             self.announced = others.map(|h| h.peer_address).collect();
         } else if let Some(leader) = node.remote_leader() {
+            self.hosts = 1;
             return Some(leader.peer_address);
         }
-        let turn = self.count.checked_rem(self.announced.len())?;
+        self.hosts = self.announced.len();
+        let turn = self.count.checked_rem(self.hosts)?;
         self.count = self.count.wrapping_add(1);
         Some(self.announced[turn])
     }
 }
 
 /// Asks another host for the configuration if this one has no recent evidence. All requests that
-/// wait for it share one question.
+/// wait for it share one question. None waits for a question that follows one without an answer,
+/// which is likely to have none either.
 pub(crate) async fn ask_other_host(node: &Node) {
-    let mut questions = node.config_questions.lock().await;
+    let questions = &node.config_questions;
+    let mut turns = match questions.turns.try_lock() {
+        Ok(turns) => turns,
+        Err(_) if questions.has_failed.load(SeqCst) => return,
+        Err(_) => questions.turns.lock().await,
+    };
     let sent = node.now();
-    let has_just_ended = |ended| sent.since(ended) < QUESTION_PAUSE;
-    if !node.is_config_overdue() || questions.last_end.is_some_and(has_just_ended) {
+    if !node.is_config_overdue() || turns.is_paused(sent) {
         return;
     }
-    let Some(host) = questions.next_host(node) else {
+    let Some(host) = turns.next_host(node) else {
         return;
     };
     let before = node.config_age().map(|a| a.to_string());
     let known = node.config().map_or(0, |c| c.operator.version);
     let request = PeerRequest::KnownConfig(known);
-    let (version, error) = match peers::call_peer(node, host, &request, QUESTION_TIMEOUT).await {
+    let answer = peers::call_peer(node, host, &request, QUESTION_TIMEOUT).await;
+    turns.failures = match &answer {
+        Ok(_) => 0,
+        Err(_) => turns.failures.saturating_add(1),
+    };
+    questions.has_failed.store(answer.is_err(), SeqCst);
+    let (version, error) = match answer {
         Ok(PeerResponse::KnownConfig(Some(report))) => {
             let version = report.version;
             node.learn_config(report, sent);
@@ -135,7 +176,7 @@
         Ok(_) => (None, Some("it knows no configuration".to_owned())),
         Err(error) => (None, Some(error.to_string())),
     };
-    questions.last_end = Some(node.now());
+    turns.last_end = Some(node.now());
     let is_confirmed = !node.is_config_overdue();
     log::info!(asked:% = host, known = known, version:? = version, before:? = before, confirmed = is_confirmed, error:? = error, took:% = node.now().since(sent); "another host asked for the configuration");
 }
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -107,8 +107,8 @@
     config: Mutex<KnownConfig>,
     /// Reads of the configuration by requests, one at a time.
     pub(crate) config_reads: tokio::sync::Mutex<ConfigReads>,
-    /// Questions for the configuration to other hosts, one at a time.
-    pub(crate) config_questions: tokio::sync::Mutex<ConfigQuestions>,
+    /// Questions for the configuration to other hosts.
+    pub(crate) config_questions: ConfigQuestions,
     evacuated: Mutex<IndexSet<DomainName>>,
     /// When the last call was sent whose answer has shown all evacuated domains.
     evacuations_proven: Mutex<Option<Time>>,
@@ -145,7 +145,7 @@
             metrics: NodeMetrics::new(registry),
             config: Mutex::default(),
             config_reads: tokio::sync::Mutex::default(),
-            config_questions: tokio::sync::Mutex::default(),
+            config_questions: ConfigQuestions::default(),
             evacuated: Mutex::new(IndexSet::new()),
             evacuations_proven: Mutex::new(None),
             operator_demand: EvidenceDemand::default(),
--- a/crates/jujubelb/src/node/tests/customer_keys.rs
+++ b/crates/jujubelb/src/node/tests/customer_keys.rs
@@ -216,6 +216,55 @@
     assert_eq!(refused, Status::ServiceUnavailable);
 }
 
+/// A host that takes connections and never answers. The listener doesn't block.
+fn silent_host() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Guards against a call to a public queue that waits for another host, whose answer changes
+/// nothing.
+#[tokio::test]
+async fn a_call_to_a_public_queue_asks_no_other_host() {
+    let node = host(nowhere(), 1);
+    let (listener, address) = silent_host();
+    follow(&node, address);
+    // Served by the queue: a job can't be read from a store that is not there.
+    let (_, body) = call(&node, Method::Post, "/open/5c0e7a21d94b36f8", "").await;
+    assert!(body.contains("can't be decoded"), "{body}");
+    assert!(listener.accept().is_err(), "another host was asked");
+}
+
+/// Guards against calls that all wait, over and over, for a host that does not answer.
+#[tokio::test]
+async fn a_host_without_an_answer_delays_one_call_at_a_time() {
+    let node = host(nowhere(), 1);
+    follow(&node, nowhere());
+    assert_eq!(count(&node, "k1").await, Status::Ok);
+    let (listener, address) = silent_host();
+    follow(&node, address);
+    let write = || call(&node, Method::Post, "/q1/5c0e7a21d94b36f8", "k1");
+    tokio::time::sleep(Span::from_millis(400).to_std()).await;
+    assert_eq!(write().await.0, Status::ServiceUnavailable);
+    assert!(listener.accept().is_err(), "asked again within the pause");
+    tokio::time::sleep(Span::from_millis(1_200).to_std()).await;
+    let asking = async {
+        write().await;
+        panic!("a silent host has answered");
+    };
+    let others = async {
+        while listener.accept().is_err() {
+            tokio::time::sleep(Span::from_millis(5).to_std()).await;
+        }
+        for _ in 0..2 {
+            assert_eq!(write().await.0, Status::ServiceUnavailable);
+        }
+    };
+    tokio::select! { () = asking => {}, () = others => {} }
+}
+
 /// Guards against evidence of a host that is behind, or that has none, which would keep a withdrawn
 /// key in use.
 #[tokio::test]
@@ -227,7 +276,7 @@
             other.confirm_config(other.now());
         }
         follow(&node, serve_peers(&other).await);
-        let (active, evidence) = current_config(&node).await.unwrap();
+        let (active, evidence) = current_config(&node, |_| true).await.unwrap();
         assert!(!evidence.is_recent, "from version {version}");
         assert_eq!(active.operator.version, 2);
     }
@@ -268,7 +317,7 @@
     other.confirm_config(other.now());
     let address = serve_peers(&other).await;
     lead(&node, &[nowhere(), address]).await;
-    let _ = current_config(&node).await;
+    let _ = current_config(&node, |_| true).await;
     assert_eq!(node.config().unwrap().operator.version, 1);
     node.set_active_term(None);
     tokio::time::sleep(Span::from_millis(260).to_std()).await;
