Keep an unreadable configuration in mind until one of its revision follows

The activation of any higher version cleared the mark, also that of a configuration older than the unreadable one. A key that only the unreadable one holds was then answered 401 instead of 503. The revision of the unreadable one is kept, and counts while the active one is older. An item whose revision is unknown, or whose key is and that is newer than the active configuration, counts until a read of the configuration's key; requests make this read also while the evidence is recent.

--- a/crates/jujubelb/src/node/config_check.rs
+++ b/crates/jujubelb/src/node/config_check.rs
@@ -19,14 +19,15 @@
 }
 
 /// The active configuration, and what shows that it is the newest; `None` until one was read.
-/// Reads it from the store if the watch has not shown for too long which one is the newest. In a
+/// Reads it from the store if the watch has not shown for too long which one is the newest, or has
+/// shown an item that may be a newer one and can't be decoded. In a
 /// deployment with customers, asks another host if the store does not answer and `needs_evidence`
 /// says that the answer to the caller depends on it, since that can take seconds.
 pub(crate) async fn current_config(
     node: &Node,
     needs_evidence: impl FnOnce(&ActiveConfig) -> bool,
 ) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
-    if node.is_config_overdue() && !node.is_store_lost() && node.config().is_some() {
+    if node.is_config_read_needed() && !node.is_store_lost() && node.config().is_some() {
         read_config(node).await;
     }
     if node.has_customers()
@@ -43,7 +44,7 @@
     let mut reads = node.config_reads.lock().await;
     let sent = node.now();
     let has_just_failed = |failed| sent.since(failed) < READ_PAUSE;
-    if !node.is_config_overdue() || reads.last_failure.is_some_and(has_just_failed) {
+    if !node.is_config_read_needed() || reads.last_failure.is_some_and(has_just_failed) {
         return;
     }
     let age = node.config_age().map(|a| a.to_string());
@@ -62,7 +63,9 @@
     sent: Time,
     result: Result<Option<KeyState>, CallError>,
 ) -> Result<(), CallError> {
-    if let Some(item) = result? {
+    let found = result?;
+    node.settle_config_doubt(sent);
+    if let Some(item) = found {
         apply_config(node, &item);
     }
     node.confirm_config(sent);
--- a/crates/jujubelb/src/node/known_config.rs
+++ b/crates/jujubelb/src/node/known_config.rs
@@ -68,8 +68,12 @@
     /// itself may have come later by the wait of a watch, and changes made meanwhile may be
     /// missing in it.
     proven: Option<Time>,
-    /// Whether a configuration follows the active one and can't be decoded.
-    superseded: bool,
+    /// Highest revision of a configuration that can't be decoded; zero if there was none. Counts
+    /// while the active one is older.
+    unreadable: Revision,
+    /// When an item was seen last that can't be decoded and may be a newer configuration. Its key
+    /// or its revision is unknown, so only a read of the configuration's key shows what follows.
+    doubted: Option<Time>,
 }
 
 impl KnownConfig {
@@ -84,17 +88,42 @@
         if known.is_some_and(|v| v >= operator.version) {
             return;
         }
-        self.superseded = false;
         log::info!(version = operator.version, revision = revision.0, before:? = known, queues = operator.queues.len(), unreadable = operator.unreadable; "configuration activated");
         self.active = Some(Arc::new(ActiveConfig::new(operator, revision)));
     }
 
-    /// Records that the configuration of a revision can't be decoded; zero if the revision can't
-    /// be read either. Answers may arrive out of order, so it may be older than the active one.
+    /// Records that the configuration of a revision can't be decoded. Answers may arrive out of
+    /// order, so it may be older than the active one.
     pub(crate) fn mark_unreadable(&mut self, revision: Revision) {
+        self.unreadable = self.unreadable.max(revision);
+    }
+
+    /// Records that an item was seen at this time that can't be decoded and may be a newer
+    /// configuration. Its revision is zero if it can't be read either.
+    pub(crate) fn mark_doubtful(&mut self, revision: Revision, seen: Time) {
         let active = self.active.as_ref().map(|c| c.revision);
         let is_unknown = revision == Revision::default();
-        self.superseded |= is_unknown || active.is_none_or(|known| known < revision);
+        if is_unknown || active.is_none_or(|known| known < revision) {
+            self.doubted = self.doubted.max(Some(seen));
+        }
+    }
+
+    /// Records that a read of the configuration's key was sent at this time and answered, which
+    /// shows what the items are that were seen before and can't be decoded.
+    pub(crate) fn settle_doubt(&mut self, sent: Time) {
+        self.doubted = self.doubted.filter(|seen| *seen >= sent);
+    }
+
+    /// Whether an item that can't be decoded may be a newer configuration, until the
+    /// configuration's key is read.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.doubted.is_some()
+    }
+
+    /// Whether a configuration follows the active one, or may, and can't be decoded.
+    fn is_superseded(&self) -> bool {
+        let active = self.active.as_ref().map(|c| c.revision);
+        self.is_doubtful() || active.unwrap_or_default() < self.unreadable
     }
 
     /// Records that a call sent at this time has shown the newest configuration.
@@ -135,10 +164,10 @@
         let is_recent = !self.is_overdue(now, bound);
         ConfigEvidence {
             in_force: self.active.as_ref().is_some_and(is_complete)
-                && !self.superseded
+                && !self.is_superseded()
                 && is_recent,
             is_recent,
-            superseded: self.superseded,
+            superseded: self.is_superseded(),
         }
     }
 
@@ -150,7 +179,7 @@
         Some(ConfigReport {
             version: operator.version,
             revision: active.revision,
-            age: self.evidence_age(now).filter(|_| !self.superseded),
+            age: self.evidence_age(now).filter(|_| !self.is_superseded()),
             newer: (operator.version > known).then(|| Box::new(ConfigCopy::new(operator))),
         })
     }
--- a/crates/jujubelb/src/node/main.rs
+++ b/crates/jujubelb/src/node/main.rs
@@ -203,7 +203,7 @@
     }
     if let Some(item) = items.iter().find(|i| i.key.is_empty()) {
         // It may be a newer configuration.
-        node.mark_config_unreadable(item.revision);
+        node.mark_config_doubtful(item.revision);
     }
     node.change_evacuated(|domains| {
         if all {
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -185,11 +185,26 @@
         lock(&self.config).activate(operator, revision);
     }
 
-    /// Records that the configuration of a revision can't be decoded.
+    /// Records that the configuration of a revision can't be decoded; zero if the revision can't
+    /// be read either.
     pub(crate) fn mark_config_unreadable(&self, revision: Revision) {
+        if revision == Revision::default() {
+            return self.mark_config_doubtful(revision);
+        }
         lock(&self.config).mark_unreadable(revision);
     }
 
+    /// Records an item that can't be decoded and may be a newer configuration.
+    pub(crate) fn mark_config_doubtful(&self, revision: Revision) {
+        let now = self.now();
+        lock(&self.config).mark_doubtful(revision, now);
+    }
+
+    /// Records that a read of the configuration's key sent at this time was answered.
+    pub(crate) fn settle_config_doubt(&self, sent: Time) {
+        lock(&self.config).settle_doubt(sent);
+    }
+
     /// Records that a call to the store sent at this time has shown the newest configuration.
     pub(crate) fn confirm_config(&self, sent: Time) {
         lock(&self.config).confirm(sent);
@@ -235,6 +250,12 @@
         config.is_overdue(now, self.evidence_bound(&config))
     }
 
+    /// Whether the configuration's key has to be read: there is no recent evidence, or an item
+    /// that can't be decoded may be a newer configuration.
+    pub(crate) fn is_config_read_needed(&self) -> bool {
+        self.is_config_overdue() || lock(&self.config).is_doubtful()
+    }
+
     /// The active configuration, and what shows that it is the newest; `None` until one was
     /// read.
     pub(crate) fn config_with_evidence(&self) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
--- a/crates/jujubelb/src/node/tests/config_evidence.rs
+++ b/crates/jujubelb/src/node/tests/config_evidence.rs
@@ -142,6 +142,48 @@
     assert!(known.evidence(at(1_100), BOUND).in_force);
 }
 
+/// Guards against a 401 or 404 by an older configuration that arrives after one that can't be
+/// decoded: from another host, or in a late answer of the store.
+#[test]
+fn a_configuration_before_an_unreadable_one_is_not_in_force() {
+    let mut known = KnownConfig::default();
+    known.activate(operator(1), Revision(10));
+    known.mark_unreadable(Revision(30));
+    known.confirm(at(1_000));
+    known.activate(operator(2), Revision(20));
+    assert_eq!(known.active().unwrap().operator.version, 2);
+    let evidence = known.evidence(at(1_100), BOUND);
+    assert!(!evidence.in_force && evidence.superseded);
+    // An older item that can't be decoded changes nothing.
+    known.mark_unreadable(Revision(25));
+    known.activate(operator(3), Revision(27));
+    assert!(!known.evidence(at(1_100), BOUND).in_force);
+    known.activate(operator(4), Revision(31));
+    let evidence = known.evidence(at(1_100), BOUND);
+    assert!(evidence.in_force && !evidence.superseded);
+}
+
+/// Guards against an unreadable item of the operator that is forgotten with the next
+/// configuration, and against one that is in the way for good.
+#[tokio::test]
+async fn an_unreadable_item_of_unknown_revision_counts_until_the_store_is_read() {
+    let (node, store) = node_with_old_config().await;
+    node.confirm_config(node.now());
+    let item = KeyState {
+        key: String::new(),
+        value: Some(Vec::new()),
+        revision: Revision::default(),
+    };
+    apply_operator_keys(&node, WatchEvent::Changes(vec![item]));
+    node.set_config(operator(2), Revision(2));
+    assert!(!node.config_with_evidence().unwrap().1.in_force);
+    store.version.send_replace(2);
+    let caller = caller(&node).await;
+    let (status, ..) = ask(&caller, "/q3/").await;
+    assert_eq!(status, Status::NotFound);
+    assert_eq!(store.answered("/kv-key"), 1);
+}
+
 /// Guards against a 404 for a queue that the newest configuration has and that can't be decoded.
 #[test]
 fn a_queue_that_cannot_be_decoded_is_no_missing_one() {
