Bound the log lines for refused calls

Callers without a key could bring about a line for each call. There is now one line a cause in 500 ms, with the number of calls since the last one. The metric still counts each call.

The new test covers the count and the pause.

--- a/crates/jujubelb/src/node/access.rs
+++ b/crates/jujubelb/src/node/access.rs
@@ -1,11 +1,16 @@
 //! Decides whether a call may use a queue, by the key that it presents.
 
 use derive_more::Display;
+use indexmap::IndexMap;
 
 use super::known_config::ConfigEvidence;
-use crate::model::CustomerName;
+use crate::model::{CustomerName, Span, Time};
 use crate::platform::{KeyDigest, OperatorConfig, QueueConfig};
 
+/// Shortest time between two log lines for calls refused for the same cause. Callers without a
+/// key can bring about any number of these calls.
+const REFUSAL_LINE_PAUSE: Span = Span::from_millis(500);
+
 /// What a call does to jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CallKind {
@@ -14,7 +19,7 @@
 }
 
 /// Why a call is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 #[display(rename_all = "snake_case")]
 pub(crate) enum AccessCause {
     /// The queue needs a key, and there is none.
@@ -38,6 +43,33 @@
     Refused(AccessCause, Option<&'a CustomerName>),
 }
 
+/// Bounds the log lines for refused calls.
+#[derive(Debug, Default)]
+pub(crate) struct RefusalLog(IndexMap<AccessCause, RefusalCount>);
+
+/// The refused calls of one cause.
+#[derive(Debug, Default)]
+struct RefusalCount {
+    last_line: Option<Time>,
+    /// Number of calls since that line.
+    calls: u64,
+}
+
+impl RefusalLog {
+    /// Counts a refused call. Returns the number of calls since the last line for this cause,
+    /// with this one, if a line is due.
+    pub(crate) fn count(&mut self, cause: AccessCause, now: Time) -> Option<u64> {
+        let count = self.0.entry(cause).or_default();
+        count.calls += 1;
+        let is_recent = |line| now.since(line) < REFUSAL_LINE_PAUSE;
+        if count.last_line.is_some_and(is_recent) {
+            return None;
+        }
+        count.last_line = Some(now);
+        Some(std::mem::take(&mut count.calls))
+    }
+}
+
 /// Decides on a call by the active configuration and the evidence that it is the newest. `strict`
 /// says that a key is of no use while it may have been withdrawn; otherwise reads are served.
 pub(crate) fn decide<'a>(
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -251,7 +251,9 @@
         Access::Customer(customer) => return Ok(Some(customer)),
         Access::Refused(cause, customer) => (cause, customer),
     };
-    log::info!(queue:% = queue.settings.prefix, method:% = request.method(), cause:% = cause, customer:? = customer.map(CustomerName::as_str), version = operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), store_lost = node.is_store_lost(); "call refused for its key");
+    if let Some(calls) = lock(&node.refusal_log).count(cause, node.now()) {
+        log::info!(calls = calls, queue:% = queue.settings.prefix, method:% = request.method(), cause:% = cause, customer:? = customer.map(CustomerName::as_str), version = operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), store_lost = node.is_store_lost(); "call refused for its key");
+    }
     let label = KeyValue::new("cause", cause.to_string());
     node.metrics.access_refusals.add(1, &[label]);
     Err(CallerResponse::access_refused(cause))
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 
 use super::HostSettings;
+use super::access::RefusalLog;
 use super::config_check::ConfigReads;
 use super::config_exchange::{ConfigQuestions, ConfigReport};
 use super::keys::Leader;
@@ -109,6 +110,8 @@
     pub(crate) config_reads: tokio::sync::Mutex<ConfigReads>,
     /// Questions for the configuration to other hosts.
     pub(crate) config_questions: ConfigQuestions,
+    /// Log lines for calls that are refused for their key.
+    pub(crate) refusal_log: Mutex<RefusalLog>,
     evacuated: Mutex<IndexSet<DomainName>>,
     /// When the last call was sent whose answer has shown all evacuated domains.
     evacuations_proven: Mutex<Option<Time>>,
@@ -146,6 +149,7 @@
             config: Mutex::default(),
             config_reads: tokio::sync::Mutex::default(),
             config_questions: ConfigQuestions::default(),
+            refusal_log: Mutex::default(),
             evacuated: Mutex::new(IndexSet::new()),
             evacuations_proven: Mutex::new(None),
             operator_demand: EvidenceDemand::default(),
--- a/crates/jujubelb/src/node/tests/access.rs
+++ b/crates/jujubelb/src/node/tests/access.rs
@@ -1,8 +1,8 @@
 //! Decisions on the keys of callers.
 
-use super::super::access::{Access, AccessCause, CallKind, decide};
+use super::super::access::{Access, AccessCause, CallKind, RefusalLog, decide};
 use super::super::known_config::ConfigEvidence;
-use crate::model::CustomerName;
+use crate::model::{CustomerName, Span, Time};
 use crate::platform::{KeyDigest, OperatorConfig, decode_config};
 
 const IN_FORCE: ConfigEvidence = ConfigEvidence {
@@ -114,3 +114,17 @@
         }
     }
 }
+
+/// Guards against a log line for each call without a key, and against calls that no line counts.
+#[test]
+fn refused_calls_share_a_log_line() {
+    let at = |ms| Time::ZERO + Span::from_millis(ms);
+    let mut log = RefusalLog::default();
+    assert_eq!(log.count(AccessCause::Missing, at(0)), Some(1));
+    for ms in 1..500 {
+        assert_eq!(log.count(AccessCause::Missing, at(ms)), None);
+    }
+    assert_eq!(log.count(AccessCause::Unknown, at(100)), Some(1));
+    assert_eq!(log.count(AccessCause::Missing, at(500)), Some(500));
+    assert_eq!(log.count(AccessCause::Unknown, at(700)), Some(1));
+}
