Refresh the configuration at the leader without a request

Only requests made the read of the configuration's key and the question to another host, so the limits of customers could get old at a leader that no caller reaches. Its passes now start both in a task of its own if the evidence is too old in a deployment with customers: one at a time, and at most one a second.

The new test fails on: the leader does not learn of the version within 5 s.

--- a/crates/jujubelb/src/node/config_check.rs
+++ b/crates/jujubelb/src/node/config_check.rs
@@ -3,6 +3,8 @@
 
 use std::sync::Arc;
 
+use tokio::task::JoinHandle;
+
 use super::config_exchange::ask_other_host;
 use super::known_config::{ActiveConfig, ConfigEvidence};
 use super::state::Node;
@@ -12,6 +14,40 @@
 /// Time after a failed read in which none is made, which limits the load on the store.
 const READ_PAUSE: Span = Span::from_millis(250);
 
+/// Shortest time between two refreshes by the leader, which limits the lines and calls while
+/// neither the store nor another host answers.
+const REFRESH_PAUSE: Span = Span::from_secs(1);
+
+/// Refreshes the configuration of the leader. Limits of customers rest on it without a request.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigRefresh {
+    began: Option<Time>,
+    /// The last refresh. There is one at a time.
+    task: Option<JoinHandle<()>>,
+}
+
+impl ConfigRefresh {
+    /// Starts a refresh in a task of its own if the evidence is too old in a deployment with
+    /// customers.
+    pub(crate) fn start_if_due(&mut self, node: &Arc<Node>) {
+        let now = node.now();
+        let is_running = self.task.as_ref().is_some_and(|t| !t.is_finished());
+        let has_just_begun = |began| now.since(began) < REFRESH_PAUSE;
+        if is_running
+            || self.began.is_some_and(has_just_begun)
+            || !node.has_customers()
+            || !node.is_config_overdue()
+        {
+            return;
+        }
+        self.began = Some(now);
+        let node = node.clone();
+        self.task = Some(tokio::spawn(async move {
+            current_config(&node, |_| true).await;
+        }));
+    }
+}
+
 /// The reads of the configuration by requests.
 #[derive(Debug, Default)]
 pub(crate) struct ConfigReads {
--- a/crates/jujubelb/src/node/leader.rs
+++ b/crates/jujubelb/src/node/leader.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::candidacy::{Eligibility, Successors};
+use super::config_check::ConfigRefresh;
 use super::election::{self, ElectionWin, TermEnd};
 use super::keys::{self, ChainMark, StoredJob};
 use super::peers::{self, PeerRequest, PeerResponse};
@@ -898,12 +899,13 @@
 
 /// Plans, sends the resulting orders, and keeps one polling task for each worker.
 /// Returns when a worker has seen a higher fencing token.
-async fn dispatch_orders(node: Arc<Node>, term: Arc<ActiveTerm>) {
+pub(super) async fn dispatch_orders(node: Arc<Node>, term: Arc<ActiveTerm>) {
     let began = node.now();
     let mut last_load_log = began;
     let mut polls = PollTasks::default();
     let mut polled_membership = None;
     let mut last_arrival = Arrival::default();
+    let mut refresh = ConfigRefresh::default();
     let start_poll = |worker| poll_worker(node.clone(), term.clone(), worker);
     loop {
         let planned = node.now();
@@ -938,6 +940,7 @@
         if deposed {
             return;
         }
+        refresh.start_if_due(&node);
         if let Some(oldest) = missing.evacuations {
             node.operator_demand.ask(oldest);
         }
--- a/crates/jujubelb/src/node/tests/customer_keys.rs
+++ b/crates/jujubelb/src/node/tests/customer_keys.rs
@@ -12,7 +12,7 @@
 use super::super::config_exchange::{ConfigCopy, ConfigReport};
 use super::super::keys::{self, Leader};
 use super::super::known_config::KnownConfig;
-use super::super::leader::ActiveTerm;
+use super::super::leader::{ActiveTerm, dispatch_orders};
 use super::super::main::apply_operator_keys;
 use super::super::peers::{PeerApi, PeerResponse};
 use super::super::relay::HostReport;
@@ -325,6 +325,24 @@
     assert_eq!(node.config().unwrap().operator.version, 2);
 }
 
+/// Guards against limits of customers that get old at a leader while no caller asks for them.
+#[tokio::test]
+async fn a_leader_learns_of_a_new_configuration_without_a_call() {
+    let node = host(serve_store(answer_of_empty_store).await, 1);
+    let other = host(nowhere(), 2);
+    other.confirm_config(other.now());
+    let term = lead(&node, &[serve_peers(&other).await]).await;
+    let pass = tokio::spawn(dispatch_orders(node.clone(), term));
+    let learned = async {
+        while node.config().unwrap().operator.version < 2 {
+            tokio::time::sleep(Span::from_millis(20).to_std()).await;
+        }
+    };
+    let result = tokio::time::timeout(Span::from_secs(5).to_std(), learned).await;
+    pass.abort();
+    result.expect("the new version is known in time");
+}
+
 /// Guards against a withdrawn key that works on at a host which can only ask a leader that is cut
 /// off too, and against hosts that ask each other without end.
 #[tokio::test]
