Say plainly that a key can't be confirmed

The answer for a key without evidence, and its description for operators, now say what failed. The deserializer that keeps null apart from an absent field is named for that. A test looked for the former text and now looks for the new one.

--- a/crates/jujubelb/src/node/access.rs
+++ b/crates/jujubelb/src/node/access.rs
@@ -28,7 +28,7 @@
     Unknown,
     /// There is no key or its customer isn't known, and a newer configuration may allow the call.
     Unconfirmed,
-    /// The key is known, and may have been withdrawn in the meantime.
+    /// The key is known and can't be confirmed: it may have been withdrawn in the meantime.
     NoEvidence,
 }
 
--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -116,7 +116,7 @@
                 Self::unavailable("the key is not known, and there may be a newer configuration")
             }
             AccessCause::NoEvidence => Self::unavailable(
-                "it is not known whether the key is still valid: neither the store nor another host has told",
+                "the key can't be confirmed: no answer from the store or another host",
             ),
         }
     }
--- a/crates/jujubelb/src/node/tests/customer_keys.rs
+++ b/crates/jujubelb/src/node/tests/customer_keys.rs
@@ -207,7 +207,7 @@
     for method in [Method::Post, Method::Delete] {
         let (status, body) = call(&node, method, job, "k1").await;
         assert_eq!(status, Status::ServiceUnavailable);
-        assert!(body.contains("still valid"), "{body}");
+        assert!(body.contains("the key can't be confirmed"), "{body}");
     }
     let mut strict = node_with_store(nowhere());
     strict.settings.revocation.strict = true;
--- a/crates/jujubelb/src/platform/store_entries.rs
+++ b/crates/jujubelb/src/platform/store_entries.rs
@@ -61,12 +61,12 @@
     #[serde(default)]
     limits: WireLimits,
     /// Customers. An empty list says that no key is valid, and no list that none is needed.
-    #[serde(default, deserialize_with = "present")]
+    #[serde(default, deserialize_with = "null_as_value")]
     tenants: Option<Value>,
 }
 
 /// Keeps a field that is null apart from one that is absent.
-fn present<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Value>, D::Error> {
+fn null_as_value<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Value>, D::Error> {
     Value::deserialize(deserializer).map(Some)
 }
 
