Bind the port of test servers once

A test bound a free port, released it and bound it again, so another process could take it in between. The server now binds port 0 and reports the port that it has got.

--- a/crates/jujubelb/src/node/tests/customer_keys.rs
+++ b/crates/jujubelb/src/node/tests/customer_keys.rs
@@ -3,6 +3,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
+use rocket::Route;
+use rocket::fairing::AdHoc;
 use rocket::http::{Header, Method, Status};
 use rocket::local::asynchronous::Client;
 
@@ -16,13 +18,13 @@
 use super::super::main::apply_operator_keys;
 use super::super::peers::{PeerApi, PeerResponse};
 use super::super::relay::HostReport;
-use super::super::serve::serve;
 use super::super::state::{KnownLeader, Node};
 use super::super::watch::WatchEvent;
 use super::config_store::{ConfigStore, HOST};
 use super::load::{Found, Store};
 use super::node_with_store;
 use super::scripted_store::{begin_term, page, serve_store};
+use crate::http;
 use crate::model::{CustomerName, DomainName, HostName, Span, Time};
 use crate::platform::{CONFIG_KEY, KeyDigest, KeyState, OperatorConfig, Revision, decode_config};
 
@@ -65,14 +67,21 @@
 
 /// Lets other hosts call a process.
 async fn serve_peers(node: &Arc<Node>) -> SocketAddr {
-    let free = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
-    serve("other hosts", address, PeerApi(node.clone()).routes());
-    while tokio::net::TcpStream::connect(address).await.is_err() {
-        tokio::task::yield_now().await;
-    }
-    address
+    serve_routes(PeerApi(node.clone()).routes()).await
+}
+
+/// Serves routes on a free port, which is bound once: another process may take one that is
+/// released in between.
+async fn serve_routes(routes: Vec<Route>) -> SocketAddr {
+    let (bound, port) = tokio::sync::oneshot::channel();
+    let report_port = AdHoc::on_liftoff("port", |rocket| {
+        let _ = bound.send(rocket.config().port);
+        Box::pin(std::future::ready(()))
+    });
+    let config = http::rocket_config(([127, 0, 0, 1], 0).into());
+    let rocket = rocket::custom(config).attach(report_port);
+    tokio::spawn(rocket.mount("/", routes).launch());
+    ([127, 0, 0, 1], port.await.expect("the server starts")).into()
 }
 
 fn follow(node: &Node, peer_address: SocketAddr) {
