Allow 2 s for the content of a configuration from another host

The largest configuration takes 0.9 s on a link of 10 Mbit/s that carries nothing else, and the question ended after 1 s. The first question now asks for the version alone, with 1 s as before. Only if it is newer, a second one fetches the content, with 2 s. Older hosts answer both.

In a trial with 1 s for the content, the new test fails: the withdrawn key is still served.

--- a/crates/jujubelb/src/node/config_exchange.rs
+++ b/crates/jujubelb/src/node/config_exchange.rs
@@ -10,7 +10,7 @@
 use super::state::Node;
 use crate::dispatch::CustomerTerms;
 use crate::model::{Bytes, CustomerName, Resources, Span, Time};
-use crate::platform::{CustomerKeys, OperatorConfig, QueueConfig, Revision};
+use crate::platform::{CallError, CustomerKeys, OperatorConfig, QueueConfig, Revision};
 
 /// Time after a question in which none is asked, which limits the load on the host that is asked.
 const QUESTION_PAUSE: Span = Span::from_millis(250);
@@ -19,10 +19,16 @@
 /// a question's timeout, so that calls are delayed for less than half of the time.
 const NO_ANSWER_PAUSE: Span = Span::from_millis(1_500);
 
-/// Timeout of a question. The largest configuration has 1 MiB, which takes 0.9 s on a link of
-/// 10 Mbit/s.
+/// Timeout of a question for the version, whose answer is small.
 const QUESTION_TIMEOUT: Span = Span::from_millis(1_000);
 
+/// Timeout of a question for the content. The largest configuration has 1 MiB, which takes 0.9 s
+/// on a link of 10 Mbit/s that carries nothing else.
+const CONTENT_TIMEOUT: Span = Span::from_millis(2_000);
+
+/// Version in a question whose answer is to hold no content: no configuration is newer.
+const VERSION_ONLY: u64 = u64::MAX;
+
 /// What a host knows of the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ConfigReport {
@@ -160,17 +166,16 @@
     };
     let before = node.config_age().map(|a| a.to_string());
     let known = node.config().map_or(0, |c| c.operator.version);
-    let request = PeerRequest::KnownConfig(known);
-    let answer = peers::call_peer(node, host, &request, QUESTION_TIMEOUT).await;
+    let answer = fetch_report(node, host, known).await;
     turns.failures = match &answer {
         Ok(_) => 0,
         Err(_) => turns.failures.saturating_add(1),
     };
     questions.has_failed.store(answer.is_err(), SeqCst);
     let (version, error) = match answer {
-        Ok(PeerResponse::KnownConfig(Some(report))) => {
+        Ok((PeerResponse::KnownConfig(Some(report)), asked)) => {
             let version = report.version;
-            node.learn_config(report, sent);
+            node.learn_config(report, asked);
             (Some(version), None)
         }
         Ok(_) => (None, Some("it knows no configuration".to_owned())),
@@ -180,3 +185,23 @@
     let is_confirmed = !node.is_config_overdue();
     log::info!(asked:% = host, known = known, version:? = version, before:? = before, confirmed = is_confirmed, error:? = error, took:% = node.now().since(sent); "another host asked for the configuration");
 }
+
+/// What another host knows of the configuration, and when the question was sent. Learns the version
+/// first, so that only a host that has a newer one is given the time that its content takes.
+async fn fetch_report(
+    node: &Node,
+    host: SocketAddr,
+    known: u64,
+) -> Result<(PeerResponse, Time), CallError> {
+    let sent = node.now();
+    let request = PeerRequest::KnownConfig(VERSION_ONLY);
+    let answer = peers::call_peer(node, host, &request, QUESTION_TIMEOUT).await?;
+    match &answer {
+        PeerResponse::KnownConfig(Some(report)) if report.version > known => {}
+        _ => return Ok((answer, sent)),
+    }
+    let sent = node.now();
+    let request = PeerRequest::KnownConfig(known);
+    let answer = peers::call_peer(node, host, &request, CONTENT_TIMEOUT).await?;
+    Ok((answer, sent))
+}
--- a/crates/jujubelb/src/node/tests/customer_keys.rs
+++ b/crates/jujubelb/src/node/tests/customer_keys.rs
@@ -1,12 +1,15 @@
 //! Keys of customers at hosts that learn of a new configuration late, or from another host.
 
+use std::io::Cursor;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
-use rocket::Route;
 use rocket::fairing::AdHoc;
 use rocket::http::{Header, Method, Status};
 use rocket::local::asynchronous::Client;
+use rocket::response::Response;
+use rocket::route::{Handler, Outcome};
+use rocket::{Data, Request, Route};
 
 use super::super::callers::CallerApi;
 use super::super::candidacy::Eligibility;
@@ -16,7 +19,7 @@
 use super::super::known_config::KnownConfig;
 use super::super::leader::{ActiveTerm, dispatch_orders};
 use super::super::main::apply_operator_keys;
-use super::super::peers::{PeerApi, PeerResponse};
+use super::super::peers::{PeerApi, PeerRequest, PeerResponse};
 use super::super::relay::HostReport;
 use super::super::state::{KnownLeader, Node};
 use super::super::watch::WatchEvent;
@@ -24,8 +27,8 @@
 use super::load::{Found, Store};
 use super::node_with_store;
 use super::scripted_store::{begin_term, page, serve_store};
-use crate::http;
-use crate::model::{CustomerName, DomainName, HostName, Span, Time};
+use crate::http::{self, body};
+use crate::model::{Bytes, CustomerName, DomainName, HostName, Span, Time};
 use crate::platform::{CONFIG_KEY, KeyDigest, KeyState, OperatorConfig, Revision, decode_config};
 
 /// The customers of a version: one key belongs to it alone, another one to all versions.
@@ -274,6 +277,41 @@
     tokio::select! { () = asking => {}, () = others => {} }
 }
 
+/// A host whose answers with a configuration take some time on their way. It answers no other
+/// question.
+#[derive(Clone)]
+struct DistantHost(Arc<Node>);
+
+#[rocket::async_trait]
+impl Handler for DistantHost {
+    async fn handle<'r>(&self, _: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let bytes = body::read(data, Bytes::from_mib(1)).await.unwrap();
+        let Some(PeerRequest::KnownConfig(known)) = keys::decode("request", &bytes) else {
+            return Outcome::Error(Status::InternalServerError);
+        };
+        let report = self.0.config_report(known);
+        if report.as_ref().is_some_and(|r| r.newer.is_some()) {
+            tokio::time::sleep(Span::from_millis(1_300).to_std()).await;
+        }
+        let bytes = keys::encode(&PeerResponse::KnownConfig(report));
+        let mut response = Response::new();
+        response.set_sized_body(bytes.len(), Cursor::new(bytes));
+        Outcome::Success(response)
+    }
+}
+
+/// Guards against a large configuration that never arrives over a link that others use too.
+#[tokio::test]
+async fn a_configuration_may_take_longer_than_an_answer_without_one() {
+    let node = host(nowhere(), 1);
+    let other = host(nowhere(), 2);
+    other.confirm_config(other.now());
+    let routes = vec![Route::new(Method::Post, "/peer", DistantHost(other))];
+    follow(&node, serve_routes(routes).await);
+    assert_eq!(count(&node, "k1").await, Status::Unauthorized);
+    assert_eq!(count(&node, "k2").await, Status::Ok);
+}
+
 /// Guards against evidence of a host that is behind, or that has none, which would keep a withdrawn
 /// key in use.
 #[tokio::test]
