--- a/crates/jujubelb/src/node/callers.rs
+++ b/crates/jujubelb/src/node/callers.rs
@@ -116,7 +116,7 @@
                 Self::unavailable("the key is not known, and there may be a newer configuration")
             }
             AccessCause::NoEvidence => Self::unavailable(
-                "it is not known whether the key is still valid: neither the store nor another host has told",
+                "the key can't be confirmed: no answer from the store or another host",
             ),
         }
     }
@@ -174,12 +174,13 @@
     data: Data<'_>,
     began: Time,
 ) -> CallerResponse {
-    let Some((config, evidence)) = current_config(node).await else {
-        return CallerResponse::unavailable("this host has not read its configuration yet");
-    };
     let host = request.headers().get_one("Host").unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
     let path = request.uri().path().as_str();
+    let needs_evidence = |c: &ActiveConfig| c.queue(host, path).is_none_or(|q| q.needs_key);
+    let Some((config, evidence)) = current_config(node, needs_evidence).await else {
+        return CallerResponse::unavailable("this host has not read its configuration yet");
+    };
     let Some(queue) = config.queue(host, path) else {
         log::info!(host = host, path = path, version = config.operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), in_force = evidence.in_force; "no such queue");
         return match evidence.in_force {
@@ -250,7 +251,9 @@
         Access::Customer(customer) => return Ok(Some(customer)),
         Access::Refused(cause, customer) => (cause, customer),
     };
-    log::info!(queue:% = queue.settings.prefix, method:% = request.method(), cause:% = cause, customer:? = customer.map(CustomerName::as_str), version = operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), store_lost = node.is_store_lost(); "call refused for its key");
+    if let Some(calls) = lock(&node.refusal_log).count(cause, node.now()) {
+        log::info!(calls = calls, queue:% = queue.settings.prefix, method:% = request.method(), cause:% = cause, customer:? = customer.map(CustomerName::as_str), version = operator.version, revision = config.revision.0, age:? = node.config_age().map(|a| a.to_string()), store_lost = node.is_store_lost(); "call refused for its key");
+    }
     let label = KeyValue::new("cause", cause.to_string());
     node.metrics.access_refusals.add(1, &[label]);
     Err(CallerResponse::access_refused(cause))
--- a/crates/jujubelb/src/node/config_check.rs
+++ b/crates/jujubelb/src/node/config_check.rs
@@ -3,6 +3,8 @@
 
 use std::sync::Arc;
 
+use tokio::task::JoinHandle;
+
 use super::config_exchange::ask_other_host;
 use super::known_config::{ActiveConfig, ConfigEvidence};
 use super::state::Node;
@@ -12,6 +14,40 @@
 /// Time after a failed read in which none is made, which limits the load on the store.
 const READ_PAUSE: Span = Span::from_millis(250);
 
+/// Shortest time between two refreshes by the leader, which limits the lines and calls while
+/// neither the store nor another host answers.
+const REFRESH_PAUSE: Span = Span::from_secs(1);
+
+/// Refreshes the configuration of the leader. Limits of customers rest on it without a request.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigRefresh {
+    began: Option<Time>,
+    /// The last refresh. There is one at a time.
+    task: Option<JoinHandle<()>>,
+}
+
+impl ConfigRefresh {
+    /// Starts a refresh in a task of its own if the evidence is too old in a deployment with
+    /// customers.
+    pub(crate) fn start_if_due(&mut self, node: &Arc<Node>) {
+        let now = node.now();
+        let is_running = self.task.as_ref().is_some_and(|t| !t.is_finished());
+        let has_just_begun = |began| now.since(began) < REFRESH_PAUSE;
+        if is_running
+            || self.began.is_some_and(has_just_begun)
+            || !node.has_customers()
+            || !node.is_config_overdue()
+        {
+            return;
+        }
+        self.began = Some(now);
+        let node = node.clone();
+        self.task = Some(tokio::spawn(async move {
+            current_config(&node, |_| true).await;
+        }));
+    }
+}
+
 /// The reads of the configuration by requests.
 #[derive(Debug, Default)]
 pub(crate) struct ConfigReads {
@@ -19,14 +55,21 @@
 }
 
 /// The active configuration, and what shows that it is the newest; `None` until one was read.
-/// Reads it from the store if the watch has not shown for too long which one is the newest, and,
-/// in a deployment with customers, asks another host if the store does not answer. Known queues
-/// are served without that.
-pub(crate) async fn current_config(node: &Node) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
-    if node.is_config_overdue() && !node.is_store_lost() && node.config().is_some() {
+/// Reads it from the store if the watch has not shown for too long which one is the newest, or has
+/// shown an item that may be a newer one and can't be decoded. In a
+/// deployment with customers, asks another host if the store does not answer and `needs_evidence`
+/// says that the answer to the caller depends on it, since that can take seconds.
+pub(crate) async fn current_config(
+    node: &Node,
+    needs_evidence: impl FnOnce(&ActiveConfig) -> bool,
+) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
+    if node.is_config_read_needed() && !node.is_store_lost() && node.config().is_some() {
         read_config(node).await;
     }
-    if node.has_customers() && node.is_config_overdue() {
+    if node.has_customers()
+        && node.is_config_overdue()
+        && node.config().is_some_and(|c| needs_evidence(&c))
+    {
         ask_other_host(node).await;
     }
     node.config_with_evidence()
@@ -37,7 +80,7 @@
     let mut reads = node.config_reads.lock().await;
     let sent = node.now();
     let has_just_failed = |failed| sent.since(failed) < READ_PAUSE;
-    if !node.is_config_overdue() || reads.last_failure.is_some_and(has_just_failed) {
+    if !node.is_config_read_needed() || reads.last_failure.is_some_and(has_just_failed) {
         return;
     }
     let age = node.config_age().map(|a| a.to_string());
@@ -56,7 +99,9 @@
     sent: Time,
     result: Result<Option<KeyState>, CallError>,
 ) -> Result<(), CallError> {
-    if let Some(item) = result? {
+    let found = result?;
+    node.settle_config_doubt(sent);
+    if let Some(item) = found {
         apply_config(node, &item);
     }
     node.confirm_config(sent);
--- a/crates/jujubelb/src/node/state.rs
+++ b/crates/jujubelb/src/node/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 
 use super::HostSettings;
+use super::access::RefusalLog;
 use super::config_check::ConfigReads;
 use super::config_exchange::{ConfigQuestions, ConfigReport};
 use super::keys::Leader;
@@ -107,8 +108,10 @@
     config: Mutex<KnownConfig>,
     /// Reads of the configuration by requests, one at a time.
     pub(crate) config_reads: tokio::sync::Mutex<ConfigReads>,
-    /// Questions for the configuration to other hosts, one at a time.
-    pub(crate) config_questions: tokio::sync::Mutex<ConfigQuestions>,
+    /// Questions for the configuration to other hosts.
+    pub(crate) config_questions: ConfigQuestions,
+    /// Log lines for calls that are refused for their key.
+    pub(crate) refusal_log: Mutex<RefusalLog>,
     evacuated: Mutex<IndexSet<DomainName>>,
     /// When the last call was sent whose answer has shown all evacuated domains.
     evacuations_proven: Mutex<Option<Time>>,
@@ -145,7 +148,8 @@
             metrics: NodeMetrics::new(registry),
             config: Mutex::default(),
             config_reads: tokio::sync::Mutex::default(),
-            config_questions: tokio::sync::Mutex::default(),
+            config_questions: ConfigQuestions::default(),
+            refusal_log: Mutex::default(),
             evacuated: Mutex::new(IndexSet::new()),
             evacuations_proven: Mutex::new(None),
             operator_demand: EvidenceDemand::default(),
@@ -185,11 +189,26 @@
         lock(&self.config).activate(operator, revision);
     }
 
-    /// Records that the configuration of a revision can't be decoded.
+    /// Records that the configuration of a revision can't be decoded; zero if the revision can't
+    /// be read either.
     pub(crate) fn mark_config_unreadable(&self, revision: Revision) {
+        if revision == Revision::default() {
+            return self.mark_config_doubtful(revision);
+        }
         lock(&self.config).mark_unreadable(revision);
     }
 
+    /// Records an item that can't be decoded and may be a newer configuration.
+    pub(crate) fn mark_config_doubtful(&self, revision: Revision) {
+        let now = self.now();
+        lock(&self.config).mark_doubtful(revision, now);
+    }
+
+    /// Records that a read of the configuration's key sent at this time was answered.
+    pub(crate) fn settle_config_doubt(&self, sent: Time) {
+        lock(&self.config).settle_doubt(sent);
+    }
+
     /// Records that a call to the store sent at this time has shown the newest configuration.
     pub(crate) fn confirm_config(&self, sent: Time) {
         lock(&self.config).confirm(sent);
@@ -235,6 +254,12 @@
         config.is_overdue(now, self.evidence_bound(&config))
     }
 
+    /// Whether the configuration's key has to be read: there is no recent evidence, or an item
+    /// that can't be decoded may be a newer configuration.
+    pub(crate) fn is_config_read_needed(&self) -> bool {
+        self.is_config_overdue() || lock(&self.config).is_doubtful()
+    }
+
     /// The active configuration, and what shows that it is the newest; `None` until one was
     /// read.
     pub(crate) fn config_with_evidence(&self) -> Option<(Arc<ActiveConfig>, ConfigEvidence)> {
--- a/crates/jujubelb/src/node/tests/customer_keys.rs
+++ b/crates/jujubelb/src/node/tests/customer_keys.rs
@@ -1,10 +1,15 @@
 //! Keys of customers at hosts that learn of a new configuration late, or from another host.
 
+use std::io::Cursor;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
+use rocket::fairing::AdHoc;
 use rocket::http::{Header, Method, Status};
 use rocket::local::asynchronous::Client;
+use rocket::response::Response;
+use rocket::route::{Handler, Outcome};
+use rocket::{Data, Request, Route};
 
 use super::super::callers::CallerApi;
 use super::super::candidacy::Eligibility;
@@ -12,18 +17,18 @@
 use super::super::config_exchange::{ConfigCopy, ConfigReport};
 use super::super::keys::{self, Leader};
 use super::super::known_config::KnownConfig;
-use super::super::leader::ActiveTerm;
+use super::super::leader::{ActiveTerm, dispatch_orders};
 use super::super::main::apply_operator_keys;
-use super::super::peers::{PeerApi, PeerResponse};
+use super::super::peers::{PeerApi, PeerRequest, PeerResponse};
 use super::super::relay::HostReport;
-use super::super::serve::serve;
 use super::super::state::{KnownLeader, Node};
 use super::super::watch::WatchEvent;
 use super::config_store::{ConfigStore, HOST};
 use super::load::{Found, Store};
 use super::node_with_store;
 use super::scripted_store::{begin_term, page, serve_store};
-use crate::model::{CustomerName, DomainName, HostName, Span, Time};
+use crate::http::{self, body};
+use crate::model::{Bytes, CustomerName, DomainName, HostName, Span, Time};
 use crate::platform::{CONFIG_KEY, KeyDigest, KeyState, OperatorConfig, Revision, decode_config};
 
 /// The customers of a version: one key belongs to it alone, another one to all versions.
@@ -65,14 +70,21 @@
 
 /// Lets other hosts call a process.
 async fn serve_peers(node: &Arc<Node>) -> SocketAddr {
-    let free = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
-    serve("other hosts", address, PeerApi(node.clone()).routes());
-    while tokio::net::TcpStream::connect(address).await.is_err() {
-        tokio::task::yield_now().await;
-    }
-    address
+    serve_routes(PeerApi(node.clone()).routes()).await
+}
+
+/// Serves routes on a free port, which is bound once: another process may take one that is
+/// released in between.
+async fn serve_routes(routes: Vec<Route>) -> SocketAddr {
+    let (bound, port) = tokio::sync::oneshot::channel();
+    let report_port = AdHoc::on_liftoff("port", |rocket| {
+        let _ = bound.send(rocket.config().port);
+        Box::pin(std::future::ready(()))
+    });
+    let config = http::rocket_config(([127, 0, 0, 1], 0).into());
+    let rocket = rocket::custom(config).attach(report_port);
+    tokio::spawn(rocket.mount("/", routes).launch());
+    ([127, 0, 0, 1], port.await.expect("the server starts")).into()
 }
 
 fn follow(node: &Node, peer_address: SocketAddr) {
@@ -207,7 +219,7 @@
     for method in [Method::Post, Method::Delete] {
         let (status, body) = call(&node, method, job, "k1").await;
         assert_eq!(status, Status::ServiceUnavailable);
-        assert!(body.contains("still valid"), "{body}");
+        assert!(body.contains("the key can't be confirmed"), "{body}");
     }
     let mut strict = node_with_store(nowhere());
     strict.settings.revocation.strict = true;
@@ -216,6 +228,90 @@
     assert_eq!(refused, Status::ServiceUnavailable);
 }
 
+/// A host that takes connections and never answers. The listener doesn't block.
+fn silent_host() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Guards against a call to a public queue that waits for another host, whose answer changes
+/// nothing.
+#[tokio::test]
+async fn a_call_to_a_public_queue_asks_no_other_host() {
+    let node = host(nowhere(), 1);
+    let (listener, address) = silent_host();
+    follow(&node, address);
+    // Served by the queue: a job can't be read from a store that is not there.
+    let (_, body) = call(&node, Method::Post, "/open/5c0e7a21d94b36f8", "").await;
+    assert!(body.contains("can't be decoded"), "{body}");
+    assert!(listener.accept().is_err(), "another host was asked");
+}
+
+/// Guards against calls that all wait, over and over, for a host that does not answer.
+#[tokio::test]
+async fn a_host_without_an_answer_delays_one_call_at_a_time() {
+    let node = host(nowhere(), 1);
+    follow(&node, nowhere());
+    assert_eq!(count(&node, "k1").await, Status::Ok);
+    let (listener, address) = silent_host();
+    follow(&node, address);
+    let write = || call(&node, Method::Post, "/q1/5c0e7a21d94b36f8", "k1");
+    tokio::time::sleep(Span::from_millis(400).to_std()).await;
+    assert_eq!(write().await.0, Status::ServiceUnavailable);
+    assert!(listener.accept().is_err(), "asked again within the pause");
+    tokio::time::sleep(Span::from_millis(1_200).to_std()).await;
+    let asking = async {
+        write().await;
+        panic!("a silent host has answered");
+    };
+    let others = async {
+        while listener.accept().is_err() {
+            tokio::time::sleep(Span::from_millis(5).to_std()).await;
+        }
+        for _ in 0..2 {
+            assert_eq!(write().await.0, Status::ServiceUnavailable);
+        }
+    };
+    tokio::select! { () = asking => {}, () = others => {} }
+}
+
+/// A host whose answers with a configuration take some time on their way. It answers no other
+/// question.
+#[derive(Clone)]
+struct DistantHost(Arc<Node>);
+
+#[rocket::async_trait]
+impl Handler for DistantHost {
+    async fn handle<'r>(&self, _: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let bytes = body::read(data, Bytes::from_mib(1)).await.unwrap();
+        let Some(PeerRequest::KnownConfig(known)) = keys::decode("request", &bytes) else {
+            return Outcome::Error(Status::InternalServerError);
+        };
+        let report = self.0.config_report(known);
+        if report.as_ref().is_some_and(|r| r.newer.is_some()) {
+            tokio::time::sleep(Span::from_millis(1_300).to_std()).await;
+        }
+        let bytes = keys::encode(&PeerResponse::KnownConfig(report));
+        let mut response = Response::new();
+        response.set_sized_body(bytes.len(), Cursor::new(bytes));
+        Outcome::Success(response)
+    }
+}
+
+/// Guards against a large configuration that never arrives over a link that others use too.
+#[tokio::test]
+async fn a_configuration_may_take_longer_than_an_answer_without_one() {
+    let node = host(nowhere(), 1);
+    let other = host(nowhere(), 2);
+    other.confirm_config(other.now());
+    let routes = vec![Route::new(Method::Post, "/peer", DistantHost(other))];
+    follow(&node, serve_routes(routes).await);
+    assert_eq!(count(&node, "k1").await, Status::Unauthorized);
+    assert_eq!(count(&node, "k2").await, Status::Ok);
+}
+
 /// Guards against evidence of a host that is behind, or that has none, which would keep a withdrawn
 /// key in use.
 #[tokio::test]
@@ -227,7 +323,7 @@
             other.confirm_config(other.now());
         }
         follow(&node, serve_peers(&other).await);
-        let (active, evidence) = current_config(&node).await.unwrap();
+        let (active, evidence) = current_config(&node, |_| true).await.unwrap();
         assert!(!evidence.is_recent, "from version {version}");
         assert_eq!(active.operator.version, 2);
     }
@@ -268,7 +364,7 @@
     other.confirm_config(other.now());
     let address = serve_peers(&other).await;
     lead(&node, &[nowhere(), address]).await;
-    let _ = current_config(&node).await;
+    let _ = current_config(&node, |_| true).await;
     assert_eq!(node.config().unwrap().operator.version, 1);
     node.set_active_term(None);
     tokio::time::sleep(Span::from_millis(260).to_std()).await;
@@ -276,6 +372,24 @@
     assert_eq!(node.config().unwrap().operator.version, 2);
 }
 
+/// Guards against limits of customers that get old at a leader while no caller asks for them.
+#[tokio::test]
+async fn a_leader_learns_of_a_new_configuration_without_a_call() {
+    let node = host(serve_store(answer_of_empty_store).await, 1);
+    let other = host(nowhere(), 2);
+    other.confirm_config(other.now());
+    let term = lead(&node, &[serve_peers(&other).await]).await;
+    let pass = tokio::spawn(dispatch_orders(node.clone(), term));
+    let learned = async {
+        while node.config().unwrap().operator.version < 2 {
+            tokio::time::sleep(Span::from_millis(20).to_std()).await;
+        }
+    };
+    let result = tokio::time::timeout(Span::from_secs(5).to_std(), learned).await;
+    pass.abort();
+    result.expect("the new version is known in time");
+}
+
 /// Guards against a withdrawn key that works on at a host which can only ask a leader that is cut
 /// off too, and against hosts that ask each other without end.
 #[tokio::test]
