Play customers with keys and limits in the fault soak

Cause: hosts are to check keys of customers, and the leader is to keep what a customer has running within its limit. Both depend on which configuration a process knows, which only real processes with cut links and killed leaders show.

Change: the emulator's configuration can hold customers with keys, a weight and limits, and queues that need no key. Without customers it is as before. Seeds from 50000 on have three customers of unequal weight. One of them sends six times its usual for some seconds; each change of the configuration replaces a key, and most also lower or raise limits. The rounds of faults cut a host off from the store, kill the leader near a change, change the leader three or four times in a row, or cut workers off while the leader is killed.

New checks: ROUTE (a key that no configuration held is served), CONFIG (a withdrawn key is served, or a held one refused with 401, later than the bound), QUOTA (a customer's running tasks exceed its limit, a tenth and one task) and LEAK (the output of a process contains a key). The soak itself shows keys only by a name, so a key in a log comes from a host. The last rule of LOST excepts jobs of customers that have half of their limit running, as published. A 401 counts as a rejection of a submission.

Plans and loads of earlier seeds draw the same numbers as before.

--- a/crates/jujubelb-lab/src/bin/jujubelb-soak.rs
+++ b/crates/jujubelb-lab/src/bin/jujubelb-soak.rs
@@ -21,7 +21,8 @@
     /// First seed of the load and of the faults. Seeds from 10000 on have silent connections,
     /// seeds from 20000 on serving jobs and bursts of best-effort jobs; of the latter, only odd
     /// seeds have faults beside them. Seeds from 30000 on have series of silences beside bursts,
-    /// seeds from 40000 on restarts of workers.
+    /// seeds from 40000 on restarts of workers. Seeds from 50000 on have customers, whose keys and
+    /// limits change, and no bursts.
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Number of seeds, one after the other.
--- a/crates/jujubelb-lab/src/emulator/history.rs
+++ b/crates/jujubelb-lab/src/emulator/history.rs
@@ -7,12 +7,15 @@
 use arcstr::ArcStr;
 use indexmap::IndexMap;
 
+use super::customers::{Customer, Key};
 use super::http::lock;
 
 /// A job as a client sends it, with what its tasks do on a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct SentJob {
     pub(crate) id: ArcStr,
+    /// Customer of the callers; `None` on a queue that needs no key.
+    pub(crate) customer: Option<ArcStr>,
     /// Prefix of the queue.
     pub(crate) prefix: ArcStr,
     /// Service whose workers may run the job.
@@ -118,7 +121,7 @@
 
     /// Whether the request certainly had no effect, by the published protocol.
     pub(crate) fn is_refused(self) -> bool {
-        matches!(self, Self::Status(404 | 429 | 503) | Self::NotSent)
+        matches!(self, Self::Status(401 | 404 | 429 | 503) | Self::NotSent)
     }
 }
 
@@ -231,6 +234,20 @@
     /// The store has acknowledged a configuration with these prefixes of queues.
     Configured {
         prefixes: Vec<ArcStr>,
+        customers: Vec<Customer>,
+    },
+    /// A host answered a call of `asked` on a queue that needs a key. The call had none if `key`
+    /// is `None`.
+    KeyAnswered {
+        host: usize,
+        key: Option<Key>,
+        asked: Duration,
+        status: u16,
+    },
+    /// The output of a host's process contains a key.
+    KeyLogged {
+        host: usize,
+        key: Key,
     },
     /// A host answered, at `asked` or later, whether a prefix names a queue.
     QueueShown {
--- a/crates/jujubelb-lab/src/emulator/mod.rs
+++ b/crates/jujubelb-lab/src/emulator/mod.rs
@@ -2,6 +2,7 @@
 //! workers and the operator. Each host has an address of its own for the store, so that the
 //! link of one host can be disturbed while the others work.
 
+pub(crate) mod customers;
 pub(crate) mod fleet;
 pub(crate) mod history;
 pub(crate) mod http;
@@ -20,6 +21,7 @@
 use arcstr::ArcStr;
 use eyre::Result;
 
+use customers::Customer;
 use fleet::Fleet;
 use history::{History, What};
 use http::Link;
@@ -146,13 +148,17 @@
         })
     }
 
-    /// Writes a configuration, as the operator does.
-    pub(crate) fn configure(&self, version: u64, queues: &[Queue]) {
-        let value = entries::config(version, queues).to_string().into_bytes();
+    /// Writes a configuration, as the operator does. Without customers, no queue needs a key.
+    pub(crate) fn configure(&self, version: u64, queues: &[Queue], customers: Vec<Customer>) {
+        let value = entries::config(version, queues, &customers);
+        let value = value.to_string().into_bytes();
         self.store
             .with(|store, now| store.write(entries::CONFIG_KEY, value, now));
         let prefixes = queues.iter().map(|q| q.prefix.clone()).collect();
-        self.history.add(What::Configured { prefixes });
+        self.history.add(What::Configured {
+            prefixes,
+            customers,
+        });
     }
 
     /// Requests that nothing more be started in a zone.
--- a/crates/jujubelb-lab/src/emulator/platform/entries.rs
+++ b/crates/jujubelb-lab/src/emulator/platform/entries.rs
@@ -6,6 +6,7 @@
 use arcstr::ArcStr;
 use serde_json::{Value, json};
 
+use crate::emulator::customers::Customer;
 use crate::emulator::worker::Worker;
 
 pub(crate) const CONFIG_KEY: &str = "op/config";
@@ -23,6 +24,8 @@
     pub(crate) service: ArcStr,
     /// 0 comes first.
     pub(crate) priority: u8,
+    /// Whether callers need no key.
+    pub(crate) public: bool,
 }
 
 pub(crate) fn evacuation_key(zone: &str) -> String {
@@ -34,9 +37,9 @@
 }
 
 /// The operator's configuration.
-pub(crate) fn config(version: u64, queues: &[Queue]) -> Value {
+pub(crate) fn config(version: u64, queues: &[Queue], customers: &[Customer]) -> Value {
     let route = |queue: &Queue| {
-        json!({
+        let mut route = json!({
             "host": QUEUE_HOST,
             "prefix": queue.prefix,
             "service": queue.service,
@@ -45,17 +48,35 @@
             "max_attempts": MAX_ATTEMPTS,
             "slack_factor": 2.0,
             "target_duration_ms": 2_000,
-        })
+        });
+        if !customers.is_empty() {
+            route["public"] = queue.public.into();
+        }
+        route
     };
     let services: Vec<Value> = queues
         .iter()
         .map(|q| json!({"name": q.service, "rejects_overload": true}))
         .collect();
-    json!({
+    let mut config = json!({
         "version": version,
         "routes": queues.iter().map(route).collect::<Vec<_>>(),
         "services": services,
         "limits": {"max_body_bytes": 65_536},
+    });
+    if !customers.is_empty() {
+        config["tenants"] = customers.iter().map(tenant).collect();
+    }
+    config
+}
+
+fn tenant(customer: &Customer) -> Value {
+    let keys: Vec<&str> = customer.keys.iter().map(|k| k.text.as_str()).collect();
+    json!({
+        "name": customer.name,
+        "api_keys": keys,
+        "weight": customer.weight,
+        "max_count": {"cpu": customer.max_cpu, "mem_mb": customer.max_memory, "gpu": 0},
     })
 }
 
--- a/crates/jujubelb-lab/src/emulator/platform/jobs.rs
+++ b/crates/jujubelb-lab/src/emulator/platform/jobs.rs
@@ -3,11 +3,20 @@
 use arcstr::ArcStr;
 use serde_json::{Value, json};
 
+use crate::emulator::customers::Key;
 use crate::emulator::history::{Role, SentJob, SentStep};
 
 /// Header with the time that a client waits for the response.
 pub(crate) const DEADLINE_HEADER: &str = "Deadline-Ms";
 
+/// Header with the key of the caller's customer.
+pub(crate) const KEY_HEADER: &str = "Authorization";
+
+/// The value of that header.
+pub(crate) fn key_value(key: &Key) -> String {
+    format!("Token {}", key.text)
+}
+
 /// The body that submits a job.
 pub(crate) fn submission(job: &SentJob) -> Value {
     json!({"spec": job.payload, "steps": job.steps.iter().map(step).collect::<Vec<_>>()})
--- a/crates/jujubelb-lab/src/emulator/tests.rs
+++ b/crates/jujubelb-lab/src/emulator/tests.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::customers::{Customer, Key};
 use super::fleet::Fleet;
 use super::history::{History, Life, Record, Role, RunEnd, SentJob, SentStep, TaskName, What};
 use super::http::{self, Link, Reply, Request, Service, Treatment};
 use super::interference::Interference;
+use super::platform::entries::{self, Queue};
 use super::platform::worker_api::WorkerApi;
 use super::worker::{LONGER_MAX_LEASE, Machine, Refusal, StartOrder, Worker};
 
@@ -52,6 +54,7 @@
     };
     SentJob {
         id: id.into(),
+        customer: None,
         prefix: "/batch/".into(),
         service: "main".into(),
         payload: "payload".into(),
@@ -317,3 +320,34 @@
         tokio::time::sleep(SECOND / 100).await;
     }
 }
+
+/// Guards against a configuration without customers that differs from those of earlier seeds, and
+/// against customers that a host can't read.
+#[test]
+fn configuration_holds_customers_only_if_there_are_any() {
+    let queue = Queue {
+        prefix: "/open/".into(),
+        service: "main".into(),
+        priority: 0,
+        public: true,
+    };
+    let plain = entries::config(1, std::slice::from_ref(&queue), &[]);
+    assert!(plain.get("tenants").is_none() && plain["routes"][0].get("public").is_none());
+    let (id, text) = ("a-1".into(), "qwertz".into());
+    let customer = Customer {
+        name: "a".into(),
+        keys: vec![Key { id, text }],
+        weight: 3,
+        max_cpu: 5_000,
+        max_memory: 0,
+    };
+    let config = entries::config(1, &[queue], &[customer]);
+    assert_eq!(config["routes"][0]["public"], true);
+    let tenants = serde_json::json!([{
+        "name": "a",
+        "api_keys": ["qwertz"],
+        "weight": 3,
+        "max_count": {"cpu": 5_000, "mem_mb": 0, "gpu": 0},
+    }]);
+    assert_eq!(config["tenants"], tenants);
+}
--- a/crates/jujubelb-lab/src/soak/bursts.rs
+++ b/crates/jujubelb-lab/src/soak/bursts.rs
@@ -124,6 +124,7 @@
     SentJob {
         payload: format!("payload of {id}").into(),
         id,
+        customer: None,
         prefix: prefix.into(),
         service: QUEUES[0].1.into(),
         steps,
--- a/crates/jujubelb-lab/src/soak/check/config.rs
+++ b/crates/jujubelb-lab/src/soak/check/config.rs
@@ -8,13 +8,13 @@
 use crate::emulator::history::{Record, What};
 
 /// Time after the acknowledgement of a configuration from which it applies.
-const CONFIG: Duration = Duration::from_millis(2_500);
+pub(super) const CONFIG: Duration = Duration::from_millis(2_500);
 
 pub(super) fn check(record: &Record, calm: &Calm, found: &mut Vec<Violation>) {
     let mut newest: Option<(Duration, &[ArcStr])> = None;
     for event in &record.events {
         match &event.what {
-            What::Configured { prefixes } => newest = Some((event.at, prefixes)),
+            What::Configured { prefixes, .. } => newest = Some((event.at, prefixes)),
             What::QueueShown {
                 host,
                 prefix,
--- a/crates/jujubelb-lab/src/soak/check/idle.rs
+++ b/crates/jujubelb-lab/src/soak/check/idle.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{CONTACT, Calm, RESOLUTION, Violation};
+use crate::emulator::customers::Customer;
 use crate::emulator::history::{Event, Life, Record, RunEnd, SentJob, SentStep, TaskName, What};
 use crate::emulator::platform::entries::MAX_ATTEMPTS;
 
@@ -93,6 +94,8 @@
     failed: IndexSet<&'a ArcStr>,
     runs: Vec<(&'a Life, &'a TaskName, u64)>,
     places: IndexMap<&'a Life, Place<'a>>,
+    /// Customers of the newest configuration.
+    customers: &'a [Customer],
 }
 
 impl<'a> Seen<'a> {
@@ -106,6 +109,7 @@
             failed: IndexSet::new(),
             runs: Vec::new(),
             places: IndexMap::new(),
+            customers: &[],
         }
     }
 
@@ -160,6 +164,7 @@
                 };
                 self.places.insert(worker, place);
             }
+            What::Configured { customers, .. } => self.customers = customers,
             _ => return false,
         }
         true
@@ -172,7 +177,8 @@
             && !self.failed.contains(&job.id)
             // Tasks that last have a rule of their own.
             && !job.steps.iter().any(|s| s.lasts);
-        if !may_run || self.runs.iter().any(|(_, t, _)| t.job == job.id) {
+        let runs = self.runs.iter().any(|(_, t, _)| t.job == job.id);
+        if !may_run || runs || self.has_half_of_limit(job) {
             return None;
         }
         let name = |step, index| TaskName {
@@ -198,6 +204,24 @@
         ))
     }
 
+    /// Whether the customer of a job has half of its limit running.
+    fn has_half_of_limit(&self, job: &SentJob) -> bool {
+        let of_customer = |c: &&Customer| job.customer.as_ref() == Some(&c.name);
+        let Some(customer) = self.customers.iter().find(of_customer) else {
+            return false;
+        };
+        let steps = self.runs.iter().filter_map(|(_, task, _)| {
+            let other = self.record.jobs.get(&task.job)?;
+            let step = other.steps.get(task.step)?;
+            (other.customer == job.customer).then_some(step)
+        });
+        let used = steps.fold((0, 0), |(cpu, memory), step| {
+            (cpu + step.cpu, memory + step.memory)
+        });
+        let is_half = |used: u64, limit: u64| limit > 0 && used * 2 >= limit;
+        is_half(used.0, customer.max_cpu) || is_half(used.1, customer.max_memory)
+    }
+
     /// Whether there is capacity for a task twice over, and less than half is in use. As on a
     /// worker, the processor time of best-effort tasks does not count as in use. There is capacity
     /// only where processor time is left beside them, which is less strict than the rule.
--- a/crates/jujubelb-lab/src/soak/check/mod.rs
+++ b/crates/jujubelb-lab/src/soak/check/mod.rs
@@ -7,6 +7,8 @@
 mod harm;
 mod idle;
 mod jobs;
+mod keys;
+mod limits;
 mod orders;
 mod runs;
 #[cfg(test)]
@@ -67,6 +69,8 @@
     harm::check(record, &calm, &mut found);
     acks::check(record, &calm, &mut found);
     config::check(record, &calm, &mut found);
+    keys::check(record, &calm, &mut found);
+    limits::check(record, &calm, &mut found);
     check_processes(record, &mut found);
     found.sort_by_key(|v| v.at);
     found
--- a/crates/jujubelb-lab/src/soak/check/tests.rs
+++ b/crates/jujubelb-lab/src/soak/check/tests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{Violation, check};
+use crate::emulator::customers::{Customer, Key};
 use crate::emulator::history::{
     Answer, Event, Life, Record, Role, RunEnd, SentJob, SentStep, TaskName, What,
 };
@@ -115,6 +116,7 @@
     fn submitted(steps: Vec<SentStep>) -> Self {
         let job = SentJob {
             id: JOB.into(),
+            customer: None,
             prefix: "/batch/".into(),
             service: "main".into(),
             payload: "payload".into(),
@@ -671,6 +673,7 @@
 fn old_configuration_breaks_config() {
     let configured = |prefixes: &[&str]| What::Configured {
         prefixes: prefixes.iter().map(|p| (*p).into()).collect(),
+        customers: Vec::new(),
     };
     let seen = |asked, exists| What::QueueShown {
         host: 0,
@@ -713,3 +716,235 @@
         .with(6.0, [ended("w1", 1, 0, 1, RunEnd::Stopped), noted("w1", 1)])
         .holds();
 }
+
+fn key(id: &str) -> Key {
+    Key {
+        id: id.into(),
+        text: format!("text of {id}").into(),
+    }
+}
+
+/// A configuration with a customer that has these keys and may have this many millicores running.
+fn customer(keys: &[&str], max_cpu: u64) -> What {
+    What::Configured {
+        prefixes: Vec::new(),
+        customers: vec![Customer {
+            name: "large".into(),
+            keys: keys.iter().map(|id| key(id)).collect(),
+            weight: 1,
+            max_cpu,
+            max_memory: 0,
+        }],
+    }
+}
+
+fn answered(asked: f64, id: Option<&str>, status: u16) -> What {
+    What::KeyAnswered {
+        host: 0,
+        key: id.map(key),
+        asked: Duration::from_secs_f64(asked),
+        status,
+    }
+}
+
+// Guards against a host that serves calls with any key, or none, also while it is cut off.
+#[test]
+fn call_with_unknown_key_that_is_served_breaks_route() {
+    let draft = || {
+        completed_job()
+            .with(4.5, [customer(&["a"], 0)])
+            .with(4.6, [fault(1)])
+    };
+    draft()
+        .with(5.0, [answered(4.9, Some("b"), 200)])
+        .breaks("ROUTE", "Key(b)), which no configuration held");
+    draft()
+        .with(5.0, [answered(4.9, None, 200)])
+        .breaks("ROUTE", "None, which no configuration held");
+    // One that is held later doesn't allow earlier calls.
+    draft()
+        .with(5.0, [answered(4.9, Some("b"), 200)])
+        .with(6.0, [customer(&["a", "b"], 0)])
+        .breaks("ROUTE", "which no configuration held");
+    draft()
+        .with(5.0, [answered(4.9, Some("b"), 401)])
+        .with(5.1, [answered(5.0, None, 401)])
+        .with(5.2, [answered(5.1, Some("a"), 200)])
+        .holds();
+}
+
+// Guards against a host that goes on with a withdrawn key, also if further configurations follow
+// within the bound.
+#[test]
+fn withdrawn_key_that_is_served_late_breaks_config() {
+    let draft = || {
+        completed_job()
+            .with(5.0, [customer(&["a", "b"], 0)])
+            .with(10.0, [customer(&["b"], 0)])
+            .with(12.0, [customer(&["b"], 5_000)])
+    };
+    draft()
+        .with(13.0, [answered(12.9, Some("a"), 200)])
+        .breaks("CONFIG", "Key(a), which was withdrawn 2.900 s");
+    draft()
+        .with(12.9, [answered(12.7, Some("a"), 200)])
+        .with(13.0, [answered(12.9, Some("a"), 401)])
+        .with(13.1, [answered(12.9, Some("b"), 200)])
+        .holds();
+    // A fault in the last seconds excuses it.
+    draft()
+        .with(12.5, [fault(1), What::FaultEnded { id: 1 }])
+        .with(16.4, [answered(16.3, Some("a"), 200)])
+        .holds();
+    draft()
+        .with(12.5, [fault(1), What::FaultEnded { id: 1 }])
+        .with(16.8, [answered(16.7, Some("a"), 200)])
+        .breaks("CONFIG", "which was withdrawn 6.700 s");
+}
+
+// Guards against a host that refuses a key that is held.
+#[test]
+fn held_key_that_is_refused_late_breaks_config() {
+    let draft = || {
+        completed_job()
+            .with(5.0, [customer(&["a"], 0)])
+            .with(10.0, [customer(&["a", "b"], 0)])
+    };
+    draft()
+        .with(13.0, [answered(12.9, Some("b"), 401)])
+        .breaks("CONFIG", "answers 401 to Key(b), which was added 2.900 s");
+    draft()
+        .with(11.0, [answered(10.9, Some("a"), 401)])
+        .breaks("CONFIG", "answers 401 to Key(a), which was added 5.900 s");
+    draft()
+        .with(12.9, [answered(12.7, Some("b"), 401)])
+        .with(13.0, [answered(12.9, Some("b"), 503)])
+        .holds();
+    // Withdrawn while the call was under way.
+    draft()
+        .with(20.0, [customer(&["a"], 0)])
+        .with(20.1, [answered(19.9, Some("b"), 401)])
+        .holds();
+}
+
+// Guards against hosts whose logs show keys.
+#[test]
+fn key_in_a_log_breaks_leak() {
+    let key = key("a");
+    completed_job()
+        .with(10.0, [What::KeyLogged { host: 1, key }])
+        .breaks("LEAK", "the output of host 1 contains Key(a)");
+}
+
+/// A job of a customer with tasks of 1,000 millicores and 100 MiB each.
+fn job_of_customer() -> Draft {
+    let mut draft = Draft::accepted(vec![step(5, &[], false)]);
+    draft.record.jobs[JOB].customer = Some("large".into());
+    draft
+}
+
+fn started_task(worker: &str, index: u32) -> What {
+    let mut start = started(worker, 0, 1);
+    if let What::Started { task, .. } = &mut start {
+        task.index = index;
+    }
+    start
+}
+
+/// Violations of QUOTA; the job is not over in these histories.
+fn beyond_limit(draft: Draft) -> usize {
+    let found = draft.found();
+    found.iter().filter(|v| v.rule == "QUOTA").count()
+}
+
+// Guards against a customer that occupies more than its limit on several workers together.
+#[test]
+fn start_beyond_the_limit_of_a_customer_breaks_quota() {
+    let tasks = |workers: &[&str]| -> Vec<What> {
+        let starts = (0..).zip(workers).map(|(i, w)| started_task(w, i));
+        starts.collect()
+    };
+    // 2,000 of 1,900 are within a tenth; the task that begins is the one more.
+    let draft = || job_of_customer().with(1.5, [customer(&[], 1_900)]);
+    assert_eq!(
+        beyond_limit(draft().with(2.0, tasks(&["w1", "w2", "w1"]))),
+        0
+    );
+    draft()
+        .with(2.0, tasks(&["w1", "w2", "w1", "w2"]))
+        .breaks("QUOTA", "large has 3000 of at most 1900 millicores");
+    // Ends and losses of workers make room.
+    let ended = draft()
+        .with(2.0, tasks(&["w1", "w2", "w1"]))
+        .with(2.5, [left("w1")])
+        .with(3.0, [started_task("w3", 3), started_task("w3", 4)]);
+    assert_eq!(beyond_limit(ended), 0);
+    let mut memory = customer(&[], 0);
+    if let What::Configured { customers, .. } = &mut memory {
+        customers[0].max_memory = 150;
+    }
+    job_of_customer()
+        .with(1.5, [memory])
+        .with(2.0, tasks(&["w1", "w2", "w1"]))
+        .breaks("QUOTA", "large has 200 of at most 150 MiB");
+    // A start that is carried out late counts as any other.
+    let mut late = started_task("w2", 3);
+    if let What::Started { late, .. } = &mut late {
+        *late = true;
+    }
+    draft()
+        .with(2.0, tasks(&["w1", "w2", "w1"]))
+        .with(3.0, [late])
+        .breaks("QUOTA", "large has 3000");
+}
+
+// Guards against a checker that takes the newest limit before it has to be in force, or an older one
+// for good.
+#[test]
+fn highest_limit_that_may_be_in_force_counts() {
+    let draft = |lowered: f64| {
+        job_of_customer()
+            .with(1.5, [customer(&[], 5_000)])
+            .with(lowered, [customer(&[], 1_000)])
+            .with(10.0, (0..2).map(|i| started_task("w1", i)))
+    };
+    assert_eq!(
+        beyond_limit(draft(9.0).with(11.7, [started_task("w2", 2)])),
+        0
+    );
+    draft(9.0)
+        .with(11.9, [started_task("w2", 2)])
+        .breaks("QUOTA", "2000 of at most 1000 millicores");
+    // Faults delay the time from which only the new one counts.
+    let disturbed = || draft(9.0).with(11.0, [fault(1), What::FaultEnded { id: 1 }]);
+    assert_eq!(
+        beyond_limit(disturbed().with(14.9, [started_task("w2", 2)])),
+        0
+    );
+    disturbed()
+        .with(15.1, [started_task("w2", 2)])
+        .breaks("QUOTA", "2000 of at most 1000 millicores");
+    // A start may come just before the record of a limit that allows it.
+    let raised = job_of_customer()
+        .with(1.5, [customer(&[], 1_000)])
+        .with(9.0, (0..3).map(|i| started_task("w1", i)))
+        .with(9.1, [customer(&[], 5_000)]);
+    assert_eq!(beyond_limit(raised), 0);
+}
+
+// Guards against a checker that asks for a start beyond the limit of a customer.
+#[test]
+fn idle_job_of_a_customer_at_half_of_its_limit_is_allowed() {
+    let draft = |max_cpu| {
+        let mut draft = beside_other_job(step(1, &[], false));
+        for job in draft.record.jobs.values_mut() {
+            job.customer = Some("large".into());
+        }
+        draft
+            .with(12.0, [customer(&[], max_cpu)])
+            .with(40.0, [shown(39.9, Some("queued"))])
+    };
+    let found = draft(2_000).found();
+    assert!(!found.iter().any(|v| v.rule == "LOST"), "{found:#?}");
+    draft(2_100).breaks("LOST", "nothing of its job runs");
+}
--- a/crates/jujubelb-lab/src/soak/clients.rs
+++ b/crates/jujubelb-lab/src/soak/clients.rs
@@ -10,6 +10,8 @@
 use reqwest::{Client, Method, Response};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::customers::{Customers, authorize};
+use super::operator::OPEN_QUEUE;
 use crate::emulator::history::{Answer, History, Role, SentJob, SentStep, What};
 use crate::emulator::platform::entries::QUEUE_HOST;
 use crate::emulator::platform::jobs;
@@ -35,6 +37,9 @@
 /// Share of jobs that are cancelled.
 const CANCELLED_SHARE: f64 = 0.2;
 
+/// Share of jobs that are sent to the queue that needs no key, beside customers.
+const OPEN_SHARE: f64 = 0.1;
+
 /// Share of runs that fail, of the steps that fail at times.
 const FAILING: f64 = 0.3;
 
@@ -51,6 +56,8 @@
     pub(crate) history: Arc<History>,
     /// Base URL of each host.
     pub(crate) hosts: Arc<[String]>,
+    /// Customers of the callers, if queues need keys.
+    pub(crate) customers: Option<Arc<Customers>>,
     /// End of the time in which jobs are sent.
     pub(crate) traffic_end: Instant,
     /// End of the time in which clients ask for states.
@@ -85,11 +92,22 @@
 pub(crate) async fn send_jobs(ground: Ground, http: Client, seed: u64, pause: Duration) {
     let mut random = StdRng::seed_from_u64(seed);
     let mut following = tokio::task::JoinSet::new();
-    let lasting = draw_lasting_job(&mut random);
+    let mut lasting = draw_lasting_job(&mut random);
+    if ground.customers.is_some() {
+        // A limit of a customer would excuse it from running.
+        lasting.prefix = OPEN_QUEUE.into();
+    }
     let caller = Caller::new(&ground, &http, random.random());
     following.spawn(follow_lasting(caller, lasting));
     while Instant::now() < ground.traffic_end {
-        let job = draw_job(&mut random);
+        let mut job = draw_job(&mut random);
+        if ground.customers.is_some() {
+            if random.random_bool(OPEN_SHARE) {
+                (job.prefix, job.service) = (OPEN_QUEUE.into(), QUEUES[0].1.into());
+            } else {
+                job.customer = Some(Customers::draw_customer(&mut random));
+            }
+        }
         let caller = Caller::new(&ground, &http, random.random());
         following.spawn(follow(caller, job));
         sleep(pause.mul_f64(random.random_range(0.1..1.9))).await;
@@ -101,7 +119,7 @@
     format!("{:016x}", random.random::<u64>()).into()
 }
 
-fn draw_job(random: &mut StdRng) -> SentJob {
+pub(crate) fn draw_job(random: &mut StdRng) -> SentJob {
     let drawn: f64 = random.random();
     let queue = QUEUES.iter().find(|q| drawn < q.2).unwrap_or(&QUEUES[0]);
     let steps = random.random_range(1..=3);
@@ -109,6 +127,7 @@
     SentJob {
         payload: format!("payload of {id}").into(),
         id,
+        customer: None,
         prefix: queue.0.into(),
         service: queue.1.into(),
         steps: (0..steps).map(|i| draw_step(random, i)).collect(),
@@ -142,6 +161,7 @@
     SentJob {
         payload: format!("payload of {id}").into(),
         id,
+        customer: None,
         prefix: QUEUES[0].0.into(),
         service: QUEUES[0].1.into(),
         steps: vec![step],
@@ -201,7 +221,7 @@
     }
 
     async fn send(
-        &self,
+        &mut self,
         host: usize,
         method: Method,
         job: &SentJob,
@@ -217,7 +237,20 @@
         if method == Method::POST {
             request = request.json(&jobs::submission(job));
         }
-        request.send().await
+        let (Some(customers), Some(name)) = (&self.ground.customers, &job.customer) else {
+            return request.send().await;
+        };
+        let key = customers.draw_key(name, &mut self.random);
+        let history = &self.ground.history;
+        let asked = history.now();
+        let response = authorize(request, key.as_ref()).send().await?;
+        history.add(What::KeyAnswered {
+            host,
+            key,
+            asked,
+            status: response.status().as_u16(),
+        });
+        Ok(response)
     }
 
     /// Submits a job until it is accepted or the client gives up.
--- a/crates/jujubelb-lab/src/soak/faults.rs
+++ b/crates/jujubelb-lab/src/soak/faults.rs
@@ -219,6 +219,7 @@
                 sleep(time).await;
                 store.with(|s, now| s.delete(&key, now));
             }
+            Fault::Change => self.change_now.notify_one(),
             Fault::BadRequests(_) => self.send_bad_requests(host).await,
             Fault::SilentConnections(peers) => {
                 self.open_connections().await;
--- a/crates/jujubelb-lab/src/soak/mod.rs
+++ b/crates/jujubelb-lab/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod bursts;
 mod check;
 mod clients;
+mod customers;
 mod faults;
 mod operator;
 mod paused;
--- a/crates/jujubelb-lab/src/soak/operator.rs
+++ b/crates/jujubelb-lab/src/soak/operator.rs
@@ -11,13 +11,18 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::emulator::history::{History, What};
+use super::clients::Ground;
+use super::customers::{Customers, authorize};
+use crate::emulator::history::What;
 use crate::emulator::platform::entries::{QUEUE_HOST, Queue};
 use crate::emulator::{Emulator, ZONES};
 
 /// Queue that comes and goes.
 const PASSING_QUEUE: &str = "/passing/";
 
+/// Queue that needs no key, beside customers.
+pub(crate) const OPEN_QUEUE: &str = "/open/";
+
 /// Pause between two probes of a host.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -26,11 +31,12 @@
 const CHANGE_S: std::ops::Range<f64> = 4.0..12.0;
 
 /// The queues of the configuration.
-pub(crate) fn queues(with_passing: bool) -> Vec<Queue> {
+fn queues(with_passing: bool, with_open: bool) -> Vec<Queue> {
     let queue = |prefix: &str, service: &str, priority| Queue {
         prefix: prefix.into(),
         service: service.into(),
         priority,
+        public: prefix == OPEN_QUEUE,
     };
     let mut queues = vec![
         queue("/urgent/", "main", 0),
@@ -40,13 +46,29 @@
     if with_passing {
         queues.push(queue(PASSING_QUEUE, "main", 1));
     }
+    if with_open {
+        queues.push(queue(OPEN_QUEUE, "main", 1));
+    }
     queues
 }
 
+/// Writes a configuration with the customers as they are now, if there are any.
+pub(crate) fn configure(
+    emulator: &Emulator,
+    version: u64,
+    with_passing: bool,
+    customers: Option<&Customers>,
+) {
+    let queues = queues(with_passing, customers.is_some());
+    let customers = customers.map(Customers::current).unwrap_or_default();
+    emulator.configure(version, &queues, customers);
+}
+
 /// Changes the configuration and evacuates failure domains until `end`. Changes the configuration
 /// at once when it is woken.
 pub(crate) async fn operate(
     emulator: Arc<Emulator>,
+    customers: Option<Arc<Customers>>,
     change_now: Arc<Notify>,
     seed: u64,
     end: Instant,
@@ -59,14 +81,17 @@
         if !is_woken {
             let pause = Duration::from_secs_f64(random.random_range(CHANGE_S));
             if Instant::now() + pause >= end {
-                return;
+                break;
             }
             is_woken = timeout(pause, change_now.notified()).await.is_ok();
         }
         if std::mem::take(&mut is_woken) || random.random::<f64>() < 0.6 {
             version += random.random_range(1..4);
             passing = !passing;
-            emulator.configure(version, &queues(passing));
+            if let Some(customers) = &customers {
+                customers.change();
+            }
+            configure(&emulator, version, passing, customers.as_deref());
             continue;
         }
         let zone = ZONES[random.random_range(0..ZONES.len())];
@@ -76,22 +101,27 @@
         is_woken = woken.is_ok();
         emulator.restore(zone);
     }
+    // What customers have sent is then over in time.
+    if let Some(customers) = customers {
+        customers.restore_limits();
+        configure(&emulator, version + 1, passing, Some(&customers));
+    }
 }
 
 /// Asks a host again and again whether the passing queue exists.
-pub(crate) async fn probe(
-    history: Arc<History>,
-    http: Client,
-    host: usize,
-    base: String,
-    end: Instant,
-) {
+pub(crate) async fn probe(ground: Ground, http: Client, host: usize, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
     let prefix = ArcStr::from(PASSING_QUEUE);
-    while Instant::now() < end {
+    let history = &ground.history;
+    while Instant::now() < ground.traffic_end {
         let asked = history.now();
-        let url = format!("{base}{prefix}");
-        let response = http.get(url).header("Host", QUEUE_HOST).send().await;
-        let exists = match response.map(|r| r.status().as_u16()) {
+        let url = format!("{}{prefix}", ground.hosts[host]);
+        let mut request = http.get(url).header("Host", QUEUE_HOST);
+        if let Some(customers) = &ground.customers {
+            let key = customers.held_key(&mut random);
+            request = authorize(request, Some(&key));
+        }
+        let exists = match request.send().await.map(|r| r.status().as_u16()) {
             Ok(200) => Some(true),
             Ok(404) => Some(false),
             _ => None,
--- a/crates/jujubelb-lab/src/soak/plan.rs
+++ b/crates/jujubelb-lab/src/soak/plan.rs
@@ -40,6 +40,22 @@
 /// another clock, which may grant it the longest lease.
 const FIRST_SEED_WITH_RESTARTS: u64 = 40_000;
 
+/// First seed with customers, whose keys and limits change beside surges of their jobs, without
+/// bursts and other faults than those of a round for customers.
+const FIRST_SEED_WITH_CUSTOMERS: u64 = 50_000;
+
+/// Milliseconds between the operator's changes around a fault: within its bound and beyond it.
+const CHANGE_GAP_MS: (u64, u64) = (300, 3_500);
+
+/// Milliseconds for which a host or the workers of a failure domain are cut off while keys and
+/// limits change. Leases of both the leader and the workers end meanwhile, or don't.
+const CUSTOMER_CUT_MS: (u64, u64) = (2_000, 9_000);
+
+/// Changes of the leader in a row, and milliseconds between two of them: around the length of the
+/// leader's lease and the wait for inherited tasks.
+const LEADER_CHANGES: (u64, u64) = (3, 5);
+const LEADER_CHANGE_GAP_MS: (u64, u64) = (1_000, 4_500);
+
 /// Of the seeds with restarts, one in this number has the longer leases.
 const RESTARTS_PER_LONGER_LEASE: u64 = 2;
 
@@ -129,6 +145,8 @@
     WorkerCut(usize),
     /// An entry that can't be read, or names nobody, is among those of the workers.
     BadEntry,
+    /// The operator changes the configuration.
+    Change,
     /// A client sends what is no request, and bodies that can't be decoded.
     BadRequests(Target),
     /// After a burst of requests the open connections of all hosts to these go silent for good,
@@ -185,7 +203,12 @@
 
 /// Whether a seed has serving jobs and bursts of best-effort jobs.
 pub(crate) fn has_bursts(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_BURSTS
+    (FIRST_SEED_WITH_BURSTS..FIRST_SEED_WITH_CUSTOMERS).contains(&seed)
+}
+
+/// Whether a seed has customers, of which calls need keys.
+pub(crate) fn has_customers(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_CUSTOMERS
 }
 
 /// Whether a seed has faults from outside.
@@ -198,7 +221,7 @@
 }
 
 fn has_restarts(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_RESTARTS
+    (FIRST_SEED_WITH_RESTARTS..FIRST_SEED_WITH_CUSTOMERS).contains(&seed)
 }
 
 /// Longest lease of what runs on the workers of a seed.
@@ -223,6 +246,9 @@
         }
         at = end;
     }
+    while has_customers(seed) && at < end {
+        at = add_customer_round(&mut random, at, (hosts, workers), &mut planned);
+    }
     while at < end {
         if seed >= FIRST_SEED_WITH_SILENCE {
             at = add_silence(&mut random, at, &mut planned);
@@ -324,6 +350,86 @@
     cut + CUT_TIME + Duration::from_millis(random.random_range(ROUND_GAP_MS.0..ROUND_GAP_MS.1))
 }
 
+/// Adds a round of faults beside changes of keys and limits from some time on. Returns when the next
+/// one may begin.
+fn add_customer_round(
+    random: &mut StdRng,
+    at: Duration,
+    (hosts, workers): (usize, usize),
+    planned: &mut Vec<Planned>,
+) -> Duration {
+    let millis = |random: &mut StdRng, range: (u64, u64)| {
+        Duration::from_millis(random.random_range(range.0..range.1))
+    };
+    let target = match random.random() {
+        true => Target::Leader,
+        false => Target::Host(random.random_range(0..hosts)),
+    };
+    let mut over = at;
+    let mut add = |at: Duration, fault, time: Duration| {
+        planned.push(Planned { at, fault, time });
+        over = over.max(at + time);
+    };
+    let change = at + millis(random, CHANGE_GAP_MS);
+    let cut = millis(random, CUSTOMER_CUT_MS);
+    match random.random_range(0..4) {
+        0 => {
+            let treatment = match random.random() {
+                true => Treatment::Silence,
+                false => Treatment::Reset,
+            };
+            add(at, Fault::StoreLink(target, treatment, 1.0), cut);
+        }
+        1 => {
+            let down = millis(random, (100, 4_000));
+            // The leader is killed while the first change spreads.
+            let kill = change + millis(random, (0, 300));
+            add(kill, Fault::Kill(Target::Leader), down);
+        }
+        2 => {
+            let mut kill = at;
+            for _ in 0..random.random_range(LEADER_CHANGES.0..LEADER_CHANGES.1) {
+                let down = millis(random, (100, 4_000));
+                let fault = match random.random() {
+                    true => Fault::Kill(Target::Leader),
+                    false => Fault::Pause(Target::Leader),
+                };
+                add(kill, fault, down);
+                add(
+                    kill + millis(random, (0, 1_000)),
+                    Fault::Change,
+                    Duration::ZERO,
+                );
+                kill += millis(random, LEADER_CHANGE_GAP_MS);
+            }
+        }
+        _ => {
+            let treatment = match random.random() {
+                true => Treatment::Silence,
+                false => Treatment::Late(millis(random, (300, 3_500))),
+            };
+            let zone = random.random_range(0..ZONES.len());
+            for worker in (zone..workers).step_by(ZONES.len()) {
+                add(at, Fault::WorkerLink(worker, treatment, 1.0), cut);
+            }
+            let kill = at + millis(random, CHANGE_GAP_MS);
+            add(
+                kill,
+                Fault::Kill(Target::Leader),
+                millis(random, (100, 4_000)),
+            );
+        }
+    }
+    add(change, Fault::Change, Duration::ZERO);
+    add(
+        change + millis(random, CHANGE_GAP_MS),
+        Fault::Change,
+        Duration::ZERO,
+    );
+    planned.sort_by_key(|p| p.at);
+    over + CALM_AFTER
+}
+
 fn draw_fault(random: &mut StdRng, at: Duration, hosts: usize, workers: usize) -> Planned {
     let target = match random.random() {
         true => Target::Leader,
--- a/crates/jujubelb-lab/src/soak/plan/tests.rs
+++ b/crates/jujubelb-lab/src/soak/plan/tests.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use super::{
-    CUT_TIME, Fault, LATE_BEFORE_CRASH, Peers, Planned, Target, draw, has_bursts, has_faults,
-    max_lease,
+    CUT_TIME, Fault, LATE_BEFORE_CRASH, Peers, Planned, Target, draw, has_bursts, has_customers,
+    has_faults, max_lease,
 };
 use crate::emulator::http::Treatment;
 use crate::emulator::worker::{LONGER_MAX_LEASE, MAX_LEASE};
@@ -79,3 +79,39 @@
         assert!(!plan.iter().any(restarts) && max_lease(seed) == MAX_LEASE);
     }
 }
+
+/// Guards against a series in which keys and limits only change while nothing is disturbed, and
+/// against changes of other seeds.
+#[test]
+fn configurations_change_while_hosts_are_cut_off_and_leaders_change() {
+    let plans: Vec<_> = (50_000..50_020).map(|s| draw(s, 3, 6, END)).collect();
+    assert!((50_000..50_020).all(|s| has_customers(s) && has_faults(s) && !has_bursts(s)));
+    let beside_change = |plan: &Vec<Planned>, matches: &dyn Fn(&Fault) -> bool| {
+        let changes = || plan.iter().filter(|p| p.fault == Fault::Change);
+        let mut faults = plan.iter().filter(|p| matches(&p.fault));
+        faults.any(|f| changes().any(|c| c.at >= f.at && c.at <= f.at + f.time))
+    };
+    let count = |matches: &dyn Fn(&Fault) -> bool| {
+        let with = plans.iter().filter(|plan| beside_change(plan, matches));
+        with.count()
+    };
+    assert!(count(&|f| matches!(f, Fault::StoreLink(..))) >= 4);
+    assert!(count(&|f| matches!(f, Fault::WorkerLink(..))) >= 4);
+    assert!(count(&|f| *f == Fault::Kill(Target::Leader)) >= 8);
+    let leaders_in_a_row = |plan: &&Vec<Planned>| {
+        let ends = |f| {
+            matches!(
+                f,
+                Fault::Kill(Target::Leader) | Fault::Pause(Target::Leader)
+            )
+        };
+        let times: Vec<_> = plan.iter().filter(|p| ends(p.fault)).collect();
+        let mut rows = times.windows(3);
+        rows.any(|row| row[2].at < row[0].at + Duration::from_secs(9))
+    };
+    assert!(plans.iter().filter(leaders_in_a_row).count() >= 4);
+    let changes = |p: &Planned| p.fault == Fault::Change;
+    for seed in [1, 10_001, 20_001, 30_001, 40_001, 49_999] {
+        assert!(!has_customers(seed) && !draw(seed, 3, 6, END).iter().any(changes));
+    }
+}
--- a/crates/jujubelb-lab/src/soak/processes.rs
+++ b/crates/jujubelb-lab/src/soak/processes.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
+use indexmap::IndexSet;
 use rustix::process::{Pid, Signal, kill_process};
 
 use super::silence::silence;
-use crate::emulator::history::{History, What};
+use crate::emulator::customers::Key;
+use crate::emulator::history::{Event, History, What};
 use crate::emulator::http::lock;
 use crate::emulator::platform::settings::{HostPlace, INTERNAL_PORTS, PATH_VARIABLE};
 
@@ -203,6 +205,27 @@
         }
     }
 
+    /// Records the keys of customers that stand in the output of processes. The history holds all
+    /// keys that were in use.
+    pub(crate) fn record_logged_keys(&self) {
+        let keys: IndexSet<Key> = self.history.read(|record| {
+            let configured = |event: &Event| match &event.what {
+                What::Configured { customers, .. } => Some(customers.clone()),
+                _ => None,
+            };
+            let customers = record.events.iter().filter_map(configured).flatten();
+            customers.flat_map(|customer| customer.keys).collect()
+        });
+        for (index, host) in lock(&self.hosts).iter().enumerate() {
+            let log = std::fs::read(self.log_path(&host.place)).unwrap_or_default();
+            let log = String::from_utf8_lossy(&log);
+            for key in contained(&keys, &log) {
+                let key = key.clone();
+                self.history.add(What::KeyLogged { host: index, key });
+            }
+        }
+    }
+
     /// Ends all processes.
     pub(crate) fn end(&self) {
         for host in lock(&self.hosts).iter_mut() {
@@ -216,8 +239,16 @@
     }
 }
 
+/// The keys that stand in an output.
+fn contained<'a>(keys: &'a IndexSet<Key>, output: &str) -> impl Iterator<Item = &'a Key> {
+    keys.iter().filter(|key| output.contains(key.text.as_str()))
+}
+
 impl Drop for Processes {
     fn drop(&mut self) {
         self.end();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/jujubelb-lab/src/soak/report.rs
+++ b/crates/jujubelb-lab/src/soak/report.rs
@@ -30,6 +30,8 @@
     pub started: usize,
     /// Runs that have ended as done.
     pub done: usize,
+    /// Calls whose key was refused.
+    pub unauthorized: usize,
     /// Faults that were done.
     pub faults: usize,
     /// Jobs of which all runs were at pace 0 for more than 10 s at a stretch, while LOST is judged.
@@ -72,6 +74,7 @@
                 )
             }),
             faults: count(|w| matches!(w, What::FaultBegan { .. })),
+            unauthorized: count(|w| matches!(w, What::KeyAnswered { status: 401, .. })),
             paused: paused_jobs(record),
             details: details.map(|v| around(record, v)).collect(),
             violations,
@@ -117,8 +120,15 @@
         let verdict = if self.is_clean() { "clean" } else { "BROKEN" };
         writeln!(
             out,
-            "seed {}: {verdict}; accepted {}, started {}, done {}, faults {}, paused jobs {}",
-            self.seed, self.accepted, self.started, self.done, self.faults, self.paused
+            "seed {}: {verdict}; accepted {}, started {}, done {}, faults {}, paused jobs {}, \
+             keys refused {}",
+            self.seed,
+            self.accepted,
+            self.started,
+            self.done,
+            self.faults,
+            self.paused,
+            self.unauthorized
         )?;
         for (index, violation) in self.violations.iter().enumerate() {
             writeln!(out, "  {violation}")?;
--- a/crates/jujubelb-lab/src/soak/run.rs
+++ b/crates/jujubelb-lab/src/soak/run.rs
@@ -17,6 +17,7 @@
 use super::bursts;
 use super::check;
 use super::clients::{self, Ground, QUEUES};
+use super::customers::{self, Customers};
 use super::faults::Scene;
 use super::operator;
 use super::plan::{self, Planned};
@@ -40,6 +41,10 @@
 /// Factor of the pause beside bursts of best-effort jobs.
 const PAUSE_BESIDE_BURSTS: f64 = 3.0;
 
+/// Factor of the pause beside surges of customers, whose limits leave room for what they send on
+/// average.
+const PAUSE_BESIDE_CUSTOMERS: f64 = 2.0;
+
 /// Every fifth worker belongs to the second service.
 const SIDE_SHARE: usize = 4;
 
@@ -109,7 +114,9 @@
         },
     };
     let emulator = Arc::new(Emulator::start(&layout, options.seed).await?);
-    emulator.configure(1, &operator::queues(false));
+    let customers =
+        plan::has_customers(options.seed).then(|| Arc::new(Customers::new(!options.seed)));
+    operator::configure(&emulator, 1, false, customers.as_deref());
     tokio::spawn(measure_delay(emulator.history.clone()));
     let hosts: Vec<_> = (0..options.hosts).map(|h| layout.host(h)).collect();
     let history = emulator.history.clone();
@@ -130,6 +137,7 @@
             .iter()
             .map(|h| format!("http://{}", h.clients))
             .collect(),
+        customers: customers.clone(),
         traffic_end,
         end: traffic_end + FINISH,
     };
@@ -147,6 +155,15 @@
     if plan::has_bursts(options.seed) {
         pause = pause.mul_f64(PAUSE_BESIDE_BURSTS);
     }
+    if plan::has_customers(options.seed) {
+        pause = pause.mul_f64(PAUSE_BESIDE_CUSTOMERS);
+        tasks.spawn(customers::send_surges(
+            ground.clone(),
+            http.clone(),
+            options.seed,
+            pause,
+        ));
+    }
     tasks.spawn(clients::send_jobs(
         ground.clone(),
         http.clone(),
@@ -155,6 +172,7 @@
     ));
     tasks.spawn(operator::operate(
         emulator.clone(),
+        customers.clone(),
         change_now,
         random.random(),
         traffic_end,
@@ -175,15 +193,13 @@
         ending.add(What::TrafficEnded);
     });
     tasks.spawn(play(Arc::new(scene), planned, start));
-    for (index, base) in ground.hosts.iter().enumerate() {
-        let (history, base) = (history.clone(), base.clone());
-        tasks.spawn(operator::probe(
-            history,
-            http.clone(),
-            index,
-            base,
-            traffic_end,
-        ));
+    for host in 0..options.hosts {
+        let seed = options.seed ^ host as u64;
+        tasks.spawn(operator::probe(ground.clone(), http.clone(), host, seed));
+        if let Some(customers) = customers.clone() {
+            let (ground, http) = (ground.clone(), http.clone());
+            tasks.spawn(customers::probe(customers, ground, http, host, seed));
+        }
     }
     while let Some(ended) = tasks.join_next().await {
         ended.wrap_err("a part of the soak has failed")?;
@@ -191,6 +207,7 @@
     looking.abort();
     processes.end();
     processes.record_panics();
+    processes.record_logged_keys();
     finish(options, &history, &dir)
 }
 
