--- a/crates/jujubelb-lab/tests/soak.rs
+++ b/crates/jujubelb-lab/tests/soak.rs
@@ -100,3 +100,15 @@
     assert!(outcome.is_clean(), "{outcome}");
     assert!(outcome.done >= 20, "{outcome}");
 }
+
+/// Guards against hosts that serve a key too long or refuse one that is held, and against a leader
+/// that starts more of a customer than its limit allows, while hosts are cut off from the store and
+/// leaders change.
+#[test]
+fn customers_break_no_rule() {
+    let outcome = soak(50_000, true, Duration::from_secs(12));
+    assert!(outcome.is_clean(), "{outcome}");
+    assert!(outcome.done >= 20, "{outcome}");
+    // The checks of keys are empty if none is refused.
+    assert!(outcome.unauthorized >= 20, "{outcome}");
+}
