Check that public queues ask for no key in the soak

Cause: a host that answers 401 on a public queue broke no check, since clients took it for a rejection.

Change: such an answer to a submission of a job without customer breaks CONFIG. Another test shows that REFUSED counts a 401 as a rejection.

--- a/crates/jujubelb-lab/src/soak/check/keys.rs
+++ b/crates/jujubelb-lab/src/soak/check/keys.rs
@@ -8,7 +8,7 @@
 use super::config::CONFIG;
 use super::{CONTACT, Calm, RESOLUTION, Violation};
 use crate::emulator::customers::Customer;
-use crate::emulator::history::{Record, What};
+use crate::emulator::history::{Answer, Record, What};
 
 pub(super) fn check(record: &Record, calm: &Calm, found: &mut Vec<Violation>) {
     let mut keys = Keys::default();
@@ -70,6 +70,13 @@
                     add("CONFIG", text);
                 }
             }
+            What::SubmitAnswered { job, answer } => {
+                let customer = record.jobs.get(job).map(|j| &j.customer);
+                if customer == Some(&None) && *answer == Answer::Status(401) {
+                    let text = format!("the submission of {job} to a public queue is answered 401");
+                    add("CONFIG", text);
+                }
+            }
             What::KeyLogged { host, key } => {
                 add(
                     "LEAK",
--- a/crates/jujubelb-lab/src/soak/check/tests.rs
+++ b/crates/jujubelb-lab/src/soak/check/tests.rs
@@ -850,6 +850,27 @@
         .holds();
 }
 
+// Guards against a host that asks for a key on a queue that needs none.
+#[test]
+fn refused_submission_to_a_public_queue_breaks_config() {
+    let submitted = || Draft::submitted(vec![step(1, &[], false)]);
+    submitted()
+        .with(1.0, submit(Answer::Status(401)))
+        .breaks("CONFIG", "to a public queue is answered 401");
+    let mut of_customer = submitted();
+    of_customer.record.jobs[JOB].customer = Some("large".into());
+    of_customer.with(1.0, submit(Answer::Status(401))).holds();
+}
+
+// Guards against a 401 that is taken for an unclear answer: what was refused must not start.
+#[test]
+fn start_of_job_with_refused_key_breaks_refused() {
+    Draft::submitted(vec![step(1, &[], false)])
+        .with(1.0, submit(Answer::Status(401)))
+        .with(2.0, [started("w1", 0, 1)])
+        .breaks("REFUSED", "all submissions of the job were rejected");
+}
+
 // Guards against hosts whose logs show keys.
 #[test]
 fn key_in_a_log_breaks_leak() {
