Start single tasks while what counts is below the limit of the customer

Tasks had to fit into the limit, and steps held back by it reserved nothing. Smaller tasks of later rank took what ends gave back, so that a larger task or a gang could wait for as long as they followed. A task larger than the limit never started beside a long-running task of its customer, because it needed a customer without runs.

A single task now starts while what counts is below the limit in each limited resource that it needs. A gang starts whole if all but one member fit, and while the limit holds it back finite steps of later rank get nothing in that pass, unless it does not fit beside the long-running tasks of the customer.

A partial hold no longer resets the time since which workers have refused the step, and the allowed starts go to tasks that are not suspected of a crash first. Before, tasks were cut by index, and a suspect that waited for a worker apart from others could take the only start.

--- a/crates/jujubelb/src/dispatch/customers/usage.rs
+++ b/crates/jujubelb/src/dispatch/customers/usage.rs
@@ -19,6 +19,8 @@
 pub(super) struct Usage {
     /// Declared sizes of all tracked runs, with the starts of this pass.
     pub(super) tracked: Resources,
+    /// The part of `tracked` that long-running tasks occupy.
+    lasting: Resources,
     /// Bound on what earlier leaders have started on workers that have not listed all their runs.
     pub(super) unlisted: Resources,
     /// Number of runs in both.
@@ -27,31 +29,42 @@
     pub(super) has_waiting: bool,
     /// Waiting tasks that its limit held back.
     pub(super) held: usize,
+    /// Whether the limit has held back a gang in this pass. Finite steps of later rank get nothing
+    /// then, or they would take what the gang waits for.
+    gang_waits: bool,
 }
 
 impl Usage {
-    fn add(&mut self, size: Resources) {
-        self.tracked += size;
+    fn add(&mut self, step: &Step) {
+        self.tracked += step.size;
         self.runs += 1;
+        if step.long_running {
+            self.lasting += step.size;
+        }
     }
 
     pub(super) fn counted(&self) -> Resources {
         self.tracked + self.unlisted
     }
 
-    /// How many of these tasks of a step may start within a limit. One task more may if nothing else
-    /// counts, so that tasks larger than the limit are not lost.
+    /// How many of these tasks of a step may start within a limit. Single tasks start while what
+    /// counts is below it, since smaller tasks would otherwise take what a larger one waits for. A
+    /// gang starts whole if all but one of its members fit.
     pub(super) fn allowed(&self, limit: &Resources, step: &Step, tasks: usize) -> usize {
-        let fitting = share::tasks_within(limit, &self.counted(), &step.size)
-            .map_or(tasks, |n| usize::try_from(n).unwrap_or(tasks));
-        let exempt = match step.gang {
-            true => fitting.saturating_add(1),
-            false => 1,
-        };
-        match self.runs {
-            0 => fitting.max(exempt).min(tasks),
-            _ => fitting.min(tasks),
+        if self.gang_waits && !step.long_running {
+            return 0;
         }
+        let allowed = match step.gang {
+            true => share::members_within(limit, &self.counted(), &step.size),
+            false => share::starts_below(limit, &self.counted(), &step.size),
+        };
+        allowed.map_or(tasks, |n| usize::try_from(n).unwrap_or(tasks).min(tasks))
+    }
+
+    /// Whether a gang fits the limit once all finite runs have ended.
+    fn may_fit(&self, limit: &Resources, step: &Step) -> bool {
+        let members = share::members_within(limit, &self.lasting, &step.size);
+        members.is_none_or(|n| n >= u64::from(step.count))
     }
 }
 
@@ -134,7 +147,7 @@
             // The size that the worker reports is 0 for a run that was listed before its job was read.
             let job = self.jobs.get(&task.step.job);
             if let Some((customer, step)) = job.and_then(|j| owner(j, task.step)) {
-                entries[customer.0].usage.add(step.size);
+                entries[customer.0].usage.add(step);
             }
         }
         for key in &self.ready {
@@ -224,19 +237,31 @@
     pub(in super::super) fn count_start(&mut self, task: TaskKey) {
         let job = self.jobs.get(&task.step.job);
         if let Some((customer, step)) = job.and_then(|j| owner(j, task.step)) {
-            self.customers.entries[customer.0].usage.add(step.size);
+            self.customers.entries[customer.0].usage.add(step);
         }
     }
 
-    /// Records that the limit of its customer has held back tasks of a step.
+    /// Records that the limit of its customer keeps all waiting tasks of a step from starting.
     pub(in super::super) fn hold_limited(&mut self, key: StepKey, tasks: usize, now: Time) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let customer = job.customer;
         if let Some(state) = job.step_mut(key.occurrence, key.step) {
             state.limited = Some(now);
         }
+        self.count_held(key, tasks);
+        let job = self.jobs.get(&key.job);
+        if let Some((customer, step)) = job.and_then(|j| owner(j, key)) {
+            let entry = &mut self.customers.entries[customer.0];
+            if step.gang && entry.usage.may_fit(&entry.limit(), step) {
+                entry.usage.gang_waits = true;
+            }
+        }
+    }
+
+    /// Counts waiting tasks of a step that the limit of its customer has held back.
+    pub(in super::super) fn count_held(&mut self, key: StepKey, tasks: usize) {
+        let customer = self.jobs.get(&key.job).and_then(|j| j.customer);
         if let Some(customer) = customer {
             self.customers.entries[customer.0].usage.held += tasks;
         }
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -383,7 +383,6 @@
             self.start_gang(key, &record, step, orders, now);
             return;
         }
-        waiting.truncate(allowed);
         let wait_time = |t: &super::job::Task| now.since(t.since);
         let longest_wait = state.tasks.iter().filter(|t| startable(t)).map(wait_time);
         let longest_wait = longest_wait.max().unwrap_or_default();
@@ -406,9 +405,8 @@
             }
         }
         let (probes, others): (Vec<u32>, Vec<u32>) = others.into_iter().partition(may_probe);
-        if held > 0 {
-            self.hold_limited(key, held, now);
-        }
+        // The other tasks of the step start, so only the workers can keep it waiting.
+        self.count_held(key, held);
         let mut request = PlacementRequest {
             key,
             step,
@@ -420,7 +418,9 @@
             needs_ticket: record.queue.ticket_lifetime.is_some(),
             starved,
         };
-        for (tasks, may_probe) in [(others, false), (probes, true)] {
+        for (mut tasks, may_probe) in [(others, false), (probes, true)] {
+            // What the limit holds back says nothing about the workers.
+            tasks.truncate(self.allowed_starts(&record, step, tasks.len()));
             if !self.start_or_probe(&tasks, may_probe, &mut request, &record, orders, now) {
                 unplaced.add(step, &record, keep_reserve, may_probe);
             }
--- a/crates/jujubelb/src/place/share.rs
+++ b/crates/jujubelb/src/place/share.rs
@@ -28,11 +28,40 @@
 /// How many tasks of a size fit into what `used` leaves of a limit. A resource at 0 has no limit;
 /// `None` if the tasks need no resource that has one.
 pub(crate) fn tasks_within(limit: &Resources, used: &Resources, size: &Resources) -> Option<u64> {
+    let tasks = |limit: u64, used: u64, size: u64| limit.saturating_sub(used) / size;
+    least(limit, used, size, tasks)
+}
+
+/// How many tasks of a size may start one by one, each while what counts is below the limit in each
+/// limited resource that it needs, so that the last one may exceed it. A resource at 0 has no limit;
+/// `None` if the tasks need no resource that has one.
+pub(crate) fn starts_below(limit: &Resources, used: &Resources, size: &Resources) -> Option<u64> {
+    let starts = |limit: u64, used: u64, size: u64| limit.saturating_sub(used).div_ceil(size);
+    least(limit, used, size, starts)
+}
+
+/// How many tasks of a size may start together, so that all but one of them stay within the limit.
+/// A resource at 0 has no limit; `None` if the tasks need no resource that has one.
+pub(crate) fn members_within(limit: &Resources, used: &Resources, size: &Resources) -> Option<u64> {
+    let members = |limit: u64, used: u64, size: u64| {
+        let left = limit.checked_sub(used);
+        left.map_or(0, |left| (left / size).saturating_add(1))
+    };
+    least(limit, used, size, members)
+}
+
+/// The least number of tasks over the resources that they need and that have a limit.
+fn least(
+    limit: &Resources,
+    used: &Resources,
+    size: &Resources,
+    tasks: impl Fn(u64, u64, u64) -> u64,
+) -> Option<u64> {
     let limited = amounts(limit).into_iter().zip(amounts(used));
     limited
         .zip(amounts(size))
         .filter(|((limit, _), size)| *limit > 0 && *size > 0)
-        .map(|((limit, used), size)| limit.saturating_sub(used) / size)
+        .map(|((limit, used), size)| tasks(limit, used, size))
         .min()
 }
 
