Compare shares of customers by their finite tasks

Long-running and best-effort runs counted for the share of a customer and put its finite, urgent steps behind the overdue work of all others. With standing tasks on over 80 % of the cores this happened in calm times too.

The share now compares what finite tasks reserve, best-effort ones with their memory only, with what long-running tasks leave of the workers, and workers are full when this remainder is in use. It is compared by multiplication in u128, since the part of two customers with weights near 2^32 was rounded to 0.

--- a/crates/jujubelb/src/dispatch/customers/usage.rs
+++ b/crates/jujubelb/src/dispatch/customers/usage.rs
@@ -9,8 +9,8 @@
 use crate::model::{Resources, Time};
 use crate::place::share;
 
-/// Part of the processor time or the memory of all workers in percent, reserved or in demand, from
-/// which on they count as full. The reserve for short tasks and what is left between tasks of several cores
+/// Part of the processor time or the memory that long-running tasks leave of all workers, in percent,
+/// from which on they count as full. The reserve for short tasks and what is left between tasks of several cores
 /// are not free for all, so more is often not reached although tasks wait.
 const FULL_PERCENT: u64 = 80;
 
@@ -21,11 +21,13 @@
     pub(super) tracked: Resources,
     /// The part of `tracked` that long-running tasks occupy.
     lasting: Resources,
+    /// What its finite tasks reserve. Best-effort ones reserve no processor time.
+    finite: Resources,
     /// Bound on what earlier leaders have started on workers that have not listed all their runs.
     pub(super) unlisted: Resources,
     /// Number of runs in both.
     pub(super) runs: u64,
-    /// Whether it has tasks of ready steps that wait.
+    /// Whether it has tasks of ready finite steps that wait.
     pub(super) has_waiting: bool,
     /// Waiting tasks that its limit held back.
     pub(super) held: usize,
@@ -38,8 +40,9 @@
     fn add(&mut self, step: &Step) {
         self.tracked += step.size;
         self.runs += 1;
-        if step.long_running {
-            self.lasting += step.size;
+        match step.long_running {
+            true => self.lasting += step.size,
+            false => self.finite += reserved_size(step),
         }
     }
 
@@ -68,6 +71,59 @@
     }
 }
 
+/// What a task reserves on its worker.
+fn reserved_size(step: &Step) -> Resources {
+    match step.best_effort {
+        true => Resources::new(0, step.size.memory.0, step.size.accelerators),
+        false => step.size,
+    }
+}
+
+/// What the runs of a worker reserve.
+#[derive(Debug, Default)]
+struct WorkerLoad {
+    lasting: Resources,
+    /// Of finite tasks, with the processor time that is in demand if it is more than declared.
+    finite: Resources,
+}
+
+impl WorkerLoad {
+    fn add(&mut self, step: &Step, cpu_demand: u64) {
+        let mut size = reserved_size(step);
+        if step.long_running {
+            self.lasting += size;
+            return;
+        }
+        if !step.best_effort {
+            size.cpu.0 = size.cpu.0.max(cpu_demand);
+        }
+        self.finite += size;
+    }
+}
+
+/// What long-running tasks leave of the workers in use, and how much of it is in use.
+#[derive(Debug, Default)]
+struct FiniteRoom {
+    capacity: Resources,
+    used: Resources,
+}
+
+impl FiniteRoom {
+    fn add(&mut self, capacity: &Resources, load: &WorkerLoad) {
+        let left = capacity.saturating_sub(&load.lasting);
+        self.capacity += left;
+        self.used += component_min(&left, &load.finite);
+    }
+
+    fn is_full(&self) -> bool {
+        let is_near = |used: u64, all: u64| {
+            u128::from(used) * 100 >= u128::from(all.max(1)) * u128::from(FULL_PERCENT)
+        };
+        let (used, all) = (&self.used, &self.capacity);
+        is_near(used.cpu.0, all.cpu.0) || is_near(used.memory.0, all.memory.0)
+    }
+}
+
 /// Waiting tasks of one kind that earlier leaders may have started.
 #[derive(Debug, Default, Clone, Copy)]
 struct InheritedTasks {
@@ -143,23 +199,37 @@
             customer.usage = Usage::default();
         }
         let entries = &mut self.customers.entries;
-        for task in self.workers.values().flat_map(|w| w.runs.keys()) {
-            // The size that the worker reports is 0 for a run that was listed before its job was read.
-            let job = self.jobs.get(&task.step.job);
-            if let Some((customer, step)) = job.and_then(|j| owner(j, task.step)) {
-                entries[customer.0].usage.add(step);
+        let mut room = FiniteRoom::default();
+        for worker in self.workers.values() {
+            let mut load = WorkerLoad::default();
+            for (task, run) in &worker.runs {
+                // The size that the worker reports is 0 for a run that was listed before its job was
+                // read.
+                let Some(job) = self.jobs.get(&task.step.job) else {
+                    continue;
+                };
+                let Some(step) = job.record.spec.steps.get(usize::from(task.step.step)) else {
+                    continue;
+                };
+                if let Some(customer) = job.customer {
+                    entries[customer.0].usage.add(step);
+                }
+                load.add(step, run.cpu_demand());
+            }
+            if worker.fenced && worker.listed {
+                room.add(&worker.report.capacity, &load);
             }
         }
         for key in &self.ready {
             let job = self.jobs.get(&key.job).filter(|j| j.outcome.is_none());
-            if let Some(customer) = job.and_then(|j| j.customer) {
-                entries[customer.0].usage.has_waiting = true;
+            if let Some((customer, step)) = job.and_then(|j| owner(j, *key)) {
+                entries[customer.0].usage.has_waiting |= !step.long_running;
             }
         }
         if !self.inherited_resolved {
             self.count_unlisted();
         }
-        self.compare_shares();
+        self.compare_shares(&room);
     }
 
     /// Counts the tasks that earlier leaders may have started on workers that have not listed all
@@ -204,32 +274,19 @@
         }
     }
 
-    /// Notes which customers use more than their share while the workers are full.
-    fn compare_shares(&mut self) {
-        let in_use = self.workers.values().filter(|w| w.fenced && w.listed);
-        let mut capacity = Resources::ZERO;
-        let (mut cpu, mut memory) = (0u64, 0u64);
-        for worker in in_use {
-            capacity += worker.report.capacity;
-            let demand = worker.load.cpu_demand.max(worker.load.reserved.cpu.0);
-            cpu = cpu.saturating_add(demand.min(worker.report.capacity.cpu.0));
-            memory = memory.saturating_add(worker.load.reserved.memory.0);
-        }
-        let is_near = |used: u64, all: u64| {
-            u128::from(used) * 100 >= u128::from(all.max(1)) * u128::from(FULL_PERCENT)
-        };
-        let is_full = is_near(cpu, capacity.cpu.0) || is_near(memory, capacity.memory.0);
+    /// Notes which customers use more than their share of what long-running tasks leave, while it is
+    /// in use.
+    fn compare_shares(&mut self, room: &FiniteRoom) {
+        let is_full = room.is_full();
         let entries = &mut self.customers.entries;
-        let is_active = |c: &Customer| c.usage.runs > 0 || c.usage.has_waiting;
-        let weights = entries
-            .values()
-            .filter(|c| is_active(c))
-            .map(Customer::weight);
-        let all: u64 = weights.map(u64::from).sum();
-        let part = share::WHOLE / all.max(1);
+        let is_active = |c: &Customer| c.usage.finite != Resources::ZERO || c.usage.has_waiting;
+        let active = entries.values().filter(|c| is_active(c));
+        let all: u64 = active.map(|c| u64::from(c.weight())).sum();
         for customer in entries.values_mut() {
-            let used = share::weighted(&customer.usage.tracked, &capacity, customer.weight());
-            customer.beyond_share = is_full && used > part;
+            let weight = customer.weight();
+            let finite = &customer.usage.finite;
+            customer.beyond_share =
+                is_full && share::exceeds_part(finite, &room.capacity, weight, all);
         }
     }
 
--- a/crates/jujubelb/src/dispatch/tests/customers.rs
+++ b/crates/jujubelb/src/dispatch/tests/customers.rs
@@ -8,6 +8,7 @@
 use super::{Simulation, job, long_running, step};
 use crate::dispatch::{CustomerTerms, JobKey, JobRecord, Step, StepKey, TaskKey};
 use crate::model::{Bytes, CustomerName, Resources, Span};
+use crate::place::share;
 
 /// Terms with a limit in cores; 0 is no limit.
 fn cores(limit: u64) -> CustomerTerms {
@@ -230,13 +231,23 @@
     assert!(others >= 1, "{others} after {:?}", sim.now.since(crashed));
 }
 
+/// Guards against weights so large that the part of a customer has no digits left, so that its surge
+/// has no effect.
+#[test]
+fn a_share_of_large_weights_is_exact() {
+    let capacity = Resources::new(100, 100, 0);
+    let all = 2 * u64::from(u32::MAX);
+    let exceeds = |cpu| share::exceeds_part(&Resources::new(cpu, 0, 0), &capacity, u32::MAX, all);
+    assert!(exceeds(60) && !exceeds(50));
+}
+
 /// Guards against long-running tasks that put the finite, urgent jobs of their customer behind the
 /// overdue work of others, also in calm times.
 #[test]
 fn standing_tasks_do_not_put_urgent_jobs_of_their_customer_last() {
     let mut sim = Simulation::new(4);
     sim.set_customers(&[("standing", cores(0)), ("other", cores(0))]);
-    sim.submit(1, of("standing", vec![long_running(32, 6)]));
+    sim.submit(1, of("standing", vec![long_running(35, 6)]));
     sim.run(Span::from_secs(6));
     // The other customer has more than the rest of the workers to do, all of it overdue.
     let mut record = of("other", vec![step(2_000, 2, Span::from_millis(400))]);
--- a/crates/jujubelb/src/place/share.rs
+++ b/crates/jujubelb/src/place/share.rs
@@ -3,11 +3,11 @@
 
 use crate::model::Resources;
 
-/// Weighted share of a user of weight 1 who occupies all there is.
-pub(crate) const WHOLE: u64 = 1_000_000_000;
+/// Dominant share of a user who occupies all there is, in millionths.
+const ALL_MILLIONTHS: u64 = 1_000_000;
 
 /// Weight-adjusted dominant share: the largest part over all resources of what a user occupies of
-/// `capacity`, divided by its weight. [`WHOLE`] is all there is at weight 1.
+/// `capacity`, divided by its weight. All there is at weight 1 gives 1,000,000,000.
 pub(crate) fn weighted(used: &Resources, capacity: &Resources, weight: u32) -> u64 {
     dominant(used, capacity) * 1_000 / u64::from(weight.max(1))
 }
@@ -15,8 +15,8 @@
 /// Dominant share of `capacity`, the largest over all resources, in millionths.
 pub(crate) fn dominant(used: &Resources, capacity: &Resources) -> u64 {
     let part = |used: u64, all: u64| {
-        let share = u128::from(used) * 1_000_000 / u128::from(all.max(1));
-        u64::try_from(share).unwrap_or(u64::MAX).min(1_000_000)
+        let share = u128::from(used) * u128::from(ALL_MILLIONTHS) / u128::from(all.max(1));
+        u64::try_from(share).unwrap_or(u64::MAX).min(ALL_MILLIONTHS)
     };
     amounts(used)
         .into_iter()
@@ -25,6 +25,18 @@
         .fold(0, u64::max)
 }
 
+/// Whether a user occupies a larger part of `capacity` than its weight is of `weights`, the sum over
+/// all users. Multiplied out, since a part of large weights has no digits left.
+pub(crate) fn exceeds_part(
+    used: &Resources,
+    capacity: &Resources,
+    weight: u32,
+    weights: u64,
+) -> bool {
+    let used = u128::from(dominant(used, capacity)) * u128::from(weights);
+    used > u128::from(weight) * u128::from(ALL_MILLIONTHS)
+}
+
 /// How many tasks of a size fit into what `used` leaves of a limit. A resource at 0 has no limit;
 /// `None` if the tasks need no resource that has one.
 pub(crate) fn tasks_within(limit: &Resources, used: &Resources, size: &Resources) -> Option<u64> {
