Check that the tests of two leaders and of lost answers reach the limit

The test of a paused leader passed without any start by it: the next leader did not reach the workers on which nothing was started. It now does not reach those on which the earlier leader starts tasks, asserts that some were started, and that both jobs complete. The test of starts without an answer asserts that the customer reaches its limit before the fault ends.

--- a/crates/jujubelb/src/dispatch/tests/customers.rs
+++ b/crates/jujubelb/src/dispatch/tests/customers.rs
@@ -405,25 +405,33 @@
 /// Guards against two leaders that each start tasks up to the limit.
 #[test]
 fn a_paused_leader_and_the_next_one_keep_one_limit() {
+    let mut carried_out = 0;
     for reached in 0..4 {
         let mut sim = Simulation::new(4);
         sim.set_customers(&[("limited", cores(40))]);
-        sim.submit(1, of("limited", vec![step(10, 4, Span::from_secs(8))]));
+        let first = sim.submit(1, of("limited", vec![step(10, 4, Span::from_secs(8))]));
         let mut old = PausedLeader::pause(&mut sim);
-        // The next leader reaches only some of the workers.
-        for i in reached..4 {
+        // The next leader does not reach the workers on which the earlier one starts tasks.
+        for i in 0..4 - reached {
             sim.worker(i).fault = Fault::Partitioned;
         }
         sim.change_leader();
-        sim.submit(2, of("limited", vec![step(20, 4, Span::from_secs(8))]));
+        let second = sim.submit(2, of("limited", vec![step(20, 4, Span::from_secs(8))]));
         sim.run(Span::from_secs(1));
+        let before = sim.starts.len();
         old.send(&mut sim);
+        carried_out += sim.starts.len() - before;
         sim.run(Span::from_secs(3));
         for i in 0..4 {
             sim.worker(i).fault = Fault::None;
         }
-        sim.run(Span::from_secs(30));
+        sim.run(Span::from_secs(60));
+        assert!(
+            sim.completed.contains_key(&first) && sim.completed.contains_key(&second),
+            "{reached} workers reached"
+        );
     }
+    assert!(carried_out > 0, "the earlier leader has started nothing");
 }
 
 /// Guards against starts without an answer that don't count and are carried out late, and against
@@ -440,7 +448,13 @@
         sim.set_customers(&[("limited", cores(40))]);
         sim.worker(0).fault = fault;
         let key = sim.submit(1, of("limited", vec![step(30, 4, Span::from_secs(4))]));
-        sim.run(Span::from_secs(5));
+        let mut reached = false;
+        for _ in 0..50 {
+            sim.run(Span::from_millis(100));
+            let counted = sim.dispatcher.customer_loads();
+            reached |= counted.iter().any(|c| c.cores == 40.0 && c.held > 0);
+        }
+        assert!(reached, "{fault:?} ended before the limit was reached");
         sim.worker(0).fault = Fault::None;
         sim.run(Span::from_secs(40));
         assert!(sim.completed.contains_key(&key), "{fault:?}");
