Call the weight and the limit of a customer its policy

In the dispatcher "terms" are those of leaders. CustomerTerms and the fields named terms are now CustomerPolicy and policy. The filter of workers that may hold runs which they have not listed is a method of Worker, used for inherited tasks and for the limits; component_min is imported.

--- a/crates/jujubelb/src/dispatch/customers/mod.rs
+++ b/crates/jujubelb/src/dispatch/customers/mod.rs
@@ -17,7 +17,7 @@
 
 /// Weight and limit of a customer, from the operator's configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CustomerTerms {
+pub struct CustomerPolicy {
     /// Share of the customer among all when the workers are full, and the jobs a second that it is
     /// expected to submit at most; at least 1.
     pub weight: u32,
@@ -40,12 +40,12 @@
     reported: Time,
 }
 
-/// A customer with its terms, and its use as of the present pass.
+/// A customer with its policy, and its use as of the present pass.
 #[derive(Debug, Default)]
 struct Customer {
-    /// Last known terms, kept when a later configuration does not name the customer, whose accepted
+    /// Last known policy, kept when a later configuration does not name the customer, whose accepted
     /// jobs still have to finish. `None` if this term knew none; it has no limit then.
-    terms: Option<CustomerTerms>,
+    policy: Option<CustomerPolicy>,
     /// Counted anew in each pass.
     usage: Usage,
     /// Whether it uses more than its share while the workers are full.
@@ -78,11 +78,11 @@
 
 impl Customer {
     fn weight(&self) -> u32 {
-        self.terms.map_or(1, |t| t.weight.max(1))
+        self.policy.map_or(1, |p| p.weight.max(1))
     }
 
     fn limit(&self) -> Resources {
-        self.terms.map_or(Resources::ZERO, |t| t.limit)
+        self.policy.map_or(Resources::ZERO, |p| p.limit)
     }
 }
 
@@ -92,7 +92,7 @@
     pub fn set_customers(
         &mut self,
         version: u64,
-        customers: &IndexMap<CustomerName, CustomerTerms>,
+        customers: &IndexMap<CustomerName, CustomerPolicy>,
     ) {
         let known = &mut self.customers;
         if known.version.is_some_and(|v| version <= v) {
@@ -100,10 +100,10 @@
         }
         known.version = Some(version);
         let mut changed = 0;
-        for (name, terms) in customers {
+        for (name, policy) in customers {
             let index = known.index(name);
             let entry = &mut known.entries[index.0];
-            changed += usize::from(entry.terms.replace(*terms) != Some(*terms));
+            changed += usize::from(entry.policy.replace(*policy) != Some(*policy));
         }
         if changed > 0 {
             log::info!(version = version, customers = customers.len(), changed = changed; "weights and limits of customers changed");
@@ -137,7 +137,7 @@
         self.allowed_starts(record, step, needed) < needed
     }
 
-    /// The same for a ready step.
+    /// Whether the limit of the customer keeps a ready step from starting a task, or a gang as a whole.
     pub(super) fn is_step_limited(&self, key: StepKey) -> bool {
         let job = self.jobs.get(&key.job);
         job.is_some_and(|job| {
--- a/crates/jujubelb/src/dispatch/customers/usage.rs
+++ b/crates/jujubelb/src/dispatch/customers/usage.rs
@@ -7,7 +7,7 @@
 use super::super::worker::Worker;
 use super::{Customer, CustomerIndex};
 use crate::model::{Resources, Time};
-use crate::place::share;
+use crate::place::{component_min, share};
 
 /// Part of the processor time or the memory that long-running tasks leave of all workers, in percent,
 /// from which on they count as full. The reserve for short tasks and what is left between tasks of several cores
@@ -167,10 +167,6 @@
     )
 }
 
-fn component_min(a: &Resources, b: &Resources) -> Resources {
-    crate::place::component_min(a, b)
-}
-
 /// The size of each worker that may hold runs which it has not listed to this leader. A roster worker
 /// without an entry in the store counts as large as the largest.
 fn unlisted_room<'a>(workers: impl Iterator<Item = &'a Worker> + Clone) -> Vec<Resources> {
@@ -181,7 +177,7 @@
         known => known,
     };
     workers
-        .filter(|w| w.roster_address.is_some() && !w.fully_listed && !w.replaced)
+        .filter(|w| w.may_hide_runs())
         .map(|w| match w.report.capacity {
             Resources::ZERO => largest,
             known => known,
--- a/crates/jujubelb/src/dispatch/mod.rs
+++ b/crates/jujubelb/src/dispatch/mod.rs
@@ -54,7 +54,7 @@
 pub use admission::{FullPool, LoadEstimate, PoolLoad, SizeLimit};
 pub use commit::{Commit, InterferenceModel, Roster, RosterEntry};
 pub use confirmation::Arrival;
-pub use customers::{CustomerLoad, CustomerTerms};
+pub use customers::{CustomerLoad, CustomerPolicy};
 pub use evidence::MissingEvidence;
 pub use job_spec::{
     JobKey, JobRecord, JobSpec, JobSpecError, MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_JOB,
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -140,10 +140,7 @@
         }
         // A call to a worker's former incarnation may have granted more than leaders ask for.
         let lease = longest_duration(self.lease_cap);
-        let unknown = self
-            .workers
-            .values()
-            .filter(|w| w.roster_address.is_some() && !w.fully_listed && !w.replaced);
+        let unknown = self.workers.values().filter(|w| w.may_hide_runs());
         // A worker that answers will list the rest.
         let is_answering = |w: &&Worker| w.fenced && w.reachable;
         let partly_listed = unknown.clone().filter(is_answering).count();
--- a/crates/jujubelb/src/dispatch/tests/customers.rs
+++ b/crates/jujubelb/src/dispatch/tests/customers.rs
@@ -6,13 +6,13 @@
 use super::paused_leaders::PausedLeader;
 use super::simulation::Fault;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::{CustomerTerms, JobKey, JobRecord, Step, StepKey, TaskKey};
+use crate::dispatch::{CustomerPolicy, JobKey, JobRecord, Step, StepKey, TaskKey};
 use crate::model::{Bytes, CustomerName, Resources, Span};
 use crate::place::share;
 
-/// Terms with a limit in cores; 0 is no limit.
-fn cores(limit: u64) -> CustomerTerms {
-    CustomerTerms {
+/// Policy with a limit in cores; 0 is no limit.
+fn cores(limit: u64) -> CustomerPolicy {
+    CustomerPolicy {
         weight: 1,
         limit: Resources::new(limit * 1_000, 0, 0),
     }
@@ -67,7 +67,7 @@
 #[test]
 fn each_resource_has_its_own_limit() {
     let mut sim = Simulation::new(2);
-    let memory = CustomerTerms {
+    let memory = CustomerPolicy {
         weight: 1,
         limit: Resources::new(0, Bytes::from_gib(6).0, 0),
     };
@@ -601,8 +601,8 @@
             }
             5 => sim.replace_leader(rng.random_bool(0.5)),
             6 => {
-                let terms = limits(&mut rng);
-                sim.set_customers(&terms);
+                let policy = limits(&mut rng);
+                sim.set_customers(&policy);
             }
             7 if sim.worker(i).fault != Fault::Crashed => {
                 sim.worker(i).fault = match rng.random_range(0..3) {
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -14,7 +14,7 @@
 
 use crate::dispatch::poll::MAX_COMPLETIONS_PER_ANSWER;
 use crate::dispatch::{
-    Bounds, Commit, CustomerTerms, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel,
+    Bounds, Commit, CustomerPolicy, Dispatcher, EarlierLeaders, Incarnation, InterferenceModel,
     JobKey, JobRecord, JobSpec, LeaderTerm, Order, PollReply, PollRequest, Progress, QueueSettings,
     Refusal, Roster, Run, RunCompletion, RunOutcome, RunStatus, StartAnswer, StartReply, Step,
     StepKey, StopReply, Succession, TaskKey, Term, TicketGrant, WorkerOrder, WorkerReport,
@@ -311,7 +311,7 @@
     pub(crate) rejected_capacity: usize,
     /// Terms of the customers by version of the configuration, with the time at which each came
     /// into force.
-    pub(crate) terms: Vec<(Time, IndexMap<CustomerName, CustomerTerms>)>,
+    pub(crate) policies: Vec<(Time, IndexMap<CustomerName, CustomerPolicy>)>,
 }
 
 /// The term with a number, which is its nonce as well.
@@ -415,7 +415,7 @@
             back: Return::SameName,
             crashed: Vec::new(),
             rejected_capacity: 0,
-            terms: Vec::new(),
+            policies: Vec::new(),
         };
         for i in 0..workers {
             sim.add_worker(i);
@@ -460,19 +460,19 @@
         self.workers.insert(name, worker);
     }
 
-    /// Changes the terms of the customers.
-    pub(crate) fn set_customers(&mut self, terms: &[(&str, CustomerTerms)]) {
-        let named = |(name, terms): &(&str, CustomerTerms)| (CustomerName::from(*name), *terms);
-        self.terms
-            .push((self.now, terms.iter().map(named).collect()));
+    /// Changes the policies of the customers.
+    pub(crate) fn set_customers(&mut self, policies: &[(&str, CustomerPolicy)]) {
+        let named = |(name, policy): &(&str, CustomerPolicy)| (CustomerName::from(*name), *policy);
+        self.policies
+            .push((self.now, policies.iter().map(named).collect()));
         self.read_configuration();
     }
 
     /// Passes the present configuration to the dispatcher.
     pub(crate) fn read_configuration(&mut self) {
-        if let Some((_, terms)) = self.terms.last() {
+        if let Some((_, policies)) = self.policies.last() {
             self.dispatcher
-                .set_customers(self.terms.len() as u64, terms);
+                .set_customers(self.policies.len() as u64, policies);
         }
     }
 
@@ -499,9 +499,9 @@
         let Some(customer) = &record.customer else {
             return;
         };
-        let last = self.terms.len().saturating_sub(1);
-        let in_force = self.terms.iter().enumerate().filter(|(i, _)| {
-            let next = self.terms.get(i + 1);
+        let last = self.policies.len().saturating_sub(1);
+        let in_force = self.policies.iter().enumerate().filter(|(i, _)| {
+            let next = self.policies.get(i + 1);
             *i == last || next.is_some_and(|(at, _)| self.now.since(*at) < LIMIT_CHANGE)
         });
         let mut limits = in_force.filter_map(|(_, (_, t))| Some(t.get(customer)?.limit));
@@ -520,7 +520,7 @@
                 .all(|(limit, used)| *limit == 0 || used <= limit)
         };
         let known = self
-            .terms
+            .policies
             .last()
             .is_some_and(|(_, t)| t.contains_key(customer));
         assert!(
--- a/crates/jujubelb/src/dispatch/worker.rs
+++ b/crates/jujubelb/src/dispatch/worker.rs
@@ -470,6 +470,11 @@
         self.load = load;
     }
 
+    /// Whether the worker may hold runs of earlier leaders that it has not listed to this one.
+    pub(crate) fn may_hide_runs(&self) -> bool {
+        self.roster_address.is_some() && !self.fully_listed && !self.replaced
+    }
+
     /// Whether the worker runs a task that tests its health.
     pub(crate) fn is_probing(&self, now: Time) -> bool {
         let is_probe = |r: &TrackedRun| self.health.is_probe(r.since, now);
--- a/crates/jujubelb/src/node/config_exchange.rs
+++ b/crates/jujubelb/src/node/config_exchange.rs
@@ -7,7 +7,7 @@
 
 use super::peers::{self, PeerRequest, PeerResponse};
 use super::state::Node;
-use crate::dispatch::CustomerTerms;
+use crate::dispatch::CustomerPolicy;
 use crate::model::{Bytes, CustomerName, Resources, Span, Time};
 use crate::platform::{CustomerKeys, OperatorConfig, QueueConfig, Revision};
 
@@ -59,7 +59,7 @@
             queues: queues.clone(),
             customers: customers
                 .iter()
-                .map(|(name, terms)| (name.clone(), terms.weight, terms.limit))
+                .map(|(name, policy)| (name.clone(), policy.weight, policy.limit))
                 .collect(),
             keys: keys.clone(),
             unreadable: *unreadable,
@@ -70,11 +70,11 @@
 
 impl From<ConfigCopy> for OperatorConfig {
     fn from(copy: ConfigCopy) -> Self {
-        let terms = |(name, weight, limit)| (name, CustomerTerms { weight, limit });
+        let policy = |(name, weight, limit)| (name, CustomerPolicy { weight, limit });
         Self {
             version: copy.version,
             queues: copy.queues,
-            customers: copy.customers.into_iter().map(terms).collect(),
+            customers: copy.customers.into_iter().map(policy).collect(),
             keys: copy.keys,
             unreadable: copy.unreadable,
             body_limit: copy.body_limit,
--- a/crates/jujubelb/src/platform/customers.rs
+++ b/crates/jujubelb/src/platform/customers.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use super::store_entries::{MAX_NAME_BYTES, WireCapacity};
-use crate::dispatch::CustomerTerms;
+use crate::dispatch::CustomerPolicy;
 use crate::model::{CustomerName, Resources};
 
 /// Header in which a caller presents its key.
@@ -69,7 +69,7 @@
 /// The customers of a configuration, with their keys.
 #[derive(Debug, Default)]
 pub(super) struct Customers {
-    pub(super) terms: IndexMap<CustomerName, CustomerTerms>,
+    pub(super) policy: IndexMap<CustomerName, CustomerPolicy>,
     pub(super) keys: CustomerKeys,
 }
 
@@ -77,7 +77,7 @@
 struct Customer {
     name: CustomerName,
     keys: Vec<KeyDigest>,
-    terms: CustomerTerms,
+    policy: CustomerPolicy,
     has_weight: bool,
 }
 
@@ -105,7 +105,7 @@
                 .filter(|key| !key.is_empty())
                 .map(KeyDigest::of)
                 .collect(),
-            terms: CustomerTerms {
+            policy: CustomerPolicy {
                 weight: weight.max(1),
                 limit,
             },
@@ -189,9 +189,9 @@
         if !customer.has_weight && problems.admits() {
             log::warn!(version = version, customer:% = name; "customer without a weight; it counts as 1");
         }
-        match self.terms.entry(name.clone()) {
+        match self.policy.entry(name.clone()) {
             Entry::Vacant(entry) => {
-                entry.insert(customer.terms);
+                entry.insert(customer.policy);
             }
             Entry::Occupied(_) if problems.admits() => {
                 log::error!(version = version, customer:% = name; "customer listed twice; the first weight and limit are used, and all its keys");
--- a/crates/jujubelb/src/platform/store_entries.rs
+++ b/crates/jujubelb/src/platform/store_entries.rs
@@ -9,7 +9,7 @@
 
 use super::customers::{CustomerKeys, decode_customers};
 use super::numbers::{Cpu, Mebibytes, Millis, Ratio, RemainingMillis};
-use crate::dispatch::{CustomerTerms, Incarnation, QueueSettings, WorkerReport};
+use crate::dispatch::{CustomerPolicy, Incarnation, QueueSettings, WorkerReport};
 use crate::model::{Bytes, CustomerName, DomainName, Resources, ServiceName, Span, WorkerName};
 
 /// Prefix of the operator's keys.
@@ -44,7 +44,7 @@
     /// Queues that could be decoded.
     pub queues: Vec<QueueConfig>,
     /// Weights and limits of the customers; empty in a deployment without customers.
-    pub customers: IndexMap<CustomerName, CustomerTerms>,
+    pub customers: IndexMap<CustomerName, CustomerPolicy>,
     /// Keys of the customers; `None` in a deployment without customers, where no key is asked for.
     pub keys: Option<CustomerKeys>,
     /// Number of queues that could not be decoded.
@@ -130,7 +130,7 @@
     let (customers, keys) = match config.tenants {
         Some(list) => {
             let customers = decode_customers(config.version, &list);
-            (customers.terms, Some(customers.keys))
+            (customers.policy, Some(customers.keys))
         }
         None => (IndexMap::new(), None),
     };
--- a/crates/jujubelb/src/platform/tests/customers.rs
+++ b/crates/jujubelb/src/platform/tests/customers.rs
@@ -33,7 +33,7 @@
             "max_count":{"cpu":2000,"mem_mb":512,"gpu":0},"allowed_regions":[]},
             {"name":"two","api_keys":["k3"],"weight":0},{"name":"three"}]"#,
     );
-    let terms: Vec<_> = operator
+    let policy: Vec<_> = operator
         .customers
         .iter()
         .map(|(name, t)| (name.as_str(), t.weight, t.limit))
@@ -41,7 +41,7 @@
     let limit = Resources::new(2_000, Bytes::from_mib(512).0, 0);
     let none = Resources::default();
     assert_eq!(
-        terms,
+        policy,
         [("one", 11, limit), ("two", 1, none), ("three", 1, none)]
     );
     let owners = ["k1", "k2", "k3", "k4", ""].map(|key| owner(&operator, key));
--- a/crates/jujubelb/src/platform/tests/fuzzing.rs
+++ b/crates/jujubelb/src/platform/tests/fuzzing.rs
@@ -64,9 +64,9 @@
         assert!(queue.timeout <= MAX_TIME && settings.target_duration <= MAX_TIME);
         assert!((0.0..=1e9).contains(&settings.slack_factor) && settings.attempts > 0);
     }
-    for terms in operator.customers.values() {
+    for policy in operator.customers.values() {
         assert!(
-            terms.weight > 0 && terms.limit.cpu.0 <= 1 << 40 && terms.limit.memory.0 <= 1 << 60
+            policy.weight > 0 && policy.limit.cpu.0 <= 1 << 40 && policy.limit.memory.0 <= 1 << 60
         );
     }
     let needs_key = operator.keys.is_some();
