Bound the processor time of best-effort tasks that a worker may not have listed

Best-effort tasks reserve no processor time, so only memory bounded how many of a backlog an earlier leader may have started on a worker out of reach. With tasks of 8 cores that was 16 times the cores of the worker, and the customer could start nothing until the lease had expired. They now count with at most four times its cores.

--- a/crates/jujubelb/src/dispatch/customers/usage.rs
+++ b/crates/jujubelb/src/dispatch/customers/usage.rs
@@ -14,6 +14,12 @@
 /// are not free for all, so more is often not reached although tasks wait.
 const FULL_PERCENT: u64 = 80;
 
+/// Most processor time of best-effort tasks that is assumed on workers that have not listed their
+/// runs, as a multiple of what these workers have. Memory alone permits 16 times as much with tasks
+/// of 8 cores and 2 GiB on a worker of 64 cores and 256 GiB, and one worker out of reach would take
+/// the whole limit of a customer. More than this may run, at under a quarter of the declared pace.
+const MAX_BEST_EFFORT_MULTIPLE: u64 = 4;
+
 /// What counts for a customer in one pass.
 #[derive(Debug, Default)]
 pub(super) struct Usage {
@@ -260,7 +266,9 @@
         {
             let (count, size) = others.bound(&room);
             // Best-effort tasks reserve no processor time, so only memory bounds their number.
-            let (more, added) = best_effort.bound(&room);
+            let (more, mut added) = best_effort.bound(&room);
+            let most = all.cpu.0.saturating_mul(MAX_BEST_EFFORT_MULTIPLE);
+            added.cpu.0 = added.cpu.0.min(most);
             let size = component_min(&size, &all) + added;
             customer.usage.runs = customer
                 .usage
--- a/crates/jujubelb/src/dispatch/tests/customers.rs
+++ b/crates/jujubelb/src/dispatch/tests/customers.rs
@@ -402,6 +402,28 @@
     assert!(sim.completed.contains_key(&new));
 }
 
+/// Guards against a backlog of best-effort tasks that counts with all the processor time for which one
+/// worker out of reach has memory.
+#[test]
+fn best_effort_tasks_that_are_not_listed_count_a_multiple_of_their_worker() {
+    let mut sim = Simulation::new(4);
+    sim.set_customers(&[("limited", cores(40))]);
+    let tasks = Step {
+        best_effort: true,
+        ..step(400, 8, Span::from_secs(30))
+    };
+    sim.submit(1, of("limited", vec![tasks]));
+    sim.run(Span::from_millis(400));
+    assert_eq!(sim.cores_of("limited"), 40);
+    sim.worker(0).fault = Fault::Partitioned;
+    // Memory for 128 tasks of 8 cores permits 1,024 cores; the worker has 64.
+    sim.set_customers(&[("limited", cores(400))]);
+    sim.change_leader();
+    let new = sim.submit(2, of("limited", vec![step(4, 4, Span::from_secs(1))]));
+    sim.run(Span::from_secs(3));
+    assert!(sim.completed.contains_key(&new));
+}
+
 /// Guards against two leaders that each start tasks up to the limit.
 #[test]
 fn a_paused_leader_and_the_next_one_keep_one_limit() {
