Find the customer of a job by its index

The limit and the share of a step were found by hashing the name of its customer; Job already holds the index, which the counts of a pass use.

--- a/crates/jujubelb/src/dispatch/customers/mod.rs
+++ b/crates/jujubelb/src/dispatch/customers/mod.rs
@@ -10,7 +10,8 @@
 use indexmap::IndexMap;
 
 use super::Dispatcher;
-use super::job_spec::{JobRecord, Step, StepKey};
+use super::job::Job;
+use super::job_spec::{Step, StepKey};
 use crate::model::{CustomerName, FastMap, Resources, Time};
 pub use report::CustomerLoad;
 use usage::Usage;
@@ -71,8 +72,8 @@
         }))
     }
 
-    fn of(&self, record: &JobRecord) -> Option<&Customer> {
-        self.entries.get(record.customer.as_ref()?)
+    fn of(&self, job: &Job) -> Option<&Customer> {
+        Some(&self.entries[job.customer?.0])
     }
 }
 
@@ -112,14 +113,19 @@
 
     /// Whether the customer of a job uses more than its share, so that its tasks go after those of
     /// other customers.
-    pub(super) fn is_beyond_share(&self, record: &JobRecord) -> bool {
-        self.customers.of(record).is_some_and(|c| c.beyond_share)
+    pub(super) fn is_beyond_share(&self, job: &Job) -> bool {
+        self.customers.of(job).is_some_and(|c| c.beyond_share)
     }
 
     /// How many of these tasks of a step may start within the limit of the customer. None may before
     /// a configuration was read, since a new leader does not know the limit.
-    pub(super) fn allowed_starts(&self, record: &JobRecord, step: &Step, tasks: usize) -> usize {
-        let Some(customer) = self.customers.of(record) else {
+    pub(super) fn allowed_starts(&self, key: StepKey, step: &Step, tasks: usize) -> usize {
+        let job = self.jobs.get(&key.job);
+        job.map_or(0, |job| self.allowed_starts_of(job, step, tasks))
+    }
+
+    fn allowed_starts_of(&self, job: &Job, step: &Step, tasks: usize) -> usize {
+        let Some(customer) = self.customers.of(job) else {
             return tasks;
         };
         match self.customers.version {
@@ -129,12 +135,12 @@
     }
 
     /// Whether the limit of the customer keeps the step from starting a task, or a gang as a whole.
-    pub(super) fn is_limited(&self, record: &JobRecord, step: &Step) -> bool {
+    pub(super) fn is_limited(&self, job: &Job, step: &Step) -> bool {
         let needed = match step.gang {
             true => step.count as usize,
             false => 1,
         };
-        self.allowed_starts(record, step, needed) < needed
+        self.allowed_starts_of(job, step, needed) < needed
     }
 
     /// Whether the limit of the customer keeps a ready step from starting a task, or a gang as a whole.
@@ -142,7 +148,7 @@
         let job = self.jobs.get(&key.job);
         job.is_some_and(|job| {
             let step = job.record.spec.steps.get(usize::from(key.step));
-            step.is_some_and(|step| self.is_limited(&job.record, step))
+            step.is_some_and(|step| self.is_limited(job, step))
         })
     }
 
@@ -154,9 +160,9 @@
         let step = job.record.spec.steps.get(usize::from(key.step));
         let waiting = state.waiting as usize;
         step.map_or(0, |step| match step.gang {
-            true if self.is_limited(&job.record, step) => 0,
+            true if self.is_limited(job, step) => 0,
             true => waiting,
-            false => self.allowed_starts(&job.record, step, waiting),
+            false => self.allowed_starts_of(job, step, waiting),
         })
     }
 
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -284,7 +284,7 @@
             });
             match startable {
                 Some(occurrence) => {
-                    let beyond_share = self.is_beyond_share(&job.record);
+                    let beyond_share = self.is_beyond_share(job);
                     let rank = rank::rank(job, occurrence, step, beyond_share, now);
                     ranked.push((rank, *key));
                 }
@@ -370,7 +370,7 @@
             self.give_up(faulty, now);
             return;
         }
-        let allowed = self.allowed_starts(&record, step, waiting.len());
+        let allowed = self.allowed_starts(key, step, waiting.len());
         let held = waiting.len() - allowed;
         if !waiting.is_empty() && (allowed == 0 || (step.gang && held > 0)) {
             self.hold_limited(key, waiting.len(), now);
@@ -417,7 +417,7 @@
         };
         for (mut tasks, may_probe) in [(others, false), (probes, true)] {
             // What the limit holds back says nothing about the workers.
-            tasks.truncate(self.allowed_starts(&record, step, tasks.len()));
+            tasks.truncate(self.allowed_starts(key, step, tasks.len()));
             if !self.start_or_probe(&tasks, may_probe, &mut request, &record, orders, now) {
                 unplaced.add(step, &record, keep_reserve, may_probe);
             }
@@ -472,7 +472,7 @@
             return 0;
         }
         let (key, step) = (request.key, request.step);
-        let allowed = self.allowed_starts(record, step, tasks.len());
+        let allowed = self.allowed_starts(key, step, tasks.len());
         let tasks = &tasks[..allowed.min(tasks.len())];
         if tasks.is_empty() {
             return 0;
@@ -625,7 +625,7 @@
         now: Time,
     ) -> Option<Vec<WorkerName>> {
         let members = step.count as usize;
-        if self.allowed_starts(record, step, members) < members {
+        if self.allowed_starts(key, step, members) < members {
             return None;
         }
         let request = PlacementRequest {
--- a/crates/jujubelb/src/dispatch/starvation.rs
+++ b/crates/jujubelb/src/dispatch/starvation.rs
@@ -217,7 +217,7 @@
             && !spec.gang
             && state.tasks.iter().any(|t| self.is_startable(t, now))
             && self.runs_of(key, state).all(leaves_idle)
-            && !self.is_limited(&job.record, spec)
+            && !self.is_limited(job, spec)
     }
 
     /// Whether a task of a ready step has waited for so long that all workers refuse it.
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -93,7 +93,7 @@
                     occurrence.steps.get(step)?.waiting > 0 && job.is_step_ready(occurrence, step);
                 let open = open && !self.is_step_limited(*key);
                 open.then(|| {
-                    let beyond_share = self.is_beyond_share(&job.record);
+                    let beyond_share = self.is_beyond_share(job);
                     (rank::rank(job, occurrence, step, beyond_share, now), *key)
                 })
             })
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -124,7 +124,7 @@
         };
         let hold = self.hold(key, now).unwrap_or(Hold::Pause);
         let occurrence = job.occurrence(key.occurrence);
-        let beyond_share = self.is_beyond_share(&job.record);
+        let beyond_share = self.is_beyond_share(job);
         let rank = occurrence.map(|o| rank::rank(job, o, usize::from(key.step), beyond_share, now));
         let age = now.since(job.accepted);
         let starved = self.starved_refusals(key, now);
@@ -173,7 +173,7 @@
                 false => Hold::EarlierTerms,
             });
         };
-        if self.is_limited(&job.record, step) {
+        if self.is_limited(job, step) {
             return Some(match self.knows_customers() {
                 true => Hold::CustomerLimit,
                 false => Hold::Configuration,
