--- a/crates/jujubelb/src/dispatch/customers/usage.rs
+++ b/crates/jujubelb/src/dispatch/customers/usage.rs
@@ -7,51 +7,126 @@
 use super::super::worker::Worker;
 use super::{Customer, CustomerIndex};
 use crate::model::{Resources, Time};
-use crate::place::share;
+use crate::place::{component_min, share};
 
-/// Part of the processor time or the memory of all workers in percent, reserved or in demand, from
-/// which on they count as full. The reserve for short tasks and what is left between tasks of several cores
+/// Part of the processor time or the memory that long-running tasks leave of all workers, in percent,
+/// from which on they count as full. The reserve for short tasks and what is left between tasks of several cores
 /// are not free for all, so more is often not reached although tasks wait.
 const FULL_PERCENT: u64 = 80;
 
+/// Most processor time of best-effort tasks that is assumed on workers that have not listed their
+/// runs, as a multiple of what these workers have. Memory alone permits 16 times as much with tasks
+/// of 8 cores and 2 GiB on a worker of 64 cores and 256 GiB, and one worker out of reach would take
+/// the whole limit of a customer. More than this may run, at under a quarter of the declared pace.
+const MAX_BEST_EFFORT_MULTIPLE: u64 = 4;
+
 /// What counts for a customer in one pass.
 #[derive(Debug, Default)]
 pub(super) struct Usage {
     /// Declared sizes of all tracked runs, with the starts of this pass.
     pub(super) tracked: Resources,
+    /// The part of `tracked` that long-running tasks occupy.
+    lasting: Resources,
+    /// What its finite tasks reserve. Best-effort ones reserve no processor time.
+    finite: Resources,
     /// Bound on what earlier leaders have started on workers that have not listed all their runs.
     pub(super) unlisted: Resources,
     /// Number of runs in both.
     pub(super) runs: u64,
-    /// Whether it has tasks of ready steps that wait.
+    /// Whether it has tasks of ready finite steps that wait.
     pub(super) has_waiting: bool,
     /// Waiting tasks that its limit held back.
     pub(super) held: usize,
+    /// Whether the limit has held back a gang in this pass. Finite steps of later rank get nothing
+    /// then, or they would take what the gang waits for.
+    gang_waits: bool,
 }
 
 impl Usage {
-    fn add(&mut self, size: Resources) {
-        self.tracked += size;
+    fn add(&mut self, step: &Step) {
+        self.tracked += step.size;
         self.runs += 1;
+        match step.long_running {
+            true => self.lasting += step.size,
+            false => self.finite += reserved_size(step),
+        }
     }
 
     pub(super) fn counted(&self) -> Resources {
         self.tracked + self.unlisted
     }
 
-    /// How many of these tasks of a step may start within a limit. One task more may if nothing else
-    /// counts, so that tasks larger than the limit are not lost.
+    /// How many of these tasks of a step may start within a limit. Single tasks start while what
+    /// counts is below it, since smaller tasks would otherwise take what a larger one waits for. A
+    /// gang starts whole if all but one of its members fit.
     pub(super) fn allowed(&self, limit: &Resources, step: &Step, tasks: usize) -> usize {
-        let fitting = share::tasks_within(limit, &self.counted(), &step.size)
-            .map_or(tasks, |n| usize::try_from(n).unwrap_or(tasks));
-        let exempt = match step.gang {
-            true => fitting.saturating_add(1),
-            false => 1,
+        if self.gang_waits && !step.long_running {
+            return 0;
+        }
+        let allowed = match step.gang {
+            true => share::members_within(limit, &self.counted(), &step.size),
+            false => share::starts_below(limit, &self.counted(), &step.size),
         };
-        match self.runs {
-            0 => fitting.max(exempt).min(tasks),
-            _ => fitting.min(tasks),
+        allowed.map_or(tasks, |n| usize::try_from(n).unwrap_or(tasks).min(tasks))
+    }
+
+    /// Whether a gang fits the limit once all finite runs have ended.
+    fn may_fit(&self, limit: &Resources, step: &Step) -> bool {
+        let members = share::members_within(limit, &self.lasting, &step.size);
+        members.is_none_or(|n| n >= u64::from(step.count))
+    }
+}
+
+/// What a task reserves on its worker.
+fn reserved_size(step: &Step) -> Resources {
+    match step.best_effort {
+        true => Resources::new(0, step.size.memory.0, step.size.accelerators),
+        false => step.size,
+    }
+}
+
+/// What the runs of a worker reserve.
+#[derive(Debug, Default)]
+struct WorkerLoad {
+    lasting: Resources,
+    /// Of finite tasks, with the processor time that is in demand if it is more than declared.
+    finite: Resources,
+}
+
+impl WorkerLoad {
+    fn add(&mut self, step: &Step, cpu_demand: u64) {
+        let mut size = reserved_size(step);
+        if step.long_running {
+            self.lasting += size;
+            return;
         }
+        if !step.best_effort {
+            size.cpu.0 = size.cpu.0.max(cpu_demand);
+        }
+        self.finite += size;
+    }
+}
+
+/// What long-running tasks leave of the workers in use, and how much of it is in use.
+#[derive(Debug, Default)]
+struct FiniteRoom {
+    capacity: Resources,
+    used: Resources,
+}
+
+impl FiniteRoom {
+    fn add(&mut self, capacity: &Resources, load: &WorkerLoad) {
+        let left = capacity.saturating_sub(&load.lasting);
+        self.capacity += left;
+        self.used += component_min(&left, &load.finite);
+    }
+
+    fn is_full(&self) -> bool {
+        let is_near = |used: u64, all: u64| {
+            u128::from(used) * 100 >= u128::from(all.max(1)) * u128::from(FULL_PERCENT)
+        };
+        let (used, all) = (&self.used, &self.capacity);
+        is_near(used.cpu.0, all.cpu.0) || is_near(used.memory.0, all.memory.0)
     }
 }
 
@@ -98,10 +173,6 @@
     )
 }
 
-fn component_min(a: &Resources, b: &Resources) -> Resources {
-    crate::place::component_min(a, b)
-}
-
 /// The size of each worker that may hold runs which it has not listed to this leader. A roster worker
 /// without an entry in the store counts as large as the largest.
 fn unlisted_room<'a>(workers: impl Iterator<Item = &'a Worker> + Clone) -> Vec<Resources> {
@@ -112,7 +183,7 @@
         known => known,
     };
     workers
-        .filter(|w| w.roster_address.is_some() && !w.fully_listed && !w.replaced)
+        .filter(|w| w.may_hide_runs())
         .map(|w| match w.report.capacity {
             Resources::ZERO => largest,
             known => known,
@@ -130,23 +201,37 @@
             customer.usage = Usage::default();
         }
         let entries = &mut self.customers.entries;
-        for task in self.workers.values().flat_map(|w| w.runs.keys()) {
-            // The size that the worker reports is 0 for a run that was listed before its job was read.
-            let job = self.jobs.get(&task.step.job);
-            if let Some((customer, step)) = job.and_then(|j| owner(j, task.step)) {
-                entries[customer.0].usage.add(step.size);
+        let mut room = FiniteRoom::default();
+        for worker in self.workers.values() {
+            let mut load = WorkerLoad::default();
+            for (task, run) in &worker.runs {
+                // The size that the worker reports is 0 for a run that was listed before its job was
+                // read.
+                let Some(job) = self.jobs.get(&task.step.job) else {
+                    continue;
+                };
+                let Some(step) = job.record.spec.steps.get(usize::from(task.step.step)) else {
+                    continue;
+                };
+                if let Some(customer) = job.customer {
+                    entries[customer.0].usage.add(step);
+                }
+                load.add(step, run.cpu_demand());
+            }
+            if worker.fenced && worker.listed {
+                room.add(&worker.report.capacity, &load);
             }
         }
         for key in &self.ready {
             let job = self.jobs.get(&key.job).filter(|j| j.outcome.is_none());
-            if let Some(customer) = job.and_then(|j| j.customer) {
-                entries[customer.0].usage.has_waiting = true;
+            if let Some((customer, step)) = job.and_then(|j| owner(j, *key)) {
+                entries[customer.0].usage.has_waiting |= !step.long_running;
             }
         }
         if !self.inherited_resolved {
             self.count_unlisted();
         }
-        self.compare_shares();
+        self.compare_shares(&room);
     }
 
     /// Counts the tasks that earlier leaders may have started on workers that have not listed all
@@ -181,7 +266,9 @@
         {
             let (count, size) = others.bound(&room);
             // Best-effort tasks reserve no processor time, so only memory bounds their number.
-            let (more, added) = best_effort.bound(&room);
+            let (more, mut added) = best_effort.bound(&room);
+            let most = all.cpu.0.saturating_mul(MAX_BEST_EFFORT_MULTIPLE);
+            added.cpu.0 = added.cpu.0.min(most);
             let size = component_min(&size, &all) + added;
             customer.usage.runs = customer
                 .usage
@@ -191,32 +278,19 @@
         }
     }
 
-    /// Notes which customers use more than their share while the workers are full.
-    fn compare_shares(&mut self) {
-        let in_use = self.workers.values().filter(|w| w.fenced && w.listed);
-        let mut capacity = Resources::ZERO;
-        let (mut cpu, mut memory) = (0u64, 0u64);
-        for worker in in_use {
-            capacity += worker.report.capacity;
-            let demand = worker.load.cpu_demand.max(worker.load.reserved.cpu.0);
-            cpu = cpu.saturating_add(demand.min(worker.report.capacity.cpu.0));
-            memory = memory.saturating_add(worker.load.reserved.memory.0);
-        }
-        let is_near = |used: u64, all: u64| {
-            u128::from(used) * 100 >= u128::from(all.max(1)) * u128::from(FULL_PERCENT)
-        };
-        let is_full = is_near(cpu, capacity.cpu.0) || is_near(memory, capacity.memory.0);
+    /// Notes which customers use more than their share of what long-running tasks leave, while it is
+    /// in use.
+    fn compare_shares(&mut self, room: &FiniteRoom) {
+        let is_full = room.is_full();
         let entries = &mut self.customers.entries;
-        let is_active = |c: &Customer| c.usage.runs > 0 || c.usage.has_waiting;
-        let weights = entries
-            .values()
-            .filter(|c| is_active(c))
-            .map(Customer::weight);
-        let all: u64 = weights.map(u64::from).sum();
-        let part = share::WHOLE / all.max(1);
+        let is_active = |c: &Customer| c.usage.finite != Resources::ZERO || c.usage.has_waiting;
+        let active = entries.values().filter(|c| is_active(c));
+        let all: u64 = active.map(|c| u64::from(c.weight())).sum();
         for customer in entries.values_mut() {
-            let used = share::weighted(&customer.usage.tracked, &capacity, customer.weight());
-            customer.beyond_share = is_full && used > part;
+            let weight = customer.weight();
+            let finite = &customer.usage.finite;
+            customer.beyond_share =
+                is_full && share::exceeds_part(finite, &room.capacity, weight, all);
         }
     }
 
@@ -224,19 +298,31 @@
     pub(in super::super) fn count_start(&mut self, task: TaskKey) {
         let job = self.jobs.get(&task.step.job);
         if let Some((customer, step)) = job.and_then(|j| owner(j, task.step)) {
-            self.customers.entries[customer.0].usage.add(step.size);
+            self.customers.entries[customer.0].usage.add(step);
         }
     }
 
-    /// Records that the limit of its customer has held back tasks of a step.
+    /// Records that the limit of its customer keeps all waiting tasks of a step from starting.
     pub(in super::super) fn hold_limited(&mut self, key: StepKey, tasks: usize, now: Time) {
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let customer = job.customer;
         if let Some(state) = job.step_mut(key.occurrence, key.step) {
             state.limited = Some(now);
         }
+        self.count_held(key, tasks);
+        let job = self.jobs.get(&key.job);
+        if let Some((customer, step)) = job.and_then(|j| owner(j, key)) {
+            let entry = &mut self.customers.entries[customer.0];
+            if step.gang && entry.usage.may_fit(&entry.limit(), step) {
+                entry.usage.gang_waits = true;
+            }
+        }
+    }
+
+    /// Counts waiting tasks of a step that the limit of its customer has held back.
+    pub(in super::super) fn count_held(&mut self, key: StepKey, tasks: usize) {
+        let customer = self.jobs.get(&key.job).and_then(|j| j.customer);
         if let Some(customer) = customer {
             self.customers.entries[customer.0].usage.held += tasks;
         }
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -57,7 +57,7 @@
             match startable {
                 Some(occurrence) => {
                     let context = RankContext {
-                        beyond_share: self.is_beyond_share(&job.record),
+                        beyond_share: self.is_beyond_share(job),
                         spare_capacity,
                     };
                     let rank = rank::rank(job, occurrence, step, context, now);
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -95,7 +95,7 @@
                 let open = open && !self.is_step_limited(*key);
                 open.then(|| {
                     let context = RankContext {
-                        beyond_share: self.is_beyond_share(&job.record),
+                        beyond_share: self.is_beyond_share(job),
                         spare_capacity,
                     };
                     (rank::rank(job, occurrence, step, context, now), *key)
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -121,7 +121,7 @@
             let (job, _) = self.ready_step(*key)?;
             let occurrence = job.occurrence(key.occurrence)?;
             let context = RankContext {
-                beyond_share: self.is_beyond_share(&job.record),
+                beyond_share: self.is_beyond_share(job),
                 spare_capacity,
             };
             let step = usize::from(key.step);
@@ -177,7 +177,7 @@
                 false => Hold::EarlierTerms,
             });
         };
-        if self.is_limited(&job.record, step) {
+        if self.is_limited(job, step) {
             return Some(match self.knows_customers() {
                 true => Hold::CustomerLimit,
                 false => Hold::Configuration,
