--- a/crates/jujubelb/src/dispatch/customers/mod.rs
+++ b/crates/jujubelb/src/dispatch/customers/mod.rs
@@ -10,14 +10,15 @@
 use indexmap::IndexMap;
 
 use super::Dispatcher;
-use super::job_spec::{JobRecord, Step, StepKey};
+use super::job::Job;
+use super::job_spec::{Step, StepKey};
 use crate::model::{CustomerName, FastMap, Resources, Time};
 pub use report::CustomerLoad;
 use usage::Usage;
 
 /// Weight and limit of a customer, from the operator's configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CustomerTerms {
+pub struct CustomerPolicy {
     /// Share of the customer among all when the workers are full, and the jobs a second that it is
     /// expected to submit at most; at least 1.
     pub weight: u32,
@@ -40,12 +41,12 @@
     reported: Time,
 }
 
-/// A customer with its terms, and its use as of the present pass.
+/// A customer with its policy, and its use as of the present pass.
 #[derive(Debug, Default)]
 struct Customer {
-    /// Last known terms, kept when a later configuration does not name the customer, whose accepted
+    /// Last known policy, kept when a later configuration does not name the customer, whose accepted
     /// jobs still have to finish. `None` if this term knew none; it has no limit then.
-    terms: Option<CustomerTerms>,
+    policy: Option<CustomerPolicy>,
     /// Counted anew in each pass.
     usage: Usage,
     /// Whether it uses more than its share while the workers are full.
@@ -71,18 +72,18 @@
         }))
     }
 
-    fn of(&self, record: &JobRecord) -> Option<&Customer> {
-        self.entries.get(record.customer.as_ref()?)
+    fn of(&self, job: &Job) -> Option<&Customer> {
+        Some(&self.entries[job.customer?.0])
     }
 }
 
 impl Customer {
     fn weight(&self) -> u32 {
-        self.terms.map_or(1, |t| t.weight.max(1))
+        self.policy.map_or(1, |p| p.weight.max(1))
     }
 
     fn limit(&self) -> Resources {
-        self.terms.map_or(Resources::ZERO, |t| t.limit)
+        self.policy.map_or(Resources::ZERO, |p| p.limit)
     }
 }
 
@@ -92,7 +93,7 @@
     pub fn set_customers(
         &mut self,
         version: u64,
-        customers: &IndexMap<CustomerName, CustomerTerms>,
+        customers: &IndexMap<CustomerName, CustomerPolicy>,
     ) {
         let known = &mut self.customers;
         if known.version.is_some_and(|v| version <= v) {
@@ -100,10 +101,10 @@
         }
         known.version = Some(version);
         let mut changed = 0;
-        for (name, terms) in customers {
+        for (name, policy) in customers {
             let index = known.index(name);
             let entry = &mut known.entries[index.0];
-            changed += usize::from(entry.terms.replace(*terms) != Some(*terms));
+            changed += usize::from(entry.policy.replace(*policy) != Some(*policy));
         }
         if changed > 0 {
             log::info!(version = version, customers = customers.len(), changed = changed; "weights and limits of customers changed");
@@ -112,14 +113,19 @@
 
     /// Whether the customer of a job uses more than its share, so that its tasks go after those of
     /// other customers.
-    pub(super) fn is_beyond_share(&self, record: &JobRecord) -> bool {
-        self.customers.of(record).is_some_and(|c| c.beyond_share)
+    pub(super) fn is_beyond_share(&self, job: &Job) -> bool {
+        self.customers.of(job).is_some_and(|c| c.beyond_share)
     }
 
     /// How many of these tasks of a step may start within the limit of the customer. None may before
     /// a configuration was read, since a new leader does not know the limit.
-    pub(super) fn allowed_starts(&self, record: &JobRecord, step: &Step, tasks: usize) -> usize {
-        let Some(customer) = self.customers.of(record) else {
+    pub(super) fn allowed_starts(&self, key: StepKey, step: &Step, tasks: usize) -> usize {
+        let job = self.jobs.get(&key.job);
+        job.map_or(0, |job| self.allowed_starts_of(job, step, tasks))
+    }
+
+    fn allowed_starts_of(&self, job: &Job, step: &Step, tasks: usize) -> usize {
+        let Some(customer) = self.customers.of(job) else {
             return tasks;
         };
         match self.customers.version {
@@ -129,20 +135,20 @@
     }
 
     /// Whether the limit of the customer keeps the step from starting a task, or a gang as a whole.
-    pub(super) fn is_limited(&self, record: &JobRecord, step: &Step) -> bool {
+    pub(super) fn is_limited(&self, job: &Job, step: &Step) -> bool {
         let needed = match step.gang {
             true => step.count as usize,
             false => 1,
         };
-        self.allowed_starts(record, step, needed) < needed
+        self.allowed_starts_of(job, step, needed) < needed
     }
 
-    /// The same for a ready step.
+    /// Whether the limit of the customer keeps a ready step from starting a task, or a gang as a whole.
     pub(super) fn is_step_limited(&self, key: StepKey) -> bool {
         let job = self.jobs.get(&key.job);
         job.is_some_and(|job| {
             let step = job.record.spec.steps.get(usize::from(key.step));
-            step.is_some_and(|step| self.is_limited(&job.record, step))
+            step.is_some_and(|step| self.is_limited(job, step))
         })
     }
 
@@ -154,9 +160,9 @@
         let step = job.record.spec.steps.get(usize::from(key.step));
         let waiting = state.waiting as usize;
         step.map_or(0, |step| match step.gang {
-            true if self.is_limited(&job.record, step) => 0,
+            true if self.is_limited(job, step) => 0,
             true => waiting,
-            false => self.allowed_starts(&job.record, step, waiting),
+            false => self.allowed_starts_of(job, step, waiting),
         })
     }
 
--- a/crates/jujubelb/src/dispatch/gangs.rs
+++ b/crates/jujubelb/src/dispatch/gangs.rs
@@ -87,7 +87,7 @@
         now: Time,
     ) -> Option<Vec<WorkerName>> {
         let members = step.count as usize;
-        if self.allowed_starts(record, step, members) < members {
+        if self.allowed_starts(key, step, members) < members {
             return None;
         }
         let request = PlacementRequest {
