Rank by work that is not declared, by GPUs and by single long-running tasks

Tasks without an estimate or a size counted as no work, so they went before all others at any priority, and GPUs did not count. A long-running step had the value of one result but the work of all its tasks, so a lost task of a thousand counted a thousandth of a lone one.

Each unfinished task counts at least a core-second, a GPU counts as eight cores, and a long-running step counts one task. The time for which that task counts rises from 60 s to 300 s, so that one of ten cores still goes after a late urgent job of mean size.

work_that_is_not_declared_does_not_precede_urgent_jobs and a_lost_task_of_a_large_job_ranks_as_that_of_a_small_one fail without the change (order 2, 4, 3 instead of 4, 2, 3, and 3, 4, 2 instead of 2, 3, 4).

--- a/crates/jujubelb/src/dispatch/delay_cost.rs
+++ b/crates/jujubelb/src/dispatch/delay_cost.rs
@@ -5,22 +5,27 @@
 
 use std::cmp::Ordering;
 
-use crate::model::Span;
+use crate::model::{Resources, Span};
 
 /// Factor between the values of results of two neighbouring priorities. With it a late urgent job
 /// of mean size precedes a batch of two priorities below that can be in time.
 const PRIORITY_FACTOR: f64 = 4.0;
 
-/// Value of a late result relative to one in time. With a larger value, late jobs precede
-/// much larger ones that can be in time, and the largest jobs are served least already.
+/// Value of a late result relative to one in time. Low, since the room that a late job takes lets a
+/// job miss its objective that could be in time; above none, since callers still wait for it.
 const LATE_VALUE: f64 = 1.0 / 32.0;
 
-/// Time for which long-running tasks count as work. It is longer than most finite tasks, because
-/// a long-running task keeps its room until it is cancelled.
-const LONG_RUNNING_TIME: Span = Span::from_secs(60);
+/// Time for which a long-running task counts as work. It is longer than most finite jobs, because
+/// the task keeps its room until it is cancelled: one of ten cores goes after a late urgent job
+/// of mean size.
+const LONG_RUNNING_TIME: Span = Span::from_secs(300);
 
-/// Time without a run in which the cost of a long-running task doubles. A wait behind any finite work
-/// ends, and bursts of a few seconds pass first.
+/// Millicores as which an accelerator counts. It is worth several cores, and a step that needs
+/// few cores besides must not count as small.
+const ACCELERATOR_MILLICORES: u64 = 8_000;
+
+/// Time without a run in which the cost of a long-running task doubles. A wait behind any finite
+/// work ends, and bursts of a few seconds pass first.
 const PAUSE_DOUBLING: Span = Span::from_secs(6);
 
 /// Least work that is assumed, in core-milliseconds, so that the cost of steps without a declared
@@ -78,9 +83,16 @@
     }
 }
 
-/// Work that counts for long-running tasks on so many cores together, in core-milliseconds.
-pub(super) fn long_running_work(millicores: u64) -> u64 {
-    millicores.saturating_mul(LONG_RUNNING_TIME.as_millis()) / 1_000
+/// Work of a task of a size for a time, in core-milliseconds.
+pub(super) fn work(size: Resources, time: Span) -> u64 {
+    let accelerators = u64::from(size.accelerators).saturating_mul(ACCELERATOR_MILLICORES);
+    let millicores = size.cpu.0.saturating_add(accelerators);
+    millicores.saturating_mul(time.as_millis()) / 1_000
+}
+
+/// Work that counts for a long-running task of a size, in core-milliseconds.
+pub(super) fn long_running_work(size: Resources) -> u64 {
+    work(size, LONG_RUNNING_TIME)
 }
 
 #[cfg(test)]
@@ -108,10 +120,10 @@
     /// Guards against long-running tasks that keep the room of finite urgent work.
     #[test]
     fn late_urgent_work_precedes_long_running_tasks() {
-        let work = long_running_work(14 * 13_000);
-        let lasting = DelayCost::new(0, Timeliness::OnTime, work);
-        assert!(lasting < DelayCost::new(0, Timeliness::Late, URGENT));
-        assert!(lasting > DelayCost::new(2, Timeliness::Late, BATCH));
+        let work = long_running_work(Resources::new(13_000, 0, 0));
+        let long_running = DelayCost::new(0, Timeliness::OnTime, work);
+        assert!(long_running < DelayCost::new(0, Timeliness::Late, URGENT));
+        assert!(long_running > DelayCost::new(2, Timeliness::Late, BATCH));
     }
 
     /// Guards against an infinite cost, or none, at the ends of what can be declared.
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -7,6 +7,7 @@
 
 use super::confirmation::Arrival;
 use super::customers::CustomerIndex;
+use super::delay_cost;
 use super::job_spec::{JobKey, JobRecord, MAX_TASKS_PER_JOB, Run, Step, StepKey, TaskKey};
 use super::progress::{
     Crash, CrashDetail, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes,
@@ -132,6 +133,10 @@
     }
 }
 
+/// Least work of an unfinished task, in core-milliseconds. Estimates and sizes need not be declared,
+/// and a task without them would precede all others at any priority.
+const MIN_TASK_WORK: u64 = 1_000;
+
 /// Maximum number of occurrences of a job that have begun and not ended. Without a limit, a
 /// schedule whose occurrences are all due would take any amount of memory at once.
 const MAX_OPEN_OCCURRENCES: usize = 1_000;
@@ -380,12 +385,13 @@
         self.critical_paths.get(step).copied().unwrap_or_default()
     }
 
-    /// Estimated processor time of an occurrence's unfinished tasks, in core-milliseconds.
+    /// Estimated processor time of an occurrence's unfinished tasks, in core-milliseconds. Each
+    /// counts at least [`MIN_TASK_WORK`].
     pub(crate) fn remaining_work(&self, occurrence: &Occurrence) -> u64 {
         let left = |(spec, state): (&Step, &StepState)| {
             let tasks = u64::from(spec.count - state.done);
-            let work = tasks.saturating_mul(spec.size.cpu.0);
-            work.saturating_mul(spec.estimate.as_millis()) / 1_000
+            let work = delay_cost::work(spec.size, spec.estimate).max(MIN_TASK_WORK);
+            tasks.saturating_mul(work)
         };
         let steps = self.record.spec.steps.iter().zip(&occurrence.steps);
         steps.map(left).fold(0, u64::saturating_add)
--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -11,7 +11,7 @@
 
 use super::delay_cost::{self, DelayCost, Timeliness};
 use super::job::{Job, Occurrence};
-use super::job_spec::{Step, StepKey};
+use super::job_spec::StepKey;
 use crate::model::{Span, Time};
 
 /// Wait after which a long-running task goes before all others if the workers have capacity for it. It
@@ -118,7 +118,7 @@
         Turn::Due | Turn::Overdue => (DelayCost::NONE, priority),
         Turn::ByCost => {
             let work = match spec.filter(|s| s.long_running) {
-                Some(spec) => long_running_work(spec),
+                Some(spec) => delay_cost::long_running_work(spec.size),
                 None => job.remaining_work(occurrence),
             };
             let cost = DelayCost::new(priority, timeliness, work);
@@ -136,13 +136,6 @@
     }
 }
 
-/// Work that counts for all tasks of a long-running step, also those that run: what a task is worth
-/// does not depend on how many others wait.
-fn long_running_work(step: &Step) -> u64 {
-    let millicores = u64::from(step.count).saturating_mul(step.size.cpu.0);
-    delay_cost::long_running_work(millicores)
-}
-
 /// Compares two steps by their ranks and, if these are equal, by their keys, so that the
 /// order does not depend on the order in which a leader learned of them.
 pub(crate) fn compare(
--- a/crates/jujubelb/src/dispatch/tests/delay_costs.rs
+++ b/crates/jujubelb/src/dispatch/tests/delay_costs.rs
@@ -89,7 +89,7 @@
     assert!(full <= Span::from_secs(40), "{full}");
 }
 
-/// Guards against overdue jobs without an end. Load: a worker with 80 % of its room taken by
+/// Guards against overdue jobs without an end. Load: a worker with 75 % of its room taken by
 /// urgent work, and batches that are overdue from the beginning.
 #[test]
 fn overdue_jobs_end_beside_urgent_work() {
@@ -112,11 +112,11 @@
     sim.run(Span::from_millis(800));
     let late = sim.submit(2, urgent(8));
     sim.run(Span::from_millis(1_000));
-    let lasting = sim.submit(3, job(0, vec![long_running(16, 8)]));
+    let long = sim.submit(3, job(0, vec![long_running(16, 8)]));
     sim.run(Span::from_millis(2_400));
     assert!(is_done(&sim, late));
     sim.run(MAX_LONG_RUNNING_PAUSE);
-    assert!(sim.running(lasting) > 0);
+    assert!(sim.running(long) > 0);
 }
 
 /// Guards against an order of equal steps that depends on how the leader learned of them: a
@@ -157,18 +157,50 @@
         step(1, 8, Span::from_secs(1)),
     );
     sim.submit(40, job(1, chain));
+    sim.submit(41, job(0, vec![long_running(3, 8)]));
     sim.run(Span::from_millis(1_500));
-    let before = sim.dispatcher.ranked_steps(sim.now);
+    let before = ranked_jobs(&mut sim);
     sim.replace_leader(true);
     let arrived = sim.dispatcher.last_arrival();
     sim.dispatcher.term_confirmed(arrived);
-    let after = sim.dispatcher.ranked_steps(sim.now);
-    let keys = |ranked: Vec<(_, _)>| ranked.into_iter().map(|(_, k)| k).collect::<Vec<_>>();
+    let after = ranked_jobs(&mut sim);
     // The first job runs, which the second leader does not know yet.
-    let after: Vec<_> = keys(after)
-        .into_iter()
-        .filter(|k| k.job != JobKey(1))
-        .collect();
-    assert_eq!(keys(before), after);
-    assert_eq!(after.len(), 13);
+    let after: Vec<_> = after.into_iter().filter(|id| *id != 1).collect();
+    assert_eq!(before, after);
+    assert_eq!(after.len(), 14);
+}
+
+fn ranked_jobs(sim: &mut Simulation) -> Vec<u64> {
+    let ranked = sim.dispatcher.ranked_steps(sim.now);
+    ranked.into_iter().map(|(_, k)| k.job.0).collect()
+}
+
+/// Guards against steps that go first at any priority because they declare no size or duration.
+/// Load: a job of the lowest priority without an estimate, and one with accelerators and few cores.
+#[test]
+fn work_that_is_not_declared_does_not_precede_urgent_jobs() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![step(8, 8, Span::from_secs(60))]));
+    sim.run(Span::from_millis(500));
+    sim.submit(2, job(2, vec![step(1, 8, Span::ZERO)]));
+    let mut accelerated = step(1, 1, Span::from_secs(1));
+    accelerated.size.accelerators = 4;
+    sim.submit(3, job(2, vec![accelerated]));
+    sim.submit(4, urgent(2));
+    sim.run(Span::from_millis(100));
+    assert_eq!(ranked_jobs(&mut sim), [4, 2, 3]);
+}
+
+/// Guards against a lost task of a long-running job that waits for longer the more tasks the job
+/// has: a run of one is worth the same in each.
+#[test]
+fn a_lost_task_of_a_large_job_ranks_as_that_of_a_small_one() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![step(8, 8, Span::from_secs(60))]));
+    sim.run(Span::from_millis(500));
+    sim.submit(2, job(0, vec![long_running(1_000, 8)]));
+    sim.submit(3, job(0, vec![long_running(1, 8)]));
+    sim.submit(4, job(0, vec![long_running(1, 16)]));
+    sim.run(Span::from_millis(100));
+    assert_eq!(ranked_jobs(&mut sim), [2, 3, 4]);
 }
