Count the wait of a long-running task from its readiness or last run

The rank took the time since the last change of the task's state for its wait. For an inherited task that is the age of its job, so a new leader placed it before all urgent work; a long-running step after a finite one was due at once; a start that was refused began the 3 s anew; and tasks that could not start yet raised their step.

Each task keeps since when it waits for a run, on the clock of the term: from the first pass that finds its step ready and the task without a run. A run that a worker shows or reports as ended ends the wait, a start that is refused or has no answer does not. Only tasks that may start raise the step, and the cost stops to double after 40 times.

the_wait_of_a_long_running_task_begins_anew_with_the_term and the_wait_of_a_long_running_step_begins_when_it_is_ready fail on the code before. a_refused_start_does_not_begin_the_wait_anew and tasks_that_may_not_start_do_not_raise_their_step use new functions; they fail if a change of state clears the wait, and without the check for tasks that may start.

--- a/crates/jujubelb/src/dispatch/completion.rs
+++ b/crates/jujubelb/src/dispatch/completion.rs
@@ -41,6 +41,7 @@
             return;
         };
         task.run = task.run.max(completion.run);
+        task.waiting_since = None;
         if task.state == TaskState::Done {
             return;
         }
--- a/crates/jujubelb/src/dispatch/delay_cost.rs
+++ b/crates/jujubelb/src/dispatch/delay_cost.rs
@@ -20,6 +20,10 @@
 /// of mean size.
 const LONG_RUNNING_TIME: Span = Span::from_secs(300);
 
+/// Number of doublings after which the cost no longer rises. The cost is then above that of any
+/// finite work with a declared size, and stays finite.
+const MAX_DOUBLINGS: f64 = 40.0;
+
 /// Millicores as which an accelerator counts. It is worth several cores, and a step that needs
 /// few cores besides must not count as small.
 const ACCELERATOR_MILLICORES: u64 = 8_000;
@@ -79,7 +83,7 @@
     /// The cost for long-running tasks after a time without a run.
     pub(super) fn after_pause(self, pause: Span) -> Self {
         let doublings = pause.as_secs_f64() / PAUSE_DOUBLING.as_secs_f64();
-        Self(self.0 * doublings.exp2())
+        Self(self.0 * doublings.min(MAX_DOUBLINGS).exp2())
     }
 }
 
@@ -133,5 +137,6 @@
         assert!(none.0.is_finite());
         assert!(DelayCost::new(u8::MAX, Timeliness::Late, u64::MAX).0 > 0.0);
         assert_eq!(DelayCost::new(0, Timeliness::Overdue, 1).0, 0.0);
+        assert!(none.after_pause(Span::from_secs(1_000_000)).0.is_finite());
     }
 }
--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -45,6 +45,10 @@
     pub(crate) not_before: Time,
     /// When the state last changed.
     pub(crate) since: Time,
+    /// Since when it waits for a run, by the clock of this term: since its step became ready or
+    /// its last run ended. A start that was refused or not answered does not change it. `None`
+    /// until a pass finds it, and once a worker has shown a run. Kept for long-running tasks.
+    pub(crate) waiting_since: Option<Time>,
 }
 
 impl Task {
@@ -80,6 +84,7 @@
             inherited,
             not_before: Time::ZERO,
             since: now,
+            waiting_since: None,
         };
         let mut tasks = vec![task; step.count as usize];
         for (i, task) in (0u32..).zip(&mut tasks) {
@@ -112,6 +117,15 @@
         waits.map(|t| now.since(t.since)).max()
     }
 
+    /// Begins the waits of tasks that a pass has found without a run.
+    pub(crate) fn begin_waits(&mut self, now: Time) {
+        for task in &mut self.tasks {
+            if task.state == TaskState::Waiting {
+                task.waiting_since.get_or_insert(now);
+            }
+        }
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
@@ -306,6 +320,13 @@
             .get_mut(key.index as usize)
     }
 
+    /// Records that a worker has shown a run of a task, which ends its wait for one.
+    pub(crate) fn record_run(&mut self, key: TaskKey) {
+        if let Some(task) = self.task_mut(key) {
+            task.waiting_since = None;
+        }
+    }
+
     /// Records a checkpoint of a run, unless one of a later run is known. The value of any member
     /// of a gang is valid for all, so that of a gang is kept once, with its first task.
     pub(crate) fn record_checkpoint(&mut self, key: TaskKey, run: Run, saved: &ArcStr) {
--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -2,6 +2,7 @@
 //! ready tasks.
 
 use super::health;
+use super::job::Job;
 use super::job_spec::StepKey;
 use super::rank::{self, RankContext, StepRank};
 use super::unplaced::UnplacedSizes;
@@ -40,6 +41,7 @@
     pub(super) fn ranked_steps(&mut self, now: Time) -> Vec<(StepRank, StepKey)> {
         let mut ranked: Vec<(StepRank, StepKey)> = Vec::with_capacity(self.ready.len());
         let mut not_ready = Vec::new();
+        let mut long_running = Vec::new();
         let spare_capacity = self.has_spare_capacity();
         for key in &self.ready {
             let Some(job) = self.jobs.get(&key.job).filter(|j| j.outcome.is_none()) else {
@@ -56,10 +58,10 @@
             });
             match startable {
                 Some(occurrence) => {
-                    let context = RankContext {
-                        beyond_share: self.is_beyond_share(&job.record),
-                        spare_capacity,
-                    };
+                    let context = self.rank_context(job, *key, spare_capacity, now);
+                    if job.is_long_running(key.step) {
+                        long_running.push(*key);
+                    }
                     let rank = rank::rank(job, occurrence, step, context, now);
                     ranked.push((rank, *key));
                 }
@@ -69,10 +71,36 @@
         for key in not_ready {
             self.ready.shift_remove(&key);
         }
+        for key in long_running {
+            let job = self.jobs.get_mut(&key.job);
+            if let Some(state) = job.and_then(|j| j.step_mut(key.occurrence, key.step)) {
+                state.begin_waits(now);
+            }
+        }
         ranked.sort_unstable_by(rank::compare);
         ranked
     }
 
+    /// What the rank of a ready step depends on besides its job.
+    pub(super) fn rank_context(
+        &self,
+        job: &Job,
+        key: StepKey,
+        spare_capacity: bool,
+        now: Time,
+    ) -> RankContext {
+        let state = job.step(key.occurrence, key.step);
+        let state = state.filter(|_| job.is_long_running(key.step));
+        let tasks = state.iter().flat_map(|s| &s.tasks);
+        let startable = tasks.filter(|t| self.is_startable(t, now));
+        let since = startable.filter_map(|t| t.waiting_since).min();
+        RankContext {
+            beyond_share: self.is_beyond_share(&job.record),
+            spare_capacity,
+            wait: since.map(|t| now.since(t)).unwrap_or_default(),
+        }
+    }
+
     fn start_ready(&mut self, orders: &mut Vec<WorkerOrder>, now: Time) {
         let mut ranked = self.ranked_steps(now);
         let in_use = self.workers.values().filter(|w| w.listed);
--- a/crates/jujubelb/src/dispatch/poll.rs
+++ b/crates/jujubelb/src/dispatch/poll.rs
@@ -384,6 +384,9 @@
             }
             tracked.phase = RunPhase::Running;
             tracked.confirmed = now;
+            if let Some(job) = self.jobs.get_mut(&row.task.step.job) {
+                job.record_run(row.task);
+            }
         }
         tracked.last_listed = now;
         if unknown && now.since(tracked.since) > UNKNOWN_RUN_GRACE && !tracked.must_stop {
@@ -429,6 +432,7 @@
                     must_stop |= !is_waiting;
                     task.shared |= !is_waiting;
                     task.run = task.run.max(row.run);
+                    task.waiting_since = None;
                     if is_waiting && live {
                         self.set_state(row.task, TaskState::Placed(name.clone()));
                     }
--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -2,10 +2,11 @@
 //!
 //! Steps go in the order of what a delay costs their callers for each core-second of room, see
 //! [`delay_cost`](super::delay_cost). Two limits bound the waits that this order leaves open:
-//! long-running tasks rise while they wait, and go first after [`MAX_LONG_RUNNING_WAIT`] if there is
-//! capacity for them, and steps
-//! whose callers no longer wait are placed in the order of their latest starts: with the least
-//! work first, the largest would wait for as long as smaller ones follow.
+//!
+//! - Long-running tasks rise while they wait. They go first after [`MAX_LONG_RUNNING_WAIT`] if
+//!   there is capacity for them.
+//! - Steps whose callers no longer wait are placed in the order of their latest starts: with the
+//!   least work first, the largest would wait for as long as smaller ones follow.
 
 use std::cmp::{Ordering, Reverse};
 
@@ -14,8 +15,9 @@
 use super::job_spec::StepKey;
 use crate::model::{Span, Time};
 
-/// Wait after which a long-running task goes before all others if the workers have capacity for it. It
-/// then has to run again within 6 s of the end of its last run, and the rest is for its start.
+/// Wait after which a long-running task goes before all others if the workers have capacity for
+/// it. It then has to run again within 6 s of the end of its last run, and the rest is for its
+/// start.
 const MAX_LONG_RUNNING_WAIT: Span = Span::from_secs(3);
 
 /// What a rank depends on besides the job itself.
@@ -25,6 +27,8 @@
     pub(crate) beyond_share: bool,
     /// Whether the workers together have more free capacity than short tasks need.
     pub(crate) spare_capacity: bool,
+    /// How long tasks of a long-running step that may start have waited for a run at most.
+    pub(crate) wait: Span,
 }
 
 /// Rank of a step; steps are placed in ascending order.
@@ -106,8 +110,10 @@
     } else {
         Timeliness::Overdue
     };
-    let state = occurrence.steps.get(step).filter(|_| long_running);
-    let wait = state.and_then(|s| s.longest_wait(now)).unwrap_or_default();
+    let wait = match long_running {
+        true => context.wait,
+        false => Span::ZERO,
+    };
     let turn = match timeliness {
         Timeliness::Overdue => Turn::Overdue,
         _ if wait >= MAX_LONG_RUNNING_WAIT && context.spare_capacity => Turn::Due,
--- a/crates/jujubelb/src/dispatch/replies.rs
+++ b/crates/jujubelb/src/dispatch/replies.rs
@@ -120,6 +120,7 @@
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
                     job.started = true;
+                    job.record_run(task);
                 }
                 return;
             }
--- a/crates/jujubelb/src/dispatch/tests/delay_costs.rs
+++ b/crates/jujubelb/src/dispatch/tests/delay_costs.rs
@@ -1,7 +1,9 @@
 //! Who waits when there is too little room: what callers of each kind of work get.
 
+use super::simulation::Fault;
 use super::{Simulation, job, long_running, step};
-use crate::dispatch::job_spec::{JobKey, JobRecord, Step};
+use crate::dispatch::job_spec::{JobKey, JobRecord, Step, StepKey, TaskKey};
+use crate::dispatch::rank::RankContext;
 use crate::model::Span;
 
 /// Longest time that a long-running task may be without a run while a worker has room for it.
@@ -175,6 +177,41 @@
     ranked.into_iter().map(|(_, k)| k.job.0).collect()
 }
 
+/// Guards against a new leader that takes the age of a job for the wait of its long-running tasks,
+/// and starts them before all urgent work.
+#[test]
+fn the_wait_of_a_long_running_task_begins_anew_with_the_term() {
+    let mut sim = Simulation::new(1);
+    sim.submit(1, job(0, vec![step(8, 8, Span::from_secs(300))]));
+    sim.submit(2, job(0, vec![long_running(2, 8)]));
+    sim.run(Span::from_secs(100));
+    sim.submit(3, urgent(4));
+    sim.run(Span::from_millis(100));
+    sim.replace_leader(true);
+    let arrived = sim.dispatcher.last_arrival();
+    sim.dispatcher.term_confirmed(arrived);
+    let ranked = ranked_jobs(&mut sim);
+    let place = |id| ranked.iter().position(|j| *j == id);
+    assert!(place(3) < place(2), "{ranked:?}");
+}
+
+/// Guards against a long-running step that counts the time of the steps before it as a wait.
+#[test]
+fn the_wait_of_a_long_running_step_begins_when_it_is_ready() {
+    let mut sim = Simulation::new(1);
+    let first = step(1, 8, Span::from_secs(60));
+    let second = Step {
+        after: vec![0],
+        ..long_running(1, 8)
+    };
+    sim.submit(1, job(0, vec![first, second]));
+    sim.submit(2, job(0, vec![step(7, 8, Span::from_secs(120))]));
+    sim.run(Span::from_secs(59));
+    let urgent = sim.submit(3, urgent(1));
+    sim.run(Span::from_millis(2_200));
+    assert!(is_done(&sim, urgent), "starts: {:?}", sim.starts);
+}
+
 /// Guards against steps that go first at any priority because they declare no size or duration.
 /// Load: a job of the lowest priority without an estimate, and one with accelerators and few cores.
 #[test]
@@ -204,3 +241,56 @@
     sim.run(Span::from_millis(100));
     assert_eq!(ranked_jobs(&mut sim), [2, 3, 4]);
 }
+
+/// Guards against starts that a worker refuses and that begin the wait of their task anew, so that
+/// it never goes first.
+#[test]
+fn a_refused_start_does_not_begin_the_wait_anew() {
+    let mut sim = Simulation::new(1);
+    sim.worker(0).fault = Fault::NoCapacity;
+    let key = sim.submit(1, job(0, vec![long_running(1, 8)]));
+    sim.run(Span::from_secs(5));
+    let task = TaskKey {
+        step: first_step(key),
+        index: 0,
+    };
+    let run = sim.dispatcher.jobs[&key].task(task).map(|t| t.run);
+    // Each start takes a number.
+    assert!(run > Some(sim.dispatcher.first_run()), "{run:?}");
+    let refused = long_running_context(&sim, key).wait;
+    assert!(refused >= Span::from_millis(4_900), "{refused}");
+    sim.worker(0).fault = Fault::None;
+    sim.run(Span::from_secs(2));
+    assert_eq!(sim.running(key), 1);
+    assert_eq!(long_running_context(&sim, key).wait, Span::ZERO);
+}
+
+/// Guards against tasks that raise their step while they can't start: here those that an earlier
+/// term may have started.
+#[test]
+fn tasks_that_may_not_start_do_not_raise_their_step() {
+    let mut sim = Simulation::new(2);
+    let key = sim.submit(1, job(0, vec![long_running(2, 8)]));
+    sim.run(Span::from_secs(2));
+    sim.worker(0).fault = Fault::Partitioned;
+    sim.worker(1).fault = Fault::Partitioned;
+    sim.change_leader();
+    sim.run(Span::from_secs(5));
+    assert!(!sim.dispatcher.inherited_resolved);
+    let unresolved = long_running_context(&sim, key).wait;
+    assert_eq!(unresolved, Span::ZERO);
+}
+
+fn long_running_context(sim: &Simulation, key: JobKey) -> RankContext {
+    let dispatcher = &sim.dispatcher;
+    let spare = dispatcher.has_spare_capacity();
+    dispatcher.rank_context(&dispatcher.jobs[&key], first_step(key), spare, sim.now)
+}
+
+fn first_step(job: JobKey) -> StepKey {
+    StepKey {
+        job,
+        occurrence: 0,
+        step: 0,
+    }
+}
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -11,7 +11,7 @@
 use super::crash::Isolation;
 use super::job_spec::StepKey;
 use super::placement::PlacementRequest;
-use super::rank::{self, RankContext};
+use super::rank;
 use super::worker::{Incarnation, Worker};
 use crate::model::{Span, Time, WorkerName};
 
@@ -94,10 +94,7 @@
                     occurrence.steps.get(step)?.waiting > 0 && job.is_step_ready(occurrence, step);
                 let open = open && !self.is_step_limited(*key);
                 open.then(|| {
-                    let context = RankContext {
-                        beyond_share: self.is_beyond_share(&job.record),
-                        spare_capacity,
-                    };
+                    let context = self.rank_context(job, *key, spare_capacity, now);
                     (rank::rank(job, occurrence, step, context, now), *key)
                 })
             })
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -7,7 +7,7 @@
 use super::job::{Job, StepState, Task};
 use super::job_spec::{Step, StepKey};
 use super::placement::{Obstacle, PlacementRequest};
-use super::rank::{self, RankContext};
+use super::rank;
 use crate::model::{Span, Time};
 
 /// Wait of a step's oldest task at which the first line is logged; each further one is due when
@@ -120,10 +120,7 @@
         let rank_of = |key: &StepKey| {
             let (job, _) = self.ready_step(*key)?;
             let occurrence = job.occurrence(key.occurrence)?;
-            let context = RankContext {
-                beyond_share: self.is_beyond_share(&job.record),
-                spare_capacity,
-            };
+            let context = self.rank_context(job, *key, spare_capacity, now);
             let step = usize::from(key.step);
             Some(rank::rank(job, occurrence, step, context, now))
         };
