Bound the wait of long-running tasks by the room of their service

A long-running task went first after 3 s only if all workers of all services together had 8 % free, also draining, unhealthy and evacuated ones. With steady urgent work on the rest it was never due, though places became free all the time, and a small idle service beside a large full one did not count as free.

Free capacity counts per service, over the workers that may get starts. After 4 s one task of a step, the one that has waited for longest, goes first in each pass whatever the load, so that it runs within 6 s if a place becomes free. The reserve for short tasks goes by the capacity of the service as well.

--- a/crates/jujubelb/src/dispatch/plan.rs
+++ b/crates/jujubelb/src/dispatch/plan.rs
@@ -1,13 +1,15 @@
 //! The scheduling pass: in which order it expires leases, stops runs, adjusts paces and starts
 //! ready tasks.
 
+use indexmap::IndexSet;
+
 use super::health;
 use super::job::Job;
 use super::job_spec::StepKey;
 use super::rank::{self, RankContext, StepRank};
 use super::unplaced::UnplacedSizes;
 use super::{Dispatcher, WorkerOrder};
-use crate::model::{Time, WallTime};
+use crate::model::{ServiceName, Time, WallTime};
 
 impl Dispatcher {
     /// Makes one scheduling pass and returns the orders to send. Returns none once the term
@@ -42,7 +44,7 @@
         let mut ranked: Vec<(StepRank, StepKey)> = Vec::with_capacity(self.ready.len());
         let mut not_ready = Vec::new();
         let mut long_running = Vec::new();
-        let spare_capacity = self.has_spare_capacity();
+        let spare = self.spare_services();
         for key in &self.ready {
             let Some(job) = self.jobs.get(&key.job).filter(|j| j.outcome.is_none()) else {
                 not_ready.push(*key);
@@ -58,7 +60,7 @@
             });
             match startable {
                 Some(occurrence) => {
-                    let context = self.rank_context(job, *key, spare_capacity, now);
+                    let context = self.rank_context(job, *key, &spare, now);
                     if job.is_long_running(key.step) {
                         long_running.push(*key);
                     }
@@ -86,7 +88,7 @@
         &self,
         job: &Job,
         key: StepKey,
-        spare_capacity: bool,
+        spare: &IndexSet<ServiceName>,
         now: Time,
     ) -> RankContext {
         let state = job.step(key.occurrence, key.step);
@@ -96,7 +98,7 @@
         let since = startable.filter_map(|t| t.waiting_since).min();
         RankContext {
             beyond_share: self.is_beyond_share(&job.record),
-            spare_capacity,
+            spare_capacity: spare.contains(&job.record.queue.service),
             wait: since.map(|t| now.since(t)).unwrap_or_default(),
         }
     }
@@ -107,6 +109,9 @@
         let probing = in_use.clone().filter(|w| w.is_probing(now)).count();
         self.probe_slots = health::probe_slots(in_use.count(), probing);
         let mut unplaced = UnplacedSizes::default();
+        for (_, key) in ranked.iter().filter(|(r, _)| r.is_first_task_due()) {
+            self.start_first_task(*key, &mut unplaced, orders, now);
+        }
         for (_, key) in &ranked {
             self.start_step(*key, &mut unplaced, orders, now);
         }
--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -4,7 +4,7 @@
 //! [`delay_cost`](super::delay_cost). Two limits bound the waits that this order leaves open:
 //!
 //! - Long-running tasks rise while they wait. They go first after [`MAX_LONG_RUNNING_WAIT`] if
-//!   there is capacity for them.
+//!   there is capacity for them, and one of a step in each pass after [`MAX_FULL_SERVICE_WAIT`].
 //! - Steps whose callers no longer wait are placed in the order of their latest starts: with the
 //!   least work first, the largest would wait for as long as smaller ones follow.
 
@@ -20,12 +20,18 @@
 /// start.
 const MAX_LONG_RUNNING_WAIT: Span = Span::from_secs(3);
 
+/// Wait after which one task of a long-running step goes first in each pass, whatever the load.
+/// Places become free all the time also on a full service, and 2 s are left for one. With all tasks
+/// first, those of a full service take the room of urgent jobs at once.
+const MAX_FULL_SERVICE_WAIT: Span = Span::from_secs(4);
+
 /// What a rank depends on besides the job itself.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RankContext {
     /// Whether the customer of the job uses more than its share.
     pub(crate) beyond_share: bool,
-    /// Whether the workers together have more free capacity than short tasks need.
+    /// Whether the workers of its service that may get starts have more free capacity together
+    /// than short tasks need.
     pub(crate) spare_capacity: bool,
     /// How long tasks of a long-running step that may start have waited for a run at most.
     pub(crate) wait: Span,
@@ -46,6 +52,8 @@
     long_running: bool,
     /// Whether the objective of a finite job is missed.
     late: bool,
+    /// Whether one task goes first, wherever the step is in the order.
+    first_task_due: bool,
 }
 
 impl StepRank {
@@ -58,6 +66,11 @@
         self.late
     }
 
+    /// Whether one task of the step goes before the tasks of all others.
+    pub(crate) fn is_first_task_due(&self) -> bool {
+        self.first_task_due
+    }
+
     pub(crate) fn latest_start(&self) -> Time {
         self.latest_start
     }
@@ -139,6 +152,7 @@
         latest_start,
         long_running,
         late: timeliness != Timeliness::OnTime,
+        first_task_due: wait >= MAX_FULL_SERVICE_WAIT,
     }
 }
 
--- a/crates/jujubelb/src/dispatch/starts.rs
+++ b/crates/jujubelb/src/dispatch/starts.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::crash::Isolation;
 use super::health;
@@ -12,17 +12,17 @@
 use super::placement::PlacementRequest;
 use super::unplaced::UnplacedSizes;
 use super::{Dispatcher, WorkerOrder};
-use crate::model::{Span, Time, WorkerName};
+use crate::model::{ServiceName, Span, Time, WorkerName};
 
 /// How long a long-running task waits before it may use the reserve for short tasks, if the
-/// workers together have spare capacity.
+/// workers of its service together have spare capacity.
 const MIN_RESERVE_WAIT: Span = Span::from_millis(1_500);
 
 /// How long a long-running task waits before it may use the reserve for short tasks in any
 /// case. It has to run again within 6 s of the end of its last run.
 const MAX_RESERVE_WAIT: Span = Span::from_millis(3_500);
 
-/// Part of the processor time of all workers that counts as needed for short tasks. Per
+/// Part of the processor time of a service's workers that counts as needed for short tasks. Per
 /// core and second, a short task is worth several times as much to its caller as a
 /// long-running one.
 const SHORT_TASK_POOL_PERCENT: u64 = 8;
@@ -43,7 +43,22 @@
         orders: &mut Vec<WorkerOrder>,
         now: Time,
     ) {
-        self.start_waiting(key, false, unplaced, orders, now);
+        self.start_waiting(key, usize::MAX, false, unplaced, orders, now);
+    }
+
+    /// Starts the task of a step that has waited for longest, or its gang.
+    pub(super) fn start_first_task(
+        &mut self,
+        key: StepKey,
+        unplaced: &mut UnplacedSizes,
+        orders: &mut Vec<WorkerOrder>,
+        now: Time,
+    ) {
+        let job = self.jobs.get(&key.job);
+        let step = job.and_then(|j| j.record.spec.steps.get(usize::from(key.step)));
+        let is_gang = step.is_some_and(|s| s.gang);
+        let limit = if is_gang { usize::MAX } else { 1 };
+        self.start_waiting(key, limit, false, unplaced, orders, now);
     }
 
     /// Starts one task of a starved step.
@@ -53,13 +68,14 @@
         orders: &mut Vec<WorkerOrder>,
         now: Time,
     ) {
-        self.start_waiting(key, true, &mut UnplacedSizes::default(), orders, now);
+        self.start_waiting(key, 1, true, &mut UnplacedSizes::default(), orders, now);
     }
 
-    /// Starts waiting tasks of a step, only one if the step is starved.
+    /// Starts waiting tasks of a step, at most `limit`.
     fn start_waiting(
         &mut self,
         key: StepKey,
+        limit: usize,
         starved: bool,
         unplaced: &mut UnplacedSizes,
         orders: &mut Vec<WorkerOrder>,
@@ -85,8 +101,9 @@
             .filter(|(_, t)| startable(t))
             .map(|(i, _)| i)
             .collect();
-        if starved {
-            waiting.truncate(1);
+        if limit < waiting.len() {
+            waiting.sort_by_key(|i| state.tasks[*i as usize].waiting_since.unwrap_or(now));
+            waiting.truncate(limit);
         }
         if step.gang && waiting.len() < step.count as usize {
             return;
@@ -115,7 +132,8 @@
         let longest_wait = longest_wait.max().unwrap_or_default();
         let keep_reserve = step.long_running
             && (longest_wait <= MIN_RESERVE_WAIT
-                || (longest_wait <= MAX_RESERVE_WAIT && !self.has_spare_capacity()));
+                || (longest_wait <= MAX_RESERVE_WAIT
+                    && !self.spare_services().contains(&record.queue.service)));
         let may_probe = |i: &u32| self.may_probe(key, *i, &record);
         if unplaced.covers(step, &record, keep_reserve, || {
             waiting.iter().any(may_probe)
@@ -245,17 +263,24 @@
         worker.update_load();
     }
 
-    /// Whether the workers in use together have more free capacity than short tasks need.
-    /// Waiting long-running tasks may then use the reserve of a single worker, because
-    /// short tasks find capacity on another one.
-    pub(super) fn has_spare_capacity(&self) -> bool {
-        let in_use = self.workers.values().filter(|w| w.fenced && w.listed);
-        let (capacity, reserved) = in_use.fold((0, 0), |(capacity, reserved), w| {
-            (
-                capacity + w.report.capacity.cpu.0,
-                reserved + w.load.reserved.cpu.0,
-            )
+    /// Services whose workers together have more free capacity than short tasks need, of those
+    /// workers that may get starts. Waiting long-running tasks may then use the reserve of a single
+    /// worker, because short tasks find capacity on another one.
+    pub(super) fn spare_services(&self) -> IndexSet<ServiceName> {
+        let mut totals: IndexMap<&ServiceName, (u64, u64)> = IndexMap::new();
+        let open = self.workers.values().filter(|w| {
+            let in_use = w.fenced && w.listed && w.drain_deadline.is_none();
+            in_use && !w.health.is_unhealthy() && !self.evacuated.contains(&w.report.domain)
         });
-        reserved * 100 < capacity * (100 - SHORT_TASK_POOL_PERCENT)
+        for worker in open {
+            let (capacity, reserved) = totals.entry(&worker.report.service).or_default();
+            *capacity += worker.report.capacity.cpu.0;
+            *reserved += worker.load.reserved.cpu.0;
+        }
+        let is_spare = |(capacity, reserved): (u64, u64)| {
+            reserved * 100 < capacity * (100 - SHORT_TASK_POOL_PERCENT)
+        };
+        let spare = totals.into_iter().filter(|(_, t)| is_spare(*t));
+        spare.map(|(service, _)| service.clone()).collect()
     }
 }
--- a/crates/jujubelb/src/dispatch/tickets.rs
+++ b/crates/jujubelb/src/dispatch/tickets.rs
@@ -81,7 +81,7 @@
             let job = self.jobs.get(&key.job);
             job.is_some_and(|j| j.record.queue.ticket_lifetime.is_some() && j.outcome.is_none())
         };
-        let spare_capacity = self.has_spare_capacity();
+        let spare = self.spare_services();
         let mut steps: Vec<_> = self
             .ready
             .iter()
@@ -94,7 +94,7 @@
                     occurrence.steps.get(step)?.waiting > 0 && job.is_step_ready(occurrence, step);
                 let open = open && !self.is_step_limited(*key);
                 open.then(|| {
-                    let context = self.rank_context(job, *key, spare_capacity, now);
+                    let context = self.rank_context(job, *key, &spare, now);
                     (rank::rank(job, occurrence, step, context, now), *key)
                 })
             })
--- a/crates/jujubelb/src/dispatch/waits.rs
+++ b/crates/jujubelb/src/dispatch/waits.rs
@@ -116,11 +116,11 @@
             return;
         };
         let hold = self.hold(key, now).unwrap_or(Hold::Pause);
-        let spare_capacity = self.has_spare_capacity();
+        let spare = self.spare_services();
         let rank_of = |key: &StepKey| {
             let (job, _) = self.ready_step(*key)?;
             let occurrence = job.occurrence(key.occurrence)?;
-            let context = self.rank_context(job, *key, spare_capacity, now);
+            let context = self.rank_context(job, *key, &spare, now);
             let step = usize::from(key.step);
             Some(rank::rank(job, occurrence, step, context, now))
         };
