--- a/crates/jujubelb/src/dispatch/job.rs
+++ b/crates/jujubelb/src/dispatch/job.rs
@@ -7,6 +7,7 @@
 
 use super::confirmation::Arrival;
 use super::customers::CustomerIndex;
+use super::delay_cost;
 use super::job_spec::{JobKey, JobRecord, MAX_TASKS_PER_JOB, Run, Step, StepKey, TaskKey};
 use super::progress::{
     Crash, CrashDetail, JobOutcome, OccurrenceProgress, Progress, StepProgress, TaskCrashes,
@@ -44,6 +45,10 @@
     pub(crate) not_before: Time,
     /// When the state last changed.
     pub(crate) since: Time,
+    /// Since when it waits for a run, by the clock of this term: since its step became ready or
+    /// its last run ended. A start that was refused or not answered does not change it. `None`
+    /// until a pass finds it, and once a worker has shown a run. Kept for long-running tasks.
+    pub(crate) waiting_since: Option<Time>,
 }
 
 impl Task {
@@ -79,6 +84,7 @@
             inherited,
             not_before: Time::ZERO,
             since: now,
+            waiting_since: None,
         };
         let mut tasks = vec![task; step.count as usize];
         for (i, task) in (0u32..).zip(&mut tasks) {
@@ -111,6 +117,15 @@
         waits.map(|t| now.since(t.since)).max()
     }
 
+    /// Begins the waits of tasks that a pass has found without a run.
+    pub(crate) fn begin_waits(&mut self, now: Time) {
+        for task in &mut self.tasks {
+            if task.state == TaskState::Waiting {
+                task.waiting_since.get_or_insert(now);
+            }
+        }
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
     }
@@ -132,6 +147,10 @@
     }
 }
 
+/// Least work of an unfinished task, in core-milliseconds. Estimates and sizes need not be declared,
+/// and a task without them would precede all others at any priority.
+const MIN_TASK_WORK: u64 = 1_000;
+
 /// Maximum number of occurrences of a job that have begun and not ended. Without a limit, a
 /// schedule whose occurrences are all due would take any amount of memory at once.
 const MAX_OPEN_OCCURRENCES: usize = 1_000;
@@ -301,6 +320,13 @@
             .get_mut(key.index as usize)
     }
 
+    /// Records that a worker has shown a run of a task, which ends its wait for one.
+    pub(crate) fn record_run(&mut self, key: TaskKey) {
+        if let Some(task) = self.task_mut(key) {
+            task.waiting_since = None;
+        }
+    }
+
     /// Records a checkpoint of a run, unless one of a later run is known. The value of any member
     /// of a gang is valid for all, so that of a gang is kept once, with its first task.
     pub(crate) fn record_checkpoint(&mut self, key: TaskKey, run: Run, saved: &ArcStr) {
@@ -380,12 +406,13 @@
         self.critical_paths.get(step).copied().unwrap_or_default()
     }
 
-    /// Estimated processor time of an occurrence's unfinished tasks, in core-milliseconds.
+    /// Estimated processor time of an occurrence's unfinished tasks, in core-milliseconds. Each
+    /// counts at least [`MIN_TASK_WORK`].
     pub(crate) fn remaining_work(&self, occurrence: &Occurrence) -> u64 {
         let left = |(spec, state): (&Step, &StepState)| {
             let tasks = u64::from(spec.count - state.done);
-            let work = tasks.saturating_mul(spec.size.cpu.0);
-            work.saturating_mul(spec.estimate.as_millis()) / 1_000
+            let work = delay_cost::work(spec.size, spec.estimate).max(MIN_TASK_WORK);
+            tasks.saturating_mul(work)
         };
         let steps = self.record.spec.steps.iter().zip(&occurrence.steps);
         steps.map(left).fold(0, u64::saturating_add)
--- a/crates/jujubelb/src/dispatch/rank.rs
+++ b/crates/jujubelb/src/dispatch/rank.rs
@@ -2,29 +2,39 @@
 //!
 //! Steps go in the order of what a delay costs their callers for each core-second of room, see
 //! [`delay_cost`](super::delay_cost). Two limits bound the waits that this order leaves open:
-//! long-running tasks rise while they wait, and go first after [`MAX_LONG_RUNNING_WAIT`] if there is
-//! capacity for them, and steps
-//! whose callers no longer wait are placed in the order of their latest starts: with the least
-//! work first, the largest would wait for as long as smaller ones follow.
+//!
+//! - Long-running tasks rise while they wait. They go first after [`MAX_LONG_RUNNING_WAIT`] if
+//!   there is capacity for them, and one of a step in each pass after [`MAX_FULL_SERVICE_WAIT`].
+//! - Steps whose callers no longer wait are placed in the order of their latest starts: with the
+//!   least work first, the largest would wait for as long as smaller ones follow.
 
 use std::cmp::{Ordering, Reverse};
 
 use super::delay_cost::{self, DelayCost, Timeliness};
 use super::job::{Job, Occurrence};
-use super::job_spec::{Step, StepKey};
+use super::job_spec::StepKey;
 use crate::model::{Span, Time};
 
-/// Wait after which a long-running task goes before all others if the workers have capacity for it. It
-/// then has to run again within 6 s of the end of its last run, and the rest is for its start.
+/// Wait after which a long-running task goes before all others if the workers have capacity for
+/// it. It then has to run again within 6 s of the end of its last run, and the rest is for its
+/// start.
 const MAX_LONG_RUNNING_WAIT: Span = Span::from_secs(3);
 
+/// Wait after which one task of a long-running step goes first in each pass, whatever the load.
+/// Places become free all the time also on a full service, and 2 s are left for one. With all tasks
+/// first, those of a full service take the room of urgent jobs at once.
+const MAX_FULL_SERVICE_WAIT: Span = Span::from_secs(4);
+
 /// What a rank depends on besides the job itself.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RankContext {
     /// Whether the customer of the job uses more than its share.
     pub(crate) beyond_share: bool,
-    /// Whether the workers together have more free capacity than short tasks need.
+    /// Whether the workers of its service that may get starts have more free capacity together
+    /// than short tasks need.
     pub(crate) spare_capacity: bool,
+    /// How long tasks of a long-running step that may start have waited for a run at most.
+    pub(crate) wait: Span,
 }
 
 /// Rank of a step; steps are placed in ascending order.
@@ -42,6 +52,8 @@
     long_running: bool,
     /// Whether the objective of a finite job is missed.
     late: bool,
+    /// Whether one task goes first, wherever the step is in the order.
+    first_task_due: bool,
 }
 
 impl StepRank {
@@ -54,6 +66,11 @@
         self.late
     }
 
+    /// Whether one task of the step goes before the tasks of all others.
+    pub(crate) fn is_first_task_due(&self) -> bool {
+        self.first_task_due
+    }
+
     pub(crate) fn latest_start(&self) -> Time {
         self.latest_start
     }
@@ -106,8 +123,10 @@
     } else {
         Timeliness::Overdue
     };
-    let state = occurrence.steps.get(step).filter(|_| long_running);
-    let wait = state.and_then(|s| s.longest_wait(now)).unwrap_or_default();
+    let wait = match long_running {
+        true => context.wait,
+        false => Span::ZERO,
+    };
     let turn = match timeliness {
         Timeliness::Overdue => Turn::Overdue,
         _ if wait >= MAX_LONG_RUNNING_WAIT && context.spare_capacity => Turn::Due,
@@ -118,7 +137,7 @@
         Turn::Due | Turn::Overdue => (DelayCost::NONE, priority),
         Turn::ByCost => {
             let work = match spec.filter(|s| s.long_running) {
-                Some(spec) => long_running_work(spec),
+                Some(spec) => delay_cost::long_running_work(spec.size),
                 None => job.remaining_work(occurrence),
             };
             let cost = DelayCost::new(priority, timeliness, work);
@@ -133,16 +152,10 @@
         latest_start,
         long_running,
         late: timeliness != Timeliness::OnTime,
+        first_task_due: wait >= MAX_FULL_SERVICE_WAIT,
     }
 }
 
-/// Work that counts for all tasks of a long-running step, also those that run: what a task is worth
-/// does not depend on how many others wait.
-fn long_running_work(step: &Step) -> u64 {
-    let millicores = u64::from(step.count).saturating_mul(step.size.cpu.0);
-    delay_cost::long_running_work(millicores)
-}
-
 /// Compares two steps by their ranks and, if these are equal, by their keys, so that the
 /// order does not depend on the order in which a leader learned of them.
 pub(crate) fn compare(
