--- a/crates/jujubelb/src/dispatch/customers/mod.rs
+++ b/crates/jujubelb/src/dispatch/customers/mod.rs
@@ -19,8 +19,7 @@
 /// Weight and limit of a customer, from the operator's configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CustomerPolicy {
-    /// Share of the customer among all when the workers are full, and the jobs a second that it is
-    /// expected to submit at most; at least 1.
+    /// Share of the customer among all when the workers are full; at least 1.
     pub weight: u32,
     /// What its tasks may occupy on all workers together. A resource at 0 has no limit.
     pub limit: Resources,
