Let a task exceed the limit of its customer only while no other start is on its way

Single tasks started while what counted was below the limit, and of two starts on their way the small one, which was planned first, could begin after the large one that exceeded the limit.

One task may exceed the limit only while the workers have confirmed all other runs of the customer and none is unlisted. Until then the step holds back finite steps of later rank, as a gang does, so that the answers come and smaller tasks don't take what it waits for.

The check of each simulated start now takes off the size of the task that starts, in place of the largest one: it is stricter.

--- a/crates/jujubelb/src/dispatch/customers/mod.rs
+++ b/crates/jujubelb/src/dispatch/customers/mod.rs
@@ -5,6 +5,8 @@
 //! `docs/design/customer-limits.md` explains what counts and why.
 
 mod report;
+#[cfg(test)]
+mod tests;
 mod usage;
 
 use indexmap::IndexMap;
--- a/crates/jujubelb/src/dispatch/customers/usage.rs
+++ b/crates/jujubelb/src/dispatch/customers/usage.rs
@@ -4,7 +4,7 @@
 use super::super::job::{Job, TaskState};
 use super::super::job_spec::{Step, StepKey, TaskKey};
 use super::super::progress::JobOutcome;
-use super::super::worker::Worker;
+use super::super::worker::{RunPhase, Worker};
 use super::{Customer, CustomerIndex};
 use crate::model::{Resources, Time};
 use crate::place::{component_min, share};
@@ -37,15 +37,18 @@
     pub(super) has_waiting: bool,
     /// Waiting tasks that its limit held back.
     pub(super) held: usize,
-    /// Whether the limit has held back a gang in this pass. Finite steps of later rank get nothing
-    /// then, or they would take what the gang waits for.
-    gang_waits: bool,
+    /// Number of runs whose start the worker has not confirmed, and that may begin at any time.
+    unconfirmed: u64,
+    /// Whether the limit has held back a step in this pass that would fit after some ends. Finite
+    /// steps of later rank get nothing then, or they would take what it waits for.
+    is_awaited: bool,
 }
 
 impl Usage {
-    fn add(&mut self, step: &Step) {
+    pub(super) fn add(&mut self, step: &Step, confirmed: bool) {
         self.tracked += step.size;
         self.runs += 1;
+        self.unconfirmed += u64::from(!confirmed);
         match step.long_running {
             true => self.lasting += step.size,
             false => self.finite += reserved_size(step),
@@ -56,18 +59,45 @@
         self.tracked + self.unlisted
     }
 
-    /// How many of these tasks of a step may start within a limit. Single tasks start while what
-    /// counts is below it, since smaller tasks would otherwise take what a larger one waits for. A
-    /// gang starts whole if all but one of its members fit.
+    /// How many of these tasks of a step may start within a limit. If none fits, one may exceed it,
+    /// since smaller tasks would otherwise take what a larger one waits for; of a gang that starts
+    /// whole, one member. Only if no other start is on its way: starts arrive in any order, and
+    /// a small task that begins after a large one must not bring the customer further over the limit.
     pub(super) fn allowed(&self, limit: &Resources, step: &Step, tasks: usize) -> usize {
-        if self.gang_waits && !step.long_running {
+        if self.is_awaited && !step.long_running {
             return 0;
         }
+        let counted = self.counted();
+        let Some(fitting) = share::tasks_within(limit, &counted, &step.size) else {
+            return tasks;
+        };
+        let least = if step.gang { u64::from(step.count) } else { 1 };
+        let allowed = match fitting < least && self.is_settled() {
+            true => self.exceeding(limit, step),
+            false => fitting,
+        };
+        usize::try_from(allowed).unwrap_or(tasks).min(tasks)
+    }
+
+    /// How many tasks may start if the last one may exceed the limit.
+    fn exceeding(&self, limit: &Resources, step: &Step) -> u64 {
+        let counted = self.counted();
         let allowed = match step.gang {
-            true => share::members_within(limit, &self.counted(), &step.size),
-            false => share::starts_below(limit, &self.counted(), &step.size),
+            true => share::members_within(limit, &counted, &step.size),
+            false => share::starts_below(limit, &counted, &step.size).map(|n| n.min(1)),
         };
-        allowed.map_or(tasks, |n| usize::try_from(n).unwrap_or(tasks).min(tasks))
+        allowed.unwrap_or(u64::MAX)
+    }
+
+    /// Whether all that counts is known to run.
+    fn is_settled(&self) -> bool {
+        self.unconfirmed == 0 && self.unlisted == Resources::ZERO
+    }
+
+    /// Whether a step that is held back waits only for the answers to other starts.
+    fn awaits_answers(&self, limit: &Resources, step: &Step) -> bool {
+        let least = if step.gang { u64::from(step.count) } else { 1 };
+        !self.is_settled() && self.exceeding(limit, step) >= least
     }
 
     /// Whether a gang fits the limit once all finite runs have ended.
@@ -214,7 +244,8 @@
                     continue;
                 };
                 if let Some(customer) = job.customer {
-                    entries[customer.0].usage.add(step);
+                    let is_confirmed = run.phase == RunPhase::Running;
+                    entries[customer.0].usage.add(step, is_confirmed);
                 }
                 load.add(step, run.cpu_demand());
             }
@@ -298,7 +329,7 @@
     pub(in super::super) fn count_start(&mut self, task: TaskKey) {
         let job = self.jobs.get(&task.step.job);
         if let Some((customer, step)) = job.and_then(|j| owner(j, task.step)) {
-            self.customers.entries[customer.0].usage.add(step);
+            self.customers.entries[customer.0].usage.add(step, false);
         }
     }
 
@@ -314,9 +345,12 @@
         let job = self.jobs.get(&key.job);
         if let Some((customer, step)) = job.and_then(|j| owner(j, key)) {
             let entry = &mut self.customers.entries[customer.0];
-            if step.gang && entry.usage.may_fit(&entry.limit(), step) {
-                entry.usage.gang_waits = true;
-            }
+            let limit = entry.limit();
+            let is_awaited = match step.gang {
+                true => entry.usage.may_fit(&limit, step),
+                false => entry.usage.awaits_answers(&limit, step),
+            };
+            entry.usage.is_awaited |= is_awaited;
         }
     }
 
--- a/crates/jujubelb/src/dispatch/tests/simulation.rs
+++ b/crates/jujubelb/src/dispatch/tests/simulation.rs
@@ -492,8 +492,7 @@
     }
 
     /// Checks that what the customer of a task that has just started has running is no more than its
-    /// limit and one task. While a change reaches the leader the higher limit counts. The largest task
-    /// counts, since calls arrive in any order.
+    /// limit and this task. While a change reaches the leader the higher limit counts.
     fn check_limit(&self, task: TaskKey) {
         let record = &self.jobs[&task.step.job];
         let Some(customer) = &record.customer else {
@@ -506,9 +505,9 @@
         });
         let mut limits = in_force.filter_map(|(_, (_, t))| Some(t.get(customer)?.limit));
         let runs = self.runs_of(customer.as_str());
-        let used: Resources = runs.clone().map(|(_, r)| r.size).sum();
-        let largest = runs.fold(Resources::ZERO, |a, (_, r)| a.max(&r.size));
-        let counted = used.saturating_sub(&largest);
+        let used: Resources = runs.map(|(_, r)| r.size).sum();
+        let started = record.spec.steps[usize::from(task.step.step)].size;
+        let counted = used.saturating_sub(&started);
         let is_within = |limit: Resources| {
             let parts = [
                 (limit.cpu.0, counted.cpu.0),
