--- a/review/standin-3/late.rs
+++ b/review/standin-3/late.rs
@@ -1,4 +1,5 @@
-//! A start that gets no answer and is carried out late, by the next life of its runner.
+//! A start that gets no answer and is carried out late, by the next life of its runner. In the
+//! meantime its leader is killed, or not.
 
 use std::path::Path;
 use std::thread;
@@ -17,10 +18,18 @@
 /// Time from the order to the crash.
 const CRASH_AFTER: Duration = Duration::from_millis(2_500);
 
+/// The same if the leader is killed, and the time from the order to the kill.
+const CRASH_AFTER_KILL: Duration = Duration::from_millis(4_000);
+const LATE_KILL: Duration = Duration::from_millis(6_000);
+const KILL_AFTER: Duration = Duration::from_millis(200);
+
 /// How long the runner is down, at most 4.5 s.
 const DOWN: Duration = Duration::from_millis(3_500);
 
-pub fn play(folder: &Path, trouble: bool) -> i32 {
+/// How long the process of the leader is down.
+const LEADER_DOWN: Duration = Duration::from_millis(3_500);
+
+pub fn play(folder: &Path, trouble: bool, kills: bool) -> i32 {
     let mut setup = Setup::start(folder, 4, 8, 11, vec![route("/batch/", 2, 4, false), route("/fit/", 0, 4, false)]);
     let shared = setup.shared.clone();
     {
@@ -32,7 +41,8 @@
     }
     thread::sleep(Duration::from_secs(6));
     if trouble {
-        shared.lock().hold_next = Some((PLACE, LATE));
+        let late = if kills { LATE_KILL } else { LATE };
+        shared.lock().hold_next = Some((PLACE, late));
     }
     let step = Step { count: 24, cpu: 2_500, mem: 2_000, work_ms: 9_000, max_per_server: 4, ..Step::default() };
     let id = "00c0ffee00000002".to_owned();
@@ -48,6 +58,7 @@
     let begin = Instant::now();
     let mut held = None;
     let mut crashed = false;
+    let mut killed: Option<(usize, Instant)> = None;
     let mut state = String::new();
     let mut asked = begin;
     while accepted && begin.elapsed() < Duration::from_secs(60) && state != "completed" {
@@ -58,7 +69,8 @@
             if held.is_none() && !w.held.is_empty() {
                 held = Some(now);
             }
-            if !crashed && held.is_some_and(|t| now.duration_since(t) >= CRASH_AFTER) {
+            let crash_after = if kills { CRASH_AFTER_KILL } else { CRASH_AFTER };
+            if !crashed && held.is_some_and(|t| now.duration_since(t) >= crash_after) {
                 crashed = true;
                 w.crash(PLACE, Mode::Dead);
                 w.runners[PLACE].until = Some(now + DOWN);
@@ -67,6 +79,20 @@
                 w.revive(PLACE, None);
             }
         }
+        if kills && killed.is_none() && held.is_some_and(|t| now.duration_since(t) >= KILL_AFTER) {
+            let leader = setup.leader();
+            if let Some(i) = leader {
+                setup.nodes[i].end();
+                shared.lock().note(format!("the leader, node {i}, is killed"));
+                killed = Some((i, now));
+            }
+        }
+        if let Some((i, _)) = killed.filter(|(_, at)| now.duration_since(*at) >= LEADER_DOWN)
+            && setup.nodes[i].child.is_none()
+        {
+            setup.nodes[i].start();
+            shared.lock().note(format!("node {i} starts again"));
+        }
         if now.duration_since(asked) >= Duration::from_secs(1) {
             asked = now;
             let got = nodes::ask(&job, setup.fronts[1]);
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -19,7 +19,8 @@
     let folder = std::path::PathBuf::from(word(2));
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let code = match word(1) {
-        "late" => late::play(&folder, trouble),
+        "late" => late::play(&folder, trouble, false),
+        "late-leader" => late::play(&folder, trouble, true),
         "crash" => crash::play(&folder, trouble),
         other => {
             eprintln!("unknown case {other:?}");
